Lay the protocol layer: errors, wire data, configuration schema, adapters' base classes

Cause: every later part needs one set of typed failures and one schema; the layering rule needs a first layer. modern-errors' `custom` classes cannot require an option under TypeScript 6, so fields go in as `props` with defaults.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,64 @@
+import tseslint from "typescript-eslint";
+
+/** Which layers of `src` each layer may import from; the order is that of docs/design. */
+const layers = {
+  protocol: ["protocol"],
+  state: ["protocol", "state"],
+  coordination: ["protocol", "state", "coordination"],
+  transport: ["protocol", "state", "transport"],
+  daemons: ["protocol", "state", "coordination", "transport", "daemons"],
+  commandLine: ["protocol", "state", "transport", "commandLine"],
+};
+
+const layerRules = Object.entries(layers).map(([layer, allowed]) => {
+  const forbidden = Object.keys(layers).filter((name) => !allowed.includes(name));
+  return {
+    files: [`src/${layer}/**/*.ts`],
+    ignores: ["**/*.test.ts"],
+    rules: {
+      "no-restricted-imports": [
+        "error",
+        {
+          patterns: [
+            {
+              regex: `^(\\.\\./)+(${[...forbidden, "standIns", "demo", "bench", "tests"].join("|")})/`,
+              message: `The ${layer} layer may import from: ${allowed.join(", ")}.`,
+            },
+            { group: ["node:child_process", "node:cluster"], message: "A process starts no other process." },
+          ],
+        },
+      ],
+    },
+  };
+});
+
+export default tseslint.config(
+  { ignores: ["build/**", "node_modules/**", "**/generated/**", "*.js"] },
+  tseslint.configs.strictTypeChecked,
+  tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
+    linterOptions: { reportUnusedDisableDirectives: "error" },
+    rules: {
+      "prefer-arrow-callback": "error",
+      "func-style": ["error", "expression"],
+      "max-lines": ["error", { max: 450, skipComments: true, skipBlankLines: true }],
+      "max-lines-per-function": ["error", { max: 130, skipComments: true, skipBlankLines: true }],
+      "@typescript-eslint/consistent-type-imports": "error",
+      "@typescript-eslint/restrict-template-expressions": [
+        "error",
+        { allowNumber: true, allowBoolean: true },
+      ],
+      "@typescript-eslint/no-confusing-void-expression": ["error", { ignoreArrowShorthand: true }],
+    },
+  },
+  ...layerRules,
+  {
+    files: ["**/*.test.ts", "tests/**/*.ts"],
+    rules: {
+      "max-lines-per-function": "off",
+      // node:test's describe/it return promises that its runner awaits.
+      "@typescript-eslint/no-floating-promises": "off",
+    },
+  },
+);
--- /dev/null
+++ b/src/index.ts
@@ -0,0 +1,9 @@
+/** The library: what a program needs to embed a router, or to bring its own adapters. */
+export * from "./protocol/constants.ts";
+export * from "./protocol/errors.ts";
+export type * from "./protocol/types.ts";
+export * from "./protocol/configuration/schema.ts";
+export { ModelEngine } from "./protocol/ModelEngine.ts";
+export { PlainService } from "./protocol/PlainService.ts";
+export { LogService } from "./protocol/LogService.ts";
+export { VmList } from "./protocol/VmList.ts";
--- /dev/null
+++ b/src/protocol/errors.ts
@@ -0,0 +1,98 @@
+/**
+ * Every failure that crosses a module boundary, as a type.
+ *
+ * {@link RequestError} is what a caller sees: it carries the HTTP status, a stable code, the outcome and,
+ * where the caller should come back, after how long. {@link UpstreamError} is what a transport reports of
+ * a back end; coordination turns it into a retry or into a {@link RequestError}.
+ *
+ * Fields are handed to a constructor as `props`: `new UpstreamError("…", { props: { fault, progress } })`.
+ */
+import ModernError from "modern-errors";
+import type { outcomes } from "./constants.ts";
+
+/** What a failed request may have done. */
+export type Outcome = (typeof outcomes)[keyof typeof outcomes];
+
+/** The base of all typed failures of the system. */
+export const PomelocleatError = ModernError.subclass("PomelocleatError");
+
+/** Fields of a failure that a caller sees. */
+export interface RequestFailure {
+  /** HTTP status. */
+  readonly status: number;
+  /** Stable machine-readable code, for example `unknown_model`. */
+  readonly code: string;
+  readonly outcome: Outcome;
+  /** The request field or header at fault. */
+  readonly parameter?: string;
+  /** Seconds after which the same request may be sent again. */
+  readonly retryAfterSeconds?: number;
+}
+
+/** A request that ends in an error answer. */
+export const RequestError = PomelocleatError.subclass("RequestError", {
+  props: { failure: { status: 500, code: "internal_error", outcome: "outcome_unknown" } as RequestFailure },
+});
+export type RequestError = InstanceType<typeof RequestError>;
+
+/**
+ * How far an attempt had come when the upstream failed.
+ *
+ * - `not_sent`: no byte of the request left this process.
+ * - `refused`: the upstream answered that it did not run the request.
+ * - `sent`: the request may have been received and run.
+ * - `streaming`: part of the answer has arrived.
+ */
+export type UpstreamProgress = "not_sent" | "refused" | "sent" | "streaming";
+
+/** What went wrong at an upstream. */
+export type UpstreamFault =
+  | "unreachable"
+  | "refused"
+  | "leaving"
+  | "overloaded"
+  | "stalled"
+  | "closed_early"
+  | "malformed"
+  | "crossed"
+  | "wrong_weights"
+  | "stale_fencing"
+  | "condition_failed"
+  | "unknown_attempt"
+  | "cancelled"
+  | "failed";
+
+/** An upstream (engine, plain service) did not do what was asked. `status` is its HTTP status, if any. */
+export const UpstreamError = PomelocleatError.subclass("UpstreamError", {
+  props: {
+    fault: "failed" as UpstreamFault,
+    progress: "sent" as UpstreamProgress,
+    status: undefined as number | undefined,
+  },
+});
+export type UpstreamError = InstanceType<typeof UpstreamError>;
+
+/** What went wrong at the platform's log service or VM list. */
+export type PlatformFault = "unreachable" | "overloaded" | "expired" | "malformed";
+
+/**
+ * A platform service (log service, VM list) did not do what was asked. `mayHaveTakenEffect` is true if an
+ * append may have been taken although no answer came.
+ */
+export const PlatformError = PomelocleatError.subclass("PlatformError", {
+  props: { fault: "unreachable" as PlatformFault, mayHaveTakenEffect: true },
+});
+export type PlatformError = InstanceType<typeof PlatformError>;
+
+/** One thing wrong in a settings or configuration file. */
+export interface FileProblem {
+  /** Where in the file, for example `organisations[2].models[0]`. */
+  readonly path: string;
+  readonly cause: string;
+}
+
+/** A settings or configuration file that was not accepted; lists everything wrong with it at once. */
+export const FileError = PomelocleatError.subclass("FileError", {
+  props: { file: "", problems: [] as readonly FileProblem[] },
+});
+export type FileError = InstanceType<typeof FileError>;
