--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -5,7 +5,7 @@
  * where the caller should come back, after how long. {@link UpstreamError} is what a transport reports of
  * a back end; coordination turns it into a retry or into a {@link RequestError}.
  *
- * Fields are handed to a constructor as `props`: `new UpstreamError("…", { props: { fault, progress } })`.
+ * Each type has a function that makes one, since `modern-errors` cannot require a field in a constructor.
  */
 import ModernError from "modern-errors";
 import type { outcomes } from "./constants.ts";
@@ -29,12 +29,27 @@
   readonly retryAfterSeconds?: number;
 }
 
+const internalFailure: RequestFailure = { status: 500, code: "internal_error", outcome: "outcome_unknown" };
+
 /** A request that ends in an error answer. */
 export const RequestError = PomelocleatError.subclass("RequestError", {
-  props: { failure: { status: 500, code: "internal_error", outcome: "outcome_unknown" } as RequestFailure },
+  props: { failure: internalFailure },
 });
 export type RequestError = InstanceType<typeof RequestError>;
 
+/**
+ * Makes a {@link RequestError}.
+ *
+ * @param message - For people; goes to the caller.
+ * @param failure - What the caller's program needs.
+ * @param cause - The failure behind it; stays in the process.
+ */
+export const requestError = (message: string, failure: RequestFailure, cause?: unknown): RequestError => {
+  const error: RequestError = new RequestError(message, { props: { failure } });
+  if (cause !== undefined) error.cause = cause;
+  return error;
+};
+
 /**
  * How far an attempt had come when the upstream failed.
  *
@@ -72,6 +87,23 @@
 });
 export type UpstreamError = InstanceType<typeof UpstreamError>;
 
+/**
+ * Makes an {@link UpstreamError}.
+ *
+ * @param status - The HTTP status, where one was received.
+ */
+export const upstreamError = (
+  message: string,
+  fault: UpstreamFault,
+  progress: UpstreamProgress,
+  cause?: unknown,
+  status?: number,
+): UpstreamError => {
+  const error: UpstreamError = new UpstreamError(message, { props: { fault, progress, status } });
+  if (cause !== undefined) error.cause = cause;
+  return error;
+};
+
 /** What went wrong at the platform's log service or VM list. */
 export type PlatformFault = "unreachable" | "overloaded" | "expired" | "malformed";
 
@@ -84,6 +116,18 @@
 });
 export type PlatformError = InstanceType<typeof PlatformError>;
 
+/** Makes a {@link PlatformError}. */
+export const platformError = (
+  message: string,
+  fault: PlatformFault,
+  mayHaveTakenEffect: boolean,
+  cause?: unknown,
+): PlatformError => {
+  const error: PlatformError = new PlatformError(message, { props: { fault, mayHaveTakenEffect } });
+  if (cause !== undefined) error.cause = cause;
+  return error;
+};
+
 /** One thing wrong in a settings or configuration file. */
 export interface FileProblem {
   /** Where in the file, for example `organisations[2].models[0]`. */
@@ -96,3 +140,11 @@
   props: { file: "", problems: [] as readonly FileProblem[] },
 });
 export type FileError = InstanceType<typeof FileError>;
+
+/** Makes a {@link FileError}; its message lists every problem on a line of its own. */
+export const fileError = (file: string, problems: readonly FileProblem[]): FileError => {
+  const lines = problems.map(
+    ({ path, cause }) => `${file}: ${path === "" ? "(whole file)" : path}: ${cause}`,
+  );
+  return new FileError(lines.join("\n"), { props: { file, problems } });
+};
