--- a/src/protocol/types.ts
+++ b/src/protocol/types.ts
@@ -74,7 +74,7 @@
   readonly cachedTokens: number;
 }
 
-/** One piece of a streamed answer. */
+/** One piece of a streamed answer; each piece with text counts as one token in offsets. */
 export interface AnswerFrame {
   /** Text that the piece adds; may be empty. */
   readonly text: string;
@@ -97,6 +97,8 @@
   readonly attempt: string;
   readonly organisation: string;
   readonly request: CompletionRequest;
+  /** Handed on so that an upstream that deduplicates by key can. */
+  readonly idempotencyKey: string | undefined;
   readonly priority: number;
   /** Separates the caches of organisations within the engine. */
   readonly cacheSalt: string;
