--- a/src/protocol/LogService.ts
+++ b/src/protocol/LogService.ts
@@ -13,6 +13,13 @@
    * Reads a stream from an offset on. Offsets no longer kept are skipped: compare `earliestOffset`.
    *
    * @param limit - Most records to return.
+   * @param waitMilliseconds - How long the service may wait for a first record where there is none yet;
+   * without it the answer comes at once.
    */
-  abstract read(stream: string, fromOffset: number, limit: number): Promise<LogPage>;
+  abstract read(
+    stream: string,
+    fromOffset: number,
+    limit: number,
+    waitMilliseconds?: number,
+  ): Promise<LogPage>;
 }
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -35,7 +35,7 @@
 export const RequestError = PomelocleatError.subclass("RequestError", {
   props: { failure: internalFailure },
 });
-export type RequestError = InstanceType<typeof RequestError>;
+export type RequestError = InstanceType<typeof RequestError> & Error;
 
 /**
  * Makes a {@link RequestError}.
@@ -85,7 +85,7 @@
     status: undefined as number | undefined,
   },
 });
-export type UpstreamError = InstanceType<typeof UpstreamError>;
+export type UpstreamError = InstanceType<typeof UpstreamError> & Error;
 
 /**
  * Makes an {@link UpstreamError}.
@@ -114,7 +114,7 @@
 export const PlatformError = PomelocleatError.subclass("PlatformError", {
   props: { fault: "unreachable" as PlatformFault, mayHaveTakenEffect: true },
 });
-export type PlatformError = InstanceType<typeof PlatformError>;
+export type PlatformError = InstanceType<typeof PlatformError> & Error;
 
 /** Makes a {@link PlatformError}. */
 export const platformError = (
@@ -139,7 +139,7 @@
 export const FileError = PomelocleatError.subclass("FileError", {
   props: { file: "", problems: [] as readonly FileProblem[] },
 });
-export type FileError = InstanceType<typeof FileError>;
+export type FileError = InstanceType<typeof FileError> & Error;
 
 /** Makes a {@link FileError}; its message lists every problem on a line of its own. */
 export const fileError = (file: string, problems: readonly FileProblem[]): FileError => {
--- /dev/null
+++ b/src/transport/httpVmList.ts
@@ -0,0 +1,40 @@
+/** The VM list over HTTP: `GET {url}/vms` answers `{"vms": ListedVm[]}`. */
+import { z } from "zod";
+import type { ListedVm } from "../protocol/types.ts";
+import { VmList } from "../protocol/VmList.ts";
+import { createPlatformHttp } from "./platformHttp.ts";
+import type { PlatformHttpSettings } from "./platformHttp.ts";
+
+const listedVm = z.object({
+  id: z.string().min(1),
+  dataCentre: z.string().min(1),
+  url: z.url({ protocol: /^http$/ }),
+  peerUrl: z.url({ protocol: /^http$/ }).optional(),
+  role: z.enum(["router", "engine", "service", "keyValueStore"]),
+  pool: z.string(),
+  state: z.enum(["live", "leaving"]),
+});
+
+const listAnswer = z.object({ vms: z.array(listedVm) });
+
+/**
+ * Connects to the VM list.
+ *
+ * @returns The VM list; disposing it cuts calls in flight.
+ */
+export const createHttpVmList = (settings: PlatformHttpSettings): VmList & AsyncDisposable => {
+  const http = createPlatformHttp(settings);
+
+  class HttpVmList extends VmList implements AsyncDisposable {
+    override async read(): Promise<readonly ListedVm[]> {
+      const { vms } = await http.call({ method: "GET", path: "/vms", answer: listAnswer });
+      return vms.map(({ peerUrl, ...vm }) => (peerUrl === undefined ? vm : { ...vm, peerUrl }));
+    }
+
+    [Symbol.asyncDispose](): Promise<void> {
+      return Promise.resolve(http[Symbol.asyncDispose]());
+    }
+  }
+
+  return new HttpVmList();
+};
--- /dev/null
+++ b/src/transport/platformHttp.ts
@@ -0,0 +1,119 @@
+/** HTTP towards the platform's own services, with every failure as a `PlatformError`. */
+import { Agent, request } from "undici";
+import type { z } from "zod";
+import { platformError } from "../protocol/errors.ts";
+import type { PlatformError } from "../protocol/errors.ts";
+
+/** Longest connection attempt, milliseconds. */
+const connectTimeout = 1_000;
+
+/** Connections to one platform service. */
+const maximumConnections = 8;
+
+/** The longest accepted answer, bytes. */
+const maximumAnswerBytes = 64 * 1024 * 1024;
+
+/** Where a platform service is and how long it may take. */
+export interface PlatformHttpSettings {
+  /** `http://IP:PORT`, with or without a path prefix. */
+  readonly url: string;
+  /** Longest wait for a whole answer, milliseconds. */
+  readonly timeout: number;
+}
+
+/** One call to a platform service. */
+export interface PlatformCall<Schema extends z.ZodType> {
+  readonly method: "GET" | "POST";
+  /** Path and query, after the service's URL. */
+  readonly path: string;
+  readonly body?: string;
+  /** What the answer's JSON has to be. */
+  readonly answer: Schema;
+  /** Milliseconds that the service was asked to wait, on top of the timeout. */
+  readonly wait?: number;
+}
+
+/** A connection pool to one platform service. */
+export interface PlatformHttp extends AsyncDisposable {
+  /** Makes one call, never repeated. Throws `PlatformError`. */
+  call<Schema extends z.ZodType>(call: PlatformCall<Schema>): Promise<z.output<Schema>>;
+}
+
+/** Tells whether a failure came before any byte of the request left. */
+const failedToConnect = (error: unknown): boolean => {
+  if (!(error instanceof Error)) return false;
+  if (error instanceof AggregateError) return error.errors.every(failedToConnect);
+  if ("syscall" in error && error.syscall === "connect") return true;
+  return "code" in error && error.code === "UND_ERR_CONNECT_TIMEOUT";
+};
+
+/**
+ * Turns an answer other than 2xx into a failure. A 4xx status is a positive refusal; of a 5xx or a 408
+ * nobody knows what happened before it.
+ */
+const statusFailure = (what: string, status: number, changesState: boolean): PlatformError => {
+  if (status === 429) return platformError(`${what}: overloaded`, "overloaded", false);
+  if (status === 410) return platformError(`${what}: no longer kept`, "expired", false);
+  const refused = status >= 400 && status < 500 && status !== 408;
+  const fault = refused ? "malformed" : "unreachable";
+  return platformError(`${what}: status ${status}`, fault, changesState && !refused);
+};
+
+const parseAnswer = <Schema extends z.ZodType>(
+  what: string,
+  text: string,
+  schema: Schema,
+  changesState: boolean,
+): z.output<Schema> => {
+  try {
+    return schema.parse(JSON.parse(text));
+  } catch (error) {
+    throw platformError(`${what}: malformed answer`, "malformed", changesState, error);
+  }
+};
+
+/**
+ * Opens a connection pool to a platform service.
+ *
+ * @returns The pool; disposing it cuts calls in flight.
+ */
+export const createPlatformHttp = ({ url, timeout }: PlatformHttpSettings): PlatformHttp => {
+  const base = url.replace(/\/+$/, "");
+  const agent = new Agent({
+    connections: maximumConnections,
+    pipelining: 1,
+    connect: { timeout: Math.min(connectTimeout, timeout) },
+    maxResponseSize: maximumAnswerBytes,
+  });
+
+  const send = async (
+    call: PlatformCall<z.ZodType>,
+    what: string,
+  ): Promise<{ status: number; text: string }> => {
+    const changesState = call.method === "POST";
+    try {
+      const answer = await request(`${base}${call.path}`, {
+        dispatcher: agent,
+        method: call.method,
+        headers: call.body === undefined ? {} : { "content-type": "application/json" },
+        body: call.body ?? null,
+        signal: AbortSignal.timeout(timeout + (call.wait ?? 0)),
+      });
+      return { status: answer.statusCode, text: await answer.body.text() };
+    } catch (error) {
+      const mayHaveTakenEffect = changesState && !failedToConnect(error);
+      throw platformError(`${what}: no answer`, "unreachable", mayHaveTakenEffect, error);
+    }
+  };
+
+  return {
+    call: async (call) => {
+      const what = `${call.method} ${base}${call.path}`;
+      const changesState = call.method === "POST";
+      const { status, text } = await send(call, what);
+      if (status < 200 || status > 299) throw statusFailure(what, status, changesState);
+      return parseAnswer(what, text, call.answer, changesState);
+    },
+    [Symbol.asyncDispose]: () => agent.destroy(),
+  };
+};
