--- /dev/null
+++ b/standIns/engine/answers.ts
@@ -0,0 +1,147 @@
+/** Writes the engine stand-in's answers in OpenAI's form, with the faults of streams. */
+import type { ServerResponse } from "node:http";
+import { headers as headerNames } from "../../src/protocol/constants.ts";
+import { cutError } from "../errors.ts";
+import { jsonAnswer, type Answer } from "../httpServer.ts";
+import { pollUntil } from "../waiting.ts";
+import type { Generation } from "./generation.ts";
+import type { EngineStandInFaults } from "./types.ts";
+
+/** What an answer needs of its engine. */
+export interface AnswerContext {
+  readonly faults: EngineStandInFaults;
+  readonly closed: AbortSignal;
+  readonly crash: () => void;
+}
+
+/** All answers bear the same time, so that recorded sessions compare. */
+const created = 1_700_000_000;
+
+const usageOf = (generation: Generation): object => {
+  const { promptTokens, completionTokens, cachedTokens } = generation.execution();
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: completionTokens,
+    total_tokens: promptTokens + completionTokens,
+    prompt_tokens_details: { cached_tokens: cachedTokens },
+  };
+};
+
+const formatEvent = (value: object): string => `data: ${JSON.stringify(value)}\n\n`;
+
+/** Formats the chunks of one stream. */
+const createChunkFormat = (generation: Generation, id: string) => {
+  const { kind, model } = generation.request;
+  const chat = kind === "chat";
+  const base = { id, object: chat ? "chat.completion.chunk" : "text_completion", created, model };
+  const formatText = (text: string, finishReason: string | null): string => {
+    const content = chat ? { delta: { content: text } } : { text };
+    return formatEvent({ ...base, choices: [{ index: 0, ...content, finish_reason: finishReason }] });
+  };
+  const formatEnd = (): string =>
+    formatText("", generation.finishReason() ?? null) +
+    formatEvent({ ...base, choices: [], usage: usageOf(generation) }) +
+    "data: [DONE]\n\n";
+  return { formatText, formatEnd };
+};
+
+/** Tokens that a stream may still send before a fault strikes. */
+const untilFault = (faults: EngineStandInFaults, sent: number): number =>
+  Math.min(
+    ...[faults.closeEarlyAfterTokens, faults.stallAfterTokens, faults.dieAfterTokens].map((limit) =>
+      limit === null ? Infinity : Math.max(0, limit - sent),
+    ),
+  );
+
+/** Applies the faults that strike after so many tokens of one stream. */
+const strike = async (
+  { faults, closed, crash }: AnswerContext,
+  sent: number,
+  response: ServerResponse,
+): Promise<void> => {
+  const struck = (limit: number | null): boolean => limit !== null && sent >= limit;
+  if (struck(faults.dieAfterTokens)) {
+    faults.dieAfterTokens = null;
+    crash();
+  }
+  if (struck(faults.closeEarlyAfterTokens)) throw cutError("The stand-in closes this stream early.");
+  await pollUntil(() => !struck(faults.stallAfterTokens) || response.destroyed, closed);
+};
+
+const streamPieces = async function* (
+  generation: Generation,
+  from: number,
+  id: string,
+  context: AnswerContext,
+  response: ServerResponse,
+): AsyncGenerator<string> {
+  const { formatText, formatEnd } = createChunkFormat(generation, id);
+  let sent = 0;
+  for (;;) {
+    await strike(context, sent, response);
+    const start = from + sent;
+    const ready = generation.tokens.slice(start, start + untilFault(context.faults, sent));
+    sent += ready.length;
+    if (ready.length > 0) yield ready.map((token) => formatText(token, null)).join("");
+    else if (generation.ended()) break;
+    else await generation.changed();
+  }
+  if (generation.finishReason() === undefined) throw cutError("The answer was broken off.");
+  yield formatEnd();
+};
+
+const answerHeaders = (generation: Generation, id: string): Readonly<Record<string, string>> => {
+  const { incarnation, weightsVersion } = generation.execution();
+  return {
+    [headerNames.attempt]: id,
+    [headerNames.incarnation]: incarnation,
+    [headerNames.weightsVersion]: weightsVersion,
+  };
+};
+
+const takeCount = (faults: EngineStandInFaults, name: "crossAnswers" | "garbage"): boolean => {
+  if (faults[name] === 0) return false;
+  faults[name] -= 1;
+  return true;
+};
+
+const garbagePieces = async function* (): AsyncGenerator<string> {
+  yield await Promise.resolve("data: {no such thing as JSON\n\n");
+};
+
+/** The id that an answer bears: its attempt's, unless the fault crosses it with another. */
+const answerId = (generation: Generation, faults: EngineStandInFaults): string => {
+  const { attempt } = generation.request;
+  return takeCount(faults, "crossAnswers") ? `${attempt}-of-another` : attempt;
+};
+
+/** Answers by a stream of server-sent events, from a token on. */
+export const streamAnswer = (
+  generation: Generation,
+  from: number,
+  context: AnswerContext,
+  response: ServerResponse,
+): Answer => {
+  const id = answerId(generation, context.faults);
+  const body = takeCount(context.faults, "garbage")
+    ? garbagePieces()
+    : streamPieces(generation, from, id, context, response);
+  const headers = { "content-type": "text/event-stream", ...answerHeaders(generation, id) };
+  return { status: 200, headers, body };
+};
+
+/** Answers by one JSON object, once the answer is whole. */
+export const wholeAnswer = async (generation: Generation, context: AnswerContext): Promise<Answer> => {
+  while (!generation.ended()) await generation.changed();
+  const finishReason = generation.finishReason();
+  if (finishReason === undefined) throw cutError("The answer was broken off.");
+  const id = answerId(generation, context.faults);
+  const headers = answerHeaders(generation, id);
+  if (takeCount(context.faults, "garbage")) return { status: 200, headers, body: "{no such thing as JSON" };
+  const { kind, model } = generation.request;
+  const text = generation.tokens.join("");
+  const content = kind === "chat" ? { message: { role: "assistant", content: text } } : { text };
+  const object = kind === "chat" ? "chat.completion" : "text_completion";
+  const choices = [{ index: 0, ...content, finish_reason: finishReason }];
+  return jsonAnswer({ id, object, created, model, choices, usage: usageOf(generation) }, 200, headers);
+};
--- /dev/null
+++ b/standIns/engine/text.ts
@@ -0,0 +1,92 @@
+/**
+ * The deterministic text of the engine stand-in: each token follows from a rolling hash over the prompt and
+ * the tokens before it, so that continuing a partial answer gives byte for byte the rest.
+ */
+import { charactersPerToken } from "../../src/protocol/constants.ts";
+
+/** Tokens in a block of the prompt cache. */
+export const blockTokens = 16;
+
+const blockCharacters = blockTokens * charactersPerToken;
+const offsetBasis = 0x811c9dc5;
+const prime = 0x01000193;
+const words =
+  " the a and of to in for on with by from over under after before until crew cabin safety drill record " +
+  "check renewal roster desk course season order button trim thread stock price carton shop supplier line " +
+  "valid due late early signed counted matched listed found kept sent moved";
+const vocabulary = words.trim().split(" ");
+
+/** Continues an FNV-1a hash over a text's UTF-16 units. */
+export const continueHash = (hash: number, text: string): number => {
+  let state = hash;
+  for (let index = 0; index < text.length; index += 1) {
+    state = Math.imul(state ^ text.charCodeAt(index), prime);
+  }
+  return state >>> 0;
+};
+
+/** Starts a hash that depends on a seed. */
+export const startHash = (seed: string): number => continueHash(offsetBasis, seed);
+
+/** Spreads a hash, so that its remainders do not follow from the last letter alone. */
+const spread = (hash: number): number => {
+  const mixed = Math.imul(hash ^ (hash >>> 16), 0x45d9f3b);
+  return (mixed ^ (mixed >>> 15)) >>> 0;
+};
+
+const lastWord = " done.";
+
+/** Where a text stands: all that its rest depends on. */
+export interface TextState {
+  readonly hash: number;
+  /** True if the text ends with the word that ends an answer. */
+  readonly ended: boolean;
+}
+
+/** Reads a rendered prompt, partial answer included. */
+export const readText = (seed: string, rendered: string): TextState => ({
+  hash: continueHash(startHash(seed), rendered),
+  ended: rendered.endsWith(lastWord),
+});
+
+/** The token that follows. @param averageTokens - Average length of an answer; 0 never ends one. */
+export const nextToken = ({ hash }: TextState, averageTokens: number): string => {
+  const value = spread(hash);
+  if (averageTokens > 0 && value % averageTokens === 0) return lastWord;
+  return ` ${vocabulary[Math.floor(value / 64) % vocabulary.length] ?? ""}`;
+};
+
+/** The state after a token. */
+export const afterToken = ({ hash }: TextState, token: string): TextState => ({
+  hash: continueHash(hash, token),
+  ended: token === lastWord,
+});
+
+/** A chat message as far as rendering needs it. */
+export interface ChatMessage {
+  readonly role: string;
+  readonly content: string;
+}
+
+/** Renders a chat; the last message is left open if its answer is to be continued. */
+export const renderChat = (messages: readonly ChatMessage[], continueFinal: boolean): string => {
+  const parts = messages.map(({ role, content }) => `<|${role}|>${content}`);
+  return continueFinal ? parts.join("\n") : [...parts, "<|assistant|>"].join("\n");
+};
+
+/** Tokens of a rendered text. */
+export const countTokens = (rendered: string): number => Math.ceil(rendered.length / charactersPerToken);
+
+/** Chained hashes of the whole blocks of a text. @param seed - Texts with other seeds share no block. */
+export const hashBlocks = (seed: string, rendered: string): readonly string[] => {
+  const blocks: string[] = [];
+  let first = startHash(seed);
+  let second = startHash(`second ${seed}`);
+  for (let end = blockCharacters; end <= rendered.length; end += blockCharacters) {
+    const text = rendered.slice(end - blockCharacters, end);
+    first = continueHash(first, text);
+    second = continueHash(second, text);
+    blocks.push(first.toString(16).padStart(8, "0") + second.toString(16).padStart(8, "0"));
+  }
+  return blocks;
+};
