--- a/standIns/engine/orders.ts
+++ b/standIns/engine/orders.ts
@@ -80,13 +80,18 @@
 
 type ActionOf<Kind extends EngineOrderAction["kind"]> = Extract<EngineOrderAction, { kind: Kind }>;
 
-/**
- * Creates what takes an engine's orders.
- *
- * @returns Carries out one order, or throws a {@link RefusalError}; every order is added to `records`.
- */
-export const createOrderTaker = (host: OrderHost, records: OrderRecord[]) => {
+/** Takes the orders of one engine. */
+export interface OrderTaker {
+  /** Carries out one order, or throws a {@link RefusalError}. */
+  readonly take: (order: EngineOrder) => Promise<void>;
+  /** Every order taken, with what came of it. */
+  readonly records: readonly OrderRecord[];
+}
+
+/** Creates an {@link OrderTaker}. */
+export const createOrderTaker = (host: OrderHost): OrderTaker => {
   const { settings, condition } = host;
+  const records: OrderRecord[] = [];
   let previous = Promise.resolve();
 
   const loadWeights = async ({ model, weightsVersion }: ActionOf<"load_weights">): Promise<void> => {
@@ -165,7 +170,7 @@
     }
   };
 
-  const take = async (order: EngineOrder): Promise<void> => {
+  const takeNext = async (order: EngineOrder): Promise<void> => {
     const { id, fencingNumber, action } = order;
     let outcome = "failed";
     try {
@@ -181,9 +186,10 @@
     }
   };
 
-  return (order: EngineOrder): Promise<void> => {
-    const taken = previous.then(() => take(order));
+  const take = (order: EngineOrder): Promise<void> => {
+    const taken = previous.then(() => takeNext(order));
     previous = taken.catch(() => undefined);
     return taken;
   };
+  return { take, records };
 };
--- a/standIns/httpServer.ts
+++ b/standIns/httpServer.ts
@@ -138,6 +138,8 @@
 export interface StandInServerOptions<Faults extends CommonFaults> {
   readonly host: string;
   readonly port: number;
+  /** All switches off, unless the stand-in shares them with its parts. */
+  readonly faults?: Faults;
   readonly faultsSchema: z.ZodType<Faults>;
   readonly routes: readonly Route[];
   /** For calls that no route matches; without it they are a 404. */
@@ -149,7 +151,7 @@
 export const startServer = async <Faults extends CommonFaults>(
   options: StandInServerOptions<Faults>,
 ): Promise<StandInServer<Faults>> => {
-  const faults = options.faultsSchema.parse({});
+  const faults = options.faults ?? options.faultsSchema.parse({});
   const closing = new AbortController();
   setMaxListeners(0, closing.signal);
   const sockets = new Set<Socket>();
--- /dev/null
+++ b/standIns/service.test.ts
@@ -0,0 +1,35 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import { createServiceStandIn } from "./service.ts";
+
+const signOff = (url: string): Promise<Response> =>
+  fetch(`${url}/sign-offs`, {
+    method: "POST",
+    headers: { "idempotency-key": "key", "x-attempt-id": "attempt" },
+    body: "signed",
+  });
+
+describe("service stand-in", () => {
+  it("counts executions whose answers are lost", async () => {
+    await using service = await createServiceStandIn();
+    service.faults.loseAnswers = 1;
+    await expect(signOff(service.url)).toBeRejected();
+    await signOff(service.url);
+    expect(service.executions().map(({ idempotencyKey }) => idempotencyKey)).toEqual(["key", "key"]);
+  });
+
+  it("runs a key once where it deduplicates", async () => {
+    await using service = await createServiceStandIn({ deduplicatesByKey: true });
+    const first: unknown = await (await signOff(service.url)).json();
+    expect(await (await signOff(service.url)).json()).toEqual(first);
+    expect(service.executions().length).toEqual(1);
+  });
+
+  it("refuses with a true not run", async () => {
+    await using service = await createServiceStandIn();
+    service.faults.refuse = true;
+    const answer = await signOff(service.url);
+    expect([answer.status, answer.headers.get("x-pomelocleat-outcome")]).toEqual([503, "not_run"]);
+    expect(service.executions().length).toEqual(0);
+  });
+});
--- a/standIns/waiting.ts
+++ b/standIns/waiting.ts
@@ -54,7 +54,7 @@
   const read = (lagMilliseconds: number): Value => {
     const until = performance.now() - lagMilliseconds;
     const entry = entries.findLast(({ at }) => at <= until) ?? entries[0];
-    return entry?.value ?? first;
+    return entry === undefined ? first : entry.value;
   };
   return { record, read };
 };
