Check, split, record and replay the configuration

A record carries the changed sections, its base and the digest of the whole result; the first valid one whose base is in force is applied. Ruled out: deciding records after a loss of expired ones, since another reader may have voided them; they are held until a restatement whose writer had read everything that expired, a replacement, or a peer's state.

--- a/src/index.ts
+++ b/src/index.ts
@@ -7,3 +7,8 @@
 export { PlainService } from "./protocol/PlainService.ts";
 export { LogService } from "./protocol/LogService.ts";
 export { VmList } from "./protocol/VmList.ts";
+export { checkConfiguration, parseConfiguration } from "./protocol/configuration/check.ts";
+export type { ConfigurationCheck } from "./protocol/configuration/check.ts";
+export { createConfigurationHistory } from "./state/configurationHistory.ts";
+export { createHttpLogService } from "./transport/httpLogService.ts";
+export { createHttpVmList } from "./transport/httpVmList.ts";
--- /dev/null
+++ b/src/protocol/configuration/crossReferences.ts
@@ -0,0 +1,247 @@
+/** What a configuration's items say about one another, one check a function. */
+import type { FileProblem } from "../errors.ts";
+import { listNames } from "./entries.ts";
+import type { ConfigurationEntries, Entry, ListName } from "./entries.ts";
+import type { ClassConfiguration, ObjectiveConfiguration } from "./schema.ts";
+
+type Check = (entries: ConfigurationEntries) => readonly FileProblem[];
+
+/** One name in the file that stands for an item of a list. */
+interface Reference {
+  readonly path: string;
+  readonly name: string;
+  /** The deployment that the item has to belong to; left out for items of no deployment. */
+  readonly deployment?: string;
+}
+
+const singular: Readonly<Record<ListName, string>> = {
+  deployments: "deployment",
+  dataCentres: "data centre",
+  organisations: "organisation",
+  classes: "class",
+  models: "model",
+  enginePools: "engine pool",
+  services: "service",
+  keyValueStores: "key-value store",
+};
+
+/** Goes over the items that have passed the schema. */
+const forItems = <Item>(
+  entries: readonly Entry<Item>[],
+  check: (item: Item, path: string) => readonly FileProblem[],
+): readonly FileProblem[] =>
+  entries.flatMap(({ item, path }) => (item === undefined ? [] : check(item, path)));
+
+const repeatedValues = (path: string, values: readonly string[]): readonly FileProblem[] =>
+  values.flatMap((value, index) =>
+    values.indexOf(value) === index
+      ? []
+      : [{ path: `${path}[${index}]`, cause: `"${value}" is given twice` }],
+  );
+
+/** Looks references up in a list: each has to exist, and to belong to the same deployment. */
+const checkReferences = (
+  list: ListName,
+  entries: ConfigurationEntries,
+  references: readonly Reference[],
+): readonly FileProblem[] => {
+  const byName = new Map(entries[list].map((entry) => [entry.name, entry.item]));
+  return references.flatMap(({ path, name, deployment }) => {
+    if (!byName.has(name)) return [{ path, cause: `there is no ${singular[list]} "${name}"` }];
+    const item = byName.get(name);
+    if (deployment === undefined || item === undefined || !("deployment" in item)) return [];
+    if (item.deployment === deployment) return [];
+    const cause = `${singular[list]} "${name}" belongs to deployment "${item.deployment}", not "${deployment}"`;
+    return [{ path, cause }];
+  });
+};
+
+const listReferences = (path: string, names: readonly string[], deployment?: string): readonly Reference[] =>
+  names.map((name, index) => ({
+    path: `${path}[${index}]`,
+    name,
+    ...(deployment === undefined ? {} : { deployment }),
+  }));
+
+const checkUniqueNames: Check = (entries) =>
+  listNames.flatMap((list) => {
+    const seen = new Set<string>();
+    return entries[list].flatMap(({ path, name }) => {
+      if (name === undefined) return [];
+      if (seen.has(name)) {
+        return [{ path: `${path}.name`, cause: `another ${singular[list]} is also named "${name}"` }];
+      }
+      seen.add(name);
+      return [];
+    });
+  });
+
+const checkDeploymentsExist: Check = (entries) => {
+  const owned = [
+    ...entries.organisations,
+    ...entries.classes,
+    ...entries.models,
+    ...entries.enginePools,
+    ...entries.services,
+    ...entries.keyValueStores,
+  ];
+  const references = owned.flatMap(({ path, item }) =>
+    item === undefined ? [] : [{ path: `${path}.deployment`, name: item.deployment }],
+  );
+  return checkReferences("deployments", entries, references);
+};
+
+const checkDataCentresExist: Check = (entries) => {
+  const placed = [...entries.enginePools, ...entries.services, ...entries.keyValueStores];
+  return placed.flatMap(({ path, item }) => {
+    if (item === undefined) return [];
+    const listPath = `${path}.dataCentres`;
+    return [
+      ...checkReferences("dataCentres", entries, listReferences(listPath, item.dataCentres)),
+      ...repeatedValues(listPath, item.dataCentres),
+    ];
+  });
+};
+
+const checkOrganisationLists: Check = (entries) =>
+  forItems(entries.organisations, ({ models, services, rivals, deployment }, path) => [
+    ...checkReferences("models", entries, listReferences(`${path}.models`, models, deployment)),
+    ...checkReferences("services", entries, listReferences(`${path}.services`, services, deployment)),
+    ...checkReferences("organisations", entries, listReferences(`${path}.rivals`, rivals, deployment)),
+    ...repeatedValues(`${path}.models`, models),
+    ...repeatedValues(`${path}.services`, services),
+    ...repeatedValues(`${path}.rivals`, rivals),
+  ]);
+
+const checkRivalsAreOthers: Check = (entries) =>
+  forItems(entries.organisations, ({ name, rivals }, path) =>
+    rivals.flatMap((rival, index) =>
+      rival === name
+        ? [{ path: `${path}.rivals[${index}]`, cause: "an organisation cannot rival itself" }]
+        : [],
+    ),
+  );
+
+/** A key tells which organisation calls, so no two may share one. */
+const checkKeysAreUnshared: Check = (entries) => {
+  const owners = new Map<string, string>();
+  return forItems(entries.organisations, ({ name, keyHashes }, path) =>
+    keyHashes.flatMap((hash, index) => {
+      const owner = owners.get(hash);
+      owners.set(hash, owner ?? name);
+      if (owner === undefined) return [];
+      const cause =
+        owner === name ? "the same key is given twice" : `organisation "${owner}" has the same key`;
+      return [{ path: `${path}.keyHashes[${index}]`, cause }];
+    }),
+  );
+};
+
+const checkClassReferences: Check = (entries) => {
+  const ofModels = forReferences(entries.models, (model, path) => ({
+    path: `${path}.defaultClass`,
+    name: model.defaultClass,
+    deployment: model.deployment,
+  }));
+  const ofServices = forReferences(entries.services, (service, path) => ({
+    path: `${path}.class`,
+    name: service.class,
+    deployment: service.deployment,
+  }));
+  return checkReferences("classes", entries, [...ofModels, ...ofServices]);
+};
+
+const forReferences = <Item>(
+  entries: readonly Entry<Item>[],
+  read: (item: Item, path: string) => Reference,
+): readonly Reference[] =>
+  entries.flatMap(({ item, path }) => (item === undefined ? [] : [read(item, path)]));
+
+const checkPoolModels: Check = (entries) =>
+  checkReferences(
+    "models",
+    entries,
+    forReferences(entries.enginePools, (pool, path) => ({
+      path: `${path}.model`,
+      name: pool.model,
+      deployment: pool.deployment,
+    })),
+  );
+
+const checkAdapterNames: Check = (entries) =>
+  forItems(entries.models, ({ adapters }, path) =>
+    repeatedValues(
+      `${path}.adapters`,
+      adapters.map(({ name }) => name),
+    ),
+  );
+
+const checkRoutes: Check = (entries) =>
+  forItems(entries.services, ({ nonIdempotentRoutes }, path) =>
+    repeatedValues(
+      `${path}.nonIdempotentRoutes`,
+      nonIdempotentRoutes.map((route) => `${route.method} ${route.path}`),
+    ),
+  );
+
+const checkClassTimes = (item: ClassConfiguration, path: string): readonly FileProblem[] => {
+  const problems: FileProblem[] = [];
+  if (item.firstTokenDeadline > item.completionDeadline) {
+    problems.push({ path: `${path}.firstTokenDeadline`, cause: "is later than completionDeadline" });
+  }
+  if (item.stallTimeout > item.completionDeadline) {
+    problems.push({ path: `${path}.stallTimeout`, cause: "is longer than completionDeadline" });
+  }
+  if (item.hedgeAfter !== undefined && item.hedgeAfter >= item.firstTokenDeadline) {
+    problems.push({ path: `${path}.hedgeAfter`, cause: "is not before firstTokenDeadline" });
+  }
+  if (item.hedgeAfter !== undefined && item.kind === "batch") {
+    problems.push({ path: `${path}.hedgeAfter`, cause: "only interactive classes may hedge" });
+  }
+  return problems;
+};
+
+const checkClasses: Check = (entries) => forItems(entries.classes, checkClassTimes);
+
+const checkObjective = (
+  objective: ObjectiveConfiguration | undefined,
+  path: string,
+): readonly FileProblem[] => {
+  if (objective === undefined || objective.timeToFirstToken + objective.recomputation > 0) return [];
+  return [{ path: `${path}.objective`, cause: "at least one weight has to be above 0" }];
+};
+
+const checkObjectives: Check = (entries) => [
+  ...forItems(entries.deployments, (item, path) => checkObjective(item.objective, path)),
+  ...forItems(entries.classes, (item, path) => checkObjective(item.objective, path)),
+];
+
+/** A claim has to outlive every request that it may belong to, and a retry of it. */
+const checkClaimRetention: Check = ({ classes, limits }) => {
+  if (limits === undefined) return [];
+  const deadlines = classes.map(({ item }) => item?.completionDeadline ?? 0);
+  const longest = Math.max(0, ...deadlines);
+  if (limits.claimRetention >= 2 * longest) return [];
+  const cause = `must be at least twice the longest completionDeadline (${longest} ms)`;
+  return [{ path: "limits.claimRetention", cause }];
+};
+
+const checks: readonly Check[] = [
+  checkUniqueNames,
+  checkDeploymentsExist,
+  checkDataCentresExist,
+  checkOrganisationLists,
+  checkRivalsAreOthers,
+  checkKeysAreUnshared,
+  checkClassReferences,
+  checkPoolModels,
+  checkAdapterNames,
+  checkRoutes,
+  checkClasses,
+  checkObjectives,
+  checkClaimRetention,
+];
+
+/** Checks what the items of a configuration say about one another. */
+export const findCrossReferenceProblems = (entries: ConfigurationEntries): readonly FileProblem[] =>
+  checks.flatMap((check) => check(entries));
--- a/src/protocol/configuration/schema.ts
+++ b/src/protocol/configuration/schema.ts
@@ -148,4 +148,6 @@
 export type ModelConfiguration = Configuration["models"][number];
 export type EnginePoolConfiguration = Configuration["enginePools"][number];
 export type ServiceConfiguration = Configuration["services"][number];
+export type KeyValueStoreConfiguration = Configuration["keyValueStores"][number];
+export type LimitsConfiguration = Configuration["limits"];
 export type ObjectiveConfiguration = Configuration["deployments"][number]["objective"];
--- /dev/null
+++ b/src/state/configurationReplay.ts
@@ -0,0 +1,208 @@
+/**
+ * Decides the fate of one record of the configuration stream after another: the first valid publication by
+ * offset whose base is the version in force is applied, the others are void. A version is the offset of its
+ * publication, so it only rises.
+ */
+import { checkConfiguration } from "../protocol/configuration/check.ts";
+import { decodeConfigurationRecord } from "../protocol/configuration/record.ts";
+import type {
+  ConfigurationRecord,
+  Publication,
+  Publisher,
+  Restatement,
+} from "../protocol/configuration/record.ts";
+import type { Configuration } from "../protocol/configuration/schema.ts";
+import {
+  applyDifference,
+  differenceOf,
+  digestSections,
+  findMisnamedSections,
+  joinSections,
+} from "../protocol/configuration/sections.ts";
+import type { SectionDifference, SectionMap } from "../protocol/configuration/sections.ts";
+import type { LogRecord } from "../protocol/types.ts";
+import type { Fate, VoidReason } from "./configurationFate.ts";
+import { createSectionChanges } from "./sectionChanges.ts";
+import type { SectionChanges } from "./sectionChanges.ts";
+
+/** Records whose fate is remembered. */
+const maximumEntries = 200;
+
+/** Which version it is, and who published it. */
+export interface VersionIdentity extends Publisher {
+  /** Offset of the publication. */
+  readonly version: number;
+  readonly digest: string;
+}
+
+/** The configuration in force. */
+export interface ConfigurationInForce extends VersionIdentity {
+  readonly configuration: Configuration;
+  readonly sections: SectionMap;
+}
+
+/** A record of the log from which a reader that knows nothing can start. */
+export interface WholeRecord {
+  readonly offset: number;
+  /** Milliseconds since 1970 on the log service's clock. */
+  readonly appendedAt: number;
+}
+
+/** A record and its fate. */
+export interface HistoryEntry extends Publisher {
+  readonly offset: number;
+  /** Milliseconds since 1970 on the log service's clock. */
+  readonly appendedAt: number;
+  readonly kind: ConfigurationRecord["kind"] | "unreadable";
+  readonly base: number | null;
+  /** Names of the sections that it puts. */
+  readonly put: readonly string[];
+  readonly remove: readonly string[];
+  readonly fate: Fate;
+}
+
+/** The records decided so far. */
+export interface ConfigurationReplay {
+  current(): ConfigurationInForce | undefined;
+  entries(): readonly HistoryEntry[];
+  wholeRecord(): WholeRecord | undefined;
+  readonly changes: SectionChanges;
+  /** Decides a record, all of whose predecessors have been decided. */
+  decide(record: LogRecord): Fate;
+  /**
+   * Puts a state that somebody else came to in force, unless it is no newer.
+   *
+   * @returns Why it was refused, if it was.
+   */
+  takeOver(identity: VersionIdentity, sections: SectionMap, whole?: WholeRecord): VoidReason | undefined;
+}
+
+type Built =
+  | { readonly valid: true; readonly configuration: Configuration }
+  | { readonly valid: false; readonly reason: VoidReason };
+
+const emptySections: SectionMap = new Map();
+
+/** Checks that sections are what their publisher meant, and a valid configuration. */
+export const buildConfiguration = (sections: SectionMap, expected: string): Built => {
+  const found = digestSections(sections);
+  if (found !== expected) return { valid: false, reason: { kind: "digest_mismatch", expected, found } };
+  const misnamed = findMisnamedSections([...sections.values()]);
+  if (misnamed.length > 0) {
+    const problems = misnamed.map((path) => ({ path, cause: "the section is not named after its body" }));
+    return { valid: false, reason: { kind: "invalid", problems } };
+  }
+  const check = checkConfiguration(joinSections(sections));
+  if (check.accepted) return { valid: true, configuration: check.configuration };
+  return { valid: false, reason: { kind: "invalid", problems: check.problems } };
+};
+
+const describeRecord = (
+  { offset, appendedAt }: LogRecord,
+  decoded: ConfigurationRecord | undefined,
+  fate: Fate,
+): HistoryEntry => ({
+  offset,
+  appendedAt,
+  kind: decoded?.kind ?? "unreadable",
+  base: decoded?.kind === "publication" ? decoded.base : null,
+  publishedBy: decoded?.publishedBy ?? "",
+  publishedAt: decoded?.publishedAt ?? 0,
+  put: decoded?.put.map(({ section }) => section) ?? [],
+  remove: decoded?.kind === "publication" ? decoded.remove : [],
+  fate,
+});
+
+const isWhole = (record: ConfigurationRecord, fate: Fate): boolean =>
+  fate.kind !== "void" && (record.kind !== "publication" || record.base === null);
+
+/** Creates a replay that has decided nothing. */
+export const createConfigurationReplay = (): ConfigurationReplay => {
+  const changes = createSectionChanges();
+  const entries: HistoryEntry[] = [];
+  /** Which version followed a version. */
+  const successors = new Map<number | null, number>();
+  let inForce: ConfigurationInForce | undefined;
+  let wholeRecord: WholeRecord | undefined;
+
+  const noteSuccessor = (version: number): void => {
+    successors.set(inForce?.version ?? null, version);
+    const [oldest] = successors.keys();
+    if (oldest !== undefined && successors.size > maximumEntries) successors.delete(oldest);
+  };
+
+  /** Puts a record's result in force as a new version. */
+  const publish = (
+    version: number,
+    { digest, publishedBy, publishedAt }: Publisher & { readonly digest: string },
+    base: SectionMap,
+    difference: SectionDifference,
+  ): Fate => {
+    const sections = applyDifference(base, difference);
+    const built = buildConfiguration(sections, digest);
+    if (!built.valid) return { kind: "void", offset: version, reason: built.reason };
+    noteSuccessor(version);
+    if (inForce === undefined) changes.restart(version);
+    changes.note(version, differenceOf(inForce?.sections ?? emptySections, sections));
+    inForce = { version, digest, publishedBy, publishedAt, sections, configuration: built.configuration };
+    return { kind: "applied", offset: version, version };
+  };
+
+  const decidePublication = (offset: number, record: Publication): Fate => {
+    const { base } = record;
+    if (base === (inForce?.version ?? null)) {
+      return publish(offset, record, inForce?.sections ?? emptySections, record);
+    }
+    if (inForce === undefined || (base !== null && base > inForce.version)) {
+      return { kind: "void", offset, reason: { kind: "unknown_base", base: base ?? 0 } };
+    }
+    const beatenBy = successors.get(base) ?? inForce.version;
+    return { kind: "void", offset, reason: { kind: "stale_base", base, beatenBy } };
+  };
+
+  const decideRestatement = (offset: number, { version, digest, readTo }: Restatement): Fate => {
+    const inOrder = version < readTo && readTo <= offset;
+    const same = inOrder && version === inForce?.version && digest === inForce.digest;
+    if (same) return { kind: "restated", offset, version };
+    const reason = { kind: "older_restatement", version, inForce: inForce?.version } as const;
+    return { kind: "void", offset, reason };
+  };
+
+  const decideRecord = (offset: number, record: ConfigurationRecord): Fate => {
+    if (record.kind === "publication") return decidePublication(offset, record);
+    if (record.kind === "restatement") return decideRestatement(offset, record);
+    return publish(offset, record, emptySections, { put: record.put, remove: [] });
+  };
+
+  const decode = (record: LogRecord): [ConfigurationRecord | undefined, Fate] => {
+    const decoded = decodeConfigurationRecord(record.data);
+    if (decoded !== undefined) return [decoded, decideRecord(record.offset, decoded)];
+    return [undefined, { kind: "void", offset: record.offset, reason: { kind: "unreadable" } }];
+  };
+
+  return {
+    current: () => inForce,
+    entries: () => [...entries],
+    wholeRecord: () => wholeRecord,
+    changes,
+    decide: (record) => {
+      const [decoded, fate] = decode(record);
+      const { offset, appendedAt } = record;
+      if (decoded !== undefined && isWhole(decoded, fate)) wholeRecord = { offset, appendedAt };
+      entries.push(describeRecord(record, decoded, fate));
+      if (entries.length > maximumEntries) entries.shift();
+      return fate;
+    },
+    takeOver: ({ version, digest, publishedBy, publishedAt }, sections, whole) => {
+      if (whole !== undefined && whole.offset > (wholeRecord?.offset ?? -1)) wholeRecord = whole;
+      if (version === inForce?.version && digest === inForce.digest) return undefined;
+      if (inForce !== undefined && version <= inForce.version) {
+        return { kind: "older_restatement", version, inForce: inForce.version };
+      }
+      const built = buildConfiguration(sections, digest);
+      if (!built.valid) return built.reason;
+      inForce = { version, digest, publishedBy, publishedAt, sections, configuration: built.configuration };
+      return undefined;
+    },
+  };
+};
