Make the stand-ins whole: orders, faults, document, tests of each

Cause: orders, cache events, lag, priorities and the faults of streams were untested, and tokens written just before a stream was cut could be lost with the connection, so that a cut after 3 tokens was not one. A load or an import that outlived a crash changed the engine that came back. Ruled out: waiting for each write's callback; one turn of the event loop before the fault is enough.

--- a/standIns/engine/answers.ts
+++ b/standIns/engine/answers.ts
@@ -1,5 +1,6 @@
 /** Writes the engine stand-in's answers in OpenAI's form, with the faults of streams. */
 import type { ServerResponse } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { headers as headerNames } from "../../src/protocol/constants.ts";
 import { cutError } from "../errors.ts";
 import { jsonAnswer, type Answer } from "../httpServer.ts";
@@ -60,6 +61,8 @@
   response: ServerResponse,
 ): Promise<void> => {
   const struck = (limit: number | null): boolean => limit !== null && sent >= limit;
+  // What was written before must leave this process first.
+  if (untilFault(faults, sent) === 0) await nextTurn();
   if (struck(faults.dieAfterTokens)) {
     faults.dieAfterTokens = null;
     crash();
--- a/standIns/engine/engineCore.ts
+++ b/standIns/engine/engineCore.ts
@@ -53,6 +53,7 @@
   const condition = startCondition(settings);
   const generations: Generation[] = [];
   const attempts = new Map<string, Generation>();
+  const active = new Set<Generation>();
   const createParts = () => ({
     cache: createBlockCache(settings, faults),
     running: createPrioritySemaphore(settings.maximumRunning),
@@ -60,9 +61,14 @@
   });
   let parts = createParts();
 
-  const active = (): readonly Generation[] => [...attempts.values()].filter(({ ended }) => !ended());
   const leaving = (): boolean => condition.drained || faults().leaving;
 
+  const countPending = (): number => {
+    let tokens = 0;
+    for (const generation of active) tokens += generation.pendingPromptTokens();
+    return tokens;
+  };
+
   const load = (): EngineLoad => ({
     incarnation: condition.incarnation,
     model: condition.model,
@@ -71,7 +77,7 @@
     role: condition.role,
     running: parts.running.taken(),
     waiting: parts.running.waiting(),
-    pendingPromptTokens: active().reduce((sum, { pendingPromptTokens }) => sum + pendingPromptTokens(), 0),
+    pendingPromptTokens: countPending(),
     cachedTokens: parts.cache.size() * blockTokens,
     leaving: leaving(),
   });
@@ -91,6 +97,7 @@
 
   const forgetLater = (generation: Generation): void => {
     const { attempt } = generation.request;
+    active.delete(generation);
     const forget = (): void => {
       if (attempts.get(attempt) === generation) attempts.delete(attempt);
     };
@@ -109,6 +116,7 @@
     });
     generations.push(generation);
     attempts.set(request.attempt, generation);
+    active.add(generation);
     void generation.run().then(() => forgetLater(generation));
     changed();
     return generation;
@@ -121,7 +129,7 @@
   };
 
   const abortAnswers = (): void => {
-    for (const generation of active()) generation.stop("aborted");
+    for (const generation of active) generation.stop("aborted");
     attempts.clear();
   };
 
@@ -133,11 +141,17 @@
     changed();
   };
 
+  const laggedLoad = (lagMilliseconds: number): EngineLoad => {
+    // Switches and time change the load unannounced.
+    changed();
+    return lagMilliseconds === 0 ? load() : history.read(lagMilliseconds);
+  };
+
   return {
     condition,
     cache: () => parts.cache,
     load,
-    laggedLoad: (lagMilliseconds) => (lagMilliseconds === 0 ? load() : history.read(lagMilliseconds)),
+    laggedLoad,
     changed,
     start,
     findAttempt,
--- a/standIns/engine/orders.ts
+++ b/standIns/engine/orders.ts
@@ -94,7 +94,13 @@
   const records: OrderRecord[] = [];
   let previous = Promise.resolve();
 
+  /** Throws if the engine crashed since: what an order began is lost with the rest. */
+  const checkAlive = (incarnation: string): void => {
+    if (condition.incarnation !== incarnation) throw refusal(503, "crashed");
+  };
+
   const loadWeights = async ({ model, weightsVersion }: ActionOf<"load_weights">): Promise<void> => {
+    const { incarnation } = condition;
     condition.loading = true;
     host.abortAnswers();
     host.changed();
@@ -102,11 +108,12 @@
       const path = `/weights/${encodeURIComponent(model)}/${encodeURIComponent(weightsVersion)}`;
       if (settings.weightStoreUrl !== undefined) await callStore(settings.weightStoreUrl + path, "GET");
       await pause(settings.loadMilliseconds, host.closed);
+      checkAlive(incarnation);
       host.cache().clear();
       if (model !== condition.model) condition.adapters = [];
       Object.assign(condition, { model, weightsVersion });
     } finally {
-      condition.loading = false;
+      if (condition.incarnation === incarnation) condition.loading = false;
     }
   };
 
@@ -128,9 +135,11 @@
   };
 
   const importCache = async (action: ActionOf<"import_cache">): Promise<void> => {
+    const { incarnation } = condition;
     const text = await callStore(cacheUrl(action.storeUrl, action.cacheKey), "GET");
     const { model, weightsVersion, blocks } = cacheSchema.parse(JSON.parse(text));
     await transfer(blocks.length);
+    checkAlive(incarnation);
     if (model !== condition.model || weightsVersion !== condition.weightsVersion) {
       throw refusal(409, "condition_failed");
     }
--- a/standIns/engine/requests.ts
+++ b/standIns/engine/requests.ts
@@ -9,10 +9,11 @@
 const defaultMaximumTokens = 512;
 const defaultPriority = 5;
 
-const shared = {
+const sharedFields = {
   model: z.string(),
   stream: z.boolean().default(false),
   max_tokens: z.number().int().min(0).nullish(),
+  max_completion_tokens: z.number().int().min(0).nullish(),
   cache_salt: z.string().default(""),
   ignore_eos: z.boolean().default(false),
 };
@@ -22,17 +23,15 @@
   z
     .array(z.object({ type: z.literal("text"), text: z.string() }))
     .transform((parts) => parts.map(({ text }) => text).join("")),
-  z.null().transform(() => ""),
 ]);
 
 const chatSchema = z.object({
-  ...shared,
+  ...sharedFields,
   messages: z.array(z.object({ role: z.string(), content: contentSchema })).min(1),
-  max_completion_tokens: z.number().int().min(0).nullish(),
   continue_final_message: z.boolean().default(false),
 });
-
-const textSchema = z.object({ ...shared, prompt: z.string() });
+const textSchema = z.object({ ...sharedFields, prompt: z.string() });
+type SharedBody = z.output<z.ZodObject<typeof sharedFields>>;
 
 /** A request and whether its answer is streamed. */
 export interface ParsedRequest {
@@ -40,44 +39,35 @@
   readonly stream: boolean;
 }
 
-const readHeaders = ({ request }: Exchange): Omit<GenerationRequest, keyof BodyFields> => ({
-  attempt: readHeader(request, headerNames.attempt) ?? randomUUID(),
-  idempotencyKey: readHeader(request, headerNames.idempotencyKey),
-  organisation: readHeader(request, headerNames.organisation),
-  priority: Number(readHeader(request, headerNames.priority) ?? defaultPriority),
+const build = (
+  { request }: Exchange,
+  kind: "chat" | "text",
+  body: SharedBody,
+  rendered: string,
+): ParsedRequest => ({
+  stream: body.stream,
+  request: {
+    attempt: readHeader(request, headerNames.attempt) ?? randomUUID(),
+    idempotencyKey: readHeader(request, headerNames.idempotencyKey),
+    organisation: readHeader(request, headerNames.organisation),
+    priority: Number(readHeader(request, headerNames.priority) ?? defaultPriority),
+    kind,
+    model: body.model,
+    cacheSalt: body.cache_salt,
+    rendered,
+    maximumTokens: body.max_completion_tokens ?? body.max_tokens ?? defaultMaximumTokens,
+    ignoreEnd: body.ignore_eos,
+  },
 });
 
-type BodyFields = Pick<
-  GenerationRequest,
-  "kind" | "model" | "cacheSalt" | "rendered" | "maximumTokens" | "ignoreEnd"
->;
-
 /** Reads a call of `/v1/chat/completions`. */
 export const readChatRequest = (exchange: Exchange): ParsedRequest => {
   const body = parseBody(chatSchema, exchange.body);
-  const request = {
-    ...readHeaders(exchange),
-    kind: "chat" as const,
-    model: body.model,
-    cacheSalt: body.cache_salt,
-    rendered: renderChat(body.messages, body.continue_final_message),
-    maximumTokens: body.max_completion_tokens ?? body.max_tokens ?? defaultMaximumTokens,
-    ignoreEnd: body.ignore_eos,
-  };
-  return { request, stream: body.stream };
+  return build(exchange, "chat", body, renderChat(body.messages, body.continue_final_message));
 };
 
 /** Reads a call of `/v1/completions`. */
 export const readTextRequest = (exchange: Exchange): ParsedRequest => {
   const body = parseBody(textSchema, exchange.body);
-  const request = {
-    ...readHeaders(exchange),
-    kind: "text" as const,
-    model: body.model,
-    cacheSalt: body.cache_salt,
-    rendered: body.prompt,
-    maximumTokens: body.max_tokens ?? defaultMaximumTokens,
-    ignoreEnd: body.ignore_eos,
-  };
-  return { request, stream: body.stream };
+  return build(exchange, "text", body, body.prompt);
 };
--- a/standIns/httpServer.ts
+++ b/standIns/httpServer.ts
@@ -2,7 +2,7 @@
 import { once, setMaxListeners } from "node:events";
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import type { z } from "zod";
+import { z } from "zod";
 import { headers as headerNames, outcomes } from "../src/protocol/constants.ts";
 import { cutError, RefusalError, refusal } from "./errors.ts";
 import type { CommonFaults } from "./types.ts";
@@ -126,8 +126,7 @@
     method: "POST",
     path: "/stand-in/faults",
     handler: ({ body }) => {
-      const patch: unknown = JSON.parse(body.toString("utf8"));
-      const merged = schema.safeParse({ ...faults, ...(patch as object) });
+      const merged = schema.safeParse({ ...faults, ...parseBody(z.looseObject({}), body) });
       if (!merged.success) throw refusal(400, "invalid_fault");
       return jsonAnswer(Object.assign(faults, merged.data));
     },
--- a/standIns/main.ts
+++ b/standIns/main.ts
@@ -5,12 +5,11 @@
  */
 import { createEngineStandIn } from "./engine/engine.ts";
 import { processError } from "./errors.ts";
-import { createKeyValueStoreStandIn } from "./keyValueStore.ts";
 import { createLogServiceStandIn } from "./logService.ts";
 import { createServiceStandIn } from "./service.ts";
 import type { CommonFaults, StandIn } from "./types.ts";
 import { createVmListStandIn } from "./vmList.ts";
-import { createWeightStoreStandIn } from "./weightStore.ts";
+import { createKeyValueStoreStandIn, createWeightStoreStandIn } from "./stores.ts";
 
 type Factory = (settings: object) => Promise<StandIn<CommonFaults>>;
 
--- a/standIns/service.test.ts
+++ b/standIns/service.test.ts
@@ -25,6 +25,15 @@
     expect(service.executions().length).toEqual(1);
   });
 
+  it("answers with garbage and with crossed ids", async () => {
+    await using service = await createServiceStandIn();
+    service.faults.garbage = 1;
+    await expect(signOff(service.url)).toBeRejected();
+    service.faults.crossAnswers = 1;
+    expect((await signOff(service.url)).headers.get("x-attempt-id") === "attempt").toEqual(false);
+    expect((await signOff(service.url)).headers.get("x-attempt-id")).toEqual("attempt");
+  });
+
   it("refuses with a true not run", async () => {
     await using service = await createServiceStandIn();
     service.faults.refuse = true;
--- a/standIns/startProcess.ts
+++ b/standIns/startProcess.ts
@@ -35,6 +35,11 @@
   readonly environment?: Readonly<Record<string, string>>;
 }
 
+const started = new Set<ChildProcess>();
+process.once("exit", () => {
+  for (const child of started) child.kill("SIGKILL");
+});
+
 const waitForEnd = (child: ChildProcess): Promise<ProcessEnd> =>
   new Promise((resolve) => {
     child.once("exit", (code, signal) => resolve({ code, signal }));
@@ -92,9 +97,8 @@
     env: { ...process.env, ...environment },
   });
   const ended = waitForEnd(child);
-  const killWithParent = (): void => void child.kill("SIGKILL");
-  process.once("exit", killWithParent);
-  void ended.then(() => process.off("exit", killWithParent));
+  started.add(child);
+  void ended.then(() => started.delete(child));
   try {
     const ready = await waitUntilReady(child, child.stdout, ended);
     return {
--- a/standIns/types.ts
+++ b/standIns/types.ts
@@ -29,12 +29,7 @@
 export const milliseconds = z.number().min(0);
 
 /** The fault switches of {@link commonFaults}; a test sets them directly. */
-export interface CommonFaults {
-  outage: boolean;
-  latencyMilliseconds: number;
-  loseAnswers: number;
-  freeze: boolean;
-}
+export type CommonFaults = z.output<z.ZodObject<typeof commonFaults>>;
 
 /** A running stand-in; disposing of it cuts its connections and frees its port. */
 export interface StandIn<Faults extends CommonFaults> extends AsyncDisposable {
