--- a/src/coordination/requests/requestContext.ts
+++ b/src/coordination/requests/requestContext.ts
@@ -2,17 +2,11 @@
 import { randomUUID } from "node:crypto";
 import type { ClassConfiguration, OrganisationConfiguration } from "../../protocol/configuration/schema.ts";
 import { headers } from "../../protocol/constants.ts";
+import type { CallerHeaders } from "../../protocol/FrontEnd.ts";
 import type { RequestContext } from "../../protocol/types.ts";
 import type { ConfigurationIndex } from "../configurationIndex.ts";
 import { refusals } from "./refusals.ts";
 
-/** The headers of a caller's request that decide about it. */
-export interface DecidingHeaders {
-  readonly requestClass: string | undefined;
-  readonly idempotent: string | undefined;
-  readonly idempotencyKey: string | undefined;
-}
-
 /** What the route says where the caller says nothing. */
 export interface RouteDefaults {
   readonly className: string;
@@ -49,7 +43,7 @@
 export const createRequestContext = (
   index: ConfigurationIndex,
   organisation: OrganisationConfiguration,
-  asked: DecidingHeaders,
+  asked: CallerHeaders,
   defaults: RouteDefaults,
   arrivedAt: number,
 ): RequestContext => {
--- /dev/null
+++ b/src/daemons/router.ts
@@ -0,0 +1,157 @@
+/** One router, put together: the library's way to run what `pomelocleat-router` runs. */
+import { randomUUID } from "node:crypto";
+import { StatsD } from "hot-shots";
+import { Agent } from "undici";
+import { LogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
+import { systemClock } from "../coordination/clock.ts";
+import { startConfigurationFollower } from "../coordination/configurationFollower.ts";
+import { startEngineMonitor } from "../coordination/engineMonitor.ts";
+import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
+import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
+import { createServiceRunner } from "../coordination/requests/serviceRunner.ts";
+import { LeastLoadedScheduler } from "../coordination/scheduling/leastLoadedScheduler.ts";
+import { createConfigurationHistory } from "../state/configurationHistory.ts";
+import { createEngineDirectory } from "../state/engineDirectory.ts";
+import type { EngineReplica } from "../state/engineDirectory.ts";
+import { createLogger } from "../state/log.ts";
+import { MemoryMetrics } from "../state/MemoryMetrics.ts";
+import type { Metrics } from "../state/Metrics.ts";
+import { createServiceDirectory } from "../state/serviceDirectory.ts";
+import { startCallerServer } from "../transport/callerServer.ts";
+import { createHttpLogService } from "../transport/httpLogService.ts";
+import { HttpModelEngine } from "../transport/httpModelEngine.ts";
+import { HttpPlainService } from "../transport/httpPlainService.ts";
+import { createHttpVmList } from "../transport/httpVmList.ts";
+import { StatsdMetrics } from "../transport/statsdMetrics.ts";
+import type { RouterSettings } from "./routerSettings.ts";
+
+const connectTimeout = 1_000;
+const retryInterval = 200;
+
+const writeLog = createLogger("router");
+
+/** A running router. */
+export interface Router extends AsyncDisposable {
+  /** Where callers connect: `http://IP:PORT`. */
+  readonly url: string;
+  /** Takes no new work and resolves when all work under way has ended. */
+  readonly drain: () => Promise<void>;
+}
+
+const createMetrics = (settings: RouterSettings, resources: AsyncDisposableStack): Metrics => {
+  if (settings.statsd === undefined) return new MemoryMetrics();
+  const client = new StatsD({
+    host: settings.statsd.address,
+    port: settings.statsd.port,
+    prefix: "pomelocleat.",
+    globalTags: { router: settings.name, data_centre: settings.dataCentre },
+    errorHandler: () => undefined,
+  });
+  resources.defer(() => new Promise((resolve) => client.close(() => resolve())));
+  return new StatsdMetrics(client);
+};
+
+const engineView = (engine: EngineReplica) => ({
+  id: engine.id,
+  pool: engine.pool,
+  dataCentre: engine.dataCentre,
+  state: engine.state,
+  incarnation: engine.load?.incarnation ?? null,
+  model: engine.load?.model ?? null,
+  weightsVersion: engine.load?.weightsVersion ?? null,
+  running: engine.load?.running ?? null,
+  waiting: engine.load?.waiting ?? null,
+  leaving: engine.state === "leaving",
+  inFlight: engine.inFlight,
+});
+
+/**
+ * Starts a router.
+ *
+ * @returns The router, which serves callers at once and is ready as soon as it has a configuration.
+ */
+export const startRouter = async (settings: RouterSettings): Promise<Router> => {
+  await using resources = new AsyncDisposableStack();
+  const incarnation = randomUUID();
+  const clock = systemClock;
+  const metrics = createMetrics(settings, resources);
+  const pool = new Agent({ connect: { timeout: connectTimeout }, pipelining: 1 });
+  resources.defer(() => pool.destroy());
+  const log = resources.use(createHttpLogService({ url: settings.logService }));
+  const vmList = resources.use(createHttpVmList({ url: settings.vmList }));
+
+  const history = createConfigurationHistory();
+  const follower = resources.use(
+    startConfigurationFollower({ log, history, longPoll: settings.configurationLongPoll, retryInterval }),
+  );
+  const directory = createEngineDirectory();
+  const serviceDirectory = createServiceDirectory();
+  const connect = (engine: EngineReplica) => new HttpModelEngine(engine.url, pool);
+  const monitor = resources.use(
+    startEngineMonitor({
+      directory,
+      vmList,
+      clock,
+      connect,
+      onVms: serviceDirectory.applyVms,
+      isHome: () => true,
+      vmListInterval: settings.vmListInterval,
+      loadInterval: settings.loadInterval,
+      loadTimeout: settings.loadTimeout,
+    }),
+  );
+
+  const scheduler = new LeastLoadedScheduler(directory);
+  const claims = new LogClaimLedger(log);
+  const completions = createCompletionRunner({ directory, scheduler, claims, metrics, clock, connect });
+  const services = createServiceRunner({
+    directory: serviceDirectory,
+    claims,
+    metrics,
+    clock,
+    dataCentre: settings.dataCentre,
+    connect: (replica) => new HttpPlainService(replica.url, pool),
+  });
+
+  const version = () => ({
+    router: settings.name,
+    dataCentre: settings.dataCentre,
+    incarnation,
+    configurationVersion: history.current()?.version ?? null,
+    digest: history.current()?.digest ?? null,
+    ready: frontEnd.isReady(),
+  });
+  const engines = () => ({ engines: directory.all().map(engineView) });
+  const dump = () => ({
+    ...version(),
+    openRequests: frontEnd.openRequests(),
+    metrics: metrics.snapshot(),
+    scheduler: scheduler.dump(),
+    ...engines(),
+    services: serviceDirectory.all(),
+  });
+  const frontEnd = createRouterFrontEnd({
+    configuration: follower.current,
+    completions,
+    services,
+    metrics,
+    clock,
+    operatorKeyHash: settings.operatorKeyHash,
+    views: { version, dump, engines },
+  });
+
+  const server = resources.use(
+    await startCallerServer(frontEnd, settings.callers.address, settings.callers.port),
+  );
+  writeLog("listening", { router: settings.name, url: server.url, incarnation });
+  await Promise.all([follower.started, monitor.started]);
+
+  const drain = async (): Promise<void> => {
+    writeLog("draining", { openRequests: frontEnd.openRequests() });
+    await frontEnd.drain();
+    await server.close();
+    writeLog("drained");
+  };
+  const owned = resources.move();
+  return { url: server.url, drain, [Symbol.asyncDispose]: () => owned.disposeAsync() };
+};
--- /dev/null
+++ b/src/daemons/routerSettings.ts
@@ -0,0 +1,69 @@
+/** The settings file of one router daemon. */
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { fileError } from "../protocol/errors.ts";
+
+const address = z.union([z.ipv4(), z.ipv6()]);
+const port = z.number().int().min(0).max(65535);
+const interval = z.number().int().min(10).max(600_000);
+
+/** Durations are milliseconds. Unknown fields are errors. */
+export const routerSettingsSchema = z.strictObject({
+  name: z.string().min(1).max(64).describe("The VM's id in the platform's VM list"),
+  dataCentre: z.string().min(1),
+  callers: z.strictObject({ address, port }).describe("Where callers and operators connect; port 0: any"),
+  peers: z.strictObject({ address, port }).describe("Where other routers connect; port 0: any"),
+  logService: z.url(),
+  vmList: z.url(),
+  operatorKeyHash: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hex"),
+  sharedSecret: z
+    .string()
+    .min(32)
+    .describe("Known to all routers; signs resume tokens and proves peers to one another"),
+  vmListInterval: interval.default(1_000),
+  loadInterval: interval.default(500),
+  loadTimeout: interval.default(2_000),
+  configurationLongPoll: interval.default(2_000),
+  longestDrain: z
+    .number()
+    .int()
+    .min(0)
+    .optional()
+    .describe("Ends a graceful shutdown although work is under way; without it nothing is cut"),
+  logs: z.string().default("pomelocleat:*").describe("Namespaces of the debug library"),
+  statsd: z.strictObject({ address, port }).optional(),
+});
+
+/** Checked settings. */
+export type RouterSettings = Readonly<z.output<typeof routerSettingsSchema>>;
+
+const pathOf = (path: readonly PropertyKey[]): string => path.map(String).join(".");
+
+const parseJsonFile = (text: string, file: string): unknown => {
+  try {
+    return JSON.parse(text);
+  } catch (cause) {
+    throw fileError(file, [{ path: "", cause: (cause as SyntaxError).message }]);
+  }
+};
+
+const readText = (file: string): string => {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (cause) {
+    throw fileError(file, [{ path: "", cause: (cause as Error).message }]);
+  }
+};
+
+/** @returns Checked settings; throws `FileError` naming everything that is wrong. */
+export const parseRouterSettings = (text: string, file: string): RouterSettings => {
+  const result = routerSettingsSchema.safeParse(parseJsonFile(text, file));
+  if (result.success) return result.data;
+  throw fileError(
+    file,
+    result.error.issues.map((issue) => ({ path: pathOf(issue.path), cause: issue.message })),
+  );
+};
+
+/** Reads and checks a settings file. */
+export const readRouterSettings = (file: string): RouterSettings => parseRouterSettings(readText(file), file);
