--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -24,6 +24,8 @@
 import { createHttpVmList } from "../transport/httpVmList.ts";
 import { StatsdMetrics } from "../transport/statsdMetrics.ts";
 import type { RouterSettings } from "./routerSettings.ts";
+import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
 const retryInterval = 200;
@@ -38,7 +40,7 @@
   readonly drain: () => Promise<void>;
 }
 
-const createMetrics = (settings: RouterSettings, resources: AsyncDisposableStack): Metrics => {
+const createMetrics = (settings: RouterSettings, resources: ResourceStack): Metrics => {
   if (settings.statsd === undefined) return new MemoryMetrics();
   const client = new StatsD({
     host: settings.statsd.address,
@@ -47,7 +49,7 @@
     globalTags: { router: settings.name, data_centre: settings.dataCentre },
     errorHandler: () => undefined,
   });
-  resources.defer(() => new Promise((resolve) => client.close(() => resolve())));
+  resources.defer(() => new Promise<void>((resolve) => client.close(() => resolve())));
   return new StatsdMetrics(client);
 };
 
@@ -71,14 +73,14 @@
  * @returns The router, which serves callers at once and is ready as soon as it has a configuration.
  */
 export const startRouter = async (settings: RouterSettings): Promise<Router> => {
-  await using resources = new AsyncDisposableStack();
+  await using resources = createResourceStack();
   const incarnation = randomUUID();
   const clock = systemClock;
   const metrics = createMetrics(settings, resources);
   const pool = new Agent({ connect: { timeout: connectTimeout }, pipelining: 1 });
   resources.defer(() => pool.destroy());
-  const log = resources.use(createHttpLogService({ url: settings.logService }));
-  const vmList = resources.use(createHttpVmList({ url: settings.vmList }));
+  const log = createHttpLogService({ url: settings.logService, timeout: settings.platformTimeout });
+  const vmList = createHttpVmList({ url: settings.vmList, timeout: settings.platformTimeout });
 
   const history = createConfigurationHistory();
   const follower = resources.use(
@@ -101,6 +103,10 @@
     }),
   );
 
+  // Taken last, so that they end first and cut the calls that followers wait for.
+  resources.use(log);
+  resources.use(vmList);
+
   const scheduler = new LeastLoadedScheduler(directory);
   const claims = new LogClaimLedger(log);
   const completions = createCompletionRunner({ directory, scheduler, claims, metrics, clock, connect });
@@ -153,5 +159,5 @@
     writeLog("drained");
   };
   const owned = resources.move();
-  return { url: server.url, drain, [Symbol.asyncDispose]: () => owned.disposeAsync() };
+  return { url: server.url, drain, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() };
 };
--- a/src/daemons/routerSettings.ts
+++ b/src/daemons/routerSettings.ts
@@ -20,6 +20,7 @@
     .string()
     .min(32)
     .describe("Known to all routers; signs resume tokens and proves peers to one another"),
+  platformTimeout: interval.default(2_000).describe("Longest wait for the log service and the VM list"),
   vmListInterval: interval.default(1_000),
   loadInterval: interval.default(500),
   loadTimeout: interval.default(2_000),
