--- a/src/index.ts
+++ b/src/index.ts
@@ -12,3 +12,7 @@
 export { createConfigurationHistory } from "./state/configurationHistory.ts";
 export { createHttpLogService } from "./transport/httpLogService.ts";
 export { createHttpVmList } from "./transport/httpVmList.ts";
+export { startRouter } from "./daemons/router.ts";
+export type { Router } from "./daemons/router.ts";
+export { parseRouterSettings, readRouterSettings } from "./daemons/routerSettings.ts";
+export type { RouterSettings } from "./daemons/routerSettings.ts";
