--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,21 @@
+/** `npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write]`: runs one bench. */
+import { parseBenchCommand } from "./options.ts";
+import type { Bench } from "./types.ts";
+
+/** Every bench, in the order in which they are listed; add yours here. */
+const benches: readonly Bench[] = [];
+
+const list = (): string =>
+  ["Benches (npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write]):"]
+    .concat(benches.map(({ name, summary }) => `  ${name.padEnd(12)} ${summary}`))
+    .join("\n");
+
+const command = parseBenchCommand(process.argv.slice(2));
+const bench = benches.find(({ name }) => name === command.name);
+
+if (bench === undefined) {
+  console.log(list());
+  process.exitCode = command.name === undefined ? 0 : 1;
+} else {
+  await bench.run(command.options);
+}
