--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,9 +1,10 @@
 /** `npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write]`: runs one bench. */
 import { parseBenchCommand } from "./options.ts";
+import { relayBench } from "./relay/relay.ts";
 import type { Bench } from "./types.ts";
 
 /** Every bench, in the order in which they are listed; add yours here. */
-const benches: readonly Bench[] = [];
+const benches: readonly Bench[] = [relayBench];
 
 const list = (): string =>
   ["Benches (npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write]):"]
--- /dev/null
+++ b/bench/relay/relay.ts
@@ -0,0 +1,151 @@
+/**
+ * What the router adds to a stream: callers straight at the engines, through a plain pipe, and through the
+ * router, in one run. Engines and callers run on threads of their own, so that this thread's event loop does
+ * the relaying and nothing else.
+ */
+import { once } from "node:events";
+import { performance } from "node:perf_hooks";
+import { Worker } from "node:worker_threads";
+import { startLocalRouter } from "./localRouter.ts";
+import { startPlainPipe } from "./plainPipe.ts";
+import type { Bench, BenchOptions } from "../types.ts";
+import type { CallerReport, EngineReady, PathMeasure, RelayWorkerData } from "./types.ts";
+
+const tokenMilliseconds = 20;
+const callerThreads = 2;
+const engineThreads = 3;
+const startSpread = 1_000;
+const key = "demo-key-petra-wings";
+
+interface Load {
+  readonly streams: number;
+  readonly tokens: number;
+}
+
+const startWorker = (data: RelayWorkerData): Worker =>
+  new Worker(new URL("./worker.js", import.meta.url), { workerData: data });
+
+const median = (values: readonly number[]): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length / 2)] ?? 0;
+
+const callOnThread = async (url: string, { streams, tokens }: Load): Promise<CallerReport> => {
+  const startInterval = startSpread / streams;
+  const worker = startWorker({ role: "caller", url, key, streams, tokens, startInterval });
+  const [report] = (await once(worker, "message")) as [CallerReport];
+  await worker.terminate();
+  return report;
+};
+
+/** Highest heap while something runs, above what it was before, bytes. */
+const heapGrowth = async <T>(
+  run: () => Promise<T>,
+): Promise<{ readonly result: T; readonly bytes: number }> => {
+  globalThis.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  const samples: number[] = [];
+  const timer = setInterval(() => {
+    globalThis.gc?.();
+    samples.push(process.memoryUsage().heapUsed);
+  }, startSpread);
+  const result = await run();
+  clearInterval(timer);
+  return { result, bytes: median(samples) - before };
+};
+
+const measure = async (
+  path: PathMeasure["path"],
+  urls: readonly string[],
+  load: Load,
+): Promise<PathMeasure> => {
+  const share = { ...load, streams: Math.ceil(load.streams / callerThreads) };
+  const idle = performance.eventLoopUtilization();
+  const reports = await Promise.all(
+    Array.from({ length: callerThreads }, (_, index) => callOnThread(urls[index % urls.length] ?? "", share)),
+  );
+  const busy = performance.eventLoopUtilization(idle).active;
+  const tokens = reports.reduce((sum, report) => sum + report.tokens, 0);
+  return {
+    path,
+    streams: share.streams * callerThreads,
+    tokens,
+    medianTimeToFirstToken: median(reports.flatMap((report) => report.timesToFirstToken)),
+    busyMicrosecondsPerToken: path === "direct" ? undefined : (busy * 1000) / tokens,
+    heapKibibytesPerStream: undefined,
+  };
+};
+
+const measureHeap = async (urls: readonly string[], load: Load): Promise<number> => {
+  const { bytes } = await heapGrowth(() => measure("router", urls, load));
+  return bytes / 1024 / load.streams;
+};
+
+const runAt = async (load: Load, engineUrls: readonly string[]): Promise<readonly PathMeasure[]> => {
+  const direct = await measure("direct", engineUrls, load);
+  const pipe = await (async () => {
+    await using plain = await startPlainPipe(engineUrls[0] ?? "");
+    return await measure("pipe", [plain.url], load);
+  })();
+  await using router = await startLocalRouter(engineUrls);
+  const routed = await measure("router", [router.url], load);
+  // The collections that the heap's measure forces would count as busy time, so it is a run of its own.
+  const heapKibibytesPerStream =
+    globalThis.gc === undefined ? undefined : await measureHeap([router.url], load);
+  return [direct, pipe, { ...routed, heapKibibytesPerStream }];
+};
+
+const digits = (value: number | undefined, count: number): string => value?.toFixed(count) ?? "-";
+
+const printTable = (measures: readonly PathMeasure[]): void => {
+  console.log("path    streams   tokens  TTFT ms  busy µs/token  heap KiB/stream");
+  for (const item of measures) {
+    const cells = [
+      item.path.padEnd(6),
+      String(item.streams).padStart(8),
+      String(item.tokens).padStart(8),
+      digits(item.medianTimeToFirstToken, 2).padStart(8),
+      digits(item.busyMicrosecondsPerToken, 1).padStart(14),
+      digits(item.heapKibibytesPerStream, 1).padStart(16),
+    ];
+    console.log(cells.join(" "));
+  }
+};
+
+const ratios = (measures: readonly PathMeasure[]) => {
+  const [direct, pipe, routed] = measures;
+  return {
+    streams: routed?.streams,
+    busyRouterToPipe: (routed?.busyMicrosecondsPerToken ?? NaN) / (pipe?.busyMicrosecondsPerToken ?? NaN),
+    timeToFirstTokenRouterToDirect:
+      (routed?.medianTimeToFirstToken ?? NaN) / (direct?.medianTimeToFirstToken ?? NaN),
+    tokensPerCore: 1e6 / (routed?.busyMicrosecondsPerToken ?? NaN),
+  };
+};
+
+const run = async (options: BenchOptions): Promise<void> => {
+  const engines = Array.from({ length: engineThreads }, () =>
+    startWorker({ role: "engine", tokenMilliseconds }),
+  );
+  const ready = await Promise.all(engines.map((engine) => once(engine, "message") as Promise<[EngineReady]>));
+  const urls = ready.map(([{ url }]) => url);
+  const loads: readonly Load[] = options.quick
+    ? [{ streams: 50, tokens: 100 }]
+    : [50, 100, 200].map((streams) => ({ streams, tokens: 250 }));
+  const results = [];
+  for (const load of loads) {
+    const measures = await runAt(load, urls);
+    results.push({ measures, ratios: ratios(measures) });
+    if (!options.json) {
+      printTable(measures);
+      console.log(JSON.stringify(ratios(measures)));
+    }
+  }
+  if (options.json) console.log(JSON.stringify(results));
+  await Promise.all(engines.map((engine) => engine.terminate()));
+};
+
+/** The relay's cost. */
+export const relayBench: Bench = {
+  name: "relay",
+  summary: "what the router adds to a stream, against a plain pipe and none at all",
+  run,
+};
