--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -11,6 +11,11 @@
   cachedTokens: "cached_tokens",
   claims: "claims",
   engineFailures: "engine_failures",
+  leaseAppends: "lease_appends",
+  leaseGrants: "lease_grants",
+  leaseLosses: "lease_losses",
+  orders: "orders",
+  restatements: "restatements",
 } as const;
 
 /** The name of a metric. */
