--- a/tests/support/localSystem.ts
+++ b/tests/support/localSystem.ts
@@ -19,6 +19,7 @@
 import type { ServiceStandIn } from "../../standIns/service.ts";
 import { createVmListStandIn } from "../../standIns/vmList.ts";
 import type { VmListStandIn } from "../../standIns/vmList.ts";
+import type { ResourceStack } from "../../src/protocol/resourceStack.ts";
 import { createResourceStack } from "../../src/protocol/resourceStack.ts";
 
 /** The operators' key of test routers. */
@@ -27,14 +28,18 @@
 /** What to start; the configuration is that of `examples/demo.json`, changed as wanted. */
 export interface LocalSystemOptions {
   readonly routers?: number;
+  /** Replicas of `records-assistant`. */
   readonly engines?: number;
+  /** Replicas of `records-desk`. */
   readonly services?: number;
+  /** Starts the upstreams of every other pool and service of the configuration as well. */
+  readonly allPools?: boolean;
   readonly engineSettings?: Partial<EngineStandInSettings>;
   readonly routerSettings?: Partial<RouterSettings>;
   readonly changeConfiguration?: (configuration: Configuration) => Configuration;
 }
 
-/** A running system. All engines serve `records-assistant`, all service replicas `records-desk`. */
+/** A running system. */
 export interface LocalSystem extends AsyncDisposable {
   readonly configuration: Configuration;
   readonly routers: readonly Router[];
@@ -60,11 +65,54 @@
 const readyPolls = 400;
 const readyInterval = 10;
 
-const listUpstream = (
-  role: "engine" | "service",
-  pool: string,
-  standIn: EngineStandIn | ServiceStandIn,
-): ListedVm => ({ id: standIn.name, dataCentre, url: standIn.url, role, pool, state: "live" });
+/** Upstreams are named POOL-NUMBER. */
+const listUpstream = (role: "engine" | "service", standIn: EngineStandIn | ServiceStandIn): ListedVm => ({
+  id: standIn.name,
+  dataCentre,
+  url: standIn.url,
+  role,
+  pool: standIn.name.replace(/-\d+$/, ""),
+  state: "live",
+});
+
+interface Pool {
+  readonly name: string;
+  readonly replicas: number;
+}
+
+/** The names of the replicas to start, with their pools. */
+const listReplicas = <T extends Pool>(
+  pools: readonly T[],
+  counts: ReadonlyMap<string, number>,
+  all: boolean,
+) =>
+  pools.flatMap((pool) => {
+    const count = counts.get(pool.name) ?? (all ? pool.replicas : 0);
+    return Array.from({ length: count }, (_, index) => ({ pool, name: `${pool.name}-${index}` }));
+  });
+
+const startUpstreams = async (
+  configuration: Configuration,
+  options: LocalSystemOptions,
+  resources: ResourceStack,
+) => {
+  const { allPools = false, engineSettings } = options;
+  const counts = new Map([
+    ["records-assistant", options.engines ?? 2],
+    ["records-desk", options.services ?? 1],
+  ]);
+  const engines: EngineStandIn[] = [];
+  for (const { pool, name } of listReplicas(configuration.enginePools, counts, allPools)) {
+    const model = configuration.models.find((item) => item.name === pool.model);
+    const settings = { name, model: pool.model, weightsVersion: model?.weightsVersion, ...engineSettings };
+    engines.push(resources.use(await createEngineStandIn(settings)));
+  }
+  const services: ServiceStandIn[] = [];
+  for (const { pool, name } of listReplicas(configuration.services, counts, allPools)) {
+    services.push(resources.use(await createServiceStandIn({ name, service: pool.name })));
+  }
+  return { engines, services };
+};
 
 const readConfiguration = async (
   change: LocalSystemOptions["changeConfiguration"],
@@ -127,26 +175,10 @@
   const configuration = await readConfiguration(options.changeConfiguration);
   const logService = resources.use(await createLogServiceStandIn());
   const vmList = resources.use(await createVmListStandIn());
-  const model = configuration.models.find((item) => item.name === "records-assistant");
-  const engines: EngineStandIn[] = [];
-  for (let index = 0; index < (options.engines ?? 2); index += 1) {
-    const name = `records-assistant-${index}`;
-    const settings = {
-      name,
-      model: model?.name,
-      weightsVersion: model?.weightsVersion,
-      ...options.engineSettings,
-    };
-    engines.push(resources.use(await createEngineStandIn(settings)));
-  }
-  const services: ServiceStandIn[] = [];
-  for (let index = 0; index < (options.services ?? 1); index += 1) {
-    const settings = { name: `records-desk-${index}`, service: "records-desk" };
-    services.push(resources.use(await createServiceStandIn(settings)));
-  }
+  const { engines, services } = await startUpstreams(configuration, options, resources);
   vmList.set([
-    ...engines.map((engine) => listUpstream("engine", "records-assistant", engine)),
-    ...services.map((service) => listUpstream("service", "records-desk", service)),
+    ...engines.map((engine) => listUpstream("engine", engine)),
+    ...services.map((service) => listUpstream("service", service)),
   ]);
   await publish(logService.url, configuration);
   const routers: Router[] = [];
