Split the completion runner; add deadlines, a retry budget and hedging

The runner was one file that awaited an engine without bound: a frozen engine held a request for ever, retries followed one another at once and without limit, and a caller that went away made its engine look broken. Now: stopper (why work was stopped), attempt, opener with hedge race, relay, retry decision, retry budget as a ratio of successes, jittered back-off, completion deadline that gives the final answer at once. Also: connect codes on an established connection no longer count as 'not sent'; a body is written as JSON once a request instead of once an attempt; chunks must carry their attempt's id; an end mark ends the answer. Ruled out: undici's headersTimeout for the first piece, since it does not cover queueing after the headers.

--- /dev/null
+++ b/src/coordination/requests/answerSoFar.ts
@@ -0,0 +1,46 @@
+/** What a caller has been given of an answer, whatever engines it came from. */
+import type { AnswerFrame, Usage } from "../../protocol/types.ts";
+
+/** Changed only by the task that relays the answer. */
+export interface AnswerSoFar {
+  text: string;
+  /** Pieces with text. */
+  tokens: number;
+  /** Pieces without text since the last one with text. */
+  others: number;
+  /** True while another engine could go on after `text`. */
+  continuable: boolean;
+}
+
+/** An answer of which nothing has come. */
+export const emptyAnswer = (): AnswerSoFar => ({ text: "", tokens: 0, others: 0, continuable: true });
+
+/** True once the caller has some of it. */
+export const hasBegun = ({ tokens, others }: AnswerSoFar): boolean => tokens > 0 || others > 0;
+
+/** Notes a piece. */
+export const notePiece = (answer: AnswerSoFar, frame: AnswerFrame): void => {
+  if (frame.text === "") {
+    answer.others += 1;
+  } else {
+    answer.text += frame.text;
+    answer.tokens += 1;
+    answer.others = 0;
+  }
+  if (frame.extra !== undefined) answer.continuable = false;
+};
+
+/**
+ * Counts usage as if one engine had given the whole answer: a continuation reads as part of its prompt what
+ * earlier attempts had generated.
+ *
+ * @param attemptOffset - Tokens that came before the attempt.
+ */
+export const wholeUsage = (usage: Usage, attemptOffset: number): Usage => {
+  const promptTokens = Math.max(0, usage.promptTokens - attemptOffset);
+  return {
+    promptTokens,
+    completionTokens: usage.completionTokens + attemptOffset,
+    cachedTokens: Math.min(promptTokens, usage.cachedTokens),
+  };
+};
--- a/src/coordination/requests/attemptFailures.ts
+++ b/src/coordination/requests/attemptFailures.ts
@@ -1,13 +1,16 @@
 /** What a failed attempt means for the request: try again, or which final answer. */
 import { RequestError, UpstreamError } from "../../protocol/errors.ts";
 import type { UpstreamFault } from "../../protocol/errors.ts";
+import { defaultRetryAfterSeconds } from "./constants.ts";
 import { outcomeUnknown, refusals, upstreamFailed } from "./refusals.ts";
-
-const retryAfterSeconds = 1;
+import type { StopReason } from "./stopper.ts";
 
 /** Faults that another engine can't mend. */
 const finalFaults: ReadonlySet<UpstreamFault> = new Set(["cancelled"]);
 
+/** Statuses by which an upstream says that the request itself is at fault. */
+const blamingStatuses: ReadonlySet<number> = new Set([400, 413, 422]);
+
 /** How far a request has come over all its attempts. */
 export interface RequestProgress {
   readonly idempotent: boolean;
@@ -23,25 +26,50 @@
 export const provesNotRun = (error: unknown): boolean =>
   error instanceof UpstreamError && (error.progress === "not_sent" || error.progress === "refused");
 
+/** True if the upstream refused the request for what it asks; any other would, too. */
+export const blamesRequest = (error: unknown): error is UpstreamError =>
+  error instanceof UpstreamError &&
+  error.progress === "refused" &&
+  error.status !== undefined &&
+  blamingStatuses.has(error.status);
+
+/** True if a retry adds no load where it failed: the engine is gone or takes nothing any more. */
+export const isFreeToRetry = (error: unknown): boolean =>
+  error instanceof UpstreamError && (error.progress === "not_sent" || error.fault === "leaving");
+
 /** True if another attempt may be made without running anything twice that may not be. */
 export const mayTryAgain = (error: unknown, progress: RequestProgress): boolean => {
   if (!(error instanceof UpstreamError) || finalFaults.has(error.fault)) return false;
+  if (blamesRequest(error)) return false;
   if (progress.delivered && !progress.continuable) return false;
   return progress.idempotent || !progress.mayHaveRun;
 };
 
+const failureNotRun = (error: unknown, stopped: StopReason | undefined): RequestError => {
+  if (stopped === "deadline") return refusals.deadlineExceeded(error);
+  if (error instanceof RequestError) return error;
+  if (blamesRequest(error)) return refusals.rejectedByEngine(error.status ?? 400, error.message, error);
+  return refusals.noEngine(defaultRetryAfterSeconds, error);
+};
+
 /**
  * The final answer for a request that has failed.
  *
  * @param error - The last failure.
+ * @param stopped - Why the request was stopped, if it was.
  */
-export const finalFailure = (error: unknown, progress: RequestProgress): RequestError => {
-  if (!progress.mayHaveRun) {
-    return error instanceof RequestError ? error : refusals.noEngine(retryAfterSeconds, error);
-  }
+export const finalFailure = (
+  error: unknown,
+  progress: RequestProgress,
+  stopped?: StopReason,
+): RequestError => {
+  if (!progress.mayHaveRun) return failureNotRun(error, stopped);
   if (!progress.idempotent) {
     return outcomeUnknown("outcome_unknown", "The request was started and its outcome is not known.", error);
   }
+  if (stopped === "deadline") {
+    return upstreamFailed("deadline_exceeded", "The answer could not be finished in time.", error, 504);
+  }
   if (progress.delivered) {
     return upstreamFailed("stream_interrupted", "The answer could not be finished.", error);
   }
--- /dev/null
+++ b/src/coordination/requests/attemptOpener.ts
@@ -0,0 +1,81 @@
+/** Opens the next attempt of a request, with a second one beside it where the class hedges. */
+import { digestRequest } from "../../protocol/requestTexts.ts";
+import { metricNames } from "../../state/constants.ts";
+import type { Work } from "../scheduling/Scheduler.ts";
+import { hasBegun } from "./answerSoFar.ts";
+import { openAttempt } from "./attempt.ts";
+import type { OpenAttempt } from "./attempt.ts";
+import { raceAttempts } from "./hedge.ts";
+import type { RunScope } from "./runScope.ts";
+import { orStopped } from "./stopper.ts";
+import type { Stopper } from "./stopper.ts";
+import { createWork } from "./work.ts";
+
+/** Makes the function that opens one attempt after another. */
+export const createAttemptOpener = ({ parts, job, state, stopper, retries }: RunScope) => {
+  const { clock, metrics, claims, retryBudget } = parts;
+  const { context, request } = job;
+  const { requestClass } = context;
+  const work = createWork(job);
+
+  const claimOnce = async (attemptStopper: Stopper): Promise<void> => {
+    if (context.idempotent || state.claim !== undefined) return;
+    const claiming = claims.claim(context, digestRequest(request));
+    state.claim = await orStopped(claiming, attemptStopper, (late) => {
+      late.release().catch(() => undefined);
+    });
+  };
+
+  const workNow = (asked: ReadonlySet<string>): Work => ({
+    ...work,
+    context: { ...context, firstTokenDeadline: retries.firstTokenDeadline() },
+    promptTokens: work.promptTokens + state.answer.tokens,
+    maximumTokens: Math.max(1, request.maximumTokens - state.answer.tokens),
+    excluded: new Set([...state.excluded, ...asked]),
+  });
+
+  /** Nothing is gained by leaving an engine early where no other one may be asked. */
+  const firstPieceTimeout = (): number => {
+    const now = clock.monotonic();
+    const latest = context.completionDeadline - now;
+    if (!context.idempotent) return latest;
+    return Math.min(latest, Math.max(requestClass.stallTimeout, retries.firstTokenDeadline() - now));
+  };
+
+  /** @param asked - Engines that the same race has asked; the chosen one is added. */
+  const openOne = async (attemptStopper: Stopper, asked: Set<string>): Promise<OpenAttempt> => {
+    let engineId: string | undefined;
+    const plan = {
+      context,
+      request,
+      work: workNow(asked),
+      delivered: { text: state.answer.text, tokens: state.answer.tokens },
+      firstPieceTimeout: firstPieceTimeout(),
+      beforeDispatch: claimOnce,
+      onMayHaveRun: () => (state.mayHaveRun = true),
+    };
+    try {
+      return await openAttempt(parts, plan, attemptStopper, (id) => {
+        engineId = id;
+        asked.add(id);
+      });
+    } catch (error) {
+      if (engineId !== undefined) state.excluded.add(engineId);
+      throw error;
+    }
+  };
+
+  const mayHedge = (): boolean => {
+    const allowed = retryBudget.tryTake(requestClass, "hedge");
+    if (allowed) metrics.count(metricNames.hedges);
+    return allowed;
+  };
+
+  return (): Promise<OpenAttempt> => {
+    const asked = new Set<string>();
+    const open = (attemptStopper: Stopper): Promise<OpenAttempt> => openOne(attemptStopper, asked);
+    const { hedgeAfter } = requestClass;
+    if (hedgeAfter === undefined || !context.idempotent || hasBegun(state.answer)) return open(stopper);
+    return raceAttempts({ clock, first: open, second: open, hedgeAfter, mayHedge, parent: stopper });
+  };
+};
--- /dev/null
+++ b/src/coordination/requests/completionRun.ts
@@ -0,0 +1,125 @@
+/** One model request under way: attempt after attempt until its answer is whole or can't be finished. */
+import { upstreamError } from "../../protocol/errors.ts";
+import type { RequestError } from "../../protocol/errors.ts";
+import type { AnswerBatch } from "../../protocol/FrontEnd.ts";
+import { pause } from "../clock.ts";
+import { emptyAnswer, hasBegun } from "./answerSoFar.ts";
+import type { AnswerSoFar } from "./answerSoFar.ts";
+import type { OpenAttempt } from "./attempt.ts";
+import { finalFailure } from "./attemptFailures.ts";
+import type { RequestProgress } from "./attemptFailures.ts";
+import { createAttemptOpener } from "./attemptOpener.ts";
+import { relayAttempt } from "./relay.ts";
+import { createRetryDecision } from "./retryDecision.ts";
+import type { CompletionRunParts, RunScope, RunState } from "./runScope.ts";
+import { createStopper } from "./stopper.ts";
+import type { Stopper } from "./stopper.ts";
+import type { CompletionJob } from "./types.ts";
+
+/** Where a run begins: at the start of the answer, or after what the caller has of it. */
+export interface RunStart {
+  readonly answer: AnswerSoFar;
+  /** An attempt that is under way already. */
+  readonly attempt: OpenAttempt | undefined;
+  readonly mayHaveRun: boolean;
+}
+
+/** A run from the beginning. */
+export const freshStart = (): RunStart => ({ answer: emptyAnswer(), attempt: undefined, mayHaveRun: false });
+
+/**
+ * Throws the switch when the caller goes, unless the request must run to its end, and at the deadline.
+ *
+ * @returns A function that ends the watch.
+ */
+export const watchRequest = (
+  { context }: CompletionJob,
+  { clock }: CompletionRunParts,
+  stopper: Stopper,
+  caller: AbortSignal,
+): (() => void) => {
+  const leave = (): void => stopper.stop("caller_left");
+  // What may run only once runs to its end, so that its outcome can be known.
+  if (context.idempotent) caller.addEventListener("abort", leave);
+  if (context.idempotent && caller.aborted) leave();
+  const left = context.completionDeadline - clock.monotonic();
+  const callOff = clock.after(left, () => stopper.stop("deadline"));
+  return () => {
+    caller.removeEventListener("abort", leave);
+    callOff();
+  };
+};
+
+const createScope = (parts: CompletionRunParts, job: CompletionJob, start: RunStart): RunScope => {
+  const stopper = createStopper();
+  const state: RunState = {
+    answer: start.answer,
+    excluded: new Set(),
+    mayHaveRun: start.mayHaveRun,
+    claim: undefined,
+    finished: false,
+  };
+  const retries = createRetryDecision({ ...parts, context: job.context, stopper });
+  return { parts, job, state, stopper, retries };
+};
+
+const progressOf = ({ job, state }: RunScope): RequestProgress => ({
+  idempotent: job.context.idempotent,
+  mayHaveRun: state.mayHaveRun,
+  delivered: hasBegun(state.answer),
+  continuable: state.answer.continuable,
+});
+
+const giveUp = (scope: RunScope, error: unknown): RequestError =>
+  finalFailure(error, progressOf(scope), scope.stopper.reason());
+
+/** Waits before the next attempt; throws `RequestError` where there is to be none. */
+const prepareRetry = async (scope: RunScope, error: unknown): Promise<void> => {
+  const { parts, state, stopper, retries } = scope;
+  const delay = retries.decide(error, progressOf(scope), state.excluded);
+  if (delay === undefined) throw giveUp(scope, error);
+  await pause(parts.clock, delay, stopper.signal);
+  if (stopper.signal.aborted) throw giveUp(scope, error);
+};
+
+/** Ends a claim the way the request ended; a lost record errs to the side of `outcome_unknown`. */
+const settleClaim = async ({ claim, finished, mayHaveRun }: RunState): Promise<void> => {
+  if (finished) await claim?.complete("finished").catch(() => undefined);
+  else if (!mayHaveRun) await claim?.release().catch(() => undefined);
+};
+
+/**
+ * Runs a request.
+ *
+ * @param caller - Aborted when the caller goes away.
+ * @returns The pieces; throws `RequestError` where the answer can't be finished.
+ */
+export const runCompletion = async function* (
+  parts: CompletionRunParts,
+  job: CompletionJob,
+  start: RunStart,
+  caller: AbortSignal,
+): AsyncGenerator<AnswerBatch, void, void> {
+  const scope = createScope(parts, job, start);
+  const { state } = scope;
+  const openNext = createAttemptOpener(scope);
+  const unwatch = watchRequest(job, parts, scope.stopper, caller);
+  let { attempt } = start;
+  try {
+    while (!state.finished) {
+      try {
+        attempt ??= await openNext();
+        yield* relayAttempt(scope, attempt);
+        if (!hasBegun(state.answer)) throw upstreamError("the answer is empty", "malformed", "streaming");
+      } catch (error) {
+        state.finished = false;
+        attempt = undefined;
+        await prepareRetry(scope, error);
+      }
+    }
+    parts.retryBudget.deposit(job.context.requestClass);
+  } finally {
+    unwatch();
+    await settleClaim(state);
+  }
+};
--- a/src/coordination/requests/refusals.ts
+++ b/src/coordination/requests/refusals.ts
@@ -41,6 +41,14 @@
       retryAfterSeconds,
       cause,
     ),
+  deadlineExceeded: (cause?: unknown) =>
+    comeBack("deadline_exceeded", "The request could not be started in time.", 1, cause),
+  rejectedByEngine: (status: number, message: string, cause?: unknown) =>
+    requestError(
+      `The engine refused the request: ${message}`,
+      { status, code: "rejected_by_engine", outcome: outcomes.notRun },
+      cause,
+    ),
   shuttingDown: () => comeBack("shutting_down", "This router is shutting down; others serve.", 1),
   claimsUnavailable: (cause?: unknown) =>
     comeBack(
@@ -56,5 +64,5 @@
   requestError(message, { status: 502, code, outcome: outcomes.outcomeUnknown }, cause);
 
 /** The request ran and its answer could not be finished. */
-export const upstreamFailed = (code: string, message: string, cause?: unknown): RequestError =>
-  requestError(message, { status: 502, code, outcome: outcomes.failed }, cause);
+export const upstreamFailed = (code: string, message: string, cause?: unknown, status = 502): RequestError =>
+  requestError(message, { status, code, outcome: outcomes.failed }, cause);
--- /dev/null
+++ b/src/coordination/requests/retryDecision.ts
@@ -0,0 +1,89 @@
+/** Whether and when a request that failed is tried again. */
+import { RequestError } from "../../protocol/errors.ts";
+import type { RequestContext } from "../../protocol/types.ts";
+import { metricNames } from "../../state/constants.ts";
+import type { Metrics } from "../../state/Metrics.ts";
+import type { Clock } from "../clock.ts";
+import { isFreeToRetry, mayTryAgain } from "./attemptFailures.ts";
+import type { RequestProgress } from "./attemptFailures.ts";
+import { pickBackOff } from "./backOff.ts";
+import { maximumFruitlessAttempts } from "./constants.ts";
+import type { RetryBudget } from "./retryBudget.ts";
+import type { Stopper } from "./stopper.ts";
+
+/** What decisions about one request depend on. */
+export interface RetryDecisionParts {
+  readonly context: RequestContext;
+  readonly stopper: Stopper;
+  readonly retryBudget: RetryBudget;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly random: () => number;
+}
+
+/** Decides about the retries of one request. */
+export interface RetryDecision {
+  /** The answer has got on: what failed before no longer counts. */
+  readonly noteProgress: () => void;
+  /**
+   * Until when an engine has to be found. Once an engine has failed, the request gets the time of a new one:
+   * better late than lost.
+   */
+  readonly firstTokenDeadline: () => number;
+  /**
+   * @param excluded - Engines that failed the request; emptied where no other one is left.
+   * @returns After how many milliseconds to try again; undefined where the request has to be given up.
+   */
+  readonly decide: (error: unknown, progress: RequestProgress, excluded: Set<string>) => number | undefined;
+}
+
+/** Makes the decisions of one request. */
+export const createRetryDecision = (parts: RetryDecisionParts): RetryDecision => {
+  const { context, stopper, retryBudget, clock, metrics } = parts;
+  const { requestClass } = context;
+  let failures = 0;
+  let refusals = 0;
+  let { firstTokenDeadline } = context;
+
+  const noteFailure = (): void => {
+    failures += 1;
+    refusals = 0;
+    const renewed = Math.min(context.completionDeadline, clock.monotonic() + requestClass.firstTokenDeadline);
+    firstTokenDeadline = Math.max(firstTokenDeadline, renewed);
+  };
+
+  /** No engine takes the work just now, because those that do are the ones that failed. */
+  const waitForEngine = (excluded: Set<string>): number | undefined => {
+    if (failures === 0) return undefined;
+    excluded.clear();
+    refusals += 1;
+    const delay = pickBackOff(failures + refusals, parts.random);
+    return clock.monotonic() + delay < firstTokenDeadline ? delay : undefined;
+  };
+
+  const tryAgain = (error: unknown, progress: RequestProgress): number | undefined => {
+    noteFailure();
+    if (failures >= maximumFruitlessAttempts || !mayTryAgain(error, progress)) return undefined;
+    const delay = pickBackOff(failures, parts.random);
+    if (clock.monotonic() + delay >= context.completionDeadline) return undefined;
+    const kind = progress.delivered ? "continuation" : "attempt";
+    if (!isFreeToRetry(error) && !retryBudget.tryTake(requestClass, kind)) {
+      metrics.count(metricNames.retriesDenied, 1, { class: requestClass.name });
+      return undefined;
+    }
+    metrics.count(progress.delivered ? metricNames.continuations : metricNames.retries);
+    return delay;
+  };
+
+  return {
+    noteProgress: () => {
+      failures = 0;
+    },
+    firstTokenDeadline: () => firstTokenDeadline,
+    decide: (error, progress, excluded) => {
+      if (stopper.reason() !== undefined) return undefined;
+      if (error instanceof RequestError) return waitForEngine(excluded);
+      return tryAgain(error, progress);
+    },
+  };
+};
--- a/src/coordination/requests/routerFrontEnd.ts
+++ b/src/coordination/requests/routerFrontEnd.ts
@@ -137,7 +137,7 @@
           configurationVersion: index.version,
           upstream: running.upstream,
           batches: trackedBatches(running.batches),
-          eventId: (batch, offset) => `${batch.attempt}.${offset}`,
+          eventId: (batch, { tokens, others }) => `${batch.attempt}.${tokens}.${others}`,
         };
       });
     }
--- /dev/null
+++ b/src/coordination/requests/runScope.ts
@@ -0,0 +1,36 @@
+/** What the parts of one running request share. */
+import type { Claim, ClaimLedger } from "../claims/ClaimLedger.ts";
+import type { AnswerSoFar } from "./answerSoFar.ts";
+import type { AttemptParts } from "./attempt.ts";
+import type { RetryBudget } from "./retryBudget.ts";
+import type { RetryDecision } from "./retryDecision.ts";
+import type { Stopper } from "./stopper.ts";
+import type { CompletionJob } from "./types.ts";
+
+/** What runs work with. */
+export interface CompletionRunParts extends AttemptParts {
+  readonly claims: ClaimLedger;
+  readonly retryBudget: RetryBudget;
+  /** A number from 0 up to but not including 1. */
+  readonly random: () => number;
+}
+
+/** What has become of a request; changed by its own task only. */
+export interface RunState {
+  readonly answer: AnswerSoFar;
+  /** Engines that failed this request. */
+  readonly excluded: Set<string>;
+  mayHaveRun: boolean;
+  claim: Claim | undefined;
+  /** The answer has come to its end. */
+  finished: boolean;
+}
+
+/** One request under way. */
+export interface RunScope {
+  readonly parts: CompletionRunParts;
+  readonly job: CompletionJob;
+  readonly state: RunState;
+  readonly stopper: Stopper;
+  readonly retries: RetryDecision;
+}
--- a/src/protocol/FrontEnd.ts
+++ b/src/protocol/FrontEnd.ts
@@ -19,10 +19,20 @@
   readonly incarnation: string;
   /** Tokens of the whole answer before the first piece of this batch. */
   readonly firstOffset: number;
+  /** Pieces without text between the last token before this batch and its first piece. */
+  readonly firstOthers: number;
   /** Tokens of the whole answer that came before this attempt began. */
   readonly attemptOffset: number;
 }
 
+/** How much of an answer has been delivered. */
+export interface AnswerPosition {
+  /** Pieces with text, each counted as one token. */
+  readonly tokens: number;
+  /** Pieces without text since then. */
+  readonly others: number;
+}
+
 /** A model answer whose first pieces have come. */
 export interface CompletionAnswer {
   readonly requestId: string;
@@ -32,8 +42,8 @@
   readonly upstream: string;
   /** Throws `RequestError` where the answer can't be finished. */
   readonly batches: AsyncIterable<AnswerBatch>;
-  /** @returns The SSE id of the piece after which `offset` tokens have been delivered. */
-  readonly eventId: (batch: AnswerBatch, offset: number) => string;
+  /** @returns The SSE id of the piece of a batch up to which so much has been delivered. */
+  readonly eventId: (batch: AnswerBatch, delivered: AnswerPosition) => string;
 }
 
 /** A caller's call to a plain service. */
--- /dev/null
+++ b/src/protocol/requestTexts.ts
@@ -0,0 +1,60 @@
+/**
+ * A request's body as JSON text, made once for each request: attempts put their own fields around it, and
+ * digests are taken of it, without writing a long prompt out again.
+ */
+import { createHash } from "node:crypto";
+import type { CompletionRequest } from "./types.ts";
+
+/** The two parts of a body. */
+export interface RequestTexts {
+  /** JSON of the prompt: an array of messages, or a string. */
+  readonly prompt: string;
+  /** The other fields as the caller sent them, as the inside of a JSON object; empty if there are none. */
+  readonly others: string;
+}
+
+/** Fields that the router sets itself, or that are meant for it. */
+const ownFields: ReadonlySet<string> = new Set([
+  "model",
+  "adapter",
+  "stream",
+  "stream_options",
+  "cache_salt",
+  "messages",
+  "prompt",
+  "max_tokens",
+  "max_completion_tokens",
+  "pomelocleat_delivered",
+]);
+
+const texts = new WeakMap<CompletionRequest, RequestTexts>();
+
+const writeTexts = ({ kind, body }: CompletionRequest): RequestTexts => {
+  const others = Object.entries(body).filter(([field]) => !ownFields.has(field));
+  return {
+    prompt: JSON.stringify(kind === "chat" ? body.messages : body.prompt),
+    others: JSON.stringify(Object.fromEntries(others)).slice(1, -1),
+  };
+};
+
+/** @returns The texts of a request; the same object each time. */
+export const requestTexts = (request: CompletionRequest): RequestTexts => {
+  const known = texts.get(request);
+  if (known !== undefined) return known;
+  const written = writeTexts(request);
+  texts.set(request, written);
+  return written;
+};
+
+/**
+ * A digest of all that a request asks for, so that another request under the same key or token is noticed.
+ *
+ * @returns SHA-256, base64url.
+ */
+export const digestRequest = (request: CompletionRequest): string => {
+  const { kind, model, adapter = "", maximumTokens } = request;
+  const { prompt, others } = requestTexts(request);
+  const hash = createHash("sha256");
+  hash.update(JSON.stringify([kind, model, adapter, maximumTokens]));
+  return hash.update(others).update("\u0000").update(prompt).digest("base64url");
+};
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -4,6 +4,8 @@
   refusals: "refusals",
   attempts: "attempts",
   retries: "retries",
+  retriesDenied: "retries_denied",
+  hedges: "hedges",
   continuations: "continuations",
   crossedAnswers: "crossed_answers",
   firstToken: "first_token_ms",
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -93,11 +93,16 @@
   const writer = createChunkWriter(identityOf(answer), answer.request.includeUsage);
   try {
     for await (const batch of answer.batches) {
-      let offset = batch.firstOffset;
+      const delivered = { tokens: batch.firstOffset, others: batch.firstOthers };
       let text = "";
       for (const frame of batch.frames) {
-        if (frame.text !== "") offset += 1;
-        text += writer.write(frame, answer.eventId(batch, offset));
+        if (frame.text === "") {
+          delivered.others += 1;
+        } else {
+          delivered.tokens += 1;
+          delivered.others = 0;
+        }
+        text += writer.write(frame, answer.eventId(batch, delivered));
       }
       if (text !== "") yield text;
     }
--- a/src/transport/engineWire.ts
+++ b/src/transport/engineWire.ts
@@ -1,6 +1,7 @@
 /** The engines' wire form: what a call's body holds, and what a streamed chunk means. */
 import { z } from "zod";
 import { upstreamError } from "../protocol/errors.ts";
+import { requestTexts } from "../protocol/requestTexts.ts";
 import type { AnswerFrame, EngineCall, Usage } from "../protocol/types.ts";
 
 /** The chunk that ends a stream. */
@@ -48,29 +49,29 @@
   readonly usage?: unknown;
 }
 
+const promptField = ({ request, delivered }: EngineCall): string => {
+  const { prompt } = requestTexts(request);
+  if (delivered.text === "") return `"${request.kind === "chat" ? "messages" : "prompt"}":${prompt}`;
+  const text = JSON.stringify(delivered.text);
+  if (request.kind === "text") return `"prompt":${prompt.slice(0, -1)}${text.slice(1)}`;
+  const partial = `{"role":"assistant","content":${text}}`;
+  return `"messages":${prompt.slice(0, -1)},${partial}],"continue_final_message":true`;
+};
+
 /** The body of a call: the caller's, always streamed, with its cache kept apart and its delivered text. */
 export const engineBody = (call: EngineCall): string => {
   const { request, delivered } = call;
-  const shared = {
-    ...request.body,
+  const { others } = requestTexts(request);
+  const own = JSON.stringify({
     model: request.model,
     ...(request.adapter === undefined ? {} : { adapter: request.adapter }),
+    // An engine takes no limit of 0; a piece too many is dropped by whoever relays.
+    max_tokens: Math.max(1, request.maximumTokens - delivered.tokens),
     stream: true,
     stream_options: { include_usage: true },
     cache_salt: call.cacheSalt,
-  };
-  if (delivered.text === "") return JSON.stringify(shared);
-  const remaining = {
-    max_tokens: request.maximumTokens - delivered.tokens,
-    max_completion_tokens: undefined,
-  };
-  if (request.kind === "text") {
-    const prompt = `${request.body.prompt as string}${delivered.text}`;
-    return JSON.stringify({ ...shared, ...remaining, prompt });
-  }
-  const partial = { role: "assistant", content: delivered.text };
-  const messages = [...(request.body.messages as readonly unknown[]), partial];
-  return JSON.stringify({ ...shared, ...remaining, messages, continue_final_message: true });
+  });
+  return `${own.slice(0, -1)},${promptField(call)}${others === "" ? "" : `,${others}`}}`;
 };
 
 const readUsage = (usage: unknown): Usage | undefined => {
@@ -98,7 +99,7 @@
  */
 export const readChunk = (data: string, attempt: string): AnswerFrame => {
   const chunk = parseChunk(data);
-  if (chunk.id !== undefined && chunk.id !== attempt) {
+  if (chunk.id !== attempt) {
     throw upstreamError("the stream carries another attempt's chunk", "crossed", "streaming");
   }
   const choice = chunk.choices?.[0];
--- a/src/transport/httpFailures.ts
+++ b/src/transport/httpFailures.ts
@@ -4,17 +4,25 @@
 import type { UpstreamError, UpstreamFault, UpstreamProgress } from "../protocol/errors.ts";
 import { upstreamError } from "../protocol/errors.ts";
 
-/** Failures that come before the first byte of a request leaves. */
+/** Failures that may come before the first byte of a request leaves. */
 const connectFailures: ReadonlySet<string> = new Set([
   "ECONNREFUSED",
   "EHOSTUNREACH",
   "ENETUNREACH",
   "EADDRNOTAVAIL",
-  "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
-const codeOf = (error: unknown): string =>
-  typeof error === "object" && error !== null && "code" in error ? String(error.code) : "";
+const fieldOf = (error: unknown, field: string): string => {
+  if (typeof error !== "object" || error === null || !(field in error)) return "";
+  return String((error as Readonly<Record<string, unknown>>)[field]);
+};
+
+/** An established connection can break with a connect failure's code, too; then a request may have left. */
+const isConnectFailure = (cause: unknown): boolean => {
+  const code = fieldOf(cause, "code");
+  if (code === "UND_ERR_CONNECT_TIMEOUT") return true;
+  return connectFailures.has(code) && fieldOf(cause, "syscall") === "connect";
+};
 
 /**
  * Types a failure of a connection.
@@ -22,8 +30,9 @@
  * @param progress - How far the attempt had come, if the connection had been made.
  */
 export const connectionFailure = (cause: unknown, progress: UpstreamProgress): UpstreamError => {
-  const code = codeOf(cause);
-  if (connectFailures.has(code)) return upstreamError("cannot connect", "unreachable", "not_sent", cause);
+  const code = fieldOf(cause, "code");
+  if (progress !== "streaming" && isConnectFailure(cause))
+    return upstreamError("cannot connect", "unreachable", "not_sent", cause);
   const isTimeout = code === "UND_ERR_HEADERS_TIMEOUT" || code === "UND_ERR_BODY_TIMEOUT";
   return upstreamError("the connection failed", isTimeout ? "stalled" : "closed_early", progress, cause);
 };
--- a/src/transport/httpModelEngine.ts
+++ b/src/transport/httpModelEngine.ts
@@ -26,18 +26,37 @@
   readonly stallTimeout: number;
 }
 
-/** Reads a stream's pieces; those that came in one read are handed on together. */
-const readFrames = async function* (
-  answer: Dispatcher.ResponseData,
-  { attempt, stallTimeout }: Expected,
-): AsyncGenerator<readonly AnswerFrame[], void, void> {
-  const read = { frames: [] as AnswerFrame[], done: false };
-  const parser = createParser({
+/** What has been read of a stream and not been handed on. */
+interface ReadState {
+  frames: AnswerFrame[];
+  /** The end mark has come. */
+  done: boolean;
+}
+
+const createStreamParser = (attempt: string, read: ReadState) =>
+  createParser({
     onEvent: ({ data }) => {
+      if (read.done) throw upstreamError("the stream goes on after its end mark", "malformed", "streaming");
       if (data === doneMarker) read.done = true;
       else read.frames.push(readChunk(data, attempt));
     },
   });
+
+/** Types what ended a stream before its time. */
+const streamFailure = (cause: unknown, signal: AbortSignal): UpstreamError => {
+  if (cause instanceof UpstreamErrorClass) return cause;
+  if (signal.aborted) return upstreamError("the attempt was cancelled", "cancelled", "streaming", cause);
+  return connectionFailure(cause, "streaming");
+};
+
+/** Reads a stream's pieces; those that came in one read are handed on together. */
+const readFrames = async function* (
+  answer: Dispatcher.ResponseData,
+  { attempt, stallTimeout }: Expected,
+  signal: AbortSignal,
+): AsyncGenerator<readonly AnswerFrame[], void, void> {
+  const read: ReadState = { frames: [], done: false };
+  const parser = createStreamParser(attempt, read);
   const stall = setTimeout(() => {
     answer.body.destroy(upstreamError("the engine fell silent", "stalled", "streaming"));
   }, stallTimeout);
@@ -54,8 +73,9 @@
       stall.refresh();
     }
   } catch (cause) {
-    if (cause instanceof UpstreamErrorClass) throw cause;
-    throw connectionFailure(cause, "streaming");
+    const failure = streamFailure(cause, signal);
+    // After the end mark the answer is whole, however its connection ends.
+    if (!read.done || failure.fault === "malformed") throw failure;
   } finally {
     clearTimeout(stall);
     answer.body.on("error", () => undefined).destroy();
@@ -155,7 +175,7 @@
       attempt: expected.attempt,
       incarnation: String(answer.headers[headers.incarnation] ?? ""),
       weightsVersion: String(answer.headers[headers.weightsVersion] ?? ""),
-      frames: readFrames(answer, expected),
+      frames: readFrames(answer, expected, signal),
     };
   }
 
