Keep claims in partitions with group commit, a bounded index and outcomes for retries

The first ledger appended one record a request and read its partition from offset 0 for each claim: that grows with the log and can't hold several hundred appends a second. Now each partition has a writer that gathers a batch while an append is in flight, and a reader that goes on where it stopped; a router that starts reads only the last minute and a half, and keys older than its index are looked up in the log since their issue time.

Keys tell when they were issued (UUIDv7, ULID or MILLISECONDS-RANDOM), and the log's clock decides whether one is too old, so no record that matters has expired. Keys without a time are refused: a first-seen rule could not tell a new key from one whose record has expired. A claim whose append may arrive late is voided by its holder's release, whichever comes first. Repeating a lost append is harmless, since both records bear the same holder.

--- a/src/coordination/claims/logClaimLedger.ts
+++ b/src/coordination/claims/logClaimLedger.ts
@@ -1,92 +1,143 @@
 /**
  * Claims as records of the log service: a claim is appended and read back before anything is dispatched, and
- * the first by offset wins.
+ * the first by offset wins. docs/design/claims.md has the reasons.
  */
 import { randomUUID } from "node:crypto";
-import { z } from "zod";
-import { logStreams } from "../../protocol/constants.ts";
 import type { LogService } from "../../protocol/LogService.ts";
-import { hash64 } from "../../protocol/prefixLevels.ts";
-import type { LogRecord, RequestContext } from "../../protocol/types.ts";
-import { outcomeUnknown, refusals } from "../requests/refusals.ts";
-import type { Claim } from "./ClaimLedger.ts";
+import type { RequestContext } from "../../protocol/types.ts";
+import { metricNames } from "../../state/constants.ts";
+import type { Metrics } from "../../state/Metrics.ts";
+import type { Clock } from "../clock.ts";
+import { pause } from "../clock.ts";
+import { refusals } from "../requests/refusals.ts";
+import type { ClaimResult } from "./ClaimLedger.ts";
 import { ClaimLedger } from "./ClaimLedger.ts";
+import { checkAge, readClaimKey } from "./claimKey.ts";
+import type { StandingClaim } from "./claimState.ts";
+import { longestClaimWait, longestFlush, longestOutcomeWait, outcomePollInterval } from "./constants.ts";
+import { claimFailures } from "./errors.ts";
+import type { Partition, Wish } from "./claimAppends.ts";
+import { createClaimAppends } from "./claimAppends.ts";
+import { createPartitionReader } from "./partitionReader.ts";
+import { createPartitionWriter } from "./partitionWriter.ts";
 
-const partitions = 16n;
-const pageSize = 1000;
+/** What the ledger works with. */
+export interface LogClaimLedgerParts {
+  readonly log: LogService;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** How long claims are kept, milliseconds; within the log service's own retention. */
+  readonly retention: () => number;
+}
 
-const claimRecord = z.object({
-  kind: z.enum(["claim", "release", "complete"]),
-  key: z.string(),
-  holder: z.string(),
-  fingerprint: z.string(),
-});
-type ClaimRecord = z.output<typeof claimRecord>;
+/** A ledger with what the daemon needs of it. */
+export interface LogClaimLedger extends ClaimLedger, AsyncDisposable {
+  /** Resolves when every outcome is recorded, or after a while without the log service. */
+  readonly flush: () => Promise<void>;
+  readonly dump: () => unknown;
+}
 
-const parseRecord = (record: LogRecord): ClaimRecord | undefined => {
-  try {
-    return claimRecord.safeParse(JSON.parse(record.data)).data;
-  } catch {
-    return undefined;
-  }
-};
+/** Makes a ledger; it reads and appends nothing until a claim is asked for. */
+export const createLogClaimLedger = (parts: LogClaimLedgerParts): LogClaimLedger => {
+  const { log, clock, metrics } = parts;
+  const partitions = new Map<string, Partition>();
 
-/** Appends and reads back one claim for each request. */
-export class LogClaimLedger extends ClaimLedger {
-  private readonly log: LogService;
+  const partitionOf = (stream: string): Partition => {
+    const partition = partitions.get(stream) ?? {
+      reader: createPartitionReader(log, stream),
+      writer: createPartitionWriter(log, stream, clock),
+    };
+    partitions.set(stream, partition);
+    return partition;
+  };
 
-  constructor(log: LogService) {
-    super();
-    this.log = log;
-  }
+  const { release, createClaim, appendClaim } = createClaimAppends(clock);
+
+  /** The claim is ours; the log service's clock decides whether the key is good. */
+  const acceptOwn = async (wish: Wish, standing: StandingClaim): Promise<ClaimResult> => {
+    try {
+      checkAge(wish.key, standing.appendedAt, parts.retention());
+    } catch (error) {
+      await release(wish, standing.holder);
+      throw error;
+    }
+    return { kind: "claimed", claim: createClaim(wish, standing.holder) };
+  };
+
+  /** Waits for the outcome of the request that holds the key. @returns Undefined once it is released. */
+  const awaitOutcome = async (wish: Wish, first: StandingClaim): Promise<ClaimResult | undefined> => {
+    const until = Math.min(wish.until, clock.monotonic() + longestOutcomeWait);
+    let standing: StandingClaim | undefined = first;
+    for (;;) {
+      if (standing === undefined) return undefined;
+      if (standing.fingerprint !== wish.fingerprint) throw claimFailures.keyReused();
+      if (standing.outcome !== undefined) return { kind: "completed", outcome: standing.outcome };
+      const isOverdue = clock.wall() > standing.appendedAt + standing.expected;
+      if (isOverdue || clock.monotonic() >= until) throw claimFailures.inProgress();
+      await pause(clock, outcomePollInterval);
+      try {
+        standing = (await wish.partition.reader.lookUpNow(wish.key)).standing;
+      } catch {
+        // The log service is away; the claim still stands as far as anybody knows.
+      }
+    }
+  };
 
-  override async claim(context: RequestContext, fingerprint: string): Promise<Claim> {
-    const key = `${context.organisation.name}\u0000${context.idempotencyKey ?? context.requestId}`;
-    const stream = `${logStreams.claimsPrefix}${hash64(key) % partitions}`;
-    const holder = randomUUID();
-    const append = (kind: ClaimRecord["kind"]): Promise<readonly number[]> =>
-      this.log.append(stream, [JSON.stringify({ kind, key, holder, fingerprint } satisfies ClaimRecord)]);
-    const winner = await this.appendAndRead(stream, key, () => append("claim"));
-    if (winner?.holder !== holder) {
-      throw outcomeUnknown("already_claimed", "A request with this idempotency key has been started before.");
+  const settleWish = async (wish: Wish): Promise<ClaimResult> => {
+    for (;;) {
+      const holder = randomUUID();
+      const known = wish.partition.reader.known(wish.key)?.standing;
+      const standing = known ?? (await appendClaim(wish, holder)).standing;
+      if (standing?.holder === holder) return acceptOwn(wish, standing);
+      const result = standing === undefined ? undefined : await awaitOutcome(wish, standing);
+      if (result !== undefined) return result;
+      if (clock.monotonic() >= wish.until) throw refusals.claimsUnavailable();
     }
+  };
+
+  const createWish = (context: RequestContext, fingerprint: string): Wish => {
+    const key = readClaimKey(context);
+    checkAge(key, clock.wall(), parts.retention());
+    const now = clock.monotonic();
     return {
-      release: async () => {
-        await append("release");
-      },
-      complete: async () => {
-        await append("complete");
-      },
+      key,
+      partition: partitionOf(key.stream),
+      fingerprint,
+      expected: Math.max(0, context.completionDeadline - now),
+      until: Math.min(now + longestClaimWait, context.completionDeadline),
     };
-  }
+  };
 
-  private async appendAndRead(
-    stream: string,
-    key: string,
-    append: () => Promise<unknown>,
-  ): Promise<ClaimRecord | undefined> {
-    try {
-      await append();
-      return await this.readHolder(stream, key);
-    } catch (cause) {
-      throw refusals.claimsUnavailable(cause);
+  const flush = async (): Promise<void> => {
+    const flushed = Promise.all([...partitions.values()].map(({ writer }) => writer.flush()));
+    const limit = new AbortController();
+    await Promise.race([flushed, pause(clock, longestFlush, limit.signal)]);
+    limit.abort();
+  };
+
+  class Implementation extends ClaimLedger implements LogClaimLedger {
+    override async acquire(context: RequestContext, fingerprint: string): Promise<ClaimResult> {
+      const startedAt = clock.monotonic();
+      const result = await settleWish(createWish(context, fingerprint));
+      metrics.count(metricNames.claims, 1, { result: result.kind });
+      metrics.time(metricNames.claimWait, clock.monotonic() - startedAt);
+      return result;
     }
-  }
 
-  /** The first claim of a key that has not been released. */
-  private async readHolder(stream: string, key: string): Promise<ClaimRecord | undefined> {
-    let holder: ClaimRecord | undefined;
-    let from = 0;
-    for (;;) {
-      const page = await this.log.read(stream, from, pageSize);
-      for (const record of page.records) {
-        const parsed = parseRecord(record);
-        if (parsed?.key !== key) continue;
-        if (parsed.kind === "claim") holder ??= parsed;
-        if (parsed.kind === "release" && parsed.holder === holder?.holder) holder = undefined;
-      }
-      from = (page.records.at(-1)?.offset ?? page.nextOffset) + 1;
-      if (from >= page.nextOffset) return holder;
+    readonly flush = flush;
+
+    readonly dump = (): unknown =>
+      [...partitions].map(([stream, { reader, writer }]) => ({
+        stream,
+        indexedKeys: reader.indexedKeys(),
+        waiting: writer.waiting(),
+      }));
+
+    async [Symbol.asyncDispose](): Promise<void> {
+      await flush();
+      for (const { writer } of partitions.values()) writer.stop();
     }
   }
-}
+
+  return new Implementation();
+};
--- a/src/coordination/requests/serviceRunner.ts
+++ b/src/coordination/requests/serviceRunner.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import type { ServiceDirectory, ServiceReplica } from "../../state/serviceDirectory.ts";
 import type { Claim, ClaimLedger } from "../claims/ClaimLedger.ts";
+import { claimFailures } from "../claims/errors.ts";
 import type { Clock } from "../clock.ts";
 import { finalFailure, mayTryAgain, provesNotRun } from "./attemptFailures.ts";
 import { refusals } from "./refusals.ts";
@@ -16,6 +17,8 @@
 const retryAfterSeconds = 1;
 /** A replica that failed is asked last for this long, milliseconds. */
 const failureMemory = 2_000;
+/** Named as the upstream of an answer that was given before. */
+const recordedUpstream = "recorded";
 
 /** What a caller asks of a plain service. */
 export interface ServiceJob {
@@ -131,23 +134,36 @@
     }
   };
 
-  const claimFor = async (job: ServiceJob): Promise<Claim | undefined> =>
-    job.context.idempotent ? undefined : await claims.claim(job.context, fingerprintOf(job));
-
-  const run = async (job: ServiceJob, signal: AbortSignal): Promise<ServiceResult> => {
-    metrics.count(metricNames.requests, 1, { class: job.context.requestClass.name });
-    const claim = await claimFor(job);
+  /** Runs a call that may be run; ends its claim the way it ended. */
+  const runClaimed = async (
+    job: ServiceJob,
+    claim: Claim | undefined,
+    signal: AbortSignal,
+  ): Promise<ServiceResult> => {
     const progress = { mayHaveRun: false };
     try {
       const result = await attempt(job, progress, signal);
-      await claim?.complete(`status ${result.answer.status}`).catch(() => undefined);
+      await claim?.complete(`status ${result.answer.status}`, result.answer);
       return result;
     } catch (error) {
-      if (!progress.mayHaveRun) await claim?.release().catch(() => undefined);
+      if (!progress.mayHaveRun) await claim?.release();
       const { idempotent } = job.context;
       throw finalFailure(error, { idempotent, ...progress, delivered: false, continuable: true });
     }
   };
 
+  const runOnce = async (job: ServiceJob, signal: AbortSignal): Promise<ServiceResult> => {
+    const result = await claims.acquire(job.context, fingerprintOf(job));
+    if (result.kind === "claimed") return runClaimed(job, result.claim, signal);
+    const { answer, summary } = result.outcome;
+    if (answer === undefined) throw claimFailures.alreadyCompleted(summary);
+    return { upstream: recordedUpstream, answer: { attempt: "", ...answer } };
+  };
+
+  const run = (job: ServiceJob, signal: AbortSignal): Promise<ServiceResult> => {
+    metrics.count(metricNames.requests, 1, { class: job.context.requestClass.name });
+    return job.context.idempotent ? runClaimed(job, undefined, signal) : runOnce(job, signal);
+  };
+
   return { run };
 };
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -2,7 +2,7 @@
 import { randomUUID } from "node:crypto";
 import { StatsD } from "hot-shots";
 import { Agent } from "undici";
-import { LogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
+import { createLogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
 import { systemClock } from "../coordination/clock.ts";
 import { startConfigurationFollower } from "../coordination/configurationFollower.ts";
 import { startEngineMonitor } from "../coordination/engineMonitor.ts";
@@ -108,7 +108,8 @@
   resources.use(vmList);
 
   const scheduler = new LeastLoadedScheduler(directory);
-  const claims = new LogClaimLedger(log);
+  const retention = (): number => follower.current()?.configuration.limits.claimRetention ?? 0;
+  const claims = resources.use(createLogClaimLedger({ log, clock, metrics, retention }));
   const completions = createCompletionRunner({ directory, scheduler, claims, metrics, clock, connect });
   const services = createServiceRunner({
     directory: serviceDirectory,
@@ -135,6 +136,7 @@
     scheduler: scheduler.dump(),
     ...engines(),
     services: serviceDirectory.all(),
+    claims: claims.dump(),
   });
   const frontEnd = createRouterFrontEnd({
     configuration: follower.current,
@@ -155,6 +157,7 @@
   const drain = async (): Promise<void> => {
     writeLog("draining", { openRequests: frontEnd.openRequests() });
     await frontEnd.drain();
+    await claims.flush();
     await server.close();
     writeLog("drained");
   };
--- a/src/protocol/constants.ts
+++ b/src/protocol/constants.ts
@@ -44,6 +44,8 @@
   outcomeUnknown: "outcome_unknown",
   /** The request ran and failed, or its stream could not be finished. */
   failed: "failed",
+  /** The request ran to its end before, under the same idempotency key; its answer is no longer kept. */
+  completed: "completed",
 } as const;
 
 /** Rough characters of text for each token, used until an answer reports the true count. */
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -12,6 +12,7 @@
   promptTokens: "prompt_tokens",
   cachedTokens: "cached_tokens",
   claims: "claims",
+  claimWait: "claim_wait_ms",
   engineFailures: "engine_failures",
   leaseAppends: "lease_appends",
   leaseGrants: "lease_grants",
--- a/tests/wholePath.test.ts
+++ b/tests/wholePath.test.ts
@@ -88,14 +88,16 @@
 
   it("calls plain services, and runs a sign-off once for one key", async () => {
     await using system = await startLocalSystem({ services: 2 });
+    const key = `${Date.now()}-key-of-this-test`;
     const signOff = () =>
       system.call("/services/records-desk/sign-offs", {
         body: { attendant: 17 },
-        headers: { [headers.idempotencyKey]: "key-of-this-test" },
+        headers: { [headers.idempotencyKey]: key },
       });
     const first = await signOff();
     expect(first.status).toEqual(200);
-    await signOff().then((answer) => answer.text());
+    const second = await signOff();
+    expect([second.status, await second.text()]).toEqual([200, await first.text()]);
     const executions = system.services.flatMap((service) => service.executions());
     expect(executions.length).toEqual(1);
   });
