Send keys that tell their issue time in sessions and the demo

The golden session used a fixed UUIDv7 of 2024 and the demo random ones, which the ledger now refuses as too old or without a time. A first-seen rule for keys without a time was ruled out, since it can't be proved at most once after the log has dropped the first record.

--- a/demo/playSession.ts
+++ b/demo/playSession.ts
@@ -69,7 +69,9 @@
   authorization: `Bearer ${demoKey(step.organisation)}`,
   "content-type": "application/json",
   [headers.requestClass]: step.requestClass,
-  ...(step.once === true ? { [headers.idempotent]: "false", [headers.idempotencyKey]: randomUUID() } : {}),
+  ...(step.once === true
+    ? { [headers.idempotent]: "false", [headers.idempotencyKey]: `${Date.now()}-${randomUUID()}` }
+    : {}),
 });
 
 /**
