Place by predicted time to first token, with admission in front

Cause: least-loaded choice ignores what engines hold, so every miss recomputes a long shared prefix. Affinity by the deepest level that returns, weighted rendezvous within an organisation's shuffle shard, beliefs bound to incarnation and weights, waits corrected by own work since the last report; a queue by class deadline and virtual token counters refuses at once what can't be in time. Ruled out so far: refusing for a cold prefix alone, since then no request would ever warm it.

--- a/src/coordination/requests/refusals.ts
+++ b/src/coordination/requests/refusals.ts
@@ -34,6 +34,16 @@
   noConfiguration: () => comeBack("no_configuration", "This router has no configuration yet.", 1),
   noEngine: (retryAfterSeconds: number, cause?: unknown) =>
     comeBack("no_engine", "No engine can take the request now.", retryAfterSeconds, cause),
+  overloaded: (retryAfterSeconds: number) =>
+    comeBack("overloaded", "The first token can't come within the class's deadline.", retryAfterSeconds),
+  organisationLimit: (retryAfterSeconds: number) =>
+    requestError("The organisation's limit is reached.", {
+      status: 429,
+      code: "organisation_limit",
+      outcome: outcomes.notRun,
+      retryAfterSeconds,
+    }),
+  callerGone: () => notRun(499, "caller_gone", "The caller went away before the request was started."),
   noServiceReplica: (retryAfterSeconds: number, cause?: unknown) =>
     comeBack(
       "no_service_replica",
--- /dev/null
+++ b/src/coordination/scheduling/PredictiveScheduler.test.ts
@@ -0,0 +1,289 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import {
+  createSchedulingFixture,
+  finished,
+  settle,
+  textOf,
+} from "../../../tests/support/schedulingFixture.ts";
+import type { Begun } from "../../../tests/support/schedulingFixture.ts";
+import type { Assignment } from "./Scheduler.ts";
+
+const codeOf = ({ refusal }: Begun): string | undefined => refusal?.failure.code;
+const isWaiting = ({ assignment, refusal }: Begun): boolean =>
+  assignment === undefined && refusal === undefined;
+const assignmentsOf = (group: readonly Begun[]): readonly Assignment[] =>
+  group.flatMap(({ assignment }) => assignment ?? []);
+
+const answerOf = (assignment: Assignment, cachedTokens = 0) =>
+  finished(assignment, { promptTokens: 2_004, completionTokens: 16, cachedTokens });
+
+describe("PredictiveScheduler: placement", () => {
+  it("sends a season's questions where the season is held, at every router alike", async () => {
+    const chosen = new Set<string>();
+    for (let router = 0; router < 3; router += 1) {
+      const { assign, createWork, clock } = createSchedulingFixture({ engines: 8 });
+      for (let question = 0; question < 5; question += 1) {
+        const assignment = await assign(createWork());
+        chosen.add(assignment.engine.id);
+        clock.advanceTo(clock.monotonic() + 300);
+        assignment.markFirstToken();
+        assignment.release(answerOf(assignment, question === 0 ? 0 : 2_000));
+      }
+    }
+    expect(chosen.size).toEqual(1);
+  });
+
+  it("expects nothing of an engine's cache after a crash, new weights or an answer of another start", async () => {
+    const crashes: readonly ((system: ReturnType<typeof createSchedulingFixture>, at: Assignment) => void)[] =
+      [
+        ({ report }, { engine }) => report(engine.id, { incarnation: "b" }),
+        ({ report }, { engine }) => {
+          report(engine.id, { weightsVersion: "2" });
+          report(engine.id, { weightsVersion: "1" });
+        },
+        ({ list, report, ids }, { engine }) => {
+          list(ids.filter((id) => id !== engine.id));
+          list(ids);
+          report(engine.id);
+        },
+      ];
+    for (const crash of crashes) {
+      const system = createSchedulingFixture({ engines: 1 });
+      const first = await system.assign(system.createWork());
+      first.markFirstToken();
+      first.release(answerOf(first));
+      const second = await system.assign(system.createWork());
+      expect(second.expectedCachedTokens).toEqual(2_000);
+      system.clock.advanceTo(10);
+      crash(system, first);
+      const third = await system.assign(system.createWork());
+      expect(third.expectedCachedTokens).toEqual(0);
+      // The answer of before the crash founds nothing.
+      second.markFirstToken();
+      second.release(answerOf(second, 2_000));
+      third.release({ ...answerOf(third), ended: "failed", firstTokenAfter: undefined });
+      const fourth = await system.assign(system.createWork());
+      expect(fourth.expectedCachedTokens).toEqual(0);
+    }
+  });
+
+  it("doubts an engine that answers as another start than reported", async () => {
+    const { assign, createWork } = createSchedulingFixture({ engines: 1 });
+    const first = await assign(createWork());
+    first.markFirstToken();
+    first.release({ ...answerOf(first), incarnation: "b" });
+    expect((await assign(createWork())).expectedCachedTokens).toEqual(0);
+  });
+
+  it("expects nothing of what another organisation has cached", async () => {
+    const { assign, createWork } = createSchedulingFixture({ engines: 1 });
+    const first = await assign(createWork({ organisation: "noto" }));
+    first.markFirstToken();
+    first.release(answerOf(first));
+    expect((await assign(createWork({ organisation: "ragusa" }))).expectedCachedTokens).toEqual(0);
+  });
+
+  it("takes no engine that is excluded, leaving, suspect or on other weights", async () => {
+    const { assign, begin, createWork, directory, report } = createSchedulingFixture({ engines: 5 });
+    directory.markLeaving("engine-0");
+    directory.markFailed("engine-1", 0);
+    report("engine-2", { weightsVersion: "2" });
+    const only = await assign(createWork({ excluded: ["engine-3"] }));
+    expect(only.engine.id).toEqual("engine-4");
+    const none = begin(createWork({ excluded: ["engine-3", "engine-4"] }));
+    await settle();
+    expect(codeOf(none)).toEqual("no_engine");
+  });
+
+  it("spreads a hot season over more engines before any of them is full", async () => {
+    const { begin, createWork, clock } = createSchedulingFixture({ engines: 8, maximumRunning: 8 });
+    const asked: Begun[] = [];
+    for (let question = 0; question < 400; question += 1) {
+      asked.push(begin(createWork()));
+      await settle();
+      clock.advanceTo(clock.monotonic() + 20);
+      for (const assignment of assignmentsOf(asked)) assignment.markFirstToken();
+      const [ended] = asked.length > 20 ? assignmentsOf(asked.splice(0, 1)) : [];
+      ended?.release(answerOf(ended, 2_000));
+      expect(asked.filter(isWaiting).length).toEqual(0);
+    }
+    const chosen = new Set(assignmentsOf(asked).map(({ engine }) => engine.id));
+    expect(chosen.size).toBeGreaterThan(2);
+  });
+});
+
+describe("PredictiveScheduler: admission", () => {
+  it("answers at once where nothing can be done in time, with a time to come back", async () => {
+    const { begin, createWork, report } = createSchedulingFixture({ engines: 1 });
+    report("engine-0", { running: 4, waiting: 3, pendingPromptTokens: 50_000 });
+    const hopeless = begin(createWork({ requestClass: "price-lookup" }));
+    const patient = begin(createWork({ requestClass: "reconciliation" }));
+    await settle();
+    expect(codeOf(hopeless)).toEqual("overloaded");
+    expect(hopeless.refusal?.failure.outcome).toEqual("not_run");
+    expect(hopeless.refusal?.failure.retryAfterSeconds).toEqual(5);
+    expect(isWaiting(patient)).toEqual(true);
+  });
+
+  it("refuses what waits when its deadline passes out of reach, and lets the rest in", async () => {
+    const { begin, assign, createWork, clock } = createSchedulingFixture({ engines: 1, maximumRunning: 1 });
+    const holder = await assign(createWork());
+    holder.markFirstToken();
+    const patient = begin(createWork());
+    clock.advanceTo(100);
+    const urgent = begin(createWork({ requestClass: "price-lookup" }));
+    await settle();
+    if (isWaiting(urgent)) clock.advanceTo(700);
+    await settle();
+    expect(codeOf(urgent)).toEqual("overloaded");
+    expect(isWaiting(patient)).toEqual(true);
+    holder.release(answerOf(holder));
+    clock.advanceTo(clock.monotonic() + 1);
+    await settle();
+    expect(patient.assignment?.engine.id).toEqual("engine-0");
+  });
+
+  it("forgets what waits when its caller goes away", async () => {
+    const { assign, begin, createWork, clock, scheduler } = createSchedulingFixture({
+      engines: 1,
+      maximumRunning: 1,
+    });
+    const holder = await assign(createWork());
+    const caller = new AbortController();
+    const waiting = begin(createWork(), caller.signal);
+    caller.abort();
+    await settle();
+    expect(codeOf(waiting)).toEqual("caller_gone");
+    holder.release(answerOf(holder));
+    clock.advanceTo(100);
+    const next = await assign(createWork());
+    next.release(answerOf(next));
+    expect((scheduler.dump() as { readonly waiting: number }).waiting).toEqual(0);
+  });
+
+  it("lets interactive work go before batch work, and loses none of either", async () => {
+    const { assign, begin, createWork, clock } = createSchedulingFixture({ engines: 1, maximumRunning: 1 });
+    let holder = await assign(createWork());
+    const batch = Array.from({ length: 3 }, () => begin(createWork({ requestClass: "reconciliation" })));
+    const interactive = Array.from({ length: 3 }, () => begin(createWork()));
+    for (let turn = 0; turn < 6; turn += 1) {
+      holder.markFirstToken();
+      holder.release(answerOf(holder, 2_000));
+      clock.advanceTo(clock.monotonic() + 1);
+      await settle();
+      const granted = [interactive, batch].map((group) => assignmentsOf(group).length);
+      expect(granted).toEqual([Math.min(3, turn + 1), Math.max(0, turn - 2)]);
+      const latest = turn < 3 ? interactive[turn] : batch[turn - 3];
+      holder = latest?.assignment ?? holder;
+    }
+  });
+
+  it("serves waiting organisations by their standing, however much one of them asks for", async () => {
+    const { assign, begin, createWork, clock } = createSchedulingFixture({
+      engines: 1,
+      maximumRunning: 1,
+      standings: { flood: 1, noto: 3 },
+    });
+    let holder = await assign(createWork({ organisation: "flood" }));
+    const segments = [textOf("rules", 100), "question"];
+    const flood = Array.from({ length: 20 }, () => begin(createWork({ organisation: "flood", segments })));
+    const noto = Array.from({ length: 8 }, () => begin(createWork({ organisation: "noto", segments })));
+    const seen = new Set([holder]);
+    for (let turn = 0; turn < 8; turn += 1) {
+      holder.markFirstToken();
+      holder.release(answerOf(holder));
+      clock.advanceTo(clock.monotonic() + 1);
+      await settle();
+      holder = assignmentsOf([...flood, ...noto]).find((assignment) => !seen.has(assignment)) ?? holder;
+      seen.add(holder);
+    }
+    expect([flood, noto].map((group) => assignmentsOf(group).length)).toEqual([2, 6]);
+  });
+
+  it("keeps an organisation to its limit, and counts a request that is tried again once", async () => {
+    const { assign, begin, createWork } = createSchedulingFixture({ concurrentRequests: 2 });
+    const first = await assign(createWork());
+    await assign(createWork());
+    const third = begin(createWork());
+    await settle();
+    expect(codeOf(third)).toEqual("organisation_limit");
+    first.release({ ...answerOf(first), ended: "failed", firstTokenAfter: undefined });
+    const again = await assign(createWork({ excluded: [first.engine.id] }));
+    const beyond = begin(createWork());
+    await settle();
+    expect(codeOf(beyond)).toEqual("organisation_limit");
+    again.release(answerOf(again));
+    expect((await assign(createWork())).engine.pool).toEqual("modelli");
+  });
+});
+
+const step = fc.oneof(
+  { weight: 4, arbitrary: fc.record({ kind: fc.constant("ask" as const), requestClass: fc.nat(2) }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({ kind: fc.constant("end" as const), which: fc.nat(20), whole: fc.boolean() }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant("abort" as const), which: fc.nat(40) }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant("wait" as const), time: fc.integer({ min: 1, max: 400 }) }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("report" as const),
+      engine: fc.nat(2),
+      running: fc.nat(4),
+      incarnation: fc.constantFrom("a", "b"),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant("fail" as const), engine: fc.nat(2) }) },
+);
+
+describe("PredictiveScheduler, whatever happens", () => {
+  it("ends every request exactly once, assigns only live engines, and refuses before the deadline", async () => {
+    const classes = ["price-lookup", "line-tagging", "reconciliation"];
+    const property = fc.asyncProperty(fc.array(step, { maxLength: 60, size: "max" }), async (steps) => {
+      const system = createSchedulingFixture({ engines: 3, maximumRunning: 2 });
+      const { clock, directory, scheduler } = system;
+      const asked: { readonly begun: Begun; readonly caller: AbortController }[] = [];
+      const released = new Set<Assignment>();
+      const end = (assignment: Assignment, whole: boolean): void => {
+        if (whole) assignment.markFirstToken();
+        assignment.release(whole ? answerOf(assignment) : { ...answerOf(assignment), ended: "failed" });
+        released.add(assignment);
+      };
+      const running = (): readonly Assignment[] =>
+        assignmentsOf(asked.map(({ begun }) => begun)).filter((assignment) => !released.has(assignment));
+      for (const action of steps) {
+        if (action.kind === "ask") {
+          const caller = new AbortController();
+          const work = system.createWork({ requestClass: classes[action.requestClass] ?? "" });
+          asked.push({ begun: system.begin(work, caller.signal), caller });
+        } else if (action.kind === "end") {
+          const assignment = running()[action.which];
+          if (assignment !== undefined) end(assignment, action.whole);
+        } else if (action.kind === "abort") asked[action.which]?.caller.abort();
+        else if (action.kind === "wait") clock.advanceTo(clock.monotonic() + action.time);
+        else if (action.kind === "report") system.report(`engine-${action.engine}`, action);
+        else directory.markFailed(`engine-${action.engine}`, clock.monotonic());
+        await settle();
+        for (const id of system.ids) {
+          const own = running().filter(({ engine }) => engine.id === id).length;
+          expect(directory.get(id)?.inFlight).toEqual(own);
+        }
+      }
+      for (const id of system.ids) system.report(id);
+      for (let round = 0; round < 200 && asked.some(({ begun }) => isWaiting(begun)); round += 1) {
+        for (const assignment of running()) end(assignment, true);
+        clock.advanceTo(clock.monotonic() + 50);
+        await settle();
+      }
+      expect(asked.filter(({ begun }) => isWaiting(begun)).length).toEqual(0);
+      expect((scheduler.dump() as { readonly waiting: number }).waiting).toEqual(0);
+    });
+    await fc.assert(property, { numRuns: 150, seed: 20261202 });
+  });
+});
--- /dev/null
+++ b/src/coordination/scheduling/constants.ts
@@ -0,0 +1,91 @@
+/** What the predictive scheduler is tuned with; docs/operators/placement.md says what each trades. */
+
+/** The heat sketch: keys kept, decay and shortest window in milliseconds. */
+export const heatLimits = { maximumKeys: 4096, memory: 4_000, shortestWindow: 1_000 } as const;
+
+/** The cache picture: levels kept, and engines kept for each. */
+export const pictureLimits = { maximumLevels: 8192, maximumEnginesPerLevel: 8 } as const;
+
+/** What is assumed of a pool that the configuration does not (yet) describe. */
+export const unknownPool = { maximumRunning: 16, prefillTokensPerSecond: 8_000 } as const;
+
+/** One way there and back between data centres, milliseconds. */
+export const roundTripBetweenDataCentres = 1;
+
+/** An organisation's shard: engines for each one that its standing alone would give it, and the fewest. */
+export const shardFactor = 2;
+export const smallestShard = 3;
+
+/** Pools up to this size are compared whole. */
+export const compareAllUpTo = 16;
+/** Most engines that one prefix is spread over on purpose. */
+export const maximumWidth = 16;
+/** Engines next in a prefix's order that are compared beside its homes. */
+export const nextInOrder = 2;
+/** Least loaded engines of a sample that are compared beside a prefix's homes. */
+export const sampledEngines = 2;
+
+/** Share of an engine's capacity that one prefix may need before it gets one more home. */
+export const wideningLoad = 0.5;
+
+/** Share of an engine's slots from which a taken one counts against it, and the least share of free ones. */
+export const crowdedFrom = 0.5;
+export const crowdedLeast = 0.1;
+
+/** A level is reused if it returns within the engines' retention with at least this probability. */
+export const reuseThreshold = 0.3;
+/** Weight of one sighting in what is learned about the levels' reuse. */
+export const reuseGain = 0.02;
+
+/** How long engines are taken to keep an unused prefix before answers tell, milliseconds; and its bounds. */
+export const firstRetention = 20_000;
+export const shortestRetention = 500;
+export const longestRetention = 600_000;
+/** Weight of one answer in the learned retention. */
+export const retentionGain = 0.2;
+/** Weight of one answer in what is taken of all engines together. */
+export const commonRetentionGain = 0.05;
+/** A younger belief says nothing about retention, milliseconds. */
+export const youngestBelief = 50;
+
+/** Weight of one answer in the learned cost of a prompt token. */
+export const prefillGain = 0.1;
+/** Fewest computed tokens from which an answer says something about that cost. */
+export const fewestPrefillTokens = 200;
+/** Learned costs stay within this factor of the configured one. */
+export const prefillCorrection = 4;
+
+/** What a millisecond after the deadline weighs against one before it. */
+export const latePenalty = 10;
+
+/** How fast a load report loses its meaning for what others do, milliseconds. */
+export const reportMemory = 700;
+/** Weight of one report in an engine's usual load. */
+export const usualLoadGain = 0.1;
+
+/** Routers' parts of an engine's free slots that one router may take before the next report. */
+export const freeSlotsTaken = 2;
+
+/** Share of an engine's slots that batch work may fill. */
+export const batchShare = 0.75;
+
+/** How long a request holds a slot before answers tell, milliseconds; and the weight of one answer. */
+export const firstHoldingTime = 1_000;
+export const holdingGain = 0.1;
+
+/** How often waiting work is looked at again while nothing else happens, milliseconds. */
+export const queueInterval = 20;
+/** Most pieces of waiting work looked at in one go, and of one organisation and class. */
+export const scannedWaiting = 64;
+export const scannedPerOrganisation = 8;
+/** Batch work whose time runs out counts as interactive; share of its deadline that is then left. */
+export const urgentShare = 0.2;
+
+/** Cost of a generated token in tokens of prompt, for fairness between organisations. */
+export const generatedTokenCost = 4;
+/** Generated tokens assumed before an answer tells. */
+export const assumedGeneratedTokens = 64;
+
+/** Bounds of Retry-After, seconds. */
+export const shortestRetryAfter = 1;
+export const longestRetryAfter = 60;
--- /dev/null
+++ b/src/coordination/scheduling/placement.ts
@@ -0,0 +1,215 @@
+/** Chooses an engine for a piece of work by the first token's predicted time and the prompt's recomputation. */
+import type { ObjectiveConfiguration } from "../../protocol/configuration/schema.ts";
+import type { CachePicture, EngineStamp } from "../../state/cachePicture.ts";
+import type { EngineDirectory, EngineReplica } from "../../state/engineDirectory.ts";
+import type { ConfigurationIndex } from "../configurationIndex.ts";
+import type { Affinity, AffinityLearner } from "./affinity.ts";
+import { createCacheForecast } from "./cacheForecast.ts";
+import type { Belief } from "./cacheForecast.ts";
+import {
+  batchShare,
+  compareAllUpTo,
+  crowdedFrom,
+  crowdedLeast,
+  freeSlotsTaken,
+  latePenalty,
+  maximumWidth,
+  nextInOrder,
+  roundTripBetweenDataCentres,
+  sampledEngines,
+  wideningLoad,
+} from "./constants.ts";
+import type { EngineEstimate } from "./engineEstimate.ts";
+import type { EngineEstimates } from "./engineEstimates.ts";
+import type { HoldingTimes } from "./holdingTimes.ts";
+import type { Work } from "./Scheduler.ts";
+import { firstInOrder } from "./shuffleShards.ts";
+import type { Member, Shard, ShuffleShards } from "./shuffleShards.ts";
+
+/** What a choice is made from. */
+export interface PlacementParts {
+  readonly directory: EngineDirectory;
+  readonly configuration: () => ConfigurationIndex | undefined;
+  readonly dataCentre: string;
+  readonly liveRouters: () => number;
+  readonly picture: CachePicture;
+  readonly estimates: EngineEstimates;
+  readonly affinity: AffinityLearner;
+  readonly shards: ShuffleShards;
+  readonly holdingTimes: HoldingTimes;
+}
+
+/** An engine with what is predicted for one piece of work there. Times are milliseconds. */
+export interface Prediction {
+  readonly engine: EngineReplica;
+  readonly stamp: EngineStamp | undefined;
+  readonly estimate: EngineEstimate;
+  readonly cachedTokens: number;
+  /** The deepest level that the engine is believed to hold from this router's own work, if any. */
+  readonly believed: Belief | undefined;
+  /** From now to the first token, if it is sent as soon as there is room. */
+  readonly timeToFirstToken: number;
+  /** The same if the engine held all that is reused of the prompt: what cannot be done faster. */
+  readonly earliestFirstToken: number;
+  /** For each piece of work that goes before this one, if there is no room. */
+  readonly queueTurn: number;
+  /** Nothing is believed to be ahead of it. */
+  readonly idle: boolean;
+  readonly hasRoom: boolean;
+  /** The smaller the better. */
+  readonly cost: number;
+}
+
+/** Compares engines for a piece of work. */
+export interface Placement {
+  /** @returns The best engine, whether or not it has room now; undefined where no live engine may answer. */
+  readonly choose: (work: Work, now: number) => Prediction | undefined;
+}
+
+const defaultObjective: ObjectiveConfiguration = { timeToFirstToken: 1, recomputation: 1 };
+
+const isEligible = (engine: EngineReplica | undefined, work: Work): engine is EngineReplica =>
+  engine?.state === "live" &&
+  engine.load !== undefined &&
+  !work.excluded.has(engine.id) &&
+  work.weightsVersions.includes(engine.load.weightsVersion);
+
+/** Makes a placement. */
+export const createPlacement = (parts: PlacementParts): Placement => {
+  const { directory, estimates, picture, affinity, holdingTimes } = parts;
+  /** Walks through the engines that are not compared for their caches' sake. */
+  let sample = 0;
+
+  const objectiveOf = (work: Work): ObjectiveConfiguration => {
+    const { requestClass } = work.context;
+    if (requestClass.objective !== undefined) return requestClass.objective;
+    const deployments = parts.configuration()?.configuration.deployments ?? [];
+    return deployments.find(({ name }) => name === requestClass.deployment)?.objective ?? defaultObjective;
+  };
+
+  /** Engines that a level needs so that none is loaded by it beyond what leaves others room. */
+  const widthOf = (work: Work, chosen: Affinity, first: EngineEstimate): number => {
+    const slots = (chosen.rate * holdingTimes.of(work)) / first.limit();
+    const computing = chosen.rate * (work.promptTokens - chosen.level.tokens) * first.millisecondsPerToken();
+    return Math.min(maximumWidth, Math.max(1, Math.ceil(Math.max(slots, computing) / wideningLoad)));
+  };
+
+  const sampleOf = (members: readonly Member[]): readonly Member[] => {
+    if (members.length <= compareAllUpTo) return members;
+    const chosen: Member[] = [];
+    for (let count = 0; count < sampledEngines; count += 1) {
+      sample = (sample + 7919) % members.length;
+      const member = members[sample];
+      if (member !== undefined) chosen.push(member);
+    }
+    return chosen;
+  };
+
+  /** The prefix's homes in order, how many they are, and the engines to compare them with. */
+  const listCandidates = (
+    work: Work,
+    shard: Shard,
+    chosen: Affinity,
+  ): { readonly ids: ReadonlySet<string>; readonly homes: ReadonlySet<string> } => {
+    const ordered = firstInOrder(
+      shard.members,
+      shard.equalWeights,
+      chosen.level.key,
+      maximumWidth + nextInOrder,
+    ).filter(({ id }) => isEligible(directory.get(id), work));
+    const first = directory.get(ordered[0]?.id ?? "");
+    const now = work.context.arrivedAt;
+    const width = first === undefined ? 0 : widthOf(work, chosen, estimates.of(first, now));
+    const ids = new Set(ordered.slice(0, width + nextInOrder).map(({ id }) => id));
+    for (const { id } of sampleOf(shard.members)) ids.add(id);
+    for (const { id } of sampleOf(shard.others)) ids.add(id);
+    for (const id of picture.levelBeliefs(chosen.level.key)?.keys() ?? []) ids.add(id);
+    return { ids, homes: new Set(ordered.slice(0, width).map(({ id }) => id)) };
+  };
+
+  /**
+   * Each router has its part of an engine's slots for certain, and may take some of those that the last report
+   * shows free; as others may too, not all of them.
+   */
+  const hasRoom = (work: Work, estimate: EngineEstimate, now: number): boolean => {
+    const share = work.context.requestClass.kind === "batch" ? batchShare : 1;
+    const limit = Math.max(1, estimate.limit() * share);
+    const routers = Math.max(1, parts.liveRouters());
+    const own = estimate.ownRunning();
+    const reported = estimate.ownReported();
+    const free = limit - reported - estimate.othersRunning(now);
+    const budget = reported + free * Math.min(1, freeSlotsTaken / routers);
+    const ownPart = routers > 1 ? Math.max(1, Math.floor(limit / routers)) : 0;
+    return own + 1 <= Math.max(ownPart, budget);
+  };
+
+  /** How long until one of an engine's slots is free, if all are taken. */
+  const slotWait = (work: Work, estimate: EngineEstimate): number =>
+    holdingTimes.of(work) / Math.max(1, estimate.limit());
+
+  /** What it costs others that an engine comes near to being full: rises before its slots are all taken. */
+  const crowding = (work: Work, estimate: EngineEstimate, now: number): number => {
+    const limit = Math.max(1, estimate.limit());
+    const taken = (estimate.ownRunning() + estimate.othersRunning(now) + 1) / limit;
+    if (taken <= crowdedFrom) return 0;
+    return ((holdingTimes.of(work) / limit) * (taken - crowdedFrom)) / Math.max(crowdedLeast, 1 - taken);
+  };
+
+  const choose = (work: Work, now: number): Prediction | undefined => {
+    const shard = parts.shards.shardOf(work.context.organisation, work.pools);
+    const chosen = affinity.choose(work, estimates.retention(), now);
+    if (chosen === undefined) return undefined;
+    const objective = objectiveOf(work);
+    const { priority } = work.context.requestClass;
+    const { ids, homes } = listCandidates(work, shard, chosen);
+    const forecast = createCacheForecast(picture, work.levels, chosen.level.key);
+    const routers = Math.max(1, parts.liveRouters());
+    /** Requests that will use what a home computes now. */
+    const users = Math.max(1, (chosen.rate * estimates.retention()) / Math.max(1, homes.size));
+    const othersRate = (chosen.rate * (routers - 1)) / routers / Math.max(1, homes.size);
+
+    const predict = (engine: EngineReplica): Prediction => {
+      const estimate = estimates.of(engine, now);
+      const stamp = picture.stampOf(engine);
+      const rate = homes.has(engine.id) ? othersRate : 0;
+      const cachedTokens = forecast.cachedTokens(stamp, estimate.retention(), rate, now);
+      const prefill = (work.promptTokens - cachedTokens) * estimate.millisecondsPerToken();
+      const distance = engine.dataCentre === parts.dataCentre ? 0 : roundTripBetweenDataCentres;
+      const room = hasRoom(work, estimate, now);
+      const turn = slotWait(work, estimate);
+      const wait = estimate.wait(priority, now) + (room ? 0 : turn);
+      const timeToFirstToken = wait + prefill + distance;
+      const unshared = (work.promptTokens - chosen.level.tokens) * estimate.millisecondsPerToken();
+      const earliestFirstToken = wait + Math.min(prefill, unshared) + distance;
+      const excess = now + earliestFirstToken - work.context.firstTokenDeadline;
+      const cost =
+        objective.timeToFirstToken * (timeToFirstToken + crowding(work, estimate, now)) +
+        (objective.recomputation * prefill) / (homes.has(engine.id) ? users : 1) +
+        latePenalty * Math.max(0, excess);
+      return {
+        engine,
+        stamp,
+        estimate,
+        cachedTokens,
+        believed: forecast.believed(stamp, estimate.retention(), now),
+        timeToFirstToken,
+        earliestFirstToken,
+        queueTurn: room ? 0 : turn / Math.max(1, shard.members.length),
+        idle: wait < 1,
+        hasRoom: room,
+        cost,
+      };
+    };
+
+    let best: Prediction | undefined;
+    for (const id of ids) {
+      const engine = directory.get(id);
+      if (!isEligible(engine, work)) continue;
+      const prediction = predict(engine);
+      if (best === undefined || prediction.cost < best.cost) best = prediction;
+    }
+    return best;
+  };
+
+  return { choose };
+};
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -9,7 +9,7 @@
 import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
 import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
 import { createServiceRunner } from "../coordination/requests/serviceRunner.ts";
-import { LeastLoadedScheduler } from "../coordination/scheduling/leastLoadedScheduler.ts";
+import { PredictiveScheduler } from "../coordination/scheduling/PredictiveScheduler.ts";
 import { createConfigurationHistory } from "../state/configurationHistory.ts";
 import { createEngineDirectory } from "../state/engineDirectory.ts";
 import type { EngineReplica } from "../state/engineDirectory.ts";
@@ -107,7 +107,16 @@
   resources.use(log);
   resources.use(vmList);
 
-  const scheduler = new LeastLoadedScheduler(directory);
+  const scheduler = new PredictiveScheduler({
+    directory,
+    clock,
+    configuration: follower.current,
+    dataCentre: settings.dataCentre,
+  });
+  resources.defer(() => {
+    scheduler[Symbol.dispose]();
+    return undefined;
+  });
   const retention = (): number => follower.current()?.configuration.limits.claimRetention ?? 0;
   const claims = resources.use(createLogClaimLedger({ log, clock, metrics, retention }));
   const completions = createCompletionRunner({ directory, scheduler, claims, metrics, clock, connect });
