Count the relaying thread's processor time in the relay bench

Cause: event-loop time counts what other work on the machine took; with a load average of 12 the pipe alone showed 63 to 171 µs a token between runs. Ruled out: process CPU (engine and caller threads are in it). The profile of a run puts writev first (20 to 57 µs a token here), then microtasks (8) and the chunk parser (7).

--- a/bench/relay/relay.ts
+++ b/bench/relay/relay.ts
@@ -8,6 +8,7 @@
 import { Worker } from "node:worker_threads";
 import { startLocalRouter } from "./localRouter.ts";
 import { startPlainPipe } from "./plainPipe.ts";
+import { readMainThreadTime } from "./threadTime.ts";
 import type { Bench, BenchOptions } from "../types.ts";
 import type { CallerReport, EngineReady, PathMeasure, RelayWorkerData } from "./types.ts";
 
@@ -59,16 +60,22 @@
 ): Promise<PathMeasure> => {
   const share = { ...load, streams: Math.ceil(load.streams / callerThreads) };
   const idle = performance.eventLoopUtilization();
+  const threadTimeBefore = readMainThreadTime();
   const reports = await Promise.all(
     Array.from({ length: callerThreads }, (_, index) => callOnThread(urls[index % urls.length] ?? "", share)),
   );
   const busy = performance.eventLoopUtilization(idle).active;
+  const threadTimeAfter = readMainThreadTime();
   const tokens = reports.reduce((sum, report) => sum + report.tokens, 0);
   return {
     path,
     streams: share.streams * callerThreads,
     tokens,
     medianTimeToFirstToken: median(reports.flatMap((report) => report.timesToFirstToken)),
+    threadMicrosecondsPerToken:
+      path === "direct" || threadTimeBefore === undefined || threadTimeAfter === undefined
+        ? undefined
+        : ((threadTimeAfter - threadTimeBefore) * 1e6) / tokens,
     busyMicrosecondsPerToken: path === "direct" ? undefined : (busy * 1000) / tokens,
     heapKibibytesPerStream: undefined,
   };
@@ -96,13 +103,14 @@
 const digits = (value: number | undefined, count: number): string => value?.toFixed(count) ?? "-";
 
 const printTable = (measures: readonly PathMeasure[]): void => {
-  console.log("path    streams   tokens  TTFT ms  busy µs/token  heap KiB/stream");
+  console.log("path    streams   tokens  TTFT ms  CPU µs/token  busy µs/token  heap KiB/stream");
   for (const item of measures) {
     const cells = [
       item.path.padEnd(6),
       String(item.streams).padStart(8),
       String(item.tokens).padStart(8),
       digits(item.medianTimeToFirstToken, 2).padStart(8),
+      digits(item.threadMicrosecondsPerToken, 1).padStart(13),
       digits(item.busyMicrosecondsPerToken, 1).padStart(14),
       digits(item.heapKibibytesPerStream, 1).padStart(16),
     ];
@@ -114,10 +122,11 @@
   const [direct, pipe, routed] = measures;
   return {
     streams: routed?.streams,
+    cpuRouterToPipe: (routed?.threadMicrosecondsPerToken ?? NaN) / (pipe?.threadMicrosecondsPerToken ?? NaN),
     busyRouterToPipe: (routed?.busyMicrosecondsPerToken ?? NaN) / (pipe?.busyMicrosecondsPerToken ?? NaN),
     timeToFirstTokenRouterToDirect:
       (routed?.medianTimeToFirstToken ?? NaN) / (direct?.medianTimeToFirstToken ?? NaN),
-    tokensPerCore: 1e6 / (routed?.busyMicrosecondsPerToken ?? NaN),
+    tokensPerCore: 1e6 / (routed?.threadMicrosecondsPerToken ?? NaN),
   };
 };
 
--- a/bench/relay/types.ts
+++ b/bench/relay/types.ts
@@ -30,7 +30,10 @@
   readonly streams: number;
   readonly tokens: number;
   readonly medianTimeToFirstToken: number;
-  /** Time that this thread's event loop was busy for each token, microseconds; none for `direct`. */
+  /** Processor time of the relaying thread for each token, microseconds; none for `direct`. */
+  readonly threadMicrosecondsPerToken: number | undefined;
+  /** Time that this thread's event loop was busy for each token, microseconds, with what
+   * other work on the machine took from it; none for `direct`. */
   readonly busyMicrosecondsPerToken: number | undefined;
   /** Growth of this process's heap while the streams were open, kibibytes for each stream. */
   readonly heapKibibytesPerStream: number | undefined;
