Give operators their client: check, publish, history, show, versions, dump, engines

Cause: operators drive the system only by publishing a file and reading back what is in force where. The settings' JSON Schemas are emitted with the configuration's.

--- /dev/null
+++ b/src/commandLine/errors.ts
@@ -0,0 +1,13 @@
+/** Failures of the operators' client. */
+import { PomelocleatError } from "../protocol/errors.ts";
+import type { ExitName } from "./exitCodes.ts";
+
+/** A command that cannot do what was asked. */
+export const CommandError = PomelocleatError.subclass("CommandError", {
+  props: { exit: "internal" as ExitName },
+});
+export type CommandError = InstanceType<typeof CommandError> & Error;
+
+/** Makes a {@link CommandError}. */
+export const commandError = (message: string, exit: ExitName): CommandError =>
+  new CommandError(message, { props: { exit } });
--- a/src/protocol/configuration/check.test.ts
+++ b/src/protocol/configuration/check.test.ts
@@ -160,6 +160,14 @@
       ]),
       'models[0].adapters[1]: "a" is given twice',
     ],
+    [
+      "a route given twice",
+      set("services", 0, "nonIdempotentRoutes", [
+        { method: "POST", path: "/sign-offs" },
+        { method: "POST", path: "/sign-offs" },
+      ]),
+      'services[0].nonIdempotentRoutes[1]: "POST /sign-offs" is given twice',
+    ],
     [
       "claims kept too briefly",
       (file) => {
--- a/src/transport/platformHttp.ts
+++ b/src/transport/platformHttp.ts
@@ -1,4 +1,4 @@
-/** HTTP towards the platform's own services, with every failure as a `PlatformError`. */
+/** JSON over HTTP towards the platform's services, and operators' calls, with typed failures. */
 import { Agent, request } from "undici";
 import type { z } from "zod";
 import { platformError } from "../protocol/errors.ts";
@@ -19,6 +19,8 @@
   readonly url: string;
   /** Longest wait for a whole answer, milliseconds. */
   readonly timeout: number;
+  /** Sent with each call. */
+  readonly headers?: Readonly<Record<string, string>>;
 }
 
 /** One call to a platform service. */
@@ -77,7 +79,7 @@
  *
  * @returns The pool; disposing it cuts calls in flight.
  */
-export const createPlatformHttp = ({ url, timeout }: PlatformHttpSettings): PlatformHttp => {
+export const createPlatformHttp = ({ url, timeout, headers = {} }: PlatformHttpSettings): PlatformHttp => {
   const base = url.replace(/\/+$/, "");
   const agent = new Agent({
     connections: maximumConnections,
@@ -95,7 +97,7 @@
       const answer = await request(`${base}${call.path}`, {
         dispatcher: agent,
         method: call.method,
-        headers: call.body === undefined ? {} : { "content-type": "application/json" },
+        headers: call.body === undefined ? headers : { ...headers, "content-type": "application/json" },
         body: call.body ?? null,
         signal: AbortSignal.timeout(timeout + (call.wait ?? 0)),
       });
--- a/tools/schemaFiles.ts
+++ b/tools/schemaFiles.ts
@@ -1,6 +1,8 @@
 /** The JSON Schemas that the repository ships, made from the zod schemas that the programs use. */
 import { format } from "prettier";
 import { z } from "zod";
+import { clientSettingsSchema } from "../src/commandLine/clientSettings.ts";
+import { routerSettingsSchema } from "../src/daemons/routerSettings.ts";
 import { configurationSchema } from "../src/protocol/configuration/schema.ts";
 
 /** A file to write, as text. */
@@ -13,6 +15,8 @@
 /** The programs' schemas by file; what a file may leave out is optional in them. */
 const schemas: readonly (readonly [path: string, title: string, schema: z.ZodType])[] = [
   ["docs/configuration.schema.json", "pomelocleat configuration", configurationSchema],
+  ["docs/router-settings.schema.json", "pomelocleat router settings", routerSettingsSchema],
+  ["docs/client-settings.schema.json", "pomelocleat client settings", clientSettingsSchema],
 ];
 
 const createSchemaFile = async (path: string, title: string, schema: z.ZodType): Promise<SchemaFile> => {
