Name the demo's start failure so that modern-errors takes it

Cause: `SystemError` is a native class's name, which modern-errors refuses, so the demo ended at once.

--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -70,9 +70,9 @@
 }
 
 /** A part of the system did not start as it should. */
-export const SystemError = PomelocleatError.subclass("SystemError");
+export const SystemStartError = PomelocleatError.subclass("SystemStartError");
 
-const systemError = (message: string): Error => new SystemError(message);
+const systemStartError = (message: string): Error => new SystemStartError(message);
 
 /** The API key of an organisation in the example configurations. */
 export const demoKey = (organisation: string): string => `demo-key-${organisation}`;
@@ -133,7 +133,7 @@
     if (answer?.ok === true) return;
     await sleep(readyInterval);
   }
-  throw systemError(`The router at ${url} did not become ready.`);
+  throw systemStartError(`The router at ${url} did not become ready.`);
 };
 
 const readConfiguration = async (file: string): Promise<Configuration> =>
@@ -211,7 +211,7 @@
   const announce = async (): Promise<void> => {
     const body = JSON.stringify({ vms: alive().flatMap(listVm) });
     const answer = await fetch(`${vmList.url}/stand-in/vms`, { method: "POST", body });
-    if (!answer.ok) throw systemError(`The VM list answered ${answer.status}: ${await answer.text()}`);
+    if (!answer.ok) throw systemStartError(`The VM list answered ${answer.status}: ${await answer.text()}`);
   };
 
   const startRouter = async (name: string, dataCentre: string): Promise<SystemProcess> => {
@@ -243,7 +243,7 @@
     ...["configuration", "publish", options.configurationFile, "--by", "demo"],
     ...["--log-service", logService.url],
   ]);
-  if (published.code !== 0) throw systemError(`Publishing failed: ${published.errors}${published.output}`);
+  if (published.code !== 0) throw systemStartError(`Publishing failed: ${published.errors}${published.output}`);
   await Promise.all(routers().map((router) => waitUntilReady(router.process.url)));
 
   const owned = resources.move();
