--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -243,7 +243,8 @@
     ...["configuration", "publish", options.configurationFile, "--by", "demo"],
     ...["--log-service", logService.url],
   ]);
-  if (published.code !== 0) throw systemStartError(`Publishing failed: ${published.errors}${published.output}`);
+  if (published.code !== 0)
+    throw systemStartError(`Publishing failed: ${published.errors}${published.output}`);
   await Promise.all(routers().map((router) => waitUntilReady(router.process.url)));
 
   const owned = resources.move();
