Learn waits, homes and priorities from answers, and let a cold prefix be computed late

Now: waits for others by priority mix and by what answers showed, confidence in homes learned from answers, pressure prices recomputation where work waits, and a prefix that nobody holds is computed at home at a low engine priority (Assignment.priority). Ruled out: refusing whatever is late for its cold prefix alone (no request would ever warm it).

--- a/src/coordination/requests/attempt.ts
+++ b/src/coordination/requests/attempt.ts
@@ -97,12 +97,16 @@
     late.release({ ended: "cancelled", ...unstartedReport }),
   );
 
-const createCall = (attempt: string, { context, request, delivered }: AttemptPlan): EngineCall => ({
+const createCall = (
+  attempt: string,
+  { context, request, delivered }: AttemptPlan,
+  assignment: Assignment,
+): EngineCall => ({
   attempt,
   organisation: context.organisation.name,
   request,
   idempotencyKey: context.idempotencyKey,
-  priority: context.requestClass.priority,
+  priority: assignment.priority ?? context.requestClass.priority,
   cacheSalt: cacheSalt(context.organisation.name),
   delivered,
   stallTimeout: context.requestClass.stallTimeout,
@@ -131,7 +135,7 @@
   };
 
   const dispatch = async (): Promise<EngineAnswer> => {
-    const call = createCall(attempt, plan);
+    const call = createCall(attempt, plan, assignment);
     metrics.count(metricNames.attempts);
     try {
       state.mayHaveRun = true;
--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -22,12 +22,16 @@
 } from "./constants.ts";
 import { createEngineEstimates } from "./engineEstimates.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
+import { createHomeConfidence } from "./homeConfidence.ts";
+import type { HomeConfidence } from "./homeConfidence.ts";
 import { createHoldingTimes } from "./holdingTimes.ts";
 import type { HoldingTimes } from "./holdingTimes.ts";
 import { createOrganisationLimits } from "./organisationLimits.ts";
 import type { OrganisationLimits } from "./organisationLimits.ts";
 import { createPlacement } from "./placement.ts";
 import type { Placement, Prediction } from "./placement.ts";
+import { createPriorityMix } from "./priorityMix.ts";
+import type { PriorityMix } from "./priorityMix.ts";
 import type { Assignment, AttemptReport, Work } from "./Scheduler.ts";
 import { Scheduler } from "./Scheduler.ts";
 import { createShuffleShards } from "./shuffleShards.ts";
@@ -53,6 +57,9 @@
 
 const hotPrefixesShown = 20;
 
+/** A shorter predicted wait is none, milliseconds. */
+const idleWait = 2;
+
 /** Part of a level's tokens that has to come from the cache for the level to have been held. */
 const heldShare = 0.9;
 
@@ -75,6 +82,8 @@
   private readonly affinity: AffinityLearner;
   private readonly shards: ShuffleShards;
   private readonly holdingTimes: HoldingTimes;
+  private readonly priorityMix: PriorityMix = createPriorityMix();
+  private readonly homeConfidence: HomeConfidence = createHomeConfidence();
   private readonly limits: OrganisationLimits;
   private readonly placement: Placement;
   private readonly queue: AdmissionQueue<WaitingWork> = createAdmissionQueue();
@@ -93,7 +102,7 @@
     this.shards = createShuffleShards(directory, configuration);
     this.holdingTimes = createHoldingTimes();
     this.limits = createOrganisationLimits(parts.organisationShare ?? (() => 1));
-    const { picture, estimates, affinity, shards, holdingTimes } = this;
+    const { picture, estimates, affinity, shards, holdingTimes, priorityMix, homeConfidence } = this;
     const { dataCentre } = parts;
     this.placement = createPlacement({
       directory,
@@ -105,6 +114,8 @@
       affinity,
       shards,
       holdingTimes,
+      priorityMix,
+      homeConfidence,
     });
     this.unsubscribe = directory.subscribe(({ kind }) => {
       if (kind !== "added") this.schedulePump(0);
@@ -144,7 +155,7 @@
           othersRunning: estimate.othersRunning(now),
           millisecondsPerToken: estimate.millisecondsPerToken(),
           retention: estimate.retention(),
-          wait: estimate.wait(0, now),
+          wait: estimate.ownWait(0, now),
         };
       }),
     };
@@ -212,7 +223,7 @@
     const prediction = this.placement.choose(work, now);
     if (prediction === undefined) return refusals.noEngine(shortestRetryAfter);
     const queued = prediction.queueTurn * ahead;
-    const late = now + prediction.earliestFirstToken + queued - work.context.firstTokenDeadline;
+    const late = prediction.lateBy + queued;
     if (late > 0) return refusals.overloaded(retryAfter(late));
     return prediction.hasRoom ? prediction : undefined;
   }
@@ -240,22 +251,24 @@
   }
 
   private dispatch(work: Work, prediction: Prediction): Assignment {
-    const { engine, stamp, estimate, cachedTokens } = prediction;
+    const { engine, stamp, estimate, cachedTokens, priority } = prediction;
     const dispatchedAt = this.clock.monotonic();
     const keys = work.levels.map(({ key }) => key);
-    const { priority } = work.context.requestClass;
     const own = { priority, uncachedTokens: work.promptTokens - cachedTokens, dispatchedAt };
     this.directory.addInFlight(engine.id, 1);
     estimate.begin(own);
+    this.priorityMix.note(priority, own.uncachedTokens);
     this.queue.charge(work, servedTokens(work, cachedTokens, undefined));
     // The engine computes prompts in turn, so what is sent after this one will find its levels.
-    if (stamp !== undefined) this.picture.note(keys, stamp, dispatchedAt);
+    const inTurn = priority === work.context.requestClass.priority;
+    if (stamp !== undefined && inTurn) this.picture.note(keys, stamp, dispatchedAt);
     let released = false;
     return {
       engine,
       incarnation: engine.load?.incarnation,
       weightsVersion: engine.load?.weightsVersion ?? "",
       expectedCachedTokens: Math.round(cachedTokens),
+      priority,
       markFirstToken: () => {
         const now = this.clock.monotonic();
         if (released) return;
@@ -292,14 +305,24 @@
       servedTokens(work, cachedTokens, usage) - servedTokens(work, cachedTokens, undefined),
     );
     const computed = usage.promptTokens - usage.cachedTokens;
-    if (prediction.idle && firstTokenAfter !== undefined && computed >= fewestPrefillTokens) {
+    if (firstTokenAfter !== undefined) {
+      const waited = firstTokenAfter - computed * estimate.millisecondsPerToken() - prediction.ownWait;
+      estimate.learnWait(prediction.priority, Math.max(0, waited), this.clock.monotonic());
+    }
+    if (prediction.wait < idleWait && firstTokenAfter !== undefined && computed >= fewestPrefillTokens) {
       estimate.learnPrefill(computed, firstTokenAfter);
     }
-    const { believed } = prediction;
-    if (believed === undefined) return;
+    this.learnCache(work, prediction, usage);
+  }
+
+  /** Compares what was believed of the engine's cache with what the engine took from it. */
+  private learnCache(work: Work, prediction: Prediction, usage: Usage): void {
+    const { affinity, believed, homeUntested, estimate } = prediction;
     // Estimated tokens are brought to the engine's count.
-    const expected = (believed.tokens * usage.promptTokens) / work.promptTokens;
-    const held = usage.cachedTokens >= expected * heldShare;
-    this.estimates.learnRetention(estimate, held, believed.confidence);
+    const scale = usage.promptTokens / work.promptTokens;
+    const holds = (tokens: number): boolean => usage.cachedTokens >= tokens * scale * heldShare;
+    if (homeUntested) this.homeConfidence.learn(affinity.seen, holds(affinity.level.tokens));
+    if (believed === undefined) return;
+    this.estimates.learnRetention(estimate, holds(believed.tokens), believed.confidence);
   }
 }
--- a/src/coordination/scheduling/Scheduler.ts
+++ b/src/coordination/scheduling/Scheduler.ts
@@ -31,6 +31,8 @@
   readonly incarnation: string | undefined;
   readonly weightsVersion: string;
   readonly expectedCachedTokens: number;
+  /** For the engine, where it is not to be the class's. */
+  readonly priority?: number;
   /** The first token has arrived: the prompt is computed. */
   readonly markFirstToken: () => void;
   readonly release: (report: AttemptReport) => void;
--- a/src/coordination/scheduling/affinity.ts
+++ b/src/coordination/scheduling/affinity.ts
@@ -15,6 +15,8 @@
   readonly level: PrefixLevel;
   /** Requests of all routers that share the level, a millisecond. */
   readonly rate: number;
+  /** This router had seen the level before. */
+  readonly seen: boolean;
 }
 
 /** Learns which levels return. */
@@ -70,8 +72,11 @@
       const levelRate = rate(level.key, now);
       const distance = last - index;
       const usual = learned[distance] ?? firstReuse(distance);
-      const returns = Math.min(usual, 1 - Math.exp(-levelRate * retention));
-      if (index === 0 || returns >= reuseThreshold) return { level, rate: levelRate };
+      // A level seen once has no rate yet: it is taken to return as often as others in its place do.
+      const returns = levelRate === 0 ? usual : 1 - Math.exp(-levelRate * retention);
+      if (index === 0 || returns >= reuseThreshold) {
+        return { level, rate: levelRate, seen: levelRate > 0 };
+      }
     }
     return undefined;
   };
--- a/src/coordination/scheduling/cacheForecast.ts
+++ b/src/coordination/scheduling/cacheForecast.ts
@@ -14,16 +14,18 @@
   /**
    * @param stamp - The engine; undefined where its cache must not be relied on.
    * @param retention - Time constant of the engine's forgetting, milliseconds.
-   * @param othersRate - Rate, a millisecond, at which other routers are believed to send the affinity level to
-   * this engine; 0 where it is not one of the level's homes.
+   * @param prior - Confidence that other routers' work has brought the affinity level there; 0 where the engine
+   * is not one of the level's homes.
    * @returns Tokens, weighted with the confidence that the engine holds them.
    */
   readonly cachedTokens: (
     stamp: EngineStamp | undefined,
     retention: number,
-    othersRate: number,
+    prior: number,
     now: number,
   ) => number;
+  /** @returns True if this router's own work founds no belief in the affinity level there. */
+  readonly isUnknown: (stamp: EngineStamp | undefined, now: number) => boolean;
   /** @returns The deepest level believed in; undefined where none is, or it is too fresh to test anything. */
   readonly believed: (stamp: EngineStamp | undefined, retention: number, now: number) => Belief | undefined;
 }
@@ -59,15 +61,16 @@
 
   return {
     believed,
-    cachedTokens: (stamp, retention, othersRate, now) => {
+    isUnknown: (stamp, now) =>
+      stamp === undefined || picture.age(beliefs[affinityIndex], stamp, now) === undefined,
+    cachedTokens: (stamp, retention, prior, now) => {
       if (stamp === undefined) return 0;
-      const missedByOthers = Math.exp(-othersRate * retention);
       let tokens = 0;
       // An engine that holds a level holds the levels above it.
       let deeper = 0;
       for (let index = levels.length - 1; index >= 0; index -= 1) {
         const own = confidenceOf(index, stamp, retention, now);
-        const confidence = index <= affinityIndex ? 1 - (1 - own) * missedByOthers : own;
+        const confidence = index <= affinityIndex ? Math.max(own, prior) : own;
         deeper = Math.max(deeper, confidence);
         tokens += deeper * ((levels[index]?.tokens ?? 0) - (levels[index - 1]?.tokens ?? 0));
       }
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -48,6 +48,13 @@
 /** A younger belief says nothing about retention, milliseconds. */
 export const youngestBelief = 50;
 
+/** Confidence that a home holds a prefix before answers tell; the weight of one answer. */
+export const firstHomeConfidence = 0.5;
+export const homeConfidenceGain = 0.05;
+/** From when and over how long other routers are taken to fill the cache of an engine that has just started. */
+export const homeSettlingFrom = 500;
+export const homeSettling = 5_000;
+
 /** Weight of one answer in the learned cost of a prompt token. */
 export const prefillGain = 0.1;
 /** Fewest computed tokens from which an answer says something about that cost. */
@@ -55,12 +62,26 @@
 /** Learned costs stay within this factor of the configured one. */
 export const prefillCorrection = 4;
 
+/** Mean wait at which a millisecond of prefill is taken to delay others by as much; and the most of it. */
+export const pressureWait = 100;
+export const highestPressure = 4;
+
+/** Part of a prefix that an engine has to be believed to hold for the prefix not to be cold. */
+export const heldFrom = 0.5;
+
+/** Engine priority of work that has to compute a cold prefix and is late anyway: it delays nobody in time. */
+export const latePriority = 7;
+/** Part of the time until the last token is due that such work may wait for its first. */
+export const lateShare = 0.5;
+
 /** What a millisecond after the deadline weighs against one before it. */
 export const latePenalty = 10;
 
 /** How fast a load report loses its meaning for what others do, milliseconds. */
 export const reportMemory = 700;
-/** Weight of one report in an engine's usual load. */
+/** How fast waits that answers showed are forgotten, milliseconds. */
+export const usualWaitMemory = 3_000;
+/** Weight of one report or answer in an engine's usual load or wait. */
 export const usualLoadGain = 0.1;
 
 /** Routers' parts of an engine's free slots that one router may take before the next report. */
--- a/src/coordination/scheduling/engineEstimate.ts
+++ b/src/coordination/scheduling/engineEstimate.ts
@@ -13,6 +13,7 @@
   retentionGain,
   shortestRetention,
   usualLoadGain,
+  usualWaitMemory,
 } from "./constants.ts";
 import { createInFlightHistory } from "./inFlightHistory.ts";
 
@@ -35,10 +36,17 @@
   /** Takes in a load report that has come since. */
   readonly refresh: (engine: EngineReplica, capacity: EngineCapacity, now: number) => void;
   readonly millisecondsPerToken: () => number;
+  /** @returns Milliseconds since the engine's incarnation and weights are as they are. */
+  readonly knownFor: (now: number) => number;
   /** Time constant of the engine's forgetting of unused prefixes. */
   readonly retention: () => number;
-  /** @returns How long a prompt of this priority waits before the engine computes it. */
-  readonly wait: (priority: number, now: number) => number;
+  /** @returns How long a prompt of this priority waits for prompts of this router. */
+  readonly ownWait: (priority: number, now: number) => number;
+  /**
+   * @param aheadShare - Part of all routers' uncomputed prompts that goes before one of this priority.
+   * @returns How long it waits for prompts of others.
+   */
+  readonly othersWait: (priority: number, aheadShare: number, now: number) => number;
   /** @returns Slots that others are believed to hold. */
   readonly othersRunning: (now: number) => number;
   readonly ownRunning: () => number;
@@ -52,6 +60,8 @@
   readonly end: (work: EngineWork, now: number) => void;
   /** Learns what a prompt token costs from an answer. */
   readonly learnPrefill: (computedTokens: number, milliseconds: number) => void;
+  /** Learns from an answer how long it waited for others' prompts. */
+  readonly learnWait: (priority: number, milliseconds: number, now: number) => void;
   /** Learns from an answer whether a belief held. @param confidence - What was believed, 0 to 1. */
   readonly learnRetention: (held: boolean, confidence: number) => void;
 }
@@ -68,12 +78,15 @@
   let cost = 0;
   let limit = 1;
   let retention = firstRetention;
+  let identity = "";
+  let knownSince = 0;
   let reportAt = Number.NEGATIVE_INFINITY;
   let ownAtReport = 0;
   let othersAtReport = 0;
   let othersUsual = 0;
   let othersTokensAtReport = 0;
-  let othersTokensUsual = 0;
+  /** By priority: waits for others, as answers showed them. */
+  const usualWaits = new Map<number, { wait: number; readonly at: number }>();
   /** Since when the engine has worked on the prompt that is next to give a token. */
   let progressFrom = 0;
 
@@ -96,33 +109,36 @@
     const { load, loadReadAt } = engine;
     if (load === undefined || loadReadAt === reportAt) return;
     reportAt = loadReadAt;
+    const reported = `${load.incarnation} ${load.weightsVersion}`;
+    if (reported !== identity) knownSince = now;
+    identity = reported;
     const own = history.at(loadReadAt);
     ownAtReport = own.running;
     othersAtReport = Math.max(0, load.running + load.waiting - own.running);
     othersTokensAtReport = Math.max(0, load.pendingPromptTokens - own.pendingTokens);
     othersUsual += (othersAtReport - othersUsual) * usualLoadGain;
-    othersTokensUsual += (othersTokensAtReport - othersTokensUsual) * usualLoadGain;
     learnLimit(engine, capacity.maximumRunning);
-    progressFrom = Math.min(progressFrom, now);
   };
 
-  /** What a reported value is believed to be now: the older the report, the nearer the usual value. */
-  const forecast = (reported: number, usual: number, now: number): number => {
-    const weight = Math.exp((reportAt - now) / reportMemory);
-    return usual + (reported - usual) * weight;
-  };
+  /** How much a late report still tells of what is true now. */
+  const reportWeight = (now: number): number => Math.exp(Math.min(0, reportAt - now) / reportMemory);
 
-  const wait = (priority: number, now: number): number => {
+  const ownWait = (priority: number, now: number): number => {
     let ahead = 0;
-    let behind = 0;
-    for (const work of prefilling) {
-      if (work.priority <= priority) ahead += work.uncachedTokens;
-      else behind = Math.max(behind, work.uncachedTokens);
-    }
+    for (const work of prefilling) if (work.priority <= priority) ahead += work.uncachedTokens;
     const worked = prefilling.size === 0 ? 0 : (now - progressFrom) / cost;
-    // An engine ends the prompt that it has begun, whatever comes.
-    const own = Math.max(0, ahead + behind - worked);
-    return (own + forecast(othersTokensAtReport, othersTokensUsual, now)) * cost;
+    return Math.max(0, ahead - worked) * cost;
+  };
+
+  const usualWait = (priority: number, now: number): number => {
+    const usual = usualWaits.get(priority);
+    return usual === undefined ? 0 : usual.wait * Math.exp((usual.at - now) / usualWaitMemory);
+  };
+
+  const othersWait = (priority: number, aheadShare: number, now: number): number => {
+    const weight = reportWeight(now);
+    const reported = othersTokensAtReport * aheadShare * cost;
+    return usualWait(priority, now) * (1 - weight) + reported * weight;
   };
 
   const removePrefilling = (work: EngineWork, now: number): void => {
@@ -134,9 +150,11 @@
   return {
     refresh,
     millisecondsPerToken: () => cost,
+    knownFor: (now) => now - knownSince,
     retention: () => retention,
-    wait,
-    othersRunning: (now) => forecast(othersAtReport, othersUsual, now),
+    ownWait,
+    othersWait,
+    othersRunning: (now) => othersUsual + (othersAtReport - othersUsual) * reportWeight(now),
     ownRunning: () => running,
     ownReported: () => ownAtReport,
     limit: () => limit,
@@ -164,6 +182,10 @@
       );
       cost += (bounded - cost) * prefillGain;
     },
+    learnWait: (priority, milliseconds, now) => {
+      const before = usualWait(priority, now);
+      usualWaits.set(priority, { wait: before + (milliseconds - before) * usualLoadGain, at: now });
+    },
     learnRetention: (held, confidence) => {
       const factor = held ? 1 + retentionGain * (1 - confidence) : 1 - retentionGain * confidence;
       retention = clamp(retention * factor, shortestRetention, longestRetention);
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -12,16 +12,23 @@
   crowdedFrom,
   crowdedLeast,
   freeSlotsTaken,
+  heldFrom,
+  highestPressure,
   latePenalty,
+  latePriority,
+  lateShare,
   maximumWidth,
   nextInOrder,
+  pressureWait,
   roundTripBetweenDataCentres,
   sampledEngines,
   wideningLoad,
 } from "./constants.ts";
 import type { EngineEstimate } from "./engineEstimate.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
+import type { HomeConfidence } from "./homeConfidence.ts";
 import type { HoldingTimes } from "./holdingTimes.ts";
+import type { PriorityMix } from "./priorityMix.ts";
 import type { Work } from "./Scheduler.ts";
 import { firstInOrder } from "./shuffleShards.ts";
 import type { Member, Shard, ShuffleShards } from "./shuffleShards.ts";
@@ -37,6 +44,8 @@
   readonly affinity: AffinityLearner;
   readonly shards: ShuffleShards;
   readonly holdingTimes: HoldingTimes;
+  readonly priorityMix: PriorityMix;
+  readonly homeConfidence: HomeConfidence;
 }
 
 /** An engine with what is predicted for one piece of work there. Times are milliseconds. */
@@ -47,17 +56,25 @@
   readonly cachedTokens: number;
   /** The deepest level that the engine is believed to hold from this router's own work, if any. */
   readonly believed: Belief | undefined;
-  /** From now to the first token, if it is sent as soon as there is room. */
-  readonly timeToFirstToken: number;
-  /** The same if the engine held all that is reused of the prompt: what cannot be done faster. */
-  readonly earliestFirstToken: number;
+  /** The level that decided where it belongs. */
+  readonly affinity: Affinity;
+  /** A home of that level to which this router has not sent it. */
+  readonly homeUntested: boolean;
+  /** Spent waiting for this router's own work. */
+  readonly ownWait: number;
+  /** Until the engine begins to compute the prompt. */
+  readonly wait: number;
+  readonly prefill: number;
+  /** From the deadline to the first token; negative if it comes in time. */
+  readonly lateBy: number;
+  /** For the engine. */
+  readonly priority: number;
+  readonly isHome: boolean;
   /** For each piece of work that goes before this one, if there is no room. */
   readonly queueTurn: number;
-  /** Nothing is believed to be ahead of it. */
-  readonly idle: boolean;
   readonly hasRoom: boolean;
-  /** The smaller the better. */
-  readonly cost: number;
+  /** What is spent on the work by itself; the smaller the better. */
+  readonly spent: number;
 }
 
 /** Compares engines for a piece of work. */
@@ -74,6 +91,27 @@
   !work.excluded.has(engine.id) &&
   work.weightsVersions.includes(engine.load.weightsVersion);
 
+/** The cheapest of the engines; those that are late cost more than any that is not. */
+const cheapest = (predictions: readonly Prediction[]): Prediction | undefined => {
+  let waits = 0;
+  for (const { wait } of predictions) waits += wait;
+  // Where work waits already, each prompt that is computed again makes all the others wait.
+  const pressure = Math.min(highestPressure, waits / predictions.length / pressureWait);
+  let best: Prediction | undefined;
+  let least = Number.POSITIVE_INFINITY;
+  for (const prediction of predictions) {
+    const { spent, prefill, lateBy } = prediction;
+    const cost = spent + pressure * prefill + latePenalty * Math.max(0, lateBy);
+    if (cost >= least) continue;
+    least = cost;
+    best = prediction;
+  }
+  return best;
+};
+
+const isHeldBy = ({ cachedTokens, affinity }: Prediction): boolean =>
+  cachedTokens >= affinity.level.tokens * heldFrom;
+
 /** Makes a placement. */
 export const createPlacement = (parts: PlacementParts): Placement => {
   const { directory, estimates, picture, affinity, holdingTimes } = parts;
@@ -161,54 +199,80 @@
     if (chosen === undefined) return undefined;
     const objective = objectiveOf(work);
     const { priority } = work.context.requestClass;
+    const aheadShare = parts.priorityMix.aheadShare(priority);
     const { ids, homes } = listCandidates(work, shard, chosen);
     const forecast = createCacheForecast(picture, work.levels, chosen.level.key);
-    const routers = Math.max(1, parts.liveRouters());
     /** Requests that will use what a home computes now. */
     const users = Math.max(1, (chosen.rate * estimates.retention()) / Math.max(1, homes.size));
-    const othersRate = (chosen.rate * (routers - 1)) / routers / Math.max(1, homes.size);
+    const remaining = work.context.firstTokenDeadline - now;
 
     const predict = (engine: EngineReplica): Prediction => {
       const estimate = estimates.of(engine, now);
       const stamp = picture.stampOf(engine);
-      const rate = homes.has(engine.id) ? othersRate : 0;
-      const cachedTokens = forecast.cachedTokens(stamp, estimate.retention(), rate, now);
-      const prefill = (work.promptTokens - cachedTokens) * estimate.millisecondsPerToken();
-      const distance = engine.dataCentre === parts.dataCentre ? 0 : roundTripBetweenDataCentres;
+      const isHome = homes.has(engine.id);
+      const prior = isHome ? parts.homeConfidence.of(chosen.seen, estimate.knownFor(now)) : 0;
+      const cachedTokens = forecast.cachedTokens(stamp, estimate.retention(), prior, now);
+      const tokenCost = estimate.millisecondsPerToken();
+      const prefill = (work.promptTokens - cachedTokens) * tokenCost;
       const room = hasRoom(work, estimate, now);
-      const turn = slotWait(work, estimate);
-      const wait = estimate.wait(priority, now) + (room ? 0 : turn);
-      const timeToFirstToken = wait + prefill + distance;
-      const unshared = (work.promptTokens - chosen.level.tokens) * estimate.millisecondsPerToken();
-      const earliestFirstToken = wait + Math.min(prefill, unshared) + distance;
-      const excess = now + earliestFirstToken - work.context.firstTokenDeadline;
-      const cost =
-        objective.timeToFirstToken * (timeToFirstToken + crowding(work, estimate, now)) +
-        (objective.recomputation * prefill) / (homes.has(engine.id) ? users : 1) +
-        latePenalty * Math.max(0, excess);
+      const turn = room ? 0 : slotWait(work, estimate);
+      const ownWait = estimate.ownWait(priority, now);
+      const distance = engine.dataCentre === parts.dataCentre ? 0 : roundTripBetweenDataCentres;
+      const wait = ownWait + estimate.othersWait(priority, aheadShare, now) + turn + distance;
+      const recomputation = isHome ? prefill / users : prefill;
+      const spent =
+        objective.timeToFirstToken * (wait + prefill + crowding(work, estimate, now)) +
+        objective.recomputation * recomputation;
       return {
         engine,
         stamp,
         estimate,
         cachedTokens,
+        affinity: chosen,
+        homeUntested: isHome && forecast.isUnknown(stamp, now),
         believed: forecast.believed(stamp, estimate.retention(), now),
-        timeToFirstToken,
-        earliestFirstToken,
-        queueTurn: room ? 0 : turn / Math.max(1, shard.members.length),
-        idle: wait < 1,
+        ownWait,
+        wait,
+        lateBy: wait + prefill - remaining,
+        priority,
+        isHome,
+        prefill,
+        queueTurn: turn / Math.max(1, shard.members.length),
         hasRoom: room,
-        cost,
+        spent,
       };
     };
 
-    let best: Prediction | undefined;
+    const predictions: Prediction[] = [];
     for (const id of ids) {
       const engine = directory.get(id);
-      if (!isEligible(engine, work)) continue;
-      const prediction = predict(engine);
-      if (best === undefined || prediction.cost < best.cost) best = prediction;
+      if (isEligible(engine, work)) predictions.push(predict(engine));
     }
-    return best;
+    const best = cheapest(predictions);
+    if (best === undefined || best.lateBy <= 0 || predictions.some(isHeldBy)) return best;
+    return computeLate(work, predictions, now);
+  };
+
+  /**
+   * A prefix that no engine holds, and that can't be computed in time: its first request computes it at home all
+   * the same, or it would be late for ever, but goes after what is in time.
+   */
+  const computeLate = (
+    work: Work,
+    predictions: readonly Prediction[],
+    now: number,
+  ): Prediction | undefined => {
+    const homes = predictions.filter(({ isHome }) => isHome);
+    const best = cheapest(homes.length > 0 ? homes : predictions);
+    // Where the queue alone makes it late, it is refused like any other.
+    if (best === undefined || best.lateBy > best.prefill) return best;
+    const { estimate, prefill } = best;
+    const priority = Math.max(latePriority, work.context.requestClass.priority);
+    const aheadShare = parts.priorityMix.aheadShare(priority);
+    const ownWait = estimate.ownWait(priority, now);
+    const wait = ownWait + estimate.othersWait(priority, aheadShare, now);
+    const remaining = (work.context.completionDeadline - now) * lateShare;
+    return { ...best, priority, ownWait, wait, lateBy: wait + prefill - remaining };
   };
 
   return { choose };
--- a/src/state/heatSketch.ts
+++ b/src/state/heatSketch.ts
@@ -50,9 +50,12 @@
   const countAt = (counter: Counter, now: number): number =>
     counter.count * Math.exp((counter.updatedAt - now) / memory);
 
+  /** The first sighting opens the window in which the others are counted. */
   const rateOf = (counter: Counter, now: number): number => {
     const window = Math.max(shortestWindow, now - counter.firstAt);
-    return countAt(counter, now) / (memory * (1 - Math.exp(-window / memory)));
+    const first = Math.exp((counter.firstAt - now) / memory);
+    const others = Math.max(0, countAt(counter, now) - first);
+    return others / (memory * (1 - Math.exp(-window / memory)));
   };
 
   const evict = (now: number): void => {
