--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -4,11 +4,11 @@
 import type { EngineDirectory, EngineReplica } from "../../state/engineDirectory.ts";
 import type { ConfigurationIndex } from "../configurationIndex.ts";
 import type { Affinity, AffinityLearner } from "./affinity.ts";
+import { createCandidateLister, isEligible } from "./candidates.ts";
 import { createCacheForecast } from "./cacheForecast.ts";
 import type { Belief } from "./cacheForecast.ts";
 import {
   batchShare,
-  compareAllUpTo,
   crowdedFrom,
   crowdedLeast,
   freeSlotsTaken,
@@ -17,12 +17,8 @@
   latePenalty,
   latePriority,
   lateShare,
-  maximumWidth,
-  nextInOrder,
   pressureWait,
   roundTripBetweenDataCentres,
-  sampledEngines,
-  wideningLoad,
 } from "./constants.ts";
 import type { EngineEstimate } from "./engineEstimate.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
@@ -30,8 +26,7 @@
 import type { HoldingTimes } from "./holdingTimes.ts";
 import type { PriorityMix } from "./priorityMix.ts";
 import type { Work } from "./Scheduler.ts";
-import { firstInOrder } from "./shuffleShards.ts";
-import type { Member, Shard, ShuffleShards } from "./shuffleShards.ts";
+import type { ShuffleShards } from "./shuffleShards.ts";
 
 /** What a choice is made from. */
 export interface PlacementParts {
@@ -85,12 +80,6 @@
 
 const defaultObjective: ObjectiveConfiguration = { timeToFirstToken: 1, recomputation: 1 };
 
-const isEligible = (engine: EngineReplica | undefined, work: Work): engine is EngineReplica =>
-  engine?.state === "live" &&
-  engine.load !== undefined &&
-  !work.excluded.has(engine.id) &&
-  work.weightsVersions.includes(engine.load.weightsVersion);
-
 /** The cheapest of the engines; those that are late cost more than any that is not. */
 const cheapest = (predictions: readonly Prediction[]): Prediction | undefined => {
   let waits = 0;
@@ -115,8 +104,7 @@
 /** Makes a placement. */
 export const createPlacement = (parts: PlacementParts): Placement => {
   const { directory, estimates, picture, affinity, holdingTimes } = parts;
-  /** Walks through the engines that are not compared for their caches' sake. */
-  let sample = 0;
+  const listCandidates = createCandidateLister(parts);
 
   const objectiveOf = (work: Work): ObjectiveConfiguration => {
     const { requestClass } = work.context;
@@ -125,46 +113,6 @@
     return deployments.find(({ name }) => name === requestClass.deployment)?.objective ?? defaultObjective;
   };
 
-  /** Engines that a level needs so that none is loaded by it beyond what leaves others room. */
-  const widthOf = (work: Work, chosen: Affinity, first: EngineEstimate): number => {
-    const slots = (chosen.rate * holdingTimes.of(work)) / first.limit();
-    const computing = chosen.rate * (work.promptTokens - chosen.level.tokens) * first.millisecondsPerToken();
-    return Math.min(maximumWidth, Math.max(1, Math.ceil(Math.max(slots, computing) / wideningLoad)));
-  };
-
-  const sampleOf = (members: readonly Member[]): readonly Member[] => {
-    if (members.length <= compareAllUpTo) return members;
-    const chosen: Member[] = [];
-    for (let count = 0; count < sampledEngines; count += 1) {
-      sample = (sample + 7919) % members.length;
-      const member = members[sample];
-      if (member !== undefined) chosen.push(member);
-    }
-    return chosen;
-  };
-
-  /** The prefix's homes in order, how many they are, and the engines to compare them with. */
-  const listCandidates = (
-    work: Work,
-    shard: Shard,
-    chosen: Affinity,
-  ): { readonly ids: ReadonlySet<string>; readonly homes: ReadonlySet<string> } => {
-    const ordered = firstInOrder(
-      shard.members,
-      shard.equalWeights,
-      chosen.level.key,
-      maximumWidth + nextInOrder,
-    ).filter(({ id }) => isEligible(directory.get(id), work));
-    const first = directory.get(ordered[0]?.id ?? "");
-    const now = work.context.arrivedAt;
-    const width = first === undefined ? 0 : widthOf(work, chosen, estimates.of(first, now));
-    const ids = new Set(ordered.slice(0, width + nextInOrder).map(({ id }) => id));
-    for (const { id } of sampleOf(shard.members)) ids.add(id);
-    for (const { id } of sampleOf(shard.others)) ids.add(id);
-    for (const id of picture.levelBeliefs(chosen.level.key)?.keys() ?? []) ids.add(id);
-    return { ids, homes: new Set(ordered.slice(0, width).map(({ id }) => id)) };
-  };
-
   /**
    * Each router has its part of an engine's slots for certain, and may take some of those that the last report
    * shows free; as others may too, not all of them.
@@ -200,7 +148,7 @@
     const objective = objectiveOf(work);
     const { priority } = work.context.requestClass;
     const aheadShare = parts.priorityMix.aheadShare(priority);
-    const { ids, homes } = listCandidates(work, shard, chosen);
+    const { ids, homes } = listCandidates(work, shard, chosen, now);
     const forecast = createCacheForecast(picture, work.levels, chosen.level.key);
     /** Requests that will use what a home computes now. */
     const users = Math.max(1, (chosen.rate * estimates.retention()) / Math.max(1, homes.size));
