Hand on only those body fields that concern the caller's own answer

Cause: a caller's body went to the engine with every field it named, so one organisation could set `priority` or steer cache transfers on engines that it shares with rivals. Ruled out: a list of forbidden fields, which each engine release would outdate. Fields outside the known set are refused (400 unsupported_field, seen not refused before); a model's `bodyFields` allows more, never the reserved ones.

--- a/src/coordination/requests/routerFrontEnd.ts
+++ b/src/coordination/requests/routerFrontEnd.ts
@@ -1,6 +1,7 @@
 /** What a router offers to callers and operators, put together from its parts. */
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { OrganisationConfiguration } from "../../protocol/configuration/schema.ts";
+import { checkBodyFields } from "../../protocol/bodyFields.ts";
 import { parseCompletionRequest } from "../../protocol/completionRequest.ts";
 import { headers } from "../../protocol/constants.ts";
 import { RequestError } from "../../protocol/errors.ts";
@@ -127,6 +128,7 @@
         if (request.adapter !== undefined && !model.adapters.some(({ name }) => name === request.adapter)) {
           throw refusals.unknownModel(`${request.model}:${request.adapter}`);
         }
+        checkBodyFields(request.body, model.bodyFields);
         const defaults = { className: model.defaultClass, idempotent: true };
         const context = createRequestContext(index, organisation, callerHeaders, defaults, arrivedAt);
         const running = await parts.completions.run({ context, request, index }, signal);
