--- a/src/coordination/requests/attempt.ts
+++ b/src/coordination/requests/attempt.ts
@@ -80,6 +80,9 @@
 /** An attempt's id names its request, too, for those who read logs. */
 const createAttemptId = (requestId: string): string => `${requestId}.${randomBytes(4).toString("hex")}`;
 
+/** @returns The id of the request that an attempt was made for. */
+export const requestOfAttempt = (attempt: string): string => attempt.split(".")[0] ?? attempt;
+
 const unstartedReport: Omit<AttemptReport, "ended"> = {
   incarnation: undefined,
   firstTokenAfter: undefined,
--- a/src/coordination/requests/eventIds.ts
+++ b/src/coordination/requests/eventIds.ts
@@ -3,12 +3,19 @@
 import { digestRequest } from "../../protocol/requestTexts.ts";
 import { resumeTokenAt } from "../../protocol/resumeToken.ts";
 import type { ResumeTokens } from "../../protocol/resumeToken.ts";
+import type { CompletionRequest } from "../../protocol/types.ts";
 import type { Clock } from "../clock.ts";
 import { resumeTokenLife } from "./constants.ts";
 import type { CompletionJob } from "./types.ts";
 
+const shortDigestLength = 16;
+
 const secondsOf = (milliseconds: number): number => Math.ceil(milliseconds / 1_000);
 
+/** Enough to notice another body; the token's length counts for every event. */
+export const shortDigest = (request: CompletionRequest): string =>
+  digestRequest(request).slice(0, shortDigestLength);
+
 /**
  * Makes the function that names events; it signs once for each attempt.
  *
@@ -22,8 +29,7 @@
     const left = Math.max(0, context.completionDeadline - clock.monotonic());
     return tokens.sign({
       organisation: context.organisation.name,
-      digest: digestRequest(request),
-      requestId: context.requestId,
+      digest: shortDigest(request),
       idempotent: context.idempotent,
       engineId: batch.engineId,
       incarnation: batch.incarnation,
--- a/src/coordination/requests/resumption.ts
+++ b/src/coordination/requests/resumption.ts
@@ -1,13 +1,13 @@
 /** Picks an answer up again from the engine that generates it, for a caller that brings a resume token. */
 import { upstreamError } from "../../protocol/errors.ts";
-import { digestRequest } from "../../protocol/requestTexts.ts";
 import type { ResumePoint, ResumeTokens } from "../../protocol/resumeToken.ts";
 import type { AnswerFrame, EngineAnswer } from "../../protocol/types.ts";
 import type { EngineReplica } from "../../state/engineDirectory.ts";
 import type { Clock } from "../clock.ts";
 import type { AnswerSoFar } from "./answerSoFar.ts";
-import { noteEngineFailure } from "./attempt.ts";
+import { noteEngineFailure, requestOfAttempt } from "./attempt.ts";
 import type { AttemptEnd, OpenAttempt } from "./attempt.ts";
+import { shortDigest } from "./eventIds.ts";
 import { resumeRefusals } from "./refusals.ts";
 import type { CompletionRunParts } from "./runScope.ts";
 import { createStopper } from "./stopper.ts";
@@ -40,14 +40,14 @@
   const point = tokens.read(token, context.organisation.name, Math.floor(clock.wall() / 1_000));
   if (point === "malformed" || point === "forged") throw resumeRefusals.invalidToken();
   if (point === "expired") throw resumeRefusals.expired();
-  if (point.digest !== digestRequest(request)) throw resumeRefusals.otherRequest();
+  if (point.digest !== shortDigest(request)) throw resumeRefusals.otherRequest();
   const given = request.body.pomelocleat_delivered;
   return {
     ...job,
     // The mark of the first request holds, whatever the caller says now.
     context: {
       ...context,
-      requestId: point.requestId,
+      requestId: requestOfAttempt(point.attempt),
       idempotent: context.idempotent && point.idempotent,
     },
     point,
@@ -140,6 +140,7 @@
     if (end !== "finished") stopper.stop("superseded");
     void frames?.return?.();
     parts.directory.addInFlight(engine.id, -1);
+    endReading();
     if (end !== "finished") parts.canceller.cancel(engine, point.attempt, end === "left");
   };
 
@@ -160,7 +161,7 @@
   };
 
   parts.directory.addInFlight(engine.id, 1);
-  parts.canceller.keep(point.attempt);
+  const endReading = parts.canceller.keep(point.attempt);
   try {
     const opened = await callEngine(parts, engine, job, stopper);
     frames = opened.frames[Symbol.asyncIterator]();
--- a/src/protocol/resumeToken.ts
+++ b/src/protocol/resumeToken.ts
@@ -14,7 +14,6 @@
   readonly organisation: string;
   /** Digest of what was asked. */
   readonly digest: string;
-  readonly requestId: string;
   readonly idempotent: boolean;
   readonly engineId: string;
   readonly incarnation: string;
@@ -44,7 +43,7 @@
 
 const version = "1";
 const separator = ",";
-const fieldCount = 11;
+const signedFieldCount = 8;
 const signatureLength = 22;
 const purpose = "pomelocleat resume token";
 const wholeNumber = /^\d{1,10}$/;
@@ -60,7 +59,6 @@
     grant.idempotent ? "1" : "0",
     String(grant.attemptOffset),
     grant.digest,
-    grant.requestId,
     grant.attempt,
     grant.engineId,
     grant.incarnation,
@@ -91,19 +89,17 @@
 
   const read = (token: string, organisation: string, now: number): ResumePoint | ResumeTokenFault => {
     const parts = token.split(separator);
-    const [tokens = "", others = ""] = parts.slice(-2);
-    if (parts.length !== fieldCount + 1 || !wholeNumber.test(tokens) || !wholeNumber.test(others)) {
+    const [signature = "", tokens = "", others = ""] = parts.slice(signedFieldCount);
+    if (parts.length !== signedFieldCount + 3 || !wholeNumber.test(tokens) || !wholeNumber.test(others)) {
       return "malformed";
     }
-    const signature = parts[fieldCount - 2] ?? "";
-    if (!isSigned(signature, parts.slice(0, -3).join(separator), organisation)) return "forged";
+    if (!isSigned(signature, parts.slice(0, signedFieldCount).join(separator), organisation)) return "forged";
     const [, expiresAt, idempotent, attemptOffset, ...names] = parts.map(decodeURIComponent);
-    const [digest = "", requestId = "", attempt = "", engineId = "", incarnation = ""] = names;
+    const [digest = "", attempt = "", engineId = "", incarnation = ""] = names;
     if (Number(expiresAt) < now) return "expired";
     return {
       organisation,
       digest,
-      requestId,
       idempotent: idempotent === "1",
       engineId,
       incarnation,
