--- /dev/null
+++ b/bench/policies/random.ts
@@ -0,0 +1,25 @@
+/** Baseline: any live engine. */
+import type { EngineReplica } from "../../src/state/engineDirectory.ts";
+import type { Work } from "../../src/coordination/scheduling/Scheduler.ts";
+import { createRandom } from "../model/random.ts";
+import type { Random } from "../model/random.ts";
+import { PickingScheduler } from "./PickingScheduler.ts";
+import type { Policy, RouterSeat } from "./Policy.ts";
+
+class RandomScheduler extends PickingScheduler {
+  private readonly random: Random;
+
+  constructor({ directory, seed }: RouterSeat) {
+    super(directory);
+    this.random = createRandom(seed, "random policy");
+  }
+
+  protected override pick(_work: Work, candidates: readonly EngineReplica[]): EngineReplica | undefined {
+    return candidates[this.random.index(candidates.length)];
+  }
+}
+
+export const randomPolicy: Policy = {
+  name: "random",
+  createScheduler: (seat) => new RandomScheduler(seat),
+};
