Compare placement policies in npm run bench -- placement

A refusal counts as the class's whole deadline in the checked p99, or a policy that refuses most requests would look fast.

--- /dev/null
+++ b/bench/placement/tables.ts
@@ -0,0 +1,80 @@
+/** The tables of the placement bench. */
+import type { Figures } from "../model/figures.ts";
+import type { Mix } from "../model/mixes.ts";
+import type { Row } from "../report/table.ts";
+import { formatMilliseconds, formatShare } from "../report/table.ts";
+import type { Expectation } from "./expectations.ts";
+import type { PolicyRuns, ScenarioRun } from "./runs.ts";
+
+const classCells = ({ classes }: Figures, mix: Mix): readonly string[] =>
+  mix.classes.map(({ className }) => {
+    const found = classes[className];
+    if (found === undefined) return "-";
+    return [found.p50, found.p99, found.p999].map(formatMilliseconds).join(" / ");
+  });
+
+/** One line for each policy of one scenario. */
+export const scenarioRows = (mix: Mix, policies: readonly PolicyRuns[], scenario: string): readonly Row[] => {
+  const heading = [
+    "policy",
+    "hit %",
+    "wasted %",
+    "goodput/s",
+    "refused %",
+    "unanswered %",
+    "prefill busy %",
+    "3–10 s after / steady",
+    ...mix.classes.map(({ className }) => `${className} TTFT p50 / p99 / p99.9 ms`),
+  ];
+  const line = (policy: string, { figures, recovery }: ScenarioRun): Row => [
+    policy,
+    formatShare(figures.hitRate),
+    formatShare(figures.wasted),
+    figures.goodput.toFixed(1),
+    formatShare(figures.refused),
+    formatShare(figures.unanswered),
+    formatShare(figures.prefillShare, 0),
+    recovery?.toFixed(2) ?? "-",
+    ...classCells(figures, mix),
+  ];
+  const rows = policies.flatMap(({ policy, runs }) => {
+    const run = runs.get(scenario);
+    return run === undefined ? [] : [line(policy, run)];
+  });
+  return [heading, ...rows];
+};
+
+/** What a flooding organisation costs the others, by policy. */
+export const fairnessRows = (mix: Mix, policies: readonly PolicyRuns[]): readonly Row[] => [
+  [
+    "policy",
+    "rivals' hit % without",
+    "with",
+    `rivals' p99 of ${mix.watchedClass} ms without`,
+    "with",
+    "ratio",
+  ],
+  ...policies.map(({ policy, rivalsBefore, rivalsDuring }) => {
+    const before = rivalsBefore.classes[mix.watchedClass]?.p99WithRefusals ?? NaN;
+    const during = rivalsDuring.classes[mix.watchedClass]?.p99WithRefusals ?? NaN;
+    return [
+      policy,
+      formatShare(rivalsBefore.hitRate),
+      formatShare(rivalsDuring.hitRate),
+      formatMilliseconds(before),
+      formatMilliseconds(during),
+      (during / before).toFixed(2),
+    ];
+  }),
+];
+
+/** Expected figures beside the measured ones. */
+export const expectationRows = (expectations: readonly Expectation[]): readonly Row[] => [
+  ["expected of ours (issue 4)", "limit", "measured", "verdict"],
+  ...expectations.map(({ text, expected, measured, met }) => [
+    text,
+    expected,
+    measured,
+    met ? "met" : "MISSED",
+  ]),
+];
--- a/src/coordination/requests/completionRun.ts
+++ b/src/coordination/requests/completionRun.ts
@@ -19,13 +19,13 @@
 /** Where a run begins: at the start of the answer, or after what the caller has of it. */
 export interface RunStart {
   readonly answer: AnswerSoFar;
-  /** Opens the first attempt, where it is under way already. */
-  readonly open: ((stopper: Stopper) => Promise<OpenAttempt>) | undefined;
+  /** An attempt that is under way already. */
+  readonly attempt: OpenAttempt | undefined;
   readonly mayHaveRun: boolean;
 }
 
 /** A run from the beginning. */
-export const freshStart = (): RunStart => ({ answer: emptyAnswer(), open: undefined, mayHaveRun: false });
+export const freshStart = (): RunStart => ({ answer: emptyAnswer(), attempt: undefined, mayHaveRun: false });
 
 /**
  * Throws the switch when the caller goes, unless the request must run to its end, and at the deadline.
@@ -67,8 +67,7 @@
   idempotent: job.context.idempotent,
   mayHaveRun: state.mayHaveRun,
   delivered: hasBegun(state.answer),
-  continuable: state.answer.continuable && state.answer.textKnown,
-  textMissing: !state.answer.textKnown,
+  continuable: state.answer.continuable,
 });
 
 const giveUp = (scope: RunScope, error: unknown): RequestError =>
@@ -105,16 +104,16 @@
   const { state } = scope;
   const openNext = createAttemptOpener(scope);
   const unwatch = watchRequest(job, parts, scope.stopper, caller);
-  let open = start.open ?? openNext;
+  let { attempt } = start;
   try {
     while (!state.finished) {
       try {
-        const attempt = await open(scope.stopper);
+        attempt ??= await openNext();
         yield* relayAttempt(scope, attempt);
         if (!hasBegun(state.answer)) throw upstreamError("the answer is empty", "malformed", "streaming");
       } catch (error) {
         state.finished = false;
-        open = openNext;
+        attempt = undefined;
         await prepareRetry(scope, error);
       }
     }
