--- a/src/coordination/requests/answerSoFar.ts
+++ b/src/coordination/requests/answerSoFar.ts
@@ -8,12 +8,20 @@
   tokens: number;
   /** Pieces without text since the last one with text. */
   others: number;
-  /** True while another engine could go on after `text`. */
+  /** False where the caller has text that this router has not seen. */
+  textKnown: boolean;
+  /** False once a piece has come that another engine could not go on after. */
   continuable: boolean;
 }
 
 /** An answer of which nothing has come. */
-export const emptyAnswer = (): AnswerSoFar => ({ text: "", tokens: 0, others: 0, continuable: true });
+export const emptyAnswer = (): AnswerSoFar => ({
+  text: "",
+  tokens: 0,
+  others: 0,
+  textKnown: true,
+  continuable: true,
+});
 
 /** True once the caller has some of it. */
 export const hasBegun = ({ tokens, others }: AnswerSoFar): boolean => tokens > 0 || others > 0;
@@ -35,12 +43,13 @@
  * earlier attempts had generated.
  *
  * @param attemptOffset - Tokens that came before the attempt.
+ * @param maximumTokens - The caller's limit.
  */
-export const wholeUsage = (usage: Usage, attemptOffset: number): Usage => {
+export const wholeUsage = (usage: Usage, attemptOffset: number, maximumTokens: number): Usage => {
   const promptTokens = Math.max(0, usage.promptTokens - attemptOffset);
   return {
     promptTokens,
-    completionTokens: usage.completionTokens + attemptOffset,
+    completionTokens: Math.min(maximumTokens, usage.completionTokens + attemptOffset),
     cachedTokens: Math.min(promptTokens, usage.cachedTokens),
   };
 };
--- a/src/coordination/requests/attempt.ts
+++ b/src/coordination/requests/attempt.ts
@@ -1,5 +1,5 @@
 /** One attempt at an engine: from the choice of the engine to the answer's last piece. */
-import { randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
 import { UpstreamError, upstreamError } from "../../protocol/errors.ts";
 import type { ModelEngine } from "../../protocol/ModelEngine.ts";
 import { cacheSalt } from "../../protocol/prefixLevels.ts";
@@ -77,6 +77,12 @@
     directory.markFailed(engineId, clock.monotonic());
 };
 
+/** An attempt's id names its request, too, for those who read logs. */
+const createAttemptId = (requestId: string): string => `${requestId}.${randomBytes(4).toString("hex")}`;
+
+/** @returns The id of the request that an attempt was made for. */
+export const requestOfAttempt = (attempt: string): string => attempt.split(".")[0] ?? attempt;
+
 const unstartedReport: Omit<AttemptReport, "ended"> = {
   incarnation: undefined,
   firstTokenAfter: undefined,
@@ -123,7 +129,7 @@
 const createAttempt = (parts: AttemptParts, plan: AttemptPlan, assignment: Assignment, stopper: Stopper) => {
   const { metrics, clock } = parts;
   const { engine } = assignment;
-  const attempt = randomUUID();
+  const attempt = createAttemptId(plan.context.requestId);
   const state: AttemptState = { report: unstartedReport, mayHaveRun: false, frames: undefined };
 
   const close = (end: AttemptEnd): void => {
--- a/src/coordination/requests/attemptCanceller.ts
+++ b/src/coordination/requests/attemptCanceller.ts
@@ -11,8 +11,12 @@
    * goes on for a while, so that the caller can pick the stream up at any router.
    */
   readonly cancel: (engine: EngineReplica, attempt: string, mayReturn: boolean) => void;
-  /** The caller has come back: the attempt is read again. */
-  readonly keep: (attempt: string) => void;
+  /**
+   * The caller has come back: the attempt is read again, and whoever read it before does not stop it.
+   *
+   * @returns A function that ends the new reading.
+   */
+  readonly keep: (attempt: string) => () => void;
 }
 
 /** Makes a canceller. */
@@ -22,9 +26,18 @@
 ): AttemptCanceller => {
   const pending = new Map<string, () => void>();
 
-  const keep = (attempt: string): void => {
+  /** Attempts that were picked up again, with how many times they are being read. */
+  const kept = new Map<string, number>();
+
+  const keep = (attempt: string): (() => void) => {
     pending.get(attempt)?.();
     pending.delete(attempt);
+    kept.set(attempt, (kept.get(attempt) ?? 0) + 1);
+    return () => {
+      const left = (kept.get(attempt) ?? 0) - 1;
+      if (left > 0) kept.set(attempt, left);
+      else kept.delete(attempt);
+    };
   };
 
   const cancelNow = (engine: EngineReplica, attempt: string): void => {
@@ -36,12 +49,14 @@
   };
 
   const cancel = (engine: EngineReplica, attempt: string, mayReturn: boolean): void => {
-    if (!mayReturn) cancelNow(engine, attempt);
-    else
-      pending.set(
-        attempt,
-        clock.after(resumeGrace, () => cancelNow(engine, attempt)),
-      );
+    // A caller can be back before its lost connection is noticed.
+    if (kept.has(attempt)) return;
+    if (!mayReturn) {
+      cancelNow(engine, attempt);
+      return;
+    }
+    const callOff = clock.after(resumeGrace, () => cancelNow(engine, attempt));
+    pending.set(attempt, callOff);
   };
 
   return { cancel, keep };
--- a/src/coordination/requests/attemptFailures.ts
+++ b/src/coordination/requests/attemptFailures.ts
@@ -2,7 +2,7 @@
 import { RequestError, UpstreamError } from "../../protocol/errors.ts";
 import type { UpstreamFault } from "../../protocol/errors.ts";
 import { defaultRetryAfterSeconds } from "./constants.ts";
-import { outcomeUnknown, refusals, upstreamFailed } from "./refusals.ts";
+import { outcomeUnknown, refusals, resumeRefusals, upstreamFailed } from "./refusals.ts";
 import type { StopReason } from "./stopper.ts";
 
 /** Faults that another engine can't mend. */
@@ -20,6 +20,8 @@
   readonly delivered: boolean;
   /** What was delivered can be continued by another engine. */
   readonly continuable: boolean;
+  /** The caller has text that it would have to send for another engine to continue it. */
+  readonly textMissing?: boolean;
 }
 
 /** True if the failure proves that the attempt did not run. */
@@ -64,12 +66,14 @@
   stopped?: StopReason,
 ): RequestError => {
   if (!progress.mayHaveRun) return failureNotRun(error, stopped);
+  if (error instanceof RequestError && error.failure.status < 500) return error;
   if (!progress.idempotent) {
     return outcomeUnknown("outcome_unknown", "The request was started and its outcome is not known.", error);
   }
   if (stopped === "deadline") {
     return upstreamFailed("deadline_exceeded", "The answer could not be finished in time.", error, 504);
   }
+  if (progress.textMissing === true) return resumeRefusals.textNeeded(error);
   if (progress.delivered) {
     return upstreamFailed("stream_interrupted", "The answer could not be finished.", error);
   }
--- a/src/coordination/requests/completionRun.ts
+++ b/src/coordination/requests/completionRun.ts
@@ -19,13 +19,13 @@
 /** Where a run begins: at the start of the answer, or after what the caller has of it. */
 export interface RunStart {
   readonly answer: AnswerSoFar;
-  /** An attempt that is under way already. */
-  readonly attempt: OpenAttempt | undefined;
+  /** Opens the first attempt, where it is under way already. */
+  readonly open: ((stopper: Stopper) => Promise<OpenAttempt>) | undefined;
   readonly mayHaveRun: boolean;
 }
 
 /** A run from the beginning. */
-export const freshStart = (): RunStart => ({ answer: emptyAnswer(), attempt: undefined, mayHaveRun: false });
+export const freshStart = (): RunStart => ({ answer: emptyAnswer(), open: undefined, mayHaveRun: false });
 
 /**
  * Throws the switch when the caller goes, unless the request must run to its end, and at the deadline.
@@ -67,7 +67,8 @@
   idempotent: job.context.idempotent,
   mayHaveRun: state.mayHaveRun,
   delivered: hasBegun(state.answer),
-  continuable: state.answer.continuable,
+  continuable: state.answer.continuable && state.answer.textKnown,
+  textMissing: !state.answer.textKnown,
 });
 
 const giveUp = (scope: RunScope, error: unknown): RequestError =>
@@ -104,16 +105,16 @@
   const { state } = scope;
   const openNext = createAttemptOpener(scope);
   const unwatch = watchRequest(job, parts, scope.stopper, caller);
-  let { attempt } = start;
+  let open = start.open ?? openNext;
   try {
     while (!state.finished) {
       try {
-        attempt ??= await openNext();
+        const attempt = await open(scope.stopper);
         yield* relayAttempt(scope, attempt);
         if (!hasBegun(state.answer)) throw upstreamError("the answer is empty", "malformed", "streaming");
       } catch (error) {
         state.finished = false;
-        attempt = undefined;
+        open = openNext;
         await prepareRetry(scope, error);
       }
     }
--- a/src/coordination/requests/completionRunner.ts
+++ b/src/coordination/requests/completionRunner.ts
@@ -7,6 +7,10 @@
 import { freshStart, runCompletion } from "./completionRun.ts";
 import type { RunStart } from "./completionRun.ts";
 import type { CompletionRunParts } from "./runScope.ts";
+import type { OpenAttempt } from "./attempt.ts";
+import { answerBefore, openResumed } from "./resumption.ts";
+import type { ResumeJob } from "./resumption.ts";
+import type { Stopper } from "./stopper.ts";
 import { RatioRetryBudget } from "./retryBudget.ts";
 import type { RetryBudget } from "./retryBudget.ts";
 import type { CompletionJob, RunningAnswer } from "./types.ts";
@@ -30,6 +34,9 @@
    * @returns The answer; throws `RequestError`.
    */
   readonly run: (job: CompletionJob, signal: AbortSignal) => Promise<RunningAnswer>;
+
+  /** Goes on with an answer; resolves with its next pieces, or at its end. Throws `RequestError`. */
+  readonly resume: (job: ResumeJob, signal: AbortSignal) => Promise<RunningAnswer>;
 }
 
 const noAnswer = (): RequestError =>
@@ -48,6 +55,10 @@
   }
 };
 
+const noBatches = async function* (): AsyncGenerator<AnswerBatch, void, void> {
+  // The caller has everything but the end mark.
+};
+
 /** Makes a runner. */
 export const createCompletionRunner = (given: CompletionRunnerParts): CompletionRunner => {
   const { clock, metrics } = given;
@@ -58,19 +69,34 @@
     random: given.random ?? Math.random,
   };
 
-  const begin = async (job: CompletionJob, start: RunStart, signal: AbortSignal): Promise<RunningAnswer> => {
+  /** @returns Undefined if the answer is at its end. */
+  const begin = async (
+    job: CompletionJob,
+    start: RunStart,
+    signal: AbortSignal,
+  ): Promise<RunningAnswer | undefined> => {
     const batches = runCompletion(parts, job, start, signal);
     const first = await batches.next();
-    if (first.done === true) throw noAnswer();
-    const elapsed = clock.monotonic() - job.context.arrivedAt;
-    metrics.time(metricNames.firstToken, elapsed, { class: job.context.requestClass.name });
+    if (first.done === true) return undefined;
     return { upstream: first.value.engineId, batches: withFirst(first.value, batches) };
   };
 
-  const run = (job: CompletionJob, signal: AbortSignal): Promise<RunningAnswer> => {
-    metrics.count(metricNames.requests, 1, { class: job.context.requestClass.name });
-    return begin(job, freshStart(), signal);
+  const run = async (job: CompletionJob, signal: AbortSignal): Promise<RunningAnswer> => {
+    const tags = { class: job.context.requestClass.name };
+    metrics.count(metricNames.requests, 1, tags);
+    const running = await begin(job, freshStart(), signal);
+    if (running === undefined) throw noAnswer();
+    metrics.time(metricNames.firstToken, clock.monotonic() - job.context.arrivedAt, tags);
+    return running;
+  };
+
+  const resume = async (job: ResumeJob, signal: AbortSignal): Promise<RunningAnswer> => {
+    metrics.count(metricNames.resumes, 1, { class: job.context.requestClass.name });
+    const answer = answerBefore(job);
+    const open = (stopper: Stopper): Promise<OpenAttempt> => openResumed(parts, job, answer, stopper);
+    const running = await begin(job, { answer, open, mayHaveRun: true }, signal);
+    return running ?? { upstream: job.point.engineId, batches: noBatches() };
   };
 
-  return { run };
+  return { run, resume };
 };
--- a/src/coordination/requests/refusals.ts
+++ b/src/coordination/requests/refusals.ts
@@ -1,5 +1,5 @@
 /** The refusals that the router itself gives, one function for each stable code. */
-import { outcomes } from "../../protocol/constants.ts";
+import { headers, outcomes } from "../../protocol/constants.ts";
 import { requestError } from "../../protocol/errors.ts";
 import type { RequestError } from "../../protocol/errors.ts";
 
@@ -76,3 +76,33 @@
 /** The request ran and its answer could not be finished. */
 export const upstreamFailed = (code: string, message: string, cause?: unknown, status = 502): RequestError =>
   requestError(message, { status, code, outcome: outcomes.failed }, cause);
+
+/**
+ * Refusals to go on with an answer. Nothing is run for them; what became of the request that the caller wants to
+ * go on with is not known here, so they never say `not_run`.
+ */
+const notResumed = (status: number, code: string, message: string, cause?: unknown): RequestError =>
+  requestError(
+    message,
+    { status, code, outcome: outcomes.outcomeUnknown, parameter: headers.lastEventId },
+    cause,
+  );
+
+export const resumeRefusals = {
+  notStreamed: () => notResumed(400, "resume_not_streamed", "Only a stream can be resumed."),
+  invalidToken: () =>
+    notResumed(400, "invalid_resume_token", "This is no event id of a stream of this organisation."),
+  invalidPosition: () =>
+    notResumed(409, "invalid_resume_position", "The stream has no such position as this event id names."),
+  expired: () => notResumed(409, "resume_token_expired", "The event id is too old to go on from."),
+  otherRequest: () =>
+    notResumed(409, "resume_of_other_request", "The event id belongs to a request with another body."),
+  otherText: () =>
+    notResumed(409, "delivered_text_differs", "The delivered text is not what the stream has given."),
+  textNeeded: (cause?: unknown) =>
+    requestError(
+      "The engine that gave the answer is gone: send the text that was delivered, or ask anew.",
+      { status: 409, code: "delivered_text_needed", outcome: outcomes.failed },
+      cause,
+    ),
+} as const;
--- a/src/coordination/requests/relay.ts
+++ b/src/coordination/requests/relay.ts
@@ -36,7 +36,7 @@
     const frame = cutAtLimit(received, answer, request.maximumTokens);
     notePiece(answer, frame);
     if (frame.usage === undefined || attemptOffset === 0) return frame;
-    return { ...frame, usage: wholeUsage(frame.usage, attemptOffset) };
+    return { ...frame, usage: wholeUsage(frame.usage, attemptOffset, request.maximumTokens) };
   };
 
   const takePieces = (received: readonly AnswerFrame[]): AnswerBatch => {
--- a/src/coordination/requests/routerFrontEnd.ts
+++ b/src/coordination/requests/routerFrontEnd.ts
@@ -1,6 +1,7 @@
 /** What a router offers to callers and operators, put together from its parts. */
 import { createHash, timingSafeEqual } from "node:crypto";
 import type { OrganisationConfiguration } from "../../protocol/configuration/schema.ts";
+import { checkBodyFields } from "../../protocol/bodyFields.ts";
 import { parseCompletionRequest } from "../../protocol/completionRequest.ts";
 import { headers } from "../../protocol/constants.ts";
 import { RequestError } from "../../protocol/errors.ts";
@@ -12,6 +13,7 @@
   CompletionAnswer,
   OperatorView,
 } from "../../protocol/FrontEnd.ts";
+import type { ResumeTokens } from "../../protocol/resumeToken.ts";
 import type { CompletionRequest } from "../../protocol/types.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
@@ -19,6 +21,8 @@
 import type { ConfigurationIndex } from "../configurationIndex.ts";
 import { authenticate } from "./authenticate.ts";
 import type { CompletionRunner } from "./completionRunner.ts";
+import { createEventIds } from "./eventIds.ts";
+import { readResumeJob } from "./resumption.ts";
 import { refusals } from "./refusals.ts";
 import { createRequestContext } from "./requestContext.ts";
 import type { ServiceRunner } from "./serviceRunner.ts";
@@ -28,6 +32,7 @@
   readonly configuration: () => ConfigurationIndex | undefined;
   readonly completions: CompletionRunner;
   readonly services: ServiceRunner;
+  readonly resumeTokens: ResumeTokens;
   readonly metrics: Metrics;
   readonly clock: Clock;
   /** SHA-256 of the operators' key, hex. */
@@ -127,17 +132,25 @@
         if (request.adapter !== undefined && !model.adapters.some(({ name }) => name === request.adapter)) {
           throw refusals.unknownModel(`${request.model}:${request.adapter}`);
         }
+        checkBodyFields(request.body, model.bodyFields);
         const defaults = { className: model.defaultClass, idempotent: true };
         const context = createRequestContext(index, organisation, callerHeaders, defaults, arrivedAt);
-        const running = await parts.completions.run({ context, request, index }, signal);
+        const job = { context, request, index };
+        const { lastEventId = "" } = callerHeaders;
+        const resumed =
+          lastEventId === "" ? undefined : readResumeJob(parts.resumeTokens, clock, job, lastEventId);
+        const running =
+          resumed === undefined
+            ? await parts.completions.run(job, signal)
+            : await parts.completions.resume(resumed, signal);
         open += 1;
         return {
-          requestId: context.requestId,
+          requestId: (resumed ?? job).context.requestId,
           request,
           configurationVersion: index.version,
           upstream: running.upstream,
           batches: trackedBatches(running.batches),
-          eventId: (batch, { tokens, others }) => `${batch.attempt}.${tokens}.${others}`,
+          eventId: createEventIds(parts.resumeTokens, clock, resumed ?? job),
         };
       });
     }
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -25,6 +25,7 @@
 import { StatsdMetrics } from "../transport/statsdMetrics.ts";
 import type { RouterSettings } from "./routerSettings.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
+import { createResumeTokens } from "../protocol/resumeToken.ts";
 import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
@@ -151,6 +152,7 @@
     configuration: follower.current,
     completions,
     services,
+    resumeTokens: createResumeTokens(settings.sharedSecret),
     metrics,
     clock,
     operatorKeyHash: settings.operatorKeyHash,
--- a/src/protocol/configuration/crossReferences.ts
+++ b/src/protocol/configuration/crossReferences.ts
@@ -4,7 +4,11 @@
 import type { ConfigurationEntries, Entry, ListName } from "./entries.ts";
 import type { ClassConfiguration, ObjectiveConfiguration } from "./schema.ts";
 
-type Check = (entries: ConfigurationEntries) => readonly FileProblem[];
+/** Items by name, made once for all checks. */
+type Items = ReadonlyMap<string | undefined, object | undefined>;
+type Lookup = Readonly<Record<ListName, Items>>;
+
+type Check = (entries: ConfigurationEntries, lookup: Lookup) => readonly FileProblem[];
 
 /** One name in the file that stands for an item of a list. */
 interface Reference {
@@ -42,16 +46,17 @@
 /** Looks references up in a list: each has to exist, and to belong to the same deployment. */
 const checkReferences = (
   list: ListName,
-  entries: ConfigurationEntries,
+  lookup: Lookup,
   references: readonly Reference[],
 ): readonly FileProblem[] => {
-  const byName = new Map(entries[list].map((entry) => [entry.name, entry.item]));
+  const byName = lookup[list];
   return references.flatMap(({ path, name, deployment }) => {
     if (!byName.has(name)) return [{ path, cause: `there is no ${singular[list]} "${name}"` }];
     const item = byName.get(name);
     if (deployment === undefined || item === undefined || !("deployment" in item)) return [];
     if (item.deployment === deployment) return [];
-    const cause = `${singular[list]} "${name}" belongs to deployment "${item.deployment}", not "${deployment}"`;
+    const owner = String(item.deployment);
+    const cause = `${singular[list]} "${name}" belongs to deployment "${owner}", not "${deployment}"`;
     return [{ path, cause }];
   });
 };
@@ -76,7 +81,7 @@
     });
   });
 
-const checkDeploymentsExist: Check = (entries) => {
+const checkDeploymentsExist: Check = (entries, lookup) => {
   const owned = [
     ...entries.organisations,
     ...entries.classes,
@@ -88,26 +93,26 @@
   const references = owned.flatMap(({ path, item }) =>
     item === undefined ? [] : [{ path: `${path}.deployment`, name: item.deployment }],
   );
-  return checkReferences("deployments", entries, references);
+  return checkReferences("deployments", lookup, references);
 };
 
-const checkDataCentresExist: Check = (entries) => {
+const checkDataCentresExist: Check = (entries, lookup) => {
   const placed = [...entries.enginePools, ...entries.services, ...entries.keyValueStores];
   return placed.flatMap(({ path, item }) => {
     if (item === undefined) return [];
     const listPath = `${path}.dataCentres`;
     return [
-      ...checkReferences("dataCentres", entries, listReferences(listPath, item.dataCentres)),
+      ...checkReferences("dataCentres", lookup, listReferences(listPath, item.dataCentres)),
       ...repeatedValues(listPath, item.dataCentres),
     ];
   });
 };
 
-const checkOrganisationLists: Check = (entries) =>
+const checkOrganisationLists: Check = (entries, lookup) =>
   forItems(entries.organisations, ({ models, services, rivals, deployment }, path) => [
-    ...checkReferences("models", entries, listReferences(`${path}.models`, models, deployment)),
-    ...checkReferences("services", entries, listReferences(`${path}.services`, services, deployment)),
-    ...checkReferences("organisations", entries, listReferences(`${path}.rivals`, rivals, deployment)),
+    ...checkReferences("models", lookup, listReferences(`${path}.models`, models, deployment)),
+    ...checkReferences("services", lookup, listReferences(`${path}.services`, services, deployment)),
+    ...checkReferences("organisations", lookup, listReferences(`${path}.rivals`, rivals, deployment)),
     ...repeatedValues(`${path}.models`, models),
     ...repeatedValues(`${path}.services`, services),
     ...repeatedValues(`${path}.rivals`, rivals),
@@ -137,7 +142,7 @@
   );
 };
 
-const checkClassReferences: Check = (entries) => {
+const checkClassReferences: Check = (entries, lookup) => {
   const ofModels = forReferences(entries.models, (model, path) => ({
     path: `${path}.defaultClass`,
     name: model.defaultClass,
@@ -148,7 +153,7 @@
     name: service.class,
     deployment: service.deployment,
   }));
-  return checkReferences("classes", entries, [...ofModels, ...ofServices]);
+  return checkReferences("classes", lookup, [...ofModels, ...ofServices]);
 };
 
 const forReferences = <Item>(
@@ -157,10 +162,10 @@
 ): readonly Reference[] =>
   entries.flatMap(({ item, path }) => (item === undefined ? [] : [read(item, path)]));
 
-const checkPoolModels: Check = (entries) =>
+const checkPoolModels: Check = (entries, lookup) =>
   checkReferences(
     "models",
-    entries,
+    lookup,
     forReferences(entries.enginePools, (pool, path) => ({
       path: `${path}.model`,
       name: pool.model,
@@ -242,6 +247,22 @@
   checkClaimRetention,
 ];
 
+const byName = (entries: readonly Entry<object>[]): Items =>
+  new Map(entries.map(({ name, item }) => [name, item]));
+
+const createLookup = (entries: ConfigurationEntries): Lookup => ({
+  deployments: byName(entries.deployments),
+  dataCentres: byName(entries.dataCentres),
+  organisations: byName(entries.organisations),
+  classes: byName(entries.classes),
+  models: byName(entries.models),
+  enginePools: byName(entries.enginePools),
+  services: byName(entries.services),
+  keyValueStores: byName(entries.keyValueStores),
+});
+
 /** Checks what the items of a configuration say about one another. */
-export const findCrossReferenceProblems = (entries: ConfigurationEntries): readonly FileProblem[] =>
-  checks.flatMap((check) => check(entries));
+export const findCrossReferenceProblems = (entries: ConfigurationEntries): readonly FileProblem[] => {
+  const lookup = createLookup(entries);
+  return checks.flatMap((check) => check(entries, lookup));
+};
--- a/src/protocol/configuration/schema.ts
+++ b/src/protocol/configuration/schema.ts
@@ -6,6 +6,7 @@
  * platform's VM list names them with the pool that they belong to.
  */
 import { z } from "zod";
+import { reservedFields } from "../bodyFields.ts";
 
 const name = z
   .string()
@@ -66,6 +67,15 @@
   adapters: z.array(z.strictObject({ name, version: z.string().min(1).max(64) })).default([]),
   defaultClass: name,
   contextTokens: z.number().int().min(1),
+  bodyFields: z
+    .array(
+      z
+        .string()
+        .min(1)
+        .refine((field) => !reservedFields.has(field), "is the router's own field"),
+    )
+    .default([])
+    .describe("Further fields of a request's body that callers may set for the model's engines"),
 });
 
 const enginePoolSchema = z.strictObject({
--- a/src/protocol/requestTexts.ts
+++ b/src/protocol/requestTexts.ts
@@ -3,34 +3,21 @@
  * digests are taken of it, without writing a long prompt out again.
  */
 import { createHash } from "node:crypto";
+import { isForwarded } from "./bodyFields.ts";
 import type { CompletionRequest } from "./types.ts";
 
 /** The two parts of a body. */
 export interface RequestTexts {
   /** JSON of the prompt: an array of messages, or a string. */
   readonly prompt: string;
-  /** The other fields as the caller sent them, as the inside of a JSON object; empty if there are none. */
+  /** The other fields that engines get, as the caller sent them, as the inside of a JSON object; empty if there are none. */
   readonly others: string;
 }
 
-/** Fields that the router sets itself, or that are meant for it. */
-const ownFields: ReadonlySet<string> = new Set([
-  "model",
-  "adapter",
-  "stream",
-  "stream_options",
-  "cache_salt",
-  "messages",
-  "prompt",
-  "max_tokens",
-  "max_completion_tokens",
-  "pomelocleat_delivered",
-]);
-
 const texts = new WeakMap<CompletionRequest, RequestTexts>();
 
 const writeTexts = ({ kind, body }: CompletionRequest): RequestTexts => {
-  const others = Object.entries(body).filter(([field]) => !ownFields.has(field));
+  const others = Object.entries(body).filter(([field]) => isForwarded(field));
   return {
     prompt: JSON.stringify(kind === "chat" ? body.messages : body.prompt),
     others: JSON.stringify(Object.fromEntries(others)).slice(1, -1),
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -6,6 +6,7 @@
   retries: "retries",
   retriesDenied: "retries_denied",
   hedges: "hedges",
+  resumes: "resumes",
   continuations: "continuations",
   crossedAnswers: "crossed_answers",
   firstToken: "first_token_ms",
--- a/src/transport/callerAnswers.ts
+++ b/src/transport/callerAnswers.ts
@@ -62,9 +62,10 @@
 export interface ChunkWriter {
   /**
    * @param eventId - The SSE id of the piece, from which a caller can go on elsewhere.
+   * @param isFirst - True for the first piece of the whole answer.
    * @returns The piece as SSE text; empty for a piece that callers don't get.
    */
-  readonly write: (frame: AnswerFrame, eventId: string) => string;
+  readonly write: (frame: AnswerFrame, eventId: string, isFirst: boolean) => string;
 }
 
 /**
@@ -76,29 +77,27 @@
   const object = identity.kind === "chat" ? "chat.completion.chunk" : "text_completion";
   const { model, created } = identity;
   const head = JSON.stringify({ id: answerId(identity), object, created, model }).slice(0, -1);
-  let begun = false;
 
-  const choice = (frame: AnswerFrame): string => {
+  const choice = (frame: AnswerFrame, isFirst: boolean): string => {
     const finish = JSON.stringify(frame.finishReason ?? null);
     const text = JSON.stringify(frame.text);
     if (identity.kind === "text") {
       return `{"index":0,"text":${text},"logprobs":null,"finish_reason":${finish}}`;
     }
-    const role = begun ? "" : `"role":"assistant",`;
+    const role = isFirst ? `"role":"assistant",` : "";
     const extra = frame.extra === undefined ? "" : `,${JSON.stringify(frame.extra).slice(1, -1)}`;
     const delta =
       frame.finishReason !== undefined && frame.text === "" ? "{}" : `{${role}"content":${text}${extra}}`;
-    begun = true;
     return `{"index":0,"delta":${delta},"finish_reason":${finish}}`;
   };
 
-  const write = (frame: AnswerFrame, eventId: string): string => {
+  const write: ChunkWriter["write"] = (frame, eventId, isFirst) => {
     const id = `id: ${eventId}\n`;
     if (frame.usage !== undefined && frame.text === "" && frame.finishReason === undefined) {
       if (!includeUsage) return "";
       return `${id}data: ${head},"choices":[],"usage":${JSON.stringify(openAiUsage(frame.usage))}}\n\n`;
     }
-    return `${id}data: ${head},"choices":[${choice(frame)}]}\n\n`;
+    return `${id}data: ${head},"choices":[${choice(frame, isFirst)}]}\n\n`;
   };
   return { write };
 };
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -96,13 +96,14 @@
       const delivered = { tokens: batch.firstOffset, others: batch.firstOthers };
       let text = "";
       for (const frame of batch.frames) {
+        const isFirst = delivered.tokens === 0 && delivered.others === 0;
         if (frame.text === "") {
           delivered.others += 1;
         } else {
           delivered.tokens += 1;
           delivered.others = 0;
         }
-        text += writer.write(frame, answer.eventId(batch, delivered));
+        text += writer.write(frame, answer.eventId(batch, delivered), isFirst);
       }
       if (text !== "") yield text;
     }
--- a/tests/wholePath.test.ts
+++ b/tests/wholePath.test.ts
@@ -136,6 +136,12 @@
       { body: { ...question, model: "modelli" } },
       [404, "unknown_model", "not_run"],
     ],
+    [
+      "a field that would move it ahead of rivals",
+      "/v1/chat/completions",
+      { body: { ...question, priority: -100 } },
+      [400, "unsupported_field", "not_run"],
+    ],
     [
       "a wrong key",
       "/v1/chat/completions",
