--- a/src/coordination/requests/attemptOpener.ts
+++ b/src/coordination/requests/attemptOpener.ts
@@ -32,6 +32,7 @@
     promptTokens: work.promptTokens + state.answer.tokens,
     maximumTokens: Math.max(1, request.maximumTokens - state.answer.tokens),
     excluded: new Set([...state.excluded, ...asked]),
+    furtherAttempt: state.letIn,
   });
 
   /** Nothing is gained by leaving an engine early where no other one may be asked. */
@@ -58,6 +59,7 @@
       return await openAttempt(parts, plan, attemptStopper, (id) => {
         engineId = id;
         asked.add(id);
+        state.letIn = true;
       });
     } catch (error) {
       if (engineId !== undefined) state.excluded.add(engineId);
--- a/src/coordination/requests/completionRun.ts
+++ b/src/coordination/requests/completionRun.ts
@@ -55,6 +55,7 @@
   const state: RunState = {
     answer: start.answer,
     excluded: new Set(),
+    letIn: start.mayHaveRun,
     mayHaveRun: start.mayHaveRun,
     claim: undefined,
     finished: false,
--- a/src/coordination/requests/runScope.ts
+++ b/src/coordination/requests/runScope.ts
@@ -20,6 +20,8 @@
   readonly answer: AnswerSoFar;
   /** Engines that failed this request. */
   readonly excluded: Set<string>;
+  /** A scheduler has given the request an engine before. */
+  letIn: boolean;
   mayHaveRun: boolean;
   claim: Claim | undefined;
   /** The answer has come to its end. */
--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -172,7 +172,7 @@
   /** Counts a request against its organisation's limits; a further attempt of one that was let in always is. */
   private enter(work: Work, now: number): RequestError | undefined {
     const { organisation } = work.context;
-    if (work.excluded.size > 0) {
+    if (work.furtherAttempt ?? work.excluded.size > 0) {
       this.limits.retake(organisation, now);
       return undefined;
     }
--- a/src/coordination/scheduling/Scheduler.ts
+++ b/src/coordination/scheduling/Scheduler.ts
@@ -12,6 +12,8 @@
   readonly maximumTokens: number;
   /** Engines not to be asked (again). */
   readonly excluded: ReadonlySet<string>;
+  /** The request has been let in before; without it, whether any engine is excluded tells. */
+  readonly furtherAttempt?: boolean;
 }
 
 /** What came of an attempt, from which later choices learn. */
--- /dev/null
+++ b/tests/routerKilled.test.ts
@@ -0,0 +1,57 @@
+/** Whole processes: a router is killed while it relays, and the caller goes on at another one. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { demoKey, startSystem } from "../demo/processes.ts";
+import type { System } from "../demo/processes.ts";
+import { headers } from "../src/protocol/constants.ts";
+import { isWhole, lastIdOf, readStream, textOf } from "./support/eventStream.ts";
+
+const question = {
+  model: "records-assistant",
+  max_tokens: 300,
+  stream: true,
+  ignore_eos: true,
+  messages: [{ role: "user", content: "Summarise the course history of attendant 17." }],
+};
+
+const ask = (router: string, id = ""): Promise<Response> =>
+  fetch(`${router}/v1/chat/completions`, {
+    method: "POST",
+    headers: {
+      authorization: `Bearer ${demoKey("petra-wings")}`,
+      "content-type": "application/json",
+      ...(id === "" ? {} : { [headers.lastEventId]: id }),
+    },
+    body: JSON.stringify(question),
+  });
+
+const executionsOf = async (system: System): Promise<number> => {
+  const engines = system.processes().filter(({ kind }) => kind === "engine");
+  const counts = engines.map(async ({ process }) => {
+    const answer = await fetch(`${process.url}/stand-in/state`);
+    return ((await answer.json()) as { readonly executions: number }).executions;
+  });
+  return (await Promise.all(counts)).reduce((sum, count) => sum + count, 0);
+};
+
+describe("a router killed while it relays a stream", () => {
+  it("costs its caller nothing: another router gives the rest from the same engine", async () => {
+    await using system = await startSystem({
+      configurationFile: "examples/demo.json",
+      routers: ["amman-north", "amman-south"],
+    });
+    const [first, second] = system.routers();
+    if (first === undefined || second === undefined) return;
+    const undisturbed = textOf(await readStream(await ask(second.process.url)));
+    const before = await executionsOf(system);
+
+    const lost = await readStream(await ask(first.process.url), Infinity, (count) => {
+      if (count === 20) first.process.kill("SIGKILL");
+    });
+    expect(isWhole(lost)).toEqual(false);
+    const rest = await readStream(await ask(second.process.url, lastIdOf(lost)));
+    expect(isWhole(rest)).toEqual(true);
+    expect(textOf(lost, rest)).toEqual(undisturbed);
+    expect(await executionsOf(system)).toEqual(before + 1);
+  });
+});
--- a/tests/support/eventStream.ts
+++ b/tests/support/eventStream.ts
@@ -28,18 +28,30 @@
  * Reads a stream.
  *
  * @param most - Stops after so many events, and drops the connection.
+ * @param onEvent - Told after each event how many there are.
  */
-export const readStream = async (answer: Response, most = Infinity): Promise<ReadStream> => {
+export const readStream = async (
+  answer: Response,
+  most = Infinity,
+  onEvent?: (count: number) => void,
+): Promise<ReadStream> => {
   const events: EventSourceMessage[] = [];
-  const parser = createParser({ onEvent: (event) => events.push(event) });
+  const parser = createParser({
+    onEvent: (event) => {
+      events.push(event);
+      onEvent?.(events.length);
+    },
+  });
   const decoder = new TextDecoder();
   const reader = answer.body?.getReader();
   while (events.length < most) {
-    const next = (await reader?.read()) as { readonly value: Uint8Array | undefined } | undefined;
-    if (next?.value === undefined) break;
-    parser.feed(decoder.decode(next.value, { stream: true }));
+    // A connection that breaks ends what the caller has.
+    const next = await reader?.read().catch(() => undefined);
+    const bytes = next?.value as Uint8Array | undefined;
+    if (bytes === undefined) break;
+    parser.feed(decoder.decode(bytes, { stream: true }));
   }
-  await reader?.cancel();
+  await reader?.cancel().catch(() => undefined);
   return { status: answer.status, events: events.slice(0, most) };
 };
 
