Keep prefixes at home unless a home is late, and balance shards and homes

Cause: comparing every engine for every prompt copied prefixes too freely; each copy evicted others. Now holders and homes are compared first and others only where these are late, full or slower than computing anew; homes widen by a rate that one sighting does not make; shards are bounded by the standing on each engine; engines that stay busy lose weight in the orders.

--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -15,6 +15,7 @@
   assumedGeneratedTokens,
   fewestPrefillTokens,
   generatedTokenCost,
+  latePriority,
   longestRetryAfter,
   pictureLimits,
   queueInterval,
@@ -254,14 +255,18 @@
     const { engine, stamp, estimate, cachedTokens, priority } = prediction;
     const dispatchedAt = this.clock.monotonic();
     const keys = work.levels.map(({ key }) => key);
-    const own = { priority, uncachedTokens: work.promptTokens - cachedTokens, dispatchedAt };
+    const own = {
+      priority,
+      uncachedTokens: work.promptTokens - cachedTokens,
+      dispatchedAt,
+      firstTokenAfter: prediction.wait + prediction.prefill,
+    };
     this.directory.addInFlight(engine.id, 1);
     estimate.begin(own);
     this.priorityMix.note(priority, own.uncachedTokens);
     this.queue.charge(work, servedTokens(work, cachedTokens, undefined));
     // The engine computes prompts in turn, so what is sent after this one will find its levels.
-    const inTurn = priority === work.context.requestClass.priority;
-    if (stamp !== undefined && inTurn) this.picture.note(keys, stamp, dispatchedAt);
+    if (stamp !== undefined && priority < latePriority) this.picture.note(keys, stamp, dispatchedAt);
     let released = false;
     return {
       engine,
@@ -321,7 +326,7 @@
     // Estimated tokens are brought to the engine's count.
     const scale = usage.promptTokens / work.promptTokens;
     const holds = (tokens: number): boolean => usage.cachedTokens >= tokens * scale * heldShare;
-    if (homeUntested) this.homeConfidence.learn(affinity.seen, holds(affinity.level.tokens));
+    if (homeUntested) this.homeConfidence.learn(affinity.rate, holds(affinity.level.tokens));
     if (believed === undefined) return;
     this.estimates.learnRetention(estimate, holds(believed.tokens), believed.confidence);
   }
--- a/src/coordination/scheduling/affinity.ts
+++ b/src/coordination/scheduling/affinity.ts
@@ -15,8 +15,6 @@
   readonly level: PrefixLevel;
   /** Requests of all routers that share the level, a millisecond. */
   readonly rate: number;
-  /** This router had seen the level before. */
-  readonly seen: boolean;
 }
 
 /** Learns which levels return. */
@@ -74,9 +72,7 @@
       const usual = learned[distance] ?? firstReuse(distance);
       // A level seen once has no rate yet: it is taken to return as often as others in its place do.
       const returns = levelRate === 0 ? usual : 1 - Math.exp(-levelRate * retention);
-      if (index === 0 || returns >= reuseThreshold) {
-        return { level, rate: levelRate, seen: levelRate > 0 };
-      }
+      if (index === 0 || returns >= reuseThreshold) return { level, rate: levelRate };
     }
     return undefined;
   };
--- a/src/coordination/scheduling/cacheForecast.ts
+++ b/src/coordination/scheduling/cacheForecast.ts
@@ -3,6 +3,16 @@
 import type { CachePicture, EngineStamp, LevelBeliefs } from "../../state/cachePicture.ts";
 import { youngestBelief } from "./constants.ts";
 
+/** Engines forget what was used least recently: hardly anything before a time, nearly all after it. */
+const steepness = 3;
+
+/** @returns Confidence that an engine still holds what it held so long ago, 0 to 1; half at its retention. */
+export const confidenceAt = (age: number, retention: number): number =>
+  1 / (1 + (age / retention) ** steepness);
+
+/** Own work that is older by so many retentions tells nothing any more. */
+const staleAfter = 2;
+
 /** A level that an engine is believed to hold from this router's own work. */
 export interface Belief {
   readonly tokens: number;
@@ -24,8 +34,8 @@
     prior: number,
     now: number,
   ) => number;
-  /** @returns True if this router's own work founds no belief in the affinity level there. */
-  readonly isUnknown: (stamp: EngineStamp | undefined, now: number) => boolean;
+  /** @returns True if this router's own work founds no belief in the affinity level there, or a stale one. */
+  readonly isUnknown: (stamp: EngineStamp | undefined, retention: number, now: number) => boolean;
   /** @returns The deepest level believed in; undefined where none is, or it is too fresh to test anything. */
   readonly believed: (stamp: EngineStamp | undefined, retention: number, now: number) => Belief | undefined;
 }
@@ -45,7 +55,7 @@
 
   const confidenceOf = (index: number, stamp: EngineStamp, retention: number, now: number): number => {
     const age = picture.age(beliefs[index], stamp, now);
-    return age === undefined ? 0 : Math.exp(-age / retention);
+    return age === undefined ? 0 : confidenceAt(age, retention);
   };
 
   const believed = (stamp: EngineStamp | undefined, retention: number, now: number): Belief | undefined => {
@@ -54,15 +64,18 @@
       const age = picture.age(beliefs[index], stamp, now);
       if (age === undefined) continue;
       if (age < youngestBelief) return undefined;
-      return { tokens: levels[index]?.tokens ?? 0, confidence: Math.exp(-age / retention) };
+      return { tokens: levels[index]?.tokens ?? 0, confidence: confidenceAt(age, retention) };
     }
     return undefined;
   };
 
   return {
     believed,
-    isUnknown: (stamp, now) =>
-      stamp === undefined || picture.age(beliefs[affinityIndex], stamp, now) === undefined,
+    isUnknown: (stamp, retention, now) => {
+      if (stamp === undefined) return true;
+      const age = picture.age(beliefs[affinityIndex], stamp, now);
+      return age === undefined || age > retention * staleAfter;
+    },
     cachedTokens: (stamp, retention, prior, now) => {
       if (stamp === undefined) return 0;
       let tokens = 0;
@@ -70,7 +83,7 @@
       let deeper = 0;
       for (let index = levels.length - 1; index >= 0; index -= 1) {
         const own = confidenceOf(index, stamp, retention, now);
-        const confidence = index <= affinityIndex ? Math.max(own, prior) : own;
+        const confidence = index <= affinityIndex ? 1 - (1 - own) * (1 - prior) : own;
         deeper = Math.max(deeper, confidence);
         tokens += deeper * ((levels[index]?.tokens ?? 0) - (levels[index - 1]?.tokens ?? 0));
       }
--- a/src/coordination/scheduling/candidates.ts
+++ b/src/coordination/scheduling/candidates.ts
@@ -2,6 +2,7 @@
 import type { CachePicture } from "../../state/cachePicture.ts";
 import type { EngineDirectory, EngineReplica } from "../../state/engineDirectory.ts";
 import type { Affinity } from "./affinity.ts";
+import { createBalance } from "./balance.ts";
 import { compareAllUpTo, maximumWidth, nextInOrder, sampledEngines, wideningLoad } from "./constants.ts";
 import type { EngineEstimate } from "./engineEstimate.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
@@ -12,9 +13,12 @@
 
 /** Engines by id. */
 export interface Candidates {
-  readonly ids: ReadonlySet<string>;
-  /** Those of them among which the prefix is spread. */
+  /** Those among which the prefix is spread on purpose. */
   readonly homes: ReadonlySet<string>;
+  /** The homes, and engines that are believed to hold the prefix. */
+  readonly holders: ReadonlySet<string>;
+  /** Engines to turn to where none of these is in time. */
+  readonly listOthers: () => ReadonlySet<string>;
 }
 
 /** What candidates are listed from. */
@@ -37,6 +41,7 @@
   const { directory, picture, estimates, holdingTimes } = parts;
   /** Walks through the engines that are not compared for their caches' sake. */
   let sample = 0;
+  const balance = createBalance(parts);
 
   /** Engines that a level needs so that none is loaded by it beyond what leaves others room. */
   const widthOf = (work: Work, chosen: Affinity, first: EngineEstimate): number => {
@@ -60,17 +65,21 @@
   const listCandidates = (work: Work, shard: Shard, chosen: Affinity, now: number): Candidates => {
     const ordered = firstInOrder(
       shard.members,
-      shard.equalWeights,
+      balance.weightOf(shard, now),
       chosen.level.key,
       maximumWidth + nextInOrder,
     ).filter(({ id }) => isEligible(directory.get(id), work));
     const first = directory.get(ordered[0]?.id ?? "");
     const width = first === undefined ? 0 : widthOf(work, chosen, estimates.of(first, now));
-    const ids = new Set(ordered.slice(0, width + nextInOrder).map(({ id }) => id));
-    for (const { id } of sampleOf(shard.members)) ids.add(id);
-    for (const { id } of sampleOf(shard.others)) ids.add(id);
-    for (const id of picture.levelBeliefs(chosen.level.key)?.keys() ?? []) ids.add(id);
-    return { ids, homes: new Set(ordered.slice(0, width).map(({ id }) => id)) };
+    const homes = new Set(ordered.slice(0, width).map(({ id }) => id));
+    const believed = picture.levelBeliefs(chosen.level.key)?.keys() ?? [];
+    const listOthers = (): ReadonlySet<string> =>
+      new Set(
+        [...ordered.slice(width, width + nextInOrder), ...sampleOf(shard.members), ...sampleOf(shard.others)]
+          .map(({ id }) => id)
+          .filter((id) => !homes.has(id)),
+      );
+    return { homes, holders: new Set([...homes, ...believed]), listOthers };
   };
 
   return listCandidates;
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -1,7 +1,7 @@
 /** What the predictive scheduler is tuned with; docs/operators/placement.md says what each trades. */
 
 /** The heat sketch: keys kept, decay and shortest window in milliseconds. */
-export const heatLimits = { maximumKeys: 4096, memory: 4_000, shortestWindow: 1_000 } as const;
+export const heatLimits = { maximumKeys: 4096, memory: 4_000, shortestWindow: 4_000 } as const;
 
 /** The cache picture: levels kept, and engines kept for each. */
 export const pictureLimits = { maximumLevels: 8192, maximumEnginesPerLevel: 8 } as const;
@@ -15,6 +15,8 @@
 /** An organisation's shard: engines for each one that its standing alone would give it, and the fewest. */
 export const shardFactor = 2;
 export const smallestShard = 3;
+/** Standing that shards may put on an engine, against an even spread. */
+export const shardImbalance = 1.1;
 
 /** Pools up to this size are compared whole. */
 export const compareAllUpTo = 16;
@@ -25,8 +27,11 @@
 /** Least loaded engines of a sample that are compared beside a prefix's homes. */
 export const sampledEngines = 2;
 
+/** Other engines are compared where a home's wait is so many times what computing the prefix anew takes. */
+export const spillFactor = 1;
+
 /** Share of an engine's capacity that one prefix may need before it gets one more home. */
-export const wideningLoad = 0.5;
+export const wideningLoad = 1;
 
 /** Share of an engine's slots from which a taken one counts against it, and the least share of free ones. */
 export const crowdedFrom = 0.5;
@@ -42,7 +47,7 @@
 export const shortestRetention = 500;
 export const longestRetention = 600_000;
 /** Weight of one answer in the learned retention. */
-export const retentionGain = 0.2;
+export const retentionGain = 0.05;
 /** Weight of one answer in what is taken of all engines together. */
 export const commonRetentionGain = 0.05;
 /** A younger belief says nothing about retention, milliseconds. */
@@ -69,6 +74,10 @@
 /** Part of a prefix that an engine has to be believed to hold for the prefix not to be cold. */
 export const heldFrom = 0.5;
 
+/** A prompt that takes longer to compute goes after the class's others, milliseconds: many would wait for it. */
+export const longPrefill = 200;
+/** The engines' last priority. */
+export const lowestPriority = 9;
 /** Engine priority of work that has to compute a cold prefix and is late anyway: it delays nobody in time. */
 export const latePriority = 7;
 /** Part of the time until the last token is due that such work may wait for its first. */
@@ -87,6 +96,15 @@
 /** Routers' parts of an engine's free slots that one router may take before the next report. */
 export const freeSlotsTaken = 2;
 
+/** Pending prompts that make an engine count as half busy, milliseconds; the weight of one report. */
+export const busyWait = 100;
+export const busyGain = 0.05;
+/** How strongly homes move away from engines that are busier than others; weights change by whole steps. */
+export const balanceGain = 1.5;
+export const balanceSteps = 10;
+export const leastBalance = 0.3;
+export const mostBalance = 2;
+
 /** Share of an engine's slots that batch work may fill. */
 export const batchShare = 0.75;
 
--- a/src/coordination/scheduling/engineEstimate.ts
+++ b/src/coordination/scheduling/engineEstimate.ts
@@ -5,6 +5,8 @@
  */
 import type { EngineReplica } from "../../state/engineDirectory.ts";
 import {
+  busyGain,
+  busyWait,
   firstRetention,
   longestRetention,
   prefillCorrection,
@@ -29,6 +31,8 @@
   /** Prompt tokens that the engine is expected to compute. */
   readonly uncachedTokens: number;
   readonly dispatchedAt: number;
+  /** Predicted time from dispatch to the first token, milliseconds. */
+  readonly firstTokenAfter: number;
 }
 
 /** Predictions about one engine. Times are milliseconds, on one monotonic clock. */
@@ -47,6 +51,8 @@
    * @returns How long it waits for prompts of others.
    */
   readonly othersWait: (priority: number, aheadShare: number, now: number) => number;
+  /** @returns How busy reports have shown the engine to be for some time, 0 to 1. */
+  readonly busy: () => number;
   /** @returns Slots that others are believed to hold. */
   readonly othersRunning: (now: number) => number;
   readonly ownRunning: () => number;
@@ -81,6 +87,7 @@
   let identity = "";
   let knownSince = 0;
   let reportAt = Number.NEGATIVE_INFINITY;
+  let busy = 0;
   let ownAtReport = 0;
   let othersAtReport = 0;
   let othersUsual = 0;
@@ -117,6 +124,8 @@
     othersAtReport = Math.max(0, load.running + load.waiting - own.running);
     othersTokensAtReport = Math.max(0, load.pendingPromptTokens - own.pendingTokens);
     othersUsual += (othersAtReport - othersUsual) * usualLoadGain;
+    const pending = load.pendingPromptTokens * cost;
+    busy += (pending / (pending + busyWait) - busy) * busyGain;
     learnLimit(engine, capacity.maximumRunning);
   };
 
@@ -135,10 +144,21 @@
     return usual === undefined ? 0 : usual.wait * Math.exp((usual.at - now) / usualWaitMemory);
   };
 
+  /** By how much the first token of own work that would go before is late: something else is being computed. */
+  const overdue = (priority: number, now: number): number => {
+    let longest = 0;
+    for (const work of prefilling) {
+      if (work.priority > priority) continue;
+      longest = Math.max(longest, now - work.dispatchedAt - work.firstTokenAfter);
+    }
+    return longest;
+  };
+
   const othersWait = (priority: number, aheadShare: number, now: number): number => {
     const weight = reportWeight(now);
     const reported = othersTokensAtReport * aheadShare * cost;
-    return usualWait(priority, now) * (1 - weight) + reported * weight;
+    const forecast = usualWait(priority, now) * (1 - weight) + reported * weight;
+    return Math.max(forecast, overdue(priority, now));
   };
 
   const removePrefilling = (work: EngineWork, now: number): void => {
@@ -154,6 +174,7 @@
     retention: () => retention,
     ownWait,
     othersWait,
+    busy: () => busy,
     othersRunning: (now) => othersUsual + (othersAtReport - othersUsual) * reportWeight(now),
     ownRunning: () => running,
     ownReported: () => ownAtReport,
--- a/src/coordination/scheduling/homeConfidence.ts
+++ b/src/coordination/scheduling/homeConfidence.ts
@@ -1,30 +1,40 @@
 /**
  * How likely a prefix's home holds it although this router has not sent it there: others have, if it is shared by
- * all. Learned from answers, apart for prefixes that this router has met and for those that it has not.
+ * all. Learned from answers, apart for prefixes of different heat.
  */
 import { firstHomeConfidence, homeConfidenceGain, homeSettling, homeSettlingFrom } from "./constants.ts";
 
 /** Confidence in homes. */
 export interface HomeConfidence {
   /**
-   * @param seen - This router has met the prefix before.
+   * @param rate - Requests of all routers for the prefix, a millisecond; 0 if this router has met it once at most.
    * @param knownFor - Milliseconds since the engine's present incarnation and weights are known.
    * @returns 0 to 1.
    */
-  readonly of: (seen: boolean, knownFor: number) => number;
-  readonly learn: (seen: boolean, held: boolean) => void;
+  readonly of: (rate: number, knownFor: number) => number;
+  readonly learn: (rate: number, held: boolean) => void;
 }
 
+/** Upper bounds of the rates that are learned about together, a millisecond. */
+const rateBounds = [0, 0.0005, 0.001, 0.002, 0.004] as const;
+
+const bucketOf = (rate: number): number => {
+  const found = rateBounds.findIndex((bound) => rate <= bound);
+  return found < 0 ? rateBounds.length : found;
+};
+
 const clampShare = (share: number): number => Math.min(1, Math.max(0, share));
 
 /** Makes a confidence that has learned nothing. */
 export const createHomeConfidence = (): HomeConfidence => {
-  const learned = { met: firstHomeConfidence, unmet: firstHomeConfidence };
-  const kind = (seen: boolean): keyof typeof learned => (seen ? "met" : "unmet");
+  const learned = new Array<number>(rateBounds.length + 1).fill(firstHomeConfidence);
   return {
-    of: (seen, knownFor) => learned[kind(seen)] * clampShare((knownFor - homeSettlingFrom) / homeSettling),
-    learn: (seen, held) => {
-      learned[kind(seen)] += ((held ? 1 : 0) - learned[kind(seen)]) * homeConfidenceGain;
+    of: (rate, knownFor) =>
+      (learned[bucketOf(rate)] ?? 0) * clampShare((knownFor - homeSettlingFrom) / homeSettling),
+    learn: (rate, held) => {
+      const bucket = bucketOf(rate);
+      const before = learned[bucket] ?? firstHomeConfidence;
+      learned[bucket] = before + ((held ? 1 : 0) - before) * homeConfidenceGain;
     },
   };
 };
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -16,9 +16,12 @@
   highestPressure,
   latePenalty,
   latePriority,
+  longPrefill,
+  lowestPriority,
   lateShare,
   pressureWait,
   roundTripBetweenDataCentres,
+  spillFactor,
 } from "./constants.ts";
 import type { EngineEstimate } from "./engineEstimate.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
@@ -148,7 +151,7 @@
     const objective = objectiveOf(work);
     const { priority } = work.context.requestClass;
     const aheadShare = parts.priorityMix.aheadShare(priority);
-    const { ids, homes } = listCandidates(work, shard, chosen, now);
+    const { homes, holders, listOthers } = listCandidates(work, shard, chosen, now);
     const forecast = createCacheForecast(picture, work.levels, chosen.level.key);
     /** Requests that will use what a home computes now. */
     const users = Math.max(1, (chosen.rate * estimates.retention()) / Math.max(1, homes.size));
@@ -158,7 +161,7 @@
       const estimate = estimates.of(engine, now);
       const stamp = picture.stampOf(engine);
       const isHome = homes.has(engine.id);
-      const prior = isHome ? parts.homeConfidence.of(chosen.seen, estimate.knownFor(now)) : 0;
+      const prior = isHome ? parts.homeConfidence.of(chosen.rate, estimate.knownFor(now)) : 0;
       const cachedTokens = forecast.cachedTokens(stamp, estimate.retention(), prior, now);
       const tokenCost = estimate.millisecondsPerToken();
       const prefill = (work.promptTokens - cachedTokens) * tokenCost;
@@ -167,6 +170,7 @@
       const ownWait = estimate.ownWait(priority, now);
       const distance = engine.dataCentre === parts.dataCentre ? 0 : roundTripBetweenDataCentres;
       const wait = ownWait + estimate.othersWait(priority, aheadShare, now) + turn + distance;
+      const isLong = prefill > longPrefill;
       const recomputation = isHome ? prefill / users : prefill;
       const spent =
         objective.timeToFirstToken * (wait + prefill + crowding(work, estimate, now)) +
@@ -177,12 +181,12 @@
         estimate,
         cachedTokens,
         affinity: chosen,
-        homeUntested: isHome && forecast.isUnknown(stamp, now),
+        homeUntested: isHome && forecast.isUnknown(stamp, estimate.retention(), now),
         believed: forecast.believed(stamp, estimate.retention(), now),
         ownWait,
         wait,
         lateBy: wait + prefill - remaining,
-        priority,
+        priority: isLong ? Math.min(lowestPriority, priority + 1) : priority,
         isHome,
         prefill,
         queueTurn: turn / Math.max(1, shard.members.length),
@@ -191,36 +195,40 @@
       };
     };
 
-    const predictions: Prediction[] = [];
-    for (const id of ids) {
-      const engine = directory.get(id);
-      if (isEligible(engine, work)) predictions.push(predict(engine));
+    const predictAll = (ids: ReadonlySet<string>): readonly Prediction[] => {
+      const predictions: Prediction[] = [];
+      for (const id of ids) {
+        const engine = directory.get(id);
+        if (isEligible(engine, work)) predictions.push(predict(engine));
+      }
+      return predictions;
+    };
+
+    // Other engines are no choice while a holder will do: each copy takes cache from other prefixes.
+    const first = predictAll(holders);
+    const preferred = cheapest(first);
+    if (preferred?.hasRoom === true) {
+      const recomputed = chosen.level.tokens * preferred.estimate.millisecondsPerToken();
+      if (preferred.lateBy <= 0 && preferred.wait <= recomputed * spillFactor) return preferred;
+      if (!first.some(isHeldBy) && preferred.lateBy <= preferred.prefill) {
+        return computeLate(work, preferred, now);
+      }
     }
-    const best = cheapest(predictions);
-    if (best === undefined || best.lateBy <= 0 || predictions.some(isHeldBy)) return best;
-    return computeLate(work, predictions, now);
+    return cheapest([...first, ...predictAll(listOthers())]);
   };
 
   /**
    * A prefix that no engine holds, and that can't be computed in time: its first request computes it at home all
    * the same, or it would be late for ever, but goes after what is in time.
    */
-  const computeLate = (
-    work: Work,
-    predictions: readonly Prediction[],
-    now: number,
-  ): Prediction | undefined => {
-    const homes = predictions.filter(({ isHome }) => isHome);
-    const best = cheapest(homes.length > 0 ? homes : predictions);
-    // Where the queue alone makes it late, it is refused like any other.
-    if (best === undefined || best.lateBy > best.prefill) return best;
-    const { estimate, prefill } = best;
+  const computeLate = (work: Work, home: Prediction, now: number): Prediction => {
+    const { estimate, prefill } = home;
     const priority = Math.max(latePriority, work.context.requestClass.priority);
     const aheadShare = parts.priorityMix.aheadShare(priority);
     const ownWait = estimate.ownWait(priority, now);
     const wait = ownWait + estimate.othersWait(priority, aheadShare, now);
     const remaining = (work.context.completionDeadline - now) * lateShare;
-    return { ...best, priority, ownWait, wait, lateBy: wait + prefill - remaining };
+    return { ...home, priority, ownWait, wait, lateBy: wait + prefill - remaining };
   };
 
   return { choose };
--- a/src/coordination/scheduling/shuffleShards.ts
+++ b/src/coordination/scheduling/shuffleShards.ts
@@ -10,7 +10,7 @@
 import { hash64 } from "../../protocol/prefixLevels.ts";
 import type { EngineDirectory } from "../../state/engineDirectory.ts";
 import type { ConfigurationIndex } from "../configurationIndex.ts";
-import { shardFactor, smallestShard, unknownPool } from "./constants.ts";
+import { shardFactor, shardImbalance, smallestShard, unknownPool } from "./constants.ts";
 
 /** An engine as a member of rendezvous orders. */
 export interface Member {
@@ -55,11 +55,12 @@
  * The first members of a key's weighted rendezvous order.
  *
  * @param key - 16 hexadecimal digits.
+ * @param weightOf - Relative weights; left out where all are alike.
  * @param count - How many are wanted.
  */
 export const firstInOrder = (
   members: readonly Member[],
-  equalWeights: boolean,
+  weightOf: ((member: Member) => number) | undefined,
   key: string,
   count: number,
 ): readonly Member[] => {
@@ -69,7 +70,7 @@
   const scores: number[] = [];
   for (const member of members) {
     const hash = mix(high, low, member);
-    const score = equalWeights ? hash : weigh(hash, member.weight);
+    const score = weightOf === undefined ? hash : weigh(hash, weightOf(member));
     if (best.length === count && score <= (scores[count - 1] ?? 0)) continue;
     let place = best.length;
     while (place > 0 && (scores[place - 1] ?? 0) < score) place -= 1;
@@ -82,6 +83,10 @@
   return best;
 };
 
+const ownWeight = ({ weight }: Member): number => weight;
+
+const emptyShard: Shard = { members: [], others: [], equalWeights: true };
+
 const hexOf = (text: string): string => hash64(text).toString(16).padStart(16, "0");
 
 /** Makes shards over a directory. */
@@ -90,7 +95,8 @@
   configuration: () => ConfigurationIndex | undefined,
 ): ShuffleShards => {
   const memberLists = new Map<string, readonly Member[]>();
-  const shards = new Map<string, Shard>();
+  /** By pools, then by organisation. */
+  const shards = new Map<string, ReadonlyMap<string, Shard>>();
   let version: number | undefined;
 
   const clear = (): void => {
@@ -124,24 +130,58 @@
     return known;
   };
 
-  /** The organisation's part of the deployment's standing, with which its shard grows. */
-  const standingShare = ({ name, standing, deployment }: OrganisationConfiguration): number => {
-    let total = 0;
-    for (const other of configuration()?.organisations.values() ?? []) {
-      if (other.deployment === deployment) total += other.name === name ? 0 : other.standing;
-    }
-    return standing / (standing + total);
+  /** Those that share the pools' engines, in an order that all routers have. */
+  const sharersOf = (
+    organisation: OrganisationConfiguration,
+    pools: readonly string[],
+  ): readonly OrganisationConfiguration[] => {
+    const index = configuration();
+    const models = new Set(pools.map((pool) => index?.pools.get(pool)?.model));
+    const sharers = [...(index?.organisations.values() ?? [])].filter(
+      ({ name, deployment, models: used }) =>
+        name !== organisation.name &&
+        deployment === organisation.deployment &&
+        used.some((model) => models.has(model)),
+    );
+    return [...sharers, organisation].sort(
+      (left, right) => right.standing - left.standing || (left.name < right.name ? -1 : 1),
+    );
   };
 
-  const computeShard = (organisation: OrganisationConfiguration, pools: readonly string[]): Shard => {
+  /**
+   * Each organisation takes the first engines of its own order that have not yet been given more than their part
+   * of the standing, so that no engine is in the shards of many and another in none.
+   */
+  const computeShards = (
+    organisation: OrganisationConfiguration,
+    pools: readonly string[],
+  ): ReadonlyMap<string, Shard> => {
     const all = membersOf(pools);
-    const wanted = Math.ceil(all.length * standingShare(organisation) * shardFactor);
-    const size = Math.min(all.length, Math.max(smallestShard, wanted));
     const equalWeights = all.every((member) => member.weight === all[0]?.weight);
-    const key = hexOf(`shard\u0000${organisation.name}\u0000${pools.join(" ")}`);
-    const members = firstInOrder(all, equalWeights, key, size);
-    const inside = new Set(members);
-    return { members, others: all.filter((member) => !inside.has(member)), equalWeights };
+    const sharers = sharersOf(organisation, pools);
+    const totalStanding = sharers.reduce((sum, { standing }) => sum + standing, 0);
+    const totalWeight = all.reduce((sum, { weight }) => sum + weight, 0);
+    const given = new Map<Member, number>();
+
+    const computeShard = ({ name, standing }: OrganisationConfiguration): Shard => {
+      const share = standing / totalStanding;
+      const wanted = Math.ceil(all.length * share * shardFactor);
+      const size = Math.min(all.length, Math.max(smallestShard, wanted));
+      const key = hexOf(`shard\u0000${name}\u0000${pools.join(" ")}`);
+      const ordered = firstInOrder(all, equalWeights ? undefined : ownWeight, key, all.length);
+      const loadWith = (member: Member): number =>
+        ((given.get(member) ?? 0) + share / size) / (member.weight / totalWeight);
+      const fitting = ordered.filter((member) => loadWith(member) <= shardImbalance);
+      const rest = ordered
+        .filter((member) => loadWith(member) > shardImbalance)
+        .sort((left, right) => loadWith(left) - loadWith(right));
+      const members = [...fitting, ...rest].slice(0, size);
+      for (const member of members) given.set(member, (given.get(member) ?? 0) + share / size);
+      const inside = new Set(members);
+      return { members, others: all.filter((member) => !inside.has(member)), equalWeights };
+    };
+
+    return new Map(sharers.map((sharer) => [sharer.name, computeShard(sharer)]));
   };
 
   return {
@@ -149,10 +189,12 @@
       const inForce = configuration()?.version;
       if (inForce !== version) clear();
       version = inForce;
-      const name = `${organisation.name} ${pools.join(" ")}`;
-      const known = shards.get(name) ?? computeShard(organisation, pools);
-      shards.set(name, known);
-      return known;
+      const name = pools.join(" ");
+      const known = shards.get(name)?.get(organisation.name);
+      if (known !== undefined) return known;
+      const computed = computeShards(organisation, pools);
+      shards.set(name, computed);
+      return computed.get(organisation.name) ?? emptyShard;
     },
     [Symbol.dispose]: unsubscribe,
   };
