Shed homes only from engines much busier than others; shards of half a small pool

Ruled out: report memories of 300 and 2000 ms, shard factors 1.5 and 3, demoting prompts from 120 or 300 ms: each worse in Levant's p99.

--- a/src/coordination/scheduling/balance.ts
+++ b/src/coordination/scheduling/balance.ts
@@ -4,7 +4,7 @@
  * routers the same, the weights change slowly and in steps, and a step moves few prefixes.
  */
 import type { EngineDirectory } from "../../state/engineDirectory.ts";
-import { balanceGain, balanceSteps, leastBalance, mostBalance } from "./constants.ts";
+import { balanceGain, balanceSteps, balanceTolerance, leastBalance } from "./constants.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
 import type { Member, Shard } from "./shuffleShards.ts";
 
@@ -29,8 +29,6 @@
 /** Weights are worked out anew after so many milliseconds. */
 const renewal = 1_000;
 
-const clamp = (value: number, low: number, high: number): number => Math.min(high, Math.max(low, value));
-
 /** Makes a balance. */
 export const createBalance = ({ directory, estimates }: BalanceParts): Balance => {
   const known = new WeakMap<Shard, Weights>();
@@ -44,7 +42,8 @@
     const before = known.get(shard)?.factors;
     const factors = new Map(
       shard.members.map((member, index) => {
-        const exact = clamp(1 + (mean - (busy[index] ?? 0)) * balanceGain, leastBalance, mostBalance);
+        const excess = Math.max(0, (busy[index] ?? 0) - mean - balanceTolerance);
+        const exact = Math.max(leastBalance, 1 - excess * balanceGain);
         const last = before?.get(member) ?? 1;
         // A weight stays until the exact one is a whole step away, so that it does not flicker.
         const moved = Math.abs(exact - last) * balanceSteps >= 1;
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -12,9 +12,9 @@
 /** One way there and back between data centres, milliseconds. */
 export const roundTripBetweenDataCentres = 1;
 
-/** An organisation's shard: engines for each one that its standing alone would give it, and the fewest. */
+/** An organisation's shard: engines for each one that its standing alone would give it, and the fewest, at most half. */
 export const shardFactor = 2;
-export const smallestShard = 3;
+export const smallestShard = 4;
 /** Standing that shards may put on an engine, against an even spread. */
 export const shardImbalance = 1.1;
 
@@ -84,7 +84,7 @@
 export const lateShare = 0.5;
 
 /** What a millisecond after the deadline weighs against one before it. */
-export const latePenalty = 10;
+export const latePenalty = 2;
 
 /** How fast a load report loses its meaning for what others do, milliseconds. */
 export const reportMemory = 700;
@@ -99,11 +99,11 @@
 /** Pending prompts that make an engine count as half busy, milliseconds; the weight of one report. */
 export const busyWait = 100;
 export const busyGain = 0.05;
-/** How strongly homes move away from engines that are busier than others; weights change by whole steps. */
-export const balanceGain = 1.5;
+/** How strongly homes move away from engines that are busier than the others by more than a tolerance; weights change by whole steps. */
+export const balanceTolerance = 0.2;
+export const balanceGain = 3;
 export const balanceSteps = 10;
 export const leastBalance = 0.3;
-export const mostBalance = 2;
 
 /** Share of an engine's slots that batch work may fill. */
 export const batchShare = 0.75;
--- a/src/coordination/scheduling/shuffleShards.ts
+++ b/src/coordination/scheduling/shuffleShards.ts
@@ -166,7 +166,8 @@
     const computeShard = ({ name, standing }: OrganisationConfiguration): Shard => {
       const share = standing / totalStanding;
       const wanted = Math.ceil(all.length * share * shardFactor);
-      const size = Math.min(all.length, Math.max(smallestShard, wanted));
+      const least = Math.min(smallestShard, Math.ceil(all.length / 2));
+      const size = Math.min(all.length, Math.max(least, wanted));
       const key = hexOf(`shard\u0000${name}\u0000${pools.join(" ")}`);
       const ordered = firstInOrder(all, equalWeights ? undefined : ownWeight, key, all.length);
       const loadWith = (member: Member): number =>
