Close routers without cutting a connection, and call plain services with care

Shutdown: a router that is told to end answers on, each answer ending its connection, and leaves idle connections for as long as callers were told that they may be used. Before, server.close() ended idle connections at once, so that a request just sent on one met a reset and its caller could not know whether it ran.

Plain services: retries take from the same budget as model requests, with back-off; a call that may run at most once has a connection of its own, since undici's kept ones may be closed by the replica in the moment of sending; a marked refusal with any status is a refusal, and no longer recorded as the answer; a service that runs a key once by itself is called without a claim while the log is away, the same key at the same replica.

demo/processes.ts did not end routers that were started later: now it does.

--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -226,6 +226,7 @@
       sharedSecret,
       vmListInterval: 200,
       loadInterval: 200,
+      callerKeepAlive: 1_000,
       logs: "",
       ...options.routerSettings,
     };
@@ -257,6 +258,10 @@
     startRouter,
     runClient,
     announce,
-    [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+    [Symbol.asyncDispose]: async () => {
+      // Also routers that were started later.
+      await Promise.all(routers().map(({ process }) => process[Symbol.asyncDispose]()));
+      await owned[Symbol.asyncDispose]();
+    },
   };
 };
--- a/src/coordination/requests/refusals.ts
+++ b/src/coordination/requests/refusals.ts
@@ -59,6 +59,12 @@
       { status, code: "rejected_by_engine", outcome: outcomes.notRun },
       cause,
     ),
+  rejectedByService: (status: number, message: string, cause?: unknown) =>
+    requestError(
+      `The service refused the request: ${message}`,
+      { status, code: "rejected_by_service", outcome: outcomes.notRun },
+      cause,
+    ),
   shuttingDown: () => comeBack("shutting_down", "This router is shutting down; others serve.", 1),
   claimsUnavailable: (cause?: unknown) =>
     comeBack(
--- a/src/coordination/requests/serviceRunner.ts
+++ b/src/coordination/requests/serviceRunner.ts
@@ -1,24 +1,27 @@
 /** Runs one call to a plain service. */
 import { createHash, randomUUID } from "node:crypto";
 import type { ServiceConfiguration } from "../../protocol/configuration/schema.ts";
-import { UpstreamError } from "../../protocol/errors.ts";
+import { RequestError, UpstreamError } from "../../protocol/errors.ts";
 import type { PlainService } from "../../protocol/PlainService.ts";
 import type { RequestContext, ServiceAnswer } from "../../protocol/types.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { ServiceDirectory, ServiceReplica } from "../../state/serviceDirectory.ts";
-import type { Claim, ClaimLedger } from "../claims/ClaimLedger.ts";
+import type { Claim, ClaimLedger, ClaimResult } from "../claims/ClaimLedger.ts";
 import { claimFailures } from "../claims/errors.ts";
 import type { Clock } from "../clock.ts";
-import { finalFailure, mayTryAgain, provesNotRun } from "./attemptFailures.ts";
+import { pause } from "../clock.ts";
+import { blamesRequest, finalFailure, isFreeToRetry, mayTryAgain, provesNotRun } from "./attemptFailures.ts";
+import { pickBackOff } from "./backOff.ts";
 import { refusals } from "./refusals.ts";
+import type { RetryBudget } from "./retryBudget.ts";
+import { createServiceReplicas } from "./serviceReplicas.ts";
 
 const maximumAttempts = 3;
 const retryAfterSeconds = 1;
-/** A replica that failed is asked last for this long, milliseconds. */
-const failureMemory = 2_000;
 /** Named as the upstream of an answer that was given before. */
 const recordedUpstream = "recorded";
+const blamedStatus = 400;
 
 /** What a caller asks of a plain service. */
 export interface ServiceJob {
@@ -41,120 +44,162 @@
 export interface ServiceRunnerParts {
   readonly directory: ServiceDirectory;
   readonly claims: ClaimLedger;
+  readonly retryBudget: RetryBudget;
   readonly metrics: Metrics;
   readonly clock: Clock;
   readonly dataCentre: string;
-  readonly connect: (replica: ServiceReplica) => PlainService;
+  /**
+   * The connection to a replica.
+   *
+   * @param idempotent - False for a call that needs a connection of its own: one that was used before may be
+   * closed by the replica at the moment of sending, and nobody would know whether the call ran.
+   */
+  readonly connect: (replica: ServiceReplica, idempotent: boolean) => PlainService;
+  /** A number from 0 up to but not including 1. */
+  readonly random?: () => number;
 }
 
 /** Runs calls to plain services. */
 export interface ServiceRunner {
-  /** @returns The answer; throws `RequestError`. */
+  /**
+   * @param signal - Aborted when the caller goes away.
+   * @returns The answer; throws `RequestError`.
+   */
   readonly run: (job: ServiceJob, signal: AbortSignal) => Promise<ServiceResult>;
 }
 
+/** One call on its way; changed by its own task only. */
+interface CallState {
+  readonly job: ServiceJob;
+  readonly signal: AbortSignal;
+  /** Set where the service itself has to run the key once. */
+  readonly stickyKey: string | undefined;
+  readonly excluded: Set<string>;
+  attempts: number;
+  mayHaveRun: boolean;
+}
+
 const fingerprintOf = (job: ServiceJob): string =>
   createHash("sha256")
     .update(`${job.method} ${job.path}\n`)
     .update(job.body ?? "")
     .digest("base64url");
 
+const progressOf = ({ job, mayHaveRun }: CallState) => ({
+  idempotent: job.context.idempotent,
+  mayHaveRun,
+  delivered: false,
+  continuable: true,
+});
+
+const failureOf = (error: unknown, state: CallState): RequestError => {
+  if (state.mayHaveRun || error instanceof RequestError) return finalFailure(error, progressOf(state));
+  if (blamesRequest(error)) {
+    return refusals.rejectedByService(error.status ?? blamedStatus, error.message, error);
+  }
+  return refusals.noServiceReplica(retryAfterSeconds, error);
+};
+
+const isClaimOutage = (error: unknown): boolean =>
+  error instanceof RequestError && error.failure.code === refusals.claimsUnavailable().failure.code;
+
 /** Makes a runner. */
 export const createServiceRunner = (parts: ServiceRunnerParts): ServiceRunner => {
-  const { directory, claims, metrics, clock } = parts;
-
-  const rank = (replica: ServiceReplica): number => {
-    const failed = replica.failedAt !== undefined && clock.monotonic() - replica.failedAt < failureMemory;
-    return (
-      (failed ? 1_000_000 : 0) + (replica.dataCentre === parts.dataCentre ? 0 : 1_000) + replica.inFlight
-    );
-  };
+  const { directory, claims, retryBudget, metrics, clock, random = Math.random } = parts;
+  const replicas = createServiceReplicas(directory, clock, parts.dataCentre);
 
-  const choose = (service: string, excluded: ReadonlySet<string>): ServiceReplica => {
-    const candidates = directory
-      .ofService(service)
-      .filter((replica) => !replica.leaving && !excluded.has(replica.id));
-    const [best] = candidates.sort((left, right) => rank(left) - rank(right));
-    if (best === undefined) throw refusals.noServiceReplica(retryAfterSeconds);
-    return best;
+  const noteFailure = (replica: ServiceReplica, error: unknown): void => {
+    if (!(error instanceof UpstreamError) || error.fault === "cancelled") return;
+    if (error.fault === "crossed") metrics.count(metricNames.crossedAnswers);
+    if (error.fault === "leaving") directory.markLeaving(replica.id);
+    else if (!blamesRequest(error)) directory.markFailed(replica.id, clock.monotonic());
   };
 
-  const callOnce = async (
-    job: ServiceJob,
-    replica: ServiceReplica,
-    signal: AbortSignal,
-  ): Promise<ServiceAnswer> => {
-    const { context } = job;
+  const callReplica = async (state: CallState, replica: ServiceReplica): Promise<ServiceAnswer> => {
+    const { context, method, path, contentType, body } = state.job;
+    const { idempotencyKey, idempotent } = context;
+    const timeout = context.completionDeadline - clock.monotonic();
+    if (timeout <= 0) throw refusals.deadlineExceeded();
     metrics.count(metricNames.attempts);
     directory.addInFlight(replica.id, 1);
     try {
-      const answer = await parts.connect(replica).call(
-        {
-          attempt: randomUUID(),
-          organisation: context.organisation.name,
-          method: job.method,
-          path: job.path,
-          contentType: job.contentType,
-          idempotencyKey: context.idempotencyKey,
-          body: job.body,
-          timeout: Math.max(1, context.completionDeadline - clock.monotonic()),
-        },
-        signal,
-      );
+      const organisation = context.organisation.name;
+      const call = { attempt: randomUUID(), organisation, method, path, contentType, idempotencyKey, body };
+      const answer = await parts.connect(replica, idempotent).call({ ...call, timeout }, state.signal);
       directory.markAnswered(replica.id);
       return answer;
     } catch (error) {
-      if (error instanceof UpstreamError && error.fault === "leaving") directory.markLeaving(replica.id);
-      else directory.markFailed(replica.id, clock.monotonic());
+      noteFailure(replica, error);
       throw error;
     } finally {
       directory.addInFlight(replica.id, -1);
     }
   };
 
+  /** @returns After how many milliseconds to try again; undefined where the call has to be given up. */
+  const decideRetry = (state: CallState, error: unknown): number | undefined => {
+    const { requestClass, completionDeadline } = state.job.context;
+    if (state.attempts >= maximumAttempts || state.signal.aborted) return undefined;
+    if (!mayTryAgain(error, progressOf(state))) return undefined;
+    const delay = pickBackOff(state.attempts, random);
+    if (clock.monotonic() + delay >= completionDeadline) return undefined;
+    if (!isFreeToRetry(error) && !retryBudget.tryTake(requestClass, "attempt")) {
+      metrics.count(metricNames.retriesDenied, 1, { class: requestClass.name });
+      return undefined;
+    }
+    metrics.count(metricNames.retries);
+    return delay;
+  };
+
   /** Asks one replica after another, as far as nothing may run twice. */
-  const attempt = async (job: ServiceJob, progress: { mayHaveRun: boolean }, signal: AbortSignal) => {
-    const excluded = new Set<string>();
-    for (let attempts = 1; ; attempts += 1) {
-      const replica = choose(job.service.name, excluded);
+  const callReplicas = async (state: CallState): Promise<ServiceResult> => {
+    for (;;) {
+      const { excluded, stickyKey, job } = state;
+      const replica = replicas.choose({ service: job.service.name, excluded, stickyKey });
       try {
-        return { upstream: replica.id, answer: await callOnce(job, replica, signal) };
+        state.attempts += 1;
+        const answer = await callReplica(state, replica);
+        retryBudget.deposit(job.context.requestClass);
+        return { upstream: replica.id, answer };
       } catch (error) {
         excluded.add(replica.id);
-        if (!provesNotRun(error)) progress.mayHaveRun = true;
-        const state = {
-          idempotent: job.context.idempotent,
-          ...progress,
-          delivered: false,
-          continuable: true,
-        };
-        if (attempts >= maximumAttempts || signal.aborted || !mayTryAgain(error, state)) throw error;
-        metrics.count(metricNames.retries);
+        if (error instanceof UpstreamError && !provesNotRun(error)) state.mayHaveRun = true;
+        const delay = decideRetry(state, error);
+        if (delay === undefined) throw error;
+        await pause(clock, delay, state.signal);
       }
     }
   };
 
   /** Runs a call that may be run; ends its claim the way it ended. */
-  const runClaimed = async (
-    job: ServiceJob,
-    claim: Claim | undefined,
-    signal: AbortSignal,
-  ): Promise<ServiceResult> => {
-    const progress = { mayHaveRun: false };
+  const runClaimed = async (state: CallState, claim: Claim | undefined): Promise<ServiceResult> => {
     try {
-      const result = await attempt(job, progress, signal);
+      if (state.signal.aborted) throw refusals.callerGone();
+      const result = await callReplicas(state);
       await claim?.complete(`status ${result.answer.status}`, result.answer);
       return result;
     } catch (error) {
-      if (!progress.mayHaveRun) await claim?.release();
-      const { idempotent } = job.context;
-      throw finalFailure(error, { idempotent, ...progress, delivered: false, continuable: true });
+      if (!state.mayHaveRun) await claim?.release();
+      throw failureOf(error, state);
+    }
+  };
+
+  /** @returns Undefined where claims can't be had and the service itself runs a key at most once. */
+  const acquire = async ({ context, service, ...job }: ServiceJob): Promise<ClaimResult | undefined> => {
+    try {
+      return await claims.acquire(context, fingerprintOf({ context, service, ...job }));
+    } catch (error) {
+      if (service.deduplicatesByKey && isClaimOutage(error)) return undefined;
+      throw error;
     }
   };
 
   const runOnce = async (job: ServiceJob, signal: AbortSignal): Promise<ServiceResult> => {
-    const result = await claims.acquire(job.context, fingerprintOf(job));
-    if (result.kind === "claimed") return runClaimed(job, result.claim, signal);
+    const result = await acquire(job);
+    const stickyKey = job.service.deduplicatesByKey ? job.context.idempotencyKey : undefined;
+    const state = newState(job, signal, stickyKey);
+    if (result === undefined) return runClaimed(state, undefined);
+    if (result.kind === "claimed") return runClaimed(state, result.claim);
     const { answer, summary } = result.outcome;
     if (answer === undefined) throw claimFailures.alreadyCompleted(summary);
     return { upstream: recordedUpstream, answer: { attempt: "", ...answer } };
@@ -162,8 +207,18 @@
 
   const run = (job: ServiceJob, signal: AbortSignal): Promise<ServiceResult> => {
     metrics.count(metricNames.requests, 1, { class: job.context.requestClass.name });
-    return job.context.idempotent ? runClaimed(job, undefined, signal) : runOnce(job, signal);
+    if (!job.context.idempotent) return runOnce(job, signal);
+    return runClaimed(newState(job, signal, undefined), undefined);
   };
 
   return { run };
 };
+
+const newState = (job: ServiceJob, signal: AbortSignal, stickyKey: string | undefined): CallState => ({
+  job,
+  signal,
+  stickyKey,
+  excluded: new Set(),
+  attempts: 0,
+  mayHaveRun: false,
+});
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -4,27 +4,33 @@
 import { Agent } from "undici";
 import { createLogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
 import { systemClock } from "../coordination/clock.ts";
+import { startConfigurationFollower } from "../coordination/configurationFollower.ts";
+import { startEngineMonitor } from "../coordination/engineMonitor.ts";
 import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
 import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
+import { RatioRetryBudget } from "../coordination/requests/retryBudget.ts";
 import { createServiceRunner } from "../coordination/requests/serviceRunner.ts";
 import { PredictiveScheduler } from "../coordination/scheduling/PredictiveScheduler.ts";
+import { createConfigurationHistory } from "../state/configurationHistory.ts";
+import { createEngineDirectory } from "../state/engineDirectory.ts";
 import type { EngineReplica } from "../state/engineDirectory.ts";
 import { createLogger } from "../state/log.ts";
 import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import type { Metrics } from "../state/Metrics.ts";
+import { createServiceDirectory } from "../state/serviceDirectory.ts";
 import { startCallerServer } from "../transport/callerServer.ts";
 import { createHttpLogService } from "../transport/httpLogService.ts";
 import { HttpModelEngine } from "../transport/httpModelEngine.ts";
 import { HttpPlainService } from "../transport/httpPlainService.ts";
 import { createHttpVmList } from "../transport/httpVmList.ts";
 import { StatsdMetrics } from "../transport/statsdMetrics.ts";
-import { createRouterBeliefs } from "./routerBeliefs.ts";
 import type { RouterSettings } from "./routerSettings.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import { createResumeTokens } from "../protocol/resumeToken.ts";
 import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
+const retryInterval = 200;
 
 const writeLog = createLogger("router");
 
@@ -32,10 +38,6 @@
 export interface Router extends AsyncDisposable {
   /** Where callers connect: `http://IP:PORT`. */
   readonly url: string;
-  /** Where peers connect: `http://IP:PORT`. */
-  readonly peerUrl: string;
-  /** Ends every connection that peers have to this router; they come again by themselves. */
-  readonly dropPeerConnections: () => void;
   /** Takes no new work and resolves when all work under way has ended. */
   readonly drain: () => Promise<void>;
 }
@@ -82,9 +84,26 @@
   const log = createHttpLogService({ url: settings.logService, timeout: settings.platformTimeout });
   const vmList = createHttpVmList({ url: settings.vmList, timeout: settings.platformTimeout });
 
+  const history = createConfigurationHistory();
+  const follower = resources.use(
+    startConfigurationFollower({ log, history, longPoll: settings.configurationLongPoll, retryInterval }),
+  );
+  const directory = createEngineDirectory();
+  const serviceDirectory = createServiceDirectory();
   const connect = (engine: EngineReplica) => new HttpModelEngine(engine.url, pool);
-  const beliefs = resources.use(createRouterBeliefs({ settings, clock, metrics, log, vmList, connect }));
-  const { history, follower, directory, serviceDirectory, peers } = beliefs;
+  const monitor = resources.use(
+    startEngineMonitor({
+      directory,
+      vmList,
+      clock,
+      connect,
+      onVms: serviceDirectory.applyVms,
+      isHome: () => true,
+      vmListInterval: settings.vmListInterval,
+      loadInterval: settings.loadInterval,
+      loadTimeout: settings.loadTimeout,
+    }),
+  );
 
   // Taken last, so that they end first and cut the calls that followers wait for.
   resources.use(log);
@@ -95,7 +114,6 @@
     clock,
     configuration: follower.current,
     dataCentre: settings.dataCentre,
-    liveRouters: () => peers.membership.livePeers().length,
   });
   resources.defer(() => {
     scheduler[Symbol.dispose]();
@@ -103,14 +121,27 @@
   });
   const retention = (): number => follower.current()?.configuration.limits.claimRetention ?? 0;
   const claims = resources.use(createLogClaimLedger({ log, clock, metrics, retention }));
-  const completions = createCompletionRunner({ directory, scheduler, claims, metrics, clock, connect });
+  const retryBudget = new RatioRetryBudget(clock);
+  const completions = createCompletionRunner({
+    directory,
+    scheduler,
+    claims,
+    retryBudget,
+    metrics,
+    clock,
+    connect,
+  });
+  // Without keep-alive: each call that may run at most once has a connection of its own.
+  const singleUse = new Agent({ connect: { timeout: connectTimeout }, pipelining: 0 });
+  resources.defer(() => singleUse.destroy());
   const services = createServiceRunner({
     directory: serviceDirectory,
     claims,
+    retryBudget,
     metrics,
     clock,
     dataCentre: settings.dataCentre,
-    connect: (replica) => new HttpPlainService(replica.url, pool),
+    connect: (replica, idempotent) => new HttpPlainService(replica.url, idempotent ? pool : singleUse),
   });
 
   const version = () => ({
@@ -120,8 +151,6 @@
     configurationVersion: history.current()?.version ?? null,
     digest: history.current()?.digest ?? null,
     ready: frontEnd.isReady(),
-    configuration: peers.configuration.dump(),
-    peers: peers.versions(),
   });
   const engines = () => ({ engines: directory.all().map(engineView) });
   const dump = () => ({
@@ -132,7 +161,6 @@
     ...engines(),
     services: serviceDirectory.all(),
     claims: claims.dump(),
-    membership: peers.dump(),
   });
   const frontEnd = createRouterFrontEnd({
     configuration: follower.current,
@@ -145,26 +173,19 @@
     views: { version, dump, engines },
   });
 
-  const server = resources.use(
-    await startCallerServer(frontEnd, settings.callers.address, settings.callers.port),
-  );
-  const peerUrl = await beliefs.start();
-  writeLog("listening", { router: settings.name, url: server.url, peerUrl, incarnation });
+  const { callerKeepAlive: keepAlive } = settings;
+  const server = resources.use(await startCallerServer(frontEnd, { ...settings.callers, keepAlive }));
+  writeLog("listening", { router: settings.name, url: server.url, incarnation });
+  await Promise.all([follower.started, monitor.started]);
 
   const drain = async (): Promise<void> => {
     writeLog("draining", { openRequests: frontEnd.openRequests() });
-    peers.leave();
+    server.endConnections();
     await frontEnd.drain();
     await claims.flush();
     await server.close();
     writeLog("drained");
   };
   const owned = resources.move();
-  return {
-    url: server.url,
-    peerUrl,
-    dropPeerConnections: peers.dropConnections,
-    drain,
-    [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
-  };
+  return { url: server.url, drain, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() };
 };
--- a/src/daemons/routerMain.ts
+++ b/src/daemons/routerMain.ts
@@ -49,8 +49,7 @@
 const serve = async (settings: RouterSettings): Promise<void> => {
   const asked = shutdownSignal();
   await using router = await startRouter(settings);
-  const { url, peerUrl } = router;
-  const ready = { kind: "router", name: settings.name, url, peerUrl, processId: process.pid };
+  const ready = { kind: "router", name: settings.name, url: router.url, processId: process.pid };
   process.stdout.write(`${JSON.stringify(ready)}\n`);
   await asked;
   const limit = settings.longestDrain === undefined ? [] : [sleep(settings.longestDrain)];
--- a/src/transport/callerServer.test.ts
+++ b/src/transport/callerServer.test.ts
@@ -83,7 +83,11 @@
 describe("the callers' server", () => {
   it("reads an answer no faster than its caller does, and ends it when the caller goes", async () => {
     const frontEnd = new EndlessFrontEnd();
-    await using server = await startCallerServer(frontEnd, "127.0.0.1", 0);
+    await using server = await startCallerServer(frontEnd, {
+      address: "127.0.0.1",
+      port: 0,
+      keepAlive: 5_000,
+    });
     const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
     socket.pause();
     socket.write(
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
 import { H3, toNodeHandler } from "h3/node";
 import type { H3Event } from "h3/node";
 import { headers, outcomes } from "../protocol/constants.ts";
@@ -22,13 +23,21 @@
 
 const jsonType = { "content-type": "application/json" } as const;
 const serviceRoute = /^\/services\/([^/]+)(\/.*)?$/;
+const connectionPollInterval = 20;
+/** An idle connection ends this much later than callers are told, milliseconds. */
+const keepAliveMargin = 500;
 const textEncoder = new TextEncoder();
 
 /** A server that is listening. */
 export interface CallerServer extends AsyncDisposable {
   /** `http://IP:PORT`. */
   readonly url: string;
-  /** Takes no new connections; resolves when the open ones have ended. */
+  /** From now on each answer is the last of its connection; callers still get answers. */
+  readonly endConnections: () => void;
+  /**
+   * Resolves when all connections have ended. Idle ones are left until the time is over for which callers
+   * were told that they may be used again: a request must not meet a connection that is being closed.
+   */
   readonly close: () => Promise<void>;
 }
 
@@ -234,36 +243,63 @@
     server.listen(port, address, resolve);
   });
 
-/**
- * Starts the server.
- *
- * @param address - The IP number to listen at.
- * @param port - 0 takes any free one.
- */
+const countConnections = (server: Server): Promise<number> =>
+  new Promise((resolve) => server.getConnections((_error, count) => resolve(count)));
+
+/** Waits for connections to end by themselves, at most for a time in milliseconds. */
+const awaitConnections = async (server: Server, limit: number): Promise<void> => {
+  const until = performance.now() + limit;
+  while (performance.now() < until && (await countConnections(server)) > 0) {
+    await sleep(connectionPollInterval);
+  }
+};
+
+/** Where the server listens and how it treats connections. */
+export interface CallerServerOptions {
+  /** An IP number. */
+  readonly address: string;
+  /** 0 takes any free one. */
+  readonly port: number;
+  /** How long an idle connection stays open, milliseconds; callers are told. */
+  readonly keepAlive: number;
+}
+
+/** Starts the server. */
 export const startCallerServer = async (
   frontEnd: FrontEnd,
-  address: string,
-  port: number,
+  { address, port, keepAlive }: CallerServerOptions,
 ): Promise<CallerServer> => {
   const nodeHandler = toNodeHandler(createApp(frontEnd));
+  let isEnding = false;
   const server = createServer((request, response) => {
+    if (isEnding) response.shouldKeepAlive = false;
     void nodeHandler(request, response);
   });
   // Long prompts and long answers: class deadlines bound a request, not the server's clock.
   server.requestTimeout = 0;
+  server.keepAliveTimeout = keepAlive;
   await listen(server, address, port);
   const bound = server.address() as AddressInfo;
-  const close = (): Promise<void> =>
+  const endConnections = (): void => {
+    isEnding = true;
+  };
+  const closeNow = (): Promise<void> =>
     new Promise((resolve) => {
       server.close(() => resolve());
       server.closeIdleConnections();
     });
+  const close = async (): Promise<void> => {
+    endConnections();
+    await awaitConnections(server, keepAlive + keepAliveMargin);
+    await closeNow();
+  };
   return {
     url: `http://${address}:${bound.port}`,
+    endConnections,
     close,
     [Symbol.asyncDispose]: async () => {
       server.closeAllConnections();
-      await close();
+      await closeNow();
     },
   };
 };
--- a/src/transport/httpPlainService.ts
+++ b/src/transport/httpPlainService.ts
@@ -1,6 +1,6 @@
 /** A plain service's replica over HTTP. */
 import type { Dispatcher } from "undici";
-import { headers } from "../protocol/constants.ts";
+import { headers, outcomes } from "../protocol/constants.ts";
 import { upstreamError } from "../protocol/errors.ts";
 import { PlainService } from "../protocol/PlainService.ts";
 import type { ServiceAnswer, ServiceCall } from "../protocol/types.ts";
@@ -34,7 +34,9 @@
   override async call(call: ServiceCall, signal: AbortSignal): Promise<ServiceAnswer> {
     const answer = await this.send(call, signal);
     const body = Buffer.from(answer.bytes);
-    if (answer.status === 503) throw statusFailure(answer.status, answer.headers, body.toString("utf8"));
+    const isRefused = firstValue(answer.headers[headers.outcome]) === outcomes.notRun;
+    if (answer.status === 503 || isRefused)
+      throw statusFailure(answer.status, answer.headers, body.toString("utf8"));
     const attempt = firstValue(answer.headers[headers.attempt]);
     if (attempt !== call.attempt) {
       throw upstreamError("the answer belongs to another attempt", "crossed", "sent");
