Count executions by key under every failure, and keep no retry waiting in vain

A holder that will never know its outcome now records that, so a retry is told outcome_unknown at once in place of after two seconds; and while the log is known to be away a request is refused after 0.3 s in place of 2 s.

--- a/src/coordination/claims/ClaimLedger.ts
+++ b/src/coordination/claims/ClaimLedger.ts
@@ -14,6 +14,11 @@
    * @param answer - What a retry gets; left out where it isn't kept.
    */
   readonly complete: (summary: string, answer?: RecordedAnswer) => Promise<void>;
+  /**
+   * The request may have run, and nobody will ever know: a retry need not wait for an outcome. Resolves
+   * before it is recorded, and never rejects.
+   */
+  readonly abandon: () => Promise<void>;
 }
 
 /** What became of the wish to run a request. */
--- a/src/coordination/claims/claimAppends.ts
+++ b/src/coordination/claims/claimAppends.ts
@@ -60,6 +60,11 @@
       wish.partition.writer.appendLater(encodeClaimRecord(record));
       return Promise.resolve();
     },
+    abandon: () => {
+      const record = { kind: "abandon" as const, key: wish.key.digest, holder };
+      wish.partition.writer.appendLater(encodeClaimRecord(record));
+      return Promise.resolve();
+    },
   });
 
   /** Repeats a read that fails until the wish is given up. */
--- a/src/coordination/claims/claimIndex.ts
+++ b/src/coordination/claims/claimIndex.ts
@@ -42,8 +42,9 @@
     const record = decodeClaimRecord(data);
     if (record === undefined) return;
     const known = keys.get(record.key);
+    const needsClaim = record.kind === "complete" || record.kind === "abandon";
     // The claim that an outcome belongs to lies before this index.
-    if (known === undefined && record.kind === "complete") return;
+    if (known === undefined && needsClaim) return;
     const state = applyClaimRecord(known?.state ?? unclaimed, record, appendedAt);
     keys.set(record.key, { firstAppendedAt: known?.firstAppendedAt ?? appendedAt, state });
     prune(appendedAt - indexSpan);
--- a/src/coordination/claims/claimRecord.ts
+++ b/src/coordination/claims/claimRecord.ts
@@ -14,6 +14,7 @@
     expected: z.number().min(0),
   }),
   z.object({ kind: z.literal("release"), ...common }),
+  z.object({ kind: z.literal("abandon"), ...common }),
   z.object({
     kind: z.literal("complete"),
     ...common,
--- a/src/coordination/claims/claimState.ts
+++ b/src/coordination/claims/claimState.ts
@@ -12,6 +12,8 @@
   /** Milliseconds within which the holder expected to have ended. */
   readonly expected: number;
   readonly outcome: RecordedOutcome | undefined;
+  /** The holder doesn't know the outcome either, and never will. */
+  readonly isAbandoned: boolean;
 }
 
 /** One key. */
@@ -28,7 +30,7 @@
   if (state.released.includes(holder)) return state;
   const released = [...state.released, holder];
   const { standing } = state;
-  const ends = standing?.holder === holder && standing.outcome === undefined;
+  const ends = standing?.holder === holder && standing.outcome === undefined && !standing.isAbandoned;
   return { standing: ends ? undefined : standing, released };
 };
 
@@ -41,11 +43,16 @@
   const { holder } = record;
   if (record.kind === "release") return applyRelease(state, holder);
   const { standing } = state;
+  if (record.kind === "abandon") {
+    if (standing?.holder !== holder || standing.outcome !== undefined) return state;
+    return { ...state, standing: { ...standing, isAbandoned: true } };
+  }
   if (record.kind === "complete") {
     if (standing?.holder !== holder || standing.outcome !== undefined) return state;
     return { ...state, standing: { ...standing, outcome: outcomeOf(record) } };
   }
   if (standing !== undefined || state.released.includes(holder)) return state;
   const { fingerprint, expected } = record;
-  return { ...state, standing: { holder, fingerprint, appendedAt, expected, outcome: undefined } };
+  const open = { outcome: undefined, isAbandoned: false };
+  return { ...state, standing: { holder, fingerprint, appendedAt, expected, ...open } };
 };
--- a/src/coordination/claims/constants.ts
+++ b/src/coordination/claims/constants.ts
@@ -27,12 +27,15 @@
 /** How long an outcome waits for company before it is appended by itself. */
 export const settlementLinger = 50;
 
-/** Pauses between appends while the log service is down or over its rate: first, longest. */
-export const backOff = { first: 10, longest: 500 } as const;
+/** Pauses between appends while the log service is over its rate or away: the first, and the longest. */
+export const backOff = { first: 10, longestOverRate: 500, longestWhileDown: 100 } as const;
 
 /** Longest wait for a claim before the request is refused as not run. */
 export const longestClaimWait = 2_000;
 
+/** The same where the log service was away a moment ago. */
+export const longestWaitWhileDown = 300;
+
 /** Longest wait for a release before the caller is told; it goes on in the background. */
 export const longestReleaseWait = 500;
 
--- a/src/coordination/claims/logClaimLedger.test.ts
+++ b/src/coordination/claims/logClaimLedger.test.ts
@@ -118,6 +118,20 @@
     expect(await told(first.acquire(context, "same"))).toEqual("outcome_unknown already_claimed");
   });
 
+  it("that is abandoned keeps no retry waiting, and a later release doesn't free it", async () => {
+    await using system = setUp(2);
+    const { clock, first, second } = system;
+    const context = contextOf(clock, newKey(clock));
+    const claim = await claimOf(first.acquire(context, "same"));
+    await claim.abandon();
+    await first.flush();
+    const before = clock.monotonic();
+    expect(await told(second.acquire(context, "same"))).toEqual("outcome_unknown already_claimed");
+    expect(clock.monotonic() - before < 100).toEqual(true);
+    await claim.release();
+    expect(await told(second.acquire(context, "same"))).toEqual("outcome_unknown already_claimed");
+  });
+
   it("stands when its holder has died before it could dispatch or answer", async () => {
     await using system = setUp(1);
     const { clock, log, first } = system;
--- a/src/coordination/claims/logClaimLedger.ts
+++ b/src/coordination/claims/logClaimLedger.ts
@@ -14,7 +14,13 @@
 import { ClaimLedger } from "./ClaimLedger.ts";
 import { checkAge, readClaimKey } from "./claimKey.ts";
 import type { StandingClaim } from "./claimState.ts";
-import { longestClaimWait, longestFlush, longestOutcomeWait, outcomePollInterval } from "./constants.ts";
+import {
+  longestClaimWait,
+  longestFlush,
+  longestOutcomeWait,
+  longestWaitWhileDown,
+  outcomePollInterval,
+} from "./constants.ts";
 import { claimFailures } from "./errors.ts";
 import type { Partition, Wish } from "./claimAppends.ts";
 import { createClaimAppends } from "./claimAppends.ts";
@@ -72,7 +78,7 @@
       if (standing === undefined) return undefined;
       if (standing.fingerprint !== wish.fingerprint) throw claimFailures.keyReused();
       if (standing.outcome !== undefined) return { kind: "completed", outcome: standing.outcome };
-      const isOverdue = clock.wall() > standing.appendedAt + standing.expected;
+      const isOverdue = standing.isAbandoned || clock.wall() > standing.appendedAt + standing.expected;
       if (isOverdue || clock.monotonic() >= until) throw claimFailures.inProgress();
       await pause(clock, outcomePollInterval);
       try {
@@ -99,12 +105,14 @@
     const key = readClaimKey(context);
     checkAge(key, clock.wall(), parts.retention());
     const now = clock.monotonic();
+    const partition = partitionOf(key.stream);
+    const longestWait = partition.writer.isDown() ? longestWaitWhileDown : longestClaimWait;
     return {
       key,
-      partition: partitionOf(key.stream),
+      partition,
       fingerprint,
       expected: Math.max(0, context.completionDeadline - now),
-      until: Math.min(now + longestClaimWait, context.completionDeadline),
+      until: Math.min(now + longestWait, context.completionDeadline),
     };
   };
 
--- a/src/coordination/claims/partitionWriter.ts
+++ b/src/coordination/claims/partitionWriter.ts
@@ -28,6 +28,8 @@
   /** Resolves when nothing waits any more. */
   readonly flush: () => Promise<void>;
   readonly waiting: () => number;
+  /** The last append failed, and not because of the rate. */
+  readonly isDown: () => boolean;
   /** Appends nothing any more. */
   readonly stop: () => void;
 }
@@ -81,7 +83,8 @@
     later = [...batch.filter((item) => !item.isUrgent), ...later];
     boundLater();
     isDown = !isPlatformError || error.fault !== "overloaded";
-    pauseLength = Math.min(backOff.longest, Math.max(backOff.first, pauseLength * 2));
+    const longest = isDown ? backOff.longestWhileDown : backOff.longestOverRate;
+    pauseLength = Math.min(longest, Math.max(backOff.first, pauseLength * 2));
   };
 
   const appendBatch = async (batch: readonly Item[]): Promise<void> => {
@@ -160,6 +163,7 @@
     appendLater,
     flush,
     waiting: () => urgent.length + later.length,
+    isDown: () => isDown,
     stop: () => stop.abort(),
   };
 };
--- a/src/coordination/requests/completionRun.ts
+++ b/src/coordination/requests/completionRun.ts
@@ -87,7 +87,8 @@
 /** Ends a claim the way the request ended; a lost record errs to the side of `outcome_unknown`. */
 const settleClaim = async ({ claim, finished, mayHaveRun }: RunState): Promise<void> => {
   if (finished) await claim?.complete("finished").catch(() => undefined);
-  else if (!mayHaveRun) await claim?.release().catch(() => undefined);
+  else if (mayHaveRun) await claim?.abandon().catch(() => undefined);
+  else await claim?.release().catch(() => undefined);
 };
 
 /**
--- a/src/coordination/requests/serviceRunner.ts
+++ b/src/coordination/requests/serviceRunner.ts
@@ -179,7 +179,7 @@
       await claim?.complete(`status ${result.answer.status}`, result.answer);
       return result;
     } catch (error) {
-      if (!state.mayHaveRun) await claim?.release();
+      await (state.mayHaveRun ? claim?.abandon() : claim?.release());
       throw failureOf(error, state);
     }
   };
