--- a/bench/model/arrivals.ts
+++ b/bench/model/arrivals.ts
@@ -5,8 +5,9 @@
 import { hash64 } from "../../src/protocol/prefixLevels.ts";
 import type { PrefixLevel } from "../../src/protocol/types.ts";
 import { rampUp } from "./constants.ts";
+import { leastCost } from "./mixes.ts";
 import type { ClassMix, Mix } from "./mixes.ts";
-import { createRandom, createWeightedIndex, meanOf, zipfWeights } from "./random.ts";
+import { createRandom, createWeightedIndex, zipfWeights } from "./random.ts";
 import type { Random } from "./random.ts";
 import type { Arrival } from "./types.ts";
 
@@ -46,10 +47,6 @@
 
 const levelKey = (text: string): string => hash64(text).toString(16).padStart(16, "0");
 
-/** Milliseconds of an engine that one request of a class costs if all shared levels are cached. */
-const leastCost = ({ engine }: Mix, { questionTokens }: ClassMix): number =>
-  engine.prefillOverhead + (meanOf(questionTokens) * 1000) / engine.prefillTokensPerSecond;
-
 /** Engines of the deployment's only pool. */
 export const countEngines = ({ configuration }: Mix): number =>
   configuration.enginePools.reduce((sum, { replicas }) => sum + replicas, 0);
--- a/bench/model/mixes.ts
+++ b/bench/model/mixes.ts
@@ -5,6 +5,7 @@
 import { readFileSync } from "node:fs";
 import { parseConfiguration } from "../../src/protocol/configuration/check.ts";
 import type { Configuration } from "../../src/protocol/configuration/schema.ts";
+import { meanOf } from "./random.ts";
 import type { Range } from "./random.ts";
 import type { EngineParameters } from "./types.ts";
 
@@ -138,5 +139,22 @@
   ],
 });
 
+/** Milliseconds of an engine that one request of a class costs if all shared levels are cached. */
+export const leastCost = ({ engine }: Pick<Mix, "engine">, { questionTokens }: ClassMix): number =>
+  engine.prefillOverhead + (meanOf(questionTokens) * 1000) / engine.prefillTokensPerSecond;
+
+/** The same mix with one class coming more often; the other classes come as often as before. */
+export const withSurge = (mix: Mix, className: string, factor: number): Mix => {
+  const weigh = (item: ClassMix): number => item.share * (item.className === className ? factor : 1);
+  const total = mix.classes.reduce((sum, item) => sum + weigh(item), 0);
+  const costBefore = mix.classes.reduce((sum, item) => sum + item.share * leastCost(mix, item), 0);
+  const cost = mix.classes.reduce((sum, item) => sum + weigh(item) * leastCost(mix, item), 0);
+  return {
+    ...mix,
+    classes: mix.classes.map((item) => ({ ...item, share: weigh(item) / total })),
+    utilisation: (mix.utilisation * cost) / costBefore,
+  };
+};
+
 /** Makes both mixes. */
 export const createMixes = (): readonly Mix[] => [createLevantMix(), createTrinacriaMix()];
--- a/bench/model/requestTask.ts
+++ b/bench/model/requestTask.ts
@@ -190,12 +190,14 @@
   const { signal } = caller;
   const callOff = clock.after(context.completionDeadline - clock.monotonic(), () => caller.abort());
   const excluded = new Set<string>();
+  record.heldTokens = surroundings.fleet.heldTokens(arrival.levels);
   while (record.outcome === "open" && record.attempts < maximumAttempts) {
     const work = createWork(index, context, arrival, excluded);
     const parts = { surroundings, router, work, arrival, record, signal };
     const assignment = await assign(parts);
     if (assignment === undefined) break;
     record.attempts += 1;
+    record.assignedAfter ??= clock.monotonic() - arrival.at;
     const ended = await runAttempt(parts, assignment);
     if (ended === "finished") record.outcome = "finished";
     if (ended === "cancelled") record.outcome = "late";
--- a/bench/model/types.ts
+++ b/bench/model/types.ts
@@ -49,9 +49,13 @@
   outcome: "open" | "finished" | "refused" | "late" | "failed";
   /** From arrival to the first token at the router. */
   firstTokenAfter: number | undefined;
+  /** From arrival to the first assignment to an engine. */
+  assignedAfter: number | undefined;
   /** From arrival to the last token, the refusal, or whatever ended it; to the end of the run if nothing did. */
   endedAfter: number | undefined;
   attempts: number;
+  /** Prompt tokens that some live engine held when the request arrived. */
+  heldTokens: number;
   /** Prompt tokens sent to engines that began on them, over all attempts. */
   startedTokens: number;
   cachedTokens: number;
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -4,33 +4,28 @@
 import { Agent } from "undici";
 import { createLogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
 import { systemClock } from "../coordination/clock.ts";
-import { startConfigurationFollower } from "../coordination/configurationFollower.ts";
-import { startEngineMonitor } from "../coordination/engineMonitor.ts";
 import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
 import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
 import { RatioRetryBudget } from "../coordination/requests/retryBudget.ts";
 import { createServiceRunner } from "../coordination/requests/serviceRunner.ts";
 import { PredictiveScheduler } from "../coordination/scheduling/PredictiveScheduler.ts";
-import { createConfigurationHistory } from "../state/configurationHistory.ts";
-import { createEngineDirectory } from "../state/engineDirectory.ts";
 import type { EngineReplica } from "../state/engineDirectory.ts";
 import { createLogger } from "../state/log.ts";
 import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import type { Metrics } from "../state/Metrics.ts";
-import { createServiceDirectory } from "../state/serviceDirectory.ts";
 import { startCallerServer } from "../transport/callerServer.ts";
 import { createHttpLogService } from "../transport/httpLogService.ts";
 import { HttpModelEngine } from "../transport/httpModelEngine.ts";
 import { HttpPlainService } from "../transport/httpPlainService.ts";
 import { createHttpVmList } from "../transport/httpVmList.ts";
 import { StatsdMetrics } from "../transport/statsdMetrics.ts";
+import { createRouterBeliefs } from "./routerBeliefs.ts";
 import type { RouterSettings } from "./routerSettings.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import { createResumeTokens } from "../protocol/resumeToken.ts";
 import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
-const retryInterval = 200;
 
 const writeLog = createLogger("router");
 
@@ -38,6 +33,10 @@
 export interface Router extends AsyncDisposable {
   /** Where callers connect: `http://IP:PORT`. */
   readonly url: string;
+  /** Where peers connect: `http://IP:PORT`. */
+  readonly peerUrl: string;
+  /** Ends every connection that peers have to this router; they come again by themselves. */
+  readonly dropPeerConnections: () => void;
   /** Takes no new work and resolves when all work under way has ended. */
   readonly drain: () => Promise<void>;
 }
@@ -84,26 +83,9 @@
   const log = createHttpLogService({ url: settings.logService, timeout: settings.platformTimeout });
   const vmList = createHttpVmList({ url: settings.vmList, timeout: settings.platformTimeout });
 
-  const history = createConfigurationHistory();
-  const follower = resources.use(
-    startConfigurationFollower({ log, history, longPoll: settings.configurationLongPoll, retryInterval }),
-  );
-  const directory = createEngineDirectory();
-  const serviceDirectory = createServiceDirectory();
   const connect = (engine: EngineReplica) => new HttpModelEngine(engine.url, pool);
-  const monitor = resources.use(
-    startEngineMonitor({
-      directory,
-      vmList,
-      clock,
-      connect,
-      onVms: serviceDirectory.applyVms,
-      isHome: () => true,
-      vmListInterval: settings.vmListInterval,
-      loadInterval: settings.loadInterval,
-      loadTimeout: settings.loadTimeout,
-    }),
-  );
+  const beliefs = resources.use(createRouterBeliefs({ settings, clock, metrics, log, vmList, connect }));
+  const { history, follower, directory, serviceDirectory, peers } = beliefs;
 
   // Taken last, so that they end first and cut the calls that followers wait for.
   resources.use(log);
@@ -114,6 +96,7 @@
     clock,
     configuration: follower.current,
     dataCentre: settings.dataCentre,
+    liveRouters: () => peers.membership.livePeers().length,
   });
   resources.defer(() => {
     scheduler[Symbol.dispose]();
@@ -151,6 +134,8 @@
     configurationVersion: history.current()?.version ?? null,
     digest: history.current()?.digest ?? null,
     ready: frontEnd.isReady(),
+    configuration: peers.configuration.dump(),
+    peers: peers.versions(),
   });
   const engines = () => ({ engines: directory.all().map(engineView) });
   const dump = () => ({
@@ -161,6 +146,7 @@
     ...engines(),
     services: serviceDirectory.all(),
     claims: claims.dump(),
+    membership: peers.dump(),
   });
   const frontEnd = createRouterFrontEnd({
     configuration: follower.current,
@@ -175,11 +161,12 @@
 
   const { callerKeepAlive: keepAlive } = settings;
   const server = resources.use(await startCallerServer(frontEnd, { ...settings.callers, keepAlive }));
-  writeLog("listening", { router: settings.name, url: server.url, incarnation });
-  await Promise.all([follower.started, monitor.started]);
+  const peerUrl = await beliefs.start();
+  writeLog("listening", { router: settings.name, url: server.url, peerUrl, incarnation });
 
   const drain = async (): Promise<void> => {
     writeLog("draining", { openRequests: frontEnd.openRequests() });
+    peers.leave();
     server.endConnections();
     await frontEnd.drain();
     await claims.flush();
@@ -187,5 +174,11 @@
     writeLog("drained");
   };
   const owned = resources.move();
-  return { url: server.url, drain, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() };
+  return {
+    url: server.url,
+    peerUrl,
+    dropPeerConnections: peers.dropConnections,
+    drain,
+    [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
+  };
 };
--- /dev/null
+++ b/src/daemons/routerBeliefs.ts
@@ -0,0 +1,116 @@
+/** Everything by which a router keeps what it believes up to date: the log, the VM list, engines and peers. */
+import type { Clock } from "../coordination/clock.ts";
+import type { ConfigurationFollower } from "../coordination/configurationFollower.ts";
+import { startConfigurationFollower } from "../coordination/configurationFollower.ts";
+import type { EngineMonitor } from "../coordination/engineMonitor.ts";
+import { startEngineMonitor } from "../coordination/engineMonitor.ts";
+import type { LogService } from "../protocol/LogService.ts";
+import type { ModelEngine } from "../protocol/ModelEngine.ts";
+import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { VmList } from "../protocol/VmList.ts";
+import type { ConfigurationHistory } from "../state/configurationHistory.ts";
+import { createConfigurationHistory } from "../state/configurationHistory.ts";
+import type { EngineDirectory, EngineReplica } from "../state/engineDirectory.ts";
+import { createEngineDirectory } from "../state/engineDirectory.ts";
+import type { Metrics } from "../state/Metrics.ts";
+import type { ServiceDirectory } from "../state/serviceDirectory.ts";
+import { createServiceDirectory } from "../state/serviceDirectory.ts";
+import type { RouterPeers } from "./routerPeers.ts";
+import { createRouterPeers } from "./routerPeers.ts";
+import type { RouterSettings } from "./routerSettings.ts";
+
+const retryInterval = 200;
+
+/** What beliefs are kept up to date with. */
+export interface RouterBeliefsParts {
+  readonly settings: RouterSettings;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  readonly log: LogService;
+  readonly vmList: VmList;
+  readonly connect: (engine: EngineReplica) => ModelEngine;
+}
+
+/** See the module. */
+export interface RouterBeliefs extends AsyncDisposable {
+  readonly history: ConfigurationHistory;
+  readonly follower: ConfigurationFollower;
+  readonly directory: EngineDirectory;
+  readonly serviceDirectory: ServiceDirectory;
+  readonly peers: RouterPeers;
+  /**
+   * Lets peers connect, and waits until this router has tried to learn what it needs to serve.
+   *
+   * @returns Where peers connect.
+   */
+  readonly start: () => Promise<string>;
+}
+
+/** Starts to follow the log and the VM list. */
+export const createRouterBeliefs = (parts: RouterBeliefsParts): RouterBeliefs => {
+  const { settings, clock, metrics, log, vmList, connect } = parts;
+  const resources = createResourceStack();
+  const history = createConfigurationHistory();
+  const directory = createEngineDirectory();
+  const serviceDirectory = createServiceDirectory();
+
+  const peers: RouterPeers = resources.use(
+    createRouterPeers({
+      settings,
+      history,
+      engines: directory,
+      clock,
+      metrics,
+      lastVms: () => monitor.lastVms(),
+      restoreVms: (vms) => monitor.restoreVms(vms),
+      logReadAt: () => follower.logReadAt(),
+    }),
+  );
+
+  const follower: ConfigurationFollower = resources.use(
+    startConfigurationFollower({
+      log,
+      history,
+      longPoll: settings.configurationLongPoll,
+      retryInterval,
+      clock,
+      turn: peers.configuration.turn,
+      onVersion: peers.configuration.noteRead,
+    }),
+  );
+
+  const monitor: EngineMonitor = resources.use(
+    startEngineMonitor({
+      directory,
+      vmList,
+      clock,
+      connect,
+      onVms: (vms) => {
+        serviceDirectory.applyVms(vms);
+        peers.applyVms(vms);
+      },
+      isHome: peers.isHome,
+      isNear: peers.isNear,
+      vmListInterval: settings.vmListInterval,
+      loadInterval: settings.loadInterval,
+      loadTimeout: settings.loadTimeout,
+    }),
+  );
+
+  const start = async (): Promise<string> => {
+    const url = await peers.listen();
+    await Promise.race([Promise.all([follower.started, monitor.started]), peers.restored()]);
+    await monitor.confirmed();
+    return url;
+  };
+
+  return {
+    history,
+    follower,
+    directory,
+    serviceDirectory,
+    peers,
+    start,
+    [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
+  };
+};
--- a/src/daemons/routerMain.ts
+++ b/src/daemons/routerMain.ts
@@ -49,7 +49,8 @@
 const serve = async (settings: RouterSettings): Promise<void> => {
   const asked = shutdownSignal();
   await using router = await startRouter(settings);
-  const ready = { kind: "router", name: settings.name, url: router.url, processId: process.pid };
+  const { url, peerUrl } = router;
+  const ready = { kind: "router", name: settings.name, url, peerUrl, processId: process.pid };
   process.stdout.write(`${JSON.stringify(ready)}\n`);
   await asked;
   const limit = settings.longestDrain === undefined ? [] : [sleep(settings.longestDrain)];
--- a/src/daemons/routerSettings.ts
+++ b/src/daemons/routerSettings.ts
@@ -13,6 +13,10 @@
   dataCentre: z.string().min(1),
   callers: z.strictObject({ address, port }).describe("Where callers and operators connect; port 0: any"),
   peers: z.strictObject({ address, port }).describe("Where other routers connect; port 0: any"),
+  seedPeers: z
+    .array(z.url({ protocol: /^http$/ }))
+    .default([])
+    .describe("Peer URLs to ask after a restart while the VM list can't be read"),
   logService: z.url(),
   vmList: z.url(),
   operatorKeyHash: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 digest in lower-case hex"),
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -20,6 +20,9 @@
   leaseLosses: "lease_losses",
   orders: "orders",
   restatements: "restatements",
+  peerRefusals: "peer_refusals",
+  peerMessages: "peer_messages",
+  peerChanges: "peer_changes",
 } as const;
 
 /** The name of a metric. */
--- a/src/state/engineDirectory.ts
+++ b/src/state/engineDirectory.ts
@@ -26,6 +26,8 @@
   readonly inFlight: number;
   /** When the engine last failed a call, milliseconds on the monotonic clock. */
   readonly failedAt: number | undefined;
+  /** True while the platform lists the engine as leaving, whatever it says itself. */
+  readonly listedLeaving: boolean;
 }
 
 /** What happened to an engine. A new incarnation or new weights void all beliefs about its cache. */
@@ -45,6 +47,11 @@
   readonly applyVms: (vms: readonly ListedVm[]) => void;
   /** Takes a load report; one older than the last is ignored. */
   readonly applyLoad: (id: string, load: EngineLoad, readAt: number) => void;
+  /**
+   * Takes a report that a restarted router got from a peer's memory. The engine stays unconfirmed until a
+   * report of its own comes, and counts as restarted if that shows another incarnation.
+   */
+  readonly restoreLoad: (id: string, load: EngineLoad, readAt: number) => void;
   readonly markLeaving: (id: string) => void;
   readonly markFailed: (id: string, at: number) => void;
   readonly addInFlight: (id: string, difference: 1 | -1) => void;
@@ -64,6 +71,7 @@
   loadReadAt: 0,
   inFlight: 0,
   failedAt: undefined,
+  listedLeaving: vm.state === "leaving",
 });
 
 /** Makes an empty directory. */
@@ -102,7 +110,8 @@
   const applyVm = (vm: ListedVm): void => {
     const engine = engines.get(vm.id);
     if (engine?.url === vm.url && engine.pool === vm.pool) {
-      if (vm.state === "leaving") setState(engine, "leaving");
+      engine.listedLeaving = vm.state === "leaving";
+      if (engine.listedLeaving) setState(engine, "leaving");
       return;
     }
     if (engine !== undefined) remove(engine);
@@ -129,7 +138,14 @@
     else if (before !== undefined && before.weightsVersion !== load.weightsVersion) {
       tell({ kind: "reloaded", engine });
     }
-    setState(engine, load.leaving ? "leaving" : "live");
+    setState(engine, load.leaving || engine.listedLeaving ? "leaving" : "live");
+  };
+
+  const restoreLoad = (id: string, load: EngineLoad, readAt: number): void => {
+    const engine = engines.get(id);
+    if (engine === undefined || engine.load !== undefined) return;
+    engine.load = load;
+    engine.loadReadAt = readAt;
   };
 
   const markFailed = (id: string, at: number): void => {
@@ -155,6 +171,7 @@
     inPool: (pool) => pools.get(pool) ?? [],
     applyVms,
     applyLoad,
+    restoreLoad,
     markLeaving,
     markFailed,
     addInFlight,
--- a/tests/operators.test.ts
+++ b/tests/operators.test.ts
@@ -6,7 +6,6 @@
 import { expect } from "earl";
 import { createCli } from "../src/commandLine/cli.ts";
 import { exitCodes } from "../src/commandLine/exitCodes.ts";
-import type { ListedVm } from "../src/protocol/types.ts";
 import { operatorKey, startLocalSystem } from "./support/localSystem.ts";
 import type { LocalSystem } from "./support/localSystem.ts";
 
@@ -25,21 +24,6 @@
   return { exitCode, value: await json(stdout) };
 };
 
-/** Adds the routers to the VM list. */
-const listRouters = async (system: LocalSystem): Promise<void> => {
-  const answer = await fetch(`${system.vmList.url}/vms`);
-  const { vms } = (await answer.json()) as { readonly vms: readonly ListedVm[] };
-  const routers = system.routers.map(({ url }, index): ListedVm => ({
-    id: `router-${index}`,
-    dataCentre: "amman-north",
-    url,
-    role: "router",
-    pool: "",
-    state: "live",
-  }));
-  system.vmList.set([...vms, ...routers]);
-};
-
 /** Asks until all routers have the same version, and returns it for each. */
 const pollVersions = async (system: LocalSystem): Promise<readonly number[] | undefined> => {
   for (let poll = 0; poll < mostPolls; poll += 1) {
@@ -54,7 +38,6 @@
 describe("the operators' client with real routers", () => {
   it("sees a publication come into force on every router", async () => {
     await using system = await startLocalSystem({ routers: 2, engines: 1 });
-    await listRouters(system);
     const published = await runClient(system, "configuration", "publish", "examples/levant.json");
     expect(published.exitCode).toEqual(exitCodes.success);
     const seen = await pollVersions(system);
@@ -63,7 +46,6 @@
 
   it("reads a router's engines and its whole state", async () => {
     await using system = await startLocalSystem({ engines: 2, services: 0 });
-    await listRouters(system);
     const { exitCode, value } = await runClient(system, "engines");
     const { engines } = value as {
       readonly engines: readonly { readonly id: string; readonly model: string }[];
--- a/tests/support/localSystem.ts
+++ b/tests/support/localSystem.ts
@@ -114,6 +114,16 @@
   return { engines, services };
 };
 
+const listRouter = ({ url, peerUrl }: Router, index: number): ListedVm => ({
+  id: `router-${index}`,
+  dataCentre,
+  url,
+  peerUrl,
+  role: "router",
+  pool: "",
+  state: "live",
+});
+
 const readConfiguration = async (
   change: LocalSystemOptions["changeConfiguration"],
 ): Promise<Configuration> => {
@@ -176,16 +186,18 @@
   const logService = resources.use(await createLogServiceStandIn());
   const vmList = resources.use(await createVmListStandIn());
   const { engines, services } = await startUpstreams(configuration, options, resources);
-  vmList.set([
+  const upstreams = [
     ...engines.map((engine) => listUpstream("engine", engine)),
     ...services.map((service) => listUpstream("service", service)),
-  ]);
+  ];
+  vmList.set(upstreams);
   await publish(logService.url, configuration);
   const routers: Router[] = [];
   for (let index = 0; index < (options.routers ?? 1); index += 1) {
     const settings = settingsOf(index, logService.url, vmList.url, options.routerSettings);
     routers.push(resources.use(await startRouter(settings)));
   }
+  vmList.set([...upstreams, ...routers.map(listRouter)]);
   await waitUntilReady(routers, engines.length);
 
   const call = (path: string, given: CallOptions = {}): Promise<Response> => {
