--- a/src/coordination/membership/configurationExchange.ts
+++ b/src/coordination/membership/configurationExchange.ts
@@ -27,6 +27,8 @@
   readonly directory: PeerDirectory;
   readonly network: PeerNetwork;
   readonly clock: Clock;
+  /** A number from 0 to below 1, so that many that lag ask different peers. */
+  readonly random: () => number;
   readonly push: () => void;
   /** When this router last read the log, milliseconds on the monotonic clock. */
   readonly logReadAt: () => number | undefined;
@@ -235,7 +237,7 @@
     const wait = this.version() === undefined ? 0 : spreading.repeatAfter;
     if (now - this.behindSince < wait) return;
     this.behindSince = now;
-    const chosen = ahead[Math.floor(Math.random() * ahead.length)];
+    const chosen = ahead[Math.floor(this.parts.random() * ahead.length)];
     if (chosen !== undefined) this.ask(chosen.name);
   }
 
--- a/src/coordination/membership/peerLinks.ts
+++ b/src/coordination/membership/peerLinks.ts
@@ -17,6 +17,8 @@
   readonly network: PeerNetwork;
   readonly directory: PeerDirectory;
   readonly clock: Clock;
+  /** A number from 0 to below 1. */
+  readonly random: () => number;
   readonly dataCentre: string;
   /** Who this router is now. */
   readonly identity: () => Omit<Router, "$typeName">;
@@ -37,6 +39,8 @@
   /** Open streams to other data centres. */
   readonly far: () => readonly PeerLink[];
   readonly linkTo: (name: string) => PeerLink | undefined;
+  /** Tries a peer again at once: it has just shown that it is there. */
+  readonly wake: (name: string) => void;
 }
 
 const isWorthATask = (peer: Peer): boolean =>
@@ -49,6 +53,7 @@
   const near = new Map<string, PeerLink>();
   const far = new Map<string, PeerLink>();
   const tasks = new Map<string, Promise<void>>();
+  const waiting = new Map<string, AbortController>();
 
   const join = async (url: string): Promise<Joined | undefined> => {
     const question = create(QuestionSchema, { body: { case: "join", value: { router: parts.identity() } } });
@@ -61,15 +66,19 @@
     }
   };
 
+  /** Joins, once more where this router's incarnation had to rise first. */
+  const joinAnew = async (url: string): Promise<Joined | undefined> => {
+    const joined = await join(url);
+    if (joined === undefined || joined.accepted) return joined;
+    parts.rise(joined.knownIncarnation);
+    return join(url);
+  };
+
   /** @returns The stream, unless the peer can't be reached or another router has its address now. */
   const connect = async (peer: Peer): Promise<PeerLink | undefined> => {
     const { name, url } = peer;
-    const joined = await join(url);
-    if (joined === undefined || joined.router?.name !== name || stop.signal.aborted) return undefined;
-    if (!joined.accepted) {
-      parts.rise(joined.knownIncarnation);
-      return undefined;
-    }
+    const joined = await joinAnew(url);
+    if (joined?.accepted !== true || joined.router?.name !== name || stop.signal.aborted) return undefined;
     const link = network.open(url, joined.session);
     link.send(parts.introduction(peer));
     return link;
@@ -86,9 +95,13 @@
   };
 
   /** Waits before the next try, longer after several failures, and never for as long as another router. */
-  const waitToRetry = (failures: number): Promise<void> => {
+  const waitToRetry = async (name: string, failures: number): Promise<void> => {
     const delay = Math.min(joining.longestRetryInterval, joining.retryInterval * 2 ** Math.min(failures, 10));
-    return pause(clock, delay * (0.5 + Math.random() / 2), stop.signal);
+    const woken = new AbortController();
+    waiting.set(name, woken);
+    const signal = AbortSignal.any([stop.signal, woken.signal]);
+    await pause(clock, delay * (0.5 + parts.random() / 2), signal);
+    waiting.delete(name);
   };
 
   const followPeer = async (name: string): Promise<void> => {
@@ -97,7 +110,7 @@
       const peer = directory.get(name);
       if (peer === undefined || !isWorthATask(peer)) return;
       failures = (await hold(peer, near)) ? 0 : failures + 1;
-      await waitToRetry(failures);
+      await waitToRetry(name, failures);
     }
   };
 
@@ -117,7 +130,7 @@
       const peer = directory.get(candidates[failures % Math.max(1, candidates.length)] ?? "");
       if (peer === undefined) return;
       failures = (await hold(peer, far)) ? 0 : failures + 1;
-      await waitToRetry(failures);
+      await waitToRetry(peer.name, failures);
     }
   };
 
@@ -160,6 +173,7 @@
     near: () => [...near.values()],
     far: () => [...far.values()],
     linkTo: (name) => near.get(name) ?? far.get(name),
+    wake: (name) => waiting.get(name)?.abort(),
     [Symbol.asyncDispose]: async () => {
       stop.abort();
       await Promise.all([...near.values(), ...far.values()].map((link) => link[Symbol.asyncDispose]()));
--- a/src/coordination/membership/peerMembership.ts
+++ b/src/coordination/membership/peerMembership.ts
@@ -18,7 +18,7 @@
 import { metricNames } from "../../state/constants.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
-import type { Peer, PeerChange, PeerDirectory, PeerIdentity } from "../../state/peerDirectory.ts";
+import type { Peer, PeerDirectory, PeerIdentity } from "../../state/peerDirectory.ts";
 import type { Clock } from "../clock.ts";
 import { createHeartbeatSender } from "./heartbeatSender.ts";
 import type { LiveMembers } from "./liveMembers.ts";
@@ -40,6 +40,8 @@
   readonly directory: PeerDirectory;
   readonly clock: Clock;
   readonly metrics: Metrics;
+  /** A number from 0 to below 1, so that retries of many routers spread. */
+  readonly random: () => number;
   /** Answers the questions that are not about membership. */
   readonly answer: (question: Question) => Answer;
 }
@@ -170,6 +172,7 @@
     network,
     directory,
     clock,
+    random: parts.random,
     dataCentre,
     identity,
     introduction: sender.introduction,
@@ -183,6 +186,7 @@
     guard.check(now);
     guard.noteTick(now, sender.interval());
     directory.judge(now);
+    suspicions.askAll();
     links.reconcile();
     sender.sendNear();
     sender.sendFar(now);
@@ -219,16 +223,16 @@
     }
     const passed = directory.admit(identityOf(router), clock.monotonic());
     if (passed === undefined) guard.trust(router);
+    links.wake(router.name);
     return answerJoin(identity(), router.incarnation, passed);
   };
 
-  const noteChange = ({ peer, from }: PeerChange): void => {
+  const unsubscribe = directory.subscribe(({ peer, from }) => {
     writeLog("peer", { peer: peer.name, state: peer.state, from, incarnation: peer.incarnation });
     metrics.count(metricNames.peerChanges, 1, { state: peer.state });
     members.refresh();
     if (peer.state === "suspect") suspicions.ask(peer);
-  };
-  const unsubscribe = directory.subscribe(noteChange);
+  });
 
   const handler: PeerHandler = {
     answer: (question) =>
@@ -239,15 +243,13 @@
     },
   };
 
-  const dump = () => {
-    const now = clock.monotonic();
-    return {
-      self: { ...self(), leaving },
-      livePeers: members.names(),
-      heartbeatInterval: sender.interval(),
-      peers: directory.all().map((peer) => peerView(peer, now, links.linkTo(peer.name) !== undefined)),
-    };
-  };
+  const viewOf = (peer: Peer) => peerView(peer, clock.monotonic(), links.linkTo(peer.name) !== undefined);
+  const dump = () => ({
+    self: { ...self(), leaving },
+    livePeers: members.names(),
+    heartbeatInterval: sender.interval(),
+    peers: directory.all().map(viewOf),
+  });
 
   return {
     membership: new HeartbeatMembership(self, members),
--- a/src/coordination/membership/suspicions.ts
+++ b/src/coordination/membership/suspicions.ts
@@ -27,6 +27,8 @@
 export interface Suspicions {
   /** Asks the suspect itself, and some others whether they hear it. */
   readonly ask: (suspect: Peer) => void;
+  /** Asks about every peer that is suspect by now. */
+  readonly askAll: () => void;
   /** Tells the asker which of its suspects this router hears. */
   readonly answer: (asker: string, suspicions: readonly Suspicion[]) => void;
 }
@@ -53,6 +55,12 @@
     for (const other of [suspectName, ...asked]) parts.sendTo(other, message);
   };
 
+  const askAll = (): void => {
+    for (const peer of directory.all()) {
+      if (peer.state === "suspect") ask(peer);
+    }
+  };
+
   const answer = (asker: string, suspicions: readonly Suspicion[]): void => {
     const now = clock.monotonic();
     if (suspicions.some((suspicion) => suspicion.name === name)) parts.push();
@@ -67,5 +75,5 @@
     if (message.sightings.length > 0) parts.sendTo(asker, message);
   };
 
-  return { ask, answer };
+  return { ask, askAll, answer };
 };
--- a/src/daemons/routerPeers.ts
+++ b/src/daemons/routerPeers.ts
@@ -75,6 +75,7 @@
       directory,
       clock,
       metrics,
+      random: Math.random,
       answer,
     }),
   );
@@ -86,6 +87,7 @@
     directory,
     network,
     clock,
+    random: Math.random,
     push,
     logReadAt: parts.logReadAt,
   });
