Keep a router alive when a peer's connection says GOAWAY, and let one start from its peers

Two faults that the herd tests showed. Connect's session manager takes its error listener off a session it gives up; GOAWAY at that moment then raised an error nobody heard, which ends the process. A small manager of ours keeps the listener. And a start whose log and VM list failed at once did not wait for peers' answers: its first request was refused though a peer had everything.

Tested over real sockets: first request from a peer's memory with log and VM list down, from the log alone, neither (not ready, not_run), a herd with the log down, a herd that leaves one peer, and that no view shows a secret.

--- a/src/coordination/membership/restore.ts
+++ b/src/coordination/membership/restore.ts
@@ -30,6 +30,8 @@
 export interface Restore extends AsyncDisposable {
   /** Resolves when a peer has given a configuration, or there is one already. */
   readonly done: Promise<void>;
+  /** Asks every peer known by now, and resolves when it is done or none has helped. */
+  readonly tryAll: () => Promise<void>;
 }
 
 const askTimeout = 1_000;
@@ -115,6 +117,7 @@
   const done = run();
   return {
     done,
+    tryAll: askAll,
     [Symbol.asyncDispose]: async () => {
       stop.abort();
       await done;
--- a/src/daemons/routerBeliefs.ts
+++ b/src/daemons/routerBeliefs.ts
@@ -100,6 +100,7 @@
   const start = async (): Promise<string> => {
     const url = await peers.listen();
     await Promise.race([Promise.all([follower.started, monitor.started]), peers.restored()]);
+    if (history.current() === undefined) await peers.askPeers();
     await monitor.confirmed();
     return url;
   };
--- a/src/daemons/routerPeers.ts
+++ b/src/daemons/routerPeers.ts
@@ -46,6 +46,8 @@
   readonly listen: () => Promise<string>;
   /** Resolves, after `listen`, when this router has a configuration from whomever. */
   readonly restored: () => Promise<void>;
+  /** Asks every peer known by now for what this router lacks. */
+  readonly askPeers: () => Promise<void>;
   readonly applyVms: (vms: readonly ListedVm[]) => void;
   /** Whether this router asks an engine for its reports. */
   readonly isHome: (engine: EngineReplica) => boolean;
@@ -128,6 +130,7 @@
     configuration,
     listen,
     restored: () => restore?.done ?? Promise.resolve(),
+    askPeers: () => restore?.tryAll() ?? Promise.resolve(),
     applyVms: controls.applyVms,
     isHome: (engine) =>
       (isNear(engine) || summaries.isSilent(engine.dataCentre)) && membership.isHome(engine.id),
--- a/src/transport/peerClient.ts
+++ b/src/transport/peerClient.ts
@@ -2,7 +2,7 @@
 import { create, fromBinary, toBinary } from "@bufbuild/protobuf";
 import { createClient } from "@connectrpc/connect";
 import type { Client } from "@connectrpc/connect";
-import { compressionGzip, createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { compressionGzip, createConnectTransport } from "@connectrpc/connect-node";
 import { compressFromBytes, maximumMessageBytes, sessionHeader } from "../protocol/peers/constants.ts";
 import { peerError } from "../protocol/peers/errors.ts";
 import {
@@ -22,26 +22,28 @@
 import { proveMessage } from "../protocol/peers/seals.ts";
 import { toPeerError } from "./peerFailures.ts";
 import { createPeerQueue } from "./peerQueue.ts";
+import type { PeerSession } from "./peerSession.ts";
+import { createPeerSession } from "./peerSession.ts";
 
 /** Unsent bytes at which a stream is given up. */
 const maximumUnsentBytes = 8 * 1024 * 1024;
 
 interface Connection {
   readonly client: Client<typeof PeerService>;
-  readonly sessions: Http2SessionManager;
+  readonly session: PeerSession;
 }
 
 const connect = (url: string): Connection => {
-  const sessions = new Http2SessionManager(url);
+  const session = createPeerSession(url);
   const transport = createConnectTransport({
     baseUrl: url,
     httpVersion: "2",
-    sessionManager: sessions,
+    sessionManager: session,
     sendCompression: compressionGzip,
     compressMinBytes: compressFromBytes,
     readMaxBytes: maximumMessageBytes,
   });
-  return { client: createClient(PeerService, transport), sessions };
+  return { client: createClient(PeerService, transport), session };
 };
 
 const parseAnswer = (payload: Uint8Array): Answer => {
@@ -82,7 +84,7 @@
 
   const drop = (url: string, connection: Connection): void => {
     if (connections.get(url) === connection) connections.delete(url);
-    connection.sessions.abort();
+    connection.session.abort();
   };
 
   const ask = async (url: string, question: Question, signal: AbortSignal): Promise<Answer> => {
@@ -139,7 +141,7 @@
     }
 
     [Symbol.asyncDispose](): Promise<void> {
-      for (const connection of connections.values()) connection.sessions.abort();
+      for (const connection of connections.values()) connection.session.abort();
       connections.clear();
       return Promise.resolve();
     }
--- a/tests/peers.test.ts
+++ b/tests/peers.test.ts
@@ -51,3 +51,94 @@
     expect(Object.keys(dump.metrics).filter((name) => name.startsWith("peer_refusals"))).toEqual([]);
   });
 });
+
+const ask = (system: LocalSystem, router: number): Promise<Response> =>
+  system.call("/v1/chat/completions", {
+    router,
+    body: { model: "records-assistant", messages: [{ role: "user", content: "Is badge 7 current?" }] },
+  });
+
+const isReady = async (system: LocalSystem, router: number): Promise<boolean> =>
+  (await system.call("/readyz", { router })).ok;
+
+const setOutage = (system: LocalSystem, outage: boolean): void => {
+  system.logService.faults.outage = outage;
+  system.vmList.faults.outage = outage;
+};
+
+describe("a router that restarts", { timeout: 60_000 }, () => {
+  it("answers its first request while log and VM list are down, from a peer's memory", async () => {
+    await using system = await startLocalSystem({ routers: 2 });
+    await until(allLive(system, 2));
+    await system.stopRouter(1);
+    setOutage(system, true);
+    await system.startRouter(1, { seedPeers: [system.routers[0]?.peerUrl ?? ""] });
+    const answer = await ask(system, 1);
+    expect(answer.status).toEqual(200);
+    expect((await dumpOf(system, 1)).configuration.source).toEqual(system.routers[0]?.peerUrl ?? "");
+  });
+
+  it("answers its first request from the log where there is no peer", async () => {
+    await using system = await startLocalSystem({ routers: 1 });
+    await system.stopRouter(0);
+    await system.startRouter(0);
+    expect((await ask(system, 0)).status).toEqual(200);
+    expect((await dumpOf(system, 0)).configuration.source).toEqual("log");
+  });
+
+  it("with neither says so: not ready, not run", async () => {
+    await using system = await startLocalSystem({ routers: 1 });
+    await system.stopRouter(0);
+    setOutage(system, true);
+    await system.startRouter(0);
+    expect(await isReady(system, 0)).toEqual(false);
+    const answer = await ask(system, 0);
+    expect(answer.status).toEqual(503);
+    expect(answer.headers.get("x-pomelocleat-outcome")).toEqual("not_run");
+    expect(answer.headers.get("retry-after")).not.toEqual(null);
+  });
+
+  it("takes part in a herd: all refuse while the log is down, and all serve once one can read it", async () => {
+    await using system = await startLocalSystem({ routers: 4 });
+    const indices = [0, 1, 2, 3];
+    await until(allLive(system, 4));
+    system.logService.faults.outage = true;
+    await Promise.all(indices.map((index) => system.stopRouter(index)));
+    await Promise.all(indices.map((index) => system.startRouter(index)));
+    const refused = await Promise.all(indices.map((index) => ask(system, index)));
+    expect(refused.map(({ headers }) => headers.get("x-pomelocleat-outcome"))).toEqual(
+      indices.map(() => "not_run"),
+    );
+    system.logService.faults.outage = false;
+    await until(async () =>
+      (await Promise.all(indices.map((index) => isReady(system, index)))).every(Boolean),
+    );
+    const answered = await Promise.all(indices.map((index) => ask(system, index)));
+    expect(answered.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+  });
+
+  it("takes part in a herd that leaves one peer: all serve from its memory while the log is down", async () => {
+    await using system = await startLocalSystem({ routers: 4 });
+    await until(allLive(system, 4));
+    system.logService.faults.outage = true;
+    const restarted = [1, 2, 3];
+    await Promise.all(restarted.map((index) => system.stopRouter(index)));
+    await Promise.all(restarted.map((index) => system.startRouter(index)));
+    const answered = await Promise.all(restarted.map((index) => ask(system, index)));
+    expect(answered.map(({ status }) => status)).toEqual([200, 200, 200]);
+  });
+});
+
+describe("what a router shows", { timeout: 60_000 }, () => {
+  it("holds no secret", async () => {
+    await using system = await startLocalSystem({ routers: 2 });
+    await until(allLive(system, 2));
+    const headers = { authorization: `Bearer ${operatorKey}` };
+    for (const view of ["version", "dump", "engines"]) {
+      const text = await (await system.call(`/operator/${view}`, { headers })).text();
+      expect(text).not.toInclude("test-shared-secret");
+      expect(text).not.toInclude(operatorKey);
+      expect(text).not.toInclude(system.configuration.organisations[0]?.keyHashes[0] ?? "");
+    }
+  });
+});
--- a/tests/support/localSystem.ts
+++ b/tests/support/localSystem.ts
@@ -49,6 +49,10 @@
   readonly vmList: VmListStandIn;
   /** A call to a router as an organisation; `petra-wings` unless named. */
   readonly call: (path: string, options?: CallOptions) => Promise<Response>;
+  /** Ends a router abruptly, as far as that goes within one process. */
+  readonly stopRouter: (index: number) => Promise<void>;
+  /** Starts a router in the place of one that was stopped; resolves as soon as it listens. */
+  readonly startRouter: (index: number, changes?: Partial<RouterSettings>) => Promise<Router>;
 }
 
 /** A call to a router. */
@@ -193,11 +197,15 @@
   vmList.set(upstreams);
   await publish(logService.url, configuration);
   const routers: Router[] = [];
-  for (let index = 0; index < (options.routers ?? 1); index += 1) {
-    const settings = settingsOf(index, logService.url, vmList.url, options.routerSettings);
-    routers.push(resources.use(await startRouter(settings)));
-  }
-  vmList.set([...upstreams, ...routers.map(listRouter)]);
+  resources.defer(() => Promise.all(routers.map((router) => router[Symbol.asyncDispose]())));
+  const start = async (index: number, changes: Partial<RouterSettings> = {}): Promise<Router> => {
+    const settings = settingsOf(index, logService.url, vmList.url, { ...options.routerSettings, ...changes });
+    const router = await startRouter(settings);
+    routers[index] = router;
+    vmList.set([...upstreams, ...routers.map(listRouter)]);
+    return router;
+  };
+  for (let index = 0; index < (options.routers ?? 1); index += 1) await start(index);
   await waitUntilReady(routers, engines.length);
 
   const call = (path: string, given: CallOptions = {}): Promise<Response> => {
@@ -222,6 +230,10 @@
     logService,
     vmList,
     call,
+    startRouter: start,
+    stopRouter: async (index) => {
+      await routers[index]?.[Symbol.asyncDispose]();
+    },
     [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
   };
 };
