--- /dev/null
+++ b/src/state/engineDirectory.test.ts
@@ -0,0 +1,74 @@
+import { expect } from "earl";
+import { describe, it } from "node:test";
+import type { EngineLoad, ListedVm } from "../protocol/types.ts";
+import { createEngineDirectory } from "./engineDirectory.ts";
+
+const vm = (state: ListedVm["state"] = "live"): ListedVm => ({
+  id: "engine-0",
+  dataCentre: "amman-north",
+  url: "http://127.0.0.1:1",
+  role: "engine",
+  pool: "records-assistant",
+  state,
+});
+
+const load = (incarnation: string, changes: Partial<EngineLoad> = {}): EngineLoad => ({
+  incarnation,
+  model: "records-assistant",
+  weightsVersion: "1",
+  adapters: [],
+  role: "serving",
+  running: 0,
+  waiting: 0,
+  pendingPromptTokens: 0,
+  cachedTokens: 0,
+  leaving: false,
+  ...changes,
+});
+
+const create = () => {
+  const directory = createEngineDirectory();
+  const changes: string[] = [];
+  directory.applyVms([vm()]);
+  directory.subscribe((change) => changes.push(change.kind));
+  const state = () => directory.get("engine-0")?.state;
+  return { directory, changes, state };
+};
+
+describe("the engine directory", () => {
+  it("relies on a restored report only after the engine's own", () => {
+    const { directory, changes, state } = create();
+    directory.restoreLoad("engine-0", load("first"), -500);
+    expect(state()).toEqual("unconfirmed");
+    directory.applyLoad("engine-0", load("first"), 10);
+    expect([state(), ...changes]).toEqual(["live", "state"]);
+  });
+
+  it("takes an engine for restarted whose incarnation is not the restored one", () => {
+    const { directory, changes } = create();
+    directory.restoreLoad("engine-0", load("first"), -500);
+    directory.applyLoad("engine-0", load("second"), 10);
+    expect(changes).toEqual(["restarted", "state"]);
+  });
+
+  it("does not take a report from before its own start for a confirmation", () => {
+    const { directory, state } = create();
+    directory.applyLoad("engine-0", load("first"), -1);
+    expect(state()).toEqual("unconfirmed");
+  });
+
+  it("gives a listed leaver no work again, whatever it reports of itself", () => {
+    const { directory, state } = create();
+    directory.applyLoad("engine-0", load("first"), 10);
+    directory.applyVms([vm("leaving")]);
+    directory.applyLoad("engine-0", load("first"), 20);
+    expect(state()).toEqual("leaving");
+  });
+
+  it("drops a report that comes late", () => {
+    const { directory } = create();
+    directory.applyLoad("engine-0", load("second", { running: 2 }), 20);
+    directory.applyLoad("engine-0", load("first", { running: 1 }), 10);
+    expect(directory.get("engine-0")?.load?.running).toEqual(2);
+  });
+});
