--- a/bench/model/requestTask.ts
+++ b/bench/model/requestTask.ts
@@ -87,6 +87,7 @@
 /** Runs on the engine until the answer ends, the caller gives up, or the network or the engine fails. */
 const runOnEngine = (
   { surroundings, router, work, arrival, record, signal }: AttemptParts,
+  priority: number,
   engine: EngineModel,
   latency: number,
   onFirstToken: () => void,
@@ -100,7 +101,7 @@
       resolve({ ended, cachedTokens });
     };
     const cancelled = engine.submit({
-      priority: work.context.requestClass.priority,
+      priority,
       levels: work.levels,
       promptTokens: work.promptTokens,
       outputTokens: arrival.outputTokens,
@@ -148,7 +149,8 @@
     return signal.aborted ? "cancelled" : "failed";
   }
   const { incarnation } = engine.load();
-  const { ended, cachedTokens } = await runOnEngine(parts, engine, latency, onFirstToken);
+  const priority = assignment.priority ?? work.context.requestClass.priority;
+  const { ended, cachedTokens } = await runOnEngine(parts, priority, engine, latency, onFirstToken);
   const usage =
     ended === "finished"
       ? {
