Put organisations over their computing share behind the others, keep room beside batch work

Now: accounts of computed prompt tokens by standing lower the engine priority of whoever is over; long prompts go after the class's others; confidence in homes is learned for each organisation.

--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -21,6 +21,8 @@
   queueInterval,
   shortestRetryAfter,
 } from "./constants.ts";
+import { createComputingShares } from "./computingShares.ts";
+import type { ComputingShares } from "./computingShares.ts";
 import { createEngineEstimates } from "./engineEstimates.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
 import { createHomeConfidence } from "./homeConfidence.ts";
@@ -85,6 +87,7 @@
   private readonly holdingTimes: HoldingTimes;
   private readonly priorityMix: PriorityMix = createPriorityMix();
   private readonly homeConfidence: HomeConfidence = createHomeConfidence();
+  private readonly computingShares: ComputingShares;
   private readonly limits: OrganisationLimits;
   private readonly placement: Placement;
   private readonly queue: AdmissionQueue<WaitingWork> = createAdmissionQueue();
@@ -102,8 +105,18 @@
     this.affinity = createAffinityLearner(liveRouters);
     this.shards = createShuffleShards(directory, configuration);
     this.holdingTimes = createHoldingTimes();
+    this.computingShares = createComputingShares(liveRouters);
     this.limits = createOrganisationLimits(parts.organisationShare ?? (() => 1));
-    const { picture, estimates, affinity, shards, holdingTimes, priorityMix, homeConfidence } = this;
+    const {
+      picture,
+      estimates,
+      affinity,
+      shards,
+      holdingTimes,
+      priorityMix,
+      homeConfidence,
+      computingShares,
+    } = this;
     const { dataCentre } = parts;
     this.placement = createPlacement({
       directory,
@@ -117,6 +130,7 @@
       holdingTimes,
       priorityMix,
       homeConfidence,
+      computingShares,
     });
     this.unsubscribe = directory.subscribe(({ kind }) => {
       if (kind !== "added") this.schedulePump(0);
@@ -172,12 +186,11 @@
 
   /** Counts a request against its organisation's limits; a further attempt of one that was let in always is. */
   private enter(work: Work, now: number): RequestError | undefined {
-    const { organisation } = work.context;
     if (work.furtherAttempt ?? work.excluded.size > 0) {
-      this.limits.retake(organisation, now);
+      this.limits.retake(work.context, now);
       return undefined;
     }
-    const wait = this.limits.take(organisation, now);
+    const wait = this.limits.take(work.context, now);
     if (wait !== undefined) return refusals.organisationLimit(retryAfter(wait));
     this.affinity.note(work, now);
     return undefined;
@@ -185,7 +198,7 @@
 
   private settleAtOnce(work: Work, result: Prediction | RequestError): Promise<Assignment> {
     if ("engine" in result) return Promise.resolve(this.dispatch(work, result));
-    this.limits.leave(work.context.organisation);
+    this.limits.leave(work.context);
     return Promise.reject(result);
   }
 
@@ -204,7 +217,7 @@
           resolve(result);
           return;
         }
-        this.limits.leave(work.context.organisation);
+        this.limits.leave(work.context);
         reject(result);
       };
       const waiting: WaitingWork = { work, settle };
@@ -265,6 +278,7 @@
     estimate.begin(own);
     this.priorityMix.note(priority, own.uncachedTokens);
     this.queue.charge(work, servedTokens(work, cachedTokens, undefined));
+    this.computingShares.charge(work.context.organisation.name, own.uncachedTokens);
     // The engine computes prompts in turn, so what is sent after this one will find its levels.
     if (stamp !== undefined && priority < latePriority) this.picture.note(keys, stamp, dispatchedAt);
     let released = false;
@@ -286,7 +300,7 @@
         const now = this.clock.monotonic();
         this.directory.addInFlight(engine.id, -1);
         estimate.end(own, now);
-        this.limits.leave(work.context.organisation);
+        this.limits.leave(work.context);
         this.learn(work, prediction, report, now - dispatchedAt);
         this.schedulePump(0);
       },
@@ -310,6 +324,8 @@
       servedTokens(work, cachedTokens, usage) - servedTokens(work, cachedTokens, undefined),
     );
     const computed = usage.promptTokens - usage.cachedTokens;
+    const corrected = computed - (work.promptTokens - cachedTokens);
+    this.computingShares.charge(work.context.organisation.name, corrected);
     if (firstTokenAfter !== undefined) {
       const waited = firstTokenAfter - computed * estimate.millisecondsPerToken() - prediction.ownWait;
       estimate.learnWait(prediction.priority, Math.max(0, waited), this.clock.monotonic());
@@ -326,7 +342,8 @@
     // Estimated tokens are brought to the engine's count.
     const scale = usage.promptTokens / work.promptTokens;
     const holds = (tokens: number): boolean => usage.cachedTokens >= tokens * scale * heldShare;
-    if (homeUntested) this.homeConfidence.learn(affinity.rate, holds(affinity.level.tokens));
+    if (homeUntested)
+      this.homeConfidence.learn(work.context.organisation.name, affinity.rate, holds(affinity.level.tokens));
     if (believed === undefined) return;
     this.estimates.learnRetention(estimate, holds(believed.tokens), believed.confidence);
   }
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -78,8 +78,17 @@
 export const longPrefill = 200;
 /** The engines' last priority. */
 export const lowestPriority = 9;
+/** Engine priority of an organisation's work while it has computed more than its share. */
+export const overSharePriority = 7;
+/** What an organisation may compute over time, in parts that its standing gives it. */
+export const computingShare = 2;
+/** What an organisation may compute at once: so many milliseconds of its share, and at least so many tokens. */
+export const computingBurst = 5_000;
+export const smallestComputingBurst = 10_000;
+/** Part of an organisation's concurrent requests that may be batch work. */
+export const batchConcurrency = 0.5;
 /** Engine priority of work that has to compute a cold prefix and is late anyway: it delays nobody in time. */
-export const latePriority = 7;
+export const latePriority = 6;
 /** Part of the time until the last token is due that such work may wait for its first. */
 export const lateShare = 0.5;
 
@@ -98,7 +107,7 @@
 
 /** Pending prompts that make an engine count as half busy, milliseconds; the weight of one report. */
 export const busyWait = 100;
-export const busyGain = 0.05;
+export const busyGain = 0.15;
 /** How strongly homes move away from engines that are busier than the others by more than a tolerance; weights change by whole steps. */
 export const balanceTolerance = 0.2;
 export const balanceGain = 3;
--- a/src/coordination/scheduling/homeConfidence.ts
+++ b/src/coordination/scheduling/homeConfidence.ts
@@ -1,6 +1,6 @@
 /**
  * How likely a prefix's home holds it although this router has not sent it there: others have, if it is shared by
- * all. Learned from answers, apart for prefixes of different heat.
+ * all. Learned from answers, apart for each organisation and for prefixes of different heat.
  */
 import { firstHomeConfidence, homeConfidenceGain, homeSettling, homeSettlingFrom } from "./constants.ts";
 
@@ -11,8 +11,8 @@
    * @param knownFor - Milliseconds since the engine's present incarnation and weights are known.
    * @returns 0 to 1.
    */
-  readonly of: (rate: number, knownFor: number) => number;
-  readonly learn: (rate: number, held: boolean) => void;
+  readonly of: (organisation: string, rate: number, knownFor: number) => number;
+  readonly learn: (organisation: string, rate: number, held: boolean) => void;
 }
 
 /** Upper bounds of the rates that are learned about together, a millisecond. */
@@ -27,14 +27,24 @@
 
 /** Makes a confidence that has learned nothing. */
 export const createHomeConfidence = (): HomeConfidence => {
-  const learned = new Array<number>(rateBounds.length + 1).fill(firstHomeConfidence);
+  const learned = new Map<string, number[]>();
+
+  const bucketsOf = (organisation: string): number[] => {
+    const known = learned.get(organisation) ?? [];
+    learned.set(organisation, known);
+    return known;
+  };
+
   return {
-    of: (rate, knownFor) =>
-      (learned[bucketOf(rate)] ?? 0) * clampShare((knownFor - homeSettlingFrom) / homeSettling),
-    learn: (rate, held) => {
+    of: (organisation, rate, knownFor) => {
+      const confidence = bucketsOf(organisation)[bucketOf(rate)] ?? firstHomeConfidence;
+      return confidence * clampShare((knownFor - homeSettlingFrom) / homeSettling);
+    },
+    learn: (organisation, rate, held) => {
+      const buckets = bucketsOf(organisation);
       const bucket = bucketOf(rate);
-      const before = learned[bucket] ?? firstHomeConfidence;
-      learned[bucket] = before + ((held ? 1 : 0) - before) * homeConfidenceGain;
+      const before = buckets[bucket] ?? firstHomeConfidence;
+      buckets[bucket] = before + ((held ? 1 : 0) - before) * homeConfidenceGain;
     },
   };
 };
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -18,18 +18,20 @@
   latePriority,
   longPrefill,
   lowestPriority,
+  overSharePriority,
   lateShare,
   pressureWait,
   roundTripBetweenDataCentres,
   spillFactor,
 } from "./constants.ts";
+import type { ComputingShares } from "./computingShares.ts";
 import type { EngineEstimate } from "./engineEstimate.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
 import type { HomeConfidence } from "./homeConfidence.ts";
 import type { HoldingTimes } from "./holdingTimes.ts";
 import type { PriorityMix } from "./priorityMix.ts";
 import type { Work } from "./Scheduler.ts";
-import type { ShuffleShards } from "./shuffleShards.ts";
+import type { Shard, ShuffleShards } from "./shuffleShards.ts";
 
 /** What a choice is made from. */
 export interface PlacementParts {
@@ -44,6 +46,7 @@
   readonly holdingTimes: HoldingTimes;
   readonly priorityMix: PriorityMix;
   readonly homeConfidence: HomeConfidence;
+  readonly computingShares: ComputingShares;
 }
 
 /** An engine with what is predicted for one piece of work there. Times are milliseconds. */
@@ -144,13 +147,18 @@
     return ((holdingTimes.of(work) / limit) * (taken - crowdedFrom)) / Math.max(crowdedLeast, 1 - taken);
   };
 
+  const priorityOf = ({ context }: Work, shard: Shard, now: number): number => {
+    const { priority } = context.requestClass;
+    const isOver = parts.computingShares.isOver(context.organisation.name, shard, now);
+    return isOver ? Math.max(overSharePriority, priority) : priority;
+  };
+
   const choose = (work: Work, now: number): Prediction | undefined => {
     const shard = parts.shards.shardOf(work.context.organisation, work.pools);
     const chosen = affinity.choose(work, estimates.retention(), now);
     if (chosen === undefined) return undefined;
     const objective = objectiveOf(work);
-    const { priority } = work.context.requestClass;
-    const aheadShare = parts.priorityMix.aheadShare(priority);
+    const priority = priorityOf(work, shard, now);
     const { homes, holders, listOthers } = listCandidates(work, shard, chosen, now);
     const forecast = createCacheForecast(picture, work.levels, chosen.level.key);
     /** Requests that will use what a home computes now. */
@@ -161,16 +169,22 @@
       const estimate = estimates.of(engine, now);
       const stamp = picture.stampOf(engine);
       const isHome = homes.has(engine.id);
-      const prior = isHome ? parts.homeConfidence.of(chosen.rate, estimate.knownFor(now)) : 0;
+      const prior = isHome
+        ? parts.homeConfidence.of(work.context.organisation.name, chosen.rate, estimate.knownFor(now))
+        : 0;
       const cachedTokens = forecast.cachedTokens(stamp, estimate.retention(), prior, now);
       const tokenCost = estimate.millisecondsPerToken();
       const prefill = (work.promptTokens - cachedTokens) * tokenCost;
       const room = hasRoom(work, estimate, now);
       const turn = room ? 0 : slotWait(work, estimate);
+      // Work that may turn out long goes after the class's others, whatever other routers are hoped to have done.
+      const known = forecast.cachedTokens(stamp, estimate.retention(), 0, now);
+      const isLong = (work.promptTokens - known) * tokenCost > longPrefill;
+      const ownPriority = isLong ? Math.min(lowestPriority, priority + 1) : priority;
+      const aheadShare = parts.priorityMix.aheadShare(priority);
       const ownWait = estimate.ownWait(priority, now);
       const distance = engine.dataCentre === parts.dataCentre ? 0 : roundTripBetweenDataCentres;
       const wait = ownWait + estimate.othersWait(priority, aheadShare, now) + turn + distance;
-      const isLong = prefill > longPrefill;
       const recomputation = isHome ? prefill / users : prefill;
       const spent =
         objective.timeToFirstToken * (wait + prefill + crowding(work, estimate, now)) +
@@ -186,7 +200,7 @@
         ownWait,
         wait,
         lateBy: wait + prefill - remaining,
-        priority: isLong ? Math.min(lowestPriority, priority + 1) : priority,
+        priority: ownPriority,
         isHome,
         prefill,
         queueTurn: turn / Math.max(1, shard.members.length),
--- a/src/coordination/scheduling/shuffleShards.ts
+++ b/src/coordination/scheduling/shuffleShards.ts
@@ -27,6 +27,10 @@
   /** Engines of the same pools outside the shard. */
   readonly others: readonly Member[];
   readonly equalWeights: boolean;
+  /** The organisation's part of the standing of all that share the engines, 0 to 1. */
+  readonly standingShare: number;
+  /** Prompt tokens that all engines of the pools compute. */
+  readonly tokensPerSecond: number;
 }
 
 /** Computes shards, and keeps them until membership or configuration change. */
@@ -85,7 +89,13 @@
 
 const ownWeight = ({ weight }: Member): number => weight;
 
-const emptyShard: Shard = { members: [], others: [], equalWeights: true };
+const emptyShard: Shard = {
+  members: [],
+  others: [],
+  equalWeights: true,
+  standingShare: 1,
+  tokensPerSecond: 0,
+};
 
 const hexOf = (text: string): string => hash64(text).toString(16).padStart(16, "0");
 
@@ -161,6 +171,10 @@
     const sharers = sharersOf(organisation, pools);
     const totalStanding = sharers.reduce((sum, { standing }) => sum + standing, 0);
     const totalWeight = all.reduce((sum, { weight }) => sum + weight, 0);
+    const tokensPerSecond = pools.reduce((sum, pool) => {
+      const { prefillTokensPerSecond } = configuration()?.pools.get(pool) ?? unknownPool;
+      return sum + directory.inPool(pool).length * prefillTokensPerSecond;
+    }, 0);
     const given = new Map<Member, number>();
 
     const computeShard = ({ name, standing }: OrganisationConfiguration): Shard => {
@@ -179,7 +193,8 @@
       const members = [...fitting, ...rest].slice(0, size);
       for (const member of members) given.set(member, (given.get(member) ?? 0) + share / size);
       const inside = new Set(members);
-      return { members, others: all.filter((member) => !inside.has(member)), equalWeights };
+      const others = all.filter((member) => !inside.has(member));
+      return { members, others, equalWeights, standingShare: share, tokensPerSecond };
     };
 
     return new Map(sharers.map((sharer) => [sharer.name, computeShard(sharer)]));
