--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -198,7 +198,7 @@
 
   private settleAtOnce(work: Work, result: Prediction | RequestError): Promise<Assignment> {
     if ("engine" in result) return Promise.resolve(this.dispatch(work, result));
-    this.limits.leave(work.context);
+    this.limits.giveUp(work.context);
     return Promise.reject(result);
   }
 
@@ -217,7 +217,7 @@
           resolve(result);
           return;
         }
-        this.limits.leave(work.context);
+        this.limits.giveUp(work.context);
         reject(result);
       };
       const waiting: WaitingWork = { work, settle };
@@ -239,7 +239,7 @@
     const queued = prediction.queueTurn * ahead;
     const late = prediction.lateBy + queued;
     if (late > 0) return refusals.overloaded(retryAfter(late));
-    return prediction.hasRoom ? prediction : undefined;
+    return prediction.hasRoom && this.limits.mayStart(work.context) ? prediction : undefined;
   }
 
   /** Gives engines to waiting work, as far as there is room, and refuses what can't be in time any more. */
@@ -276,6 +276,7 @@
     };
     this.directory.addInFlight(engine.id, 1);
     estimate.begin(own);
+    this.limits.start(work.context);
     this.priorityMix.note(priority, own.uncachedTokens);
     this.queue.charge(work, servedTokens(work, cachedTokens, undefined));
     this.computingShares.charge(work.context.organisation.name, own.uncachedTokens);
@@ -300,7 +301,7 @@
         const now = this.clock.monotonic();
         this.directory.addInFlight(engine.id, -1);
         estimate.end(own, now);
-        this.limits.leave(work.context);
+        this.limits.end(work.context);
         this.learn(work, prediction, report, now - dispatchedAt);
         this.schedulePump(0);
       },
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -85,8 +85,8 @@
 /** What an organisation may compute at once: so many milliseconds of its share, and at least so many tokens. */
 export const computingBurst = 5_000;
 export const smallestComputingBurst = 10_000;
-/** Part of an organisation's concurrent requests that may be batch work. */
-export const batchConcurrency = 0.5;
+/** Batch work starts while its organisation uses no more than this part of its concurrent requests. */
+export const batchConcurrency = 0.75;
 /** Engine priority of work that has to compute a cold prefix and is late anyway: it delays nobody in time. */
 export const latePriority = 6;
 /** Part of the time until the last token is due that such work may wait for its first. */
--- a/src/coordination/scheduling/organisationLimits.ts
+++ b/src/coordination/scheduling/organisationLimits.ts
@@ -3,7 +3,10 @@
 import type { RequestContext } from "../../protocol/types.ts";
 import { batchConcurrency } from "./constants.ts";
 
-/** Counts an organisation's requests against its limits. */
+/**
+ * Counts an organisation's requests against its limits. Interactive work counts from its arrival; batch work only
+ * while an engine has it, so that what waits takes no room from the organisation's interactive work.
+ */
 export interface OrganisationLimits {
   /**
    * Takes one more request if the limits allow it.
@@ -13,15 +16,19 @@
   readonly take: (context: RequestContext, now: number) => number | undefined;
   /** Counts a further attempt of a request that was taken already. */
   readonly retake: (context: RequestContext, now: number) => void;
-  /** Ends a request that was taken. */
-  readonly leave: (context: RequestContext) => void;
+  /** False while batch work has to wait for other work of its organisation to end. */
+  readonly mayStart: (context: RequestContext) => boolean;
+  /** An engine gets the request. */
+  readonly start: (context: RequestContext) => void;
+  /** A request ends that no engine got. */
+  readonly giveUp: (context: RequestContext) => void;
+  /** A request ends that an engine had. */
+  readonly end: (context: RequestContext) => void;
   readonly dump: () => unknown;
 }
 
 interface Account {
   concurrent: number;
-  /** Those of them that are batch work. */
-  concurrentBatch: number;
   /** Requests that may start at once. */
   allowance: number;
   filledAt: number;
@@ -29,6 +36,8 @@
 
 /** The allowance of so many milliseconds may be used at once. */
 const burst = 1_000;
+/** And never fewer requests than this: a router's part of a small limit would refuse usual arrivals. */
+const smallestBurst = 4;
 const concurrentRetryAfter = 1_000;
 
 /**
@@ -42,7 +51,6 @@
   const accountOf = ({ name }: OrganisationConfiguration, now: number): Account => {
     const known = accounts.get(name) ?? {
       concurrent: 0,
-      concurrentBatch: 0,
       allowance: Number.POSITIVE_INFINITY,
       filledAt: now,
     };
@@ -51,24 +59,20 @@
   };
 
   const fill = (account: Account, rate: number, now: number): void => {
-    const most = Math.max(1, rate * burst);
+    const most = Math.max(smallestBurst, rate * burst);
     account.allowance = Math.min(most, account.allowance + rate * (now - account.filledAt));
     account.filledAt = now;
   };
 
-  const count = ({ requestClass }: RequestContext, account: Account, difference: 1 | -1): void => {
-    account.concurrent = Math.max(0, account.concurrent + difference);
-    if (requestClass.kind !== "batch") return;
-    account.concurrentBatch = Math.max(0, account.concurrentBatch + difference);
-  };
+  const isBatch = ({ requestClass }: RequestContext): boolean => requestClass.kind === "batch";
+
+  /** Rounded down, so that the routers' parts never add up to more than the whole. */
+  const mostConcurrent = ({ name, limits }: OrganisationConfiguration): number =>
+    Math.floor(limits.concurrentRequests * share(name));
 
-  const isFull = ({ organisation, requestClass }: RequestContext, account: Account): boolean => {
-    // Rounded down, so that the routers' parts never add up to more than the whole.
-    const most = Math.floor(organisation.limits.concurrentRequests * share(organisation.name));
-    if (account.concurrent >= most) return true;
-    // An organisation's batch work leaves room for its own interactive work.
-    const mostBatch = Math.max(1, Math.floor(most * batchConcurrency));
-    return requestClass.kind === "batch" && account.concurrentBatch >= mostBatch;
+  const count = ({ organisation }: RequestContext, difference: 1 | -1): void => {
+    const account = accounts.get(organisation.name);
+    if (account !== undefined) account.concurrent = Math.max(0, account.concurrent + difference);
   };
 
   return {
@@ -77,17 +81,30 @@
       const account = accountOf(organisation, now);
       const rate = (organisation.limits.requestsPerSecond * share(organisation.name)) / 1_000;
       fill(account, rate, now);
-      if (isFull(context, account)) return concurrentRetryAfter;
+      const isFull = account.concurrent >= mostConcurrent(organisation);
+      if (isFull && !isBatch(context)) return concurrentRetryAfter;
       if (account.allowance < 1) return (1 - account.allowance) / rate;
       account.allowance -= 1;
-      count(context, account, 1);
+      if (!isBatch(context)) count(context, 1);
       return undefined;
     },
-    retake: (context, now) => count(context, accountOf(context.organisation, now), 1),
-    leave: (context) => {
-      const account = accounts.get(context.organisation.name);
-      if (account !== undefined) count(context, account, -1);
+    retake: (context, now) => {
+      accountOf(context.organisation, now);
+      if (!isBatch(context)) count(context, 1);
+    },
+    mayStart: (context) => {
+      if (!isBatch(context)) return true;
+      const most = mostConcurrent(context.organisation);
+      const running = accounts.get(context.organisation.name)?.concurrent ?? 0;
+      return running < Math.max(Math.min(1, most), Math.floor(most * batchConcurrency));
+    },
+    start: (context) => {
+      if (isBatch(context)) count(context, 1);
+    },
+    giveUp: (context) => {
+      if (!isBatch(context)) count(context, -1);
     },
+    end: (context) => count(context, -1),
     dump: () => Object.fromEntries([...accounts].map(([name, { concurrent }]) => [name, concurrent])),
   };
 };
