Leave half of an engine's seats to interactive work

Cause: in a batch surge reconciliations of seven seconds filled three quarters of the seats, and reports came too late to hold the rest: 23 % of price look-ups waited and 28 % were refused.

--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -102,7 +102,7 @@
 /** Weight of one report or answer in an engine's usual load or wait. */
 export const usualLoadGain = 0.1;
 
-/** Routers' parts of an engine's free slots that one router may take before the next report. */
+/** Routers' parts of an engine's free slots that one router may take for interactive work before the next report. */
 export const freeSlotsTaken = 2;
 
 /** Pending prompts that make an engine count as half busy, milliseconds; the weight of one report. */
@@ -115,7 +115,7 @@
 export const leastBalance = 0.3;
 
 /** Share of an engine's slots that batch work may fill. */
-export const batchShare = 0.75;
+export const batchShare = 0.5;
 
 /** How long a request holds a slot before answers tell, milliseconds; and the weight of one answer. */
 export const firstHoldingTime = 1_000;
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -124,13 +124,13 @@
    * shows free; as others may too, not all of them.
    */
   const hasRoom = (work: Work, estimate: EngineEstimate, now: number): boolean => {
-    const share = work.context.requestClass.kind === "batch" ? batchShare : 1;
-    const limit = Math.max(1, estimate.limit() * share);
+    const isBatch = work.context.requestClass.kind === "batch";
+    const limit = Math.max(1, estimate.limit() * (isBatch ? batchShare : 1));
     const routers = Math.max(1, parts.liveRouters());
     const own = estimate.ownRunning();
     const reported = estimate.ownReported();
     const free = limit - reported - estimate.othersRunning(now);
-    const budget = reported + free * Math.min(1, freeSlotsTaken / routers);
+    const budget = reported + free * Math.min(1, (isBatch ? 1 : freeSlotsTaken) / routers);
     const ownPart = routers > 1 ? Math.max(1, Math.floor(limit / routers)) : 0;
     return own + 1 <= Math.max(ownPart, budget);
   };
