--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -129,7 +129,7 @@
     const routers = Math.max(1, parts.liveRouters());
     const own = estimate.ownRunning();
     const reported = estimate.ownReported();
-    const free = limit - reported - estimate.othersRunning(now);
+    const free = Math.round(limit) - reported - Math.round(estimate.othersRunning(now));
     const budget = reported + free * Math.min(1, (isBatch ? 1 : freeSlotsTaken) / routers);
     const ownPart = routers > 1 ? Math.max(1, Math.floor(limit / routers)) : 0;
     return own + 1 <= Math.max(ownPart, budget);
