--- a/tests/processes/records.ts
+++ b/tests/processes/records.ts
@@ -1,11 +1,17 @@
 /** What the stand-ins of a running system have recorded. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { operatorKey } from "../../demo/processes.ts";
 import type { System, SystemProcess } from "../../demo/processes.ts";
 
+const pollInterval = 20;
+
 /** One execution, by an engine or a plain service. */
 export interface Execution {
   readonly upstream: string;
   readonly attempt: string;
   readonly idempotencyKey?: string;
+  /** Of an engine's execution. */
+  readonly state?: string;
 }
 
 const readExecutions = async ({ name, process }: SystemProcess): Promise<readonly Execution[]> => {
@@ -33,3 +39,17 @@
 export const setFaults = async (url: string, faults: Readonly<Record<string, unknown>>): Promise<void> => {
   await fetch(`${url}/stand-in/faults`, { method: "POST", body: JSON.stringify(faults) });
 };
+
+/** Waits until every router has heard from every engine. */
+export const waitForEngines = async (system: System): Promise<void> => {
+  const wanted = system.processes().filter(({ kind }) => kind === "engine").length;
+  const headers = { authorization: `Bearer ${operatorKey}` };
+  for (const { process } of system.routers()) {
+    for (let live = 0; live < wanted;) {
+      const answer = await fetch(`${process.url}/operator/engines`, { headers });
+      const { engines } = (await answer.json()) as { engines: readonly { readonly state: string }[] };
+      live = engines.filter(({ state }) => state === "live").length;
+      await sleep(pollInterval);
+    }
+  }
+};
