Keep a closing router's port open until callers have gone elsewhere

Under the load of the whole test run the rolling replacement failed with six ECONNRESET at one router: its connections had run out for a moment, so the port was closed while new ones were being made, and what waits in the kernel's accept queue is reset. A caller can't tell such a reset from a request that ran. Now the port closes only after half a second without a new connection, and at the latest a second after the keep-alive time.

--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -24,8 +24,10 @@
 const jsonType = { "content-type": "application/json" } as const;
 const serviceRoute = /^\/services\/([^/]+)(\/.*)?$/;
 const connectionPollInterval = 20;
+/** The port stays open until no connection has come for this long, milliseconds. */
+const quietTime = 500;
 /** An idle connection ends this much later than callers are told, milliseconds. */
-const keepAliveMargin = 500;
+const keepAliveMargin = 1_000;
 const textEncoder = new TextEncoder();
 
 /** A server that is listening. */
@@ -36,7 +38,8 @@
   readonly endConnections: () => void;
   /**
    * Resolves when all connections have ended. Idle ones are left until the time is over for which callers
-   * were told that they may be used again: a request must not meet a connection that is being closed.
+   * were told that they may be used again, and the port is open until callers have gone elsewhere: no request
+   * must meet a connection that is being closed.
    */
   readonly close: () => Promise<void>;
 }
@@ -246,12 +249,20 @@
 const countConnections = (server: Server): Promise<number> =>
   new Promise((resolve) => server.getConnections((_error, count) => resolve(count)));
 
-/** Waits for connections to end by themselves, at most for a time in milliseconds. */
-const awaitConnections = async (server: Server, limit: number): Promise<void> => {
-  const until = performance.now() + limit;
-  while (performance.now() < until && (await countConnections(server)) > 0) {
-    await sleep(connectionPollInterval);
-  }
+/**
+ * Waits until all connections have ended by themselves and no new one has come for a while, so that closing
+ * the port meets none that is just being made.
+ *
+ * @param lastConnection - When the newest one came, milliseconds on the monotonic clock.
+ * @param limit - The longest wait, milliseconds.
+ */
+const awaitQuiet = async (server: Server, lastConnection: () => number, limit: number): Promise<void> => {
+  const startedAt = performance.now();
+  const isQuiet = async (): Promise<boolean> => {
+    const since = Math.max(startedAt, lastConnection());
+    return performance.now() - since >= quietTime && (await countConnections(server)) === 0;
+  };
+  while (performance.now() < startedAt + limit && !(await isQuiet())) await sleep(connectionPollInterval);
 };
 
 /** Where the server listens and how it treats connections. */
@@ -271,10 +282,12 @@
 ): Promise<CallerServer> => {
   const nodeHandler = toNodeHandler(createApp(frontEnd));
   let isEnding = false;
+  let lastConnection = 0;
   const server = createServer((request, response) => {
     if (isEnding) response.shouldKeepAlive = false;
     void nodeHandler(request, response);
   });
+  server.on("connection", () => (lastConnection = performance.now()));
   // Long prompts and long answers: class deadlines bound a request, not the server's clock.
   server.requestTimeout = 0;
   server.keepAliveTimeout = keepAlive;
@@ -290,7 +303,7 @@
     });
   const close = async (): Promise<void> => {
     endConnections();
-    await awaitConnections(server, keepAlive + keepAliveMargin);
+    await awaitQuiet(server, () => lastConnection, keepAlive + keepAliveMargin);
     await closeNow();
   };
   return {
