Bring engines over to what the configuration wants, by one holder a deployment

Cause: weights, adapters and roles of the configuration reached no engine. One task an engine: drain, wait for its answers, load, verify by its report, admit; each turn starts from a fresh report, so a crash, a lost answer, a newer configuration or another holder need no case of their own. Each drain is noted in the lease before it is ordered: a report can't tell our drain from an engine that leaves, and calling back the latter was ruled out. A new holder first sends every engine that checks an order that changes nothing, which raises its fence; of engines that don't check it first waits out the longest order. An engine that can't load is admitted with its old weights instead of standing idle.

--- a/src/coordination/leases/lease.test.ts
+++ b/src/coordination/leases/lease.test.ts
@@ -244,6 +244,18 @@
     await race.end();
   });
 
+  it("hands what a holder noted to the next one, also after a crash", async () => {
+    const race = createRace(2);
+    await race.advance(300);
+    const [first] = race.holders();
+    expect(await first?.lease.tenure()?.saveNote(["engine-1"])).toEqual(true);
+    first?.process.freeze();
+    await race.advance(3 * duration);
+    expect(race.holders()[0]?.lease.tenure()?.note()).toEqual(["engine-1"]);
+    expect(race.holders()[0] === first).toEqual(false);
+    await race.end();
+  });
+
   it("is over for a holder that was frozen, before it can act again", async () => {
     const race = createRace(2);
     await race.advance(300);
--- a/src/coordination/leases/lease.ts
+++ b/src/coordination/leases/lease.ts
@@ -5,30 +5,16 @@
  * early. A contender waits for the full duration from when it read the last record. So the tenure is over by
  * the time another can begin, however long either process was paused.
  */
-import { randomUUID } from "node:crypto";
-import { logStreams } from "../../protocol/constants.ts";
-import type { LogService } from "../../protocol/LogService.ts";
 import { metricNames } from "../../state/constants.ts";
 import { createLogger } from "../../state/log.ts";
-import type { Metrics } from "../../state/Metrics.ts";
 import { pause } from "../clock.ts";
-import type { Clock } from "../clock.ts";
-import { leasePageSize, pollShare, renewalShare, safetyShare } from "./constants.ts";
-import type { LeaseHistory } from "./leaseHistory.ts";
-import { encodeLeaseRecord } from "./leaseRecord.ts";
-import type { LeaseRecord } from "./leaseRecord.ts";
+import { pollShare, renewalShare, safetyShare } from "./constants.ts";
+import { createLeaseLog } from "./leaseLog.ts";
+import type { LeaseLogParts } from "./leaseLog.ts";
 import type { LeaseView, Tenure } from "./types.ts";
 
 /** What a lease works with. */
-export interface LeaseParts {
-  readonly name: string;
-  /** Tells this process from every other, and from this VM's earlier processes. */
-  readonly holder: string;
-  readonly log: LogService;
-  /** May be shared by the leases of one process. */
-  readonly history: LeaseHistory;
-  readonly clock: Clock;
-  readonly metrics: Metrics;
+export interface LeaseParts extends LeaseLogParts {
   /** Milliseconds of a tenure without renewal. */
   readonly duration: () => number;
   /** Whether this router should try to get the lease; a holder keeps it all the same. */
@@ -48,24 +34,28 @@
   readonly beganAt: number;
   validUntil: number;
   renewAt: number;
-}
-
-interface SentAppend {
-  readonly at: number;
-  readonly duration: number;
+  note: readonly string[];
 }
 
 const writeLog = createLogger("leases");
 
 /** Starts to seek a lease. */
 export const startLease = (parts: LeaseParts): Lease => {
-  const { name, holder, log, history, clock, metrics } = parts;
+  const { name, holder, history, clock, metrics } = parts;
+  const records = createLeaseLog(parts);
   const stop = new AbortController();
-  /** Own appends, whatever became of them, by their ids. */
-  const sent = new Map<string, SentAppend>();
   let held: Held | undefined;
+  let previous: Promise<unknown> = Promise.resolve();
+
+  /** Two renewals at once would make each other void. */
+  const exclusively = <T>(work: () => Promise<T>): Promise<T> => {
+    const result = previous.then(work);
+    previous = result.catch(() => undefined);
+    return result;
+  };
 
   const isCurrent = (): boolean => held !== undefined && clock.monotonic() < held.validUntil;
+  const isHeldAs = (fencingNumber: number): boolean => held?.fencingNumber === fencingNumber && isCurrent();
 
   const forget = (reason: string): void => {
     if (held === undefined) return;
@@ -74,20 +64,20 @@
     held = undefined;
   };
 
-  /** Own records that can no longer make a tenure. */
-  const dropOldAppends = (): void => {
-    const now = clock.monotonic();
-    for (const [id, { at, duration }] of sent) {
-      if (at + duration < now) sent.delete(id);
-    }
+  const begin = (fencingNumber: number, validUntil: number, renewAt: number): void => {
+    if (validUntil <= clock.monotonic()) return;
+    const note = records.head()?.note ?? [];
+    held = { fencingNumber, beganAt: clock.monotonic(), validUntil, renewAt, note };
+    writeLog("granted", { lease: name, fencingNumber });
+    metrics.count(metricNames.leaseGrants);
   };
 
   /** Takes what the log says: whether the last valid record is one of ours, and how long it reaches. */
   const follow = (): void => {
-    const { head } = history.state(name);
-    const own = head?.holder === holder && head.kind !== "release" ? sent.get(head.id) : undefined;
+    const head = records.head();
+    const own = records.ownAppend();
     if (head === undefined || own === undefined) {
-      if (held !== undefined && head?.holder !== holder) forget("taken");
+      if (head?.holder !== holder) forget("taken");
       return;
     }
     const validUntil = own.at + own.duration * (1 - safetyShare);
@@ -95,63 +85,30 @@
     if (held?.fencingNumber === head.fencingNumber) {
       held.validUntil = Math.max(held.validUntil, validUntil);
       held.renewAt = Math.max(held.renewAt, renewAt);
-      return;
-    }
-    if (validUntil <= clock.monotonic()) return;
-    held = { fencingNumber: head.fencingNumber, beganAt: clock.monotonic(), validUntil, renewAt };
-    writeLog("granted", { lease: name, fencingNumber: head.fencingNumber });
-    metrics.count(metricNames.leaseGrants);
+    } else begin(head.fencingNumber, validUntil, renewAt);
   };
 
-  const readToEnd = async (): Promise<void> => {
-    for (;;) {
-      const from = history.readTo();
-      const page = await log.read(logStreams.leases, from, leasePageSize);
-      history.applyPage(from, page);
-      if (history.readTo() >= page.nextOffset || page.records.length === 0) break;
-    }
+  const renew = async ({ fencingNumber: grant, note }: Held): Promise<void> => {
+    await records.append({ kind: "renewal", ...records.base(), duration: parts.duration(), note, grant });
     follow();
   };
 
-  /** @returns Whether the record has been read, so that its validity is known. */
-  const append = async (record: LeaseRecord): Promise<boolean> => {
-    if (record.kind !== "release") sent.set(record.id, { at: clock.monotonic(), duration: record.duration });
-    metrics.count(metricNames.leaseAppends);
-    const data = encodeLeaseRecord(record);
-    const [offset] = await log.append(logStreams.leases, [data]);
-    // With nothing unread before it, the record needs no read.
-    if (offset === history.readTo()) history.apply({ offset, data });
-    return offset !== undefined && offset < history.readTo();
-  };
-
-  const common = () => ({ lease: name, holder, id: randomUUID(), readTo: history.readTo() });
-
-  /** Appends, and learns from the log what came of it, also where the answer was lost. */
-  const appendAndRead = async (record: LeaseRecord): Promise<void> => {
-    const isRead = await append(record).catch(() => false);
-    if (isRead) follow();
-    else await readToEnd();
-  };
-
-  const renew = async (tenure: Held): Promise<void> => {
-    const duration = parts.duration();
-    await appendAndRead({ kind: "renewal", ...common(), duration, grant: tenure.fencingNumber });
-  };
-
   const contend = async (): Promise<void> => {
-    await readToEnd();
+    await records.readToEnd();
+    follow();
     if (isCurrent()) return;
-    const { freeAt } = history.state(name);
+    const { freeAt, head } = history.state(name);
+    const duration = parts.duration();
     // Records that expired unread may have granted the lease to somebody just now.
-    const lossOver = (history.lostAt() ?? Number.NEGATIVE_INFINITY) + parts.duration();
+    const lossOver = (history.lostAt() ?? Number.NEGATIVE_INFINITY) + duration;
     if (clock.monotonic() < Math.max(freeAt, lossOver)) return;
-    await appendAndRead({ kind: "grant", ...common(), duration: parts.duration() });
+    await records.append({ kind: "grant", ...records.base(), duration, note: head?.note ?? [] });
+    follow();
   };
 
   const step = async (): Promise<void> => {
-    dropOldAppends();
     follow();
-    if (held !== undefined && !isCurrent()) forget("expired");
+    if (!isCurrent()) forget("expired");
     if (held === undefined) {
       if (parts.isCandidate()) await contend();
     } else if (clock.monotonic() >= held.renewAt) await renew(held);
@@ -166,7 +123,7 @@
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       // The log is out: the tenure goes on until it expires, and the next step tries again.
-      await step().catch(() => undefined);
+      await exclusively(step).catch(() => undefined);
       await pause(clock, nextDelay(), stop.signal);
     }
   };
@@ -176,13 +133,32 @@
     if (held === undefined || !isCurrent()) return;
     const grant = held.fencingNumber;
     held = undefined;
-    await append({ kind: "release", ...common(), grant }).catch(() => undefined);
+    await records.append({ kind: "release", ...records.base(), grant });
+  };
+
+  /** Renews with a new note. @returns Whether the renewal that carries it is the last valid record. */
+  const saveNote = async (fencingNumber: number, note: readonly string[]): Promise<boolean> => {
+    follow();
+    if (held === undefined || !isHeldAs(fencingNumber)) return false;
+    held.note = note;
+    await renew(held);
+    const head = records.head();
+    return isHeldAs(fencingNumber) && head?.holder === holder && head.note.join() === note.join();
   };
 
   const tenure = (): Tenure | undefined => {
     if (held === undefined || !isCurrent()) return undefined;
     const { fencingNumber, beganAt } = held;
-    return { fencingNumber, beganAt, isValid: () => held?.fencingNumber === fencingNumber && isCurrent() };
+    return {
+      fencingNumber,
+      beganAt,
+      isValid: () => isHeldAs(fencingNumber),
+      note: () => held?.note ?? [],
+      setNote: (note) => {
+        if (held !== undefined && isHeldAs(fencingNumber)) held.note = note;
+      },
+      saveNote: (note) => exclusively(() => saveNote(fencingNumber, note)).catch(() => false),
+    };
   };
 
   return {
@@ -193,13 +169,13 @@
       candidate: parts.isCandidate(),
       held: isCurrent(),
       fencingNumber: held?.fencingNumber ?? null,
-      lastHolder: history.state(name).head?.holder ?? null,
+      lastHolder: records.head()?.holder ?? null,
       remaining: held === undefined ? null : Math.max(0, Math.round(held.validUntil - clock.monotonic())),
     }),
     [Symbol.asyncDispose]: async () => {
       stop.abort();
       await task;
-      await release();
+      await exclusively(release).catch(() => undefined);
     },
   };
 };
--- a/src/coordination/leases/leaseHistory.test.ts
+++ b/src/coordination/leases/leaseHistory.test.ts
@@ -7,7 +7,15 @@
 const lease = "orders/levant";
 
 const grant = (holder: string, readTo: number): string =>
-  encodeLeaseRecord({ kind: "grant", lease, holder, id: `${holder}-${readTo}`, readTo, duration: 1000 });
+  encodeLeaseRecord({
+    kind: "grant",
+    lease,
+    holder,
+    id: `${holder}-${readTo}`,
+    readTo,
+    duration: 1000,
+    note: [],
+  });
 
 const page = (records: readonly string[], earliestOffset = 0) => ({
   records: records
@@ -27,6 +35,7 @@
       fencingNumber: 0,
       holder: "a",
       id: "a-0",
+      note: [],
     });
   });
 
@@ -34,7 +43,14 @@
     const clock = createManualClock();
     const history = createLeaseHistory(clock);
     const common = { lease, holder: "a", grant: 0 };
-    const renewal = encodeLeaseRecord({ kind: "renewal", ...common, id: "r", readTo: 1, duration: 1000 });
+    const renewal = encodeLeaseRecord({
+      kind: "renewal",
+      ...common,
+      id: "r",
+      readTo: 1,
+      duration: 1000,
+      note: [],
+    });
     const release = encodeLeaseRecord({ kind: "release", ...common, id: "s", readTo: 2 });
     history.applyPage(0, page([grant("a", 0), renewal]));
     expect(history.state(lease).head?.fencingNumber).toEqual(0);
--- a/src/coordination/leases/leaseHistory.ts
+++ b/src/coordination/leases/leaseHistory.ts
@@ -38,12 +38,13 @@
   lastUndecided: number;
 }
 
-const headOf = (offset: number, record: LeaseRecord): LeaseHead => ({
+const headOf = (offset: number, record: LeaseRecord, before: LeaseHead | undefined): LeaseHead => ({
   offset,
   kind: record.kind,
   fencingNumber: record.kind === "grant" ? offset : record.grant,
   holder: record.holder,
   id: record.id,
+  note: record.kind === "release" ? (before?.note ?? []) : record.note,
 });
 
 /** Creates a history that has read nothing. */
@@ -73,7 +74,7 @@
     if (verdict === "void") return verdict;
     if (verdict === "valid") {
       entry.lastValid = offset;
-      entry.head = headOf(offset, record);
+      entry.head = headOf(offset, record, entry.head);
     } else entry.lastUndecided = offset;
     // A release that may be void frees nothing.
     if (record.kind !== "release") {
--- a/src/coordination/leases/leaseRecord.ts
+++ b/src/coordination/leases/leaseRecord.ts
@@ -11,12 +11,16 @@
   /** The writer had read every record of the stream below this offset. */
   readTo: offset,
 };
-/** How long the tenure goes on from this record, milliseconds. */
-const duration = z.number().int().min(1);
+const tenure = {
+  /** How long the tenure goes on from this record, milliseconds. */
+  duration: z.number().int().min(1),
+  /** What the next holder has to know of this one's unfinished work. */
+  note: z.array(z.string().min(1).max(200)).max(64).readonly(),
+};
 
 const leaseRecordSchema = z.discriminatedUnion("kind", [
-  z.strictObject({ kind: z.literal("grant"), ...common, duration }),
-  z.strictObject({ kind: z.literal("renewal"), ...common, duration, grant: offset }),
+  z.strictObject({ kind: z.literal("grant"), ...common, ...tenure }),
+  z.strictObject({ kind: z.literal("renewal"), ...common, ...tenure, grant: offset }),
   z.strictObject({ kind: z.literal("release"), ...common, grant: offset }),
 ]);
 
--- a/src/coordination/leases/types.ts
+++ b/src/coordination/leases/types.ts
@@ -9,6 +9,8 @@
   readonly holder: string;
   /** Which append of the holder's it was. */
   readonly id: string;
+  /** What the holder left for the next one. */
+  readonly note: readonly string[];
 }
 
 /** A lease as far as the log has been read. Times are milliseconds on this process's monotonic clock. */
@@ -26,6 +28,12 @@
   readonly beganAt: number;
   /** To be asked immediately before each act. */
   readonly isValid: () => boolean;
+  /** What this or the last holder noted for the next one. */
+  readonly note: () => readonly string[];
+  /** Notes something with the next renewal. */
+  readonly setNote: (note: readonly string[]) => void;
+  /** Notes something at once. @returns True once it is in the log and the tenure is valid. */
+  readonly saveNote: (note: readonly string[]) => Promise<boolean>;
 }
 
 /** A lease as an operator sees it. */
--- /dev/null
+++ b/src/coordination/orders/desiredState.ts
@@ -0,0 +1,37 @@
+/** Compares what an engine reports with what the configuration wants of it. */
+import type { EnginePoolConfiguration } from "../../protocol/configuration/schema.ts";
+import type { EngineLoad, EngineOrderAction } from "../../protocol/types.ts";
+import type { ConfigurationIndex } from "../configurationIndex.ts";
+import type { DesiredState } from "./types.ts";
+
+/** @returns What the engines of a pool should run; nothing if the configuration has no such model. */
+export const desiredStateOf = (
+  index: ConfigurationIndex,
+  pool: EnginePoolConfiguration,
+): DesiredState | undefined => {
+  const model = index.models.get(pool.model);
+  if (model === undefined) return undefined;
+  return {
+    model: model.name,
+    weightsVersion: model.weightsVersion,
+    adapters: model.adapters.map(({ name, version }) => `${name}@${version}`),
+    role: pool.role,
+  };
+};
+
+const parseAdapter = (label: string): { readonly adapter: string; readonly version: string } => {
+  const at = label.indexOf("@");
+  return { adapter: label.slice(0, at), version: label.slice(at + 1) };
+};
+
+/** @returns The next change that brings an engine nearer to what is wanted; nothing if it is there. */
+export const nextChange = (load: EngineLoad, desired: DesiredState): EngineOrderAction | undefined => {
+  const { model, weightsVersion, role } = desired;
+  if (load.model !== model || load.weightsVersion !== weightsVersion) {
+    return { kind: "load_weights", model, weightsVersion };
+  }
+  const missing = desired.adapters.find((label) => !load.adapters.includes(label));
+  if (missing !== undefined) return { kind: "load_adapter", ...parseAdapter(missing) };
+  if (role !== undefined && role !== load.role) return { kind: "set_role", role };
+  return undefined;
+};
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -4,6 +4,8 @@
 import { Agent } from "undici";
 import { createLogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
 import { systemClock } from "../coordination/clock.ts";
+import { createLeaseHistory } from "../coordination/leases/leaseHistory.ts";
+import { startDeploymentOrders } from "../coordination/orders/deploymentOrders.ts";
 import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
 import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
 import { RatioRetryBudget } from "../coordination/requests/retryBudget.ts";
@@ -26,6 +28,7 @@
 import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
+const orderInterval = 250;
 
 const writeLog = createLogger("router");
 
@@ -91,6 +94,23 @@
   resources.use(log);
   resources.use(vmList);
 
+  const orders = resources.use(
+    startDeploymentOrders({
+      log,
+      history: createLeaseHistory(clock),
+      holder: `${settings.name}/${incarnation}`,
+      isCandidate: (lease) => peers.membership.isHome(lease),
+      configuration: follower.current,
+      directory,
+      clock,
+      metrics,
+      connect,
+      isListedLeaving: beliefs.isListedLeaving,
+      interval: orderInterval,
+      loadTimeout: settings.loadTimeout,
+    }),
+  );
+
   const scheduler = new PredictiveScheduler({
     directory,
     clock,
@@ -147,6 +167,8 @@
     services: serviceDirectory.all(),
     claims: claims.dump(),
     membership: peers.dump(),
+    leases: orders.leases(),
+    rollOuts: orders.rollOuts(),
   });
   const frontEnd = createRouterFrontEnd({
     configuration: follower.current,
--- a/src/daemons/routerBeliefs.ts
+++ b/src/daemons/routerBeliefs.ts
@@ -7,6 +7,7 @@
 import type { LogService } from "../protocol/LogService.ts";
 import type { ModelEngine } from "../protocol/ModelEngine.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { ListedVm } from "../protocol/types.ts";
 import type { VmList } from "../protocol/VmList.ts";
 import type { ConfigurationHistory } from "../state/configurationHistory.ts";
 import { createConfigurationHistory } from "../state/configurationHistory.ts";
@@ -38,6 +39,8 @@
   readonly directory: EngineDirectory;
   readonly serviceDirectory: ServiceDirectory;
   readonly peers: RouterPeers;
+  /** Whether the last VM list said that a VM leaves. */
+  readonly isListedLeaving: (id: string) => boolean;
   /**
    * Lets peers connect, and waits until this router has tried to learn what it needs to serve.
    *
@@ -97,6 +100,15 @@
     }),
   );
 
+  let leavingOf: { readonly vms: readonly ListedVm[]; readonly ids: ReadonlySet<string> } | undefined;
+  const isListedLeaving = (id: string): boolean => {
+    const vms = monitor.lastVms();
+    if (leavingOf?.vms !== vms) {
+      leavingOf = { vms, ids: new Set(vms.filter(({ state }) => state === "leaving").map((vm) => vm.id)) };
+    }
+    return leavingOf.ids.has(id);
+  };
+
   const start = async (): Promise<string> => {
     const url = await peers.listen();
     await Promise.race([Promise.all([follower.started, monitor.started]), peers.restored()]);
@@ -111,6 +123,7 @@
     directory,
     serviceDirectory,
     peers,
+    isListedLeaving,
     start,
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
--- a/src/protocol/configuration/schema.ts
+++ b/src/protocol/configuration/schema.ts
@@ -90,6 +90,12 @@
   fencing: z.enum(["checked", "ignored"]).describe("Whether engines refuse an order with an old number"),
   identity: z.enum(["checked", "ignored"]).describe("Whether engines check which organisation calls"),
   longestOrder: positiveMilliseconds.describe("Longest time an order takes to be carried out"),
+  role: z
+    .string()
+    .min(1)
+    .max(64)
+    .optional()
+    .describe("The role that engines are told to take, in their words"),
 });
 
 const serviceSchema = z.strictObject({
