Bind each request to one version of the weights while a roll-out goes on

Cause: a new version in the configuration refused every request until the first engines had loaded it, since only what it names may answer. What an earlier configuration named stays in force beside it until three quarters of the engines are ready; a request is bound once, by its prompt and in proportion to the engines of each. Answering with whatever engines report was ruled out: an engine may come back with weights that were never in force. Before: refused until the first engine is over. After: a test over sockets with two routers, four engines and constant requests, none fails and each answer is wholly of one version. Mutants (new only, no threshold, random choice) failed.

--- a/src/coordination/requests/attemptOpener.ts
+++ b/src/coordination/requests/attemptOpener.ts
@@ -16,7 +16,7 @@
   const { clock, metrics, claims, retryBudget } = parts;
   const { context, request } = job;
   const { requestClass } = context;
-  const work = createWork(job);
+  const work = createWork(job, parts.bindWeights);
 
   const claimOnce = async (attemptStopper: Stopper): Promise<void> => {
     if (context.idempotent || state.claim !== undefined) return;
--- a/src/coordination/requests/runScope.ts
+++ b/src/coordination/requests/runScope.ts
@@ -1,5 +1,6 @@
 /** What the parts of one running request share. */
 import type { Claim, ClaimLedger } from "../claims/ClaimLedger.ts";
+import type { BindWeights } from "../weightsInForce.ts";
 import type { AnswerSoFar } from "./answerSoFar.ts";
 import type { AttemptParts } from "./attempt.ts";
 import type { RetryBudget } from "./retryBudget.ts";
@@ -10,6 +11,8 @@
 /** What runs work with. */
 export interface CompletionRunParts extends AttemptParts {
   readonly claims: ClaimLedger;
+  /** Chooses among versions of weights in a roll-out; without it what the configuration names answers. */
+  readonly bindWeights?: BindWeights;
   readonly retryBudget: RetryBudget;
   /** A number from 0 up to but not including 1. */
   readonly random: () => number;
--- a/src/coordination/scheduling/Scheduler.ts
+++ b/src/coordination/scheduling/Scheduler.ts
@@ -7,6 +7,8 @@
   readonly pools: readonly string[];
   /** Weights that may answer. */
   readonly weightsVersions: readonly string[];
+  /** `NAME@VERSION` of the adapter that the engine must have loaded. */
+  readonly adapter?: string;
   readonly levels: readonly PrefixLevel[];
   readonly promptTokens: number;
   readonly maximumTokens: number;
--- a/src/coordination/scheduling/candidates.ts
+++ b/src/coordination/scheduling/candidates.ts
@@ -34,7 +34,8 @@
   engine?.state === "live" &&
   engine.load !== undefined &&
   !work.excluded.has(engine.id) &&
-  work.weightsVersions.includes(engine.load.weightsVersion);
+  work.weightsVersions.includes(engine.load.weightsVersion) &&
+  (work.adapter === undefined || engine.load.adapters.includes(work.adapter));
 
 /** Makes a lister. */
 export const createCandidateLister = (parts: CandidateParts) => {
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -10,6 +10,7 @@
 import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
 import { RatioRetryBudget } from "../coordination/requests/retryBudget.ts";
 import { createServiceRunner } from "../coordination/requests/serviceRunner.ts";
+import { createWeightsInForce } from "../coordination/weightsInForce.ts";
 import { PredictiveScheduler } from "../coordination/scheduling/PredictiveScheduler.ts";
 import type { EngineReplica } from "../state/engineDirectory.ts";
 import { createLogger } from "../state/log.ts";
@@ -133,6 +134,7 @@
     metrics,
     clock,
     connect,
+    bindWeights: createWeightsInForce({ directory, formerModels: (name) => history.formerModels(name) }),
   });
   // Without keep-alive: each call that may run at most once has a connection of its own.
   const singleUse = new Agent({ connect: { timeout: connectTimeout }, pipelining: 0 });
--- a/src/state/configurationHistory.ts
+++ b/src/state/configurationHistory.ts
@@ -14,6 +14,7 @@
   SectionDifference,
   SectionMap,
 } from "../protocol/configuration/sections.ts";
+import type { ModelConfiguration } from "../protocol/configuration/schema.ts";
 import type { LogPage, LogRecord } from "../protocol/types.ts";
 import type { Adoption, Fate } from "./configurationFate.ts";
 import { buildConfiguration, createConfigurationReplay } from "./configurationReplay.ts";
@@ -74,6 +75,8 @@
   changesSince(base: number): ConfigurationChanges | undefined;
   /** Takes what a peer sent. */
   adopt(state: ConfigurationSnapshot | ConfigurationChanges): Adoption;
+  /** What earlier versions named for a model, the last first, as far as this process has seen them. */
+  formerModels(name: string): readonly ModelConfiguration[];
   /** The record that appends the version in force again; nothing where the state is uncertain. */
   restatement(): Restatement | undefined;
 }
@@ -210,6 +213,7 @@
       return difference && { kind: "changes", base, ...peerState(inForce), ...difference };
     },
     adopt,
+    formerModels: (name) => replay.formerModels(name),
     restatement: () => {
       const inForce = replay.current();
       if (inForce === undefined || heldFrom !== undefined) return undefined;
--- a/src/state/configurationReplay.ts
+++ b/src/state/configurationReplay.ts
@@ -11,7 +11,8 @@
   Publisher,
   Restatement,
 } from "../protocol/configuration/record.ts";
-import type { Configuration } from "../protocol/configuration/schema.ts";
+import type { Configuration, ModelConfiguration } from "../protocol/configuration/schema.ts";
+import { createFormerModels } from "./formerModels.ts";
 import {
   applyDifference,
   differenceOf,
@@ -67,6 +68,8 @@
   entries(): readonly HistoryEntry[];
   wholeRecord(): WholeRecord | undefined;
   readonly changes: SectionChanges;
+  /** What earlier versions named for a model, the last first. */
+  formerModels(name: string): readonly ModelConfiguration[];
   /** Decides a record, all of whose predecessors have been decided. */
   decide(record: LogRecord): Fate;
   /**
@@ -119,6 +122,7 @@
 /** Creates a replay that has decided nothing. */
 export const createConfigurationReplay = (): ConfigurationReplay => {
   const changes = createSectionChanges();
+  const formerModels = createFormerModels();
   const entries: HistoryEntry[] = [];
   /** Which version followed a version. */
   const successors = new Map<number | null, number>();
@@ -143,6 +147,7 @@
     if (!built.valid) return { kind: "void", offset: version, reason: built.reason };
     noteSuccessor(version);
     if (inForce === undefined) changes.restart(version);
+    formerModels.note(inForce?.configuration, built.configuration);
     changes.note(version, differenceOf(inForce?.sections ?? emptySections, sections));
     inForce = { version, digest, publishedBy, publishedAt, sections, configuration: built.configuration };
     return { kind: "applied", offset: version, version };
@@ -185,6 +190,7 @@
     entries: () => [...entries],
     wholeRecord: () => wholeRecord,
     changes,
+    formerModels: formerModels.of,
     decide: (record) => {
       const [decoded, fate] = decode(record);
       const { offset, appendedAt } = record;
@@ -201,6 +207,7 @@
       }
       const built = buildConfiguration(sections, digest);
       if (!built.valid) return built.reason;
+      formerModels.note(inForce?.configuration, built.configuration);
       inForce = { version, digest, publishedBy, publishedAt, sections, configuration: built.configuration };
       return undefined;
     },
