--- a/src/coordination/claims/constants.ts
+++ b/src/coordination/claims/constants.ts
@@ -25,7 +25,7 @@
 export const maximumWaitingSettlements = 10_000;
 
 /** How long an outcome waits for company before it is appended by itself. */
-export const settlementLinger = 50;
+export const settlementLinger = 250;
 
 /** Pauses between appends while the log service is over its rate or away: the first, and the longest. */
 export const backOff = { first: 10, longestOverRate: 500, longestWhileDown: 100 } as const;
--- a/src/coordination/claims/partitionWriter.ts
+++ b/src/coordination/claims/partitionWriter.ts
@@ -93,7 +93,7 @@
       const records = batch.map((item) => item.data);
       const offsets = await log.append(stream, records);
       isDown = false;
-      pauseLength = pauseLength > backOff.first ? pauseLength / 2 : 0;
+      pauseLength = pauseLength > backOff.first ? pauseLength * 0.9 : 0;
       batch.forEach((item, index) =>
         settle(item, { kind: "appended", offset: offsets[index] ?? 0, repeated: item.tried }),
       );
