--- a/bench/model/random.ts
+++ b/bench/model/random.ts
@@ -51,8 +51,14 @@
   const bounds = weights.map((weight) => (sum += weight));
   return (random) => {
     const drawn = random.uniform() * sum;
-    const index = bounds.findIndex((bound) => drawn < bound);
-    return index < 0 ? weights.length - 1 : index;
+    let least = 0;
+    let most = weights.length - 1;
+    while (least < most) {
+      const middle = (least + most) >> 1;
+      if (drawn < (bounds[middle] ?? sum)) most = middle;
+      else least = middle + 1;
+    }
+    return least;
   };
 };
 
--- a/bench/model/requestTask.ts
+++ b/bench/model/requestTask.ts
@@ -74,6 +74,7 @@
   context: RequestContext,
   arrival: Arrival,
   excluded: ReadonlySet<string>,
+  furtherAttempt: boolean,
 ): Work => ({
   context,
   pools: index.configuration.enginePools.map(({ name }) => name),
@@ -82,6 +83,7 @@
   promptTokens: arrival.promptTokens,
   maximumTokens: arrival.outputTokens,
   excluded,
+  furtherAttempt,
 });
 
 /** Runs on the engine until the answer ends, the caller gives up, or the network or the engine fails. */
@@ -194,7 +196,7 @@
   const excluded = new Set<string>();
   record.heldTokens = surroundings.fleet.heldTokens(arrival.levels);
   while (record.outcome === "open" && record.attempts < maximumAttempts) {
-    const work = createWork(index, context, arrival, excluded);
+    const work = createWork(index, context, arrival, excluded, record.attempts > 0);
     const parts = { surroundings, router, work, arrival, record, signal };
     const assignment = await assign(parts);
     if (assignment === undefined) break;
--- /dev/null
+++ b/bench/slopes/slopes.ts
@@ -0,0 +1,188 @@
+/** `npm run bench -- slopes`: what a router's decisions cost in processor time and memory, by size. */
+import { policies, policyNames } from "../policies/all.ts";
+import type { Policy } from "../policies/Policy.ts";
+import { formatTable } from "../report/table.ts";
+import type { Row } from "../report/table.ts";
+import type { Bench, BenchOptions } from "../types.ts";
+import { fitLine, heapInUse, timeCalls, valueAt } from "./measure.ts";
+import type { Line, Point } from "./measure.ts";
+import { createSubject } from "./subject.ts";
+import type { Size } from "./subject.ts";
+
+/** What is counted, and what the target of the first letter makes of it for one node. */
+interface Dimension {
+  readonly name: string;
+  readonly sizes: readonly number[];
+  readonly target: number;
+  readonly sizeOf: (value: number) => Size;
+}
+
+/** One dimension with its measurements. */
+export interface SlopeResult {
+  readonly dimension: string;
+  readonly target: number;
+  /** Microseconds of one decision, from the request's arrival to the report of its end. */
+  readonly decision: readonly Point[];
+  readonly decisionLine: Line;
+  /** Bytes of heap of all that the scheduler and the engine directory keep. */
+  readonly heap: readonly Point[];
+  readonly heapLine: Line;
+  /** The least part of decisions that gave an engine at once, over all sizes. */
+  readonly admitted: number;
+}
+
+/** All that the bench gives. */
+export interface SlopeReport {
+  readonly policy: string;
+  readonly dimensions: readonly SlopeResult[];
+  /** Microseconds for one load digest in a directory of `size` engines, with the scheduler listening. */
+  readonly digest: readonly Point[];
+  /** Bytes of heap that `size` decisions more, each with a prompt of its own, leave behind: next to none. */
+  readonly history: readonly Point[];
+}
+
+/** 12,000 replicas in 12 data centres; a router knows those of its own. */
+const enginesOfDataCentre = 1000;
+
+const usual: Size = { engines: 200, organisations: 50, prefixes: 2000 };
+
+const dimensions: readonly Dimension[] = [
+  {
+    name: "engine",
+    sizes: [8, 100, 250, 500, 1000],
+    target: enginesOfDataCentre,
+    sizeOf: (engines) => ({ ...usual, engines }),
+  },
+  {
+    name: "organisation",
+    sizes: [8, 100, 250, 570],
+    target: 570,
+    sizeOf: (organisations) => ({ ...usual, organisations }),
+  },
+  {
+    name: "tracked prefix",
+    sizes: [500, 2000, 8000, 32_000],
+    target: 32_000,
+    sizeOf: (prefixes) => ({ ...usual, prefixes }),
+  },
+];
+
+/** Enough to fill every bounded table. */
+const decisionsToFill = 10_000;
+const decisionsTimed = { usual: 1000, quick: 300 } as const;
+
+const timeAndWeigh = async (policy: Policy, size: Size, timed: number) => {
+  const before = await heapInUse();
+  const subject = createSubject(policy, size);
+  await subject.decide(decisionsToFill);
+  const bytes = (await heapInUse()) - before;
+  const microseconds = await timeCalls(timed, subject.decide);
+  return { bytes, microseconds, admitted: subject.admitted() };
+};
+
+const measureDimension = async (
+  policy: Policy,
+  { name, sizes, target, sizeOf }: Dimension,
+  timed: number,
+): Promise<SlopeResult> => {
+  const decision: Point[] = [];
+  const heap: Point[] = [];
+  let least = 1;
+  for (const size of sizes) {
+    const { bytes, microseconds, admitted } = await timeAndWeigh(policy, sizeOf(size), timed);
+    decision.push({ size, value: microseconds });
+    heap.push({ size, value: bytes });
+    least = Math.min(least, admitted);
+  }
+  const lines = { decisionLine: fitLine(decision), heapLine: fitLine(heap) };
+  return { dimension: name, target, decision, heap, ...lines, admitted: least };
+};
+
+const measureDigests = async (policy: Policy, timed: number): Promise<readonly Point[]> => {
+  const points: Point[] = [];
+  for (const engines of [100, enginesOfDataCentre]) {
+    const subject = createSubject(policy, { ...usual, engines });
+    await subject.decide(decisionsToFill);
+    const value = await timeCalls(timed, subject.takeDigests);
+    points.push({ size: engines, value });
+  }
+  return points;
+};
+
+const measureHistory = async (policy: Policy): Promise<readonly Point[]> => {
+  const subject = createSubject(policy, usual);
+  await subject.decide(decisionsToFill);
+  const before = await heapInUse();
+  const points: Point[] = [];
+  let made = 0;
+  for (const size of [10_000, 40_000, 80_000]) {
+    await subject.decide(size - made);
+    made = size;
+    points.push({ size, value: (await heapInUse()) - before });
+  }
+  return points;
+};
+
+const kibibyte = 1024;
+
+const pointCells = (points: readonly Point[], format: (value: number) => string): string =>
+  points.map(({ size, value }) => `${size}: ${format(value)}`).join(", ");
+
+const formatMicroseconds = (value: number): string => value.toFixed(1);
+const formatKibibytes = (value: number): string => (value / kibibyte).toFixed(0);
+
+/** The rows for the terminal and for the page. */
+export const slopeRows = ({ dimensions: results, digest, history }: SlopeReport): readonly Row[] => [
+  ["for each", "measured at", "slope", "at the target"],
+  ...results.flatMap(({ dimension, target, decision, decisionLine, heap, heapLine }) => [
+    [
+      `${dimension}: decision, µs`,
+      pointCells(decision, formatMicroseconds),
+      (decisionLine.slope * 1000).toFixed(2) + " ns",
+      `${target}: ${formatMicroseconds(valueAt(decisionLine, target))}`,
+    ],
+    [
+      `${dimension}: heap, KiB`,
+      pointCells(heap, formatKibibytes),
+      heapLine.slope.toFixed(0) + " bytes",
+      `${target}: ${formatKibibytes(valueAt(heapLine, target))}`,
+    ],
+  ]),
+  ["load digest, µs", pointCells(digest, (value) => value.toFixed(2)), "-", "-"],
+  [
+    "further decision: heap, KiB",
+    pointCells(history, formatKibibytes),
+    fitLine(history).slope.toFixed(2) + " bytes",
+    "-",
+  ],
+];
+
+const measure = async (policy: Policy, quick: boolean): Promise<SlopeReport> => {
+  const timed = quick ? decisionsTimed.quick : decisionsTimed.usual;
+  const results: SlopeResult[] = [];
+  // Compiled code and caches of the runtime must not count as the first size's memory.
+  await timeAndWeigh(policy, usual, timed);
+  for (const dimension of dimensions) results.push(await measureDimension(policy, dimension, timed));
+  return {
+    policy: policy.name,
+    dimensions: results,
+    digest: await measureDigests(policy, timed),
+    history: await measureHistory(policy),
+  };
+};
+
+const run = async ({ json, quick, only }: BenchOptions): Promise<void> => {
+  const names: readonly string[] = only.length > 0 ? only : [policyNames.leastLoaded, policyNames.ours];
+  for (const policy of policies.filter(({ name }) => names.includes(name))) {
+    const report = await measure(policy, quick);
+    if (json) console.log(JSON.stringify({ bench: "slopes", ...report }));
+    else console.log(`\n# ${policy.name}\n${formatTable(slopeRows(report))}`);
+  }
+};
+
+/** Decision time and memory by size. */
+export const slopesBench: Bench = {
+  name: "slopes",
+  summary: "decision time and memory of a router by engines, organisations, prefixes, digests",
+  run,
+};
