Prove own answers and whole text by properties over interleavings

Runner over scripted engines in simulated time: 200 plans of up to 10 failing attempts give the whole text once or a typed error; tool calls are not continued; hedges deliver one engine's pieces and stay within their share. No fault was found by them in the code as it was.

--- /dev/null
+++ b/src/coordination/requests/completionRunner.test.ts
@@ -0,0 +1,134 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { upstreamError } from "../../protocol/errors.ts";
+import type { UpstreamFault } from "../../protocol/errors.ts";
+import {
+  createRunnerFixture,
+  lastPiece,
+  textPiece,
+  untilAborted,
+} from "../../../tests/support/runnerFixture.ts";
+import type { EngineScript } from "../../../tests/support/runnerFixture.ts";
+
+const words = Array.from({ length: 12 }, (_, index) => ` word${index}`);
+const wholeText = words.join("");
+
+/** Words after those that have been delivered, which must be a whole number of words. */
+const wordsAfter = (delivered: string): readonly string[] => {
+  const count = delivered === "" ? 0 : delivered.split(" ").length - 1;
+  expect(delivered).toEqual(words.slice(0, count).join(""));
+  return words.slice(count);
+};
+
+const answerWell: EngineScript = async function* ({ delivered }) {
+  await Promise.resolve();
+  for (const word of wordsAfter(delivered.text)) yield [textPiece(word)];
+  yield [lastPiece];
+};
+
+const failWith = (fault: UpstreamFault) => upstreamError("scripted", fault, "streaming");
+
+describe("createCompletionRunner", () => {
+  it("gives the whole text in order, or a typed error, whatever engines do", async () => {
+    const attempt = fc.record({
+      pieces: fc.nat(5),
+      perBatch: fc.integer({ min: 1, max: 3 }),
+      fault: fc.constantFrom<UpstreamFault>("closed_early", "stalled", "malformed", "crossed"),
+    });
+    await fc.assert(
+      fc.asyncProperty(fc.array(attempt, { maxLength: 10 }), async (attempts) => {
+        let next = 0;
+        const fixture = createRunnerFixture(async function* (call, id, signal) {
+          const plan = attempts[next];
+          next += 1;
+          if (plan === undefined) {
+            yield* answerWell(call, id, signal);
+            return;
+          }
+          await Promise.resolve();
+          const pieces = wordsAfter(call.delivered.text).slice(0, plan.pieces).map(textPiece);
+          for (let start = 0; start < pieces.length; start += plan.perBatch) {
+            yield pieces.slice(start, start + plan.perBatch);
+          }
+          throw failWith(plan.fault);
+        });
+        const view = await fixture.finish(fixture.read());
+        expect(wholeText.startsWith(view.text)).toEqual(true);
+        const ends = view.pieces.filter(({ finishReason }) => finishReason !== undefined).length;
+        if (view.failure === undefined) expect([view.text, ends]).toEqual([wholeText, 1]);
+        else expect([view.failure.outcome, ends]).toEqual(["failed", 0]);
+      }),
+      { seed: 5, numRuns: 200 },
+    );
+  });
+
+  it("does not continue an answer with tool calls elsewhere", async () => {
+    const fixture = createRunnerFixture(async function* () {
+      await Promise.resolve();
+      yield [{ ...textPiece(""), extra: { tool_calls: [{ index: 0, id: "call" }] } }];
+      throw failWith("closed_early");
+    });
+    const view = await fixture.finish(fixture.read());
+    expect(view.failure?.code).toEqual("stream_interrupted");
+    expect(fixture.notes.calls.length).toEqual(1);
+  });
+
+  it("stops asking when the budget is spent", async () => {
+    const fixture = createRunnerFixture(async function* () {
+      await Promise.resolve();
+      throw failWith("closed_early");
+    });
+    for (let count = 0; count < 50; count += 1) await fixture.finish(fixture.read());
+    expect(fixture.notes.calls.length).toBeLessThanOrEqual(50 + 10);
+  });
+});
+
+describe("hedging", () => {
+  const silentFirst = (): EngineScript => {
+    let calls = 0;
+    return async function* (call, id, signal) {
+      calls += 1;
+      if (calls === 1) await untilAborted(signal);
+      yield* answerWell(call, id, signal);
+    };
+  };
+
+  it("takes the faster engine's answer alone and stops the other", async () => {
+    const fixture = createRunnerFixture(silentFirst(), { hedgeAfter: 150 });
+    const view = await fixture.finish(fixture.read());
+    expect([view.text, view.failure]).toEqual([wholeText, undefined]);
+    expect(fixture.clock.monotonic()).toBeLessThan(600);
+    expect(fixture.notes.calls.length).toEqual(2);
+    expect(fixture.notes.cancelled).toEqual([fixture.notes.calls[0] ?? ""]);
+  });
+
+  it("delivers no piece twice where both engines answer at the same moment", async () => {
+    const fixture = createRunnerFixture(
+      async function* (call, id, signal) {
+        await new Promise<void>(
+          (resolve) => void fixture.clock.after(150 - fixture.clock.monotonic(), resolve),
+        );
+        yield* answerWell(call, id, signal);
+      },
+      { hedgeAfter: 149 },
+    );
+    const view = await fixture.finish(fixture.read());
+    expect(view.text).toEqual(wholeText);
+    expect([fixture.notes.calls.length, fixture.notes.cancelled.length]).toEqual([2, 1]);
+  });
+
+  it("is bounded by a share of the successes", async () => {
+    const fixture = createRunnerFixture(
+      async function* (call, id, signal) {
+        await new Promise<void>((resolve) => void fixture.clock.after(200, resolve));
+        yield* answerWell(call, id, signal);
+      },
+      { hedgeAfter: 150 },
+    );
+    const requests = 100;
+    for (let count = 0; count < requests; count += 1) await fixture.finish(fixture.read());
+    expect(fixture.notes.calls.length - requests).toBeGreaterThan(0);
+    expect(fixture.notes.calls.length - requests).toBeLessThanOrEqual(requests * 0.05 + 1);
+  });
+});
