Prove that not_run is true over 40 rounds of failures at every point

Twelve faults at two engines, whole, streamed, hedged and at-most-once requests, bad bodies, callers that leave; keys tell at the stand-ins what ran. No request told not_run ran, none that may run once ran twice, every refusal that may be repeated bears Retry-After, no stream ends cut while its caller reads.

--- /dev/null
+++ b/tests/notRun.test.ts
@@ -0,0 +1,175 @@
+/** What is answered as "not run" did not run, at whatever point the request failed. */
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import fc from "fast-check";
+import { headers, outcomes } from "../src/protocol/constants.ts";
+import type { EngineStandIn } from "../standIns/engine/types.ts";
+import { failureOf, isWhole, readStream } from "./support/eventStream.ts";
+import { operatorKey, startLocalSystem } from "./support/localSystem.ts";
+import type { LocalSystem } from "./support/localSystem.ts";
+
+/** One way in which an engine fails the requests of a round. */
+const failures = {
+  none: () => undefined,
+  outage: ({ faults }) => void (faults.outage = true),
+  loseAnswers: ({ faults }) => void (faults.loseAnswers = 3),
+  freeze: ({ faults }) => void (faults.freeze = true),
+  latency: ({ faults }) => void (faults.latencyMilliseconds = 60),
+  leaving: ({ faults }) => void (faults.leaving = true),
+  garbage: ({ faults }) => void (faults.garbage = 3),
+  crossAnswers: ({ faults }) => void (faults.crossAnswers = 3),
+  closeEarly: ({ faults }) => void (faults.closeEarlyAfterTokens = 2),
+  closeAtOnce: ({ faults }) => void (faults.closeEarlyAfterTokens = 0),
+  stall: ({ faults }) => void (faults.stallAfterTokens = 1),
+  die: ({ faults }) => void (faults.dieAfterTokens = 2),
+} as const satisfies Record<string, (engine: EngineStandIn) => void>;
+type Failure = keyof typeof failures;
+
+const clear = ({ faults }: EngineStandIn): void =>
+  void Object.assign(faults, {
+    outage: false,
+    loseAnswers: 0,
+    freeze: false,
+    latencyMilliseconds: 0,
+    leaving: false,
+    garbage: 0,
+    crossAnswers: 0,
+    closeEarlyAfterTokens: null,
+    stallAfterTokens: null,
+    dieAfterTokens: null,
+  });
+
+/** One request of a round. */
+interface Plan {
+  readonly stream: boolean;
+  readonly once: boolean;
+  /** In a class that hedges. */
+  readonly hedged: boolean;
+  /** Milliseconds after which the caller goes away. */
+  readonly leaveAfter: number | undefined;
+  readonly body: "valid" | "malformed" | "rejected";
+}
+
+const plans: fc.Arbitrary<Plan> = fc.record({
+  stream: fc.boolean(),
+  once: fc.boolean(),
+  hedged: fc.boolean(),
+  leaveAfter: fc.oneof(
+    { arbitrary: fc.constant(undefined), weight: 4 },
+    { arbitrary: fc.nat(40), weight: 1 },
+  ),
+  body: fc.constantFrom("valid" as const, "valid" as const, "malformed" as const, "rejected" as const),
+});
+
+const bodyOf = ({ stream, body }: Plan) => ({
+  model: "records-assistant",
+  stream,
+  max_tokens: 4,
+  messages: [
+    { role: "user", content: body === "rejected" ? [{ type: "image" }] : "Is attendant 17 current?" },
+  ],
+});
+
+/** What the caller was told: an outcome, `finished`, or nothing. */
+const ask = async (system: LocalSystem, plan: Plan, key: string): Promise<string> => {
+  const gone = plan.leaveAfter === undefined ? {} : { signal: AbortSignal.timeout(plan.leaveAfter) };
+  try {
+    const answer = await system.call("/v1/chat/completions", {
+      body: plan.body === "malformed" ? "{" : bodyOf(plan),
+      headers: {
+        [headers.idempotencyKey]: key,
+        ...(plan.once ? { [headers.idempotent]: "false" } : {}),
+        [headers.requestClass]: plan.hedged ? "currency-check" : "course-summary",
+      },
+      ...gone,
+    });
+    if (answer.status !== 200) {
+      const outcome = answer.headers.get(headers.outcome) ?? "";
+      const mayRetry = outcome === outcomes.notRun && answer.status >= 429;
+      const hasRetryAfter = Number(answer.headers.get(headers.retryAfter)) > 0;
+      await answer.text();
+      return mayRetry && !hasRetryAfter ? "no Retry-After" : outcome;
+    }
+    if (!plan.stream) {
+      await answer.text();
+      return "finished";
+    }
+    const stream = await readStream(answer);
+    return isWhole(stream) ? "finished" : (failureOf(stream)?.outcome ?? "cut");
+  } catch {
+    return "left";
+  }
+};
+
+const untilLive = async (system: LocalSystem): Promise<void> => {
+  for (;;) {
+    const answer = await system.call("/operator/engines", {
+      headers: { authorization: `Bearer ${operatorKey}` },
+    });
+    const view = (await answer.json()) as { readonly engines: readonly { readonly state: string }[] };
+    if (view.engines.every(({ state }) => state === "live")) return;
+    await sleep(5);
+  }
+};
+
+describe("not_run", () => {
+  it("is true at every point of failure, and what may run once is never run twice", async () => {
+    await using system = await startLocalSystem({
+      engineSettings: { tokenMilliseconds: 5, maximumRunning: 2, maximumWaiting: 1 },
+      changeConfiguration: (configuration) => ({
+        ...configuration,
+        classes: configuration.classes.map((item) => ({
+          ...item,
+          firstTokenDeadline: 80,
+          completionDeadline: 200,
+          stallTimeout: 40,
+          hedgeAfter: item.hedgeAfter === undefined ? undefined : 30,
+        })),
+      }),
+    });
+    const told = new Map<string, { readonly plan: Plan; readonly outcome: string }>();
+    const failure = fc.constantFrom(...(Object.keys(failures) as Failure[]));
+    await fc.assert(
+      fc.asyncProperty(
+        fc.oneof(
+          fc.tuple(failure, failure),
+          failure.map((name) => [name, name] as const),
+        ),
+        fc.array(plans, { minLength: 4, maxLength: 6 }),
+        async (chosen, round) => {
+          system.engines.forEach((engine, index) => failures[chosen[index] ?? "none"](engine));
+          await Promise.all(
+            round.map(async (plan) => {
+              const key = `${Date.now()}-request-${told.size}`;
+              told.set(key, { plan, outcome: "" });
+              told.set(key, { plan, outcome: await ask(system, plan, key) });
+            }),
+          );
+          system.engines.forEach(clear);
+          await untilLive(system);
+        },
+      ),
+      { seed: 17, numRuns: 40, endOnFailure: true },
+    );
+
+    const executions = system.engines.flatMap((engine) => engine.executions());
+    const runsOf = (key: string): number =>
+      executions.filter(({ idempotencyKey }) => idempotencyKey === key).length;
+    const outcomesSeen = new Set<string>();
+    for (const [key, { plan, outcome }] of told) {
+      outcomesSeen.add(outcome);
+      if (outcome === outcomes.notRun) expect([key, outcome, runsOf(key)]).toEqual([key, outcome, 0]);
+      if (plan.leaveAfter === undefined) expect([key, outcome]).not.toEqual([key, "cut"]);
+      if (plan.once) expect([key, Math.min(2, runsOf(key))]).toEqual([key, Math.min(1, runsOf(key))]);
+    }
+    // The rounds have to reach every kind of outcome, or they would prove nothing.
+    expect([...outcomesSeen]).not.toInclude("no Retry-After");
+    expect([...outcomesSeen]).toInclude(
+      "finished",
+      outcomes.notRun,
+      outcomes.failed,
+      outcomes.outcomeUnknown,
+    );
+  });
+});
