Compare ways to retry and to hedge in npm run bench -- retries

The router's own request handling and scheduler run in simulated time over nine engines, some of which crash, freeze or break answers off for 20 s of 60 s; no retries, naive ones, ours, ours with hedges, in one run. The first run never ended: with a back-off of 0 a request that found no engine asked again without time passing, and each asking left a listener behind. Waiting for an engine now takes at least the first back-off, and an attempt that got no engine lets go of its request.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -4,11 +4,19 @@
 import { parseBenchCommand } from "./options.ts";
 import { placementBench } from "./placement/placement.ts";
 import { relayBench } from "./relay/relay.ts";
+import { retriesBench } from "./retries/retries.ts";
 import { slopesBench } from "./slopes/slopes.ts";
 import type { Bench } from "./types.ts";
 
 /** Every bench, in the order in which they are listed; add yours here. */
-const benches: readonly Bench[] = [placementBench, admissionBench, slopesBench, relayBench, claimsBench];
+const benches: readonly Bench[] = [
+  placementBench,
+  admissionBench,
+  slopesBench,
+  relayBench,
+  claimsBench,
+  retriesBench,
+];
 
 const list = (): string =>
   ["Benches (npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write] [--only A,B]):"]
--- a/src/coordination/requests/attempt.ts
+++ b/src/coordination/requests/attempt.ts
@@ -224,7 +224,10 @@
   onAssigned: (engineId: string) => void,
 ): Promise<OpenAttempt> => {
   const stopper = createStopper(parent);
-  const assignment = await assignEngine(parts.scheduler, plan.work, stopper);
+  const assignment = await assignEngine(parts.scheduler, plan.work, stopper).catch((error: unknown) => {
+    stopper.detach();
+    throw error;
+  });
   onAssigned(assignment.engine.id);
   const { open, next, close, origin } = createAttempt(parts, plan, assignment, stopper);
   let first = await open();
--- a/src/coordination/requests/retryDecision.ts
+++ b/src/coordination/requests/retryDecision.ts
@@ -7,7 +7,7 @@
 import { isFreeToRetry, mayTryAgain } from "./attemptFailures.ts";
 import type { RequestProgress } from "./attemptFailures.ts";
 import { pickBackOff } from "./backOff.ts";
-import { maximumFruitlessAttempts } from "./constants.ts";
+import { firstBackOff, maximumFruitlessAttempts } from "./constants.ts";
 import type { RetryBudget } from "./retryBudget.ts";
 import type { Stopper } from "./stopper.ts";
 
@@ -57,7 +57,7 @@
     if (failures === 0) return undefined;
     excluded.clear();
     refusals += 1;
-    const delay = pickBackOff(failures + refusals, parts.random);
+    const delay = firstBackOff + pickBackOff(failures + refusals, parts.random);
     return clock.monotonic() + delay < firstTokenDeadline ? delay : undefined;
   };
 
