--- a/tests/support/runnerFixture.ts
+++ b/tests/support/runnerFixture.ts
@@ -72,7 +72,8 @@
 
 class NoClaims extends ClaimLedger {
   override acquire(): Promise<ClaimResult> {
-    const claim = { release: () => Promise.resolve(), complete: () => Promise.resolve() };
+    const settled = (): Promise<void> => Promise.resolve();
+    const claim = { release: settled, complete: settled, abandon: settled };
     return Promise.resolve({ kind: "claimed", claim });
   }
 }
