--- a/src/coordination/requests/completionRunner.ts
+++ b/src/coordination/requests/completionRunner.ts
@@ -37,6 +37,9 @@
 
   /** Goes on with an answer; resolves with its next pieces, or at its end. Throws `RequestError`. */
   readonly resume: (job: ResumeJob, signal: AbortSignal) => Promise<RunningAnswer>;
+
+  /** What is left of retry budgets, for a state dump. */
+  readonly dump: () => unknown;
 }
 
 const noAnswer = (): RequestError =>
@@ -98,5 +101,5 @@
     return running ?? { upstream: job.point.engineId, batches: noBatches() };
   };
 
-  return { run, resume };
+  return { run, resume, dump: () => ({ retryBudgets: parts.retryBudget.dump() }) };
 };
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -165,6 +165,7 @@
     openRequests: frontEnd.openRequests(),
     metrics: metrics.snapshot(),
     scheduler: scheduler.dump(),
+    completions: completions.dump(),
     ...engines(),
     services: serviceDirectory.all(),
     claims: claims.dump(),
