--- a/tests/resume.test.ts
+++ b/tests/resume.test.ts
@@ -3,7 +3,7 @@
 import { expect } from "earl";
 import { headers } from "../src/protocol/constants.ts";
 import { createResumeTokens } from "../src/protocol/resumeToken.ts";
-import { isWhole, lastIdOf, readStream, textOf } from "./support/eventStream.ts";
+import { failureOf, isWhole, lastIdOf, readStream, textOf } from "./support/eventStream.ts";
 import type { ReadStream } from "./support/eventStream.ts";
 import { onceHeaders, startLocalSystem } from "./support/localSystem.ts";
 import type { CallOptions, LocalSystem, LocalSystemOptions } from "./support/localSystem.ts";
@@ -157,6 +157,41 @@
   });
 });
 
+describe("a stream that had been continued before its caller lost it", () => {
+  /** Each engine cuts streams after 3 tokens, so that the piece at which the caller goes comes from a second one. */
+  const loseContinued = async (system: LocalSystem): Promise<ReadStream> => {
+    for (const engine of system.engines) engine.faults.closeEarlyAfterTokens = 3;
+    const lost = await begin(system, 5);
+    for (const engine of system.engines) engine.faults.closeEarlyAfterTokens = null;
+    return lost;
+  };
+
+  it("is picked up at the engine that continued it", async () => {
+    const undisturbed = await readUndisturbed();
+    await using system = await startWith({ engineSettings: slow });
+    const lost = await loseContinued(system);
+    const before = executionsOf(system).length;
+    expectWhole(undisturbed, lost, await readStream(await resume(system, lastIdOf(lost))));
+    expect(executionsOf(system).length).toEqual(before);
+  });
+
+  it("needs its text where that engine fails as well, and is whole with it", async () => {
+    const undisturbed = await readUndisturbed();
+    await using system = await startWith({ engineSettings: slow });
+    const lost = await loseContinued(system);
+    const answer = await resume(system, lastIdOf(lost));
+    for (const engine of system.engines) engine.crash();
+    const cut = await readStream(answer);
+    expect(isWhole(cut)).toEqual(false);
+    expect(failureOf(cut)?.code).toEqual("delivered_text_needed");
+    const events = cut.events.filter(({ event }) => event !== "error");
+    const more = { ...cut, events };
+    const id = events.length === 0 ? lastIdOf(lost) : lastIdOf(more);
+    const body = { ...question, pomelocleat_delivered: textOf(lost, more) };
+    expectWhole(undisturbed, lost, more, await readStream(await resume(system, id, { body })));
+  });
+});
+
 describe("a resume token", () => {
   const sharedSecret = "test-shared-secret-of-all-routers-0123456789";
 
