Restate the configuration before its record expires, by a lease

Cause: with the log's retention passed, a reader that knows nothing found no record to start from. Seen failing: with the share set beyond the retention the stream was empty. The demo's engines report adapters by version.

--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -157,7 +157,7 @@
     return start("engine", name, dataCentre, {
       model: pool.model,
       weightsVersion: model?.weightsVersion,
-      adapters: model?.adapters.map((adapter) => adapter.name),
+      adapters: model?.adapters.map(({ name: adapter, version }) => `${adapter}@${version}`),
       identity: pool.identity,
       fencing: pool.fencing,
       maximumRunning: pool.maximumRunning,
--- a/src/coordination/weightsInForce.test.ts
+++ b/src/coordination/weightsInForce.test.ts
@@ -106,6 +106,14 @@
     expect(bind().weightsVersion).toEqual("new");
   });
 
+  it("do not come back with one engine that was cut off and still runs the former ones", () => {
+    const { report, bind } = createSubject(modelOf("new"), [modelOf("old")]);
+    const ready = Array.from({ length: 7 }, () => ({ weightsVersion: "new" }));
+    report([...ready, { weightsVersion: "old" }]);
+    const bound = Array.from({ length: 100 }, (_, course) => bind(`course ${course}`).weightsVersion);
+    expect(bound).toEqual(bound.map(() => "new"));
+  });
+
   it("count an adapter's version as well", () => {
     const { report, bind } = createSubject(modelOf("new", "3"), [modelOf("new", "2")]);
     const two = { weightsVersion: "new", adapters: ["first-aid@2"] };
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -4,8 +4,6 @@
 import { Agent } from "undici";
 import { createLogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
 import { systemClock } from "../coordination/clock.ts";
-import { createLeaseHistory } from "../coordination/leases/leaseHistory.ts";
-import { startDeploymentOrders } from "../coordination/orders/deploymentOrders.ts";
 import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
 import { createRouterFrontEnd } from "../coordination/requests/routerFrontEnd.ts";
 import { RatioRetryBudget } from "../coordination/requests/retryBudget.ts";
@@ -23,13 +21,13 @@
 import { createHttpVmList } from "../transport/httpVmList.ts";
 import { StatsdMetrics } from "../transport/statsdMetrics.ts";
 import { createRouterBeliefs } from "./routerBeliefs.ts";
+import { startRouterDuties } from "./routerDuties.ts";
 import type { RouterSettings } from "./routerSettings.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import { createResumeTokens } from "../protocol/resumeToken.ts";
 import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
-const orderInterval = 250;
 
 const writeLog = createLogger("router");
 
@@ -95,21 +93,8 @@
   resources.use(log);
   resources.use(vmList);
 
-  const orders = resources.use(
-    startDeploymentOrders({
-      log,
-      history: createLeaseHistory(clock),
-      holder: `${settings.name}/${incarnation}`,
-      isCandidate: (lease) => peers.membership.isHome(lease),
-      configuration: follower.current,
-      directory,
-      clock,
-      metrics,
-      connect,
-      isListedLeaving: beliefs.isListedLeaving,
-      interval: orderInterval,
-      loadTimeout: settings.loadTimeout,
-    }),
+  const duties = resources.use(
+    startRouterDuties({ settings, incarnation, clock, metrics, log, connect, beliefs }),
   );
 
   const scheduler = new PredictiveScheduler({
@@ -170,8 +155,8 @@
     services: serviceDirectory.all(),
     claims: claims.dump(),
     membership: peers.dump(),
-    leases: orders.leases(),
-    rollOuts: orders.rollOuts(),
+    leases: duties.leases(),
+    rollOuts: duties.rollOuts(),
   });
   const frontEnd = createRouterFrontEnd({
     configuration: follower.current,
--- a/src/daemons/routerSettings.ts
+++ b/src/daemons/routerSettings.ts
@@ -32,6 +32,12 @@
   callerKeepAlive: interval
     .default(5_000)
     .describe("How long an idle connection of a caller stays open; a shutdown waits as long for idle ones"),
+  logRetention: z
+    .number()
+    .int()
+    .min(1_000)
+    .default(86_400_000)
+    .describe("How long the log service keeps a record; the configuration is appended again at half of it"),
   longestDrain: z
     .number()
     .int()
