--- a/bench/placement/placement.ts
+++ b/bench/placement/placement.ts
@@ -7,6 +7,8 @@
 import { checkExpectations } from "./expectations.ts";
 import type { Expectation } from "./expectations.ts";
 import type { PolicyRuns, RunPlan } from "./runs.ts";
+import { writePlacementPage } from "./page.ts";
+import type { MixRuns } from "./page.ts";
 import { runPolicyTasks } from "./threads.ts";
 import { expectationRows, fairnessRows, scenarioRows } from "./tables.ts";
 import { policies, policyNames } from "../policies/all.ts";
@@ -16,13 +18,6 @@
 /** Simulated milliseconds that are measured in one run. */
 const measuredTime = { usual: 24_000, quick: 17_000 } as const;
 
-/** Everything measured for one mix. */
-interface MixRuns {
-  readonly mix: Mix;
-  readonly policies: readonly PolicyRuns[];
-  readonly expectations: readonly Expectation[];
-}
-
 const createPlan = ({ quick, seeds }: BenchOptions): RunPlan => ({
   seeds: quick ? seeds.slice(0, 1) : seeds,
   duration: warmUp + (quick ? measuredTime.quick : measuredTime.usual),
@@ -91,11 +86,13 @@
 const run = async (options: BenchOptions): Promise<void> => {
   const plan = createPlan(options);
   const measured = await measureMixes(plan, options.only);
+  const how = `seeds ${plan.seeds.join(", ")}, ${(plan.duration - warmUp) / 1000} s measured in each run`;
+  if (options.write) writePlacementPage(measured, how);
   if (options.json) {
     console.log(JSON.stringify({ bench: "placement", ...plan, mixes: measured.map(describeRun) }));
     return;
   }
-  console.log(`seeds ${plan.seeds.join(", ")}; ${(plan.duration - warmUp) / 1000} s measured in each run`);
+  console.log(how);
   measured.forEach(printMix);
 };
 
