--- a/tests/processes/routerKilled.test.ts
+++ b/tests/processes/routerKilled.test.ts
@@ -109,12 +109,13 @@
   it("or freezes before it learns of its claim: it runs at one router at most", async () => {
     const victim = await startVictim();
     const key = newKey();
-    await setFaults(system.logService.url, { latencyMilliseconds: 200 });
+    const appends = await countAppends();
+    await setFaults(system.logService.url, { loseAppendAnswers: 1_000_000 });
     const first = caller.send(victim.process.url, signOff(key));
-    await sleep(pollInterval * 20);
+    while ((await countAppends()) === appends) await sleep(pollInterval);
     victim.process.kill("SIGSTOP");
+    await setFaults(system.logService.url, { loseAppendAnswers: 0 });
     const second = await caller.ask(signOff(key));
-    await setFaults(system.logService.url, { latencyMilliseconds: 0 });
     victim.process.kill("SIGCONT");
     const woken = await first;
     // Whoever holds the claim may run it; the other one must not. The victim may also have woken too late.
