--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -76,6 +76,10 @@
   return computed + generated * generatedTokenCost;
 };
 
+/** What lies below the level by which the prompt is placed does not return, and nothing is believed about it. */
+const reusedKeys = (work: Work, { affinity }: Prediction): readonly string[] =>
+  work.levels.slice(0, affinity.index + 1).map(({ key }) => key);
+
 /** Decides by what answers have shown; keeps no more than bounded tables. */
 export class PredictiveScheduler extends Scheduler implements Disposable {
   private readonly directory: EngineDirectory;
@@ -267,7 +271,7 @@
   private dispatch(work: Work, prediction: Prediction): Assignment {
     const { engine, stamp, estimate, cachedTokens, priority } = prediction;
     const dispatchedAt = this.clock.monotonic();
-    const keys = work.levels.map(({ key }) => key);
+    const keys = reusedKeys(work, prediction);
     const own = {
       priority,
       uncachedTokens: work.promptTokens - cachedTokens,
@@ -311,7 +315,7 @@
   private learn(work: Work, prediction: Prediction, report: AttemptReport, elapsed: number): void {
     const { stamp, estimate, cachedTokens } = prediction;
     const { usage, incarnation, firstTokenAfter } = report;
-    const keys = work.levels.map(({ key }) => key);
+    const keys = reusedKeys(work, prediction);
     if (stamp !== undefined && incarnation !== undefined && incarnation !== stamp.incarnation) {
       this.picture.doubt(stamp, this.clock.monotonic());
       return;
--- a/src/coordination/scheduling/admissionQueue.ts
+++ b/src/coordination/scheduling/admissionQueue.ts
@@ -116,6 +116,7 @@
   };
 
   const ahead = (work: Work): number => {
+    if (sizes.interactive + sizes.batch === 0) return 0;
     const { name, kind, firstTokenDeadline } = work.context.requestClass;
     let count = 0;
     for (const [other, ofClass] of classes) {
--- a/src/coordination/scheduling/affinity.ts
+++ b/src/coordination/scheduling/affinity.ts
@@ -7,12 +7,14 @@
 import type { PrefixLevel } from "../../protocol/types.ts";
 import { createHeatSketch } from "../../state/heatSketch.ts";
 import type { HotKey } from "../../state/heatSketch.ts";
-import { heatLimits, reuseGain, reuseThreshold } from "./constants.ts";
+import { heatLimits, rareCounting, rareReuse, reuseGain, reuseThreshold } from "./constants.ts";
 import type { Work } from "./Scheduler.ts";
 
 /** The level by which a prompt is placed. */
 export interface Affinity {
   readonly level: PrefixLevel;
+  /** Its place among the prompt's levels. */
+  readonly index: number;
   /** Requests of all routers that share the level, a millisecond. */
   readonly rate: number;
 }
@@ -38,6 +40,8 @@
   /** For each class, by distance from the prompt's end: how often a level had been seen before. */
   const reuse = new Map<string, number[]>();
 
+  let skipped = 0;
+
   const reuseOf = (work: Work): number[] => {
     const name = work.context.requestClass.name;
     const known = reuse.get(name) ?? [];
@@ -48,11 +52,19 @@
   /** Until learned, the end of a prompt is taken to be new and the rest to be shared. */
   const firstReuse = (distance: number): number => (distance === 0 ? 0 : 1);
 
+  /** Levels that hardly ever return would only fill the sketch: one in some of them is enough to learn by. */
+  const isRarelyCounted = (usual: number | undefined): boolean => {
+    if (usual === undefined || usual >= rareReuse) return false;
+    skipped = (skipped + 1) % rareCounting;
+    return skipped !== 0;
+  };
+
   const note = (work: Work, now: number): void => {
     const learned = reuseOf(work);
     const last = work.levels.length - 1;
     work.levels.forEach(({ key }, index) => {
       const distance = last - index;
+      if (isRarelyCounted(learned[distance])) return;
       const before = learned[distance] ?? firstReuse(distance);
       learned[distance] = before + ((heat.has(key) ? 1 : 0) - before) * reuseGain;
       heat.note(key, now);
@@ -72,7 +84,7 @@
       const usual = learned[distance] ?? firstReuse(distance);
       // A level seen once has no rate yet: it is taken to return as often as others in its place do.
       const returns = levelRate === 0 ? usual : 1 - Math.exp(-levelRate * retention);
-      if (index === 0 || returns >= reuseThreshold) return { level, rate: levelRate };
+      if (index === 0 || returns >= reuseThreshold) return { level, index, rate: levelRate };
     }
     return undefined;
   };
--- a/src/coordination/scheduling/candidates.ts
+++ b/src/coordination/scheduling/candidates.ts
@@ -45,9 +45,13 @@
   const balance = createBalance(parts);
 
   /** Engines that a level needs so that none is loaded by it beyond what leaves others room. */
-  const widthOf = (work: Work, chosen: Affinity, first: EngineEstimate): number => {
-    const slots = (chosen.rate * holdingTimes.of(work)) / first.limit();
-    const computing = chosen.rate * (work.promptTokens - chosen.level.tokens) * first.millisecondsPerToken();
+  const widthOf = (work: Work, chosen: Affinity, shard: Shard, now: number): number => {
+    const engine = directory.get(shard.members[0]?.id ?? "");
+    if (engine === undefined) return 1;
+    const typical = estimates.of(engine, now);
+    const slots = (chosen.rate * holdingTimes.of(work)) / typical.limit();
+    const computing =
+      chosen.rate * (work.promptTokens - chosen.level.tokens) * typical.millisecondsPerToken();
     return Math.min(maximumWidth, Math.max(1, Math.ceil(Math.max(slots, computing) / wideningLoad)));
   };
 
@@ -64,14 +68,14 @@
 
   /** The prefix's homes in order, how many they are, and the engines to compare them with. */
   const listCandidates = (work: Work, shard: Shard, chosen: Affinity, now: number): Candidates => {
-    const ordered = firstInOrder(
-      shard.members,
-      balance.weightOf(shard, now),
-      chosen.level.key,
-      maximumWidth + nextInOrder,
-    ).filter(({ id }) => isEligible(directory.get(id), work));
-    const first = directory.get(ordered[0]?.id ?? "");
-    const width = first === undefined ? 0 : widthOf(work, chosen, estimates.of(first, now));
+    const weightOf = balance.weightOf(shard, now);
+    const firstEligible = (count: number): readonly Member[] =>
+      firstInOrder(shard.members, weightOf, chosen.level.key, count).filter(({ id }) =>
+        isEligible(directory.get(id), work),
+      );
+    const width = widthOf(work, chosen, shard, now);
+    let ordered = firstEligible(width + nextInOrder);
+    if (ordered.length < width) ordered = firstEligible(shard.members.length);
     const homes = new Set(ordered.slice(0, width).map(({ id }) => id));
     const believed = picture.levelBeliefs(chosen.level.key)?.keys() ?? [];
     const listOthers = (): ReadonlySet<string> =>
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -39,6 +39,9 @@
 
 /** A level is reused if it returns within the engines' retention with at least this probability. */
 export const reuseThreshold = 0.3;
+/** Levels that return more rarely than this are counted once in so many times. */
+export const rareReuse = 0.02;
+export const rareCounting = 16;
 /** Weight of one sighting in what is learned about the levels' reuse. */
 export const reuseGain = 0.02;
 
