--- a/src/coordination/scheduling/candidates.ts
+++ b/src/coordination/scheduling/candidates.ts
@@ -4,7 +4,6 @@
 import type { Affinity } from "./affinity.ts";
 import { createBalance } from "./balance.ts";
 import { compareAllUpTo, maximumWidth, nextInOrder, sampledEngines, wideningLoad } from "./constants.ts";
-import type { EngineEstimate } from "./engineEstimate.ts";
 import type { EngineEstimates } from "./engineEstimates.ts";
 import type { HoldingTimes } from "./holdingTimes.ts";
 import type { Work } from "./Scheduler.ts";
