Balance homes by how often reports show engines busy, and test shards, shares and late work

The new tests found two faults, mended here: late work of an organisation over its share went at the late priority instead of its own lower one, and a report of the same millisecond as the last was overlooked.

--- a/src/coordination/scheduling/PredictiveScheduler.test.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.test.ts
@@ -202,6 +202,48 @@
     expect([flood, noto].map((group) => assignmentsOf(group).length)).toEqual([2, 6]);
   });
 
+  it("has a cold prefix computed though late, behind what is in time, and refuses it behind a queue", async () => {
+    const { assign, begin, createWork, report } = createSchedulingFixture({ engines: 1 });
+    const long = { requestClass: "price-lookup", segments: [textOf("rules", 8_000), "question"] };
+    const late = await assign(createWork(long));
+    expect(late.priority).toEqual(6);
+    expect(late.expectedCachedTokens).toEqual(0);
+    report("engine-0", { running: 4, waiting: 3, pendingPromptTokens: 50_000 });
+    const other = { ...long, segments: [textOf("other rules", 8_000), "question"] };
+    const behind = begin(createWork(other));
+    await settle();
+    expect(codeOf(behind)).toEqual("overloaded");
+  });
+
+  it("puts whoever has computed more than its share behind the others", async () => {
+    const { assign, createWork, clock } = createSchedulingFixture({
+      engines: 8,
+      maximumRunning: 64,
+      standings: { flood: 1, noto: 15 },
+    });
+    const priorities: (number | undefined)[] = [];
+    for (let number = 0; number < 30; number += 1) {
+      const segments = [textOf(`season ${number}`, 2_000), "question"];
+      priorities.push((await assign(createWork({ organisation: "flood", segments }))).priority);
+    }
+    expect(Math.max(...priorities.slice(0, 5).map((priority) => priority ?? 0)) < 7).toEqual(true);
+    expect((priorities.at(-1) ?? 0) >= 7).toEqual(true);
+    const rival = await assign(createWork({ organisation: "noto", segments: ["question"] }));
+    expect(rival.priority).toEqual(3);
+    clock.advanceTo(60_000);
+    const later = await assign(createWork({ organisation: "flood", segments: ["question"] }));
+    expect(later.priority).toEqual(3);
+  });
+
+  it("lets waiting batch work take no room from its organisation's interactive work", async () => {
+    const { assign, begin, createWork } = createSchedulingFixture({ engines: 4, concurrentRequests: 4 });
+    const batch = Array.from({ length: 10 }, () => begin(createWork({ requestClass: "reconciliation" })));
+    await settle();
+    expect(assignmentsOf(batch).length).toEqual(3);
+    expect(batch.filter(isWaiting).length).toEqual(7);
+    expect((await assign(createWork())).engine.pool).toEqual("modelli");
+  });
+
   it("keeps an organisation to its limit, and counts a request that is tried again once", async () => {
     const { assign, begin, createWork } = createSchedulingFixture({ concurrentRequests: 2 });
     const first = await assign(createWork());
--- a/src/coordination/scheduling/balance.ts
+++ b/src/coordination/scheduling/balance.ts
@@ -42,7 +42,8 @@
     const before = known.get(shard)?.factors;
     const factors = new Map(
       shard.members.map((member, index) => {
-        const excess = Math.max(0, (busy[index] ?? 0) - mean - balanceTolerance);
+        const difference = (busy[index] ?? 0) - mean;
+        const excess = Math.sign(difference) * Math.max(0, Math.abs(difference) - balanceTolerance);
         const exact = Math.max(leastBalance, 1 - excess * balanceGain);
         const last = before?.get(member) ?? 1;
         // A weight stays until the exact one is a whole step away, so that it does not flicker.
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -108,12 +108,12 @@
 /** Routers' parts of an engine's free slots that one router may take for interactive work before the next report. */
 export const freeSlotsTaken = 2;
 
-/** Pending prompts that make an engine count as half busy, milliseconds; the weight of one report. */
-export const busyWait = 100;
-export const busyGain = 0.15;
-/** How strongly homes move away from engines that are busier than the others by more than a tolerance; weights change by whole steps. */
-export const balanceTolerance = 0.2;
-export const balanceGain = 3;
+/** Pending prompts from which a report counts as busy, milliseconds; the weight of one report. */
+export const busyWait = 8;
+export const busyGain = 0.07;
+/** How strongly homes move from engines that are busier than the others by more than a tolerance; weights change by whole steps. */
+export const balanceTolerance = 0.1;
+export const balanceGain = 1.5;
 export const balanceSteps = 10;
 export const leastBalance = 0.3;
 
--- a/src/coordination/scheduling/engineEstimate.ts
+++ b/src/coordination/scheduling/engineEstimate.ts
@@ -3,6 +3,7 @@
  * many requests it takes, and how long it keeps prefixes. Load reports are late, so the router's own work is
  * counted exactly and only what others do is forecast from them.
  */
+import type { EngineLoad } from "../../protocol/types.ts";
 import type { EngineReplica } from "../../state/engineDirectory.ts";
 import {
   busyGain,
@@ -84,6 +85,7 @@
   let cost = 0;
   let limit = 1;
   let retention = firstRetention;
+  let lastReport: EngineLoad | undefined;
   let identity = "";
   let knownSince = 0;
   let reportAt = Number.NEGATIVE_INFINITY;
@@ -114,7 +116,8 @@
       limit = capacity.maximumRunning;
     }
     const { load, loadReadAt } = engine;
-    if (load === undefined || loadReadAt === reportAt) return;
+    if (load === undefined || load === lastReport) return;
+    lastReport = load;
     reportAt = loadReadAt;
     const reported = `${load.incarnation} ${load.weightsVersion}`;
     if (reported !== identity) knownSince = now;
@@ -124,8 +127,7 @@
     othersAtReport = Math.max(0, load.running + load.waiting - own.running);
     othersTokensAtReport = Math.max(0, load.pendingPromptTokens - own.pendingTokens);
     othersUsual += (othersAtReport - othersUsual) * usualLoadGain;
-    const pending = load.pendingPromptTokens * cost;
-    busy += (pending / (pending + busyWait) - busy) * busyGain;
+    busy += ((load.pendingPromptTokens * cost > busyWait ? 1 : 0) - busy) * busyGain;
     learnLimit(engine, capacity.maximumRunning);
   };
 
--- a/src/coordination/scheduling/placement.ts
+++ b/src/coordination/scheduling/placement.ts
@@ -237,7 +237,7 @@
    */
   const computeLate = (work: Work, home: Prediction, now: number): Prediction => {
     const { estimate, prefill } = home;
-    const priority = Math.max(latePriority, work.context.requestClass.priority);
+    const priority = Math.max(latePriority, home.priority);
     const aheadShare = parts.priorityMix.aheadShare(priority);
     const ownWait = estimate.ownWait(priority, now);
     const wait = ownWait + estimate.othersWait(priority, aheadShare, now);
