--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -103,6 +103,7 @@
     configuration: follower.current,
     dataCentre: settings.dataCentre,
     liveRouters: () => peers.membership.livePeers().length,
+    organisationShare: beliefs.routerShare,
   });
   resources.defer(() => {
     scheduler[Symbol.dispose]();
--- a/src/daemons/routerBeliefs.ts
+++ b/src/daemons/routerBeliefs.ts
@@ -41,6 +41,11 @@
   readonly peers: RouterPeers;
   /** Whether the last VM list said that a VM leaves. */
   readonly isListedLeaving: (id: string) => boolean;
+  /**
+   * This router's even part of limits that hold over all routers of all data centres. The last list stays in
+   * force while the platform can't be asked, so that the parts of a cut-off data centre do not grow.
+   */
+  readonly routerShare: () => number;
   /**
    * Lets peers connect, and waits until this router has tried to learn what it needs to serve.
    *
@@ -109,6 +114,15 @@
     return leavingOf.ids.has(id);
   };
 
+  let routersOf: { readonly vms: readonly ListedVm[]; readonly count: number } | undefined;
+  const routerShare = (): number => {
+    const vms = monitor.lastVms();
+    if (routersOf?.vms !== vms) {
+      routersOf = { vms, count: vms.filter(({ role }) => role === "router").length };
+    }
+    return 1 / Math.max(1, routersOf.count, peers.membership.livePeers().length);
+  };
+
   const start = async (): Promise<string> => {
     const url = await peers.listen();
     await Promise.race([Promise.all([follower.started, monitor.started]), peers.restored()]);
@@ -124,6 +138,7 @@
     serviceDirectory,
     peers,
     isListedLeaving,
+    routerShare,
     start,
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
