Measure restarts and what routers of a data centre cost each other

npm run bench -- restart starts router processes and times their first answer; npm run bench -- membership puts 2, 8 and 38 nodes into one process over real sockets.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,9 +1,11 @@
 /** `npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write] [--only A,B]`: runs one bench. */
 import { admissionBench } from "./admission/admission.ts";
 import { claimsBench } from "./claims/claims.ts";
+import { membershipBench } from "./membership.ts";
 import { parseBenchCommand } from "./options.ts";
 import { placementBench } from "./placement/placement.ts";
 import { relayBench } from "./relay/relay.ts";
+import { restartBench } from "./restart.ts";
 import { retriesBench } from "./retries/retries.ts";
 import { slopesBench } from "./slopes/slopes.ts";
 import type { Bench } from "./types.ts";
@@ -16,6 +18,8 @@
   relayBench,
   claimsBench,
   retriesBench,
+  membershipBench,
+  restartBench,
 ];
 
 const list = (): string =>
--- a/src/daemons/routerPeers.ts
+++ b/src/daemons/routerPeers.ts
@@ -17,7 +17,7 @@
 import type { Metrics } from "../state/Metrics.ts";
 import { createPeerDirectory } from "../state/peerDirectory.ts";
 import { createConnectPeerNetwork } from "../transport/peerClient.ts";
-import type { PeerServer } from "../transport/peerServer.ts";
+import type { PeerServer, Traffic } from "../transport/peerServer.ts";
 import { startPeerServer } from "../transport/peerServer.ts";
 import type { RouterSettings } from "./routerSettings.ts";
 
@@ -54,6 +54,8 @@
   readonly isNear: (engine: EngineReplica) => boolean;
   readonly leave: () => void;
   readonly dropConnections: () => void;
+  /** Bytes of the connections that peers have to this router. */
+  readonly traffic: () => Traffic;
   /** What each peer has in force, as far as it has said. */
   readonly versions: () => unknown;
   readonly dump: () => unknown;
@@ -136,6 +138,7 @@
       (isNear(engine) || summaries.isSilent(engine.dataCentre)) && membership.isHome(engine.id),
     isNear,
     leave: controls.leave,
+    traffic: () => server?.traffic() ?? { received: 0, sent: 0 },
     dropConnections: () => server?.dropConnections(),
     versions: () =>
       directory.all().map((peer) => ({
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -49,6 +49,14 @@
   readonly url: string;
   /** Ends every connection; peers come again by themselves. For tests of broken connections. */
   readonly dropConnections: () => void;
+  /** Bytes over all open connections, without TCP's own. */
+  readonly traffic: () => Traffic;
+}
+
+/** Bytes of connections. */
+export interface Traffic {
+  readonly received: number;
+  readonly sent: number;
 }
 
 const parse = <T extends Message>(schema: GenMessage<T>, payload: Uint8Array): T => {
@@ -154,7 +162,16 @@
     for (const connection of connections) connection.destroy();
   };
 
+  const traffic = (): Traffic => {
+    const sockets = [...connections].map(({ socket }) => socket);
+    return {
+      received: sockets.reduce((sum, { bytesRead }) => sum + bytesRead, 0),
+      sent: sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0),
+    };
+  };
+
   return {
+    traffic,
     url: `http://${address.includes(":") ? `[${address}]` : address}:${port}`,
     dropConnections,
     [Symbol.asyncDispose]: async () => {
