--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -163,7 +163,8 @@
   };
 
   const traffic = (): Traffic => {
-    const sockets = [...connections].map(({ socket }) => socket);
+    const open = [...connections].filter((connection) => !connection.destroyed);
+    const sockets = open.map(({ socket }) => socket);
     return {
       received: sockets.reduce((sum, { bytesRead }) => sum + bytesRead, 0),
       sent: sockets.reduce((sum, { bytesWritten }) => sum + bytesWritten, 0),
