--- a/bench/membership.ts
+++ b/bench/membership.ts
@@ -213,6 +213,10 @@
   const loads = reportLoads(nodes, stop.signal);
   await sleep(times.settling);
 
+  // The whole configuration goes first: routers that have none ask their peers again and again.
+  const publish = createPublisher(nodes);
+  await publish(0);
+  await sleep(times.changeInterval);
   const before = read(nodes);
   await sleep(times.measured);
   const after = read(nodes);
@@ -222,9 +226,6 @@
   const bytesPerSecond = perNode(({ received, sent }) => received + sent);
   const cpuPerSecond = perNode(({ cpu }) => cpu);
 
-  const publish = createPublisher(nodes);
-  await publish(0);
-  await sleep(times.changeInterval);
   const changed = read(nodes);
   let longest = 0;
   for (let version = 1; version <= times.changes; version += 1) {
@@ -280,9 +281,10 @@
   costs.wholeConfigurationBytes.toFixed(0),
 ];
 
-const run: Bench["run"] = async ({ json, quick }) => {
+const run: Bench["run"] = async ({ json, quick, only }) => {
   const results: Costs[] = [];
-  for (const count of nodeCounts) results.push(await measure(count, quick ? quickDurations : durations));
+  const counts = nodeCounts.filter((count) => only.length === 0 || only.includes(count.toFixed(0)));
+  for (const count of counts) results.push(await measure(count, quick ? quickDurations : durations));
   if (json) console.log(JSON.stringify(results, undefined, 2));
   else console.log(formatTable([heading, ...results.map(rowOf)]));
 };
--- a/src/coordination/membership/peerAnswers.ts
+++ b/src/coordination/membership/peerAnswers.ts
@@ -39,7 +39,11 @@
     return create(AnswerSchema, { body: { case: "configuration", value: { json } } });
   };
 
+  /** Empty without a configuration: a herd with none would else send each other its engines over and over. */
   const snapshot = (): Answer => {
+    if (history.current() === undefined) {
+      return create(AnswerSchema, { body: { case: "snapshot", value: {} } });
+    }
     const now = clock.monotonic();
     const reported = engines.all().filter(hasReported);
     const vms = parts.vms();
