--- a/soak/disturbances.ts
+++ b/soak/disturbances.ts
@@ -3,15 +3,20 @@
 import type { System, SystemProcess } from "../demo/processes.ts";
 import type { Random } from "../bench/model/random.ts";
 import { setFaults } from "../tests/processes/records.ts";
+import type { Violation } from "./types.ts";
 
 const shortest = 200;
 const longest = 2_500;
 const fewestRouters = 2;
+/** Far longer than any request of the load and any idle connection. */
+const longestShutdown = 30_000;
 
 /** Disturbs a system. */
 export interface Disturber {
   /** Does one thing, chosen at random, and undoes it. */
   readonly disturb: () => Promise<void>;
+  /** Graceful shutdowns that did not end, or not well. Resolves when all have been waited for. */
+  readonly findBadShutdowns: () => Promise<readonly Violation[]>;
   /** How often each thing was done. */
   readonly counts: ReadonlyMap<string, number>;
 }
@@ -20,8 +25,19 @@
 export const createDisturber = (system: System, random: Random): Disturber => {
   const counts = new Map<string, number>();
   const busy = new Set<string>();
+  const shutdowns: Promise<Violation | undefined>[] = [];
   let started = 0;
 
+  const watchShutdown = async ({ name, process }: SystemProcess): Promise<Violation | undefined> => {
+    const limit = new AbortController();
+    const tooLong = sleep(longestShutdown, undefined, { signal: limit.signal, ref: false });
+    const end = await Promise.race([process.ended, tooLong.catch(() => undefined)]);
+    limit.abort();
+    if (end?.code === 0) return undefined;
+    const how = end === undefined ? "did not end" : `ended with ${String(end.code ?? end.signal)}`;
+    return { promise: "a graceful shutdown ends", detail: `${name} ${how}` };
+  };
+
   const below = (limit: number): number => Math.min(limit - 1, Math.floor(random.uniform() * limit));
   const pick = <T>(items: readonly T[]): T | undefined => items[below(items.length)];
   const wait = (): Promise<void> => sleep(shortest + random.uniform() * (longest - shortest));
@@ -35,6 +51,7 @@
     started += 1;
     const replacement = system.startRouter(`router-again-${started}`, old.dataCentre);
     old.process.kill(signal);
+    if (signal === "SIGTERM") shutdowns.push(watchShutdown(old));
     await replacement;
   };
 
@@ -96,5 +113,8 @@
     await things[name]?.().catch(() => undefined);
   };
 
-  return { disturb, counts };
+  const findBadShutdowns = async (): Promise<readonly Violation[]> =>
+    (await Promise.all(shutdowns)).filter((violation) => violation !== undefined);
+
+  return { disturb, findBadShutdowns, counts };
 };
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -62,7 +62,10 @@
   await load.stop();
   await sleep(settleTime);
 
-  const violations = findViolations(load.records, await listExecutions(system));
+  const violations = [
+    ...findViolations(load.records, await listExecutions(system)),
+    ...(await disturber.findBadShutdowns()),
+  ];
   console.log(`requests: ${JSON.stringify(countLast(load.records))}`);
   console.log(`disturbances: ${JSON.stringify(Object.fromEntries(disturber.counts))}`);
   console.log(`violations: ${violations.length}`);
