--- a/src/coordination/orders/orderHolder.ts
+++ b/src/coordination/orders/orderHolder.ts
@@ -11,6 +11,9 @@
 
 const mostEnginesShown = 100;
 
+/** A deployment that has nothing to change is looked at more rarely. */
+const settledFactor = 4;
+
 /** What an order holder works with. */
 export interface OrderHolderParts extends RollOutParts, EngineSurveyParts {
   readonly lease: Lease;
@@ -48,7 +51,8 @@
     while (!stop.signal.aborted) {
       await follow(lease.tenure());
       await rollOut?.pass();
-      await pause(clock, parts.interval, stop.signal);
+      const isSettled = rollOut?.isSettled() === true;
+      await pause(clock, isSettled ? parts.interval * settledFactor : parts.interval, stop.signal);
     }
     await follow(undefined);
   };
--- a/src/coordination/orders/rollOut.ts
+++ b/src/coordination/orders/rollOut.ts
@@ -42,6 +42,8 @@
   /** Looks at all engines once, and starts what can be started. */
   readonly pass: () => Promise<void>;
   readonly isSuperseded: () => boolean;
+  /** True if the last pass found nothing to change, and nothing is being changed. */
+  readonly isSettled: () => boolean;
   readonly view: () => readonly EngineRollOutView[];
 }
 
@@ -66,6 +68,7 @@
   const tasks = new Map<string, Promise<void>>();
   const running = new Map<string, RollOutPhase>();
   const drained = createDrainNotes(tenure);
+  let behindCount = 0;
   const rules = createMemberRules({
     isChanging: (id) => tasks.has(id),
     isDrainedByUs: (id) => drained.has(id),
@@ -149,12 +152,13 @@
 
   const startAll = (index: ConfigurationIndex, members: readonly RollOutMember[]): void => {
     const behind = members
-      .filter((member) => !tasks.has(member.engine.id) && rules.isBehind(index, member))
+      .filter((member) => rules.isBehind(index, member))
       // Engines that are out of service already come first: an earlier holder may have begun their loads.
       .sort((left, right) => Number(rules.isServing(left)) - Number(rules.isServing(right)));
+    behindCount = behind.length;
     for (const member of behind) {
       if (tasks.size >= index.configuration.limits.simultaneousLoads) return;
-      const mayStart = isWaitedOut(member.pool) && !rules.isLeaving(member);
+      const mayStart = !tasks.has(member.engine.id) && isWaitedOut(member.pool) && !rules.isLeaving(member);
       if (mayStart && delays.mayTry(member.engine.id) && rules.isSpare(member, members)) start(index, member);
     }
   };
@@ -165,9 +169,7 @@
     const engines = listMembers(index, deployment, directory, survey).map(({ engine }) => engine);
     await survey.refresh(engines, stop.signal);
     const members = listMembers(index, deployment, directory, survey);
-    const ids = new Set(members.map(({ engine }) => engine.id));
-    drained.keepOnly(ids);
-    delays.keepOnly(ids);
+    [drained, delays].forEach((kept) => kept.keepOnly(new Set(members.map(({ engine }) => engine.id))));
     await raiseFences(members);
     startAll(index, members);
   };
@@ -193,6 +195,7 @@
     tenure,
     pass,
     isSuperseded: orders.isSuperseded,
+    isSettled: () => tasks.size + behindCount === 0,
     view: () => {
       const index = parts.configuration();
       if (index === undefined) return [];
