Wait a moment for an engine that may report again before refusing

Ruled out: the roll-out's capacity rule, three engines of four were serving. Work now waits up to 1 s from its arrival where an engine is suspect or has not reported yet (seen failing before); engines that are leaving, excluded or on other weights give no such hope, and there the refusal stays immediate.

--- a/src/coordination/scheduling/PredictiveScheduler.test.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.test.ts
@@ -86,15 +86,40 @@
   });
 
   it("takes no engine that is excluded, leaving, suspect or on other weights", async () => {
-    const { assign, begin, createWork, directory, report } = createSchedulingFixture({ engines: 5 });
+    const { assign, begin, clock, createWork, directory, report } = createSchedulingFixture({ engines: 5 });
     directory.markLeaving("engine-0");
     directory.markFailed("engine-1", 0);
     report("engine-2", { weightsVersion: "2" });
     const only = await assign(createWork({ excluded: ["engine-3"] }));
     expect(only.engine.id).toEqual("engine-4");
-    const none = begin(createWork({ excluded: ["engine-3", "engine-4"] }));
+    const none = begin(createWork({ excluded: ["engine-1", "engine-3", "engine-4"] }));
     await settle();
     expect(codeOf(none)).toEqual("no_engine");
+    const suspectOnly = begin(createWork({ excluded: ["engine-3", "engine-4"] }));
+    clock.advanceTo(2_000);
+    await settle();
+    expect(codeOf(suspectOnly)).toEqual("no_engine");
+  });
+
+  it("waits a moment for an engine that may report again, and no longer", async () => {
+    const { begin, clock, createWork, directory, report } = createSchedulingFixture({ engines: 1 });
+    directory.markFailed("engine-0", 0);
+    const early = begin(createWork());
+    await settle();
+    expect(isWaiting(early)).toEqual(true);
+    clock.advanceTo(900);
+    report("engine-0");
+    clock.advanceTo(950);
+    await settle();
+    expect(early.assignment?.engine.id).toEqual("engine-0");
+    directory.markFailed("engine-0", 950);
+    const late = begin(createWork());
+    clock.advanceTo(1_900);
+    await settle();
+    expect(isWaiting(late)).toEqual(true);
+    clock.advanceTo(2_000);
+    await settle();
+    expect(codeOf(late)).toEqual("no_engine");
   });
 
   it("spreads a hot season over more engines before any of them is full", async () => {
--- a/src/coordination/scheduling/PredictiveScheduler.ts
+++ b/src/coordination/scheduling/PredictiveScheduler.ts
@@ -13,6 +13,7 @@
 import type { AffinityLearner } from "./affinity.ts";
 import {
   assumedGeneratedTokens,
+  enginePatience,
   fewestPrefillTokens,
   generatedTokenCost,
   latePriority,
@@ -239,13 +240,27 @@
    */
   private tryNow(work: Work, ahead: number, now: number): Prediction | RequestError | undefined {
     const prediction = this.placement.choose(work, now);
-    if (prediction === undefined) return refusals.noEngine(shortestRetryAfter);
+    if (prediction === undefined) {
+      return this.mayComeBack(work, now) ? undefined : refusals.noEngine(shortestRetryAfter);
+    }
     const queued = prediction.queueTurn * ahead;
     const late = prediction.lateBy + queued;
     if (late > 0) return refusals.overloaded(retryAfter(late));
     return prediction.hasRoom && this.limits.mayStart(work.context) ? prediction : undefined;
   }
 
+  /**
+   * Whether an engine that failed, or has not reported yet, may take the work soon: a failed one is asked for its
+   * load several times within the patience, and most failures are over by then.
+   */
+  private mayComeBack({ pools, excluded, context }: Work, now: number): boolean {
+    if (now - context.arrivedAt >= enginePatience) return false;
+    const engines = pools.flatMap((pool) => this.directory.inPool(pool));
+    return engines.some(
+      ({ id, state }) => (state === "suspect" || state === "unconfirmed") && !excluded.has(id),
+    );
+  }
+
   /** Gives engines to waiting work, as far as there is room, and refuses what can't be in time any more. */
   private pump(): void {
     const now = this.clock.monotonic();
--- a/src/coordination/scheduling/constants.ts
+++ b/src/coordination/scheduling/constants.ts
@@ -124,6 +124,9 @@
 export const firstHoldingTime = 1_000;
 export const holdingGain = 0.1;
 
+/** How long after its arrival work waits where no engine is live but some may report again, milliseconds. */
+export const enginePatience = 1_000;
+
 /** How often waiting work is looked at again while nothing else happens, milliseconds. */
 export const queueInterval = 20;
 /** Most pieces of waiting work looked at in one go, and of one organisation and class. */
