--- a/src/coordination/membership/restore.ts
+++ b/src/coordination/membership/restore.ts
@@ -1,9 +1,9 @@
 /** How a restarted router gets at once what its peers know: it keeps nothing itself. */
 import { create } from "@bufbuild/protobuf";
-import { z } from "zod";
 import { QuestionSchema } from "../../protocol/peers/generated/pomelocleat/peers/v1/peers_pb.ts";
 import type { Snapshot } from "../../protocol/peers/generated/pomelocleat/peers/v1/peers_pb.ts";
 import type { PeerNetwork } from "../../protocol/peers/PeerNetwork.ts";
+import { listedVmsSchema } from "../../protocol/listedVms.ts";
 import type { ListedVm } from "../../protocol/types.ts";
 import type { EngineDirectory } from "../../state/engineDirectory.ts";
 import { createLogger } from "../../state/log.ts";
@@ -40,21 +40,10 @@
 
 const writeLog = createLogger("restore");
 
-const vmSchema = z.object({
-  id: z.string(),
-  dataCentre: z.string(),
-  url: z.string(),
-  peerUrl: z.string().optional(),
-  role: z.enum(["router", "engine", "service", "keyValueStore"]),
-  pool: z.string(),
-  state: z.enum(["live", "leaving"]),
-});
-
 const parseVms = (json: string): readonly ListedVm[] => {
   if (json === "") return [];
   try {
-    const vms = z.array(vmSchema).parse(JSON.parse(json));
-    return vms.map(({ peerUrl, ...vm }) => (peerUrl === undefined ? vm : { ...vm, peerUrl }));
+    return listedVmsSchema.parse(JSON.parse(json));
   } catch {
     return [];
   }
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -10,6 +10,9 @@
 import { createServiceRunner } from "../coordination/requests/serviceRunner.ts";
 import { createWeightsInForce } from "../coordination/weightsInForce.ts";
 import { PredictiveScheduler } from "../coordination/scheduling/PredictiveScheduler.ts";
+import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { ResourceStack } from "../protocol/resourceStack.ts";
+import { createResumeTokens } from "../protocol/resumeToken.ts";
 import type { EngineReplica } from "../state/engineDirectory.ts";
 import { createLogger } from "../state/log.ts";
 import { MemoryMetrics } from "../state/MemoryMetrics.ts";
@@ -23,9 +26,6 @@
 import { createRouterBeliefs } from "./routerBeliefs.ts";
 import { startRouterDuties } from "./routerDuties.ts";
 import type { RouterSettings } from "./routerSettings.ts";
-import { createResourceStack } from "../protocol/resourceStack.ts";
-import { createResumeTokens } from "../protocol/resumeToken.ts";
-import type { ResourceStack } from "../protocol/resourceStack.ts";
 
 const connectTimeout = 1_000;
 
--- a/src/transport/httpVmList.ts
+++ b/src/transport/httpVmList.ts
@@ -3,22 +3,13 @@
  * (`ETag`), a list that has not changed is not sent again: at 12,000 replicas it is some 2 MB.
  */
 import { z } from "zod";
+import { listedVmsSchema } from "../protocol/listedVms.ts";
 import type { ListedVm } from "../protocol/types.ts";
 import { VmList } from "../protocol/VmList.ts";
 import { createPlatformHttp } from "./platformHttp.ts";
 import type { PlatformHttpSettings } from "./platformHttp.ts";
 
-const listedVm = z.object({
-  id: z.string().min(1),
-  dataCentre: z.string().min(1),
-  url: z.url({ protocol: /^http$/ }),
-  peerUrl: z.url({ protocol: /^http$/ }).optional(),
-  role: z.enum(["router", "engine", "service", "keyValueStore"]),
-  pool: z.string(),
-  state: z.enum(["live", "leaving"]),
-});
-
-const listAnswer = z.object({ vms: z.array(listedVm) });
+const listAnswer = z.object({ vms: listedVmsSchema });
 
 /**
  * Connects to the VM list.
@@ -36,7 +27,7 @@
       const changed = await http.callIfChanged({ method: "GET", path: "/vms", answer: listAnswer }, tag);
       if (changed === undefined) return last;
       ({ tag } = changed);
-      last = changed.value.vms.map(({ peerUrl, ...vm }) => (peerUrl === undefined ? vm : { ...vm, peerUrl }));
+      last = changed.value.vms;
       return last;
     }
 
--- a/tests/resume.test.ts
+++ b/tests/resume.test.ts
@@ -3,24 +3,19 @@
 import { expect } from "earl";
 import { headers } from "../src/protocol/constants.ts";
 import { createResumeTokens } from "../src/protocol/resumeToken.ts";
-import { failureOf, isWhole, lastIdOf, readStream, textOf } from "./support/eventStream.ts";
+import {
+  failureOf,
+  isWhole,
+  lastIdOf,
+  readStream,
+  streamedQuestion as question,
+  textOf,
+} from "./support/eventStream.ts";
 import type { ReadStream } from "./support/eventStream.ts";
 import { onceHeaders, startLocalSystem } from "./support/localSystem.ts";
 import type { CallOptions, LocalSystem, LocalSystemOptions } from "./support/localSystem.ts";
 
 const path = "/v1/chat/completions";
-const tokens = 12;
-const question = {
-  model: "records-assistant",
-  max_tokens: tokens,
-  stream: true,
-  ignore_eos: true,
-  stream_options: { include_usage: true },
-  messages: [
-    { role: "system", content: "Rule 1: a record is valid for twelve months." },
-    { role: "user", content: "Is attendant 17 current?" },
-  ],
-};
 const slow = { tokenMilliseconds: 10 };
 
 const startWith = (options: LocalSystemOptions = {}) =>
--- a/tests/streams.test.ts
+++ b/tests/streams.test.ts
@@ -3,24 +3,20 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import type { ClassConfiguration } from "../src/protocol/configuration/schema.ts";
-import { endingOf, failureOf, isWhole, lastIdOf, readStream, textOf } from "./support/eventStream.ts";
+import {
+  endingOf,
+  failureOf,
+  isWhole,
+  lastIdOf,
+  readStream,
+  streamedQuestion as question,
+  streamedTokens as tokens,
+  textOf,
+} from "./support/eventStream.ts";
 import type { ReadStream } from "./support/eventStream.ts";
 import { onceHeaders, operatorKey, startLocalSystem } from "./support/localSystem.ts";
 import type { LocalSystem, LocalSystemOptions } from "./support/localSystem.ts";
 
-const tokens = 12;
-const question = {
-  model: "records-assistant",
-  max_tokens: tokens,
-  stream: true,
-  ignore_eos: true,
-  stream_options: { include_usage: true },
-  messages: [
-    { role: "system", content: "Rule 1: a record is valid for twelve months." },
-    { role: "user", content: "Is attendant 17 current?" },
-  ],
-};
-
 /** A system whose classes all have some settings. */
 const startWith = (changes: Partial<ClassConfiguration>, options: LocalSystemOptions = {}) =>
   startLocalSystem({
--- a/tests/support/eventStream.ts
+++ b/tests/support/eventStream.ts
@@ -82,3 +82,19 @@
 /** The id of the last event that has one. */
 export const lastIdOf = ({ events }: ReadStream): string =>
   events.findLast(({ id }) => id !== undefined)?.id ?? "";
+
+/** Tokens that {@link streamedQuestion} asks for. */
+export const streamedTokens = 12;
+
+/** A question whose streamed answer is always as long as it may be. */
+export const streamedQuestion = {
+  model: "records-assistant",
+  max_tokens: streamedTokens,
+  stream: true,
+  ignore_eos: true,
+  stream_options: { include_usage: true },
+  messages: [
+    { role: "system", content: "Rule 1: a record is valid for twelve months." },
+    { role: "user", content: "Is attendant 17 current?" },
+  ],
+};
