--- a/src/coordination/requests/authenticate.ts
+++ b/src/coordination/requests/authenticate.ts
@@ -6,6 +6,10 @@
 
 const bearer = /^Bearer +(\S+)$/i;
 
+/** @returns The key that an `Authorization` header carries, if any. */
+export const bearerKey = (authorization: string | undefined): string | undefined =>
+  bearer.exec(authorization ?? "")?.[1];
+
 /**
  * Finds the organisation that a key belongs to. Only digests are compared, so that neither the file nor a
  * dump holds a key.
@@ -17,7 +21,7 @@
   index: ConfigurationIndex,
   authorization: string | undefined,
 ): OrganisationConfiguration => {
-  const key = bearer.exec(authorization ?? "")?.[1];
+  const key = bearerKey(authorization);
   if (key === undefined) throw refusals.invalidKey();
   const digest = createHash("sha256").update(key).digest("hex");
   const organisation = index.organisationByKeyHash.get(digest);
--- a/src/coordination/requests/routerFrontEnd.ts
+++ b/src/coordination/requests/routerFrontEnd.ts
@@ -19,7 +19,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
 import type { ConfigurationIndex } from "../configurationIndex.ts";
-import { authenticate } from "./authenticate.ts";
+import { authenticate, bearerKey } from "./authenticate.ts";
 import type { CompletionRunner } from "./completionRunner.ts";
 import { createEventIds } from "./eventIds.ts";
 import { readResumeJob } from "./resumption.ts";
@@ -55,7 +55,7 @@
 };
 
 const isOperator = (keyHash: string, authorization: string | undefined): boolean => {
-  const key = /^Bearer +(\S+)$/i.exec(authorization ?? "")?.[1] ?? "";
+  const key = bearerKey(authorization) ?? "";
   const digest = createHash("sha256").update(key).digest();
   return timingSafeEqual(digest, Buffer.from(keyHash, "hex"));
 };
--- a/src/daemons/routerSettings.ts
+++ b/src/daemons/routerSettings.ts
@@ -1,6 +1,7 @@
 /** The settings file of one router daemon. */
 import { readFileSync } from "node:fs";
 import { z } from "zod";
+import { listSchemaProblems } from "../protocol/configuration/check.ts";
 import { fileError } from "../protocol/errors.ts";
 
 const address = z.union([z.ipv4(), z.ipv6()]);
@@ -51,8 +52,6 @@
 /** Checked settings. */
 export type RouterSettings = Readonly<z.output<typeof routerSettingsSchema>>;
 
-const pathOf = (path: readonly PropertyKey[]): string => path.map(String).join(".");
-
 const parseJsonFile = (text: string, file: string): unknown => {
   try {
     return JSON.parse(text);
@@ -73,10 +72,7 @@
 export const parseRouterSettings = (text: string, file: string): RouterSettings => {
   const result = routerSettingsSchema.safeParse(parseJsonFile(text, file));
   if (result.success) return result.data;
-  throw fileError(
-    file,
-    result.error.issues.map((issue) => ({ path: pathOf(issue.path), cause: issue.message })),
-  );
+  throw fileError(file, listSchemaProblems(result.error));
 };
 
 /** Reads and checks a settings file. */
