Keep planned ends from cutting requests; let routers tell one another where prompt parts lie

Now only what is over in time for certain is taken on then; the rest is refused as not run, with a time to come back. Cause 2: parts that lie elsewhere than at the replica where all routers expect them were known only to the router that had sent them there. Routers now tell exceptions in their datagrams, and the common order is over all replicas of the same weights, also those that are being emptied. Cause 3 (by reading): a refusal for other weights raised the belief to the newest named version, which could be wrong for good; the engine is asked now.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -33,7 +33,7 @@
 });
 
 export default tseslint.config(
-  { ignores: ["build/**", "node_modules/**", "**/generated/**", "*.js"] },
+  { ignores: ["build/**", "target/**", "node_modules/**", "**/generated/**", "*.js", "deploy/*.mjs"] },
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
   {
--- a/src/coordination/forwarding/answerCheck.ts
+++ b/src/coordination/forwarding/answerCheck.ts
@@ -1,13 +1,17 @@
 /** Whether what came back is a replica's answer to this very request. */
 import { upstreamError } from "../../protocol/errors.ts";
 import type { AnswerHead, CallerRequest, ReplicaAnswer } from "../../protocol/forwarding/types.ts";
+import { createLogger } from "../../state/log.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import type { ConfigurationState } from "./configurationState.ts";
+import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
+import { doubtTimeout } from "./constants.ts";
+
+const writeLog = createLogger("replicas");
 
 /** What answers are checked with. */
 export interface AnswerCheckParts {
   readonly replicas: ReplicaTable;
-  readonly configuration: ConfigurationState;
+  readonly client: Pick<ReplicaClient, "readStatus">;
   /** This router learned of a departure before the registry told it. */
   readonly onLeaving: (replica: string) => void;
 }
@@ -23,18 +27,23 @@
 export type AnswerCheck = (answer: ReplicaAnswer, request: CallerRequest, replica: string) => Promise<void>;
 
 /** Creates a check. */
-export const createAnswerCheck = ({ replicas, configuration, onLeaving }: AnswerCheckParts): AnswerCheck => {
-  const learnFromRefusal = (head: AnswerHead, request: CallerRequest, replica: string): void => {
+export const createAnswerCheck = ({ replicas, client, onLeaving }: AnswerCheckParts): AnswerCheck => {
+  /** Asks an engine that runs other weights than believed for the true ones; a guess could stay wrong for good. */
+  const readWeights = async (replica: string): Promise<void> => {
+    const entry = replicas.get(replica)?.entry;
+    if (entry === undefined) return;
+    const status = await client.readStatus(entry, AbortSignal.timeout(doubtTimeout));
+    for (const [model, version] of status.weights) replicas.noteWeights(replica, model, version);
+  };
+
+  const learnFromRefusal = async (head: AnswerHead, replica: string): Promise<void> => {
     if (!head.isMisdirected) return;
-    if (head.replicaId !== undefined && head.replicaId !== replica) {
-      replicas.markLeaving(replica);
-      onLeaving(replica);
+    if (head.replicaId === undefined || head.replicaId === replica) {
+      await readWeights(replica);
       return;
     }
-    // It runs other weights than believed: the newest that were named, in all likelihood.
-    const model = request.prompt?.model;
-    const wanted = model === undefined ? undefined : configuration.wantedWeights(model);
-    if (model !== undefined && wanted !== undefined) replicas.noteWeights(replica, model, wanted.version);
+    replicas.markLeaving(replica);
+    onLeaving(replica);
   };
 
   return async ({ head, body }, request, replica) => {
@@ -42,9 +51,11 @@
       throw upstreamError("the answer belongs to another request", "crossed", "sent");
     }
     if (head.isNotRun) {
-      learnFromRefusal(head, request, replica);
       // The status says it all; a body that breaks off takes nothing back.
       await collect(body).catch(() => undefined);
+      await learnFromRefusal(head, replica).catch((error: unknown) => {
+        writeLog("status_unknown", { replica, reason: String(error) });
+      });
       const fault = head.isMisdirected ? "wrong_weights" : "overloaded";
       throw upstreamError(`not run: status ${head.status}`, fault, "refused", undefined, head.status);
     }
--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -1,5 +1,6 @@
 /** Which replicas are believed to keep which prompt parts, by what was sent there. */
 import type { Prompt } from "../../protocol/forwarding/types.ts";
+import { hash32 } from "../../protocol/prefixLevels.ts";
 import type { Clock } from "../clock.ts";
 import { holderMemory, mostParts } from "./constants.ts";
 
@@ -14,8 +15,14 @@
 export interface CacheHolders {
   /** @returns By replica: how much of the prompt's reusable parts it is believed to keep. */
   readonly find: (salt: string, prompt: Prompt) => ReadonlyMap<string, HeldPrompt>;
-  /** A replica has computed the prompt, or copied it. */
-  readonly note: (salt: string, prompt: Prompt, replica: string) => void;
+  /**
+   * A replica has computed the prompt, or copied it.
+   *
+   * @returns The key of the deepest reusable part; nothing if there is none.
+   */
+  readonly note: (salt: string, prompt: Prompt, replica: string) => number | undefined;
+  /** A peer tells of a part. */
+  readonly noteKey: (key: number, replica: string) => void;
   /** A replica is gone, or has lost what it kept. */
   readonly forget: (replica: string) => void;
 }
@@ -23,14 +30,16 @@
 /** Parts that other requests may have too: all but the last. */
 export const reusableParts = ({ parts }: Prompt): Prompt["parts"] => parts.slice(0, -1);
 
+/** Short, since routers tell one another; two parts with one key cost a copy that finds nothing. */
+const keyOf = (salt: string, id: string): number => hash32(`${salt}\u0000${id}`);
+
 /** Creates beliefs about nothing. */
 export const createCacheHolders = (clock: Clock): CacheHolders => {
   /** The part that was used longest ago comes first. */
-  const parts = new Map<string, Map<string, number>>();
-
-  const keyOf = (salt: string, id: string): string => `${salt}\u0000${id}`;
+  const parts = new Map<number, Map<string, number>>();
 
-  const noteOne = (key: string, replica: string, now: number): void => {
+  const noteKey = (key: number, replica: string): void => {
+    const now = clock.monotonic();
     const holders = parts.get(key) ?? new Map<string, number>();
     holders.set(replica, now);
     parts.delete(key);
@@ -53,9 +62,11 @@
       return held;
     },
     note: (salt, prompt, replica) => {
-      const now = clock.monotonic();
-      for (const { id } of reusableParts(prompt)) noteOne(keyOf(salt, id), replica, now);
+      const keys = reusableParts(prompt).map(({ id }) => keyOf(salt, id));
+      for (const key of keys) noteKey(key, replica);
+      return keys.at(-1);
     },
+    noteKey,
     forget: (replica) => {
       for (const holders of parts.values()) holders.delete(replica);
     },
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -134,10 +134,23 @@
 export const storeTimeoutShare = 0.15;
 
 /**
- * A shutdown, as shares of the grace time: new connections come until the balancer has noticed, then what is under
- * way ends. Between two looks at it: milliseconds.
+ * A shutdown, as shares of the grace time: until when every request is taken on, when the balancer has surely
+ * noticed, and when everything has to be over. A request that is taken on later than the first and cut at the last
+ * is lost by this router's fault.
  */
-export const shutdownTimes = { acceptShare: 0.4, endShare: 0.95, interval: 25 } as const;
+export const shutdownTimes = { acceptShare: 0.33, noticeShare: 0.4, endShare: 0.95 } as const;
+
+/** Between two looks at what is still under way in a shutdown. */
+export const shutdownInterval = 25;
 
 /** Connections that can't be made are no attempts at a replica, but a request ends after so many. */
 export const mostUnsent = 4;
+
+/** Longest wait for the state of an engine that refused a request because of its weights. */
+export const doubtTimeout = 300;
+
+/** News of where prompt parts are kept is repeated for so long: two or three messages. */
+export const holderNewsRepetition = 250;
+
+/** Pieces of such news in one message at most. */
+export const mostHolderNews = 40;
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -111,7 +111,8 @@
     const viewOf = (version: number): PromptView => {
       const known = views.get(version);
       if (known !== undefined) return known;
-      const same = candidates.filter((replica) => versionOf(replica) === version);
+      // Those that get no new work for a moment still keep their parts for others to copy.
+      const same = replicas.serving(admission.service.name).filter((each) => versionOf(each) === version);
       const made = viewPrompt(prompt, saltFor(admission, prompt.model, version), same);
       views.set(version, made);
       return made;
@@ -149,6 +150,7 @@
       weightsVersion: version === 0 ? undefined : version,
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
+      isHome: view.order[0] === id,
       promptTokens: Math.max(0, prompt.tokens - Math.max(own, view.most)),
       predictedWait: cost,
     };
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -21,6 +21,14 @@
       },
       cause,
     ),
+  /** This router ends before the request would. */
+  ending: (): RequestError =>
+    requestError("This router is shutting down; the request has not run.", {
+      status: 503,
+      code: "shutting_down",
+      outcome: outcomes.notRun,
+      retryAfterSeconds: comeBack.soon,
+    }),
   /** A replica may have run it. */
   unknown: (cause: UpstreamError | undefined): RequestError =>
     requestError(
--- a/src/coordination/forwarding/forwardAttempt.ts
+++ b/src/coordination/forwarding/forwardAttempt.ts
@@ -17,6 +17,7 @@
   readonly client: ReplicaClient;
   readonly check: AnswerCheck;
   readonly holders: CacheHolders;
+  readonly tellHolder: (key: number, replica: string) => void;
   readonly estimates: ReplicaEstimates;
   readonly health: ReplicaHealth;
   readonly clock: Clock;
@@ -97,7 +98,9 @@
     const { id } = choice.replica.entry;
     if (wasIdle) estimates.learnPrefill(id, choice.promptTokens, elapsed);
     if (request.prompt !== undefined && choice.cacheSalt !== undefined) {
-      holders.note(choice.cacheSalt, request.prompt, id);
+      const key = holders.note(choice.cacheSalt, request.prompt, id);
+      // Where parts are expected, everybody looks anyway.
+      if (key !== undefined && !choice.isHome) parts.tellHolder(key, id);
     }
   };
 
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -6,14 +6,17 @@
 import { createAttemptLoop } from "./attemptLoop.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { isSuccess } from "./forwardAttempt.ts";
+import { failures } from "./failures.ts";
 import type { ForwardRun } from "./forwardRun.ts";
 import { beginRun } from "./forwardRun.ts";
+import type { Shutdown } from "./shutdown.ts";
 import { relayStream } from "./streamRelay.ts";
 import type { Admission } from "./types.ts";
 
 /** What forwarding works with. */
 export interface ForwarderParts extends AttemptLoopParts {
   readonly configuration: ConfigurationState;
+  readonly shutdown: Shutdown;
 }
 
 /** See {@link createForwarder}. */
@@ -111,6 +114,7 @@
       const run = beginRun(request, admission, clock, signal);
       open += 1;
       try {
+        if (!parts.shutdown.mayTake(run.deadline)) throw failures.ending();
         return await answer(run);
       } catch (error) {
         end(run, "failed", reasonOf(error));
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -10,10 +10,17 @@
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
+import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
-import { newsRepetition, peerIntervals, peersAtShortestInterval, peerSilence } from "./constants.ts";
+import {
+  holderNewsRepetition,
+  mostHolderNews,
+  newsRepetition,
+  peerIntervals,
+  peersAtShortestInterval,
+  peerSilence,
+} from "./constants.ts";
 import { createNews } from "./news.ts";
-import type { Peer } from "./peerTable.ts";
 import { createPeerTable } from "./peerTable.ts";
 
 /** What exchanging works with. */
@@ -23,6 +30,7 @@
   readonly clock: Clock;
   readonly replicas: ReplicaTable;
   readonly configuration: ConfigurationState;
+  readonly holders: Pick<CacheHolders, "noteKey">;
   /** A peer knows a newer configuration. */
   readonly onNewerConfiguration: () => void;
 }
@@ -41,6 +49,8 @@
   readonly tellChanging: (replica: string, until: number) => void;
   /** Tells peers that a replica leaves. */
   readonly tellLeaving: (replica: string) => void;
+  /** Tells peers that a replica keeps a prompt part. */
+  readonly tellHolder: (key: number, replica: string) => void;
   /** Tells peers that this router ends. */
   readonly leave: () => void;
 }
@@ -55,6 +65,18 @@
   return version === undefined || !Number.isFinite(age) ? undefined : [version, Math.ceil(age)];
 };
 
+const dropWork = (replicas: ReplicaTable, peer: string): void => {
+  for (const replica of replicas.all()) replica.peers.delete(peer);
+};
+
+/** What a message tells replaces all that the last one told. */
+const takeWork = (replicas: ReplicaTable, peer: string, work: RouterMessage["work"]): void => {
+  dropWork(replicas, peer);
+  for (const [id, requests, promptTokens] of work) {
+    replicas.get(id)?.peers.set(peer, { requests, promptTokens });
+  }
+};
+
 /** Starts to exchange messages. */
 export const createRouterPeers = (parts: RouterPeersParts): RouterPeers => {
   const { self, link, clock, replicas, configuration } = parts;
@@ -63,6 +85,7 @@
   const weightsNews = createNews<RouterMessage["weights"][number]>(clock, newsRepetition);
   const changingNews = createNews<number>(clock, newsRepetition);
   const leavingNews = createNews<true>(clock, newsRepetition);
+  const holderNews = createNews<RouterMessage["holders"][number]>(clock, holderNewsRepetition);
   let ends = false;
   let sentWork = "";
   let sentAt = Number.NEGATIVE_INFINITY;
@@ -84,6 +107,7 @@
       work,
       weights: [...weightsNews.current()],
       changing: changingNews.entries().map(([id, until]) => [id, Math.max(0, Math.round(until - now))]),
+      holders: holderNews.current().slice(-mostHolderNews),
       leaving: leavingNews.entries().map(([id]) => id),
       ends,
     };
@@ -105,21 +129,11 @@
     const stretch = Math.max(1, peers.all().length / peersAtShortestInterval);
     const isDue = since >= peerIntervals.longest * stretch;
     const mayBeSent = since >= peerIntervals.shortest * stretch;
-    if (isUrgent || isDue || (mayBeSent && JSON.stringify(ownWork()) !== sentWork)) sendAll();
+    const hasNews = holderNews.current().length > 0 || JSON.stringify(ownWork()) !== sentWork;
+    if (isUrgent || isDue || (mayBeSent && hasNews)) sendAll();
     callOffTurn = clock.after(peerIntervals.shortest, turn);
   };
 
-  const dropWork = ({ name }: Peer): void => {
-    for (const replica of replicas.all()) replica.peers.delete(name);
-  };
-
-  const takeWork = (peer: Peer, work: RouterMessage["work"]): void => {
-    dropWork(peer);
-    for (const [id, requests, promptTokens] of work) {
-      replicas.get(id)?.peers.set(peer.name, { requests, promptTokens });
-    }
-  };
-
   const takeNews = (message: RouterMessage): void => {
     const now = clock.monotonic();
     for (const [id, model, version] of message.weights) replicas.noteWeights(id, model, version);
@@ -127,6 +141,7 @@
       const replica = replicas.get(id);
       if (replica !== undefined) replica.changingUntil = now + remaining;
     }
+    for (const [key, id] of message.holders) parts.holders.noteKey(key, id);
     for (const id of message.leaving) replicas.markLeaving(id);
   };
 
@@ -145,14 +160,14 @@
     const message = decodeRouterMessage(datagram);
     const peer = message && peers.hear(message, from);
     if (message === undefined || peer === undefined) return;
-    takeWork(peer, peer.ends ? [] : message.work);
+    takeWork(replicas, peer.name, peer.ends ? [] : message.work);
     takeNews(message);
     takeConfiguration(message);
   });
 
   const forgetSilent = (): void => {
     for (const peer of peers.all()) {
-      if (!peers.isHeard(peer)) dropWork(peer);
+      if (!peers.isHeard(peer)) dropWork(replicas, peer.name);
       if (!peers.mayServe(peer)) peers.forget(peer);
     }
     callOffForget = clock.after(peerSilence, forgetSilent);
@@ -184,6 +199,7 @@
       leavingNews.add(replica, true);
       isUrgent = true;
     },
+    tellHolder: (key, replica) => holderNews.add(`${key} ${replica}`, [key, replica]),
     leave: () => {
       ends = true;
       sendAll();
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -1,6 +1,8 @@
 /** What a router that passes requests on believes, and the tasks that keep it up: store, registry, peers. */
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "../coordination/clock.ts";
+import type { CacheHolders } from "../coordination/forwarding/cacheHolders.ts";
+import { createCacheHolders } from "../coordination/forwarding/cacheHolders.ts";
 import type { ConfigurationState } from "../coordination/forwarding/configurationState.ts";
 import { createConfigurationState } from "../coordination/forwarding/configurationState.ts";
 import { configurationWaitShare, registryPaceShare } from "../coordination/forwarding/constants.ts";
@@ -31,6 +33,7 @@
 export interface ForwardingBeliefs extends AsyncDisposable {
   readonly configuration: ConfigurationState;
   readonly replicas: ReplicaTable;
+  readonly holders: CacheHolders;
   readonly peers: RouterPeers;
   /** Whether the registry has been read. */
   readonly knowsReplicas: () => boolean;
@@ -47,6 +50,7 @@
   const resources = createResourceStack();
   const configuration = createConfigurationState(clock);
   const replicas = createReplicaTable();
+  const holders = createCacheHolders(clock);
   let knowsReplicas = false;
   let isOver = false;
 
@@ -57,6 +61,7 @@
       clock,
       replicas,
       configuration,
+      holders,
       onNewerConfiguration: () => operatorFeed.hurry(),
     }),
   );
@@ -115,6 +120,7 @@
   return {
     configuration,
     replicas,
+    holders,
     peers,
     knowsReplicas: () => knowsReplicas,
     [Symbol.asyncDispose]: () => {
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -6,8 +6,7 @@
 import type { Admit } from "../coordination/forwarding/admit.ts";
 import { createAdmit } from "../coordination/forwarding/admit.ts";
 import { createAnswerCheck } from "../coordination/forwarding/answerCheck.ts";
-import { createCacheHolders } from "../coordination/forwarding/cacheHolders.ts";
-import { shutdownTimes, storeTimeoutShare } from "../coordination/forwarding/constants.ts";
+import { shutdownInterval, storeTimeoutShare } from "../coordination/forwarding/constants.ts";
 import { createEnginePlacement } from "../coordination/forwarding/enginePlacement.ts";
 import { createForwardAttempt } from "../coordination/forwarding/forwardAttempt.ts";
 import type { Forwarder } from "../coordination/forwarding/forwarder.ts";
@@ -16,6 +15,8 @@
 import { createReplicaEstimates } from "../coordination/forwarding/replicaEstimates.ts";
 import { createReplicaHealth } from "../coordination/forwarding/replicaHealth.ts";
 import { createRetryShare } from "../coordination/forwarding/retryShare.ts";
+import type { Shutdown } from "../coordination/forwarding/shutdown.ts";
+import { createShutdown } from "../coordination/forwarding/shutdown.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import { createHolderName, startWeightsOrders } from "../coordination/forwarding/weightsOrders.ts";
 import { rendezvousFirst } from "../coordination/membership/rendezvous.ts";
@@ -68,6 +69,7 @@
   readonly platform: ForwardingPlatform;
   readonly beliefs: ForwardingBeliefs;
   readonly admit: Admit;
+  readonly shutdown: Shutdown;
   readonly bounds: ForwardingBounds;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -75,10 +77,9 @@
 
 /** Puts together what decides about requests. */
 const createDecisions = (parts: DecisionParts): Forwarder => {
-  const { self, platform, beliefs, admit, bounds, clock, metrics } = parts;
-  const { configuration, replicas, peers } = beliefs;
+  const { self, platform, beliefs, admit, shutdown, bounds, clock, metrics } = parts;
+  const { configuration, replicas, holders, peers } = beliefs;
   const { replicaClient: client } = platform;
-  const holders = createCacheHolders(clock);
   const estimates = createReplicaEstimates();
   const health = createReplicaHealth(replicas, clock);
 
@@ -97,14 +98,16 @@
     placement: createPlacement({ replicas, estimates, clock, dataCentre, engines }),
     attempt: createForwardAttempt({
       client,
-      check: createAnswerCheck({ replicas, configuration, onLeaving: peers.tellLeaving }),
+      check: createAnswerCheck({ replicas, client, onLeaving: peers.tellLeaving }),
       holders,
+      tellHolder: peers.tellHolder,
       estimates,
       health,
       clock,
     }),
     retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
     configuration,
+    shutdown,
     metrics,
     clock,
   });
@@ -133,7 +136,7 @@
   const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
   const platform = resources.use(connect({ store: settings.store, storeTimeout }));
   const link = resources.use(await openUdpLink(settings.peers));
-  let ending = false;
+  const shutdown = createShutdown(clock, bounds);
 
   const beliefs = resources.use(
     startForwardingBeliefs({
@@ -153,7 +156,16 @@
     if (departure === undefined) shareConnections(platform, beliefs);
   });
   const admit = createAdmit(configuration, bounds, clock);
-  const forwarder = createDecisions({ self, platform, beliefs, admit, bounds, clock, metrics });
+  const forwarder = createDecisions({
+    self,
+    platform,
+    beliefs,
+    admit,
+    shutdown,
+    bounds,
+    clock,
+    metrics,
+  });
 
   const orders = startWeightsOrders({
     replicas,
@@ -168,11 +180,11 @@
     // Whoever comes first among those that reach the store; a router whose store is lost soon doesn't.
     isCandidate: () => {
       const candidates = peers.inTouch(bounds.keyRevocation / 2);
-      return !ending && rendezvousFirst("weights", candidates) === self.name;
+      return !shutdown.isUnderWay() && rendezvousFirst("weights", candidates) === self.name;
     },
   });
 
-  const isReady = (): boolean => !ending && beliefs.knowsReplicas() && admit.isFresh();
+  const isReady = (): boolean => !shutdown.isUnderWay() && beliefs.knowsReplicas() && admit.isFresh();
 
   const server = resources.use(
     await startForwardingServer({
@@ -197,22 +209,19 @@
   writeLog("listening", { incarnation: self.incarnation });
 
   const drain = async (): Promise<void> => {
-    const begunAt = clock.monotonic();
-    const elapsed = (): number => clock.monotonic() - begunAt;
-    ending = true;
+    shutdown.begin();
     await orders[Symbol.asyncDispose]();
-    await sleep(Math.max(0, bounds.shutdownGrace * shutdownTimes.acceptShare - elapsed()));
+    await sleep(Math.max(0, shutdown.untilNoticed()));
     peers.leave();
-    const end = bounds.shutdownGrace * shutdownTimes.endShare;
     const settle = async (): Promise<void> => {
-      while (forwarder.openRequests() > 0 && elapsed() < end) await sleep(shutdownTimes.interval);
+      while (forwarder.openRequests() > 0 && shutdown.untilOver() > 0) await sleep(shutdownInterval);
     };
     await settle();
     server.closeIdle();
     // What was on its way when the connections were closed.
-    await sleep(shutdownTimes.interval);
+    await sleep(shutdownInterval);
     await settle();
-    writeLog("drained", { openRequests: forwarder.openRequests(), milliseconds: Math.round(elapsed()) });
+    writeLog("drained", { openRequests: forwarder.openRequests() });
   };
 
   // The process owns everything from here on; it ends by exiting.
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -24,6 +24,8 @@
   changing: z.array(z.tuple([z.string(), count])).default([]),
   /** Replicas that leave. */
   leaving: z.array(z.string()).default([]),
+  /** Prompt parts that replicas keep, other than those where they are expected: key, replica. */
+  holders: z.array(z.tuple([count, z.string()])).default([]),
   /** The sender ends. */
   ends: z.boolean().default(false),
 });
@@ -41,6 +43,7 @@
   weights: "v",
   changing: "g",
   leaving: "l",
+  holders: "h",
   ends: "x",
 } as const satisfies Readonly<Record<keyof RouterMessage, string>>;
 
--- a/src/protocol/prefixLevels.ts
+++ b/src/protocol/prefixLevels.ts
@@ -21,6 +21,9 @@
 /** A 64-bit hash of a short string, for ordering and for picking; the same in every process. */
 export const hash64 = (text: string): bigint => xxhash.h64(text);
 
+/** A 32-bit hash of a short string. */
+export const hash32 = (text: string): number => xxhash.h32(text);
+
 /**
  * Computes the levels of a prompt.
  *
