--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -83,8 +83,9 @@
     const callOff = limit === undefined ? undefined : clock.after(limit, () => stopper.stop("silent"));
     metrics.count(metricNames.attempts);
     const mayLeave = (): boolean => admit.isKeyValid(request) && clock.monotonic() < deadline;
+    const abandon = run.mayRepeat && run.hasAttemptsLeft() ? () => stopper.stop("silent") : undefined;
     try {
-      const plan = { request, admission, choice, deadline, lastEventId, mayLeave };
+      const plan = { request, admission, choice, deadline, lastEventId, mayLeave, abandon };
       return await parts.attempt(plan, stopper.signal);
     } finally {
       callOff?.();
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -154,3 +154,18 @@
 
 /** Pieces of such news in one message at most. */
 export const mostHolderNews = 40;
+
+/**
+ * A replica that owes an answer and has sent nothing for so long is tried with a new connection: several times what
+ * engines leave between tokens, well below what callers wait for a first one.
+ */
+export const silenceLimit = 350;
+
+/** Longest wait for such a connection: many times the way there and back within a region. */
+export const reachProbeTimeout = 200;
+
+/** Between two tries of a replica that could not be reached. */
+export const unreachableProbeInterval = 400;
+
+/** Between two looks for silent replicas. */
+export const watchInterval = 100;
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -91,15 +91,18 @@
     return { salt, held, order, most: mostHeld(held) };
   };
 
+  /** Copying from a replica that doesn't answer would hold the request up. */
+  const isSource = (id: string): boolean => replicas.get(id)?.isUnreachable === false;
+
   /** The replica that keeps more of the prompt than the chosen one, or is expected to by the common order. */
   const fetchSource = (view: PromptView, chosen: string, own: number): string | undefined => {
     let best: { readonly id: string; readonly held: HeldPrompt } | undefined;
     for (const [id, held] of view.held) {
-      if (id === chosen || held.tokens <= own || replicas.get(id) === undefined) continue;
+      if (id === chosen || held.tokens <= own || !isSource(id)) continue;
       const more = held.tokens - (best?.held.tokens ?? 0);
       if (more > 0 || (more === 0 && held.usedAt > (best?.held.usedAt ?? 0))) best = { id, held };
     }
-    const expected = own > 0 ? undefined : view.order.find((id) => id !== chosen);
+    const expected = own > 0 ? undefined : view.order.find((id) => id !== chosen && isSource(id));
     const id = best?.id ?? expected;
     return id === undefined ? undefined : replicas.get(id)?.entry.address;
   };
--- a/src/coordination/forwarding/forwardAttempt.ts
+++ b/src/coordination/forwarding/forwardAttempt.ts
@@ -32,6 +32,8 @@
   readonly deadline: number;
   readonly lastEventId: string | undefined;
   readonly mayLeave: () => boolean;
+  /** Gives the attempt up for another one; nothing if there can't be another. */
+  readonly abandon: (() => void) | undefined;
 }
 
 /** An answer that has begun well enough to be passed on. */
@@ -62,10 +64,17 @@
   route.kind === "eventStream" || route.kind === "resumableEventStream";
 
 /** Counts a request as work of its replica. */
-const countWork = (replica: ReplicaState, promptTokens: number) => {
+const countWork = (
+  replica: ReplicaState,
+  promptTokens: number,
+  now: number,
+  abandon: (() => void) | undefined,
+) => {
   let pending = promptTokens;
   let isCounted = true;
+  if (replica.requests === 0) replica.quietSince = now;
   replica.requests += 1;
+  if (abandon !== undefined) replica.abandon.add(abandon);
   replica.promptTokens += pending;
   const endPrompt = (): void => {
     replica.promptTokens -= pending;
@@ -75,6 +84,7 @@
     endPrompt,
     end: (): void => {
       endPrompt();
+      if (abandon !== undefined) replica.abandon.delete(abandon);
       if (isCounted) replica.requests -= 1;
       isCounted = false;
     },
@@ -116,14 +126,18 @@
     const { request, admission, choice, deadline } = plan;
     const { replica } = choice;
     const wasIdle = replica.requests === 0 && replica.peers.size === 0;
-    const work = countWork(replica, choice.promptTokens);
     const begunAt = clock.monotonic();
+    const work = countWork(replica, choice.promptTokens, begunAt, plan.abandon);
+    const hear = (): void => {
+      replica.quietSince = clock.monotonic();
+    };
 
     const watch = async function* (body: AsyncIterator<Buffer>): AsyncGenerator<Buffer, void> {
       try {
         for (;;) {
           const next = await body.next();
           if (next.done === true) break;
+          hear();
           yield next.value;
         }
         health.noteSuccess(replica);
@@ -153,6 +167,7 @@
         },
         signal,
       );
+      hear();
       await check(answer, request, replica.entry.id);
       if (!isStream(admission) || !isSuccess(answer.head)) {
         const whole = await collect(answer.body);
@@ -163,6 +178,7 @@
       }
       const body = answer.body[Symbol.asyncIterator]();
       const first = await body.next();
+      hear();
       work.endPrompt();
       if (first.done === true) {
         work.end();
--- a/src/coordination/forwarding/replicaHealth.ts
+++ b/src/coordination/forwarding/replicaHealth.ts
@@ -9,6 +9,8 @@
 /** See {@link createReplicaHealth}. */
 export interface ReplicaHealth {
   readonly noteSuccess: (replica: ReplicaState) => void;
+  /** A connection could be made to a replica that had been silent. */
+  readonly noteReachable: (replica: ReplicaState) => void;
   /** @param isCertain - The replica can't be reached at all, or another one has its address. */
   readonly noteFailure: (replica: ReplicaState, isCertain: boolean) => void;
 }
@@ -18,16 +20,17 @@
   const isEjected = ({ ejectedUntil }: ReplicaState): boolean => clock.monotonic() < ejectedUntil;
 
   /** A service whose replicas all fail is better served by trying than by refusing. */
-  const mayEject = ({ entry }: ReplicaState): boolean => {
-    const serving = replicas.serving(entry.service);
-    const ejected = serving.filter(isEjected).length;
+  const mayEject = (replica: ReplicaState): boolean => {
+    const serving = replicas.serving(replica.entry.service);
+    const ejected = serving.filter((other) => other !== replica && isEjected(other)).length;
     return ejected + 1 <= serving.length * mostEjected;
   };
 
-  const eject = (replica: ReplicaState): void => {
+  const eject = (replica: ReplicaState, isCertain: boolean): void => {
     const excess = Math.max(0, replica.failures - ejectionFailures);
     const time = Math.min(ejectionTimes.longest, ejectionTimes.first * 2 ** excess);
     replica.ejectedUntil = clock.monotonic() + time;
+    if (isCertain) replica.isUnreachable = true;
     writeLog("ejected", { replica: replica.entry.id, failures: replica.failures, milliseconds: time });
   };
 
@@ -36,11 +39,18 @@
       replica.failures = 0;
       replica.failureShare -= replica.failureShare * averageGain;
     },
+    noteReachable: (replica) => {
+      if (!replica.isUnreachable) return;
+      replica.isUnreachable = false;
+      replica.ejectedUntil = clock.monotonic();
+      writeLog("reachable_again", { replica: replica.entry.id });
+    },
     noteFailure: (replica, isCertain) => {
       replica.failures += 1;
       replica.failureShare += (1 - replica.failureShare) * averageGain;
       const isOutlier = isCertain || replica.failures >= ejectionFailures;
-      if (isOutlier && !isEjected(replica) && mayEject(replica)) eject(replica);
+      if (isOutlier && mayEject(replica)) eject(replica, isCertain);
+      if (isCertain) for (const abandon of [...replica.abandon]) abandon();
     },
   };
 };
--- /dev/null
+++ b/src/coordination/forwarding/replicaWatch.ts
@@ -0,0 +1,66 @@
+/**
+ * Finds replicas that have fallen silent before the registry drops them: one that owes an answer and sends nothing
+ * is tried with a new connection. While none can be made it gets no work, and what may run again goes elsewhere.
+ */
+import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
+import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createLogger } from "../../state/log.ts";
+import type { Clock } from "../clock.ts";
+import { reachProbeTimeout, silenceLimit, unreachableProbeInterval, watchInterval } from "./constants.ts";
+import type { ReplicaHealth } from "./replicaHealth.ts";
+
+/** What watching works with. */
+export interface ReplicaWatchParts {
+  readonly replicas: ReplicaTable;
+  readonly client: Pick<ReplicaClient, "isReachable">;
+  readonly health: ReplicaHealth;
+  readonly clock: Clock;
+}
+
+const writeLog = createLogger("replicas");
+
+/** Watches until it is disposed of. */
+export const startReplicaWatch = ({
+  replicas,
+  client,
+  health,
+  clock,
+}: ReplicaWatchParts): AsyncDisposable => {
+  const probing = new Set<string>();
+
+  const probe = async (replica: ReplicaState): Promise<void> => {
+    const { entry } = replica;
+    probing.add(entry.id);
+    const isReachable = await client.isReachable(entry, reachProbeTimeout);
+    probing.delete(entry.id);
+    if (replicas.get(entry.id) !== replica) return;
+    replica.quietSince = clock.monotonic();
+    if (isReachable) health.noteReachable(replica);
+    else {
+      writeLog("unreachable", { replica: entry.id, requests: replica.requests });
+      health.noteFailure(replica, true);
+    }
+  };
+
+  const isDue = (replica: ReplicaState, now: number): boolean => {
+    const quiet = now - replica.quietSince;
+    if (replica.isUnreachable) return quiet > unreachableProbeInterval;
+    return replica.requests > 0 && quiet > silenceLimit;
+  };
+
+  const look = (): void => {
+    const now = clock.monotonic();
+    for (const replica of replicas.all()) {
+      if (isDue(replica, now) && !probing.has(replica.entry.id)) void probe(replica);
+    }
+    callOff = clock.after(watchInterval, look);
+  };
+  let callOff = clock.after(watchInterval, look);
+
+  return {
+    [Symbol.asyncDispose]: () => {
+      callOff();
+      return Promise.resolve();
+    },
+  };
+};
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -14,6 +14,7 @@
 import { createPlacement } from "../coordination/forwarding/placement.ts";
 import { createReplicaEstimates } from "../coordination/forwarding/replicaEstimates.ts";
 import { createReplicaHealth } from "../coordination/forwarding/replicaHealth.ts";
+import { startReplicaWatch } from "../coordination/forwarding/replicaWatch.ts";
 import { createRetryShare } from "../coordination/forwarding/retryShare.ts";
 import type { Shutdown } from "../coordination/forwarding/shutdown.ts";
 import { createShutdown } from "../coordination/forwarding/shutdown.ts";
@@ -23,6 +24,7 @@
 import type { ConnectPlatform, ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
 import type { RouterEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { ResourceStack } from "../protocol/resourceStack.ts";
 import { createLogger } from "../state/log.ts";
 import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import type { Metrics } from "../state/Metrics.ts";
@@ -76,13 +78,15 @@
 }
 
 /** Puts together what decides about requests. */
-const createDecisions = (parts: DecisionParts): Forwarder => {
+const createDecisions = (parts: DecisionParts, resources: ResourceStack): Forwarder => {
   const { self, platform, beliefs, admit, shutdown, bounds, clock, metrics } = parts;
   const { configuration, replicas, holders, peers } = beliefs;
   const { replicaClient: client } = platform;
   const estimates = createReplicaEstimates();
   const health = createReplicaHealth(replicas, clock);
 
+  resources.use(startReplicaWatch({ replicas, client, health, clock }));
+
   replicas.subscribe((entry, departure) => {
     writeLog("replica", { replica: entry.id, service: entry.service, state: departure ?? "ready" });
     if (departure !== undefined) holders.forget(entry.id);
@@ -156,16 +160,10 @@
     if (departure === undefined) shareConnections(platform, beliefs);
   });
   const admit = createAdmit(configuration, bounds, clock);
-  const forwarder = createDecisions({
-    self,
-    platform,
-    beliefs,
-    admit,
-    shutdown,
-    bounds,
-    clock,
-    metrics,
-  });
+  const forwarder = createDecisions(
+    { self, platform, beliefs, admit, shutdown, bounds, clock, metrics },
+    resources,
+  );
 
   const orders = startWeightsOrders({
     replicas,
--- a/src/protocol/forwarding/ReplicaClient.ts
+++ b/src/protocol/forwarding/ReplicaClient.ts
@@ -16,6 +16,9 @@
    */
   abstract send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer>;
 
+  /** @returns Whether a new connection can be made within a time, milliseconds. */
+  abstract isReachable(replica: ReplicaEntry, timeout: number): Promise<boolean>;
+
   /** Asks an engine for its state. */
   abstract readStatus(replica: ReplicaEntry, signal: AbortSignal): Promise<EngineStatus>;
 
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -26,6 +26,12 @@
   changingUntil: number;
   /** Gets no new work before then: it failed. */
   ejectedUntil: number;
+  /** No connection can be made to it. */
+  isUnreachable: boolean;
+  /** Since when it has sent nothing although it owes an answer, milliseconds on the monotonic clock. */
+  quietSince: number;
+  /** Called once the replica can't be reached: requests under way there that may run again elsewhere. */
+  readonly abandon: Set<() => void>;
   /** Failures in a row. */
   failures: number;
   /** Share of recent requests that failed there, 0 to 1. */
@@ -74,6 +80,9 @@
   peers: new Map(),
   changingUntil: Number.NEGATIVE_INFINITY,
   ejectedUntil: Number.NEGATIVE_INFINITY,
+  isUnreachable: false,
+  quietSince: Number.NEGATIVE_INFINITY,
+  abandon: new Set(),
   failures: 0,
   failureShare: 0,
 });
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -1,4 +1,5 @@
 /** Replicas over HTTP/1.1: one pool of connections for each incarnation, so that none outlives its replica. */
+import { connect } from "node:net";
 import { Pool } from "undici";
 import { upstreamError } from "../../protocol/errors.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
@@ -69,6 +70,20 @@
     return { head: this.wire.decodeAnswer(status, headers), body };
   }
 
+  override isReachable({ address }: ReplicaEntry, timeout: number): Promise<boolean> {
+    const [host, port] = address.split(":");
+    return new Promise((resolve) => {
+      const socket = connect({ host, port: Number(port), timeout });
+      const end = (isReachable: boolean): void => {
+        socket.destroy();
+        resolve(isReachable);
+      };
+      socket.once("connect", () => end(true));
+      socket.once("timeout", () => end(false));
+      socket.once("error", () => end(false));
+    });
+  }
+
   override limitConnections(replica: ReplicaEntry, limit: number): void {
     this.limits.set(replica.id, Math.max(1, limit));
   }
