Believe in cached parts as long as an engine's memory can hold them, and tell each part once

A belief now ends once as many tokens were computed there as its memory holds, a part that is being computed counts for what is sent after it, and routers tell every new part once.

--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -1,6 +1,11 @@
-/** Which replicas are believed to keep which prompt parts, by what was sent there. */
-import type { Prompt } from "../../protocol/forwarding/types.ts";
+/**
+ * Which replicas are believed to keep which prompt parts, by what was sent there.
+ *
+ * Engines drop what was used longest ago when their memory is full. So a belief ends once as many tokens have been
+ * computed there since as the memory holds.
+ */
 import { hash32 } from "../../protocol/prefixLevels.ts";
+import type { Prompt } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
 import { holderMemory, mostParts } from "./constants.ts";
 
@@ -9,6 +14,8 @@
   readonly tokens: number;
   /** When it was last used there, milliseconds on the monotonic clock. */
   readonly usedAt: number;
+  /** False while it is still being computed: what is sent there later will find it, nobody else can copy it. */
+  readonly isReady: boolean;
 }
 
 /** See {@link createCacheHolders}. */
@@ -16,15 +23,31 @@
   /** @returns By replica: how much of the prompt's reusable parts it is believed to keep. */
   readonly find: (salt: string, prompt: Prompt) => ReadonlyMap<string, HeldPrompt>;
   /**
-   * A replica has computed the prompt, or copied it.
+   * A replica computes the prompt, or has computed or copied it.
    *
-   * @returns The key of the deepest reusable part; nothing if there is none.
+   * @returns The key of the deepest reusable part if it was not known to be there; otherwise nothing.
    */
-  readonly note: (salt: string, prompt: Prompt, replica: string) => number | undefined;
+  readonly note: (salt: string, prompt: Prompt, holder: string, isReady: boolean) => number | undefined;
   /** A peer tells of a part. */
-  readonly noteKey: (key: number, replica: string) => void;
+  readonly noteKey: (key: number, holder: string) => void;
   /** A replica is gone, or has lost what it kept. */
-  readonly forget: (replica: string) => void;
+  readonly forget: (holder: string) => void;
+}
+
+/** What beliefs are kept with. */
+export interface CacheHoldersParts {
+  readonly clock: Clock;
+  /** Tokens that have been computed at a replica by now. */
+  readonly computedTokens: (holder: string) => number;
+  /** Tokens that fit into a replica's memory. */
+  readonly memoryTokens: (holder: string) => number;
+}
+
+interface Belief {
+  readonly usedAt: number;
+  /** Tokens that had been computed there by then. */
+  readonly computed: number;
+  readonly isReady: boolean;
 }
 
 /** Parts that other requests may have too: all but the last. */
@@ -34,41 +57,51 @@
 const keyOf = (salt: string, id: string): number => hash32(`${salt}\u0000${id}`);
 
 /** Creates beliefs about nothing. */
-export const createCacheHolders = (clock: Clock): CacheHolders => {
+export const createCacheHolders = (parts: CacheHoldersParts): CacheHolders => {
+  const { clock, computedTokens, memoryTokens } = parts;
   /** The part that was used longest ago comes first. */
-  const parts = new Map<number, Map<string, number>>();
+  const beliefs = new Map<number, Map<string, Belief>>();
 
-  const noteKey = (key: number, replica: string): void => {
-    const now = clock.monotonic();
-    const holders = parts.get(key) ?? new Map<string, number>();
-    holders.set(replica, now);
-    parts.delete(key);
-    parts.set(key, holders);
-    const oldest = parts.size > mostParts ? parts.keys().next().value : undefined;
-    if (oldest !== undefined) parts.delete(oldest);
+  const isKept = (holder: string, { usedAt, computed }: Belief): boolean =>
+    clock.monotonic() - usedAt < holderMemory && computedTokens(holder) - computed < memoryTokens(holder);
+
+  /** @returns Whether it is news that the part is there. */
+  const noteOne = (key: number, holder: string, isReady: boolean): boolean => {
+    const ofPart = beliefs.get(key) ?? new Map<string, Belief>();
+    const before = ofPart.get(holder);
+    const wasReady = before?.isReady === true && isKept(holder, before);
+    const usedAt = clock.monotonic();
+    ofPart.set(holder, { usedAt, computed: computedTokens(holder), isReady: isReady || wasReady });
+    beliefs.delete(key);
+    beliefs.set(key, ofPart);
+    const oldest = beliefs.size > mostParts ? beliefs.keys().next().value : undefined;
+    if (oldest !== undefined) beliefs.delete(oldest);
+    return isReady && !wasReady;
   };
 
   return {
     find: (salt, prompt) => {
       const held = new Map<string, HeldPrompt>();
-      const oldest = clock.monotonic() - holderMemory;
       let tokens = 0;
       for (const part of reusableParts(prompt)) {
         tokens += part.tokens;
-        for (const [replica, usedAt] of parts.get(keyOf(salt, part.id)) ?? []) {
-          if (usedAt > oldest) held.set(replica, { tokens, usedAt });
+        for (const [holder, belief] of beliefs.get(keyOf(salt, part.id)) ?? []) {
+          const { usedAt, isReady } = belief;
+          if (isKept(holder, belief)) held.set(holder, { tokens, usedAt, isReady });
         }
       }
       return held;
     },
-    note: (salt, prompt, replica) => {
+    note: (salt, prompt, holder, isReady) => {
       const keys = reusableParts(prompt).map(({ id }) => keyOf(salt, id));
-      for (const key of keys) noteKey(key, replica);
-      return keys.at(-1);
+      const news = keys.filter((key) => noteOne(key, holder, isReady));
+      return news.at(-1) === keys.at(-1) ? keys.at(-1) : undefined;
+    },
+    noteKey: (key, holder) => {
+      noteOne(key, holder, true);
     },
-    noteKey,
-    forget: (replica) => {
-      for (const holders of parts.values()) holders.delete(replica);
+    forget: (holder) => {
+      for (const ofPart of beliefs.values()) ofPart.delete(holder);
     },
   };
 };
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -52,6 +52,9 @@
 /** What being in another data centre counts for: both ways of the network, and the price of its bytes. */
 export const remotePenalty = 4;
 
+/** Part of an engine's memory that is counted on for cached parts: requests under way take the rest. */
+export const cachedMemoryShare = 0.6;
+
 /** Time to set up a copy of cached parts from another engine. */
 export const copySetup = 6;
 
@@ -71,7 +74,7 @@
 export const oldWeightsEnd = 0.85;
 
 /** A belief about a cached part that was not used for so long counts for nothing. */
-export const holderMemory = 20_000;
+export const holderMemory = 60_000;
 
 /** Prompt parts whose holders are remembered. */
 export const mostParts = 20_000;
@@ -149,10 +152,7 @@
 /** Longest wait for the state of an engine that refused a request because of its weights. */
 export const doubtTimeout = 300;
 
-/** News of where prompt parts are kept is repeated for so long: two or three messages. */
-export const holderNewsRepetition = 250;
-
-/** Pieces of such news in one message at most. */
+/** News of where prompt parts are kept, in one message at most. */
 export const mostHolderNews = 40;
 
 /**
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -47,8 +47,15 @@
   readonly held: ReadonlyMap<string, HeldPrompt>;
   /** The common order of the replicas for this prompt. */
   readonly order: readonly string[];
-  /** The most tokens that any replica keeps. */
+  /** The most tokens that can be copied from anywhere. */
   readonly most: number;
+  /** Tokens of all parts that other requests may have too. */
+  readonly reusable: number;
+}
+
+interface HeldBy {
+  readonly id: string;
+  readonly held: HeldPrompt;
 }
 
 const bitsPerByte = 8;
@@ -58,7 +65,7 @@
 
 const mostHeld = (held: ReadonlyMap<string, HeldPrompt>): number => {
   let most = 0;
-  for (const { tokens } of held.values()) most = Math.max(most, tokens);
+  for (const { tokens, isReady } of held.values()) if (isReady) most = Math.max(most, tokens);
   return most;
 };
 
@@ -85,25 +92,33 @@
 
   const viewPrompt = (prompt: Prompt, salt: string, sameWeights: readonly ReplicaState[]): PromptView => {
     const held = holders.find(salt, prompt);
-    const deepest = reusableParts(prompt).at(-1) ?? prompt.parts.at(-1);
+    const shared = reusableParts(prompt);
+    const reusable = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+    const deepest = shared.at(-1) ?? prompt.parts.at(-1);
     const ids = sameWeights.map(({ entry }) => entry.id);
     const order = deepest === undefined ? [] : rendezvousOrder(`${salt} ${deepest.id}`, ids);
-    return { salt, held, order, most: mostHeld(held) };
+    return { salt, held, order, most: mostHeld(held), reusable };
   };
 
   /** Copying from a replica that doesn't answer would hold the request up. */
   const isSource = (id: string): boolean => replicas.get(id)?.isUnreachable === false;
 
-  /** The replica that keeps more of the prompt than the chosen one, or is expected to by the common order. */
-  const fetchSource = (view: PromptView, chosen: string, own: number): string | undefined => {
-    let best: { readonly id: string; readonly held: HeldPrompt } | undefined;
+  /** The replica that is known to keep most of the prompt, if it is more than the chosen one keeps. */
+  const knownSource = (view: PromptView, chosen: string, own: number): HeldBy | undefined => {
+    let best: HeldBy | undefined;
     for (const [id, held] of view.held) {
-      if (id === chosen || held.tokens <= own || !isSource(id)) continue;
+      if (id === chosen || !held.isReady || held.tokens <= own || !isSource(id)) continue;
       const more = held.tokens - (best?.held.tokens ?? 0);
       if (more > 0 || (more === 0 && held.usedAt > (best?.held.usedAt ?? 0))) best = { id, held };
     }
-    const expected = own > 0 ? undefined : view.order.find((id) => id !== chosen && isSource(id));
-    const id = best?.id ?? expected;
+    return best;
+  };
+
+  /** Where to copy parts from: a replica that is known to keep more, else where the common order expects them. */
+  const fetchSource = (view: PromptView, chosen: string, own: number): string | undefined => {
+    if (own >= view.reusable) return undefined;
+    const known = knownSource(view, chosen, own);
+    const id = known?.id ?? view.order.find((each) => each !== chosen && isSource(each));
     return id === undefined ? undefined : replicas.get(id)?.entry.address;
   };
 
@@ -131,12 +146,12 @@
       const computed = prompt.tokens - own - copied;
       const waiting = (promptTokens + computed) / estimates.prefillRate(id);
       const queued = Math.max(0, requests + 1 - slots) * slots;
-      const home = own > 0 || view.order[0] === id ? 0 : homePreference;
+      const isHome = own >= view.reusable || view.order[0] === id;
       return (
         waiting +
         copyTime(admission, copied) +
         (requests + queued) * batchDelay +
-        home +
+        (isHome ? 0 : homePreference) +
         penalty(replica) +
         versionPenalty(prompt.model, version, objective)
       );
@@ -153,7 +168,6 @@
       weightsVersion: version === 0 ? undefined : version,
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
-      isHome: view.order[0] === id,
       promptTokens: Math.max(0, prompt.tokens - Math.max(own, view.most)),
       predictedWait: cost,
     };
--- a/src/coordination/forwarding/forwardAttempt.ts
+++ b/src/coordination/forwarding/forwardAttempt.ts
@@ -103,15 +103,18 @@
 export const createForwardAttempt = (parts: ForwardAttemptParts): ForwardAttempt => {
   const { client, check, clock, health, estimates, holders } = parts;
 
+  const noteParts = ({ prompt }: CallerRequest, choice: PlacementChoice, isReady: boolean): void => {
+    const { cacheSalt: salt, replica } = choice;
+    if (prompt === undefined || salt === undefined) return;
+    const { id } = replica.entry;
+    const key = holders.note(salt, prompt, id, isReady);
+    if (key !== undefined) parts.tellHolder(key, id);
+  };
+
   const learnFirstToken = (plan: AttemptPlan, wasIdle: boolean, elapsed: number): void => {
     const { request, choice } = plan;
-    const { id } = choice.replica.entry;
-    if (wasIdle) estimates.learnPrefill(id, choice.promptTokens, elapsed);
-    if (request.prompt !== undefined && choice.cacheSalt !== undefined) {
-      const key = holders.note(choice.cacheSalt, request.prompt, id);
-      // Where parts are expected, everybody looks anyway.
-      if (key !== undefined && !choice.isHome) parts.tellHolder(key, id);
-    }
+    if (wasIdle) estimates.learnPrefill(choice.replica.entry.id, choice.promptTokens, elapsed);
+    noteParts(request, choice, true);
   };
 
   const judge = (replica: ReplicaState, error: unknown): void => {
@@ -128,6 +131,9 @@
     const wasIdle = replica.requests === 0 && replica.peers.size === 0;
     const begunAt = clock.monotonic();
     const work = countWork(replica, choice.promptTokens, begunAt, plan.abandon);
+    replica.computedTokens += choice.promptTokens;
+    // The engine computes prompts in turn: what is sent there after this one will find its parts.
+    noteParts(request, choice, false);
     const hear = (): void => {
       replica.quietSince = clock.monotonic();
     };
@@ -160,7 +166,6 @@
           weightsVersion: choice.weightsVersion,
           cacheSalt: choice.cacheSalt,
           fetchFrom: choice.fetchFrom,
-          saveTo: undefined,
           priority: request.prompt === undefined ? undefined : priorityOf(admission),
           lastEventId: plan.lastEventId,
           mayLeave: plan.mayLeave,
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -28,8 +28,6 @@
   readonly weightsVersion: number | undefined;
   readonly cacheSalt: string | undefined;
   readonly fetchFrom: string | undefined;
-  /** It is where all routers expect the prompt's parts. */
-  readonly isHome: boolean;
   /** Prompt tokens that it is expected to compute. */
   readonly promptTokens: number;
   /** Predicted time to the beginning of the answer, milliseconds. */
@@ -87,7 +85,6 @@
       weightsVersion: undefined,
       cacheSalt: undefined,
       fetchFrom: undefined,
-      isHome: false,
       promptTokens: 0,
       predictedWait: best.cost,
     };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -12,15 +12,9 @@
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
-import {
-  holderNewsRepetition,
-  mostHolderNews,
-  newsRepetition,
-  peerIntervals,
-  peersAtShortestInterval,
-  peerSilence,
-} from "./constants.ts";
+import { mostHolderNews, newsRepetition, peerIntervals, peersAtShortestInterval } from "./constants.ts";
 import { createNews } from "./news.ts";
+import type { PeerTable } from "./peerTable.ts";
 import { createPeerTable } from "./peerTable.ts";
 
 /** What exchanging works with. */
@@ -39,6 +33,8 @@
 export interface RouterPeers extends AsyncDisposable {
   /** Takes routers that the store knows. */
   readonly add: (entries: readonly RouterEntry[]) => void;
+  /** @returns Names of routers that have been heard of just now, this one included. */
+  readonly live: () => readonly string[];
   /** @returns Names of live routers whose configuration was confirmed just now, this one included. */
   readonly inTouch: (longestAge: number) => readonly string[];
   /** @returns How many routers may be serving, silent ones included. */
@@ -77,6 +73,14 @@
   }
 };
 
+/** Forgets what routers that are silent had told of their work, and in time the routers. */
+const forgetSilent = (peers: PeerTable, replicas: ReplicaTable): void => {
+  for (const peer of peers.all()) {
+    if (!peers.isHeard(peer)) dropWork(replicas, peer.name);
+    if (!peers.mayServe(peer)) peers.forget(peer);
+  }
+};
+
 /** Starts to exchange messages. */
 export const createRouterPeers = (parts: RouterPeersParts): RouterPeers => {
   const { self, link, clock, replicas, configuration } = parts;
@@ -85,7 +89,8 @@
   const weightsNews = createNews<RouterMessage["weights"][number]>(clock, newsRepetition);
   const changingNews = createNews<number>(clock, newsRepetition);
   const leavingNews = createNews<true>(clock, newsRepetition);
-  const holderNews = createNews<RouterMessage["holders"][number]>(clock, holderNewsRepetition);
+  /** Told once: a copy that is not found for want of it costs little. */
+  let holderNews = new Map<string, RouterMessage["holders"][number]>();
   let ends = false;
   let sentWork = "";
   let sentAt = Number.NEGATIVE_INFINITY;
@@ -107,7 +112,7 @@
       work,
       weights: [...weightsNews.current()],
       changing: changingNews.entries().map(([id, until]) => [id, Math.max(0, Math.round(until - now))]),
-      holders: holderNews.current().slice(-mostHolderNews),
+      holders: [...holderNews.values()].slice(-mostHolderNews),
       leaving: leavingNews.entries().map(([id]) => id),
       ends,
     };
@@ -119,17 +124,19 @@
     sentWork = JSON.stringify(work);
     sentAt = clock.monotonic();
     isUrgent = false;
+    holderNews = new Map();
     for (const peer of peers.all()) {
       if (peers.mayServe(peer)) link.send(peer.at, encodeRouterMessage({ ...message, echo: peer.theirTime }));
     }
   };
 
   const turn = (): void => {
+    forgetSilent(peers, replicas);
     const since = clock.monotonic() - sentAt;
     const stretch = Math.max(1, peers.all().length / peersAtShortestInterval);
     const isDue = since >= peerIntervals.longest * stretch;
     const mayBeSent = since >= peerIntervals.shortest * stretch;
-    const hasNews = holderNews.current().length > 0 || JSON.stringify(ownWork()) !== sentWork;
+    const hasNews = holderNews.size > 0 || JSON.stringify(ownWork()) !== sentWork;
     if (isUrgent || isDue || (mayBeSent && hasNews)) sendAll();
     callOffTurn = clock.after(peerIntervals.shortest, turn);
   };
@@ -165,22 +172,20 @@
     takeConfiguration(message);
   });
 
-  const forgetSilent = (): void => {
-    for (const peer of peers.all()) {
-      if (!peers.isHeard(peer)) dropWork(replicas, peer.name);
-      if (!peers.mayServe(peer)) peers.forget(peer);
-    }
-    callOffForget = clock.after(peerSilence, forgetSilent);
-  };
-
   let callOffTurn = clock.after(0, turn);
-  let callOffForget = clock.after(peerSilence, forgetSilent);
 
   return {
     add: (entries) => {
       entries.forEach(peers.add);
       isUrgent = true;
     },
+    live: () => [
+      self.name,
+      ...peers
+        .all()
+        .filter(peers.isHeard)
+        .map(({ name }) => name),
+    ],
     inTouch: (longestAge) => {
       const fresh = peers.all().filter((peer) => peers.isHeard(peer) && peer.proofAge < longestAge);
       const own = configuration.age() < longestAge ? [self.name] : [];
@@ -199,14 +204,15 @@
       leavingNews.add(replica, true);
       isUrgent = true;
     },
-    tellHolder: (key, replica) => holderNews.add(`${key} ${replica}`, [key, replica]),
+    tellHolder: (key, holder) => {
+      holderNews.set(`${key} ${holder}`, [key, holder]);
+    },
     leave: () => {
       ends = true;
       sendAll();
     },
     [Symbol.asyncDispose]: () => {
       callOffTurn();
-      callOffForget();
       return Promise.resolve();
     },
   };
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -5,7 +5,11 @@
 import { createCacheHolders } from "../coordination/forwarding/cacheHolders.ts";
 import type { ConfigurationState } from "../coordination/forwarding/configurationState.ts";
 import { createConfigurationState } from "../coordination/forwarding/configurationState.ts";
-import { configurationWaitShare, registryPaceShare } from "../coordination/forwarding/constants.ts";
+import {
+  cachedMemoryShare,
+  configurationWaitShare,
+  registryPaceShare,
+} from "../coordination/forwarding/constants.ts";
 import { followFeed } from "../coordination/forwarding/feedFollower.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
@@ -50,7 +54,16 @@
   const resources = createResourceStack();
   const configuration = createConfigurationState(clock);
   const replicas = createReplicaTable();
-  const holders = createCacheHolders(clock);
+  const holders = createCacheHolders({
+    clock,
+    // Other routers compute there as much as this one, on average.
+    computedTokens: (id) => (replicas.get(id)?.computedTokens ?? 0) * peers.live().length,
+    memoryTokens: (id) => {
+      const service = replicas.get(id)?.entry.service;
+      const engine = service === undefined ? undefined : configuration.table()?.findService(service)?.engine;
+      return engine === undefined ? Number.POSITIVE_INFINITY : engine.memoryTokens * cachedMemoryShare;
+    },
+  });
   let knowsReplicas = false;
   let isOver = false;
 
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -95,7 +95,14 @@
     client.forget(entry);
   });
 
-  const engines = createEnginePlacement({ replicas, configuration, holders, estimates, clock, bounds });
+  const engines = createEnginePlacement({
+    replicas,
+    configuration,
+    holders,
+    estimates,
+    clock,
+    bounds,
+  });
   const { dataCentre } = self;
   return createForwarder({
     admit,
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -24,7 +24,7 @@
   changing: z.array(z.tuple([z.string(), count])).default([]),
   /** Replicas that leave. */
   leaving: z.array(z.string()).default([]),
-  /** Prompt parts that replicas keep, other than those where they are expected: key, replica. */
+  /** Prompt parts that replicas keep, as far as the sender has just learned: key, holder. */
   holders: z.array(z.tuple([count, z.string()])).default([]),
   /** The sender ends. */
   ends: z.boolean().default(false),
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -183,10 +183,8 @@
   readonly weightsVersion: number | undefined;
   /** Only requests with the same text share cached parts. */
   readonly cacheSalt: string | undefined;
-  /** `IP:PORT` of a replica or store to copy cached parts from. */
+  /** `IP:PORT` of a replica to copy cached parts from. */
   readonly fetchFrom: string | undefined;
-  /** `IP:PORT` of a store that shall get the parts once they are computed. */
-  readonly saveTo: string | undefined;
   /** 0 is the most urgent, 9 the least. */
   readonly priority: number | undefined;
   /** Continue after this event; nothing for a stream from its beginning. */
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -20,6 +20,8 @@
   /** Requests and prompt tokens of this router. */
   requests: number;
   promptTokens: number;
+  /** Prompt tokens of this router that were computed there by now. */
+  computedTokens: number;
   /** By peer: the work that its last message told of. */
   readonly peers: Map<string, ReplicaWork>;
   /** Gets no new work before then, milliseconds on the monotonic clock: its weights are being changed. */
@@ -77,6 +79,7 @@
   weights: new Map(entry.weights),
   requests: 0,
   promptTokens: 0,
+  computedTokens: 0,
   peers: new Map(),
   changingUntil: Number.NEGATIVE_INFINITY,
   ejectedUntil: Number.NEGATIVE_INFINITY,
--- a/src/state/forwarding/routeTable.ts
+++ b/src/state/forwarding/routeTable.ts
@@ -13,8 +13,6 @@
   readonly findRoute: (host: string, target: string) => ForwardingRoute | undefined;
   readonly findOrganisation: (key: string) => ForwardingOrganisation | undefined;
   readonly findService: (name: string) => ForwardingService | undefined;
-  /** @returns The store of prompt parts, if there is one. */
-  readonly cacheStore: () => ForwardingService | undefined;
 }
 
 /** Hosts are compared without case and port. */
@@ -41,7 +39,6 @@
     ),
   );
   const services = new Map(configuration.services.map((service) => [service.name, service]));
-  const cacheStore = configuration.services.find((service) => service.cacheStore !== undefined);
 
   return {
     configuration,
@@ -51,6 +48,5 @@
     },
     findOrganisation: (key) => organisations.get(key),
     findService: (name) => services.get(name),
-    cacheStore: () => cacheStore,
   };
 };
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -103,7 +103,7 @@
 
   /** Makes a call of the system's own. */
   protected async exchange(
-    replica: ReplicaEntry,
+    replica: Pick<ReplicaEntry, "id" | "address">,
     call: SystemCall,
     signal: AbortSignal,
   ): Promise<SystemAnswer> {
@@ -118,7 +118,7 @@
     return { status: answer.status, text };
   }
 
-  private poolOf(replica: ReplicaEntry): Pool {
+  private poolOf(replica: Pick<ReplicaEntry, "id" | "address">): Pool {
     const known = this.pools.get(replica.id);
     if (known !== undefined) return known;
     const made = new Pool(`http://${replica.address}`, {
