Count waits by priority, keep long prompts together, load no engine that can't be reached; test the wire

Cause 2: the holder of orders began with engines that had gone dark (they have least work) and stood still for 3 s. Now: urgent prompts count in full, less urgent ones up to half the latency objective; a request that will be late goes last; long prompts share replicas as long as they are in time; unreachable engines are passed over.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -169,3 +169,15 @@
 
 /** Between two looks for silent replicas. */
 export const watchInterval = 100;
+
+/** A prompt that takes an engine more than this share of its latency objective is long. */
+export const longPromptShare = 0.1;
+
+/** Long prompts share replicas up to a wait of this share of their latency objective. */
+export const packingTarget = 0.5;
+
+/** How much a replica that is short of the target counts against it. */
+export const packingGain = 0.3;
+
+/** Less urgent prompts at a replica count for no more than this share of a prompt's latency objective. */
+export const othersShare = 0.5;
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -1,7 +1,7 @@
 /** Placement at model engines: by prompts waiting there, parts of the prompt kept there, and weights. */
 import type { Prompt } from "../../protocol/forwarding/types.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { totalWork } from "../../state/forwarding/replicaTable.ts";
+import { priorities, tokensAhead, totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import { rendezvousOrder } from "../membership/rendezvous.ts";
 import type { CacheHolders, HeldPrompt } from "./cacheHolders.ts";
@@ -11,8 +11,12 @@
   batchDelay,
   copySetup,
   homePreference,
+  longPromptShare,
   oldWeightsEnd,
   oldWeightsPenaltyShare,
+  othersShare,
+  packingGain,
+  packingTarget,
   weightsTolerance,
 } from "./constants.ts";
 import type { PlacementChoice, PlacementFailure } from "./placement.ts";
@@ -78,6 +82,37 @@
   return copySetup + (tokens * engine.bytesPerToken * bitsPerByte) / (engine.linkMegabits * bitsPerMegabit);
 };
 
+/** For requests that will be late whatever is done: they must not make others late too. */
+const leastUrgent = priorities - 1;
+
+/** How much more a route's priority counts than an organisation's. */
+const routeWeight = 3;
+
+/** Routes differ by more than organisations: an urgent kind of request of one goes before a less urgent one. */
+const priorityOf = ({ route, organisation }: Admission): number => {
+  const wanted = route.priority * routeWeight + (organisation?.priority ?? 0);
+  return Math.min(leastUrgent - 1, Math.max(0, wanted));
+};
+
+/**
+ * Engines compute the prompts that they have let in one after another, whatever their priorities; those that wait
+ * for a place are let in by priority. How many are let in is not known: less urgent ones count up to a limit.
+ */
+const tokensBefore = (replica: ReplicaState, priority: number, most: number): number => {
+  const urgent = tokensAhead(replica, priority);
+  const others = tokensAhead(replica, leastUrgent) - urgent;
+  return urgent + Math.min(others, most);
+};
+
+/**
+ * What a wait counts for a long prompt: long ones go where others are as long as they are in time, since every
+ * short one that comes after one has to wait for it.
+ */
+const packed = (wait: number, objective: number): number => {
+  const target = objective * packingTarget;
+  return wait > target ? wait : (target - wait) * packingGain;
+};
+
 /** Creates a placement at engines. */
 export const createEnginePlacement = (parts: EnginePlacementParts): EnginePlacement => {
   const { replicas, configuration, holders, estimates, clock, bounds } = parts;
@@ -125,6 +160,7 @@
   const choose: EnginePlacement["choose"] = (prompt, admission, candidates, penalty) => {
     const { latencyObjective: objective } = admission.route;
     const views = new Map<number, PromptView>();
+    const priority = priorityOf(admission);
     const versionOf = ({ weights }: ReplicaState): number => weights.get(prompt.model) ?? 0;
     const viewOf = (version: number): PromptView => {
       const known = views.get(version);
@@ -136,40 +172,57 @@
       return made;
     };
 
+    const computedAt = (replica: ReplicaState): number => {
+      const view = viewOf(versionOf(replica));
+      return prompt.tokens - Math.max(view.held.get(replica.entry.id)?.tokens ?? 0, view.most);
+    };
+
+    /** Until the first token, milliseconds. */
     const predict = (replica: ReplicaState): number => {
       const { id, slots } = replica.entry;
-      const { requests, promptTokens } = totalWork(replica);
+      const requests = totalRequests(replica);
+      const view = viewOf(versionOf(replica));
+      const copied = Math.max(0, view.most - (view.held.get(id)?.tokens ?? 0));
+      const rate = estimates.prefillRate(id);
+      const ahead = tokensBefore(replica, priority, rate * objective * othersShare);
+      const computing = (ahead + computedAt(replica)) / rate;
+      const queued = Math.max(0, requests + 1 - slots) * slots;
+      return computing + copyTime(admission, copied) + (requests + queued) * batchDelay;
+    };
+
+    const costOf = (replica: ReplicaState): number => {
+      const { id } = replica.entry;
       const version = versionOf(replica);
       const view = viewOf(version);
       const own = view.held.get(id)?.tokens ?? 0;
-      const copied = Math.max(0, view.most - own);
-      const computed = prompt.tokens - own - copied;
-      const waiting = (promptTokens + computed) / estimates.prefillRate(id);
-      const queued = Math.max(0, requests + 1 - slots) * slots;
       const isHome = own >= view.reusable || view.order[0] === id;
+      const isLong = computedAt(replica) / estimates.prefillRate(id) > objective * longPromptShare;
+      const wait = predict(replica);
       return (
-        waiting +
-        copyTime(admission, copied) +
-        (requests + queued) * batchDelay +
+        (isLong ? packed(wait, objective) : wait) +
         (isHome ? 0 : homePreference) +
         penalty(replica) +
         versionPenalty(prompt.model, version, objective)
       );
     };
 
-    const { replica, cost } = rankByCost(candidates, predict);
+    const { replica, cost } = rankByCost(candidates, costOf);
     if (cost === Number.POSITIVE_INFINITY) return "old_weights";
     const { id } = replica.entry;
     const version = versionOf(replica);
     const view = viewOf(version);
     const own = view.held.get(id)?.tokens ?? 0;
+    const predictedWait = predict(replica);
+    const isLate =
+      (tokensAhead(replica, priority) + computedAt(replica)) / estimates.prefillRate(id) > objective;
     return {
       replica,
       weightsVersion: version === 0 ? undefined : version,
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
-      promptTokens: Math.max(0, prompt.tokens - Math.max(own, view.most)),
-      predictedWait: cost,
+      priority: isLate ? leastUrgent : priority,
+      promptTokens: Math.max(0, computedAt(replica)),
+      predictedWait,
     };
   };
 
--- a/src/coordination/forwarding/forwardAttempt.ts
+++ b/src/coordination/forwarding/forwardAttempt.ts
@@ -2,6 +2,7 @@
 import type { UpstreamError } from "../../protocol/errors.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { AnswerHead, CallerRequest } from "../../protocol/forwarding/types.ts";
+import { totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { AnswerCheck } from "./answerCheck.ts";
@@ -51,34 +52,26 @@
 export const isSuccess = ({ status }: AnswerHead): boolean =>
   status >= successStatuses.first && status <= successStatuses.last;
 
-const mostUrgent = 0;
-const leastUrgent = 9;
-
-/** Routes differ by more than organisations: an urgent kind of request of one goes before a less urgent one. */
-const priorityOf = ({ route, organisation }: Admission): number => {
-  const wanted = route.priority * 3 + (organisation?.priority ?? 0);
-  return Math.min(leastUrgent, Math.max(mostUrgent, wanted));
-};
-
 const isStream = ({ route }: Admission): boolean =>
   route.kind === "eventStream" || route.kind === "resumableEventStream";
 
 /** Counts a request as work of its replica. */
-const countWork = (
-  replica: ReplicaState,
-  promptTokens: number,
-  now: number,
-  abandon: (() => void) | undefined,
-) => {
-  let pending = promptTokens;
+const countWork = (choice: PlacementChoice, now: number, abandon: (() => void) | undefined) => {
+  const { replica } = choice;
+  const priority = choice.priority ?? 0;
+  const tokens = choice.promptTokens;
+  let isComputed = false;
   let isCounted = true;
   if (replica.requests === 0) replica.quietSince = now;
   replica.requests += 1;
   if (abandon !== undefined) replica.abandon.add(abandon);
-  replica.promptTokens += pending;
+  const addTokens = (count: number): void => {
+    replica.promptTokens[priority] = (replica.promptTokens[priority] ?? 0) + count;
+  };
+  addTokens(tokens);
   const endPrompt = (): void => {
-    replica.promptTokens -= pending;
-    pending = 0;
+    if (!isComputed) addTokens(-tokens);
+    isComputed = true;
   };
   return {
     endPrompt,
@@ -128,9 +121,9 @@
   return async (plan, signal) => {
     const { request, admission, choice, deadline } = plan;
     const { replica } = choice;
-    const wasIdle = replica.requests === 0 && replica.peers.size === 0;
+    const wasIdle = totalRequests(replica) === 0;
     const begunAt = clock.monotonic();
-    const work = countWork(replica, choice.promptTokens, begunAt, plan.abandon);
+    const work = countWork(choice, begunAt, plan.abandon);
     replica.computedTokens += choice.promptTokens;
     // The engine computes prompts in turn: what is sent there after this one will find its parts.
     noteParts(request, choice, false);
@@ -166,7 +159,7 @@
           weightsVersion: choice.weightsVersion,
           cacheSalt: choice.cacheSalt,
           fetchFrom: choice.fetchFrom,
-          priority: request.prompt === undefined ? undefined : priorityOf(admission),
+          priority: choice.priority,
           lastEventId: plan.lastEventId,
           mayLeave: plan.mayLeave,
         },
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -4,7 +4,7 @@
  */
 import type { CallerRequest } from "../../protocol/forwarding/types.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { totalWork } from "../../state/forwarding/replicaTable.ts";
+import { totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import { failurePenaltyShare, remotePenalty } from "./constants.ts";
 import type { EnginePlacement } from "./enginePlacement.ts";
@@ -28,6 +28,8 @@
   readonly weightsVersion: number | undefined;
   readonly cacheSalt: string | undefined;
   readonly fetchFrom: string | undefined;
+  /** For engines: 0 is the most urgent. */
+  readonly priority: number | undefined;
   /** Prompt tokens that it is expected to compute. */
   readonly promptTokens: number;
   /** Predicted time to the beginning of the answer, milliseconds. */
@@ -74,7 +76,7 @@
 
   const choosePlain = ({ route }: Admission, candidates: readonly ReplicaState[]): PlacementChoice => {
     const predict = (replica: ReplicaState): number => {
-      const { requests } = totalWork(replica);
+      const requests = totalRequests(replica);
       const { slots, id } = replica.entry;
       const turns = 1 + Math.max(0, requests + 1 - slots) / slots + (requests / slots) * crowding;
       return estimates.serviceTime(id) * turns + generalPenalty(replica, route.latencyObjective);
@@ -85,6 +87,7 @@
       weightsVersion: undefined,
       cacheSalt: undefined,
       fetchFrom: undefined,
+      priority: undefined,
       promptTokens: 0,
       predictedWait: best.cost,
     };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -61,6 +61,10 @@
   return version === undefined || !Number.isFinite(age) ? undefined : [version, Math.ceil(age)];
 };
 
+/** @returns Whole tokens, without the priorities at the end that have none. */
+const withoutEnd = (tokens: readonly number[]): number[] =>
+  tokens.slice(0, tokens.findLastIndex((count) => count > 0) + 1).map(Math.round);
+
 const dropWork = (replicas: ReplicaTable, peer: string): void => {
   for (const replica of replicas.all()) replica.peers.delete(peer);
 };
@@ -100,7 +104,7 @@
     replicas
       .all()
       .filter(({ requests }) => requests > 0)
-      .map(({ entry, requests, promptTokens }) => [entry.id, requests, Math.round(promptTokens)]);
+      .map(({ entry, requests, promptTokens }) => [entry.id, requests, withoutEnd(promptTokens)]);
 
   const compose = (work: RouterMessage["work"]): Omit<RouterMessage, "echo"> => {
     const now = clock.monotonic();
--- a/src/coordination/forwarding/weightsChange.ts
+++ b/src/coordination/forwarding/weightsChange.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { totalWork } from "../../state/forwarding/replicaTable.ts";
+import { totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import type { Tenure } from "../leases/types.ts";
@@ -81,7 +81,7 @@
     do {
       // Peers need the first pause to hear of it.
       await pause(clock, drainPollInterval, signal);
-    } while (totalWork(replica).requests > 0 && clock.monotonic() < end && !signal.aborted);
+    } while (totalRequests(replica) > 0 && clock.monotonic() < end && !signal.aborted);
   };
 
   const awaitLoad = async (replica: ReplicaState, target: WeightsTarget): Promise<boolean> => {
--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -7,7 +7,7 @@
 import { randomUUID } from "node:crypto";
 import type { LogService } from "../../protocol/LogService.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
-import { totalWork } from "../../state/forwarding/replicaTable.ts";
+import { totalRequests } from "../../state/forwarding/replicaTable.ts";
 import { pause } from "../clock.ts";
 import { startLease } from "../leases/lease.ts";
 import { createLeaseHistory } from "../leases/leaseHistory.ts";
@@ -34,8 +34,6 @@
 /** Replicas that are being emptied while others load. */
 const mostChanging = 2 * simultaneousLoads;
 
-const inFlight = (replica: ReplicaState): number => totalWork(replica).requests;
-
 /** Starts to seek the lease and to give orders while it is held. */
 export const startWeightsOrders = (parts: WeightsOrdersParts): WeightsOrders => {
   const { replicas, clock, bounds } = parts;
@@ -73,8 +71,9 @@
   const startChanges = (tenure: Tenure): boolean => {
     const behind = replicas
       .all()
-      .filter((replica) => missing(replica) !== undefined)
-      .sort((left, right) => inFlight(left) - inFlight(right));
+      // One that can't be reached would hold a place among those that load until it is given up.
+      .filter((replica) => !replica.isUnreachable && missing(replica) !== undefined)
+      .sort((left, right) => totalRequests(left) - totalRequests(right));
     for (const replica of behind) {
       const { id, service } = replica.entry;
       if (tasks.size >= mostChanging || tasks.has(id) || !mayStartIn(service)) continue;
--- a/src/daemons/forwardingDaemon.ts
+++ b/src/daemons/forwardingDaemon.ts
@@ -80,6 +80,7 @@
   );
   writeLog("starting", { dataCentre: settings.dataCentre });
   const asked = untilAsked();
+  // Not disposed of: the process ends by exiting, whatever is still open.
   const router = await startForwardingRouter(settings, connect);
   const stopWatching = watchSettings(file, router);
   const signal = await asked;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -40,7 +40,11 @@
 const millisecondsPerSecond = 1_000;
 
 /** A running router. */
-export interface ForwardingRouter {
+export interface ForwardingRouter extends AsyncDisposable {
+  /** Where callers connect. */
+  readonly port: number;
+  /** Where the balancer asks. */
+  readonly readinessPort: number;
   /** Takes over settings that changed. */
   readonly reload: (settings: ForwardingSettings) => void;
   /** Takes no new connections, ends what is under way, and resolves when the process can end. */
@@ -58,12 +62,12 @@
   retryReserve: bounds.retryReserve,
 });
 
-const describeSelf = ({ name, dataCentre, peers }: ForwardingSettings): RouterEntry => ({
+const describeSelf = ({ name, dataCentre, peers }: ForwardingSettings, port: number): RouterEntry => ({
   name,
   incarnation: randomUUID(),
   dataCentre,
   address: peers.address,
-  port: peers.port,
+  port,
 });
 
 interface DecisionParts {
@@ -143,10 +147,10 @@
   const clock = systemClock;
   const metrics = new MemoryMetrics();
   const bounds = { ...boundsOf(settings) };
-  const self = describeSelf(settings);
   const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
   const platform = resources.use(connect({ store: settings.store, storeTimeout }));
   const link = resources.use(await openUdpLink(settings.peers));
+  const self = describeSelf(settings, link.port);
   const shutdown = createShutdown(clock, bounds);
 
   const beliefs = resources.use(
@@ -172,22 +176,24 @@
     resources,
   );
 
-  const orders = startWeightsOrders({
-    replicas,
-    configuration,
-    client: platform.replicaClient,
-    peers,
-    log: platform.log,
-    clock,
-    metrics,
-    bounds,
-    holder: createHolderName(settings.name),
-    // Whoever comes first among those that reach the store; a router whose store is lost soon doesn't.
-    isCandidate: () => {
-      const candidates = peers.inTouch(bounds.keyRevocation / 2);
-      return !shutdown.isUnderWay() && rendezvousFirst("weights", candidates) === self.name;
-    },
-  });
+  const orders = resources.use(
+    startWeightsOrders({
+      replicas,
+      configuration,
+      client: platform.replicaClient,
+      peers,
+      log: platform.log,
+      clock,
+      metrics,
+      bounds,
+      holder: createHolderName(settings.name),
+      // Whoever comes first among those that reach the store; a router whose store is lost soon doesn't.
+      isCandidate: () => {
+        const candidates = peers.inTouch(bounds.keyRevocation / 2);
+        return !shutdown.isUnderWay() && rendezvousFirst("weights", candidates) === self.name;
+      },
+    }),
+  );
 
   const isReady = (): boolean => !shutdown.isUnderWay() && beliefs.knowsReplicas() && admit.isFresh();
 
@@ -202,7 +208,7 @@
       endsConnections: () => !isReady(),
     }),
   );
-  resources.use(
+  const status = resources.use(
     await startStatusServer({
       readiness: settings.readiness,
       metrics: { address: settings.callers.address, port: settings.metricsPort },
@@ -229,12 +235,14 @@
     writeLog("drained", { openRequests: forwarder.openRequests() });
   };
 
-  // The process owns everything from here on; it ends by exiting.
-  resources.move();
+  const owned = resources.move();
   return {
+    port: server.port,
+    readinessPort: status.port,
     reload: (changed) => {
       Object.assign(bounds, boundsOf(changed));
     },
     drain,
+    [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose](),
   };
 };
--- a/src/protocol/forwarding/DatagramLink.ts
+++ b/src/protocol/forwarding/DatagramLink.ts
@@ -6,6 +6,9 @@
 
 /** Datagrams between routers; any of them may be lost. */
 export abstract class DatagramLink implements AsyncDisposable {
+  /** Where this end receives. */
+  abstract readonly port: number;
+
   abstract send(to: DatagramAddress, datagram: Buffer): void;
 
   /** @param listener - Gets every datagram from now on. */
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -16,8 +16,11 @@
   echo: z.number().optional(),
   /** The configuration version, and how old the sender's proof is that there is no newer one, milliseconds. */
   configuration: z.tuple([z.number(), count]).optional(),
-  /** The sender's own work: replica, requests, prompt tokens without a first token. */
-  work: z.array(z.tuple([z.string(), count, count])).default([]),
+  /**
+   * The sender's own work: replica, requests, and by priority, from the most urgent to the last that has any, the
+   * prompt tokens of those without a first token.
+   */
+  work: z.array(z.tuple([z.string(), count, z.array(count)])).default([]),
   /** Weights that replicas run: replica, model, version. */
   weights: z.array(z.tuple([z.string(), z.string(), count])).default([]),
   /** Replicas that get no new work for so many milliseconds. */
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -4,12 +4,15 @@
  */
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
 
+/** Priorities that engines tell apart: 0 is the most urgent. */
+export const priorities = 10;
+
 /** Work at a replica. */
 export interface ReplicaWork {
   /** Requests sent and not ended. */
   readonly requests: number;
-  /** Prompt tokens of those that have not given a first token yet. */
-  readonly promptTokens: number;
+  /** By priority: prompt tokens of those that have not given a first token yet. */
+  readonly promptTokens: readonly number[];
 }
 
 /** What is believed of one replica. */
@@ -17,9 +20,10 @@
   entry: ReplicaEntry;
   /** The newest weights version heard of, by model: from registrations, answers, orders and peers. */
   readonly weights: Map<string, number>;
-  /** Requests and prompt tokens of this router. */
+  /** Requests of this router. */
   requests: number;
-  promptTokens: number;
+  /** By priority: prompt tokens of this router's requests that have not given a first token yet. */
+  readonly promptTokens: number[];
   /** Prompt tokens of this router that were computed there by now. */
   computedTokens: number;
   /** By peer: the work that its last message told of. */
@@ -40,15 +44,23 @@
   failureShare: number;
 }
 
-/** @returns The work that all routers have at a replica. */
-export const totalWork = ({ requests, promptTokens, peers }: ReplicaState): ReplicaWork => {
-  let total = { requests, promptTokens };
-  for (const work of peers.values()) {
-    total = {
-      requests: total.requests + work.requests,
-      promptTokens: total.promptTokens + work.promptTokens,
-    };
-  }
+/** @returns The requests that all routers have at a replica. */
+export const totalRequests = ({ requests, peers }: ReplicaState): number => {
+  let total = requests;
+  for (const work of peers.values()) total += work.requests;
+  return total;
+};
+
+const sumTo = (tokens: readonly number[], priority: number): number => {
+  let sum = 0;
+  for (let index = 0; index <= priority; index += 1) sum += tokens[index] ?? 0;
+  return sum;
+};
+
+/** @returns The prompt tokens of all routers that a replica computes before those of a priority. */
+export const tokensAhead = ({ promptTokens, peers }: ReplicaState, priority: number): number => {
+  let total = sumTo(promptTokens, priority);
+  for (const work of peers.values()) total += sumTo(work.promptTokens, priority);
   return total;
 };
 
@@ -78,7 +90,7 @@
   entry,
   weights: new Map(entry.weights),
   requests: 0,
-  promptTokens: 0,
+  promptTokens: new Array<number>(priorities).fill(0),
   computedTokens: 0,
   peers: new Map(),
   changingUntil: Number.NEGATIVE_INFINITY,
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -1,6 +1,7 @@
 /** Callers' connections: reads whole requests, has them forwarded, and writes the one final answer. */
 import { once } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
 import { createServer } from "node:http";
 import { outcomes } from "../../protocol/constants.ts";
 import { requestError, RequestError } from "../../protocol/errors.ts";
@@ -22,9 +23,9 @@
 
 /** A listening server. */
 export interface ForwardingServer extends AsyncDisposable {
+  readonly port: number;
   /** Closes connections that have no request on them. */
   readonly closeIdle: () => void;
-  readonly openConnections: () => Promise<number>;
   /** Takes over limits that have changed. */
   readonly applyLimits: () => void;
 }
@@ -146,11 +147,8 @@
   await once(server, "listening");
 
   return {
+    port: (server.address() as AddressInfo).port,
     closeIdle: () => server.closeIdleConnections(),
-    openConnections: () =>
-      new Promise((resolve) => {
-        server.getConnections((_error, count) => resolve(count));
-      }),
     applyLimits: () => {
       const limit = limits();
       if (limit === undefined) return;
--- a/src/transport/forwarding/statusServer.ts
+++ b/src/transport/forwarding/statusServer.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
+import type { AddressInfo } from "node:net";
 
 /** What the server works with. */
 export interface StatusServerParts {
@@ -13,6 +14,12 @@
   readonly metricsText: () => string;
 }
 
+/** A listening server. */
+export interface StatusServer extends AsyncDisposable {
+  /** Of the readiness question. */
+  readonly port: number;
+}
+
 const listen = async (port: number, address: string, listener: RequestListener): Promise<Server> => {
   const server = createServer(listener);
   server.listen(port, address);
@@ -26,14 +33,13 @@
 };
 
 /** Starts to answer. */
-export const startStatusServer = async (parts: StatusServerParts): Promise<AsyncDisposable> => {
-  const servers = [
-    await listen(parts.readiness.port, parts.readiness.address, (request, response) => {
-      const isKnown = parts.isReadyPath(request.url ?? "");
-      response.writeHead(!isKnown ? 404 : parts.isReady() ? 200 : 503, { "content-length": 0 });
-      response.end();
-    }),
-  ];
+export const startStatusServer = async (parts: StatusServerParts): Promise<StatusServer> => {
+  const readiness = await listen(parts.readiness.port, parts.readiness.address, (request, response) => {
+    const isKnown = parts.isReadyPath(request.url ?? "");
+    response.writeHead(!isKnown ? 404 : parts.isReady() ? 200 : 503, { "content-length": 0 });
+    response.end();
+  });
+  const servers = [readiness];
   if (parts.metrics.port !== 0) {
     servers.push(
       await listen(parts.metrics.port, parts.metrics.address, (_request, response) => {
@@ -43,6 +49,7 @@
     );
   }
   return {
+    port: (readiness.address() as AddressInfo).port,
     [Symbol.asyncDispose]: () => {
       servers.forEach(close);
       return Promise.resolve();
--- a/src/transport/forwarding/udpLink.ts
+++ b/src/transport/forwarding/udpLink.ts
@@ -12,6 +12,10 @@
     this.socket = socket;
   }
 
+  override get port(): number {
+    return this.socket.address().port;
+  }
+
   override send({ address, port }: DatagramAddress, datagram: Buffer): void {
     // A datagram that can't be sent is a lost one.
     this.socket.send(datagram, port, address, () => undefined);
--- /dev/null
+++ b/standIns/platform/replica.ts
@@ -0,0 +1,226 @@
+/**
+ * A replica of the platform: answers requests as an engine or a plain service, takes orders, and misbehaves on the
+ * wire as it is told. It speaks raw HTTP/1.1, since most misbehaviour is what a server library would prevent.
+ */
+import { once } from "node:events";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/**
+ * How the next request is answered.
+ *
+ * - `well`: whole, in order.
+ * - `shed`: refused as not run.
+ * - `fail`: the replica's own failure, status 500.
+ * - `reset`: run, and the connection closed without an answer.
+ * - `cut`: run, and closed in the middle of the answer's body.
+ * - `extra`: answered whole, and a second answer follows on the same connection.
+ * - `crossed`: the answer bears another request's id.
+ * - `unframed`: the answer has no length and ends with its connection.
+ * - `unsealed`: the answer bears no mark of a replica.
+ * - `hang`: run, and never answered.
+ */
+export type Behaviour =
+  "well" | "shed" | "fail" | "reset" | "cut" | "extra" | "crossed" | "unframed" | "unsealed" | "hang";
+
+/** A request that was run. */
+export interface Run {
+  readonly id: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** True once the caller's connection closed before the answer had ended. */
+  wasCut: boolean;
+}
+
+/** An order as it arrived. */
+export interface ReceivedOrder {
+  readonly model: string;
+  readonly version: number;
+  readonly holder: string;
+  readonly fence: number;
+  readonly expectedRev: number | undefined;
+}
+
+/** What a replica is like. */
+export interface ReplicaSettings {
+  readonly id: string;
+  /** Set for engines: their model and its version. */
+  readonly model?: { readonly name: string; readonly version: number };
+  /** Events of a stream, and the pause between two of them, milliseconds. */
+  readonly events?: { readonly count: number; readonly pause: number };
+  /** How long a load takes, milliseconds. */
+  readonly loadTime?: number;
+}
+
+/** A running replica. */
+export interface ReplicaStandIn extends AsyncDisposable {
+  readonly id: string;
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly runs: readonly Run[];
+  readonly orders: readonly ReceivedOrder[];
+  readonly version: () => number;
+  /** Behaviours of the next requests, first to last; then they are answered well. */
+  readonly behave: (...behaviours: readonly Behaviour[]) => void;
+}
+
+const sealOf = (id: string, run: Run): string => `${id}.${run.id}`;
+
+const readBody = async (request: IncomingMessage): Promise<string> => {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk);
+  return Buffer.concat(chunks).toString();
+};
+
+const isStream = ({ headers }: Run): boolean => headers["x-model"] !== undefined;
+
+const writeRaw = (response: ServerResponse, headers: readonly string[], body: string): void => {
+  const head = ["HTTP/1.1 200 OK", ...headers, "", ""].join("\r\n");
+  response.socket?.write(head + body);
+};
+
+/** Starts a replica on a free port. */
+export const startReplicaStandIn = async (settings: ReplicaSettings): Promise<ReplicaStandIn> => {
+  const { id, model, events = { count: 5, pause: 5 }, loadTime = 30 } = settings;
+  const runs: Run[] = [];
+  const orders: ReceivedOrder[] = [];
+  let behaviours: Behaviour[] = [];
+  let version = model?.version ?? 0;
+  let isLoading = false;
+
+  const headersOf = (run: Run): Record<string, string> => ({
+    "x-attempt-id": run.id,
+    "x-replica-seal": sealOf(id, run),
+    ...(model === undefined ? {} : { "x-weight-versions": String(version) }),
+  });
+
+  const refuse = (response: ServerResponse, status: number, headers: Record<string, string> = {}): void => {
+    response.writeHead(status, { "content-length": 0, ...headers });
+    response.end();
+  };
+
+  const streamEvents = async (run: Run, response: ServerResponse, stopAfter: number): Promise<void> => {
+    response.writeHead(200, { ...headersOf(run), "content-type": "text/event-stream" });
+    const first = Number(run.headers["last-event-id"] ?? 0) + 1;
+    for (let number = first; number <= events.count; number += 1) {
+      if (response.destroyed) return;
+      if (number - first >= stopAfter) {
+        response.write(`id: ${number}\ndata: ha`);
+        await sleep(events.pause);
+        response.destroy();
+        return;
+      }
+      response.write(`id: ${number}\ndata: ${run.id} ${number}\n\n`);
+      await sleep(events.pause);
+    }
+    response.end();
+  };
+
+  const bodyOf = (run: Run): string => JSON.stringify({ id: run.id, body: run.body });
+
+  const answerPlain = (run: Run, response: ServerResponse): void => {
+    const body = bodyOf(run);
+    response.writeHead(200, { ...headersOf(run), "content-length": Buffer.byteLength(body) });
+    response.end(body);
+  };
+
+  const misbehave = (run: Run, response: ServerResponse, behaviour: Behaviour): void => {
+    const body = bodyOf(run);
+    const mark = [`x-attempt-id: ${run.id}`, `x-replica-seal: ${sealOf(id, run)}`];
+    const length = `content-length: ${Buffer.byteLength(body)}`;
+    if (behaviour === "reset") response.destroy();
+    else if (behaviour === "cut") {
+      writeRaw(response, [...mark, length], body.slice(0, body.length / 2));
+      setTimeout(() => response.destroy(), events.pause);
+    } else if (behaviour === "extra") {
+      writeRaw(response, [...mark, length], body);
+      writeRaw(response, [...mark, length], body);
+    } else if (behaviour === "crossed") {
+      writeRaw(response, ["x-attempt-id: another", "x-replica-seal: another", length], body);
+    } else if (behaviour === "unframed") {
+      writeRaw(response, [...mark, "connection: close"], body);
+      response.socket?.end();
+    } else if (behaviour === "unsealed") writeRaw(response, [length], body);
+  };
+
+  const run = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const { headers, method = "", url: target = "" } = request;
+    const body = await readBody(request);
+    const behaviour = behaviours.shift() ?? "well";
+    const attempt = String(headers["x-attempt-id"]);
+    if (headers["x-expect-replica"] !== undefined && headers["x-expect-replica"] !== id) {
+      refuse(response, 421, { "x-replica-id": id });
+      return;
+    }
+    const wanted = headers["x-expect-version"];
+    if (wanted !== undefined && Number(wanted) !== version) {
+      refuse(response, 421);
+      return;
+    }
+    if (behaviour === "shed" || isLoading) {
+      refuse(response, 503, { "x-not-executed": "1" });
+      return;
+    }
+    const made: Run = { id: attempt, method, target, headers, body, wasCut: false };
+    runs.push(made);
+    response.on("close", () => {
+      made.wasCut = !response.writableFinished;
+    });
+    if (behaviour === "hang") return;
+    if (behaviour === "fail") refuse(response, 500, headersOf(made));
+    else if (isStream(made) && behaviour === "cut") await streamEvents(made, response, 2);
+    else if (behaviour !== "well") misbehave(made, response, behaviour);
+    else if (isStream(made)) await streamEvents(made, response, Number.POSITIVE_INFINITY);
+    else answerPlain(made, response);
+  };
+
+  const takeOrder = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const order = JSON.parse(await readBody(request)) as ReceivedOrder;
+    if (isLoading || (order.expectedRev !== undefined && order.expectedRev !== orders.length)) {
+      refuse(response, 409);
+      return;
+    }
+    orders.push(order);
+    isLoading = true;
+    refuse(response, 202);
+    await sleep(loadTime);
+    version = order.version;
+    isLoading = false;
+  };
+
+  const report = (response: ServerResponse): void => {
+    const models = model === undefined ? [] : [{ name: model.name, version, adapters: [] }];
+    const state = { stage: "colocated", models, busy: isLoading, sequence: orders.length };
+    const text = JSON.stringify({ ...state, waiting: 0, running: 0, kvUsed: 0, kvTotal: 1, handles: 0 });
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(text);
+  };
+
+  const server = createServer((request, response) => {
+    if (request.url === "/-/report") report(response);
+    else if (request.url === "/-/order") void takeOrder(request, response);
+    else void run(request, response);
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return {
+    id,
+    address: `127.0.0.1:${port}`,
+    runs,
+    orders,
+    version: () => version,
+    behave: (...next) => {
+      behaviours = [...next];
+    },
+    [Symbol.asyncDispose]: () => {
+      server.close();
+      server.closeAllConnections();
+      return Promise.resolve();
+    },
+  };
+};
--- /dev/null
+++ b/tests/platform/wire.test.ts
@@ -0,0 +1,249 @@
+/** What goes over the wire between callers, routers and replicas of the platform. */
+import { once } from "node:events";
+import { connect } from "node:net";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import type { Behaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import type { PlatformSystem } from "../support/platformSystem.ts";
+import { call, hosts, keys, promptHeaders, startPlatformSystem, until } from "../support/platformSystem.ts";
+
+const read = { host: hosts.desk, path: "/read/2f?x=1", method: "GET" } as const;
+const post = { host: hosts.desk, path: "/post/2f", body: "sign off" } as const;
+const ask = { host: hosts.model, path: "/ask/2f", body: "summarise", headers: promptHeaders() } as const;
+const tag = { host: hosts.model, path: "/tag/2f", body: "tag", headers: promptHeaders() } as const;
+
+const runsOf = (replicas: readonly ReplicaStandIn[]) => replicas.flatMap(({ runs }) => runs);
+
+const behaveAll = (system: PlatformSystem, ...behaviours: readonly Behaviour[]): void => {
+  for (const replica of [...system.desks, ...system.engines]) replica.behave(...behaviours);
+};
+
+describe("a request that is passed on", () => {
+  it("reaches a replica untouched, with what the system adds and without the caller's key", async () => {
+    await using system = await startPlatformSystem();
+    const answer = await call(system.router, {
+      ...post,
+      path: "/post/a%20b?c=d&e=%2F",
+      id: "attempt-1",
+      headers: { "x-own": "kept", connection: "close, x-hop", "x-hop": "dropped" },
+    });
+    const [run] = runsOf(system.desks);
+    expect(answer.status).toEqual(200);
+    expect(answer.headers["x-replica-seal"]).toEqual(
+      `${system.desks.find((desk) => desk.runs.length)?.id}.attempt-1`,
+    );
+    expect([run?.id, run?.method, run?.target, run?.body]).toEqual([
+      "attempt-1",
+      "POST",
+      "/post/a%20b?c=d&e=%2F",
+      "sign off",
+    ]);
+    expect([run?.headers["x-own"], run?.headers["x-tenant"], run?.headers.host]).toEqual([
+      "kept",
+      "one",
+      hosts.desk,
+    ]);
+    expect([run?.headers.authorization, run?.headers["x-hop"]]).toEqual([undefined, undefined]);
+    const remaining = Number(run?.headers["x-deadline-ms"]);
+    expect(remaining > 2_000 && remaining <= 3_000).toEqual(true);
+  });
+
+  it("carries nothing that a caller sends under the system's own names", async () => {
+    await using system = await startPlatformSystem();
+    await call(system.router, {
+      ...ask,
+      headers: {
+        ...promptHeaders(),
+        "x-tenant": "two",
+        "x-cache-salt": "mine",
+        "x-hold": "1",
+        "x-pin-ms": "9000",
+        "x-kv-backup": "127.0.0.1:1",
+        "kv-from": "127.0.0.1:1/x",
+        "x-kv-fetch": "127.0.0.1:1",
+        "x-request-priority": "0",
+      },
+    });
+    const [run] = runsOf(system.engines);
+    expect(run?.headers["x-tenant"]).toEqual("one");
+    expect(run?.headers["x-cache-salt"]).toEqual("m/1/");
+    for (const name of ["x-hold", "x-pin-ms", "x-kv-backup", "kv-from"]) {
+      expect(run?.headers[name]).toEqual(undefined);
+    }
+    expect(run?.headers["x-kv-fetch"] === "127.0.0.1:1").toEqual(false);
+  });
+
+  it("keeps an isolated organisation's cached parts apart", async () => {
+    await using system = await startPlatformSystem();
+    await call(system.router, { ...ask, key: keys.isolated });
+    await call(system.router, ask);
+    expect(
+      runsOf(system.engines)
+        .map(({ headers }) => headers["x-cache-salt"])
+        .sort(),
+    ).toEqual(["m/1/", "m/1/two"]);
+  });
+
+  it("is not taken for two where length and chunks are both given", async () => {
+    await using system = await startPlatformSystem();
+    const socket = connect(system.router.port, "127.0.0.1");
+    const head = [
+      "POST /post/x HTTP/1.1",
+      `host: ${hosts.desk}`,
+      "x-attempt-id: smuggler",
+      `authorization: Bearer ${keys.known}`,
+      "content-length: 60",
+      "transfer-encoding: chunked",
+      "",
+      "0",
+      "",
+      "POST /post/y HTTP/1.1\r\nhost: x\r\n\r\n",
+    ].join("\r\n");
+    socket.write(head);
+    const [chunk] = (await once(socket, "data")) as [Buffer];
+    socket.destroy();
+    expect(chunk.toString().startsWith("HTTP/1.1 400")).toEqual(true);
+    expect(runsOf(system.desks).length).toEqual(0);
+  });
+
+  it("is refused with a type where it can't be allowed", async () => {
+    await using system = await startPlatformSystem();
+    const statusOf = async (given: Parameters<typeof call>[1]) => (await call(system.router, given)).status;
+    expect(await statusOf({ ...post, key: "unknown" })).toEqual(401);
+    expect(await statusOf({ ...post, key: "" })).toEqual(401);
+    expect(await statusOf({ ...post, path: "/nowhere/" })).toEqual(404);
+    expect(await statusOf({ ...post, host: "nowhere.example" })).toEqual(404);
+    expect(await statusOf({ ...post, body: "x".repeat(100_001) })).toEqual(413);
+    expect(await statusOf({ ...post, headers: { "x-long": "x".repeat(17_000) } })).toEqual(431);
+    expect(runsOf(system.desks).length).toEqual(0);
+  });
+});
+
+describe("an answer that is not what it should be", () => {
+  const cases: readonly (readonly [Behaviour, number, number])[] = [
+    ["reset", 200, 2],
+    ["cut", 200, 2],
+    ["crossed", 200, 2],
+    ["unsealed", 200, 2],
+    ["fail", 200, 2],
+  ];
+  for (const [behaviour, status, runs] of cases) {
+    it(`is had again elsewhere where that does no harm: ${behaviour}`, async () => {
+      await using system = await startPlatformSystem();
+      for (const desk of system.desks) desk.behave(behaviour);
+      const [first, second] = system.desks;
+      second?.behave();
+      // Whichever is chosen first: one of two requests begins at the replica that misbehaves.
+      const answers = [await call(system.router, read), await call(system.router, read)];
+      expect(answers.map((answer) => answer.status)).toEqual([status, status]);
+      expect((first?.runs.length ?? 0) + (second?.runs.length ?? 0) >= runs).toEqual(true);
+    });
+  }
+
+  it("is never had again where the request may run once only", async () => {
+    for (const behaviour of ["reset", "cut", "crossed", "unsealed"] as const) {
+      await using system = await startPlatformSystem();
+      behaveAll(system, behaviour);
+      const answer = await call(system.router, post);
+      expect([behaviour, answer.status]).toEqual([behaviour, 502]);
+      expect(runsOf(system.desks).length).toEqual(1);
+    }
+  });
+
+  it("ends at its connection's end where it has no length", async () => {
+    await using system = await startPlatformSystem();
+    behaveAll(system, "unframed");
+    const answer = await call(system.router, { ...post, id: "unframed-1" });
+    expect([answer.status, answer.body]).toEqual([
+      200,
+      JSON.stringify({ id: "unframed-1", body: "sign off" }),
+    ]);
+  });
+
+  it("does not reach the next caller where a second one follows it", async () => {
+    await using system = await startPlatformSystem({ desks: 1 });
+    for (let round = 0; round < 5; round += 1) {
+      behaveAll(system, "extra");
+      const first = await call(system.router, { ...read, id: `first-${round}` });
+      const second = await call(system.router, { ...read, id: `second-${round}` });
+      expect(first.body.includes(`first-${round}`)).toEqual(true);
+      expect(second.body.includes(`second-${round}`)).toEqual(true);
+    }
+  });
+
+  it("is passed on as it is where it is the replica's own failure", async () => {
+    await using system = await startPlatformSystem();
+    behaveAll(system, "fail");
+    const answer = await call(system.router, post);
+    expect(answer.status).toEqual(500);
+    expect(typeof answer.headers["x-replica-seal"]).toEqual("string");
+  });
+});
+
+describe("a refusal that says not run", () => {
+  it("is given with a time to come back where every replica refused", async () => {
+    await using system = await startPlatformSystem();
+    behaveAll(system, "shed");
+    const answer = await call(system.router, post);
+    expect(answer.status).toEqual(503);
+    expect(Number(answer.headers["retry-after"]) > 0).toEqual(true);
+    await sleep(50);
+    expect(runsOf(system.desks).length).toEqual(0);
+  });
+
+  it("is not given for a request that may have run", async () => {
+    await using system = await startPlatformSystem();
+    behaveAll(system, "hang");
+    const answer = await call(system.router, { ...post, headers: { "x-deadline-ms": "200" } });
+    expect(answer.status).toEqual(504);
+  });
+});
+
+describe("a stream", () => {
+  it("reaches its caller whole and in order", async () => {
+    await using system = await startPlatformSystem();
+    const answer = await call(system.router, { ...ask, id: "stream-1" });
+    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+    expect([answer.status, answer.isCut, ids]).toEqual([200, false, [1, 2, 3, 4, 5]]);
+  });
+
+  it("goes on at another replica where it may be resumed, with no event twice", async () => {
+    await using system = await startPlatformSystem();
+    await call(system.router, tag);
+    // The next request with the same parts goes where this one went.
+    const home = system.engines.find(({ runs }) => runs.length > 0);
+    home?.behave("cut");
+    const answer = await call(system.router, { ...tag, id: "resumed" });
+    const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
+    expect([answer.status, answer.isCut, ids]).toEqual([200, false, [1, 2, 3, 4, 5]]);
+    expect(answer.body.includes("data: ha\n")).toEqual(false);
+    const other = system.engines.find((engine) => engine !== home);
+    const resumedAt = (engine: ReplicaStandIn | undefined) => engine?.runs.find(({ id }) => id === "resumed");
+    expect([resumedAt(home)?.headers["last-event-id"], resumedAt(other)?.headers["last-event-id"]]).toEqual([
+      undefined,
+      "2",
+    ]);
+  });
+
+  it("breaks visibly where it may not be resumed", async () => {
+    await using system = await startPlatformSystem();
+    behaveAll(system, "cut");
+    const answer = await call(system.router, ask);
+    expect([answer.status, answer.isCut]).toEqual([200, true]);
+    expect(runsOf(system.engines).length).toEqual(1);
+  });
+
+  it("ends the replica's work soon after its caller has gone", async () => {
+    await using system = await startPlatformSystem({ engine: { events: { count: 500, pause: 10 } } });
+    const leaving = new AbortController();
+    const answer = call(system.router, { ...ask, signal: leaving.signal });
+    await until(() => runsOf(system.engines).length > 0);
+    await sleep(50);
+    leaving.abort();
+    const leftAt = performance.now();
+    await until(() => runsOf(system.engines).some(({ wasCut }) => wasCut));
+    expect(performance.now() - leftAt < 400).toEqual(true);
+    await answer;
+  });
+});
--- /dev/null
+++ b/tests/support/platformSystem.ts
@@ -0,0 +1,249 @@
+/** A system on the platform's stand-in, in one process: store, replicas, and routers by the real adapter. */
+import { request as httpRequest } from "node:http";
+import type { IncomingHttpHeaders } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
+import { connectPlatform } from "../../platform/connect.ts";
+import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
+import { startForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
+import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
+import type { ReplicaSettings, ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
+import type { StoreStandIn } from "../../standIns/platform/store.ts";
+import { startStoreStandIn } from "../../standIns/platform/store.ts";
+
+export const keys = { known: "key-one", isolated: "key-two" } as const;
+
+export const hosts = { desk: "desk.example", model: "model.example" } as const;
+
+const route = (name: string, host: string, fields: Readonly<Record<string, unknown>>) => ({
+  name,
+  host,
+  pathPrefix: `/${name}/`,
+  timeoutMs: 3_000,
+  targetLatencyMs: 400,
+  priority: 1,
+  maxAttempts: 2,
+  allowAnonymous: false,
+  sessionAffinity: false,
+  resumable: false,
+  ...fields,
+});
+
+/** The configuration that the operator publishes unless a test says otherwise. */
+export const configuration = (version = 1, fields: Readonly<Record<string, unknown>> = {}) => ({
+  version,
+  routes: [
+    route("read", hosts.desk, { kind: "safe", service: "desk" }),
+    route("post", hosts.desk, { kind: "unsafe", service: "desk", maxAttempts: 1 }),
+    route("ask", hosts.model, { kind: "streaming", service: "engines", maxAttempts: 1 }),
+    route("tag", hosts.model, { kind: "streaming", service: "engines", resumable: true }),
+  ],
+  services: [
+    { name: "desk", healthPath: "/healthz", maxConnections: 96 },
+    {
+      name: "engines",
+      healthPath: "/healthz",
+      maxConnections: 96,
+      engine: {
+        slots: 64,
+        kvCapacityTokens: 200_000,
+        kvTokenBytes: 18_432,
+        linkMbps: 370_000,
+        models: [{ name: "m" }],
+      },
+    },
+  ],
+  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  tenants: [
+    { name: "one", apiKeys: [keys.known], priority: 1, isolated: false },
+    { name: "two", apiKeys: [keys.isolated], priority: 1, isolated: true },
+  ],
+  ...fields,
+});
+
+const entryOf = (service: string, { address }: ReplicaStandIn, version: number) => ({
+  service,
+  address,
+  zone: "here",
+  version: "v1",
+  slots: service === "desk" ? 6 : 64,
+  state: "ready",
+  coldRemainingMs: 0,
+  models: service === "desk" ? [] : [{ name: "m", version }],
+  sequence: 1,
+});
+
+/** What a caller got. */
+export interface CallerAnswer {
+  /** 0: the connection ended without an answer. */
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** The answer ended before its body was whole. */
+  readonly isCut: boolean;
+}
+
+/** What a caller sends. */
+export interface CallerCall {
+  readonly host: string;
+  readonly path: string;
+  readonly method?: string;
+  readonly id?: string;
+  readonly key?: string | undefined;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+  readonly signal?: AbortSignal;
+}
+
+let nextId = 0;
+
+/** Sends one request on a connection of its own. */
+export const call = (router: ForwardingRouter, given: CallerCall): Promise<CallerAnswer> =>
+  new Promise((resolve) => {
+    nextId += 1;
+    const { host, path, method = "POST", id = `request-${nextId}`, key = keys.known, body = "" } = given;
+    const chunks: Buffer[] = [];
+    const end = (status: number, headers: IncomingHttpHeaders, isCut: boolean): void =>
+      resolve({ status, headers, body: Buffer.concat(chunks).toString(), isCut });
+    const request = httpRequest(
+      {
+        host: "127.0.0.1",
+        port: router.port,
+        method,
+        path,
+        agent: false,
+        headers: {
+          host,
+          "x-attempt-id": id,
+          "x-deadline-ms": "3000",
+          ...(key === "" ? {} : { authorization: `Bearer ${key}` }),
+          ...given.headers,
+        },
+        ...(given.signal === undefined ? {} : { signal: given.signal }),
+      },
+      (response) => {
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("end", () => end(response.statusCode ?? 0, response.headers, !response.complete));
+        response.on("error", () => end(response.statusCode ?? 0, response.headers, true));
+      },
+    );
+    request.on("error", () => end(0, {}, true));
+    request.end(body);
+  });
+
+/** The headers of a request to an engine. */
+export const promptHeaders = (part = "5c1e07a2"): Readonly<Record<string, string>> => ({
+  "x-model": "m",
+  "x-token-count": "1460,80",
+  "x-prefix-hash": `${part}:800,91bd3f06:410,e4402b7d:250`,
+});
+
+/** A running system. */
+export interface PlatformSystem extends AsyncDisposable {
+  readonly store: StoreStandIn;
+  readonly desks: readonly ReplicaStandIn[];
+  readonly engines: readonly ReplicaStandIn[];
+  readonly routers: readonly ForwardingRouter[];
+  readonly router: ForwardingRouter;
+  /** Publishes a configuration. */
+  readonly publish: (value: unknown) => void;
+  readonly nameWeights: (version: number) => void;
+  /** Writes a replica's registration; without fields the replica is gone. */
+  readonly register: (replica: ReplicaStandIn, fields: Readonly<Record<string, unknown>> | undefined) => void;
+  readonly startRouter: () => Promise<ForwardingRouter>;
+}
+
+/** What a system is made of. */
+export interface PlatformSystemSettings {
+  readonly desks?: number;
+  readonly engines?: number;
+  readonly engine?: Partial<ReplicaSettings>;
+  readonly bounds?: Partial<ForwardingSettings["bounds"]>;
+  /** Without it the store holds nothing at first. */
+  readonly isPublished?: boolean;
+}
+
+const bounds: ForwardingSettings["bounds"] = {
+  keyRevocation: 2_000,
+  drain: 600,
+  lease: 600,
+  weights: 5_000,
+  shutdownGraceSeconds: 2,
+  retryRatio: 0.2,
+  retryWindowSeconds: 10,
+  retryReserve: 50,
+};
+
+const anyPort = { address: "127.0.0.1", port: 0 };
+
+/** @returns Once something holds. */
+export const until = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
+  while (!(await condition())) await sleep(10);
+};
+
+/** @returns Whether a router says that it takes requests. */
+export const isReady = async ({ readinessPort }: ForwardingRouter): Promise<boolean> =>
+  (await fetch(`http://127.0.0.1:${readinessPort}/-/ready`)).ok;
+
+const startAll = (count: number, of: (index: number) => ReplicaSettings): Promise<ReplicaStandIn[]> =>
+  Promise.all(Array.from({ length: count }, (_, index) => startReplicaStandIn(of(index))));
+
+/** Starts a store, replicas and one router that is ready. */
+export const startPlatformSystem = async (settings: PlatformSystemSettings = {}): Promise<PlatformSystem> => {
+  const store = await startStoreStandIn();
+  const desks = await startAll(settings.desks ?? 2, (index) => ({ id: `desk-${index}` }));
+  const engines = await startAll(settings.engines ?? 2, (index) => ({
+    id: `engine-${index}`,
+    model: { name: "m", version: 1 },
+    ...settings.engine,
+  }));
+  const routers: ForwardingRouter[] = [];
+
+  const register = (replica: ReplicaStandIn, fields: Readonly<Record<string, unknown>> | undefined): void => {
+    const service = desks.includes(replica) ? "desk" : "engines";
+    const entry = { ...entryOf(service, replica, replica.version()), ...fields };
+    store.put("keyed.servers", replica.id, fields === undefined ? undefined : entry);
+  };
+
+  const startRouter = async (): Promise<ForwardingRouter> => {
+    const router = await startForwardingRouter(
+      {
+        name: `router-${routers.length}`,
+        dataCentre: "here",
+        callers: anyPort,
+        readiness: anyPort,
+        metricsPort: 0,
+        peers: anyPort,
+        store: { address: "127.0.0.1", port: Number(store.address.split(":")[1]) },
+        bounds: { ...bounds, ...settings.bounds },
+      },
+      connectPlatform,
+    );
+    routers.push(router);
+    return router;
+  };
+
+  if (settings.isPublished !== false) {
+    store.put("keyed.op", "config", configuration());
+    for (const replica of [...desks, ...engines]) register(replica, {});
+  }
+  const router = await startRouter();
+  if (settings.isPublished !== false) await until(() => isReady(router));
+
+  return {
+    store,
+    desks,
+    engines,
+    routers,
+    router,
+    publish: (value) => store.put("keyed.op", "config", value),
+    nameWeights: (version) => store.put("keyed.op", "version/m", { model: "m", version }),
+    register,
+    startRouter,
+    [Symbol.asyncDispose]: async () => {
+      await Promise.all(routers.map((each) => each[Symbol.asyncDispose]()));
+      await Promise.all([...desks, ...engines].map((each) => each[Symbol.asyncDispose]()));
+      await store[Symbol.asyncDispose]();
+    },
+  };
+};
