--- /dev/null
+++ b/tests/platform/rules.test.ts
@@ -0,0 +1,194 @@
+/** Configuration, keys, replicas, weights and ends, as the platform changes them under a running router. */
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import {
+  call,
+  configuration,
+  hosts,
+  isReady,
+  keys,
+  promptHeaders,
+  startPlatformSystem,
+  until,
+} from "../support/platformSystem.ts";
+
+const post = { host: hosts.desk, path: "/post/2f", body: "sign off" } as const;
+const ask = { host: hosts.model, path: "/ask/2f", body: "summarise", headers: promptHeaders() } as const;
+
+const runsOf = (replicas: readonly ReplicaStandIn[]) => replicas.flatMap(({ runs }) => runs);
+
+describe("a router without a configuration", () => {
+  it("refuses as not run instead of saying that a route or key is unknown, and is not ready", async () => {
+    await using system = await startPlatformSystem({ isPublished: false });
+    const answer = await call(system.router, post);
+    expect([answer.status, await isReady(system.router)]).toEqual([503, false]);
+  });
+
+  it("becomes ready when one is published", async () => {
+    await using system = await startPlatformSystem({ isPublished: false });
+    system.publish(configuration());
+    for (const replica of [...system.desks, ...system.engines]) system.register(replica, {});
+    await until(() => isReady(system.router));
+    await until(async () => (await call(system.router, post)).status === 200);
+  });
+});
+
+describe("a configuration that changes", () => {
+  it("is in force soon, and an older one that comes late changes nothing", async () => {
+    await using system = await startPlatformSystem();
+    const added = { ...configuration().routes[0], name: "added", pathPrefix: "/added/", kind: "unsafe" };
+    system.publish(configuration(3, { routes: [...configuration().routes, added] }));
+    const get = { ...post, path: "/added/x" };
+    await until(async () => (await call(system.router, get)).status === 200);
+    system.publish(configuration(2));
+    await sleep(100);
+    expect((await call(system.router, get)).status).toEqual(200);
+  });
+
+  it("that can't be read leaves the last one in force", async () => {
+    await using system = await startPlatformSystem();
+    system.publish({ version: 9, routes: "none" });
+    await sleep(100);
+    expect((await call(system.router, post)).status).toEqual(200);
+  });
+
+  it("takes a key away at once", async () => {
+    await using system = await startPlatformSystem();
+    system.publish(configuration(2, { tenants: [{ name: "one", apiKeys: [], isolated: false }] }));
+    await until(async () => (await call(system.router, post)).status === 401);
+  });
+});
+
+describe("a router whose store is gone", () => {
+  it("serves keys no longer than it may without knowing that they are valid", async () => {
+    await using system = await startPlatformSystem();
+    system.store.faults.isSilent = true;
+    const lostAt = performance.now();
+    expect((await call(system.router, post)).status).toEqual(200);
+    await until(async () => (await call(system.router, post)).status === 503);
+    // The bound of the test's settings is 2 s, counted from a proof before the loss.
+    expect(performance.now() - lostAt < 2_000).toEqual(true);
+    const ranBefore = runsOf(system.desks).length;
+    expect([(await call(system.router, post)).status, await isReady(system.router)]).toEqual([503, false]);
+    expect(runsOf(system.desks).length).toEqual(ranBefore);
+    system.store.faults.isSilent = false;
+    await until(async () => (await call(system.router, post)).status === 200);
+  });
+
+  it("lives on a peer that reaches it", async () => {
+    await using system = await startPlatformSystem();
+    const other = await system.startRouter();
+    await until(() => isReady(other));
+    expect((await call(other, { ...post, key: keys.isolated })).status).toEqual(200);
+  });
+
+  it("takes up where the log was trimmed", async () => {
+    await using system = await startPlatformSystem();
+    system.store.faults.isBusy = true;
+    await sleep(100);
+    system.publish(configuration(2, { tenants: [{ name: "three", apiKeys: ["new"], isolated: false }] }));
+    system.publish(configuration(3, { tenants: [{ name: "three", apiKeys: ["newer"], isolated: false }] }));
+    system.store.topics.trim("keyed.op", system.store.topics.end("keyed.op"));
+    system.store.topics.trim("keyed.servers", system.store.topics.end("keyed.servers"));
+    system.store.faults.isBusy = false;
+    await until(async () => (await call(system.router, { ...post, key: "newer" })).status === 200);
+  });
+});
+
+describe("a replica that leaves", () => {
+  it("gets no new work soon after it said so", async () => {
+    await using system = await startPlatformSystem();
+    const [leaving] = system.desks;
+    if (leaving === undefined) throw new Error("no replica");
+    system.register(leaving, { state: "draining" });
+    // The bound of the test's settings.
+    await sleep(600);
+    const before = leaving.runs.length;
+    for (let count = 0; count < 10; count += 1) await call(system.router, post);
+    expect(leaving.runs.length).toEqual(before);
+  });
+
+  it("is not taken for another that has its address", async () => {
+    await using system = await startPlatformSystem({ desks: 1 });
+    const [desk] = system.desks;
+    if (desk === undefined) throw new Error("no replica");
+    system.store.put("keyed.servers", "ghost", {
+      service: "desk",
+      address: desk.address,
+      zone: "here",
+      slots: 6,
+      state: "ready",
+    });
+    await sleep(400);
+    for (let count = 0; count < 10; count += 1) {
+      const { status } = await call(system.router, post);
+      expect([200, 503].includes(status)).toEqual(true);
+    }
+    await until(async () => (await call(system.router, post)).status === 200);
+    expect(desk.runs.every(({ headers }) => headers["x-expect-replica"] === "desk-0")).toEqual(true);
+  });
+});
+
+describe("weights that are named", () => {
+  it("are loaded by one holder with one rising number, the newest only", async () => {
+    await using system = await startPlatformSystem({ engines: 4 });
+    await system.startRouter();
+    system.nameWeights(2);
+    system.nameWeights(3);
+    await until(() => system.engines.every((engine) => engine.version() === 3));
+    const orders = system.engines.flatMap((engine) => engine.orders);
+    expect(new Set(orders.map(({ holder }) => holder)).size).toEqual(1);
+    expect(new Set(orders.map(({ fence }) => fence)).size).toEqual(1);
+    expect(orders.length).toEqual(4);
+  });
+
+  it("are expected of the engine that a request goes to", async () => {
+    await using system = await startPlatformSystem();
+    system.nameWeights(2);
+    await until(() => system.engines.every((engine) => engine.version() === 2));
+    await until(async () => (await call(system.router, ask)).status === 200);
+    const last = runsOf(system.engines).at(-1);
+    expect([last?.headers["x-expect-version"], last?.headers["x-cache-salt"]]).toEqual(["2", "m/2/"]);
+  });
+
+  it("that an engine has without this router's knowledge cost a request one more try, not its answer", async () => {
+    await using system = await startPlatformSystem({ engines: 1 });
+    const [engine] = system.engines;
+    if (engine === undefined) throw new Error("no engine");
+    const order = { model: "m", version: 7, holder: "somebody", fence: 1, expectedRev: 0 };
+    await fetch(`http://${engine.address}/-/order`, { method: "POST", body: JSON.stringify(order) });
+    await until(() => engine.version() === 7);
+    expect((await call(system.router, ask)).status).toEqual(200);
+    expect(engine.runs.at(-1)?.headers["x-expect-version"]).toEqual("7");
+  });
+
+  it("pass over an engine that can't be reached", async () => {
+    await using system = await startPlatformSystem({ engines: 4 });
+    const [gone] = system.engines;
+    await gone?.[Symbol.asyncDispose]();
+    system.nameWeights(2);
+    await until(() => system.engines.slice(1).every((engine) => engine.version() === 2));
+  });
+});
+
+describe("a router that is told to end", () => {
+  it("serves the balancer's last callers, refuses what it could not finish, and cuts nothing", async () => {
+    const engine = { events: { count: 60, pause: 10 } };
+    await using system = await startPlatformSystem({ engine });
+    const running = call(system.router, ask);
+    await sleep(50);
+    const drained = system.router.drain();
+    await until(async () => !(await isReady(system.router)));
+    const late = await call(system.router, { ...post, headers: { "x-deadline-ms": "400" } });
+    expect([late.status, late.headers.connection]).toEqual([200, "close"]);
+    await sleep(700);
+    // A third of the grace time of 2 s is over: what may take 3 s is not begun.
+    const refused = await call(system.router, ask);
+    expect([refused.status, runsOf(system.engines).length]).toEqual([503, 1]);
+    const finished = await running;
+    expect([finished.status, finished.isCut]).toEqual([200, false]);
+    await drained;
+  });
+});
