Test the parts of forwarding, and keep the platform's names inside its adapter by lint

Cause: retry shares, beliefs about caches, event boundaries, settings, bounded log lines and the store's format had no tests of their own, and nothing but reading kept the platform's names out of the product.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,7 +21,7 @@
         {
           patterns: [
             {
-              regex: `^(\\.\\./)+(${[...forbidden, "standIns", "demo", "bench", "tests"].join("|")})/`,
+              regex: `^(\\.\\./)+(${[...forbidden, "platform", "standIns", "demo", "bench", "tests"].join("|")})/`,
               message: `The ${layer} layer may import from: ${allowed.join(", ")}.`,
             },
             { group: ["node:child_process", "node:cluster"], message: "A process starts no other process." },
@@ -32,6 +32,32 @@
   };
 });
 
+/** What the platform's adapter alone may name: headers, paths, topics and settings of its pages. */
+const platformNames =
+  "^x-(replica-|expect-|not-executed|cache-salt|kv-|weight-versions|prefix-hash|token-count|pin-ms|hold|tenant|deadline-ms|request-priority|model$)|^kv-|/-/|log-(append|newest|read|join)|keyed\\.|POMELOCLEAT_BOOT";
+
+const platformNamesRule = {
+  files: ["src/**/*.ts", "bench/**/*.ts", "demo/**/*.ts", "soak/**/*.ts", "tools/**/*.ts"],
+  rules: {
+    "no-restricted-syntax": [
+      "error",
+      ...["Literal[value=", "TemplateElement[value.raw="].map((selector) => ({
+        selector: `${selector}/${platformNames.replaceAll("/", "\\/")}/i]`,
+        message: "Only platform/ names what the platform's pages name.",
+      })),
+    ],
+  },
+};
+
+/** The product may not know its adapter; the adapter may use the product. */
+const adapterRule = {
+  files: ["src/**/*.ts", "bench/**/*.ts", "demo/**/*.ts", "soak/**/*.ts", "tools/**/*.ts"],
+  ignores: ["**/*.test.ts"],
+  rules: {
+    "no-restricted-imports": ["error", { patterns: [{ regex: "^(\\.\\./)+platform/" }] }],
+  },
+};
+
 export default tseslint.config(
   { ignores: ["build/**", "target/**", "node_modules/**", "**/generated/**", "*.js", "deploy/*.mjs"] },
   tseslint.configs.strictTypeChecked,
@@ -52,7 +78,9 @@
       "@typescript-eslint/no-confusing-void-expression": ["error", { ignoreArrowShorthand: true }],
     },
   },
+  adapterRule,
   ...layerRules,
+  platformNamesRule,
   {
     files: ["**/*.test.ts", "tests/**/*.ts"],
     rules: {
--- /dev/null
+++ b/src/coordination/forwarding/eventBuffer.test.ts
@@ -0,0 +1,38 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { createEventBuffer } from "./eventBuffer.ts";
+
+const events = ["id: 1\ndata: a\n\n", "x-versions: 2\nid: 2\ndata: b\n\n", "id: 3\r\ndata: c\r\n\r\n"];
+
+describe("an event buffer", () => {
+  it("returns whole events in order wherever the stream is cut", () => {
+    const text = events.join("");
+    fc.assert(
+      fc.property(fc.array(fc.nat(text.length), { maxLength: 12 }), (cuts) => {
+        const buffer = createEventBuffer();
+        const ends = [...new Set([...cuts, text.length])].sort((left, right) => left - right);
+        let from = 0;
+        let returned = "";
+        for (const end of ends) {
+          returned += buffer.take(Buffer.from(text.slice(from, end))).toString();
+          expect(text.startsWith(returned)).toEqual(true);
+          expect(
+            events.some((_, index) => events.slice(0, index).join("") === returned) || returned === text,
+          ).toEqual(true);
+          from = end;
+        }
+        expect([returned, buffer.lastId()]).toEqual([text, "3"]);
+      }),
+      { seed: 4_711 },
+    );
+  });
+
+  it("keeps what follows the last whole event apart", () => {
+    const buffer = createEventBuffer("7");
+    expect(buffer.take(Buffer.from("id: 8\nda")).length).toEqual(0);
+    expect([buffer.remainder().toString(), buffer.lastId()]).toEqual(["id: 8\nda", "7"]);
+    buffer.dropRemainder();
+    expect(buffer.take(Buffer.from(events[0] ?? "")).toString()).toEqual(events[0] ?? "");
+  });
+});
--- /dev/null
+++ b/src/coordination/forwarding/retryShare.test.ts
@@ -0,0 +1,65 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { createManualClock } from "../manualClock.ts";
+import { createRetryShare } from "./retryShare.ts";
+import type { ForwardingBounds } from "./types.ts";
+
+const bounds: ForwardingBounds = {
+  keyRevocation: 5_000,
+  drain: 2_000,
+  lease: 3_000,
+  weights: 10_000,
+  shutdownGrace: 8_000,
+  retryRatio: 0.2,
+  retryWindow: 10_000,
+  retryReserve: 52,
+};
+
+describe("a router's share of retries", () => {
+  it("keeps the sum over all routers within the bound of every window", () => {
+    const step = fc.record({
+      router: fc.nat(5),
+      after: fc.nat(400),
+      isRequest: fc.boolean(),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 600 }), (steps) => {
+        const clock = createManualClock();
+        const routers = 6;
+        const shares = Array.from({ length: routers }, () =>
+          createRetryShare({ clock, bounds, routers: () => routers }),
+        );
+        const requests: number[] = [];
+        const retries: number[] = [];
+        for (const { router, after, isRequest } of steps) {
+          clock.advanceTo(clock.monotonic() + after);
+          const share = shares[router];
+          if (isRequest) {
+            share?.noteRequest("desk");
+            requests.push(clock.monotonic());
+          }
+          if (share?.tryTake("desk") === true) retries.push(clock.monotonic());
+        }
+        for (const end of retries) {
+          const within = (times: readonly number[], length: number): number =>
+            times.filter((at) => at > end - length && at <= end).length;
+          // Requests of the window before count too by the bound; the window itself is the stricter reading.
+          const allowed = bounds.retryRatio * within(requests, 2 * bounds.retryWindow) + bounds.retryReserve;
+          expect(within(retries, bounds.retryWindow) <= allowed).toEqual(true);
+        }
+      }),
+      { seed: 4_711, numRuns: 60 },
+    );
+  });
+
+  it("is the smaller the more routers may serve", () => {
+    const taken = (routers: number): number => {
+      const share = createRetryShare({ clock: createManualClock(), bounds, routers: () => routers });
+      let count = 0;
+      while (share.tryTake("desk")) count += 1;
+      return count;
+    };
+    expect([taken(1), taken(4), taken(80)]).toEqual([41, 10, 0]);
+  });
+});
--- a/standIns/platform/store.ts
+++ b/standIns/platform/store.ts
@@ -54,9 +54,12 @@
   response.end(JSON.stringify(value));
 };
 
-/** Starts a store on a free port. */
-export const startStoreStandIn = async (): Promise<StoreStandIn> => {
-  const topics = createTopics();
+/**
+ * Starts a store on a free port.
+ *
+ * @param topics - Of another store: this one is a second way to it, with faults of its own.
+ */
+export const startStoreStandIn = async (topics = createTopics()): Promise<StoreStandIn> => {
   const faults: StoreFaults = { isBusy: false, isSilent: false, loseAppends: 0 };
   const calls = new Map<string, number>();
 
--- a/tests/platform/rules.test.ts
+++ b/tests/platform/rules.test.ts
@@ -3,6 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import { startStoreStandIn } from "../../standIns/platform/store.ts";
 import {
   call,
   configuration,
@@ -77,11 +78,19 @@
     await until(async () => (await call(system.router, post)).status === 200);
   });
 
-  it("lives on a peer that reaches it", async () => {
+  it("serves on while a peer that reaches the store vouches for the version", async () => {
     await using system = await startPlatformSystem();
-    const other = await system.startRouter();
-    await until(() => isReady(other));
-    expect((await call(other, { ...post, key: keys.isolated })).status).toEqual(200);
+    await using way = await startStoreStandIn(system.store.topics);
+    const cut = await system.startRouter(way);
+    await until(() => isReady(cut));
+    way.faults.isSilent = true;
+    // Longer than a key may be served without proof.
+    await sleep(2_500);
+    expect((await call(cut, { ...post, key: keys.isolated })).status).toEqual(200);
+    system.publish(configuration(2, { tenants: [{ name: "one", apiKeys: [], isolated: false }] }));
+    const revokedAt = performance.now();
+    await until(async () => (await call(cut, post)).status === 503);
+    expect(performance.now() - revokedAt < 2_000).toEqual(true);
   });
 
   it("takes up where the log was trimmed", async () => {
--- a/tests/support/platformSystem.ts
+++ b/tests/support/platformSystem.ts
@@ -150,7 +150,8 @@
   readonly nameWeights: (version: number) => void;
   /** Writes a replica's registration; without fields the replica is gone. */
   readonly register: (replica: ReplicaStandIn, fields: Readonly<Record<string, unknown>> | undefined) => void;
-  readonly startRouter: () => Promise<ForwardingRouter>;
+  /** @param through - Another way to the store. */
+  readonly startRouter: (through?: StoreStandIn) => Promise<ForwardingRouter>;
 }
 
 /** What a system is made of. */
@@ -205,7 +206,7 @@
     store.put("keyed.servers", replica.id, fields === undefined ? undefined : entry);
   };
 
-  const startRouter = async (): Promise<ForwardingRouter> => {
+  const startRouter = async (through: StoreStandIn = store): Promise<ForwardingRouter> => {
     const router = await startForwardingRouter(
       {
         name: `router-${routers.length}`,
@@ -214,7 +215,7 @@
         readiness: anyPort,
         metricsPort: 0,
         peers: anyPort,
-        store: { address: "127.0.0.1", port: Number(store.address.split(":")[1]) },
+        store: { address: "127.0.0.1", port: Number(through.address.split(":")[1]) },
         bounds: { ...bounds, ...settings.bounds },
       },
       connectPlatform,
