Take no reset for an end, hand orders over in an orderly way, and let routers tell how long weights have been wanted

Cause 1: the HTTP client takes an answer without a length for whole when its connection is reset; it now fails. Cause 2: a holder of orders that ended stayed first in the common order until it was gone, and every successor waited a lease's duration, while all routers were being replaced every 3 s: nobody ever ordered. The one that ends now stands down at once, rests until its last order is a lease's duration ago, and gives the lease back; its successor need not wait. Cause 3: a router that started after weights were named counted their age from its start; peers now tell how long they have known. Three tests, each seen failing first.

--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -21,7 +21,10 @@
 export interface ConfigurationState {
   readonly table: () => RouteTable | undefined;
   readonly wantedWeights: (model: string) => WantedWeights | undefined;
-  readonly wantedModels: () => readonly string[];
+  /** @returns Model, version, and for how many milliseconds this router has known of it. */
+  readonly wantedAges: () => [string, number, number][];
+  /** A peer has known for some time that a version is wanted; this router may have started since. */
+  readonly noteWantedAge: (model: string, version: number, age: number) => void;
   /** Milliseconds since a moment at which nothing newer had been published. */
   readonly age: () => number;
   /** When nothing newer had been published, milliseconds on the monotonic clock. */
@@ -63,7 +66,18 @@
   return {
     table: () => table,
     wantedWeights: (model) => wanted.get(model),
-    wantedModels: () => [...wanted.keys()],
+    wantedAges: () =>
+      [...wanted].map(([model, { version, learnedAt }]) => [
+        model,
+        version,
+        Math.round(clock.monotonic() - learnedAt),
+      ]),
+    noteWantedAge: (model, version, age) => {
+      const known = wanted.get(model);
+      const learnedAt = clock.monotonic() - age;
+      if (known?.version === version && learnedAt < known.learnedAt)
+        wanted.set(model, { version, learnedAt });
+    },
     age: () => clock.monotonic() - provenAt,
     provenAt: () => provenAt,
     apply: ({ records }) => {
--- a/src/coordination/forwarding/news.ts
+++ b/src/coordination/forwarding/news.ts
@@ -4,7 +4,6 @@
 /** See {@link createNews}. */
 export interface News<T> {
   readonly add: (subject: string, value: T) => void;
-  readonly current: () => readonly T[];
   readonly entries: () => readonly (readonly [string, T])[];
 }
 
@@ -22,7 +21,6 @@
     add: (subject, value) => {
       pieces.set(subject, { value, until: clock.monotonic() + lifetime });
     },
-    current: () => entries().map(([, value]) => value),
     entries,
   };
 };
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -16,6 +16,8 @@
   theirTime: number | undefined;
   /** How old its proof of its configuration was when it sent its last message, milliseconds. */
   proofAge: number;
+  /** It takes no duties any more. */
+  standsDown: boolean;
   /** It has said that it ends. */
   ends: boolean;
 }
@@ -51,6 +53,7 @@
       heardAt,
       theirTime: undefined,
       proofAge: Number.POSITIVE_INFINITY,
+      standsDown: false,
       ends: false,
     };
     peers.set(name, peer);
@@ -79,6 +82,7 @@
       peer.at = from;
       peer.heardAt = clock.monotonic();
       peer.proofAge = message.configuration?.[1] ?? Number.POSITIVE_INFINITY;
+      peer.standsDown = message.standsDown;
       peer.ends = message.ends;
       return peer;
     },
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -12,10 +12,10 @@
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
-import { mostHolderNews, newsRepetition, peerIntervals, peersAtShortestInterval } from "./constants.ts";
-import { createNews } from "./news.ts";
-import type { PeerTable } from "./peerTable.ts";
+import { peerIntervals, peersAtShortestInterval } from "./constants.ts";
+import type { Peer, PeerTable } from "./peerTable.ts";
 import { createPeerTable } from "./peerTable.ts";
+import { createRouterNews } from "./routerNews.ts";
 
 /** What exchanging works with. */
 export interface RouterPeersParts {
@@ -35,7 +35,7 @@
   readonly add: (entries: readonly RouterEntry[]) => void;
   /** @returns Names of routers that have been heard of just now, this one included. */
   readonly live: () => readonly string[];
-  /** @returns Names of live routers whose configuration was confirmed just now, this one included. */
+  /** @returns Names of live routers that take duties and whose configuration was confirmed just now. */
   readonly inTouch: (longestAge: number) => readonly string[];
   /** @returns How many routers may be serving, silent ones included. */
   readonly countServing: () => number;
@@ -47,6 +47,8 @@
   readonly tellLeaving: (replica: string) => void;
   /** Tells peers that a replica keeps a prompt part. */
   readonly tellHolder: (key: number, replica: string) => void;
+  /** Tells peers that this router takes no duties any more. */
+  readonly standDown: () => void;
   /** Tells peers that this router ends. */
   readonly leave: () => void;
 }
@@ -90,11 +92,8 @@
   const { self, link, clock, replicas, configuration } = parts;
   const peers = createPeerTable(self.name, clock);
   const startedAt = clock.monotonic();
-  const weightsNews = createNews<RouterMessage["weights"][number]>(clock, newsRepetition);
-  const changingNews = createNews<number>(clock, newsRepetition);
-  const leavingNews = createNews<true>(clock, newsRepetition);
-  /** Told once: a copy that is not found for want of it costs little. */
-  let holderNews = new Map<string, RouterMessage["holders"][number]>();
+  const news = createRouterNews(clock);
+  let standsDown = false;
   let ends = false;
   let sentWork = "";
   let sentAt = Number.NEGATIVE_INFINITY;
@@ -114,10 +113,9 @@
       sentAt: Math.round(now * stampPrecision) / stampPrecision,
       configuration: proofOf(configuration),
       work,
-      weights: [...weightsNews.current()],
-      changing: changingNews.entries().map(([id, until]) => [id, Math.max(0, Math.round(until - now))]),
-      holders: [...holderNews.values()].slice(-mostHolderNews),
-      leaving: leavingNews.entries().map(([id]) => id),
+      ...news.take(),
+      wanted: configuration.wantedAges(),
+      standsDown,
       ends,
     };
   };
@@ -128,7 +126,6 @@
     sentWork = JSON.stringify(work);
     sentAt = clock.monotonic();
     isUrgent = false;
-    holderNews = new Map();
     for (const peer of peers.all()) {
       if (peers.mayServe(peer)) link.send(peer.at, encodeRouterMessage({ ...message, echo: peer.theirTime }));
     }
@@ -140,7 +137,7 @@
     const stretch = Math.max(1, peers.all().length / peersAtShortestInterval);
     const isDue = since >= peerIntervals.longest * stretch;
     const mayBeSent = since >= peerIntervals.shortest * stretch;
-    const hasNews = holderNews.size > 0 || JSON.stringify(ownWork()) !== sentWork;
+    const hasNews = news.hasHolders() || JSON.stringify(ownWork()) !== sentWork;
     if (isUrgent || isDue || (mayBeSent && hasNews)) sendAll();
     callOffTurn = clock.after(peerIntervals.shortest, turn);
   };
@@ -153,6 +150,7 @@
       if (replica !== undefined) replica.changingUntil = now + remaining;
     }
     for (const [key, id] of message.holders) parts.holders.noteKey(key, id);
+    for (const [model, version, age] of message.wanted) configuration.noteWantedAge(model, version, age);
     for (const id of message.leaving) replicas.markLeaving(id);
   };
 
@@ -191,25 +189,28 @@
         .map(({ name }) => name),
     ],
     inTouch: (longestAge) => {
-      const fresh = peers.all().filter((peer) => peers.isHeard(peer) && peer.proofAge < longestAge);
-      const own = configuration.age() < longestAge ? [self.name] : [];
+      const isFresh = (peer: Peer): boolean => peers.isHeard(peer) && peer.proofAge < longestAge;
+      const fresh = peers.all().filter((peer) => isFresh(peer) && !peer.standsDown);
+      const own = configuration.age() < longestAge && !standsDown ? [self.name] : [];
       return [...own, ...fresh.map(({ name }) => name)];
     },
     countServing: () => 1 + peers.all().filter(peers.mayServe).length,
     tellWeights: (replica, model, version) => {
-      weightsNews.add(`${replica} ${model}`, [replica, model, version]);
+      news.addWeights(replica, model, version);
       isUrgent = true;
     },
     tellChanging: (replica, until) => {
-      changingNews.add(replica, until);
+      news.addChanging(replica, until);
       sendAll();
     },
     tellLeaving: (replica) => {
-      leavingNews.add(replica, true);
+      news.addLeaving(replica);
       isUrgent = true;
     },
-    tellHolder: (key, holder) => {
-      holderNews.set(`${key} ${holder}`, [key, holder]);
+    tellHolder: news.addHolder,
+    standDown: () => {
+      standsDown = true;
+      sendAll();
     },
     leave: () => {
       ends = true;
--- a/src/coordination/forwarding/weightsChange.ts
+++ b/src/coordination/forwarding/weightsChange.ts
@@ -44,6 +44,8 @@
 export interface WeightsChange {
   /** @returns The newest weights of a model of the replica's that it does not run. */
   readonly missing: (replica: ReplicaState) => WeightsTarget | undefined;
+  /** When the last order was sent, milliseconds on the monotonic clock. */
+  readonly lastOrderAt: () => number;
   /** Resolves when the replica runs them, or can't be brought to them now. */
   readonly change: (tenure: Tenure, replica: ReplicaState) => Promise<void>;
 }
@@ -57,6 +59,7 @@
 export const createWeightsChange = (parts: WeightsChangeParts): WeightsChange => {
   const { replicas, configuration, client, peers, clock, signal } = parts;
   const loads = createSlots(simultaneousLoads);
+  let lastOrderAt = Number.NEGATIVE_INFINITY;
 
   const missing = ({ weights, entry }: ReplicaState): WeightsTarget | undefined => {
     if (entry.isDraining) return undefined;
@@ -119,6 +122,7 @@
       fencingNumber: tenure.fencingNumber + 1,
       acceptedOrders,
     } as const;
+    lastOrderAt = clock.monotonic();
     const outcome = await client.order(order, limited());
     parts.metrics.count(metricNames.orders, 1, { outcome });
     const { model, version } = target;
@@ -143,6 +147,7 @@
 
   return {
     missing,
+    lastOrderAt: () => lastOrderAt,
     change: async (tenure, replica) => {
       try {
         await drain(replica);
--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -48,13 +48,21 @@
 
   /**
    * Engines that don't compare fencing numbers must not see two holders close together: a holder waits until
-   * the last one's orders are a lease's duration away. Before the first tenure of all there was no other.
+   * the last one's orders are a lease's duration away. Before the first tenure of all there was no other, and a
+   * holder that gives the lease back has waited itself.
    */
   const mayOrder = (tenure: Tenure): boolean => {
-    const isFirst = tenure.fencingNumber === 0;
-    return tenure.isValid() && (isFirst || clock.monotonic() >= tenure.beganAt + bounds.lease);
+    if (stop.signal.aborted || !tenure.isValid()) return false;
+    const isAlone = tenure.fencingNumber === 0 || tenure.followsRelease;
+    return isAlone || clock.monotonic() >= tenure.beganAt + bounds.lease;
   };
-  const { missing, change } = createWeightsChange({ ...parts, signal: stop.signal, mayOrder });
+
+  /** Between the last order and giving the lease back. */
+  const rest = async (): Promise<void> => {
+    const since = clock.monotonic() - lastOrderAt();
+    if (lease.tenure() !== undefined) await pause(clock, Math.max(0, bounds.lease - since));
+  };
+  const { missing, change, lastOrderAt } = createWeightsChange({ ...parts, signal: stop.signal, mayOrder });
 
   const mayStartIn = (service: string): boolean => {
     const serving = replicas.serving(service);
@@ -97,6 +105,7 @@
     [Symbol.asyncDispose]: async () => {
       stop.abort();
       await task;
+      await rest();
       await lease[Symbol.asyncDispose]();
     },
   };
--- a/src/coordination/leases/lease.ts
+++ b/src/coordination/leases/lease.ts
@@ -32,6 +32,7 @@
 interface Held {
   readonly fencingNumber: number;
   readonly beganAt: number;
+  readonly followsRelease: boolean;
   validUntil: number;
   renewAt: number;
   note: readonly string[];
@@ -45,6 +46,8 @@
   const records = createLeaseLog(parts);
   const stop = new AbortController();
   let held: Held | undefined;
+  /** Whether the last record before the last own grant was a release. */
+  let followsRelease = false;
   let previous: Promise<unknown> = Promise.resolve();
 
   /** Two renewals at once would make each other void. */
@@ -67,7 +70,7 @@
   const begin = (fencingNumber: number, validUntil: number, renewAt: number): void => {
     if (validUntil <= clock.monotonic()) return;
     const note = records.head()?.note ?? [];
-    held = { fencingNumber, beganAt: clock.monotonic(), validUntil, renewAt, note };
+    held = { fencingNumber, beganAt: clock.monotonic(), followsRelease, validUntil, renewAt, note };
     writeLog("granted", { lease: name, fencingNumber });
     metrics.count(metricNames.leaseGrants);
   };
@@ -102,6 +105,7 @@
     // Records that expired unread may have granted the lease to somebody just now.
     const lossOver = (history.lostAt() ?? Number.NEGATIVE_INFINITY) + duration;
     if (clock.monotonic() < Math.max(freeAt, lossOver)) return;
+    followsRelease = head?.kind === "release";
     await records.append({ kind: "grant", ...records.base(), duration, note: head?.note ?? [] });
     follow();
   };
@@ -148,10 +152,11 @@
 
   const tenure = (): Tenure | undefined => {
     if (held === undefined || !isCurrent()) return undefined;
-    const { fencingNumber, beganAt } = held;
+    const { fencingNumber, beganAt, followsRelease: isHandedOver } = held;
     return {
       fencingNumber,
       beganAt,
+      followsRelease: isHandedOver,
       isValid: () => isHeldAs(fencingNumber),
       note: () => held?.note ?? [],
       setNote: (note) => {
--- a/src/coordination/leases/types.ts
+++ b/src/coordination/leases/types.ts
@@ -24,6 +24,8 @@
 export interface Tenure {
   /** Offset of the grant. */
   readonly fencingNumber: number;
+  /** The last holder gave the lease back by itself. */
+  readonly followsRelease: boolean;
   /** Earlier holders had stopped by then, milliseconds on this process's monotonic clock. */
   readonly beganAt: number;
   /** To be asked immediately before each act. */
--- a/src/coordination/orders/rollOut.test.ts
+++ b/src/coordination/orders/rollOut.test.ts
@@ -80,6 +80,7 @@
   const held = { valid: true };
   const tenure: Tenure = {
     fencingNumber: 7,
+    followsRelease: false,
     beganAt: clock.monotonic(),
     isValid: () => held.valid,
     note: () => [],
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -221,8 +221,10 @@
 
   const drain = async (): Promise<void> => {
     shutdown.begin();
-    await orders[Symbol.asyncDispose]();
+    peers.standDown();
+    const handedOver = orders[Symbol.asyncDispose]();
     await sleep(Math.max(0, shutdown.untilNoticed()));
+    await Promise.race([handedOver, sleep(Math.max(0, shutdown.untilOver()))]);
     peers.leave();
     const settle = async (): Promise<void> => {
       while (forwarder.openRequests() > 0 && shutdown.untilOver() > 0) await sleep(shutdownInterval);
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -29,6 +29,10 @@
   leaving: z.array(z.string()).default([]),
   /** Prompt parts that replicas keep, as far as the sender has just learned: key, holder. */
   holders: z.array(z.tuple([count, z.string()])).default([]),
+  /** Weights wanted, and how long the sender has known of them: model, version, milliseconds. */
+  wanted: z.array(z.tuple([z.string(), count, count])).default([]),
+  /** The sender takes no duties any more. */
+  standsDown: z.boolean().default(false),
   /** The sender ends. */
   ends: z.boolean().default(false),
 });
@@ -47,6 +51,8 @@
   changing: "g",
   leaving: "l",
   holders: "h",
+  wanted: "m",
+  standsDown: "d",
   ends: "x",
 } as const satisfies Readonly<Record<keyof RouterMessage, string>>;
 
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -1,6 +1,6 @@
 /** Replicas over HTTP/1.1: one pool of connections for each incarnation, so that none outlives its replica. */
 import { connect } from "node:net";
-import { Pool } from "undici";
+import { buildConnector, Pool } from "undici";
 import { upstreamError } from "../../protocol/errors.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
 import { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
@@ -46,6 +46,8 @@
   private readonly wire: ForwardingWire;
   private readonly pools = new Map<string, Pool>();
   private readonly limits = new Map<string, number>();
+  /** True while a connection that was reset is being taken down. */
+  private isResetting = false;
 
   constructor(wire: ForwardingWire) {
     super();
@@ -54,7 +56,7 @@
 
   override async send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
     const { request, replica, mayLeave } = call;
-    const reader = createAnswerReader(mayLeave, signal);
+    const reader = createAnswerReader(mayLeave, signal, () => this.isResetting);
     this.poolOf(replica).dispatch(
       {
         method: request.method,
@@ -107,7 +109,11 @@
     call: SystemCall,
     signal: AbortSignal,
   ): Promise<SystemAnswer> {
-    const reader = createAnswerReader(() => !signal.aborted, signal);
+    const reader = createAnswerReader(
+      () => !signal.aborted,
+      signal,
+      () => this.isResetting,
+    );
     const { method, path, headers } = call;
     this.poolOf(replica).dispatch({ method, path, headers, body: call.body ?? null }, reader.handler);
     const answer: RawAnswer = await reader.answer;
@@ -118,6 +124,24 @@
     return { status: answer.status, text };
   }
 
+  /**
+   * The HTTP client takes an answer without a length for whole when its connection is reset. Its listeners run
+   * within the event, after this one.
+   */
+  private watchResets(open: buildConnector.connector): buildConnector.connector {
+    return (options, done) => {
+      open(options, (...result) => {
+        result[1]?.prependListener("error", () => {
+          this.isResetting = true;
+          queueMicrotask(() => {
+            this.isResetting = false;
+          });
+        });
+        done(...result);
+      });
+    };
+  }
+
   private poolOf(replica: Pick<ReplicaEntry, "id" | "address">): Pool {
     const known = this.pools.get(replica.id);
     if (known !== undefined) return known;
@@ -126,7 +150,7 @@
       pipelining: 1,
       keepAliveTimeout: idleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
-      connect: { timeout: connectTimeout },
+      connect: this.watchResets(buildConnector({ timeout: connectTimeout })),
     });
     this.pools.set(replica.id, made);
     return made;
--- a/src/transport/forwarding/answerReader.ts
+++ b/src/transport/forwarding/answerReader.ts
@@ -26,8 +26,13 @@
  *
  * @param mayLeave - Asked right before the request's first byte is written.
  * @param signal - Ends the request and its connection.
+ * @param isResetting - Whether the connection is ending by a reset at this moment.
  */
-export const createAnswerReader = (mayLeave: () => boolean, signal: AbortSignal): AnswerReader => {
+export const createAnswerReader = (
+  mayLeave: () => boolean,
+  signal: AbortSignal,
+  isResetting: () => boolean,
+): AnswerReader => {
   const waiting: Buffer[] = [];
   let controller: Dispatcher.DispatchController | undefined;
   let hasLeft = false;
@@ -111,6 +116,10 @@
       wake();
     },
     onResponseEnd: () => {
+      if (isResetting()) {
+        fail(upstreamError("the connection was reset", "closed_early", "streaming"));
+        return;
+      }
       isOver = true;
       signal.removeEventListener("abort", cancel);
       wake();
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -19,11 +19,22 @@
  * - `extra`: answered whole, and a second answer follows on the same connection.
  * - `crossed`: the answer bears another request's id.
  * - `unframed`: the answer has no length and ends with its connection.
+ * - `broken`: the answer has no length, and its connection is reset in the middle.
  * - `unsealed`: the answer bears no mark of a replica.
  * - `hang`: run, and never answered.
  */
 export type Behaviour =
-  "well" | "shed" | "fail" | "reset" | "cut" | "extra" | "crossed" | "unframed" | "unsealed" | "hang";
+  | "well"
+  | "shed"
+  | "fail"
+  | "reset"
+  | "cut"
+  | "extra"
+  | "crossed"
+  | "unframed"
+  | "broken"
+  | "unsealed"
+  | "hang";
 
 /** A request that was run. */
 export interface Run {
@@ -54,6 +65,8 @@
   readonly events?: { readonly count: number; readonly pause: number };
   /** How long a load takes, milliseconds. */
   readonly loadTime?: number;
+  /** Every order is answered as if another one were being carried out. */
+  readonly refusesOrders?: boolean;
 }
 
 /** A running replica. */
@@ -83,26 +96,71 @@
   response.socket?.write(head + body);
 };
 
+const refuse = (response: ServerResponse, status: number, headers: Record<string, string> = {}): void => {
+  response.writeHead(status, { "content-length": 0, ...headers });
+  response.end();
+};
+
+const sendJson = (response: ServerResponse, value: unknown): void => {
+  response.writeHead(200, { "content-type": "application/json" });
+  response.end(JSON.stringify(value));
+};
+
+const bodyOf = (run: Run): string => JSON.stringify({ id: run.id, body: run.body });
+
+/** Answers a plain request in a way that it should not be answered. */
+const misbehave = (
+  replica: string,
+  pause: number,
+  run: Run,
+  response: ServerResponse,
+  behaviour: Behaviour,
+): void => {
+  const body = bodyOf(run);
+  const mark = [`x-attempt-id: ${run.id}`, `x-replica-seal: ${sealOf(replica, run)}`];
+  const length = `content-length: ${Buffer.byteLength(body)}`;
+  if (behaviour === "reset") response.destroy();
+  else if (behaviour === "cut") {
+    writeRaw(response, [...mark, length], body.slice(0, body.length / 2));
+    setTimeout(() => response.destroy(), pause);
+  } else if (behaviour === "extra") {
+    writeRaw(response, [...mark, length], body);
+    writeRaw(response, [...mark, length], body);
+  } else if (behaviour === "crossed") {
+    writeRaw(response, ["x-attempt-id: another", "x-replica-seal: another", length], body);
+  } else if (behaviour === "unframed") {
+    writeRaw(response, [...mark, "connection: close"], body);
+    response.socket?.end();
+  } else if (behaviour === "broken") {
+    writeRaw(response, [...mark, "connection: close"], body.slice(0, body.length / 2));
+    setTimeout(() => response.socket?.resetAndDestroy(), pause);
+  } else if (behaviour === "unsealed") writeRaw(response, [length], body);
+};
+
 /** Starts a replica on a free port. */
 export const startReplicaStandIn = async (settings: ReplicaSettings): Promise<ReplicaStandIn> => {
-  const { id, model, events = { count: 5, pause: 5 }, loadTime = 30 } = settings;
+  const { id, model, events = { count: 5, pause: 5 }, loadTime = 30, refusesOrders = false } = settings;
   const runs: Run[] = [];
   const orders: ReceivedOrder[] = [];
   let behaviours: Behaviour[] = [];
   let version = model?.version ?? 0;
   let isLoading = false;
 
+  const reportOf = () => ({
+    stage: "colocated",
+    models: model === undefined ? [] : [{ name: model.name, version, adapters: [] }],
+    busy: isLoading,
+    sequence: orders.length,
+    waiting: 0,
+    running: 0,
+  });
+
   const headersOf = (run: Run): Record<string, string> => ({
     "x-attempt-id": run.id,
     "x-replica-seal": sealOf(id, run),
     ...(model === undefined ? {} : { "x-weight-versions": String(version) }),
   });
 
-  const refuse = (response: ServerResponse, status: number, headers: Record<string, string> = {}): void => {
-    response.writeHead(status, { "content-length": 0, ...headers });
-    response.end();
-  };
-
   const streamEvents = async (run: Run, response: ServerResponse, stopAfter: number): Promise<void> => {
     response.writeHead(200, { ...headersOf(run), "content-type": "text/event-stream" });
     const first = Number(run.headers["last-event-id"] ?? 0) + 1;
@@ -120,33 +178,12 @@
     response.end();
   };
 
-  const bodyOf = (run: Run): string => JSON.stringify({ id: run.id, body: run.body });
-
   const answerPlain = (run: Run, response: ServerResponse): void => {
     const body = bodyOf(run);
     response.writeHead(200, { ...headersOf(run), "content-length": Buffer.byteLength(body) });
     response.end(body);
   };
 
-  const misbehave = (run: Run, response: ServerResponse, behaviour: Behaviour): void => {
-    const body = bodyOf(run);
-    const mark = [`x-attempt-id: ${run.id}`, `x-replica-seal: ${sealOf(id, run)}`];
-    const length = `content-length: ${Buffer.byteLength(body)}`;
-    if (behaviour === "reset") response.destroy();
-    else if (behaviour === "cut") {
-      writeRaw(response, [...mark, length], body.slice(0, body.length / 2));
-      setTimeout(() => response.destroy(), events.pause);
-    } else if (behaviour === "extra") {
-      writeRaw(response, [...mark, length], body);
-      writeRaw(response, [...mark, length], body);
-    } else if (behaviour === "crossed") {
-      writeRaw(response, ["x-attempt-id: another", "x-replica-seal: another", length], body);
-    } else if (behaviour === "unframed") {
-      writeRaw(response, [...mark, "connection: close"], body);
-      response.socket?.end();
-    } else if (behaviour === "unsealed") writeRaw(response, [length], body);
-  };
-
   const run = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { headers, method = "", url: target = "" } = request;
     const body = await readBody(request);
@@ -173,14 +210,18 @@
     if (behaviour === "hang") return;
     if (behaviour === "fail") refuse(response, 500, headersOf(made));
     else if (isStream(made) && behaviour === "cut") await streamEvents(made, response, 2);
-    else if (behaviour !== "well") misbehave(made, response, behaviour);
+    else if (behaviour !== "well") misbehave(id, events.pause, made, response, behaviour);
     else if (isStream(made)) await streamEvents(made, response, Number.POSITIVE_INFINITY);
     else answerPlain(made, response);
   };
 
   const takeOrder = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const order = JSON.parse(await readBody(request)) as ReceivedOrder;
-    if (isLoading || (order.expectedRev !== undefined && order.expectedRev !== orders.length)) {
+    if (
+      refusesOrders ||
+      isLoading ||
+      (order.expectedRev !== undefined && order.expectedRev !== orders.length)
+    ) {
       refuse(response, 409);
       return;
     }
@@ -192,16 +233,8 @@
     isLoading = false;
   };
 
-  const report = (response: ServerResponse): void => {
-    const models = model === undefined ? [] : [{ name: model.name, version, adapters: [] }];
-    const state = { stage: "colocated", models, busy: isLoading, sequence: orders.length };
-    const text = JSON.stringify({ ...state, waiting: 0, running: 0, kvUsed: 0, kvTotal: 1, handles: 0 });
-    response.writeHead(200, { "content-type": "application/json" });
-    response.end(text);
-  };
-
   const server = createServer((request, response) => {
-    if (request.url === "/-/report") report(response);
+    if (request.url === "/-/report") sendJson(response, reportOf());
     else if (request.url === "/-/order") void takeOrder(request, response);
     else void run(request, response);
   });
--- a/tests/platform/rules.test.ts
+++ b/tests/platform/rules.test.ts
@@ -173,6 +173,43 @@
     expect(engine.runs.at(-1)?.headers["x-expect-version"]).toEqual("7");
   });
 
+  it("go on at another router when the one that gives orders ends", async () => {
+    const engine = { loadTime: 200 };
+    await using system = await startPlatformSystem({
+      engines: 4,
+      engine,
+      bounds: { shutdownGraceSeconds: 10 },
+    });
+    const second = await system.startRouter();
+    await until(() => isReady(second));
+    system.nameWeights(2);
+    await until(() => system.engines.some(({ orders }) => orders.length > 0));
+    const holder = system.engines.flatMap(({ orders }) => orders)[0]?.holder ?? "";
+    const [ending] = system.routers.filter((_, index) => holder.startsWith(`router-${index}/`));
+    let hasEnded = false;
+    const drained = ending?.drain().then(() => {
+      hasEnded = true;
+    });
+    await until(() => system.engines.every((each) => each.version() === 2));
+    // Not only once the other router is gone.
+    expect(hasEnded).toEqual(false);
+    await drained;
+    const fences = system.engines.flatMap(({ orders }) => orders.map(({ fence }) => fence));
+    expect(new Set(fences).size <= 2).toEqual(true);
+  });
+
+  it("are not begun on older ones by a router that starts after the bound is over", async () => {
+    const engine = { refusesOrders: true };
+    await using system = await startPlatformSystem({ engines: 1, engine, bounds: { weights: 1_000 } });
+    system.nameWeights(2);
+    await sleep(1_200);
+    expect((await call(system.router, ask)).status).toEqual(503);
+    const later = await system.startRouter();
+    await until(() => isReady(later));
+    await sleep(300);
+    expect((await call(later, ask)).status).toEqual(503);
+  });
+
   it("pass over an engine that can't be reached", async () => {
     await using system = await startPlatformSystem({ engines: 4 });
     const [gone] = system.engines;
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -125,6 +125,7 @@
     ["reset", 200, 2],
     ["cut", 200, 2],
     ["crossed", 200, 2],
+    ["broken", 200, 2],
     ["unsealed", 200, 2],
     ["fail", 200, 2],
   ];
@@ -142,7 +143,7 @@
   }
 
   it("is never had again where the request may run once only", async () => {
-    for (const behaviour of ["reset", "cut", "crossed", "unsealed"] as const) {
+    for (const behaviour of ["reset", "cut", "crossed", "broken", "unsealed"] as const) {
       await using system = await startPlatformSystem();
       behaveAll(system, behaviour);
       const answer = await call(system.router, post);
