--- a/src/daemons/forwardingDaemon.ts
+++ b/src/daemons/forwardingDaemon.ts
@@ -9,7 +9,7 @@
 import type { ForwardingSettings } from "./forwardingSettings.ts";
 import { readForwardingSettings } from "./forwardingSettings.ts";
 
-const exitCodes = { ended: 0, badSettings: 2 } as const;
+const exitCodes = { ended: 0, fault: 1, badSettings: 2 } as const;
 
 /** Enough for each request of a busy router to leave a line; more than a reader takes is left out. */
 const linesPerSecond = 200;
@@ -58,6 +58,14 @@
   return () => clearInterval(timer);
 };
 
+/** A fault of the program ends the process, but says so first. */
+const reportFaults = (): void => {
+  process.on("uncaughtException", (error) => {
+    writeLog("fault", { reason: error.stack ?? String(error) });
+    process.exit(exitCodes.fault);
+  });
+};
+
 const untilAsked = (): Promise<string> =>
   new Promise((resolve) => {
     for (const signal of ["SIGTERM", "SIGINT"]) process.once(signal, () => resolve(signal));
@@ -67,7 +75,7 @@
  * Runs a router until it is asked to end.
  *
  * @param file - The settings file.
- * @returns The exit code: 0 ended as asked, 2 the settings can't be used.
+ * @returns The exit code: 0 ended as asked, 1 a fault of the program, 2 the settings can't be used.
  */
 export const runForwardingDaemon = async (file: string, connect: ConnectPlatform): Promise<number> => {
   const now = (): number => performance.now();
@@ -78,6 +86,7 @@
   directLogs(
     createBoundedLines({ output, fields: { router: settings.name }, now, linesPerSecond, mostBytesWaiting }),
   );
+  reportFaults();
   writeLog("starting", { dataCentre: settings.dataCentre });
   const asked = untilAsked();
   // Not disposed of: the process ends by exiting, whatever is still open.
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -7,6 +7,7 @@
 import type { ReplicaAnswer, ReplicaCall, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { RawAnswer } from "./answerReader.ts";
 import { createAnswerReader } from "./answerReader.ts";
+import { createResetWatch } from "./resetWatch.ts";
 
 /** Longest connection attempt, milliseconds: a silent replica is left for another one soon. */
 const connectTimeout = 400;
@@ -46,8 +47,7 @@
   private readonly wire: ForwardingWire;
   private readonly pools = new Map<string, Pool>();
   private readonly limits = new Map<string, number>();
-  /** True while a connection that was reset is being taken down. */
-  private isResetting = false;
+  private readonly resets = createResetWatch();
 
   constructor(wire: ForwardingWire) {
     super();
@@ -56,7 +56,7 @@
 
   override async send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
     const { request, replica, mayLeave } = call;
-    const reader = createAnswerReader(mayLeave, signal, () => this.isResetting);
+    const reader = createAnswerReader(mayLeave, signal, this.resets.isResetting);
     this.poolOf(replica).dispatch(
       {
         method: request.method,
@@ -109,11 +109,7 @@
     call: SystemCall,
     signal: AbortSignal,
   ): Promise<SystemAnswer> {
-    const reader = createAnswerReader(
-      () => !signal.aborted,
-      signal,
-      () => this.isResetting,
-    );
+    const reader = createAnswerReader(() => !signal.aborted, signal, this.resets.isResetting);
     const { method, path, headers } = call;
     this.poolOf(replica).dispatch({ method, path, headers, body: call.body ?? null }, reader.handler);
     const answer: RawAnswer = await reader.answer;
@@ -124,24 +120,6 @@
     return { status: answer.status, text };
   }
 
-  /**
-   * The HTTP client takes an answer without a length for whole when its connection is reset. Its listeners run
-   * within the event, after this one.
-   */
-  private watchResets(open: buildConnector.connector): buildConnector.connector {
-    return (options, done) => {
-      open(options, (...result) => {
-        result[1]?.prependListener("error", () => {
-          this.isResetting = true;
-          queueMicrotask(() => {
-            this.isResetting = false;
-          });
-        });
-        done(...result);
-      });
-    };
-  }
-
   private poolOf(replica: Pick<ReplicaEntry, "id" | "address">): Pool {
     const known = this.pools.get(replica.id);
     if (known !== undefined) return known;
@@ -150,7 +128,7 @@
       pipelining: 1,
       keepAliveTimeout: idleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
-      connect: this.watchResets(buildConnector({ timeout: connectTimeout })),
+      connect: this.resets.connector(buildConnector({ timeout: connectTimeout })),
     });
     this.pools.set(replica.id, made);
     return made;
