Serve counters and histograms to a collector; hear many peers that speak rarely

Cause 2 (by arithmetic, then a test that failed first): with over 24 peers messages come more rarely than a peer may be silent, so that routers of a large system would not count each other. Also tests of placement at engines, of what peers tell each other (freshness can't grow on the way) and of following a feed; these passed from the first.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -19,7 +19,10 @@
  */
 export const registryPaceShare = 0.45;
 
-/** A router whose last message is older counts as gone for sharing work and duties. */
+/**
+ * A router whose last message is older counts as gone for sharing work and duties: three of the longest intervals,
+ * and with many peers as many times more as intervals are longer.
+ */
 export const peerSilence = 1_500;
 
 /** A silent router keeps its part of shared limits for so long: it may be cut off and still serve. */
--- /dev/null
+++ b/src/coordination/forwarding/enginePlacement.test.ts
@@ -0,0 +1,112 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import type { Prompt } from "../../protocol/forwarding/types.ts";
+import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createRouteTable } from "../../state/forwarding/routeTable.ts";
+import {
+  bounds,
+  configurationOf,
+  engineEntry,
+  engineService,
+  pageOf,
+  streamRoute,
+} from "../../../tests/support/forwardingFixture.ts";
+import { createManualClock } from "../manualClock.ts";
+import { createCacheHolders } from "./cacheHolders.ts";
+import { createConfigurationState } from "./configurationState.ts";
+import { createEnginePlacement } from "./enginePlacement.ts";
+import { createReplicaEstimates } from "./replicaEstimates.ts";
+
+const prompt = (tokens: number, course = "course"): Prompt => ({
+  model: "m",
+  tokens,
+  answerTokens: 80,
+  parts: [
+    { id: "rules", tokens: 500 },
+    { id: course, tokens: 500 },
+    { id: `own-${tokens}`, tokens: tokens - 1_000 },
+  ],
+});
+
+const create = (ids: readonly string[]) => {
+  const clock = createManualClock();
+  const replicas = createReplicaTable();
+  for (const id of ids) replicas.put(engineEntry(id));
+  const configuration = createConfigurationState(clock);
+  configuration.apply(pageOf({ kind: "configuration", configuration: configurationOf(1) }));
+  const holders = createCacheHolders({ clock, computedTokens: () => 0, memoryTokens: () => 200_000 });
+  const estimates = createReplicaEstimates();
+  const placement = createEnginePlacement({ replicas, configuration, holders, estimates, clock, bounds });
+  const table = createRouteTable(configurationOf(1));
+  const admission = { table, route: streamRoute, service: engineService, organisation: undefined };
+  const choose = (wanted: Prompt) => {
+    const found = placement.choose(wanted, admission, replicas.serving("engines"), () => 0);
+    if (typeof found === "string") throw new Error(found);
+    return found;
+  };
+  const state = (id: string) => {
+    const found = replicas.get(id);
+    if (found === undefined) throw new Error(id);
+    return found;
+  };
+  const nameWeights = (version: number): void =>
+    configuration.apply(pageOf({ kind: "weights", target: { model: "m", version } }));
+  return { clock, replicas, holders, placement, admission, choose, state, nameWeights };
+};
+
+describe("placement at engines", () => {
+  it("is the same at every router that knows the same, and copies from where parts are kept", () => {
+    const first = create(["a", "b", "c"]);
+    const second = create(["c", "b", "a"]);
+    const home = first.choose(prompt(2_000)).replica.entry.id;
+    expect(second.choose(prompt(3_000)).replica.entry.id).toEqual(home);
+    const other = ["a", "b", "c"].find((id) => id !== home) ?? "";
+    first.holders.note("m/1/", prompt(2_000), home, true);
+    first.state(home).promptTokens[4] = 50_000;
+    const choice = first.choose(prompt(2_000));
+    expect(choice.replica.entry.id === home).toEqual(false);
+    expect(choice.fetchFrom).toEqual(first.state(home).entry.address);
+    expect(first.state(other).isUnreachable).toEqual(false);
+  });
+
+  it("asks no copy of a replica that can't be reached", () => {
+    const { choose, holders, state } = create(["a", "b"]);
+    const home = choose(prompt(2_000)).replica.entry.id;
+    holders.note("m/1/", prompt(2_000), home, true);
+    state(home).isUnreachable = true;
+    state(home).promptTokens[0] = 100_000;
+    expect(choose(prompt(2_000)).fetchFrom).toEqual(undefined);
+  });
+
+  it("counts a less urgent prompt that is being computed, up to a limit", () => {
+    const { choose, state } = create(["a", "b"]);
+    const home = choose(prompt(2_000)).replica.entry.id;
+    state(home).promptTokens[9] = 50_000;
+    const choice = choose(prompt(2_000));
+    expect(choice.replica.entry.id === home).toEqual(false);
+    const other = choice.replica.entry.id;
+    // Urgent work counts in full, so much of it is worse than any less urgent work.
+    state(other).promptTokens[0] = 40_000;
+    expect(choose(prompt(2_000)).replica.entry.id).toEqual(home);
+  });
+
+  it("puts a prompt that will be late whatever is done behind all others", () => {
+    const { choose, state } = create(["a"]);
+    expect(choose(prompt(2_000)).priority).toEqual(3);
+    state("a").promptTokens[0] = 60_000;
+    expect(choose(prompt(2_000)).priority).toEqual(9);
+  });
+
+  it("begins nothing on older weights once their time is over", () => {
+    const { clock, choose, nameWeights, replicas, placement, admission } = create(["a", "b"]);
+    nameWeights(2);
+    expect(choose(prompt(2_000)).weightsVersion).toEqual(1);
+    clock.advanceTo(9_000);
+    expect(placement.choose(prompt(2_000), admission, replicas.serving("engines"), () => 0)).toEqual(
+      "old_weights",
+    );
+    replicas.noteWeights("b", "m", 2);
+    const choice = choose(prompt(2_000));
+    expect([choice.replica.entry.id, choice.weightsVersion, choice.cacheSalt]).toEqual(["b", 2, "m/2/"]);
+  });
+});
--- a/src/coordination/forwarding/forwardAttempt.ts
+++ b/src/coordination/forwarding/forwardAttempt.ts
@@ -3,6 +3,8 @@
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { AnswerHead, CallerRequest } from "../../protocol/forwarding/types.ts";
 import { totalRequests } from "../../state/forwarding/replicaTable.ts";
+import { metricNames } from "../../state/constants.ts";
+import type { Metrics } from "../../state/Metrics.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { AnswerCheck } from "./answerCheck.ts";
@@ -21,6 +23,7 @@
   readonly tellHolder: (key: number, replica: string) => void;
   readonly estimates: ReplicaEstimates;
   readonly health: ReplicaHealth;
+  readonly metrics: Metrics;
   readonly clock: Clock;
 }
 
@@ -105,9 +108,10 @@
   };
 
   const learnFirstToken = (plan: AttemptPlan, wasIdle: boolean, elapsed: number): void => {
-    const { request, choice } = plan;
+    const { request, admission, choice } = plan;
     if (wasIdle) estimates.learnPrefill(choice.replica.entry.id, choice.promptTokens, elapsed);
     noteParts(request, choice, true);
+    parts.metrics.time(metricNames.firstToken, elapsed, { kind: admission.route.kind });
   };
 
   const judge = (replica: ReplicaState, error: unknown): void => {
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -49,7 +49,9 @@
     run.close();
     open -= 1;
     const milliseconds = Math.round(clock.monotonic() - request.arrivedAt);
-    metrics.count(metricNames.requests, 1, { kind: admission.route.kind, outcome });
+    const { kind } = admission.route;
+    metrics.count(metricNames.requests, 1, { kind, outcome });
+    metrics.time(metricNames.requestTime, milliseconds, { kind, outcome });
     writeLog(outcome, {
       request: request.id,
       route: admission.route.name,
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -4,7 +4,7 @@
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
-import { peerMemory, peerSilence } from "./constants.ts";
+import { peerMemory, peersAtShortestInterval, peerSilence } from "./constants.ts";
 
 /** One other router. Times are milliseconds on this process's monotonic clock. */
 export interface Peer {
@@ -24,6 +24,8 @@
 
 /** See {@link createPeerTable}. */
 export interface PeerTable {
+  /** By how much intervals grow with the number of peers, so that messages a second stay bounded. */
+  readonly stretch: () => number;
   readonly all: () => readonly Peer[];
   /** Takes a router that the store knows. */
   readonly add: (entry: RouterEntry) => void;
@@ -42,7 +44,9 @@
 export const createPeerTable = (self: string, clock: Clock): PeerTable => {
   const peers = new Map<string, Peer>();
 
-  const isHeard = (peer: Peer): boolean => !peer.ends && clock.monotonic() - peer.heardAt < peerSilence;
+  const stretch = (): number => Math.max(1, peers.size / peersAtShortestInterval);
+  const isHeard = (peer: Peer): boolean =>
+    !peer.ends && clock.monotonic() - peer.heardAt < peerSilence * stretch();
   const mayServe = (peer: Peer): boolean => !peer.ends && clock.monotonic() - peer.heardAt < peerMemory;
 
   const make = (name: string, incarnation: string, at: DatagramAddress, heardAt: number): Peer => {
@@ -68,10 +72,11 @@
   };
 
   return {
+    stretch,
     all: () => [...peers.values()],
     add: ({ name, incarnation, address, port }) => {
       if (name === self || peers.has(name)) return;
-      make(name, incarnation, { address, port }, clock.monotonic() - peerSilence);
+      make(name, incarnation, { address, port }, clock.monotonic() - peerSilence * stretch());
     },
     hear: (message, from) => {
       if (message.name === self) return undefined;
--- /dev/null
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -0,0 +1,171 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import type { DatagramAddress } from "../../protocol/forwarding/DatagramLink.ts";
+import { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
+import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { configurationOf, engineEntry, pageOf } from "../../../tests/support/forwardingFixture.ts";
+import { createManualClock } from "../manualClock.ts";
+import type { ManualClock } from "../manualClock.ts";
+import { createConfigurationState } from "./configurationState.ts";
+import { createRouterPeers } from "./routerPeers.ts";
+
+/** Datagrams in memory, with a delay, and none while the network is down. */
+class MemoryNetwork {
+  delay = 1;
+  isDown = false;
+  private readonly clock: ManualClock;
+  private readonly listeners = new Map<number, (datagram: Buffer, from: DatagramAddress) => void>();
+
+  constructor(clock: ManualClock) {
+    this.clock = clock;
+  }
+
+  open(port: number): DatagramLink {
+    const from = { address: "10.0.0.1", port };
+    const send = (to: DatagramAddress, datagram: Buffer): void => {
+      if (this.isDown) return;
+      this.clock.after(this.delay, () => this.listeners.get(to.port)?.(datagram, from));
+    };
+    const receive = (listener: (datagram: Buffer, from: DatagramAddress) => void): void => {
+      this.listeners.set(port, listener);
+    };
+    return new (class extends DatagramLink {
+      override readonly port = port;
+      override send = send;
+      override receive = receive;
+      override [Symbol.asyncDispose] = () => Promise.resolve();
+    })();
+  }
+}
+
+const create = (names: readonly string[]) => {
+  const clock = createManualClock(1_000);
+  const network = new MemoryNetwork(clock);
+  const entries = names.map((name, index) => ({
+    name,
+    incarnation: `${name}-1`,
+    dataCentre: "here",
+    address: "10.0.0.1",
+    port: index + 1,
+  }));
+  const routers = entries.map((self) => {
+    const replicas = createReplicaTable();
+    replicas.put(engineEntry("engine"));
+    const configuration = createConfigurationState(clock);
+    configuration.apply(pageOf({ kind: "configuration", configuration: configurationOf(1) }));
+    const newer: string[] = [];
+    const noted: (readonly [number, string])[] = [];
+    const peers = createRouterPeers({
+      self,
+      link: network.open(self.port),
+      clock,
+      replicas,
+      configuration,
+      holders: { noteKey: (key, holder) => noted.push([key, holder]) },
+      onNewerConfiguration: () => newer.push(self.name),
+    });
+    return { self, replicas, configuration, peers, newer, noted };
+  });
+  const run = (milliseconds: number): void => clock.advanceTo(clock.monotonic() + milliseconds);
+  const [first, second] = routers;
+  if (first === undefined || second === undefined) throw new Error("two routers are needed");
+  return { clock, network, entries, routers, run, first, second };
+};
+
+describe("routers that talk to one another", () => {
+  it("meet where one of them knows the other, and count each other's work", () => {
+    const { first, second, run, entries } = create(["a", "b"]);
+    second.peers.add(entries);
+    const engine = first.replicas.get("engine");
+    if (engine !== undefined) {
+      engine.requests = 3;
+      engine.promptTokens[4] = 700;
+    }
+    run(1_000);
+    expect([first.peers.live().length, second.peers.live().length]).toEqual([2, 2]);
+    expect(second.replicas.get("engine")?.peers.get("a")).toEqual({
+      requests: 3,
+      promptTokens: [0, 0, 0, 0, 700],
+    });
+  });
+
+  it("do not count the work of a router that has fallen silent, but keep its share of limits", () => {
+    const { first, second, run, entries, network } = create(["a", "b"]);
+    second.peers.add(entries);
+    const engine = first.replicas.get("engine");
+    if (engine !== undefined) engine.requests = 3;
+    run(1_000);
+    network.isDown = true;
+    run(3_000);
+    expect(second.replicas.get("engine")?.peers.size).toEqual(0);
+    expect([second.peers.live(), second.peers.countServing()]).toEqual([["b"], 2]);
+    run(30_000);
+    expect(second.peers.countServing()).toEqual(1);
+  });
+
+  it("vouch for a configuration no longer than their own proof lasts, counted from what they echo", () => {
+    const { first, second, run, entries, clock, network } = create(["a", "b"]);
+    second.peers.add(entries);
+    network.delay = 40;
+    const provenAt = clock.monotonic();
+    first.configuration.confirm(provenAt);
+    run(3_000);
+    // The peer's word can never be newer than the proof that it has.
+    expect(second.configuration.provenAt() <= provenAt).toEqual(true);
+    expect(second.configuration.provenAt() > provenAt - 1_000).toEqual(true);
+  });
+
+  it("do not vouch for another version, and say that there is a newer one", () => {
+    const { first, second, run, entries, clock } = create(["a", "b"]);
+    second.peers.add(entries);
+    first.configuration.apply(pageOf({ kind: "configuration", configuration: configurationOf(2) }, 1));
+    first.configuration.confirm(clock.monotonic());
+    run(1_000);
+    expect(second.configuration.provenAt()).toEqual(Number.NEGATIVE_INFINITY);
+    expect(second.newer.length > 0).toEqual(true);
+  });
+
+  it("take no duties once one stands down, while its share of limits stays", () => {
+    const { first, second, run, entries, clock } = create(["a", "b"]);
+    second.peers.add(entries);
+    first.configuration.confirm(clock.monotonic());
+    run(600);
+    expect(second.peers.inTouch(2_500).includes("a")).toEqual(true);
+    first.peers.standDown();
+    run(50);
+    expect(second.peers.inTouch(2_500).includes("a")).toEqual(false);
+    expect(second.peers.countServing()).toEqual(2);
+  });
+
+  it("tell how long weights have been wanted", () => {
+    const { first, second, run, entries, clock } = create(["a", "b"]);
+    const weights = pageOf({ kind: "weights", target: { model: "m", version: 2 } }, 1);
+    first.configuration.apply(weights);
+    run(5_000);
+    second.configuration.apply(weights);
+    second.peers.add(entries);
+    run(1_000);
+    const age = clock.monotonic() - (second.configuration.wantedWeights("m")?.learnedAt ?? 0);
+    expect(age >= 5_900 && age <= 6_100).toEqual(true);
+  });
+
+  it("hear one another also where there are so many that messages come rarely", () => {
+    const names = Array.from({ length: 40 }, (_, index) => `r${index}`);
+    const { routers, run, entries } = create(names);
+    for (const { peers } of routers) peers.add(entries);
+    run(3_000);
+    for (let round = 0; round < 40; round += 1) {
+      run(250);
+      for (const { peers } of routers) expect(peers.live().length).toEqual(40);
+    }
+  });
+
+  it("tell a new prompt part once", () => {
+    const { first, second, run, entries } = create(["a", "b"]);
+    second.peers.add(entries);
+    run(1_000);
+    first.peers.tellHolder(17, "engine");
+    run(2_000);
+    expect(second.noted).toEqual([[17, "engine"]]);
+  });
+});
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -12,7 +12,7 @@
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
-import { peerIntervals, peersAtShortestInterval } from "./constants.ts";
+import { peerIntervals } from "./constants.ts";
 import type { Peer, PeerTable } from "./peerTable.ts";
 import { createPeerTable } from "./peerTable.ts";
 import { createRouterNews } from "./routerNews.ts";
@@ -134,7 +134,7 @@
   const turn = (): void => {
     forgetSilent(peers, replicas);
     const since = clock.monotonic() - sentAt;
-    const stretch = Math.max(1, peers.all().length / peersAtShortestInterval);
+    const stretch = peers.stretch();
     const isDue = since >= peerIntervals.longest * stretch;
     const mayBeSent = since >= peerIntervals.shortest * stretch;
     const hasNews = news.hasHolders() || JSON.stringify(ownWork()) !== sentWork;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -26,8 +26,8 @@
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ResourceStack } from "../protocol/resourceStack.ts";
 import { createLogger } from "../state/log.ts";
-import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import type { Metrics } from "../state/Metrics.ts";
+import { ExpositionMetrics } from "../transport/expositionMetrics.ts";
 import { startForwardingServer } from "../transport/forwarding/forwardingServer.ts";
 import { startStatusServer } from "../transport/forwarding/statusServer.ts";
 import { openUdpLink } from "../transport/forwarding/udpLink.ts";
@@ -118,6 +118,7 @@
       tellHolder: peers.tellHolder,
       estimates,
       health,
+      metrics,
       clock,
     }),
     retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
@@ -145,7 +146,7 @@
 ): Promise<ForwardingRouter> => {
   await using resources = createResourceStack();
   const clock = systemClock;
-  const metrics = new MemoryMetrics();
+  const metrics = new ExpositionMetrics();
   const bounds = { ...boundsOf(settings) };
   const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
   const platform = resources.use(connect({ store: settings.store, storeTimeout }));
--- a/src/state/MemoryMetrics.ts
+++ b/src/state/MemoryMetrics.ts
@@ -23,13 +23,4 @@
   override snapshot(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.totals].sort());
   }
-
-  /** @returns The counts in the text exposition format. */
-  text(): string {
-    const lines = [...this.totals].map(([key, total]) => {
-      const labelled = key.replace(/=([^,}]*)/g, '="$1"');
-      return `pomelocleat_${labelled} ${total}`;
-    });
-    return `${lines.sort().join("\n")}\n`;
-  }
 }
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -1,6 +1,7 @@
 /** Names of the counters, timings and gauges that a router emits; described in docs/OPERATORS.md. */
 export const metricNames = {
   requests: "requests",
+  requestTime: "request_ms",
   refusals: "refusals",
   attempts: "attempts",
   retries: "retries",
--- /dev/null
+++ b/src/transport/expositionMetrics.test.ts
@@ -0,0 +1,17 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { ExpositionMetrics } from "./expositionMetrics.ts";
+
+describe("metrics for a collector", () => {
+  it("are counters and histograms with their tags, as text", async () => {
+    const metrics = new ExpositionMetrics();
+    metrics.count("requests", 1, { kind: "repeatable", outcome: "served" });
+    metrics.count("requests", 2, { kind: "repeatable", outcome: "served" });
+    metrics.time("first_token_ms", 120, { kind: "eventStream" });
+    const text = await metrics.text();
+    expect(text).toInclude('pomelocleat_requests_total{kind="repeatable",outcome="served"} 3');
+    expect(text).toInclude('pomelocleat_first_token_ms_bucket{le="200",kind="eventStream"} 1');
+    expect(text).toInclude('pomelocleat_first_token_ms_count{kind="eventStream"} 1');
+    expect(metrics.snapshot()).toEqual({ "requests repeatable served": 3 });
+  });
+});
--- a/src/transport/forwarding/statusServer.ts
+++ b/src/transport/forwarding/statusServer.ts
@@ -11,7 +11,7 @@
   readonly metrics: { readonly address: string; readonly port: number };
   readonly isReadyPath: (path: string) => boolean;
   readonly isReady: () => boolean;
-  readonly metricsText: () => string;
+  readonly metricsText: () => Promise<string>;
 }
 
 /** A listening server. */
@@ -43,8 +43,10 @@
   if (parts.metrics.port !== 0) {
     servers.push(
       await listen(parts.metrics.port, parts.metrics.address, (_request, response) => {
-        response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
-        response.end(parts.metricsText());
+        void parts.metricsText().then((text) => {
+          response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+          response.end(text);
+        });
       }),
     );
   }
