--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -17,6 +17,7 @@
   othersShare,
   packingGain,
   packingTarget,
+  peerIntervals,
   weightsTolerance,
 } from "./constants.ts";
 import type { PlacementChoice, PlacementFailure } from "./placement.ts";
@@ -177,6 +178,9 @@
       return prompt.tokens - Math.max(view.held.get(replica.entry.id)?.tokens ?? 0, view.most);
     };
 
+    const isLongAt = (replica: ReplicaState): boolean =>
+      computedAt(replica) / estimates.prefillRate(replica.entry.id) > objective * longPromptShare;
+
     /** Until the first token, milliseconds. */
     const predict = (replica: ReplicaState): number => {
       const { id, slots } = replica.entry;
@@ -196,10 +200,9 @@
       const view = viewOf(version);
       const own = view.held.get(id)?.tokens ?? 0;
       const isHome = own >= view.reusable || view.order[0] === id;
-      const isLong = computedAt(replica) / estimates.prefillRate(id) > objective * longPromptShare;
       const wait = predict(replica);
       return (
-        (isLong ? packed(wait, objective) : wait) +
+        (isLongAt(replica) ? packed(wait, objective) : wait) +
         (isHome ? 0 : homePreference) +
         penalty(replica) +
         versionPenalty(prompt.model, version, objective)
@@ -221,6 +224,7 @@
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
       priority: isLate ? leastUrgent : priority,
+      outlastsMessages: computedAt(replica) / estimates.prefillRate(id) > peerIntervals.shortest,
       promptTokens: Math.max(0, computedAt(replica)),
       predictedWait,
     };
--- a/src/coordination/forwarding/forwardAttempt.ts
+++ b/src/coordination/forwarding/forwardAttempt.ts
@@ -21,6 +21,8 @@
   readonly check: AnswerCheck;
   readonly holders: CacheHolders;
   readonly tellHolder: (key: number, replica: string) => void;
+  /** A request begins that others must know of at once. */
+  readonly onLongPrompt: () => void;
   readonly estimates: ReplicaEstimates;
   readonly health: ReplicaHealth;
   readonly metrics: Metrics;
@@ -129,6 +131,8 @@
     const begunAt = clock.monotonic();
     const work = countWork(choice, begunAt, plan.abandon);
     replica.computedTokens += choice.promptTokens;
+    // A peer that doesn't know of it for one interval sends short requests behind it.
+    if (choice.outlastsMessages) parts.onLongPrompt();
     // The engine computes prompts in turn: what is sent there after this one will find its parts.
     noteParts(request, choice, false);
     const hear = (): void => {
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -16,6 +16,8 @@
   theirTime: number | undefined;
   /** How old its proof of its configuration was when it sent its last message, milliseconds. */
   proofAge: number;
+  /** Whether the log says that it is heard. */
+  isKnownLive: boolean;
   /** It takes no duties any more. */
   standsDown: boolean;
   /** It has said that it ends. */
@@ -36,6 +38,8 @@
   /** Whether it may be serving although it may be silent. */
   readonly mayServe: (peer: Peer) => boolean;
   readonly forget: (peer: Peer) => void;
+  /** Writes to the log that a peer is not heard any more. */
+  readonly noteSilence: (peer: Peer) => void;
 }
 
 const writeLog = createLogger("peers");
@@ -57,6 +61,7 @@
       heardAt,
       theirTime: undefined,
       proofAge: Number.POSITIVE_INFINITY,
+      isKnownLive: false,
       standsDown: false,
       ends: false,
     };
@@ -82,7 +87,8 @@
       if (message.name === self) return undefined;
       const peer = meet(message, from);
       if (peer.theirTime !== undefined && message.sentAt <= peer.theirTime) return undefined;
-      if (!isHeard(peer)) writeLog("heard_again", { peer: peer.name });
+      if (!peer.isKnownLive) writeLog("heard", { peer: peer.name });
+      peer.isKnownLive = true;
       peer.theirTime = message.sentAt;
       peer.at = from;
       peer.heardAt = clock.monotonic();
@@ -96,5 +102,10 @@
     forget: ({ name }) => {
       peers.delete(name);
     },
+    noteSilence: (peer) => {
+      if (!peer.isKnownLive) return;
+      peer.isKnownLive = false;
+      writeLog("silent", { peer: peer.name, ends: peer.ends });
+    },
   };
 };
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -30,6 +30,8 @@
   readonly fetchFrom: string | undefined;
   /** For engines: 0 is the most urgent. */
   readonly priority: number | undefined;
+  /** Its prompt takes longer than the time between two messages to peers. */
+  readonly outlastsMessages: boolean;
   /** Prompt tokens that it is expected to compute. */
   readonly promptTokens: number;
   /** Predicted time to the beginning of the answer, milliseconds. */
@@ -88,6 +90,7 @@
       cacheSalt: undefined,
       fetchFrom: undefined,
       priority: undefined,
+      outlastsMessages: false,
       promptTokens: 0,
       predictedWait: best.cost,
     };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -43,6 +43,8 @@
   readonly tellWeights: (replica: string, model: string, version: number) => void;
   /** Tells peers at once to give a replica no new work until a moment on the monotonic clock. */
   readonly tellChanging: (replica: string, until: number) => void;
+  /** Tells peers of this router's work now instead of at the next turn. */
+  readonly tellWork: () => void;
   /** Tells peers that a replica leaves. */
   readonly tellLeaving: (replica: string) => void;
   /** Tells peers that a replica keeps a prompt part. */
@@ -82,7 +84,10 @@
 /** Forgets what routers that are silent had told of their work, and in time the routers. */
 const forgetSilent = (peers: PeerTable, replicas: ReplicaTable): void => {
   for (const peer of peers.all()) {
-    if (!peers.isHeard(peer)) dropWork(replicas, peer.name);
+    if (!peers.isHeard(peer)) {
+      peers.noteSilence(peer);
+      dropWork(replicas, peer.name);
+    }
     if (!peers.mayServe(peer)) peers.forget(peer);
   }
 };
@@ -207,6 +212,7 @@
       news.addLeaving(replica);
       isUrgent = true;
     },
+    tellWork: sendAll,
     tellHolder: news.addHolder,
     standDown: () => {
       standsDown = true;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -116,6 +116,7 @@
       check: createAnswerCheck({ replicas, client, onLeaving: peers.tellLeaving }),
       holders,
       tellHolder: peers.tellHolder,
+      onLongPrompt: peers.tellWork,
       estimates,
       health,
       metrics,
