--- a/src/coordination/forwarding/retryShare.test.ts
+++ b/src/coordination/forwarding/retryShare.test.ts
@@ -1,20 +1,9 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import fc from "fast-check";
+import { bounds } from "../../../tests/support/forwardingFixture.ts";
 import { createManualClock } from "../manualClock.ts";
 import { createRetryShare } from "./retryShare.ts";
-import type { ForwardingBounds } from "./types.ts";
-
-const bounds: ForwardingBounds = {
-  keyRevocation: 5_000,
-  drain: 2_000,
-  lease: 3_000,
-  weights: 10_000,
-  shutdownGrace: 8_000,
-  retryRatio: 0.2,
-  retryWindow: 10_000,
-  retryReserve: 52,
-};
 
 describe("a router's share of retries", () => {
   it("keeps the sum over all routers within the bound of every window", () => {
