--- a/demo/main.ts
+++ b/demo/main.ts
@@ -1,5 +1,6 @@
-/** `npm run demo [-- --serve | --json]`: the whole system on one machine, with a session of each deployment. */
+/** `npm run demo [-- --serve | --json | --platform]`: the whole system on one machine, with a session of each deployment. */
 import { parseArgs } from "node:util";
+import { playPlatformDemo } from "./platform.ts";
 import { playSession } from "./playSession.ts";
 import type { StepResult } from "./playSession.ts";
 import { demoKey, operatorKey, startSystem } from "./processes.ts";
@@ -105,7 +106,9 @@
 };
 
 const main = async (): Promise<number> => {
-  const { values } = parseArgs({ options: { serve: { type: "boolean" }, json: { type: "boolean" } } });
+  const flag = { type: "boolean" } as const;
+  const { values } = parseArgs({ options: { serve: flag, json: flag, platform: flag } });
+  if (values.platform === true) return (await playPlatformDemo()) ? 0 : 1;
   const interrupted = untilInterrupted();
   await using system = await startSystem({ configurationFile, routers: routerDataCentres });
   if (values.json === true) print(JSON.stringify(describeSystem(system)));
--- a/tests/support/platformSystem.ts
+++ b/standIns/platform/system.ts
@@ -6,10 +6,10 @@
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import { startForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
-import type { ReplicaSettings, ReplicaStandIn } from "../../standIns/platform/replica.ts";
-import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
-import type { StoreStandIn } from "../../standIns/platform/store.ts";
-import { startStoreStandIn } from "../../standIns/platform/store.ts";
+import type { ReplicaSettings, ReplicaStandIn } from "./replica.ts";
+import { startReplicaStandIn } from "./replica.ts";
+import type { StoreStandIn } from "./store.ts";
+import { startStoreStandIn } from "./store.ts";
 
 export const keys = { known: "key-one", isolated: "key-two" } as const;
 
--- a/tests/platform/rules.test.ts
+++ b/tests/platform/rules.test.ts
@@ -13,7 +13,7 @@
   promptHeaders,
   startPlatformSystem,
   until,
-} from "../support/platformSystem.ts";
+} from "../../standIns/platform/system.ts";
 
 const post = { host: hosts.desk, path: "/post/2f", body: "sign off" } as const;
 const ask = { host: hosts.model, path: "/ask/2f", body: "summarise", headers: promptHeaders() } as const;
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -5,8 +5,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import type { Behaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
-import type { PlatformSystem } from "../support/platformSystem.ts";
-import { call, hosts, keys, promptHeaders, startPlatformSystem, until } from "../support/platformSystem.ts";
+import type { PlatformSystem } from "../../standIns/platform/system.ts";
+import {
+  call,
+  hosts,
+  keys,
+  promptHeaders,
+  startPlatformSystem,
+  until,
+} from "../../standIns/platform/system.ts";
 
 const read = { host: hosts.desk, path: "/read/2f?x=1", method: "GET" } as const;
 const post = { host: hosts.desk, path: "/post/2f", body: "sign off" } as const;
