Wait in a test for the peer's word instead of for a time

Traced: the router is ready before it has heard a peer, as it must be when it is alone; until then it counts the weights' age from its own start. The test waits for the line that says that the peer was heard; it is as strict (on the code before the fix the answer at that moment is 200).

--- a/tests/platform/rules.test.ts
+++ b/tests/platform/rules.test.ts
@@ -2,6 +2,7 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import { directLogs } from "../../src/state/log.ts";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import { startStoreStandIn } from "../../standIns/platform/store.ts";
 import {
@@ -204,9 +205,13 @@
     system.nameWeights(2);
     await sleep(1_200);
     expect((await call(system.router, ask)).status).toEqual(503);
+    const heard = new Set<unknown>();
+    directLogs((_part, event, { peer }) => {
+      if (event === "heard") heard.add(peer);
+    });
     const later = await system.startRouter();
-    await until(() => isReady(later));
-    await sleep(300);
+    // The first router's message says how long it has known; only the later one can hear of it.
+    await until(async () => heard.has("router-0") && (await isReady(later)));
     expect((await call(later, ask)).status).toEqual(503);
   });
 
