--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -20,6 +20,7 @@
  * - `crossed`: the answer bears another request's id.
  * - `unframed`: the answer has no length and ends with its connection.
  * - `broken`: the answer has no length, and its connection is reset in the middle.
+ * - `early`: the answer comes before the body has been read; the connection is kept, and the rest read on.
  * - `unsealed`: the answer bears no mark of a replica.
  * - `hang`: run, and never answered.
  */
@@ -33,6 +34,7 @@
   | "crossed"
   | "unframed"
   | "broken"
+  | "early"
   | "unsealed"
   | "hang";
 
@@ -108,6 +110,17 @@
 
 const bodyOf = (run: Run): string => JSON.stringify({ id: run.id, body: run.body });
 
+/** Answers what has not been read; the id of the request is all that is needed. */
+const answerEarly = (replica: string, attempt: string, response: ServerResponse): void => {
+  const body = "early";
+  response.writeHead(200, {
+    "x-attempt-id": attempt,
+    "x-replica-seal": `${replica}.${attempt}`,
+    "content-length": body.length,
+  });
+  response.end(body);
+};
+
 /** Answers a plain request in a way that it should not be answered. */
 const misbehave = (
   replica: string,
@@ -186,9 +199,14 @@
 
   const run = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { headers, method = "", url: target = "" } = request;
-    const body = await readBody(request);
     const behaviour = behaviours.shift() ?? "well";
     const attempt = String(headers["x-attempt-id"]);
+    if (behaviour === "early") {
+      answerEarly(id, attempt, response);
+      await readBody(request);
+      return;
+    }
+    const body = await readBody(request);
     if (headers["x-expect-replica"] !== undefined && headers["x-expect-replica"] !== id) {
       refuse(response, 421, { "x-replica-id": id });
       return;
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -180,6 +180,18 @@
     }
   });
 
+  it("leaves the rest of the body in place where it comes before the body was read", async () => {
+    await using system = await startPlatformSystem({ desks: 1 });
+    for (let round = 0; round < 5; round += 1) {
+      behaveAll(system, "early");
+      const early = await call(system.router, { ...post, body: "e".repeat(90_000) });
+      expect([early.status, early.body]).toEqual([200, "early"]);
+      const next = await call(system.router, { ...post, body: `next ${round}` });
+      expect([next.status, runsOf(system.desks).at(-1)?.body]).toEqual([200, `next ${round}`]);
+    }
+    expect(runsOf(system.desks).length).toEqual(5);
+  });
+
   it("is passed on as it is where it is the replica's own failure", async () => {
     await using system = await startPlatformSystem();
     behaveAll(system, "fail");
