Give every named version of weights a time of its own

Cause: a second version named 5.5 s after the first reset the age by which engines on still older weights are left out (log of a second play: named at 2.0 and 7.5 s; a request began on the first version 10.25 s after 2.0). The versions wanted are kept with their times; the first newer one counts. Test seen failing first.

--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -17,10 +17,20 @@
   readonly learnedAt: number;
 }
 
+/** Versions of one model that may still be running; older ones are forgotten. */
+const mostVersions = 16;
+
 /** See {@link createConfigurationState}. */
 export interface ConfigurationState {
   readonly table: () => RouteTable | undefined;
+  /** @returns The newest weights wanted of a model. */
   readonly wantedWeights: (model: string) => WantedWeights | undefined;
+  /**
+   * Each version has a time of its own, however soon the next one was named.
+   *
+   * @returns The first weights wanted that are newer than a version.
+   */
+  readonly supersededBy: (model: string, version: number) => WantedWeights | undefined;
   /** @returns Model, version, and for how many milliseconds this router has known of it. */
   readonly wantedAges: () => [string, number, number][];
   /** A peer has known for some time that a version is wanted; this router may have started since. */
@@ -35,11 +45,15 @@
   readonly confirmVersion: (version: number, at: number) => void;
 }
 
+/** Versions that peers are told of: those that engines may still be behind. */
+const toldVersions = 3;
+
 const writeLog = createLogger("configuration");
 
 /** Creates a state without a configuration. */
 export const createConfigurationState = (clock: Clock): ConfigurationState => {
-  const wanted = new Map<string, WantedWeights>();
+  /** By model, in rising order. */
+  const wanted = new Map<string, readonly WantedWeights[]>();
   let table: RouteTable | undefined;
   let provenAt = Number.NEGATIVE_INFINITY;
 
@@ -54,8 +68,10 @@
       return;
     }
     const { model, version } = record.target;
-    if (version <= (wanted.get(model)?.version ?? 0)) return;
-    wanted.set(model, { version, learnedAt: clock.monotonic() });
+    const versions = wanted.get(model) ?? [];
+    if (version <= (versions.at(-1)?.version ?? 0)) return;
+    const learned = { version, learnedAt: clock.monotonic() };
+    wanted.set(model, [...versions, learned].slice(-mostVersions));
     writeLog("weights_wanted", { model, version });
   };
 
@@ -65,18 +81,25 @@
 
   return {
     table: () => table,
-    wantedWeights: (model) => wanted.get(model),
+    wantedWeights: (model) => wanted.get(model)?.at(-1),
+    supersededBy: (model, version) => wanted.get(model)?.find((each) => each.version > version),
     wantedAges: () =>
-      [...wanted].map(([model, { version, learnedAt }]) => [
-        model,
-        version,
-        Math.round(clock.monotonic() - learnedAt),
-      ]),
+      [...wanted].flatMap(([model, versions]) =>
+        versions
+          .slice(-toldVersions)
+          .map(({ version, learnedAt }): [string, number, number] => [
+            model,
+            version,
+            Math.round(clock.monotonic() - learnedAt),
+          ]),
+      ),
     noteWantedAge: (model, version, age) => {
-      const known = wanted.get(model);
       const learnedAt = clock.monotonic() - age;
-      if (known?.version === version && learnedAt < known.learnedAt)
-        wanted.set(model, { version, learnedAt });
+      const versions = wanted.get(model)?.map((each) => {
+        const isEarlier = each.version === version && learnedAt < each.learnedAt;
+        return isEarlier ? { version, learnedAt } : each;
+      });
+      if (versions !== undefined) wanted.set(model, versions);
     },
     age: () => clock.monotonic() - provenAt,
     provenAt: () => provenAt,
--- a/src/coordination/forwarding/enginePlacement.test.ts
+++ b/src/coordination/forwarding/enginePlacement.test.ts
@@ -108,5 +108,10 @@
     replicas.noteWeights("b", "m", 2);
     const choice = choose(prompt(2_000));
     expect([choice.replica.entry.id, choice.weightsVersion, choice.cacheSalt]).toEqual(["b", 2, "m/2/"]);
+    // Each version has its own time: a third one gives the first no more of it, and the second all of its own.
+    nameWeights(3);
+    expect(choose(prompt(2_000)).replica.entry.id).toEqual("b");
+    const onFirst = replicas.serving("engines").filter(({ entry }) => entry.id === "a");
+    expect(placement.choose(prompt(2_000), admission, onFirst, () => 0)).toEqual("old_weights");
   });
 });
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -119,8 +119,8 @@
   const { replicas, configuration, holders, estimates, clock, bounds } = parts;
 
   const versionPenalty = (model: string, version: number, objective: number): number => {
-    const wanted = configuration.wantedWeights(model);
-    if (wanted === undefined || version >= wanted.version) return 0;
+    const wanted = configuration.supersededBy(model, version);
+    if (wanted === undefined) return 0;
     const age = clock.monotonic() - wanted.learnedAt;
     if (age >= bounds.weights * oldWeightsEnd) return Number.POSITIVE_INFINITY;
     return age < weightsTolerance ? 0 : objective * oldWeightsPenaltyShare;
