Drop the feed follower's promise of its first read

Nobody waited for it: readiness asks the beliefs themselves. Behaviour unchanged; build, lint and the file's three tests were run, the whole suite was not repeated.

--- a/src/coordination/forwarding/feedFollower.ts
+++ b/src/coordination/forwarding/feedFollower.ts
@@ -33,8 +33,6 @@
 export interface FeedFollower extends AsyncDisposable {
   /** Reads on without waiting for the pace. */
   readonly hurry: () => void;
-  /** Resolves once everything has been read for the first time. */
-  readonly started: Promise<void>;
 }
 
 /** Starts to follow a feed. */
@@ -45,10 +43,6 @@
   let failures = 0;
   let isUpToDate = false;
   let wake = new AbortController();
-  let begin: () => void = () => undefined;
-  const started = new Promise<void>((resolve) => {
-    begin = resolve;
-  });
 
   const readNewest = async (): Promise<number> => {
     const page = await feed.newest();
@@ -62,10 +56,7 @@
     const page = await feed.changes(from, isUpToDate ? parts.wait() : 0);
     parts.apply(page);
     isUpToDate = page.isComplete;
-    if (isUpToDate) {
-      parts.confirm(askedAt);
-      begin();
-    }
+    if (isUpToDate) parts.confirm(askedAt);
     return page.nextOffset;
   };
 
@@ -113,7 +104,6 @@
 
   return {
     hurry: () => wake.abort(),
-    started,
     [Symbol.asyncDispose]: async () => {
       stop.abort();
       wake.abort();
