Strike real router processes from outside on the platform's stand-in, by seeded plans

Cause: the soak so far knows the product's own interface only; nothing showed routers as processes on the platform's records under kills, freezes, planned ends in series, lost and silent stores, cut and muted connections.

--- /dev/null
+++ b/soak/platform/disturber.ts
@@ -0,0 +1,222 @@
+/** Carries out the steps of a plan, each undone after its time, and notes what it struck. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Behaviour } from "../../standIns/platform/replica.ts";
+import { keys } from "../../standIns/platform/system.ts";
+import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
+import type { Step, StepKind } from "./plan.ts";
+import { bounds } from "./system.ts";
+import type { ReplicaPlace, RouterPlace, SoakSystem } from "./system.ts";
+import type { EndRecord, OperatorRecords, StepRecord } from "./types.ts";
+
+/** See {@link createDisturber}. */
+export interface Disturber {
+  /** Carries out a step and undoes it. */
+  readonly carryOut: (step: Step) => Promise<void>;
+  readonly steps: readonly StepRecord[];
+  readonly ends: readonly EndRecord[];
+  readonly operator: OperatorRecords;
+}
+
+/** Far longer than the grace time: a router that takes longer doesn't end. */
+const longestEnd = 20_000;
+
+/** Until a process that was killed is started again, and between two that are ended in turn, milliseconds. */
+const restartDelay = 300;
+const turnGap = 700;
+
+/** A service that leaves must not be left without replicas. */
+const fewestReplicas = 2;
+
+/** What engines and plain services do on the wire that they should not. */
+const misbehaviours = {
+  engines: ["shed", "fail", "reset", "cut", "crossed", "unsealed"],
+  desk: ["shed", "fail", "reset", "cut", "crossed", "unsealed", "extra", "unframed", "broken"],
+} as const satisfies Readonly<Record<string, readonly Behaviour[]>>;
+const badAnswers = 12;
+
+const harm = async (proxy: LoopbackProxy | undefined, mode: ProxyMode, duration: number): Promise<void> => {
+  proxy?.setMode(mode);
+  await sleep(duration);
+  proxy?.setMode("pass");
+};
+
+const failStore = async (
+  place: RouterPlace | undefined,
+  fault: "isBusy" | "isSilent",
+  duration: number,
+): Promise<void> => {
+  if (place === undefined) return;
+  place.store.faults[fault] = true;
+  await sleep(duration);
+  place.store.faults[fault] = false;
+};
+
+const misbehave = (place: ReplicaPlace | undefined, target: number): void => {
+  const first = Math.floor(target * 1_000);
+  const known = place?.service === "desk" ? misbehaviours.desk : misbehaviours.engines;
+  const behaviours = Array.from(
+    { length: badAnswers },
+    (_, index) => known[(first + index * 7) % known.length] ?? "fail",
+  );
+  place?.replica.behave(...behaviours);
+};
+
+/** What becomes of routers' processes. */
+const createFates = (system: SoakSystem, ends: EndRecord[]) => {
+  const restart = async (place: RouterPlace): Promise<void> => {
+    await sleep(restartDelay);
+    await system.startRouter(place);
+    place.isBusy = false;
+  };
+
+  const kill = async (place: RouterPlace | undefined): Promise<void> => {
+    if (place?.process === undefined) return;
+    place.isBusy = true;
+    place.process.kill("SIGKILL");
+    await place.process.ended;
+    await restart(place);
+  };
+
+  const end = async (place: RouterPlace | undefined): Promise<void> => {
+    if (place?.process === undefined) return;
+    place.isBusy = true;
+    const askedAt = performance.now();
+    place.process.kill("SIGTERM");
+    const outcome = await Promise.race([place.process.ended, sleep(longestEnd, undefined, { ref: false })]);
+    ends.push({ router: place.name, askedAt, code: outcome?.code });
+    if (outcome === undefined) place.process.kill("SIGKILL");
+    await restart(place);
+  };
+
+  const endInTurn = async (): Promise<void> => {
+    const all: Promise<void>[] = [];
+    for (const place of system.routers) {
+      if (place.isBusy) continue;
+      all.push(end(place));
+      await sleep(turnGap);
+    }
+    await Promise.all(all);
+  };
+
+  const freeze = async (place: RouterPlace | undefined, duration: number): Promise<void> => {
+    if (place?.process === undefined) return;
+    place.isBusy = true;
+    place.process.kill("SIGSTOP");
+    await sleep(duration);
+    place.process.kill("SIGCONT");
+    place.isBusy = false;
+  };
+
+  return { kill, end, endInTurn, freeze };
+};
+
+/** @param spareKeys - Keys that the operator may take away, first to last. */
+export const createDisturber = (system: SoakSystem, spareKeys: readonly string[]): Disturber => {
+  const steps: StepRecord[] = [];
+  const ends: EndRecord[] = [];
+  const keysTaken: { readonly key: string; readonly at: number }[] = [];
+  const weights: { readonly version: number; readonly at: number }[] = [];
+  let version = 1;
+  let keysLeft = [...spareKeys];
+  const { kill, end, endInTurn, freeze } = createFates(system, ends);
+
+  const pick = <T>(items: readonly T[], target: number): T | undefined =>
+    items[Math.min(items.length - 1, Math.floor(target * items.length))];
+
+  const pickRouter = (target: number): RouterPlace | undefined =>
+    pick(
+      system.routers.filter(({ isBusy, process }) => !isBusy && process !== undefined),
+      target,
+    );
+
+  const pickReplica = (target: number): ReplicaPlace | undefined =>
+    pick(
+      system.replicas.filter(({ leftAt }) => leftAt === undefined),
+      target,
+    );
+
+  const leave = async (place: ReplicaPlace | undefined): Promise<void> => {
+    const others = system.replicas.filter(
+      ({ service, leftAt }) => service === place?.service && leftAt === undefined,
+    );
+    if (place === undefined || others.length <= fewestReplicas) return;
+    system.register(place, "draining");
+    place.leftAt = performance.now();
+    await sleep(bounds.drain * 2);
+    system.register(place, undefined);
+  };
+
+  const publish = (fields: Readonly<Record<string, unknown>> = {}): void => {
+    version += 1 + (version % 3);
+    system.publish(version, { ...fields, tenants: tenantsWith(keysLeft) });
+  };
+
+  const takeKey = (): void => {
+    const [key, ...rest] = keysLeft;
+    if (key === undefined) return;
+    keysLeft = rest;
+    publish();
+    keysTaken.push({ key, at: performance.now() });
+  };
+
+  const nameWeights = (): void => {
+    const newest = (weights.at(-1)?.version ?? 1) + 1;
+    system.nameWeights(newest);
+    weights.push({ version: newest, at: performance.now() });
+  };
+
+  const changeSettings = async (place: RouterPlace | undefined, target: number): Promise<void> => {
+    if (place === undefined) return;
+    await system.writeSettings(place, bounds.retryReserve + Math.floor(target * 10));
+    place.process?.kill("SIGHUP");
+  };
+
+  const ways: Readonly<
+    Record<StepKind, (step: Step, router: RouterPlace | undefined) => Promise<void> | void>
+  > = {
+    killRouter: (_, router) => kill(router),
+    endRouter: (_, router) => end(router),
+    endRoutersInTurn: endInTurn,
+    freezeRouter: ({ duration }, router) => freeze(router, duration),
+    killAllRouters: async () => {
+      await Promise.all(system.routers.filter(({ isBusy }) => !isBusy).map(kill));
+    },
+    storeBusy: ({ duration }, router) => failStore(router, "isBusy", duration),
+    storeSilent: ({ duration }, router) => failStore(router, "isSilent", duration),
+    storeLosesAnswers: (_, router) => {
+      if (router !== undefined) router.store.faults.loseAppends = 3;
+    },
+    storeCut: ({ duration }, router) => harm(router?.storeProxy, "reset", duration),
+    storeDelayed: ({ duration }, router) => harm(router?.storeProxy, "delay", duration),
+    storeMuted: ({ duration }, router) => harm(router?.storeProxy, "mute", duration),
+    replicaReset: ({ duration, target }) => harm(pickReplica(target)?.proxy, "reset", duration),
+    replicaSilent: ({ duration, target }) => harm(pickReplica(target)?.proxy, "silent", duration),
+    replicaOneWay: ({ duration, target }) => harm(pickReplica(target)?.proxy, "oneWay", duration),
+    replicaDelayed: ({ duration, target }) => harm(pickReplica(target)?.proxy, "delay", duration),
+    replicaMuted: ({ duration, target }) => harm(pickReplica(target)?.proxy, "mute", duration),
+    replicaMisbehaves: ({ target }) => misbehave(pickReplica(target), target),
+    replicaLeaves: ({ target }) => leave(pickReplica(target)),
+    takeKey,
+    nameWeights,
+    changeConfiguration: () => publish(),
+    changeSettings: ({ target }, router) => changeSettings(router, target),
+  };
+
+  return {
+    steps,
+    ends,
+    operator: { keysTaken, weights },
+    carryOut: async (step) => {
+      const router = pickRouter(step.target);
+      const from = performance.now();
+      await ways[step.kind](step, router);
+      steps.push({ kind: step.kind, from, until: performance.now(), router: router?.name });
+    },
+  };
+};
+
+/** The organisations of the stand-in's configuration, the first with keys that may be taken away. */
+export const tenantsWith = (spareKeys: readonly string[]) => [
+  { name: "one", apiKeys: [keys.known, ...spareKeys], priority: 1, isolated: false },
+  { name: "two", apiKeys: [keys.isolated], priority: 1, isolated: true },
+];
--- /dev/null
+++ b/soak/platform/main.ts
@@ -0,0 +1,98 @@
+/**
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --shrink --logs DIR]`:
+ * routers as processes before the platform's stand-in, struck from outside by a seeded plan. Exit code 1 if a
+ * promise was broken; the plan and the routers' logs of such a run are kept.
+ */
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import type { Step } from "./plan.ts";
+import { createPlan, describePlan } from "./plan.ts";
+import type { SoakOutcome } from "./run.ts";
+import { runSoak } from "./run.ts";
+import { shrinkPlan } from "./shrink.ts";
+import type { SystemSize } from "./system.ts";
+
+const shownViolations = 10;
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: "string" },
+    seeds: { type: "string", default: "1" },
+    seconds: { type: "string", default: "20" },
+    routers: { type: "string", default: "4" },
+    engines: { type: "string", default: "4" },
+    desks: { type: "string", default: "3" },
+    only: { type: "string" },
+    shrink: { type: "boolean", default: false },
+    logs: { type: "string", default: "build/soak" },
+  },
+});
+
+const size: SystemSize = {
+  routers: Number(values.routers),
+  engines: Number(values.engines),
+  desks: Number(values.desks),
+};
+const firstSeed = Number(values.seed ?? Date.now() % 1_000_000);
+
+const planOf = (seed: number): readonly Step[] => {
+  const plan = createPlan(seed, Number(values.seconds));
+  const only = values.only?.split(",").map(Number);
+  return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
+};
+
+const countStatuses = ({ history }: SoakOutcome): string => {
+  const counts: Record<string, number> = {};
+  for (const { status, isCut } of history.callers) {
+    const name = `${status}${isCut ? " cut" : ""}`;
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return JSON.stringify(counts);
+};
+
+const report = (seed: number, plan: readonly Step[], outcome: SoakOutcome): void => {
+  const { violations, history } = outcome;
+  console.log(
+    `seed ${seed}: ${plan.length} steps, ${history.callers.length} requests ${countStatuses(outcome)}, ${violations.length} violations`,
+  );
+  for (const { promise, detail } of violations.slice(0, shownViolations))
+    console.log(`- ${promise}: ${detail}`);
+};
+
+const keep = async (
+  seed: number,
+  plan: readonly Step[],
+  { violations, history, log }: SoakOutcome,
+): Promise<void> => {
+  await mkdir(values.logs, { recursive: true });
+  const name = join(values.logs, `seed-${seed}`);
+  await writeFile(`${name}.log`, log.join("\n"));
+  await writeFile(
+    `${name}.json`,
+    JSON.stringify({ size, plan, violations, steps: history.steps }, undefined, 1),
+  );
+  console.log([`kept: ${name}.log, ${name}.json`, ...describePlan(plan)].join("\n"));
+};
+
+const shrink = async (seed: number, plan: readonly Step[]): Promise<void> => {
+  const fails = async (part: readonly Step[]): Promise<boolean> => {
+    const { violations } = await runSoak({ seed, plan: part, size });
+    console.log(`${part.length} steps: ${violations.length === 0 ? "holds" : "fails"}`);
+    return violations.length > 0;
+  };
+  console.log(describePlan(await shrinkPlan(plan, fails)).join("\n"));
+};
+
+let failed = 0;
+for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed += 1) {
+  const plan = planOf(seed);
+  const outcome = await runSoak({ seed, plan, size });
+  report(seed, plan, outcome);
+  if (outcome.violations.length === 0) continue;
+  failed += 1;
+  await keep(seed, plan, outcome);
+  if (values.shrink) await shrink(seed, plan);
+}
+console.log(`${failed} of ${values.seeds} seeds failed`);
+process.exitCode = failed === 0 ? 0 : 1;
--- /dev/null
+++ b/soak/platform/run.ts
@@ -0,0 +1,70 @@
+/** One seeded run: a system, callers, the steps of the plan, and what the checks find. */
+import { setTimeout as sleep } from "node:timers/promises";
+import { createRandom } from "../../bench/model/random.ts";
+import type { Violation } from "../types.ts";
+import { startSoakCallers } from "./callers.ts";
+import { findPlatformViolations } from "./checks.ts";
+import { createDisturber, tenantsWith } from "./disturber.ts";
+import type { Step } from "./plan.ts";
+import type { SystemSize } from "./system.ts";
+import { bounds, startSoakSystem } from "./system.ts";
+import type { History } from "./types.ts";
+
+/** What one run is made of. */
+export interface SoakRun {
+  readonly seed: number;
+  readonly plan: readonly Step[];
+  readonly size: SystemSize;
+}
+
+/** What came of a run. */
+export interface SoakOutcome {
+  readonly violations: readonly Violation[];
+  readonly history: History;
+  /** What the routers wrote, for whoever traces a violation. */
+  readonly log: readonly string[];
+}
+
+/** After the last step: until all should be well again, and for how long that is looked at, milliseconds. */
+const settleTime = 3_000;
+const lookTime = 2_500;
+
+const spareKeyCount = 12;
+const warmUp = 800;
+
+/** Carries out a run. */
+export const runSoak = async ({ seed, plan, size }: SoakRun): Promise<SoakOutcome> => {
+  const spareKeys = Array.from({ length: spareKeyCount }, (_, index) => `key-spare-${index}`);
+  // The process's id keeps runs beside one another apart; the seed decides what happens.
+  await using system = await startSoakSystem(size, process.pid + seed);
+  system.publish(2, { tenants: tenantsWith(spareKeys) });
+  await sleep(warmUp);
+  const disturber = createDisturber(system, spareKeys);
+  const callers = startSoakCallers(system.routers, createRandom(seed, "callers"), spareKeys);
+  const startedAt = performance.now();
+  await Promise.all(
+    plan.map(async (step) => {
+      await sleep(Math.max(0, startedAt + step.at - performance.now()));
+      await disturber.carryOut(step);
+    }),
+  );
+  const quietAt = performance.now();
+  await sleep(settleTime + lookTime);
+  await callers.stop();
+  const history: History = {
+    callers: callers.records,
+    replicas: system.replicas.map(({ replica, service, leftAt }) => ({
+      id: replica.id,
+      service,
+      runs: replica.runs,
+      orders: replica.orders,
+      leftAt,
+    })),
+    steps: disturber.steps,
+    ends: disturber.ends,
+    operator: disturber.operator,
+    bounds,
+    quietAt,
+  };
+  return { violations: findPlatformViolations(history), history, log: [...system.log] };
+};
--- /dev/null
+++ b/soak/platform/seeds.test.ts
@@ -0,0 +1,21 @@
+/** A short run of the soak, and every seed that has failed, each with what caused it. */
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { createPlan } from "./plan.ts";
+import { runSoak } from "./run.ts";
+
+const size = { routers: 3, engines: 3, desks: 3 } as const;
+
+/** What each seed is there for. */
+const seeds: readonly { readonly seed: number; readonly seconds: number; readonly cause: string }[] = [
+  { seed: 3, seconds: 5, cause: "a short run of several kinds of disturbance" },
+];
+
+describe("routers as processes, struck from outside", () => {
+  for (const { seed, seconds, cause } of seeds) {
+    it(`keep the promises with seed ${seed}: ${cause}`, async () => {
+      const { violations } = await runSoak({ seed, plan: createPlan(seed, seconds), size });
+      expect(violations).toEqual([]);
+    });
+  }
+});
--- /dev/null
+++ b/soak/platform/types.ts
@@ -0,0 +1,69 @@
+/** What a soak run on the platform's stand-in records, for the checks. Times are milliseconds on one clock. */
+import type { ReceivedOrder, Run } from "../../standIns/platform/replica.ts";
+import type { StepKind } from "./plan.ts";
+
+/** The ways in which callers ask; the configuration's routes have these names. */
+export type RequestName = "read" | "post" | "ask" | "tag";
+
+/** One request as its caller saw it. */
+export interface CallerRecord {
+  readonly id: string;
+  readonly name: RequestName;
+  readonly organisation: string;
+  readonly key: string;
+  readonly router: string;
+  readonly sentAt: number;
+  readonly endedAt: number;
+  /** 0: the connection ended without an answer. */
+  readonly status: number;
+  readonly body: string;
+  readonly sentBody: string;
+  readonly isCut: boolean;
+  /** The caller went away by itself. */
+  readonly hasLeft: boolean;
+}
+
+/** What one replica did. */
+export interface ReplicaRecord {
+  readonly id: string;
+  readonly service: string;
+  readonly runs: readonly Run[];
+  readonly orders: readonly ReceivedOrder[];
+  /** When the store accepted that it leaves. */
+  readonly leftAt: number | undefined;
+}
+
+/** One step of the plan as it was carried out. */
+export interface StepRecord {
+  readonly kind: StepKind;
+  readonly from: number;
+  readonly until: number;
+  /** The router that it struck; nothing if it struck something else. */
+  readonly router: string | undefined;
+}
+
+/** A process that was asked to end. */
+export interface EndRecord {
+  readonly router: string;
+  readonly askedAt: number;
+  /** Nothing if it did not end. */
+  readonly code: number | null | undefined;
+}
+
+/** What the operator did. */
+export interface OperatorRecords {
+  readonly keysTaken: readonly { readonly key: string; readonly at: number }[];
+  readonly weights: readonly { readonly version: number; readonly at: number }[];
+}
+
+/** Everything that a run recorded. */
+export interface History {
+  readonly callers: readonly CallerRecord[];
+  readonly replicas: readonly ReplicaRecord[];
+  readonly steps: readonly StepRecord[];
+  readonly ends: readonly EndRecord[];
+  readonly operator: OperatorRecords;
+  readonly bounds: { readonly keyRevocation: number; readonly drain: number; readonly weights: number };
+  /** When the last step was over. */
+  readonly quietAt: number;
+}
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -232,7 +232,8 @@
       metricsText: () => metrics.text(),
     }),
   );
-  writeLog("listening", { incarnation: self.incarnation });
+  const url = `http://${settings.callers.address}:${server.port}`;
+  writeLog("listening", { incarnation: self.incarnation, url });
 
   const drain = async (): Promise<void> => {
     shutdown.begin();
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -45,12 +45,18 @@
   readonly target: string;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly body: string;
+  /** When it began, milliseconds on this process's monotonic clock. */
+  readonly at: number;
+  /** The weights that it began on; 0 at a plain service. */
+  readonly weightsVersion: number;
   /** True once the caller's connection closed before the answer had ended. */
   wasCut: boolean;
 }
 
 /** An order as it arrived. */
 export interface ReceivedOrder {
+  /** When it was accepted, milliseconds on this process's monotonic clock. */
+  readonly at: number;
   readonly model: string;
   readonly version: number;
   readonly holder: string;
@@ -220,7 +226,17 @@
       refuse(response, 503, { "x-not-executed": "1" });
       return;
     }
-    const made: Run = { id: attempt, method, target, headers, body, wasCut: false };
+    const at = performance.now();
+    const made: Run = {
+      id: attempt,
+      method,
+      target,
+      headers,
+      body,
+      at,
+      weightsVersion: version,
+      wasCut: false,
+    };
     runs.push(made);
     response.on("close", () => {
       made.wasCut = !response.writableFinished;
@@ -234,7 +250,7 @@
   };
 
   const takeOrder = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    const order = JSON.parse(await readBody(request)) as ReceivedOrder;
+    const order = JSON.parse(await readBody(request)) as Omit<ReceivedOrder, "at">;
     if (
       refusesOrders ||
       isLoading ||
@@ -243,7 +259,7 @@
       refuse(response, 409);
       return;
     }
-    orders.push(order);
+    orders.push({ ...order, at: performance.now() });
     isLoading = true;
     refuse(response, 202);
     await sleep(loadTime);
--- a/standIns/platform/system.ts
+++ b/standIns/platform/system.ts
@@ -6,7 +6,7 @@
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import { startForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
-import type { ReplicaSettings, ReplicaStandIn } from "./replica.ts";
+import type { ReplicaSettings, ReplicaStandIn, Run } from "./replica.ts";
 import { startReplicaStandIn } from "./replica.ts";
 import type { StoreStandIn } from "./store.ts";
 import { startStoreStandIn } from "./store.ts";
@@ -61,7 +61,8 @@
   ...fields,
 });
 
-const entryOf = (service: string, { address }: ReplicaStandIn, version: number) => ({
+/** A replica as it registers. */
+export const entryOf = (service: string, { address }: ReplicaStandIn, version: number) => ({
   service,
   address,
   zone: "here",
@@ -73,6 +74,11 @@
   sequence: 1,
 });
 
+type ReplicaFields = ReturnType<typeof entryOf>;
+
+/** How long the callers of tests wait, milliseconds. */
+const usualPatience = 3_000;
+
 /** What a caller got. */
 export interface CallerAnswer {
   /** 0: the connection ended without an answer. */
@@ -95,6 +101,38 @@
   readonly signal?: AbortSignal;
 }
 
+/** Writes to a store as the operator and the replicas do. */
+export const createWriters = (store: StoreStandIn) => ({
+  publish: (value: unknown): void => store.put("keyed.op", "config", value),
+  nameWeights: (version: number): void => store.put("keyed.op", "version/m", { model: "m", version }),
+  /** Without an entry the replica is gone. */
+  register: (id: string, entry: ReplicaFields | undefined): void => store.put("keyed.servers", id, entry),
+});
+
+/** The headers of every request. @param patience - Milliseconds. */
+export const callHeaders = (id: string, key: string, patience: number): Readonly<Record<string, string>> => ({
+  "x-attempt-id": id,
+  "x-deadline-ms": String(patience),
+  ...(key === "" ? {} : { authorization: `Bearer ${key}` }),
+});
+
+const saltHeader = "x-cache-salt";
+
+/** The header of a request whose cached parts are kept under a salt. */
+export const saltHeaders = (salt: string): Readonly<Record<string, string>> => ({ [saltHeader]: salt });
+
+/** @returns What a run's cached parts are kept under; nothing if the request said nothing of it. */
+export const cacheSaltOf = ({ headers }: Run): string | undefined => {
+  const salt = headers[saltHeader];
+  return typeof salt === "string" ? salt : undefined;
+};
+
+/** Where the balancer asks. */
+export const readinessPath = "/-/ready";
+
+/** The variable that names a router's settings file. */
+export const settingsVariable = "POMELOCLEAT_BOOT";
+
 let nextId = 0;
 
 /** Sends one request on a connection of its own. */
@@ -114,9 +152,7 @@
         agent: false,
         headers: {
           host,
-          "x-attempt-id": id,
-          "x-deadline-ms": "3000",
-          ...(key === "" ? {} : { authorization: `Bearer ${key}` }),
+          ...callHeaders(id, key, usualPatience),
           ...given.headers,
         },
         ...(given.signal === undefined ? {} : { signal: given.signal }),
@@ -184,7 +220,7 @@
 
 /** @returns Whether a router says that it takes requests. */
 export const isReady = async ({ readinessPort }: ForwardingRouter): Promise<boolean> =>
-  (await fetch(`http://127.0.0.1:${readinessPort}/-/ready`)).ok;
+  (await fetch(`http://127.0.0.1:${readinessPort}${readinessPath}`)).ok;
 
 const startAll = (count: number, of: (index: number) => ReplicaSettings): Promise<ReplicaStandIn[]> =>
   Promise.all(Array.from({ length: count }, (_, index) => startReplicaStandIn(of(index))));
@@ -192,6 +228,7 @@
 /** Starts a store, replicas and one router that is ready. */
 export const startPlatformSystem = async (settings: PlatformSystemSettings = {}): Promise<PlatformSystem> => {
   const store = await startStoreStandIn();
+  const writers = createWriters(store);
   const desks = await startAll(settings.desks ?? 2, (index) => ({ id: `desk-${index}` }));
   const engines = await startAll(settings.engines ?? 2, (index) => ({
     id: `engine-${index}`,
@@ -203,7 +240,7 @@
   const register = (replica: ReplicaStandIn, fields: Readonly<Record<string, unknown>> | undefined): void => {
     const service = desks.includes(replica) ? "desk" : "engines";
     const entry = { ...entryOf(service, replica, replica.version()), ...fields };
-    store.put("keyed.servers", replica.id, fields === undefined ? undefined : entry);
+    writers.register(replica.id, fields === undefined ? undefined : entry);
   };
 
   const startRouter = async (through: StoreStandIn = store): Promise<ForwardingRouter> => {
@@ -225,7 +262,7 @@
   };
 
   if (settings.isPublished !== false) {
-    store.put("keyed.op", "config", configuration());
+    writers.publish(configuration());
     for (const replica of [...desks, ...engines]) register(replica, {});
   }
   const router = await startRouter();
@@ -237,8 +274,8 @@
     engines,
     routers,
     router,
-    publish: (value) => store.put("keyed.op", "config", value),
-    nameWeights: (version) => store.put("keyed.op", "version/m", { model: "m", version }),
+    publish: writers.publish,
+    nameWeights: writers.nameWeights,
     register,
     startRouter,
     [Symbol.asyncDispose]: async () => {
--- a/standIns/startProcess.ts
+++ b/standIns/startProcess.ts
@@ -33,6 +33,8 @@
 export interface ProcessOptions {
   /** Variables added to this process's own. */
   readonly environment?: Readonly<Record<string, string>>;
+  /** Called with every line that the process prints. */
+  readonly onLine?: (line: string) => void;
 }
 
 const started = new Set<ChildProcess>();
@@ -55,13 +57,19 @@
 };
 
 /** Reads lines until one says that the program is ready; keeps the pipe flowing afterwards. */
-const waitUntilReady = (child: ChildProcess, output: NodeJS.ReadableStream, ended: Promise<ProcessEnd>) =>
+const waitUntilReady = (
+  child: ChildProcess,
+  output: NodeJS.ReadableStream,
+  ended: Promise<ProcessEnd>,
+  onLine: ProcessOptions["onLine"],
+) =>
   new Promise<z.output<typeof readySchema>>((resolve, reject) => {
     const timer = setTimeout(
       () => reject(processError(`Process ${String(child.pid)} printed no line that it is ready.`)),
       readyTimeoutMilliseconds,
     );
     createInterface(output).on("line", (line) => {
+      onLine?.(line);
       const ready = parseReady(line);
       if (ready === undefined) return;
       clearTimeout(timer);
@@ -90,7 +98,7 @@
 export const startProcess = async (
   module: URL,
   args: readonly string[],
-  { environment = {} }: ProcessOptions = {},
+  { environment = {}, onLine }: ProcessOptions = {},
 ): Promise<StartedProcess> => {
   const child = spawn(process.execPath, ["--enable-source-maps", fileURLToPath(module), ...args], {
     stdio: ["ignore", "pipe", "inherit"],
@@ -100,7 +108,7 @@
   started.add(child);
   void ended.then(() => started.delete(child));
   try {
-    const ready = await waitUntilReady(child, child.stdout, ended);
+    const ready = await waitUntilReady(child, child.stdout, ended, onLine);
     return {
       name: ready.name,
       url: ready.url,
