Ask the store less often where there are many routers

Change: with more than eight peers a read of the operator's records is held twice as long (an answer comes at once all the same), and the registry is read as often as the bound on leaving replicas needs, but for three routers of a data centre that read it as before and tell the others of departures. Nobody's safety rests on those three.

--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -4,6 +4,7 @@
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
+import { rendezvousOrder } from "../membership/rendezvous.ts";
 import {
   messagesPerInterval,
   nearMessageShare,
@@ -47,6 +48,12 @@
   readonly isHeard: (peer: Peer) => boolean;
   /** Whether it may be serving although it may be silent. */
   readonly mayServe: (peer: Peer) => boolean;
+  /**
+   * Whether this router is one of a number of this data centre that do a duty.
+   *
+   * @param standsDown - This router takes no duties any more.
+   */
+  readonly isAmong: (duty: string, count: number, standsDown: boolean) => boolean;
   readonly forget: (peer: Peer) => void;
   /** Writes to the log that a peer is not heard any more. */
   readonly noteSilence: (peer: Peer) => void;
@@ -135,6 +142,12 @@
     },
     isHeard,
     mayServe,
+    isAmong: (duty, count, standsDown) => {
+      if (standsDown) return false;
+      const near = [...peers.values()].filter((peer) => peer.isNear && isHeard(peer) && !peer.standsDown);
+      const order = rendezvousOrder(duty, [self, ...near.map(({ name }) => name)]);
+      return order.slice(0, count).includes(self);
+    },
     forget: ({ name }) => {
       peers.delete(name);
       countStretches();
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -13,6 +13,8 @@
 class MemoryNetwork {
   delay = 1;
   isDown = false;
+  /** Datagrams so far. */
+  sent = 0;
   private readonly clock: ManualClock;
   private readonly listeners = new Map<number, (datagram: Buffer, from: DatagramAddress) => void>();
 
@@ -23,6 +25,7 @@
   open(port: number): DatagramLink {
     const from = { address: "10.0.0.1", port };
     const send = (to: DatagramAddress, datagram: Buffer): void => {
+      this.sent += 1;
       if (this.isDown) return;
       this.clock.after(this.delay, () => this.listeners.get(to.port)?.(datagram, from));
     };
@@ -38,13 +41,13 @@
   }
 }
 
-const create = (names: readonly string[]) => {
+const create = (names: readonly string[], dataCentreOf: (index: number) => string = () => "here") => {
   const clock = createManualClock(1_000);
   const network = new MemoryNetwork(clock);
   const entries = names.map((name, index) => ({
     name,
     incarnation: `${name}-1`,
-    dataCentre: "here",
+    dataCentre: dataCentreOf(index),
     address: "10.0.0.1",
     port: index + 1,
   }));
@@ -160,6 +163,39 @@
     }
   });
 
+  it("divide duties among those of a data centre", () => {
+    const names = Array.from({ length: 40 }, (_, index) => `r${index}`);
+    const { routers, run, entries } = create(names, (index) => (index < 25 ? "here" : "there"));
+    for (const { peers } of routers) peers.add(entries);
+    run(3_000);
+    const readers = routers.filter(({ peers }) => peers.isAmong("registry", 3));
+    expect(readers.filter(({ self }) => self.dataCentre === "here").length).toEqual(3);
+    expect(readers.filter(({ self }) => self.dataCentre === "there").length).toEqual(3);
+    readers[0]?.peers.standDown();
+    run(10_000);
+    expect(routers.filter(({ peers }) => peers.isAmong("registry", 3)).length).toEqual(6);
+  });
+
+  it("send no more messages a second however many there are, and fewer to other data centres", () => {
+    const sentBy = (count: number): number => {
+      const names = Array.from({ length: count }, (_, index) => `r${index}`);
+      const system = create(names, (index) => `centre-${index % 4}`);
+      for (const { peers } of system.routers) peers.add(system.entries);
+      system.run(8_000);
+      system.network.sent = 0;
+      for (let round = 0; round < 80; round += 1) {
+        for (const { replicas } of system.routers) {
+          const engine = replicas.get("engine");
+          if (engine !== undefined) engine.requests = round;
+        }
+        system.run(100);
+      }
+      return system.network.sent / count / 8;
+    };
+    expect(sentBy(24)).toBeLessThanOrEqual(30);
+    expect(sentBy(60)).toBeLessThanOrEqual(30);
+  });
+
   it("tell a new prompt part once", () => {
     const { first, second, run, entries } = create(["a", "b"]);
     second.peers.add(entries);
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -47,6 +47,10 @@
   readonly inTouch: (longestAge: number) => readonly string[];
   /** @returns How old, in milliseconds, what is known of work from other data centres may be beyond what is usual. */
   readonly farDelay: () => number;
+  /** Whether there are so many routers that each has its part of common duties. */
+  readonly isLarge: () => boolean;
+  /** Whether this router is one of a number that do a duty for their data centre. */
+  readonly isAmong: (duty: string, count: number) => boolean;
   /** @returns How many routers may be serving, silent ones included. */
   readonly countServing: () => number;
   /** Tells peers that a replica runs new weights. */
@@ -235,6 +239,8 @@
       const own = configuration.age() < longestAge && !standsDown ? [self.name] : [];
       return [...own, ...fresh.map(({ name }) => name)];
     },
+    isLarge: peers.isLarge,
+    isAmong: (duty, count) => peers.isAmong(duty, count, standsDown),
     farDelay: () => (peers.stretch(false) - 1) * peerIntervals.shortest,
     countServing: () => 1 + peers.all().filter(peers.mayServe).length,
     tellWeights: (replica, model, version) => {
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -8,7 +8,10 @@
 import {
   cachedMemoryShare,
   configurationWaitShare,
+  configurationWaitShareOfMany,
   registryPaceShare,
+  registryPaceShareOfMany,
+  registryReaders,
 } from "../coordination/forwarding/constants.ts";
 import { followFeed } from "../coordination/forwarding/feedFollower.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
@@ -79,12 +82,20 @@
     }),
   );
 
+  const readsForOthers = (): boolean => !peers.isLarge() || peers.isAmong("registry", registryReaders);
+
+  /** Where each router reads by itself often enough, telling would only cost messages. */
+  const tellDeparture = (id: string): void => {
+    if (peers.isLarge() && replicas.get(id)?.entry.isDraining === false) peers.tellLeaving(id);
+  };
+
   const operatorFeed = resources.use(
     followFeed({
       name: "operator",
       feed: platform.operator,
       clock,
-      wait: () => bounds.keyRevocation * configurationWaitShare,
+      wait: () =>
+        bounds.keyRevocation * (peers.isLarge() ? configurationWaitShareOfMany : configurationWaitShare),
       pace: () => 0,
       replace: configuration.apply,
       apply: (page) => {
@@ -101,10 +112,11 @@
       feed: platform.replicas,
       clock,
       wait: () => 0,
-      pace: () => bounds.drain * registryPaceShare,
+      pace: () => bounds.drain * (readsForOthers() ? registryPaceShare : registryPaceShareOfMany),
       replace: (page: FeedPage<ReplicaEntry>) => replicas.replaceAll(present(page)),
       apply: ({ records }) => {
         for (const { key, value } of records) {
+          if (value?.isDraining !== false) tellDeparture(key);
           if (value === undefined) replicas.remove(key);
           else replicas.put(value);
         }
--- a/tests/platform/rules.test.ts
+++ b/tests/platform/rules.test.ts
@@ -156,6 +156,40 @@
   });
 });
 
+describe("many routers", () => {
+  const many = 10;
+
+  const callsOf = async (routers: number): Promise<number> => {
+    await using system = await startPlatformSystem();
+    for (let started = 1; started < routers; started += 1) await system.startRouter();
+    await sleep(1_500);
+    const count = (): number => system.store.calls.get("/-/log-read") ?? 0;
+    const before = count();
+    await sleep(2_000);
+    return (count() - before) / routers;
+  };
+
+  it("ask the store less often each", async () => {
+    expect(await callsOf(many)).toBeLessThan((await callsOf(2)) * 0.75);
+  });
+
+  it("all learn in time that a replica leaves", async () => {
+    await using system = await startPlatformSystem({ desks: 3 });
+    for (let started = 1; started < many; started += 1) await system.startRouter();
+    for (const router of system.routers) await until(() => isReady(router));
+    await sleep(1_000);
+    const [leaving] = system.desks;
+    if (leaving === undefined) throw new Error("there is no desk");
+    system.register(leaving, { state: "draining" });
+    await sleep(600);
+    const before = leaving.runs.length;
+    await Promise.all(
+      system.routers.flatMap((router) => [call(router, post), call(router, post), call(router, post)]),
+    );
+    expect(leaving.runs.length).toEqual(before);
+  });
+});
+
 describe("weights that are named", () => {
   it("are loaded by one holder with one rising number, the newest only", async () => {
     await using system = await startPlatformSystem({ engines: 4 });
