Compare prompts at replicas of every version, not only of the newest

Cause: where few replicas were compared they were the newest version's only, so that the first engines with new weights got all work (1,405 of 7,901 arrivals rejected in 14 s).

--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -191,12 +191,15 @@
     viewOf: (version: number) => PromptView,
   ): readonly ReplicaState[] => {
     if (parts.farDelay() === 0) return candidates;
-    const newest = candidates.reduce((most, each) => Math.max(most, versionOf(each)), 0);
-    const current = candidates.filter((each) => versionOf(each) === newest);
-    const view = viewOf(newest);
-    const holders = current.filter(({ entry }) => view.held.has(entry.id) || entry.id === view.home);
-    const others = nearOf(current.length >= comparedReplicas ? current : candidates);
-    return [...new Set([...pickSome(holders, comparedHolders), ...pickSome(others, comparedReplicas)])];
+    const few = new Set<ReplicaState>();
+    for (const version of new Set(candidates.map(versionOf))) {
+      const view = viewOf(version);
+      const same = candidates.filter((each) => versionOf(each) === version);
+      const holders = same.filter(({ entry }) => view.held.has(entry.id) || entry.id === view.home);
+      for (const each of pickSome(holders, comparedHolders)) few.add(each);
+      for (const each of pickSome(nearOf(same), comparedReplicas)) few.add(each);
+    }
+    return [...few];
   };
 
   const choose: EnginePlacement["choose"] = (prompt, admission, candidates, penalty) => {
