Explain a request from the routers' logs by one command

Cause: on-call engineers had to grep for an id and know which other lines matter. `pomelocleat explain` puts a request's lines of all routers in order, adds what its router and its replicas went through, and names the likeliest cause. Only the causes that docs/OPERATIONS.md names are told apart.

--- a/src/commandLine/cli.ts
+++ b/src/commandLine/cli.ts
@@ -6,6 +6,7 @@
 import { ConfigurationShowCommand } from "./commands/configurationShow.ts";
 import { DumpCommand } from "./commands/dump.ts";
 import { EnginesCommand } from "./commands/engines.ts";
+import { ExplainCommand } from "./commands/explain.ts";
 import { VersionsCommand } from "./commands/versions.ts";
 
 const version = "0.1.0";
@@ -29,6 +30,7 @@
   cli.register(VersionsCommand);
   cli.register(DumpCommand);
   cli.register(EnginesCommand);
+  cli.register(ExplainCommand);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
   return cli;
--- /dev/null
+++ b/src/commandLine/requestStory.test.ts
@@ -0,0 +1,90 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { readLogLines } from "./logLines.ts";
+import { tellStory } from "./requestStory.ts";
+
+const line = (
+  second: number,
+  part: string,
+  event: string,
+  fields: Readonly<Record<string, unknown>>,
+): string =>
+  JSON.stringify({ at: new Date(second * 1_000).toISOString(), part, event, router: "router-1", ...fields });
+
+const story = (...written: readonly string[]) => tellStory("wanted", readLogLines(written.join("\n")).lines);
+
+describe("the story of a request", () => {
+  it("puts lines of several routers in order, with what the replica was at the time", () => {
+    const told = story(
+      line(20, "requests", "stream_broken", {
+        request: "wanted",
+        replica: "i-1",
+        milliseconds: 1_018,
+        reason: "the connection failed",
+      }),
+      line(19.5, "requests", "attempt_failed", {
+        request: "wanted",
+        replica: "i-0",
+        fault: "overloaded",
+        progress: "sent",
+      }),
+      line(20.4, "router", "replica", { replica: "i-1", state: "gone", router: "router-2" }),
+      line(20, "requests", "served", { request: "another", replica: "i-1" }),
+      line(3, "router", "replica", { replica: "i-1", state: "ready" }),
+      line(19, "replicas", "ejected", { replica: "i-9" }),
+    );
+    expect(told.steps.map(({ text }) => text.split(" ")[0])).toEqual(["attempt", "the"]);
+    expect(told.around.length).toEqual(1);
+    expect(told.around[0]?.text.includes("state=gone")).toEqual(true);
+    expect(told.cause.includes("connection failed or it was silent")).toEqual(true);
+  });
+
+  it("names a stale configuration as the cause of a refusal, with its age, and the store that was lost", () => {
+    const told = story(
+      line(9, "feeds", "lost", { feed: "operator" }),
+      line(14, "requests", "refused", {
+        request: "wanted",
+        reason: "RequestError: This router can't tell whether its configuration is in force.",
+        configurationVersion: 7,
+        configurationAge: 4_900,
+      }),
+    );
+    expect(told.steps[0]?.text.includes("proved 4900 ms before")).toEqual(true);
+    expect(told.around[0]?.text.startsWith("feeds lost")).toEqual(true);
+    expect(told.cause.includes("no fresh proof")).toEqual(true);
+  });
+
+  it("tells a belief about weights that was wrong, and a prediction that was", () => {
+    const wrong = story(
+      line(1, "requests", "attempt_failed", {
+        request: "wanted",
+        fault: "wrong_weights",
+        progress: "refused",
+      }),
+      line(2, "requests", "served", {
+        request: "wanted",
+        replica: "i-1",
+        milliseconds: 900,
+        predictedWait: 800,
+      }),
+    );
+    expect(wrong.cause.includes("other weights")).toEqual(true);
+    const late = story(
+      line(2, "requests", "served", {
+        request: "wanted",
+        replica: "i-1",
+        milliseconds: 900,
+        predictedWait: 80,
+      }),
+    );
+    expect(late.cause.includes("longer than predicted")).toEqual(true);
+  });
+
+  it("says so where there is no line, and counts lines that are none", () => {
+    expect(story().cause.startsWith("no router wrote a line")).toEqual(true);
+    const { lines, unreadable } = readLogLines(
+      `router-1 | ${line(1, "daemon", "starting", {})}\nnoise\n{"a":1}\n\n`,
+    );
+    expect([lines.length, unreadable]).toEqual([1, 2]);
+  });
+});
--- a/src/coordination/forwarding/enginePlacement.test.ts
+++ b/src/coordination/forwarding/enginePlacement.test.ts
@@ -88,6 +88,20 @@
     expect(atHolders).toBeGreaterThan(25);
   });
 
+  it("doesn't crowd the few engines that run new weights while old ones may still be used", () => {
+    const { choose, replicas, nameWeights } = create(ids, 1_000);
+    nameWeights(2);
+    for (const id of ids.slice(0, 3)) replicas.noteWeights(id, "m", 2);
+    const chosen = new Map<string, number>();
+    for (let turn = 0; turn < 600; turn += 1) {
+      const { replica, promptTokens } = choose(prompt(3_000, `course-${turn}`));
+      replica.requests += 1;
+      replica.promptTokens[3] = (replica.promptTokens[3] ?? 0) + promptTokens;
+      chosen.set(replica.entry.id, (chosen.get(replica.entry.id) ?? 0) + 1);
+    }
+    expect(Math.max(...chosen.values())).toBeLessThan(30);
+  });
+
   it("begins on the newest weights wherever an engine runs them", () => {
     const { clock, choose, replicas, nameWeights } = create(ids, 1_000);
     nameWeights(2);
