Compare all near replicas, and count the wait into the age of old weights

Change: 24 replicas of a version are compared, those of a data centre here; twice as many messages; the predicted wait counts into the age at which nothing is sent to old weights.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -57,7 +57,7 @@
  * Messages that a router sends in the shortest interval where there are more peers. Each costs sender and receiver
  * a turn of the event loop, about 0.3 ms of processor time with all that hangs on it where turns are rare.
  */
-export const messagesPerInterval = 2.5;
+export const messagesPerInterval = 5;
 
 /** Share of the messages that goes to peers in the same data centre: they send work to the same replicas. */
 export const nearMessageShare = 0.6;
@@ -70,7 +70,7 @@
  * one another's work late, and if all compared all replicas, all would choose the same few at once. Three random
  * ones are nearly as good as all when loads are known exactly, and better when they are not.
  */
-export const comparedReplicas = 3;
+export const comparedReplicas = 24;
 
 /** The same of those that keep a prompt's parts. */
 export const comparedHolders = 3;
@@ -120,7 +120,7 @@
 /** Share of the latency objective that old weights count for in placement, after {@link weightsTolerance}. */
 export const oldWeightsPenaltyShare = 0.3;
 
-/** No request begins on older weights after this share of the bound. */
+/** No request begins on older weights after this share of the bound, its predicted wait included. */
 export const oldWeightsEnd = 0.85;
 
 /** A belief about a cached part that was not used for so long counts for nothing. */
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -130,11 +130,12 @@
 export const createEnginePlacement = (parts: EnginePlacementParts): EnginePlacement => {
   const { replicas, configuration, holders, estimates, clock, bounds } = parts;
 
-  const versionPenalty = (model: string, version: number, objective: number): number => {
+  const versionPenalty = (model: string, version: number, objective: number, wait: number): number => {
     const wanted = configuration.supersededBy(model, version);
     if (wanted === undefined) return 0;
     const age = clock.monotonic() - wanted.learnedAt;
-    if (age >= bounds.weights * oldWeightsEnd) return Number.POSITIVE_INFINITY;
+    // It begins when the engine has let it in, not when it is sent.
+    if (age + wait >= bounds.weights * oldWeightsEnd) return Number.POSITIVE_INFINITY;
     return age < weightsTolerance ? 0 : objective * oldWeightsPenaltyShare;
   };
 
@@ -249,7 +250,7 @@
         (isLongAt(replica) ? packed(wait, objective) : wait) +
         (isHome ? 0 : homePreference) +
         penalty(replica) +
-        versionPenalty(prompt.model, version, objective)
+        versionPenalty(prompt.model, version, objective, wait)
       );
     };
 
