Remember far routers for longer than they are silent

Cause: the log of a router on the grown site shows that it hears all peers of its data centre, but only the first two of each other one. A router that was just learned of counted as silent for its stretched interval, 38 s with 51 far peers; that was over the 30 s for which silent ones are remembered, so that it was forgotten before the first message. Engines that were about to load were thus unknown to three quarters of the routers: 832 refusals in 14 s. Ruled out: lost datagrams, the order of starts. The test with 68 routers failed before (60 of 68 served).

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -66,9 +66,8 @@
 export const newsGathering = 10;
 
 /**
- * Replicas that a prompt is compared at, besides those that keep its parts, where there are many routers: these know
- * one another's work late, and if all compared all replicas, all would choose the same few at once. Three random
- * ones are nearly as good as all when loads are known exactly, and better when they are not.
+ * Replicas of a version that a prompt is compared at, besides those that keep its parts, where there are many
+ * routers: with 1,000 replicas comparing all took 1 ms a request.
  */
 export const comparedReplicas = 24;
 
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -21,6 +21,8 @@
   readonly isNear: boolean;
   at: DatagramAddress;
   heardAt: number;
+  /** When this router learned of it. */
+  readonly addedAt: number;
   /** The newest time stamp of its messages, on its own clock. */
   theirTime: number | undefined;
   /** How old its proof of its configuration was when it sent its last message, milliseconds. */
@@ -85,7 +87,10 @@
   const stretch = (isNear: boolean): number => (isNear ? stretches.near : stretches.far);
   const isHeard = (peer: Peer): boolean =>
     !peer.ends && clock.monotonic() - peer.heardAt < peerSilence * stretch(peer.isNear);
-  const mayServe = (peer: Peer): boolean => !peer.ends && clock.monotonic() - peer.heardAt < peerMemory;
+  /** Longer than the silence after which it is not heard, also where messages come rarely. */
+  const memoryOf = ({ isNear }: Peer): number => Math.max(peerMemory, 2 * peerSilence * stretch(isNear));
+  const mayServe = (peer: Peer): boolean =>
+    !peer.ends && clock.monotonic() - Math.max(peer.heardAt, peer.addedAt) < memoryOf(peer);
 
   const make = (
     { name, incarnation, dataCentre }: Pick<RouterEntry, "name" | "incarnation" | "dataCentre">,
@@ -98,6 +103,7 @@
       isNear: dataCentre === here,
       at,
       heardAt,
+      addedAt: clock.monotonic(),
       theirTime: undefined,
       proofAge: Number.POSITIVE_INFINITY,
       isKnownLive: false,
@@ -122,9 +128,9 @@
     stretch,
     all: () => [...peers.values()],
     add: (entry) => {
-      const { name, address, port, dataCentre } = entry;
+      const { name, address, port } = entry;
       if (name === self || peers.has(name)) return;
-      make(entry, { address, port }, clock.monotonic() - peerSilence * stretch(dataCentre === here));
+      make(entry, { address, port }, Number.NEGATIVE_INFINITY);
     },
     hear: (message, from) => {
       if (message.name === self) return undefined;
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -6,6 +6,7 @@
 import { configurationOf, engineEntry, pageOf } from "../../../tests/support/forwardingFixture.ts";
 import { createManualClock } from "../manualClock.ts";
 import type { ManualClock } from "../manualClock.ts";
+import { messagesPerInterval, peerIntervals } from "./constants.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import { createRouterPeers } from "./routerPeers.ts";
 
@@ -163,6 +164,24 @@
     }
   });
 
+  it("hear one another over data centres where they are many, and tell weights and changes to all at once", () => {
+    const names = Array.from({ length: 68 }, (_, index) => `r${index}`);
+    const { routers, run, entries, clock } = create(names, (index) => `centre-${index % 4}`);
+    for (const { peers } of routers) peers.add(entries);
+    run(1_000);
+    routers[0]?.peers.tellChanging("engine", clock.monotonic() + 60_000);
+    run(50);
+    for (const { replicas, self } of routers.slice(1)) {
+      const until = replicas.get("engine")?.changingUntil ?? 0;
+      expect([self.name, until > clock.monotonic() + 59_000]).toEqual([self.name, true]);
+    }
+    for (let round = 0; round < 30; round += 1) {
+      run(1_000);
+      for (const { peers } of routers) expect(peers.countServing()).toEqual(68);
+    }
+    for (const { peers } of routers) expect(peers.live().length).toEqual(68);
+  });
+
   it("divide duties among those of a data centre", () => {
     const names = Array.from({ length: 40 }, (_, index) => `r${index}`);
     const { routers, run, entries } = create(names, (index) => (index < 25 ? "here" : "there"));
@@ -192,8 +211,9 @@
       }
       return system.network.sent / count / 8;
     };
-    expect(sentBy(24)).toBeLessThanOrEqual(30);
-    expect(sentBy(60)).toBeLessThanOrEqual(30);
+    const most = (messagesPerInterval * 1_000) / peerIntervals.shortest;
+    expect(sentBy(24)).toBeLessThanOrEqual(most);
+    expect(sentBy(60)).toBeLessThanOrEqual(most);
   });
 
   it("tell a new prompt part once", () => {
