Take no proof that was told to the process that ran here before

Cause: a run of the soak logged a proof of the configuration that was 5,890 ms in the future. A peer that has not heard of a router's restart echoes time stamps of the old process; the new one, whose clock began anew, took them for its own, and its configuration for fresher than it was: a key that was taken away could have been served beyond the bound. Change: time stamps count from a random origin of each process; an echo from outside its life is ignored. The test of a restart behind a slow network failed first. The soak looks for such ages in the routers' logs now.

--- a/soak/platform/checks.test.ts
+++ b/soak/platform/checks.test.ts
@@ -68,6 +68,7 @@
   steps: [],
   ends: [],
   operator: { keysTaken: [], weights: [] },
+  proofAges: [0, 300],
   bounds: { keyRevocation: 2_000, drain: 800, weights: 6_000 },
   quietAt: 20_000,
   ...fields,
@@ -151,6 +152,10 @@
     expect(promisesBroken({ callers, replicas: [replica({ runs })] }).length).toEqual(1);
   });
 
+  it("find proofs from the future", () => {
+    expect(promisesBroken({ proofAges: [100, -5_890] }).length).toEqual(1);
+  });
+
   it("find ends that fail or cut what had been read, and callers that are not served again", () => {
     const cut = caller("a", { status: 0, isCut: true, sentAt: 900, endedAt: 1_100 });
     const ends = [{ router: "router-0", askedAt: 1_000, code: 0 }];
--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -236,6 +236,14 @@
   ];
 };
 
+const proofsAreOfThePast = ({ proofAges }: History): readonly Violation[] =>
+  proofAges
+    .filter((age) => age < 0)
+    .map((age) => ({
+      promise: "a proof of the configuration is no younger than it is",
+      detail: `${age} ms old`,
+    }));
+
 /** @returns All that is wrong. */
 export const findPlatformViolations = (history: History): readonly Violation[] => [
   ...answersAreWhole(history),
@@ -250,5 +258,6 @@
   ...wallsHold(history),
   ...endsAreOrderly(history),
   ...endsLoseNothing(history),
+  ...proofsAreOfThePast(history),
   ...recovers(history),
 ];
--- a/soak/platform/loopbackProxy.ts
+++ b/soak/platform/loopbackProxy.ts
@@ -56,7 +56,11 @@
       if (mode === "delay") setTimeout(pass, delayTime);
       else pass();
     });
-    from.on("end", () => to.end());
+    from.on("end", () => {
+      // The system reports a reset that follows data as an end, and then there is no peer any more.
+      if (from.remoteAddress === undefined) to.resetAndDestroy();
+      else to.end();
+    });
     from.on("error", () => to.resetAndDestroy());
     from.on("close", () => {
       if (!isHeld(pair, isAnswer)) to.destroySoon();
--- a/soak/platform/run.ts
+++ b/soak/platform/run.ts
@@ -1,6 +1,7 @@
 /** One seeded run: a system, callers, the steps of the plan, and what the checks find. */
 import { setTimeout as sleep } from "node:timers/promises";
 import { createRandom } from "../../bench/model/random.ts";
+import { numberOf, readLogLines } from "../../src/commandLine/logLines.ts";
 import type { Violation } from "../types.ts";
 import { startSoakCallers } from "./callers.ts";
 import { findPlatformViolations } from "./checks.ts";
@@ -32,6 +33,11 @@
 const spareKeyCount = 12;
 const warmUp = 800;
 
+const readProofAges = (log: readonly string[]): readonly number[] =>
+  readLogLines(log.join("\n"))
+    .lines.map((line) => numberOf(line, "configurationAge"))
+    .filter((age) => age !== undefined);
+
 /** Carries out a run. */
 export const runSoak = async ({ seed, plan, size }: SoakRun): Promise<SoakOutcome> => {
   const spareKeys = Array.from({ length: spareKeyCount }, (_, index) => `key-spare-${index}`);
@@ -63,6 +69,7 @@
     steps: disturber.steps,
     ends: disturber.ends,
     operator: disturber.operator,
+    proofAges: readProofAges(system.log),
     bounds,
     quietAt,
   };
--- a/soak/platform/system.ts
+++ b/soak/platform/system.ts
@@ -81,6 +81,9 @@
 
 const ports = { callers: 8_080, readiness: 8_081, peers: 7_000 } as const;
 
+/** Milliseconds. */
+const heartbeatInterval = 500;
+
 const mostLogLines = 200_000;
 
 /** Each run has addresses of its own, so that several can run at once. */
@@ -142,6 +145,12 @@
   writers.publish(configuration());
   for (const place of replicas) register(place, "ready");
 
+  /** Replicas register again and again, with the weights that they run by then. */
+  const beat = setInterval(() => {
+    for (const place of replicas) if (place.leftAt === undefined) register(place, "ready");
+  }, heartbeatInterval);
+  resources.defer(() => clearInterval(beat));
+
   const routers: RouterPlace[] = [];
   for (let index = 0; index < size.routers; index += 1) {
     const name = `router-${index}`;
--- a/soak/platform/types.ts
+++ b/soak/platform/types.ts
@@ -64,6 +64,8 @@
   readonly ends: readonly EndRecord[];
   readonly operator: OperatorRecords;
   readonly bounds: { readonly keyRevocation: number; readonly drain: number; readonly weights: number };
+  /** Ages of proofs of the configuration that routers wrote to their logs, milliseconds. */
+  readonly proofAges: readonly number[];
   /** When the last step was over. */
   readonly quietAt: number;
 }
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -70,10 +70,27 @@
     });
     return { self, replicas, configuration, peers, newer, noted };
   });
+  /** A new process in a router's place, whose clock has only just begun. */
+  const restart = (self: (typeof entries)[number]) => {
+    const startedAt = clock.monotonic();
+    const ownClock = { ...clock, monotonic: () => clock.monotonic() - startedAt };
+    const configuration = createConfigurationState(ownClock);
+    configuration.apply(pageOf({ kind: "configuration", configuration: configurationOf(1) }));
+    const peers = createRouterPeers({
+      self: { ...self, incarnation: `${self.name}-2` },
+      link: network.open(self.port),
+      clock: ownClock,
+      replicas: createReplicaTable(),
+      configuration,
+      holders: { noteKey: () => undefined },
+      onNewerConfiguration: () => undefined,
+    });
+    return { configuration, peers, clock: ownClock };
+  };
   const run = (milliseconds: number): void => clock.advanceTo(clock.monotonic() + milliseconds);
   const [first, second] = routers;
   if (first === undefined || second === undefined) throw new Error("two routers are needed");
-  return { clock, network, entries, routers, run, first, second };
+  return { clock, network, entries, routers, run, restart, first, second };
 };
 
 describe("routers that talk to one another", () => {
@@ -119,6 +136,23 @@
     expect(second.configuration.provenAt() > provenAt - 1_000).toEqual(true);
   });
 
+  it("take no proof that was told to the process that ran here before", () => {
+    const { first, second, run, entries, clock, network, restart } = create(["a", "b"]);
+    second.peers.add(entries);
+    first.configuration.confirm(clock.monotonic());
+    run(9_000);
+    first.configuration.confirm(clock.monotonic());
+    run(600);
+    // The process at b starts anew with a clock that begins at 0; what is on its way to it echoes the old clock.
+    network.delay = 300;
+    run(700);
+    const again = restart(second.self);
+    for (let round = 0; round < 60; round += 1) {
+      run(10);
+      expect(again.configuration.provenAt() <= again.clock.monotonic()).toEqual(true);
+    }
+  });
+
   it("do not vouch for another version, and say that there is a newer one", () => {
     const { first, second, run, entries, clock } = create(["a", "b"]);
     second.peers.add(entries);
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -69,6 +69,12 @@
   readonly leave: () => void;
 }
 
+/**
+ * Time stamps count from a random origin, so that an echo of the process that had this address before is not taken
+ * for one of this process, whose clock began anew: it would make a proof of the configuration younger than it is.
+ */
+const stampOrigins = 2 ** 40;
+
 /** Digits of a millisecond that time stamps keep: messages that follow each other at once are told apart. */
 const stampPrecision = 10;
 
@@ -134,6 +140,7 @@
   const { self, link, clock, replicas, configuration } = parts;
   const peers = createPeerTable(self, clock);
   const startedAt = clock.monotonic();
+  const stampOrigin = Math.floor(Math.random() * stampOrigins);
   const news = createRouterNews(clock);
   let standsDown = false;
   let ends = false;
@@ -146,7 +153,7 @@
       name: self.name,
       incarnation: self.incarnation,
       dataCentre: self.dataCentre,
-      sentAt: Math.round(now * stampPrecision) / stampPrecision,
+      sentAt: stampOrigin + Math.round(now * stampPrecision) / stampPrecision,
       configuration: proofOf(configuration),
       work,
       ...news.take(audience),
@@ -203,10 +210,11 @@
     const { version, age } = message.configuration;
     const known = configuration.table()?.configuration.version ?? -1;
     if (version > known) parts.onNewerConfiguration();
+    if (message.echo === undefined) return;
     // The peer's proof is as old as it says, counted from no earlier than when it got the message it echoes.
-    if (message.echo !== undefined && message.echo >= startedAt) {
-      configuration.confirmVersion(version, message.echo - age);
-    }
+    const echoedAt = message.echo - stampOrigin;
+    const isOwn = echoedAt >= startedAt && echoedAt <= clock.monotonic();
+    if (isOwn) configuration.confirmVersion(version, echoedAt - age);
   };
 
   link.receive((datagram, from) => {
