--- a/soak/platform/system.ts
+++ b/soak/platform/system.ts
@@ -149,7 +149,10 @@
   const beat = setInterval(() => {
     for (const place of replicas) if (place.leftAt === undefined) register(place, "ready");
   }, heartbeatInterval);
-  resources.defer(() => clearInterval(beat));
+  resources.defer(() => {
+    clearInterval(beat);
+    return undefined;
+  });
 
   const routers: RouterPlace[] = [];
   for (let index = 0; index < size.routers; index += 1) {
