--- a/src/commandLine/commands/explain.ts
+++ b/src/commandLine/commands/explain.ts
@@ -1,9 +1,7 @@
-import { text as readAll } from "node:stream/consumers";
 import { Command, Option } from "clipanion";
-import { readTextFile } from "../clientSettings.ts";
-import { readLogLines } from "../logLines.ts";
 import { OperatorCommand } from "../OperatorCommand.ts";
 import type { CommandResult } from "../OperatorCommand.ts";
+import { readLogs } from "../readLogs.ts";
 import type { RequestStory, StoryStep } from "../requestStory.ts";
 import { tellStory } from "../requestStory.ts";
 
@@ -34,11 +32,7 @@
   files = Option.Rest({ name: "FILE" });
 
   protected async run(): Promise<CommandResult> {
-    const texts =
-      this.files.length === 0
-        ? [await readAll(this.context.stdin)]
-        : await Promise.all(this.files.map(readTextFile));
-    const { lines, unreadable } = readLogLines(texts.join("\n"));
+    const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
     const story = tellStory(this.request, lines);
     const note = unreadable === 0 ? "" : `${unreadable} lines were not a router's\n`;
     return {
--- /dev/null
+++ b/src/commandLine/commands/logsSummary.ts
@@ -0,0 +1,39 @@
+import { Command, Option } from "clipanion";
+import { commandError } from "../errors.ts";
+import { summarise } from "../logSummary.ts";
+import type { LogSummary } from "../logSummary.ts";
+import { OperatorCommand } from "../OperatorCommand.ts";
+import type { CommandResult } from "../OperatorCommand.ts";
+import { readLogs } from "../readLogs.ts";
+import { formatTable } from "../table.ts";
+
+const writeSummary = ({ from, spanSeconds, causes }: LogSummary): string => {
+  if (causes.length === 0) return "no request was refused or failed\n";
+  const rows = causes.map(({ cause, total, counts }) => [String(total), cause, counts.join(" ")]);
+  return `from ${from ?? "-"}, each ${spanSeconds} s\n${formatTable([["total", "cause", "by time"], ...rows])}`;
+};
+
+/** `pomelocleat logs summary [FILE...]`. */
+export class LogsSummaryCommand extends OperatorCommand {
+  static override paths = [["logs", "summary"]];
+
+  static override usage = Command.Usage({
+    category: "Failures",
+    description: "Count refusals and failures by cause and time, from the logs of the routers",
+    details: "Reads the log lines of any number of routers, from files or from standard input.",
+    examples: [["By ten seconds", "$0 logs summary --span 10 router-1.log router-2.log"]],
+  });
+
+  span = Option.String("--span", "5", { description: "Seconds that are counted together; 5 if not given" });
+
+  files = Option.Rest({ name: "FILE" });
+
+  protected async run(): Promise<CommandResult> {
+    const span = Number(this.span);
+    if (!(span > 0)) throw commandError(`--span must be a number of seconds, not ${this.span}.`, "usage");
+    const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
+    const summary = summarise(lines, span);
+    const note = unreadable === 0 ? "" : `${unreadable} lines were not a router's\n`;
+    return { exit: "success", text: writeSummary(summary) + note, value: { ...summary, unreadable } };
+  }
+}
--- /dev/null
+++ b/src/commandLine/readLogs.ts
@@ -0,0 +1,11 @@
+import type { Readable } from "node:stream";
+import { text as readAll } from "node:stream/consumers";
+import { readTextFile } from "./clientSettings.ts";
+import type { ReadLines } from "./logLines.ts";
+import { readLogLines } from "./logLines.ts";
+
+/** Reads logs from files, or from standard input if none are named. Throws `FileError`. */
+export const readLogs = async (files: readonly string[], input: Readable): Promise<ReadLines> => {
+  const texts = files.length === 0 ? [await readAll(input)] : await Promise.all(files.map(readTextFile));
+  return readLogLines(texts.join("\n"));
+};
--- a/src/commandLine/requestStory.test.ts
+++ b/src/commandLine/requestStory.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import { readLogLines } from "./logLines.ts";
+import { summarise } from "./logSummary.ts";
 import { tellStory } from "./requestStory.ts";
 
 const line = (
@@ -80,6 +81,23 @@
     expect(late.cause.includes("longer than predicted")).toEqual(true);
   });
 
+  it("is counted among refusals and failures by cause and time", () => {
+    const written = [
+      line(10, "daemon", "starting", {}),
+      line(11, "requests", "attempt_failed", { fault: "overloaded" }),
+      line(12, "requests", "refused", { reason: "no proof for 4900 ms" }),
+      line(21, "requests", "refused", { reason: "no proof for 5100 ms" }),
+      line(22, "requests", "served", {}),
+    ];
+    const { from, causes } = summarise(readLogLines(written.join("\n")).lines, 5);
+    expect(from).toEqual(new Date(10_000).toISOString());
+    expect(causes).toEqual([
+      { cause: "refused: no proof for N ms", total: 2, counts: [1, 0, 1] },
+      { cause: "attempt_failed: overloaded", total: 1, counts: [1, 0, 0] },
+    ]);
+    expect(summarise([], 5).causes).toEqual([]);
+  });
+
   it("says so where there is no line, and counts lines that are none", () => {
     expect(story().cause.startsWith("no router wrote a line")).toEqual(true);
     const { lines, unreadable } = readLogLines(
