--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -1,47 +1,13 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import type { DatagramAddress } from "../../protocol/forwarding/DatagramLink.ts";
-import { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { configurationOf, engineEntry, pageOf } from "../../../tests/support/forwardingFixture.ts";
+import { MemoryNetwork } from "../../../tests/support/memoryNetwork.ts";
 import { createManualClock } from "../manualClock.ts";
-import type { ManualClock } from "../manualClock.ts";
 import { messagesPerInterval, peerIntervals } from "./constants.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import { createRouterPeers } from "./routerPeers.ts";
 
-/** Datagrams in memory, with a delay, and none while the network is down. */
-class MemoryNetwork {
-  delay = 1;
-  isDown = false;
-  /** Datagrams so far. */
-  sent = 0;
-  private readonly clock: ManualClock;
-  private readonly listeners = new Map<number, (datagram: Buffer, from: DatagramAddress) => void>();
-
-  constructor(clock: ManualClock) {
-    this.clock = clock;
-  }
-
-  open(port: number): DatagramLink {
-    const from = { address: "10.0.0.1", port };
-    const send = (to: DatagramAddress, datagram: Buffer): void => {
-      this.sent += 1;
-      if (this.isDown) return;
-      this.clock.after(this.delay, () => this.listeners.get(to.port)?.(datagram, from));
-    };
-    const receive = (listener: (datagram: Buffer, from: DatagramAddress) => void): void => {
-      this.listeners.set(port, listener);
-    };
-    return new (class extends DatagramLink {
-      override readonly port = port;
-      override send = send;
-      override receive = receive;
-      override [Symbol.asyncDispose] = () => Promise.resolve();
-    })();
-  }
-}
-
 const create = (names: readonly string[], dataCentreOf: (index: number) => string = () => "here") => {
   const clock = createManualClock(1_000);
   const network = new MemoryNetwork(clock);
