Use a store of prompt parts as the second source, and save there what engines lose

Change: the store is followed by its own word (incarnation, taken in, dropped); parts are saved where losses were seen, in a share of the link's time, and copied from there where no engine is known to keep them. A store that came back empty is believed nothing; one that doesn't answer is not used; salts carry weights and walls as before. Ruled out: a switch by deployment; what is saved follows from losses that were seen.

--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -5,7 +5,7 @@
  * computed there since as the memory holds.
  */
 import { hash32 } from "../../protocol/prefixLevels.ts";
-import type { Prompt } from "../../protocol/forwarding/types.ts";
+import type { CacheChange, Prompt } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
 import { holderMemory, mostParts } from "./constants.ts";
 
@@ -28,6 +28,12 @@
    * @returns The key of the deepest reusable part if it was not known to be there; otherwise nothing.
    */
   readonly note: (salt: string, prompt: Prompt, holder: string, isReady: boolean) => number | undefined;
+  /** @returns The key of the deepest part that others may share; nothing if there is none. */
+  readonly deepestKey: (salt: string, prompt: Prompt) => number | undefined;
+  /** @returns Whether a part was used before, wherever it is by now. */
+  readonly wasUsed: (key: number) => boolean;
+  /** A store of prompt parts tells what it keeps. */
+  readonly noteChange: (store: string, change: CacheChange) => void;
   /** A peer tells of a part. */
   readonly noteKey: (key: number, holder: string) => void;
   /** A replica is gone, or has lost what it kept. */
@@ -48,6 +54,8 @@
   /** Tokens that had been computed there by then. */
   readonly computed: number;
   readonly isReady: boolean;
+  /** The holder itself will tell when it drops the part. */
+  readonly isTold: boolean;
 }
 
 /** Parts that other requests may have too: all but the last. */
@@ -62,8 +70,14 @@
   /** The part that was used longest ago comes first. */
   const beliefs = new Map<number, Map<string, Belief>>();
 
-  const isKept = (holder: string, { usedAt, computed }: Belief): boolean =>
-    clock.monotonic() - usedAt < holderMemory && computedTokens(holder) - computed < memoryTokens(holder);
+  const isKept = (holder: string, { usedAt, computed, isTold }: Belief): boolean =>
+    isTold ||
+    (clock.monotonic() - usedAt < holderMemory && computedTokens(holder) - computed < memoryTokens(holder));
+
+  const forgetOldest = (): void => {
+    const oldest = beliefs.size > mostParts ? beliefs.keys().next().value : undefined;
+    if (oldest !== undefined) beliefs.delete(oldest);
+  };
 
   /** @returns Whether it is news that the part is there. */
   const noteOne = (key: number, holder: string, isReady: boolean): boolean => {
@@ -71,14 +85,21 @@
     const before = ofPart.get(holder);
     const wasReady = before?.isReady === true && isKept(holder, before);
     const usedAt = clock.monotonic();
-    ofPart.set(holder, { usedAt, computed: computedTokens(holder), isReady: isReady || wasReady });
+    const computed = computedTokens(holder);
+    ofPart.set(holder, { usedAt, computed, isReady: isReady || wasReady, isTold: false });
     beliefs.delete(key);
     beliefs.set(key, ofPart);
-    const oldest = beliefs.size > mostParts ? beliefs.keys().next().value : undefined;
-    if (oldest !== undefined) beliefs.delete(oldest);
+    forgetOldest();
     return isReady && !wasReady;
   };
 
+  const noteTold = (key: number, holder: string): void => {
+    const ofPart = beliefs.get(key) ?? new Map<string, Belief>();
+    ofPart.set(holder, { usedAt: clock.monotonic(), computed: 0, isReady: true, isTold: true });
+    beliefs.set(key, ofPart);
+    forgetOldest();
+  };
+
   return {
     find: (salt, prompt) => {
       const held = new Map<string, HeldPrompt>();
@@ -97,6 +118,16 @@
       const news = keys.filter((key) => noteOne(key, holder, isReady));
       return news.at(-1) === keys.at(-1) ? keys.at(-1) : undefined;
     },
+    deepestKey: (salt, prompt) => {
+      const deepest = reusableParts(prompt).at(-1);
+      return deepest === undefined ? undefined : keyOf(salt, deepest.id);
+    },
+    wasUsed: (key) => beliefs.has(key),
+    noteChange: (store, { isKept: isKeptThere, salt, part }) => {
+      const key = keyOf(salt, part);
+      if (isKeptThere) noteTold(key, store);
+      else beliefs.get(key)?.delete(store);
+    },
     noteKey: (key, holder) => {
       noteOne(key, holder, true);
     },
--- /dev/null
+++ b/src/coordination/forwarding/cacheStoreFollower.test.ts
@@ -0,0 +1,85 @@
+import { describe, it } from "node:test";
+import { setImmediate as settled } from "node:timers/promises";
+import { expect } from "earl";
+import type { CacheChanges, CacheStore } from "../../protocol/forwarding/types.ts";
+import { createManualClock } from "../manualClock.ts";
+import { createCacheHolders } from "./cacheHolders.ts";
+import { followCacheStore } from "./cacheStoreFollower.ts";
+import { cacheStoreInterval } from "./constants.ts";
+
+const store: CacheStore = { address: "10.0.0.9:8000", dataCentre: "here", linkMegabits: 360_000 };
+
+const prompt = {
+  model: "m",
+  tokens: 1_000,
+  answerTokens: 10,
+  parts: [
+    { id: "rules", tokens: 900 },
+    { id: "own", tokens: 100 },
+  ],
+};
+
+const told = (incarnation: number, next: number, isKept = true): CacheChanges => ({
+  incarnation,
+  next,
+  changes: [{ isKept, salt: "s", part: "rules" }],
+});
+
+const create = () => {
+  const clock = createManualClock();
+  const holders = createCacheHolders({ clock, computedTokens: () => 0, memoryTokens: () => 1_000 });
+  const answers: (CacheChanges | undefined)[] = [];
+  const asked: number[] = [];
+  const follower = followCacheStore({
+    configured: () => store,
+    client: {
+      readCacheChanges: (_, since) => {
+        asked.push(since);
+        const answer = answers.shift();
+        return answer === undefined ? Promise.reject(new Error("silent")) : Promise.resolve(answer);
+      },
+    },
+    holders,
+    clock,
+    stretch: () => 1,
+  });
+  /** Lets the follower ask once. */
+  const ask = async (answer: CacheChanges | undefined): Promise<void> => {
+    answers.push(answer);
+    clock.advanceTo(asked.length === 0 ? 0 : clock.monotonic() + cacheStoreInterval);
+    await settled();
+  };
+  const saved = (): number | undefined => holders.find("s", prompt).get(store.address)?.tokens;
+  return { follower, ask, saved, asked };
+};
+
+describe("following a store of prompt parts", () => {
+  it("believes what the store tells, whatever time passes", async () => {
+    const { follower, ask, saved, asked } = create();
+    expect(follower.usable()).toEqual(undefined);
+    await ask(told(7, 5));
+    expect([follower.usable(), saved()]).toEqual([store, 900]);
+    for (let turn = 0; turn < 100; turn += 1) await ask({ incarnation: 7, next: 5, changes: [] });
+    expect(saved()).toEqual(900);
+    await ask(told(7, 6, false));
+    expect([saved(), asked[1], asked.at(-1)]).toEqual([undefined, 5, 5]);
+  });
+
+  it("uses no store that doesn't answer", async () => {
+    const { follower, ask } = create();
+    await ask(told(7, 5));
+    await ask(undefined);
+    expect(follower.usable()).toEqual(undefined);
+    await ask(told(7, 5));
+    expect(follower.usable()).toEqual(store);
+  });
+
+  it("believes nothing of a store that came back empty", async () => {
+    const { ask, saved, asked } = create();
+    await ask(told(7, 5));
+    await ask({ incarnation: 8, next: 1, changes: [] });
+    expect(saved()).toEqual(undefined);
+    await ask(told(8, 2));
+    expect([saved(), asked.at(-1)]).toEqual([900, 0]);
+  });
+});
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -125,6 +125,37 @@
 /** A belief about a cached part that was not used for so long counts for nothing. */
 export const holderMemory = 60_000;
 
+/**
+ * Between two questions to a store of prompt parts: a restart that loses everything is noticed within it, and a
+ * part that was saved is found from then on. Grows with the number of routers, so that the store is asked no more
+ * often however many there are.
+ */
+export const cacheStoreInterval = 1_000;
+
+/** Routers up to which each asks the store of prompt parts at the shortest interval. */
+export const cacheStoreAskers = 12;
+
+/** Longest wait for its answer: it is down or cut off then, and no copies are taken from it. */
+export const cacheStoreTimeout = 400;
+
+/** Part of a new observation in the share of parts that were lost before they were used again. */
+export const lossGain = 0.05;
+
+/**
+ * From this share on all shared parts are saved at first sight: memory turns over faster than parts come back.
+ * Below it only those are saved that were lost already.
+ */
+export const lossWorthSaving = 0.1;
+
+/** Share of the link of a store of prompt parts that saving takes; the rest is for copies out of it. */
+export const saveLinkShare = 0.5;
+
+/** Link time that may be saved up, milliseconds: a few prompts at once after a load of weights. */
+export const saveBurst = 400;
+
+/** A save that the store has not told of by then has failed, and may be tried again. */
+export const saveMemory = 4_000;
+
 /** Prompt parts whose holders are remembered. */
 export const mostParts = 20_000;
 
--- a/src/coordination/forwarding/enginePlacement.test.ts
+++ b/src/coordination/forwarding/enginePlacement.test.ts
@@ -15,6 +15,7 @@
 import { createCacheHolders } from "./cacheHolders.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
+import { createPartSaving } from "./partSaving.ts";
 import { createReplicaEstimates } from "./replicaEstimates.ts";
 
 const prompt = (tokens: number, course = "course"): Prompt => ({
@@ -45,6 +46,8 @@
     bounds,
     dataCentre: "here",
     farDelay: () => farDelay,
+    store: () => undefined,
+    saving: createPartSaving({ clock, routers: () => 1 }),
   });
   const table = createRouteTable(configurationOf(1));
   const admission = { table, route: streamRoute, service: engineService, organisation: undefined };
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -1,8 +1,9 @@
 /** Placement at model engines: by prompts waiting there, parts of the prompt kept there, and weights. */
-import type { Prompt } from "../../protocol/forwarding/types.ts";
+import type { EngineCapacity, Prompt } from "../../protocol/forwarding/types.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
 import { priorities, tokensAhead, totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
+import type { HeldPrompt } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import {
   batchDelay,
@@ -19,6 +20,7 @@
   peerIntervals,
   weightsTolerance,
 } from "./constants.ts";
+import type { PartSaving } from "./partSaving.ts";
 import { pickSome } from "./pickSome.ts";
 import type { PlacementChoice, PlacementFailure } from "./placement.ts";
 import type { PromptView, PromptViewParts } from "./promptView.ts";
@@ -33,6 +35,7 @@
   readonly estimates: ReplicaEstimates;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
+  readonly saving: PartSaving;
 }
 
 /** See {@link createEnginePlacement}. */
@@ -54,10 +57,12 @@
 const saltFor = ({ organisation }: Admission, model: string, version: number): string =>
   `${model}/${version}/${organisation?.isIsolated === true ? organisation.name : ""}`;
 
+const transferTime = ({ bytesPerToken }: EngineCapacity, tokens: number, megabits: number): number =>
+  (tokens * bytesPerToken * bitsPerByte) / (megabits * bitsPerMegabit);
+
 const copyTime = ({ service: { engine } }: Admission, tokens: number): number => {
   if (tokens <= 0) return 0;
-  if (engine === undefined) return copySetup;
-  return copySetup + (tokens * engine.bytesPerToken * bitsPerByte) / (engine.linkMegabits * bitsPerMegabit);
+  return copySetup + (engine === undefined ? 0 : transferTime(engine, tokens, engine.linkMegabits));
 };
 
 /** For requests that will be late whatever is done: they must not make others late too. */
@@ -125,6 +130,7 @@
 
   const choose: EnginePlacement["choose"] = (prompt, admission, candidates, penalty) => {
     const { latencyObjective: objective } = admission.route;
+    const { engine } = admission.service;
     const views = new Map<number, PromptView>();
     const priority = priorityOf(admission);
     const versionOf = ({ weights }: ReplicaState): number => weights.get(prompt.model) ?? 0;
@@ -174,6 +180,24 @@
       );
     };
 
+    /** Where the chosen replica is to save the prompt's parts. */
+    const saveTarget = (view: PromptView, isNewest: boolean): string | undefined => {
+      const key = parts.holders.deepestKey(view.salt, prompt);
+      const store = parts.store();
+      if (key === undefined || engine === undefined) return undefined;
+      const isHeld = ([id, held]: readonly [string, HeldPrompt]): boolean =>
+        id !== store?.address && held.tokens >= view.reusable;
+      const shared = {
+        key,
+        wasUsed: parts.holders.wasUsed(key),
+        isKept: [...view.held].some(isHeld),
+        isSaved: (view.held.get(store?.address ?? "")?.tokens ?? 0) >= view.reusable,
+        transferTime: store === undefined ? 0 : transferTime(engine, prompt.tokens, store.linkMegabits),
+      };
+      const isWanted = parts.saving.decide(shared, isNewest ? store : undefined);
+      return isWanted ? store?.address : undefined;
+    };
+
     const few = chooseFew(candidates, versionOf, viewOf);
     let { replica, cost } = rankByCost(few, costOf);
     if (cost === Number.POSITIVE_INFINITY) ({ replica, cost } = rankByCost(candidates, costOf));
@@ -190,6 +214,8 @@
       weightsVersion: version === 0 ? undefined : version,
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
+      // Parts of weights that are about to go are not worth a transfer.
+      saveTo: saveTarget(view, configuration.supersededBy(prompt.model, version) === undefined),
       priority: isLate ? leastUrgent : priority,
       outlastsMessages: computedAt(replica) / estimates.prefillRate(id) > peerIntervals.shortest,
       promptTokens: Math.max(0, computedAt(replica)),
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -35,6 +35,7 @@
   readonly weightsVersion: number | undefined;
   readonly cacheSalt: string | undefined;
   readonly fetchFrom: string | undefined;
+  readonly saveTo: string | undefined;
   /** For engines: 0 is the most urgent. */
   readonly priority: number | undefined;
   /** Its prompt takes longer than the time between two messages to peers. */
@@ -100,6 +101,7 @@
       weightsVersion: undefined,
       cacheSalt: undefined,
       fetchFrom: undefined,
+      saveTo: undefined,
       priority: undefined,
       outlastsMessages: false,
       promptTokens: 0,
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/forwarding/promptView.ts
@@ -1,5 +1,5 @@
 /** Where the parts of a prompt are kept and expected, by the weights that replicas run. */
-import type { Prompt } from "../../protocol/forwarding/types.ts";
+import type { CacheStore, Prompt } from "../../protocol/forwarding/types.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { CacheHolders, HeldPrompt } from "./cacheHolders.ts";
@@ -10,6 +10,8 @@
 export interface PromptViewParts {
   readonly replicas: ReplicaTable;
   readonly holders: CacheHolders;
+  /** @returns The store of prompt parts, if there is one that answers. */
+  readonly store: () => CacheStore | undefined;
   /** This router's data centre. */
   readonly dataCentre: string;
   /** How old what is known of work from other data centres may be beyond what is usual, milliseconds. */
@@ -106,11 +108,23 @@
     return rendezvousReplica(part, others)?.entry.id;
   };
 
+  /** The store, where it is known to keep all that can be shared. */
+  const savedSource = (view: PromptView): string | undefined => {
+    const address = parts.store()?.address;
+    if (address === undefined) return undefined;
+    return (view.held.get(address)?.tokens ?? 0) >= view.reusable ? address : undefined;
+  };
+
+  /** An engine may have dropped what it is believed to keep; naming a source that isn't needed costs nothing. */
   const fetchSource = (view: PromptView, chosen: string, own: number): string | undefined => {
-    if (own >= view.reusable) return undefined;
-    const known = knownSource(view, chosen, own);
-    const id = known?.id ?? expectedSource(view, chosen);
-    return id === undefined ? undefined : replicas.get(id)?.entry.address;
+    if (view.reusable === 0) return undefined;
+    const isOwn = own >= view.reusable;
+    const known = isOwn ? undefined : knownSource(view, chosen, own)?.id;
+    if (known !== undefined) return replicas.get(known)?.entry.address;
+    const saved = savedSource(view);
+    if (saved !== undefined || isOwn) return saved;
+    const expected = expectedSource(view, chosen);
+    return expected === undefined ? undefined : replicas.get(expected)?.entry.address;
   };
 
   return { viewPrompt, nearOf, fetchSource };
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -4,9 +4,12 @@
 import type { CacheHolders } from "../coordination/forwarding/cacheHolders.ts";
 import { createCacheHolders } from "../coordination/forwarding/cacheHolders.ts";
 import type { ConfigurationState } from "../coordination/forwarding/configurationState.ts";
+import type { CacheStoreFollower } from "../coordination/forwarding/cacheStoreFollower.ts";
+import { followCacheStore } from "../coordination/forwarding/cacheStoreFollower.ts";
 import { createConfigurationState } from "../coordination/forwarding/configurationState.ts";
 import {
   cachedMemoryShare,
+  cacheStoreAskers,
   configurationWaitShare,
   configurationWaitShareOfMany,
   registryPaceShare,
@@ -42,6 +45,7 @@
   readonly replicas: ReplicaTable;
   readonly holders: CacheHolders;
   readonly peers: RouterPeers;
+  readonly cacheStore: CacheStoreFollower;
   /** Whether the registry has been read. */
   readonly knowsReplicas: () => boolean;
 }
@@ -82,6 +86,16 @@
     }),
   );
 
+  const cacheStore = resources.use(
+    followCacheStore({
+      configured: () => configuration.table()?.cacheStore,
+      client: platform.replicaClient,
+      holders,
+      clock,
+      stretch: () => Math.max(1, peers.countServing() / cacheStoreAskers),
+    }),
+  );
+
   const readsForOthers = (): boolean => !peers.isLarge() || peers.isAmong("registry", registryReaders);
 
   /** Where each router reads by itself often enough, telling would only cost messages. */
@@ -147,6 +161,7 @@
     replicas,
     holders,
     peers,
+    cacheStore,
     knowsReplicas: () => knowsReplicas,
     [Symbol.asyncDispose]: () => {
       isOver = true;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -11,6 +11,7 @@
 import { createForwardAttempt } from "../coordination/forwarding/forwardAttempt.ts";
 import type { Forwarder } from "../coordination/forwarding/forwarder.ts";
 import { createForwarder } from "../coordination/forwarding/forwarder.ts";
+import { createPartSaving } from "../coordination/forwarding/partSaving.ts";
 import { createPlacement } from "../coordination/forwarding/placement.ts";
 import { createReplicaEstimates } from "../coordination/forwarding/replicaEstimates.ts";
 import { createReplicaHealth } from "../coordination/forwarding/replicaHealth.ts";
@@ -87,7 +88,7 @@
 /** Puts together what decides about requests. */
 const createDecisions = (parts: DecisionParts, resources: ResourceStack): Forwarder => {
   const { self, platform, beliefs, admit, shutdown, bounds, clock, metrics } = parts;
-  const { configuration, replicas, holders, peers } = beliefs;
+  const { configuration, replicas, holders, peers, cacheStore } = beliefs;
   const { replicaClient: client } = platform;
   const estimates = createReplicaEstimates();
   const health = createReplicaHealth(replicas, clock);
@@ -113,6 +114,8 @@
     bounds,
     dataCentre,
     farDelay,
+    store: cacheStore.usable,
+    saving: createPartSaving({ clock, routers: peers.countServing }),
   });
   return createForwarder({
     admit,
--- a/src/protocol/forwarding/ReplicaClient.ts
+++ b/src/protocol/forwarding/ReplicaClient.ts
@@ -1,4 +1,6 @@
 import type {
+  CacheChanges,
+  CacheStore,
   EngineStatus,
   OrderOutcome,
   ReplicaAnswer,
@@ -22,6 +24,13 @@
   /** Asks an engine for its state. */
   abstract readStatus(replica: ReplicaEntry, signal: AbortSignal): Promise<EngineStatus>;
 
+  /**
+   * Asks a store of prompt parts what it has taken in and dropped.
+   *
+   * @param since - The number that it named last; 0 for all that it remembers.
+   */
+  abstract readCacheChanges(store: CacheStore, since: number, signal: AbortSignal): Promise<CacheChanges>;
+
   /** Gives an order once. */
   abstract order(order: WeightsOrder, signal: AbortSignal): Promise<OrderOutcome>;
 
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -56,6 +56,24 @@
   /** `IP:PORT`. */
   readonly address: string;
   readonly dataCentre: string;
+  /** Megabits a second of its link to engines. */
+  readonly linkMegabits: number;
+}
+
+/** A prompt part that a store of prompt parts has taken in or dropped. */
+export interface CacheChange {
+  readonly isKept: boolean;
+  readonly salt: string;
+  readonly part: string;
+}
+
+/** What has changed at a store of prompt parts since it was asked last. */
+export interface CacheChanges {
+  /** Another one after each restart, which loses everything. */
+  readonly incarnation: number;
+  /** The number to ask with next. */
+  readonly next: number;
+  readonly changes: readonly CacheChange[];
 }
 
 /** One service: a set of replicas that can stand in for one another. */
@@ -183,8 +201,10 @@
   readonly weightsVersion: number | undefined;
   /** Only requests with the same text share cached parts. */
   readonly cacheSalt: string | undefined;
-  /** `IP:PORT` of a replica to copy cached parts from. */
+  /** `IP:PORT` of a replica or store to copy cached parts from. */
   readonly fetchFrom: string | undefined;
+  /** `IP:PORT` of a store that gets the prompt's parts once they are computed. */
+  readonly saveTo: string | undefined;
   /** 0 is the most urgent, 9 the least. */
   readonly priority: number | undefined;
   /** Continue after this event; nothing for a stream from its beginning. */
--- a/src/state/forwarding/routeTable.ts
+++ b/src/state/forwarding/routeTable.ts
@@ -1,5 +1,6 @@
 /** One version of the configuration, ready for looking things up in. */
 import type {
+  CacheStore,
   ForwardingConfiguration,
   ForwardingOrganisation,
   ForwardingRoute,
@@ -13,6 +14,8 @@
   readonly findRoute: (host: string, target: string) => ForwardingRoute | undefined;
   readonly findOrganisation: (key: string) => ForwardingOrganisation | undefined;
   readonly findService: (name: string) => ForwardingService | undefined;
+  /** The first store of prompt parts. */
+  readonly cacheStore: CacheStore | undefined;
 }
 
 /** Hosts are compared without case and port. */
@@ -48,5 +51,6 @@
     },
     findOrganisation: (key) => organisations.get(key),
     findService: (name) => services.get(name),
+    cacheStore: configuration.services.find(({ cacheStore }) => cacheStore !== undefined)?.cacheStore,
   };
 };
