Keep prompts at the engines that have their parts, the more the more parts are lost

Cause: every copy of a part at one more engine drops others there; a fixed preference of 25 ms for the home ignores that. Change: an engine without the part counts what computing the part takes, times the share of parts lost of late.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -113,6 +113,12 @@
  */
 export const homePreference = 25;
 
+/**
+ * How much likelier it is that a further copy of a part makes an engine drop one that is used again, than that a
+ * part was lost of late: the copies that are there already are what made those losses.
+ */
+export const evictionRisk = 4;
+
 /** Requests that began on older weights lose part of their worth after this time. */
 export const weightsTolerance = 1_200;
 
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -10,6 +10,7 @@
   comparedHolders,
   comparedReplicas,
   copySetup,
+  evictionRisk,
   homePreference,
   longPromptShare,
   oldWeightsEnd,
@@ -165,6 +166,12 @@
       return computing + copyTime(admission, copied) + (requests + queued) * batchDelay;
     };
 
+    /** A part that is brought to one more engine drops others there, which are read again where memory is short. */
+    const evictionCost = (view: PromptView, id: string): number => {
+      const risk = Math.min(1, parts.saving.lossShare() * evictionRisk);
+      return (risk * view.reusable) / estimates.prefillRate(id);
+    };
+
     const costOf = (replica: ReplicaState): number => {
       const { id } = replica.entry;
       const version = versionOf(replica);
@@ -174,7 +181,7 @@
       const wait = predict(replica);
       return (
         (isLongAt(replica) ? packed(wait, objective) : wait) +
-        (isHome ? 0 : homePreference) +
+        (isHome ? 0 : homePreference + evictionCost(view, id)) +
         penalty(replica) +
         versionPenalty(prompt.model, version, objective, wait)
       );
