Turn prompts away at once that would be answered too late

Change: a first try whose answer is predicted to begin after one and a half objectives is refused as not run, with a time to come back from the predicted queue, spread at random; a caller that came back (known by its shorter patience) is let in as long as its answer can reach it.

--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -12,8 +12,10 @@
 import type { BegunAnswer, ForwardAttempt } from "./forwardAttempt.ts";
 import { isSuccess } from "./forwardAttempt.ts";
 import type { ForwardRun } from "./forwardRun.ts";
+import { createPatienceMemory } from "./patienceMemory.ts";
 import type { Placement, PlacementChoice } from "./placement.ts";
 import type { RetryShare } from "./retryShare.ts";
+import { turnAway } from "./turningAway.ts";
 
 /** What attempts are made with. */
 export interface AttemptLoopParts {
@@ -43,6 +45,7 @@
 /** Makes attempts by what placement chooses. */
 export const createAttemptLoop = (parts: AttemptLoopParts): AttemptLoop => {
   const { admit, placement, retryShare, metrics, clock } = parts;
+  const patience = createPatienceMemory();
 
   const takeRetry = ({ admission }: ForwardRun): boolean => {
     if (retryShare.tryTake(admission.service.name)) return true;
@@ -106,12 +109,29 @@
     return failures.notRun(run.deadline - clock.monotonic(), failure);
   };
 
+  /** Throws where a request that was not sent anywhere yet would be answered too late. */
+  const admitByLoad = (run: ForwardRun, choice: PlacementChoice): void => {
+    const { request, admission, deadline } = run;
+    if (request.prompt === undefined || run.sentTo.size > 0) return;
+    const outlook = {
+      wait: choice.predictedWait,
+      objective: admission.route.latencyObjective,
+      left: deadline - clock.monotonic(),
+      hasReturned: patience.hasReturned(admission.route.name, request.patience),
+    };
+    const comeBack = turnAway(outlook, Math.random());
+    if (comeBack === undefined) return;
+    metrics.count(metricNames.refusals);
+    throw failures.turnedAway(comeBack);
+  };
+
   const begin = async (run: ForwardRun, lastEventId: string | undefined): Promise<BegunAnswer> => {
     let failure: UpstreamError | undefined;
     let failedThere: BegunAnswer | undefined;
     for (;;) {
       const choice = chooseReplica(run, failure?.fault === "wrong_weights");
       if (choice === undefined) break;
+      admitByLoad(run, choice);
       try {
         const answer = await attemptOnce(run, choice, lastEventId);
         if (isSuccess(answer.head) || !isWorthAnother(run, answer)) return answer;
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -235,6 +235,24 @@
 /** Share of what a caller has left that it is told to wait at most: callers wait no longer. */
 export const longestComeBackShare = 0.3;
 
+/** A first try is turned away if its answer is predicted to begin after so many latency objectives. */
+export const latenessTurnedAway = 1.5;
+
+/** Share of what a caller has left within which an answer must begin to be of use to it. */
+export const usableShare = 0.8;
+
+/** The shortest time to come back after being turned away: a queue of that length is no reason to turn away. */
+export const shortestComeBack = 100;
+
+/** Width of the random spread of times to come back, as a share of them. */
+export const comeBackSpread = 0.6;
+
+/** Callers with less than this share of the route's longest patience have come back. */
+export const returningShare = 0.97;
+
+/** How fast the longest patience of a route fades towards what callers have now, by request. */
+export const patienceDecay = 0.001;
+
 /** Longest wait for the platform's store, as a share of the time in which a key may be served after its end. */
 export const storeTimeoutShare = 0.15;
 
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -21,6 +21,14 @@
       },
       cause,
     ),
+  /** Its answer would begin too late. @param comeBack - Milliseconds after which it is worth another try. */
+  turnedAway: (comeBackAfterMilliseconds: number): RequestError =>
+    requestError("Too much work is waiting; the request has not run.", {
+      status: 503,
+      code: "overloaded",
+      outcome: outcomes.notRun,
+      retryAfterSeconds: comeBackAfterMilliseconds / 1_000,
+    }),
   /** This router ends before the request would. */
   ending: (): RequestError =>
     requestError("This router is shutting down; the request has not run.", {
