Tell peers of every prompt part at each use, also while it is computed

Cause: peers were told only of a prompt's deepest shared part, once, and only when it was computed. So a router did not know where the parts lie that many prompts begin with, and took a part for dropped that others had used since. Change: all shared parts, at each use, with whether they can be copied yet. A part that is being computed and a shallower one that can be copied are told apart.

--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -7,15 +7,16 @@
 import { hash32 } from "../../protocol/prefixLevels.ts";
 import type { CacheChange, Prompt } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
-import { holderMemory, mostParts } from "./constants.ts";
+import { computingMemory, holderMemory, mostParts } from "./constants.ts";
 
 /** How much of a prompt a replica is believed to keep. */
 export interface HeldPrompt {
+  /** Tokens that it keeps or is computing: what is sent there later will find them. */
   readonly tokens: number;
+  /** Tokens that others can copy from there. */
+  readonly readyTokens: number;
   /** When it was last used there, milliseconds on the monotonic clock. */
   readonly usedAt: number;
-  /** False while it is still being computed: what is sent there later will find it, nobody else can copy it. */
-  readonly isReady: boolean;
 }
 
 /** See {@link createCacheHolders}. */
@@ -25,9 +26,9 @@
   /**
    * A replica computes the prompt, or has computed or copied it.
    *
-   * @returns The key of the deepest reusable part if it was not known to be there; otherwise nothing.
+   * @returns The keys of its reusable parts, for others to be told.
    */
-  readonly note: (salt: string, prompt: Prompt, holder: string, isReady: boolean) => number | undefined;
+  readonly note: (salt: string, prompt: Prompt, holder: string, isReady: boolean) => readonly number[];
   /** @returns The key of the deepest part that others may share; nothing if there is none. */
   readonly deepestKey: (salt: string, prompt: Prompt) => number | undefined;
   /** @returns Whether a part was used before, wherever it is by now. */
@@ -35,7 +36,7 @@
   /** A store of prompt parts tells what it keeps. */
   readonly noteChange: (store: string, change: CacheChange) => void;
   /** A peer tells of a part. */
-  readonly noteKey: (key: number, holder: string) => void;
+  readonly noteKey: (key: number, holder: string, isReady: boolean) => void;
   /** A replica is gone, or has lost what it kept. */
   readonly forget: (holder: string) => void;
 }
@@ -70,17 +71,17 @@
   /** The part that was used longest ago comes first. */
   const beliefs = new Map<number, Map<string, Belief>>();
 
-  const isKept = (holder: string, { usedAt, computed, isTold }: Belief): boolean =>
+  const isKept = (holder: string, { usedAt, computed, isReady, isTold }: Belief): boolean =>
     isTold ||
-    (clock.monotonic() - usedAt < holderMemory && computedTokens(holder) - computed < memoryTokens(holder));
+    (clock.monotonic() - usedAt < (isReady ? holderMemory : computingMemory) &&
+      computedTokens(holder) - computed < memoryTokens(holder));
 
   const forgetOldest = (): void => {
     const oldest = beliefs.size > mostParts ? beliefs.keys().next().value : undefined;
     if (oldest !== undefined) beliefs.delete(oldest);
   };
 
-  /** @returns Whether it is news that the part is there. */
-  const noteOne = (key: number, holder: string, isReady: boolean): boolean => {
+  const noteOne = (key: number, holder: string, isReady: boolean): void => {
     const ofPart = beliefs.get(key) ?? new Map<string, Belief>();
     const before = ofPart.get(holder);
     const wasReady = before?.isReady === true && isKept(holder, before);
@@ -90,7 +91,6 @@
     beliefs.delete(key);
     beliefs.set(key, ofPart);
     forgetOldest();
-    return isReady && !wasReady;
   };
 
   const noteTold = (key: number, holder: string): void => {
@@ -107,16 +107,17 @@
       for (const part of reusableParts(prompt)) {
         tokens += part.tokens;
         for (const [holder, belief] of beliefs.get(keyOf(salt, part.id)) ?? []) {
-          const { usedAt, isReady } = belief;
-          if (isKept(holder, belief)) held.set(holder, { tokens, usedAt, isReady });
+          if (!isKept(holder, belief)) continue;
+          const readyTokens = belief.isReady ? tokens : (held.get(holder)?.readyTokens ?? 0);
+          held.set(holder, { tokens, readyTokens, usedAt: belief.usedAt });
         }
       }
       return held;
     },
     note: (salt, prompt, holder, isReady) => {
       const keys = reusableParts(prompt).map(({ id }) => keyOf(salt, id));
-      const news = keys.filter((key) => noteOne(key, holder, isReady));
-      return news.at(-1) === keys.at(-1) ? keys.at(-1) : undefined;
+      for (const key of keys) noteOne(key, holder, isReady);
+      return keys;
     },
     deepestKey: (salt, prompt) => {
       const deepest = reusableParts(prompt).at(-1);
@@ -128,8 +129,8 @@
       if (isKeptThere) noteTold(key, store);
       else beliefs.get(key)?.delete(store);
     },
-    noteKey: (key, holder) => {
-      noteOne(key, holder, true);
+    noteKey: (key, holder, isReady) => {
+      noteOne(key, holder, isReady);
     },
     forget: (holder) => {
       for (const ofPart of beliefs.values()) ofPart.delete(holder);
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -162,6 +162,9 @@
 /** A save that the store has not told of by then has failed, and may be tried again. */
 export const saveMemory = 4_000;
 
+/** A part that is still not computed after so long is not going to be: its request failed. */
+export const computingMemory = 5_000;
+
 /** Prompt parts whose holders are remembered. */
 export const mostParts = 20_000;
 
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/forwarding/promptView.ts
@@ -43,7 +43,7 @@
 
 const mostHeld = (held: ReadonlyMap<string, HeldPrompt>): number => {
   let most = 0;
-  for (const { tokens, isReady } of held.values()) if (isReady) most = Math.max(most, tokens);
+  for (const { readyTokens } of held.values()) most = Math.max(most, readyTokens);
   return most;
 };
 
@@ -89,8 +89,8 @@
   const knownSource = (view: PromptView, chosen: string, own: number): HeldBy | undefined => {
     let best: HeldBy | undefined;
     for (const [id, held] of view.held) {
-      if (id === chosen || !held.isReady || held.tokens <= own || !isSource(id)) continue;
-      const more = held.tokens - (best?.held.tokens ?? 0);
+      if (id === chosen || held.readyTokens <= own || !isSource(id)) continue;
+      const more = held.readyTokens - (best?.held.readyTokens ?? 0);
       if (more > 0 || (more === 0 && held.usedAt > (best?.held.usedAt ?? 0))) best = { id, held };
     }
     return best;
--- a/src/coordination/forwarding/routerNews.ts
+++ b/src/coordination/forwarding/routerNews.ts
@@ -26,8 +26,11 @@
   /** A replica is to get no new work until a moment on the monotonic clock. */
   readonly addChanging: (replica: string, until: number) => void;
   readonly addLeaving: (replica: string) => void;
-  /** A replica keeps a prompt part. Told once: a copy that is not found for want of it costs little. */
-  readonly addHolder: (key: number, replica: string) => void;
+  /**
+   * A replica computes or keeps a prompt part. Told at each use and not repeated: a copy that is not found for want
+   * of it costs little.
+   */
+  readonly addHolder: (key: number, replica: string, isReady: boolean) => void;
   /** Whether there is news of prompt parts that has not been taken for an audience. */
   readonly hasHolders: (audience: Audience) => boolean;
   /** @returns What goes into the next message to an audience. */
@@ -46,8 +49,8 @@
       weights.add(`${replica} ${model}`, { replica: replicaKeyOf(replica), model, version }),
     addChanging: changing.add,
     addLeaving: (replica) => leaving.add(replica, true),
-    addHolder: (key, replica) => {
-      const told = { part: key, replica: replicaKeyOf(replica) };
+    addHolder: (key, replica, isReady) => {
+      const told = { part: key, replica: replicaKeyOf(replica), isReady };
       for (const pending of Object.values(holders)) pending.set(`${key} ${replica}`, told);
     },
     hasHolders: (audience) => holders[audience].size > 0,
@@ -89,9 +92,9 @@
     const replica = replicas.getByKey(key);
     if (replica !== undefined) replica.changingUntil = now + remaining;
   }
-  for (const { part, replica } of message.holders) {
+  for (const { part, replica, isReady } of message.holders) {
     const id = idOf(replica);
-    if (id !== undefined) holders.noteKey(part, id);
+    if (id !== undefined) holders.noteKey(part, id, isReady);
   }
   for (const { model, version, age } of message.wanted) configuration.noteWantedAge(model, version, age);
   for (const key of message.leaving) {
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -61,8 +61,8 @@
   readonly tellWork: () => void;
   /** Tells peers that a replica leaves. */
   readonly tellLeaving: (replica: string) => void;
-  /** Tells peers that a replica keeps a prompt part. */
-  readonly tellHolder: (key: number, replica: string) => void;
+  /** Tells peers, with the next message, that a replica computes or keeps a prompt part. */
+  readonly tellHolder: (key: number, replica: string, isReady: boolean) => void;
   /** Tells peers that this router takes no duties any more. */
   readonly standDown: () => void;
   /** Tells peers that this router ends. */
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -41,11 +41,13 @@
   readonly remaining: number;
 }
 
-/** A prompt part that a replica keeps. */
+/** A prompt part that a replica keeps or computes. */
 export interface ToldHolder {
   /** 32 bits. */
   readonly part: number;
   readonly replica: ReplicaKey;
+  /** False while it is being computed. */
+  readonly isReady: boolean;
 }
 
 /** Weights that the operator wants. */
@@ -88,7 +90,7 @@
 }
 
 /** Messages of another form are not read. */
-const form = 2;
+const form = 3;
 
 const flags = { echo: 1, configuration: 2, standsDown: 4, ends: 8 } as const;
 
@@ -114,9 +116,10 @@
     writer.count(remaining);
   });
   writeList(writer, message.leaving, writer.key);
-  writeList(writer, message.holders, ({ part, replica }) => {
+  writeList(writer, message.holders, ({ part, replica, isReady }) => {
     writer.count(part);
     writer.key(replica);
+    writer.byte(isReady ? 1 : 0);
   });
   writeList(writer, message.wanted, ({ model, version, age }) => {
     writer.text(model);
@@ -175,7 +178,11 @@
     weights: reader.list(() => ({ replica: reader.key(), model: reader.text(), version: reader.count() })),
     changing: reader.list(() => ({ replica: reader.key(), remaining: reader.count() })),
     leaving: reader.list(reader.key),
-    holders: reader.list(() => ({ part: reader.count(), replica: reader.key() })),
+    holders: reader.list(() => ({
+      part: reader.count(),
+      replica: reader.key(),
+      isReady: reader.byte() === 1,
+    })),
     wanted: reader.list(() => readTarget(reader)),
     standsDown: has(flags.standsDown),
     ends: has(flags.ends),
