Wait a moment for a prompt part that an engine is computing

Cause: after a load of weights several prompts with one part come before it was computed once; each had it computed anew.

--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -12,6 +12,7 @@
 import type { BegunAnswer, ForwardAttempt } from "./forwardAttempt.ts";
 import { isSuccess } from "./forwardAttempt.ts";
 import type { ForwardRun } from "./forwardRun.ts";
+import type { PartWait } from "./partWait.ts";
 import { createPatienceMemory } from "./patienceMemory.ts";
 import type { Placement, PlacementChoice } from "./placement.ts";
 import type { RetryShare } from "./retryShare.ts";
@@ -23,6 +24,7 @@
   readonly placement: Placement;
   readonly attempt: ForwardAttempt;
   readonly retryShare: RetryShare;
+  readonly partWait: PartWait;
   readonly metrics: Metrics;
   readonly clock: Clock;
 }
@@ -128,9 +130,15 @@
   const begin = async (run: ForwardRun, lastEventId: string | undefined): Promise<BegunAnswer> => {
     let failure: UpstreamError | undefined;
     let failedThere: BegunAnswer | undefined;
+    let hasWaited = false;
     for (;;) {
       const choice = chooseReplica(run, failure?.fault === "wrong_weights");
       if (choice === undefined) break;
+      if (choice.awaitedPart !== undefined && !hasWaited) {
+        hasWaited = true;
+        await parts.partWait(choice.awaitedPart, run.admission.route.latencyObjective, run.stopper.signal);
+        continue;
+      }
       admitByLoad(run, choice);
       try {
         const answer = await attemptOnce(run, choice, lastEventId);
--- a/src/coordination/forwarding/cacheHolders.test.ts
+++ b/src/coordination/forwarding/cacheHolders.test.ts
@@ -58,11 +58,21 @@
       for (const key of holders.note("a", prompt, "one", isReady)) peer.noteKey(key, "one", isReady);
     };
     tell(false);
-    const computing = { tokens: 1_210, readyTokens: 0, usedAt: 0 };
+    const computing = {
+      tokens: 1_210,
+      readyTokens: 0,
+      computing: holders.deepestKey("a", prompt),
+      usedAt: 0,
+    };
     expect(holders.find("a", prompt).get("one")).toEqual(computing);
     expect(peer.find("a", prompt).get("one")).toEqual(computing);
     tell(true);
-    expect(peer.find("a", prompt).get("one")).toEqual({ tokens: 1_210, readyTokens: 1_210, usedAt: 0 });
+    expect(peer.find("a", prompt).get("one")).toEqual({
+      tokens: 1_210,
+      readyTokens: 1_210,
+      computing: undefined,
+      usedAt: 0,
+    });
     const sibling = { ...prompt, parts: [prompt.parts[0] ?? { id: "", tokens: 0 }, { id: "x", tokens: 1 }] };
     expect(peer.find("a", sibling).get("one")?.readyTokens).toEqual(800);
   });
@@ -72,7 +82,12 @@
     const sibling = { ...prompt, parts: [prompt.parts[0], { id: "x", tokens: 5 }, { id: "own", tokens: 1 }] };
     holders.note("a", sibling as typeof prompt, "one", true);
     holders.note("a", prompt, "one", false);
-    expect(holders.find("a", prompt).get("one")).toEqual({ tokens: 1_210, readyTokens: 800, usedAt: 0 });
+    expect(holders.find("a", prompt).get("one")).toEqual({
+      tokens: 1_210,
+      readyTokens: 800,
+      computing: holders.deepestKey("a", prompt),
+      usedAt: 0,
+    });
   });
 
   it("end where a prompt was never computed", () => {
--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -15,6 +15,8 @@
   readonly tokens: number;
   /** Tokens that others can copy from there. */
   readonly readyTokens: number;
+  /** The key of the deepest part that it is computing. */
+  readonly computing: number | undefined;
   /** When it was last used there, milliseconds on the monotonic clock. */
   readonly usedAt: number;
 }
@@ -37,6 +39,8 @@
   readonly noteChange: (store: string, change: CacheChange) => void;
   /** A peer tells of a part. */
   readonly noteKey: (key: number, holder: string, isReady: boolean) => void;
+  /** @returns A function that calls it off. @param callback - Called once as soon as the part can be used. */
+  readonly whenReady: (key: number, callback: () => void) => () => void;
   /** A replica is gone, or has lost what it kept. */
   readonly forget: (holder: string) => void;
 }
@@ -68,6 +72,8 @@
 /** Creates beliefs about nothing. */
 export const createCacheHolders = (parts: CacheHoldersParts): CacheHolders => {
   const { clock, computedTokens, memoryTokens } = parts;
+  /** By part: who waits for it to be computed. */
+  const waiting = new Map<number, Set<() => void>>();
   /** The part that was used longest ago comes first. */
   const beliefs = new Map<number, Map<string, Belief>>();
 
@@ -76,6 +82,12 @@
     (clock.monotonic() - usedAt < (isReady ? holderMemory : computingMemory) &&
       computedTokens(holder) - computed < memoryTokens(holder));
 
+  const wakeWaiting = (key: number): void => {
+    const callbacks = waiting.get(key);
+    waiting.delete(key);
+    for (const callback of callbacks ?? []) callback();
+  };
+
   const forgetOldest = (): void => {
     const oldest = beliefs.size > mostParts ? beliefs.keys().next().value : undefined;
     if (oldest !== undefined) beliefs.delete(oldest);
@@ -91,6 +103,7 @@
     beliefs.delete(key);
     beliefs.set(key, ofPart);
     forgetOldest();
+    if (isReady) wakeWaiting(key);
   };
 
   const noteTold = (key: number, holder: string): void => {
@@ -106,10 +119,12 @@
       let tokens = 0;
       for (const part of reusableParts(prompt)) {
         tokens += part.tokens;
-        for (const [holder, belief] of beliefs.get(keyOf(salt, part.id)) ?? []) {
+        const key = keyOf(salt, part.id);
+        for (const [holder, belief] of beliefs.get(key) ?? []) {
           if (!isKept(holder, belief)) continue;
-          const readyTokens = belief.isReady ? tokens : (held.get(holder)?.readyTokens ?? 0);
-          held.set(holder, { tokens, readyTokens, usedAt: belief.usedAt });
+          const { isReady, usedAt } = belief;
+          const readyTokens = isReady ? tokens : (held.get(holder)?.readyTokens ?? 0);
+          held.set(holder, { tokens, readyTokens, computing: isReady ? undefined : key, usedAt });
         }
       }
       return held;
@@ -132,6 +147,15 @@
     noteKey: (key, holder, isReady) => {
       noteOne(key, holder, isReady);
     },
+    whenReady: (key, callback) => {
+      const callbacks = waiting.get(key) ?? new Set();
+      waiting.set(key, callbacks);
+      callbacks.add(callback);
+      return () => {
+        callbacks.delete(callback);
+        if (callbacks.size === 0 && waiting.get(key) === callbacks) waiting.delete(key);
+      };
+    },
     forget: (holder) => {
       for (const ofPart of beliefs.values()) ofPart.delete(holder);
     },
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -165,6 +165,12 @@
 /** A part that is still not computed after so long is not going to be: its request failed. */
 export const computingMemory = 5_000;
 
+/** Share of the latency objective that a request waits at most for a part that an engine is computing. */
+export const partWaitShare = 0.3;
+
+/** A part is waited for if computing it once more would take an engine so long, milliseconds. */
+export const partWorthWaiting = 20;
+
 /** Prompt parts whose holders are remembered. */
 export const mostParts = 20_000;
 
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -18,10 +18,11 @@
   othersShare,
   packingGain,
   packingTarget,
+  partWorthWaiting,
   peerIntervals,
   weightsTolerance,
 } from "./constants.ts";
-import type { PartSaving } from "./partSaving.ts";
+import type { PartSaving, SharedParts } from "./partSaving.ts";
 import { pickSome } from "./pickSome.ts";
 import type { PlacementChoice, PlacementFailure } from "./placement.ts";
 import type { PromptView, PromptViewParts } from "./promptView.ts";
@@ -36,7 +37,7 @@
   readonly estimates: ReplicaEstimates;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
-  readonly saving: PartSaving;
+  readonly saving: Pick<PartSaving, "lossShare">;
 }
 
 /** See {@link createEnginePlacement}. */
@@ -187,22 +188,29 @@
       );
     };
 
-    /** Where the chosen replica is to save the prompt's parts. */
-    const saveTarget = (view: PromptView, isNewest: boolean): string | undefined => {
+    const sharedParts = (view: PromptView, version: number): SharedParts | undefined => {
       const key = parts.holders.deepestKey(view.salt, prompt);
       const store = parts.store();
       if (key === undefined || engine === undefined) return undefined;
       const isHeld = ([id, held]: readonly [string, HeldPrompt]): boolean =>
         id !== store?.address && held.tokens >= view.reusable;
-      const shared = {
+      return {
         key,
+        // Parts of weights that are about to go are not worth a transfer.
+        store: configuration.supersededBy(prompt.model, version) === undefined ? store : undefined,
         wasUsed: parts.holders.wasUsed(key),
         isKept: [...view.held].some(isHeld),
         isSaved: (view.held.get(store?.address ?? "")?.tokens ?? 0) >= view.reusable,
         transferTime: store === undefined ? 0 : transferTime(engine, prompt.tokens, store.linkMegabits),
       };
-      const isWanted = parts.saving.decide(shared, isNewest ? store : undefined);
-      return isWanted ? store?.address : undefined;
+    };
+
+    /** Where computing it again takes longer than what it costs to wait a moment. */
+    const awaitedPart = (view: PromptView, id: string): number | undefined => {
+      let awaited: HeldPrompt | undefined;
+      for (const held of view.held.values()) if (held.tokens > (awaited?.tokens ?? view.most)) awaited = held;
+      const gained = (awaited?.tokens ?? 0) - view.most;
+      return gained / estimates.prefillRate(id) > partWorthWaiting ? awaited?.computing : undefined;
     };
 
     const few = chooseFew(candidates, versionOf, viewOf);
@@ -221,10 +229,10 @@
       weightsVersion: version === 0 ? undefined : version,
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
-      // Parts of weights that are about to go are not worth a transfer.
-      saveTo: saveTarget(view, configuration.supersededBy(prompt.model, version) === undefined),
+      shared: sharedParts(view, version),
       priority: isLate ? leastUrgent : priority,
       outlastsMessages: computedAt(replica) / estimates.prefillRate(id) > peerIntervals.shortest,
+      awaitedPart: awaitedPart(view, id),
       promptTokens: Math.max(0, computedAt(replica)),
       predictedWait,
     };
--- a/src/coordination/forwarding/partSaving.ts
+++ b/src/coordination/forwarding/partSaving.ts
@@ -20,6 +20,8 @@
 export interface SharedParts {
   /** Names the deepest shared part together with its salt. */
   readonly key: number;
+  /** A store that the parts may be saved in. */
+  readonly store: CacheStore | undefined;
   /** The part was used before, under the same salt. */
   readonly wasUsed: boolean;
   /** An engine is believed to keep all of them. */
@@ -32,8 +34,8 @@
 
 /** See {@link createPartSaving}. */
 export interface PartSaving {
-  /** Takes a look at a prompt that is about to be sent. @returns Whether its parts are to be saved. */
-  readonly decide: (shared: SharedParts, store: CacheStore | undefined) => boolean;
+  /** Takes a look at a prompt that is about to be sent. @returns The store that its parts are to be saved in. */
+  readonly decide: (shared: SharedParts) => CacheStore | undefined;
   /** @returns Share of the parts used again of late that no engine kept any more, 0 to 1. */
   readonly lossShare: () => number;
 }
@@ -64,19 +66,19 @@
   };
 
   return {
-    decide: (shared, store) => {
+    decide: (shared) => {
       note(shared);
-      if (store === undefined || shared.isSaved) return false;
+      if (shared.store === undefined || shared.isSaved) return undefined;
       const isLost = shared.wasUsed && !shared.isKept;
-      if (!isLost && lossShare < lossWorthSaving) return false;
+      if (!isLost && lossShare < lossWorthSaving) return undefined;
       const now = clock.monotonic();
       forgetOld(now);
-      if (underWay.has(shared.key)) return false;
+      if (underWay.has(shared.key)) return undefined;
       refill(now);
-      if (linkTime < 0) return false;
+      if (linkTime < 0) return undefined;
       linkTime -= shared.transferTime;
       underWay.set(shared.key, now + saveMemory);
-      return true;
+      return shared.store;
     },
     lossShare: () => lossShare,
   };
--- /dev/null
+++ b/src/coordination/forwarding/partWait.test.ts
@@ -0,0 +1,49 @@
+import { describe, it } from "node:test";
+import { setImmediate as settled } from "node:timers/promises";
+import { expect } from "earl";
+import { createManualClock } from "../manualClock.ts";
+import { createCacheHolders } from "./cacheHolders.ts";
+import { partWaitShare } from "./constants.ts";
+import { createPartWait } from "./partWait.ts";
+
+const create = () => {
+  const clock = createManualClock();
+  const holders = createCacheHolders({ clock, computedTokens: () => 0, memoryTokens: () => 1_000 });
+  const wait = createPartWait({ holders, clock });
+  const begin = (signal = new AbortController().signal) => {
+    const state = { isOver: false };
+    void wait(17, 800, signal).then(() => (state.isOver = true));
+    return state;
+  };
+  return { clock, holders, begin };
+};
+
+describe("waiting for a part that is being computed", () => {
+  it("ends for all as soon as a peer tells that it is computed", async () => {
+    const { holders, begin } = create();
+    const waits = [begin(), begin()];
+    holders.noteKey(17, "engine", false);
+    await settled();
+    expect(waits.map(({ isOver }) => isOver)).toEqual([false, false]);
+    holders.noteKey(17, "engine", true);
+    await settled();
+    expect(waits.map(({ isOver }) => isOver)).toEqual([true, true]);
+  });
+
+  it("ends where whoever computes it has failed", async () => {
+    const { clock, begin } = create();
+    const wait = begin();
+    clock.advanceTo(800 * partWaitShare + 1);
+    await settled();
+    expect(wait.isOver).toEqual(true);
+  });
+
+  it("ends with its caller", async () => {
+    const { begin } = create();
+    const caller = new AbortController();
+    const wait = begin(caller.signal);
+    caller.abort();
+    await settled();
+    expect(wait.isOver).toEqual(true);
+  });
+});
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -13,6 +13,7 @@
   staleWorkPenaltyShare,
 } from "./constants.ts";
 import type { EnginePlacement } from "./enginePlacement.ts";
+import type { SharedParts } from "./partSaving.ts";
 import { rankByCost } from "./rankByCost.ts";
 import type { ReplicaEstimates } from "./replicaEstimates.ts";
 import type { Admission } from "./types.ts";
@@ -35,11 +36,14 @@
   readonly weightsVersion: number | undefined;
   readonly cacheSalt: string | undefined;
   readonly fetchFrom: string | undefined;
-  readonly saveTo: string | undefined;
+  /** What saving its prompt's parts is decided by; nothing where there is no such decision. */
+  readonly shared: SharedParts | undefined;
   /** For engines: 0 is the most urgent. */
   readonly priority: number | undefined;
   /** Its prompt takes longer than the time between two messages to peers. */
   readonly outlastsMessages: boolean;
+  /** The key of a prompt part that an engine is computing, and that is worth waiting for. */
+  readonly awaitedPart: number | undefined;
   /** Prompt tokens that it is expected to compute. */
   readonly promptTokens: number;
   /** Predicted time to the beginning of the answer, milliseconds. */
@@ -101,9 +105,10 @@
       weightsVersion: undefined,
       cacheSalt: undefined,
       fetchFrom: undefined,
-      saveTo: undefined,
+      shared: undefined,
       priority: undefined,
       outlastsMessages: false,
+      awaitedPart: undefined,
       promptTokens: 0,
       predictedWait: best.cost,
     };
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -12,6 +12,7 @@
 import type { Forwarder } from "../coordination/forwarding/forwarder.ts";
 import { createForwarder } from "../coordination/forwarding/forwarder.ts";
 import { createPartSaving } from "../coordination/forwarding/partSaving.ts";
+import { createPartWait } from "../coordination/forwarding/partWait.ts";
 import { createPlacement } from "../coordination/forwarding/placement.ts";
 import { createReplicaEstimates } from "../coordination/forwarding/replicaEstimates.ts";
 import { createReplicaHealth } from "../coordination/forwarding/replicaHealth.ts";
@@ -105,6 +106,7 @@
 
   const { dataCentre } = self;
   const { farDelay } = peers;
+  const saving = createPartSaving({ clock, routers: peers.countServing });
   const engines = createEnginePlacement({
     replicas,
     configuration,
@@ -115,7 +117,7 @@
     dataCentre,
     farDelay,
     store: cacheStore.usable,
-    saving: createPartSaving({ clock, routers: peers.countServing }),
+    saving,
   });
   return createForwarder({
     admit,
@@ -135,9 +137,11 @@
       onLongPrompt: peers.tellWork,
       estimates,
       health,
+      saving,
       metrics,
       clock,
     }),
+    partWait: createPartWait({ holders, clock }),
     retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
     configuration,
     shutdown,
