Save a part once, with a prompt that is mostly shared, and ask the store at once after a start

Change: peers are told of a save at once; only prompts whose shared parts are at least half of them and take an engine 20 ms are saved; the follower asks at once when it starts, so that a router that comes back knows what is saved.

--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -99,7 +99,7 @@
     const wasReady = before?.isReady === true && isKept(holder, before);
     const usedAt = clock.monotonic();
     const computed = computedTokens(holder);
-    ofPart.set(holder, { usedAt, computed, isReady: isReady || wasReady, isTold: false });
+    ofPart.set(holder, { usedAt, computed, isReady: isReady || wasReady, isTold: before?.isTold === true });
     beliefs.delete(key);
     beliefs.set(key, ofPart);
     forgetOldest();
--- a/src/coordination/forwarding/cacheStoreFollower.ts
+++ b/src/coordination/forwarding/cacheStoreFollower.ts
@@ -91,7 +91,7 @@
     if (!ending.signal.aborted)
       callOff = clock.after(cacheStoreInterval * parts.stretch(), () => void look());
   };
-  let callOff = clock.after(cacheStoreInterval, () => void look());
+  let callOff = clock.after(0, () => void look());
 
   return {
     usable: () => (followed?.answers === true ? followed.store : undefined),
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -159,8 +159,14 @@
 /** Link time that may be saved up, milliseconds: a few prompts at once after a load of weights. */
 export const saveBurst = 400;
 
-/** A save that the store has not told of by then has failed, and may be tried again. */
-export const saveMemory = 4_000;
+/** Shared parts are worth saving if an engine takes so long to compute them, milliseconds. */
+export const computingWorthSaving = 20;
+
+/**
+ * They are saved with a prompt of which they are at least this share: a store takes in whole prompts, and those
+ * with long ends of their own would drop more shared parts there than they bring.
+ */
+export const shareWorthSaving = 0.5;
 
 /** A part that is still not computed after so long is not going to be: its request failed. */
 export const computingMemory = 5_000;
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -188,19 +188,20 @@
       );
     };
 
-    const sharedParts = (view: PromptView, version: number): SharedParts | undefined => {
+    const sharedParts = (view: PromptView, version: number, rate: number): SharedParts | undefined => {
       const key = parts.holders.deepestKey(view.salt, prompt);
       const store = parts.store();
       if (key === undefined || engine === undefined) return undefined;
       const isHeld = ([id, held]: readonly [string, HeldPrompt]): boolean =>
         id !== store?.address && held.tokens >= view.reusable;
       return {
-        key,
         // Parts of weights that are about to go are not worth a transfer.
         store: configuration.supersededBy(prompt.model, version) === undefined ? store : undefined,
         wasUsed: parts.holders.wasUsed(key),
         isKept: [...view.held].some(isHeld),
         isSaved: (view.held.get(store?.address ?? "")?.tokens ?? 0) >= view.reusable,
+        computingTime: view.reusable / rate,
+        share: view.reusable / Math.max(1, prompt.tokens),
         transferTime: store === undefined ? 0 : transferTime(engine, prompt.tokens, store.linkMegabits),
       };
     };
@@ -208,7 +209,10 @@
     /** Where computing it again takes longer than what it costs to wait a moment. */
     const awaitedPart = (view: PromptView, id: string): number | undefined => {
       let awaited: HeldPrompt | undefined;
-      for (const held of view.held.values()) if (held.tokens > (awaited?.tokens ?? view.most)) awaited = held;
+      for (const [holder, held] of view.held) {
+        const isEngine = replicas.get(holder) !== undefined;
+        if (isEngine && held.tokens > (awaited?.tokens ?? view.most)) awaited = held;
+      }
       const gained = (awaited?.tokens ?? 0) - view.most;
       return gained / estimates.prefillRate(id) > partWorthWaiting ? awaited?.computing : undefined;
     };
@@ -229,7 +233,7 @@
       weightsVersion: version === 0 ? undefined : version,
       cacheSalt: view.salt,
       fetchFrom: fetchSource(view, id, own),
-      shared: sharedParts(view, version),
+      shared: sharedParts(view, version, estimates.prefillRate(id)),
       priority: isLate ? leastUrgent : priority,
       outlastsMessages: computedAt(replica) / estimates.prefillRate(id) > peerIntervals.shortest,
       awaitedPart: awaitedPart(view, id),
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -63,6 +63,8 @@
       configurationAge: finiteAge(configuration),
       weightsVersion: choice?.weightsVersion ?? null,
       predictedWait: choice === undefined ? null : Math.round(choice.predictedWait),
+      promptTokens: choice?.promptTokens ?? null,
+      copiedFrom: choice?.fetchFrom ?? null,
       ...(reason === undefined ? {} : { reason }),
     });
   };
--- /dev/null
+++ b/src/coordination/forwarding/partSaving.test.ts
@@ -0,0 +1,65 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import type { CacheStore } from "../../protocol/forwarding/types.ts";
+import { createManualClock } from "../manualClock.ts";
+import { saveBurst, saveLinkShare } from "./constants.ts";
+import { createPartSaving } from "./partSaving.ts";
+import type { SharedParts } from "./partSaving.ts";
+
+const store: CacheStore = { address: "10.0.0.9:8000", dataCentre: "here", linkMegabits: 360_000 };
+
+const shared = (fields: Partial<SharedParts> = {}): SharedParts => ({
+  store,
+  wasUsed: false,
+  isKept: false,
+  isSaved: false,
+  computingTime: 150,
+  share: 0.7,
+  transferTime: 67,
+  ...fields,
+});
+
+const create = (routers = 1) => {
+  const clock = createManualClock();
+  return { clock, saving: createPartSaving({ clock, routers: () => routers }) };
+};
+
+describe("saving shared parts", () => {
+  it("leaves the links alone where memory holds what is shared", () => {
+    const { saving } = create();
+    for (let turn = 0; turn < 50; turn += 1) {
+      expect(saving.decide(shared())).toEqual(undefined);
+      expect(saving.decide(shared({ wasUsed: true, isKept: true }))).toEqual(undefined);
+    }
+  });
+
+  it("saves what was lost, and everything at first sight once losses are usual", () => {
+    const { saving } = create();
+    const lost = { wasUsed: true, isKept: false };
+    expect(saving.decide(shared(lost))).toEqual(store);
+    expect(saving.decide(shared())).toEqual(undefined);
+    for (let turn = 0; turn < 5; turn += 1) saving.decide(shared({ ...lost, isSaved: true }));
+    expect(saving.decide(shared())).toEqual(store);
+  });
+
+  it("saves nothing that is saved, small, mostly a prompt's own, or of weights that go", () => {
+    const { saving } = create();
+    const lost = { wasUsed: true, isKept: false };
+    for (const fields of [{ isSaved: true }, { computingTime: 5 }, { share: 0.3 }, { store: undefined }]) {
+      expect(saving.decide(shared({ ...lost, ...fields }))).toEqual(undefined);
+    }
+  });
+
+  it("takes no more than its part of the link's time, whatever is lost", () => {
+    const { clock, saving } = create(4);
+    let taken = 0;
+    const seconds = 20;
+    for (let at = 0; at < seconds * 1_000; at += 10) {
+      clock.advanceTo(at);
+      if (saving.decide(shared({ wasUsed: true })) !== undefined) taken += 67;
+    }
+    const most = saveBurst + (seconds * 1_000 * saveLinkShare) / 4 + 67;
+    expect(taken).toBeLessThanOrEqual(most);
+    expect(taken).toBeGreaterThan(most / 2);
+  });
+});
--- a/src/coordination/forwarding/partSaving.ts
+++ b/src/coordination/forwarding/partSaving.ts
@@ -7,7 +7,14 @@
  */
 import type { CacheStore } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
-import { lossGain, lossWorthSaving, saveBurst, saveLinkShare, saveMemory } from "./constants.ts";
+import {
+  computingWorthSaving,
+  lossGain,
+  lossWorthSaving,
+  saveBurst,
+  saveLinkShare,
+  shareWorthSaving,
+} from "./constants.ts";
 
 /** What saving is decided by. */
 export interface PartSavingParts {
@@ -18,17 +25,19 @@
 
 /** A prompt's shared parts, as far as saving them goes. */
 export interface SharedParts {
-  /** Names the deepest shared part together with its salt. */
-  readonly key: number;
   /** A store that the parts may be saved in. */
   readonly store: CacheStore | undefined;
   /** The part was used before, under the same salt. */
   readonly wasUsed: boolean;
   /** An engine is believed to keep all of them. */
   readonly isKept: boolean;
-  /** The store is believed to keep all of them. */
+  /** The store is believed to keep all of them, or to be getting them. */
   readonly isSaved: boolean;
-  /** How long the store's link takes for the prompt, milliseconds. */
+  /** How long an engine takes to compute them, milliseconds. */
+  readonly computingTime: number;
+  /** Their share of the whole prompt, 0 to 1: a store takes in the rest too, and drops others for it. */
+  readonly share: number;
+  /** How long the store's link takes for the whole prompt, milliseconds. */
   readonly transferTime: number;
 }
 
@@ -42,8 +51,6 @@
 
 /** Creates a decision that has seen nothing. */
 export const createPartSaving = ({ clock, routers }: PartSavingParts): PartSaving => {
-  /** By key: until when a save is taken to be under way. */
-  const underWay = new Map<number, number>();
   let lossShare = 0;
   let linkTime = saveBurst;
   let refilledAt = clock.monotonic();
@@ -58,26 +65,18 @@
     refilledAt = now;
   };
 
-  const forgetOld = (now: number): void => {
-    for (const [key, until] of underWay) {
-      if (until > now) return;
-      underWay.delete(key);
-    }
-  };
+  const isWorthSaving = ({ computingTime, share }: SharedParts): boolean =>
+    computingTime > computingWorthSaving && share >= shareWorthSaving;
 
   return {
     decide: (shared) => {
       note(shared);
-      if (shared.store === undefined || shared.isSaved) return undefined;
+      if (shared.store === undefined || shared.isSaved || !isWorthSaving(shared)) return undefined;
       const isLost = shared.wasUsed && !shared.isKept;
       if (!isLost && lossShare < lossWorthSaving) return undefined;
-      const now = clock.monotonic();
-      forgetOld(now);
-      if (underWay.has(shared.key)) return undefined;
-      refill(now);
+      refill(clock.monotonic());
       if (linkTime < 0) return undefined;
       linkTime -= shared.transferTime;
-      underWay.set(shared.key, now + saveMemory);
       return shared.store;
     },
     lossShare: () => lossShare,
--- a/src/coordination/forwarding/routerNews.ts
+++ b/src/coordination/forwarding/routerNews.ts
@@ -5,6 +5,7 @@
   ToldHolder,
   ToldWeights,
 } from "../../protocol/forwarding/peerMessage.ts";
+import type { CacheStore } from "../../protocol/forwarding/types.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
@@ -76,6 +77,8 @@
   readonly replicas: ReplicaTable;
   readonly configuration: Pick<ConfigurationState, "noteWantedAge">;
   readonly holders: Pick<CacheHolders, "noteKey">;
+  /** The store of prompt parts that the configuration names. */
+  readonly cacheStore: () => CacheStore | undefined;
   readonly clock: Clock;
 }
 
@@ -92,8 +95,10 @@
     const replica = replicas.getByKey(key);
     if (replica !== undefined) replica.changingUntil = now + remaining;
   }
+  const store = takers.cacheStore()?.address;
+  const storeKey = store === undefined ? undefined : replicaKeyOf(store);
   for (const { part, replica, isReady } of message.holders) {
-    const id = idOf(replica);
+    const id = replica === storeKey ? store : idOf(replica);
     if (id !== undefined) holders.noteKey(part, id, isReady);
   }
   for (const { model, version, age } of message.wanted) configuration.noteWantedAge(model, version, age);
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -222,7 +222,7 @@
     const peer = message && peers.hear(message, from);
     if (message === undefined || peer === undefined) return;
     replicas.noteWork(peer.name, peer.ends ? noWork : byReplica(message.work));
-    takeNews(message, parts);
+    takeNews(message, { ...parts, cacheStore: () => configuration.table()?.cacheStore });
     takeConfiguration(message);
   });
 
