Let no router stay a candidate for orders that is cut off from the store alone

Change: a router tells peers that it takes no duties while its own last read of the store is older than two held reads. Ruled out: a time of its own in the message; the flag for a router that ends means the same to its peers. The test of divided duties now lets its routers read the store, as they do; its checks are unchanged.

--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -41,7 +41,10 @@
   /** When nothing newer had been published, milliseconds on the monotonic clock. */
   readonly provenAt: () => number;
   readonly apply: (page: FeedPage<OperatorRecord>) => void;
+  /** A read of this router's own that was sent at a moment found nothing newer. */
   readonly confirm: (at: number) => void;
+  /** Milliseconds since such a read was sent: a router that is cut off from the store alone lives on peers' proofs. */
+  readonly readAge: () => number;
   /** A peer had proof of this version at a moment. */
   readonly confirmVersion: (version: number, at: number) => void;
 }
@@ -57,6 +60,7 @@
   const wanted = new Map<string, readonly WantedWeights[]>();
   let table: RouteTable | undefined;
   let provenAt = Number.NEGATIVE_INFINITY;
+  let readAt = Number.NEGATIVE_INFINITY;
 
   const takeRecord = (record: OperatorRecord): void => {
     if (record.kind === "configuration") {
@@ -76,7 +80,7 @@
     writeLog("weights_wanted", { model, version });
   };
 
-  const confirm = (at: number): void => {
+  const prove = (at: number): void => {
     provenAt = Math.max(provenAt, at);
   };
 
@@ -105,9 +109,13 @@
     apply: ({ records }) => {
       for (const { value } of records) if (value !== undefined) takeRecord(value);
     },
-    confirm,
+    confirm: (at) => {
+      readAt = Math.max(readAt, at);
+      prove(at);
+    },
+    readAge: () => clock.monotonic() - readAt,
     confirmVersion: (version, at) => {
-      if (version === table?.configuration.version) confirm(at);
+      if (version === table?.configuration.version) prove(at);
     },
   };
 };
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -16,6 +16,12 @@
  */
 export const configurationWaitShareOfMany = 0.36;
 
+/**
+ * After so many times the longest wait of a held read without an answer a router takes no duties that need the store:
+ * two reads in a row fit into it.
+ */
+export const readsBeforeStandingDown = 2.5;
+
 /** Kept back of the time in which a key may be served, for the way from here to the replica. */
 export const revocationMargin = 150;
 
--- a/src/coordination/forwarding/proofModel.test.ts
+++ b/src/coordination/forwarding/proofModel.test.ts
@@ -81,6 +81,7 @@
       replicas: createReplicaTable(),
       configuration,
       holders: { noteKey: () => undefined },
+      longestReadAge: () => Number.POSITIVE_INFINITY,
       onNewerConfiguration: () => undefined,
     });
     peers.add(entries);
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -30,6 +30,8 @@
   readonly replicas: ReplicaTable;
   readonly configuration: ConfigurationState;
   readonly holders: Pick<CacheHolders, "noteKey">;
+  /** A router whose last own read of the store is older takes no duties that need the store, milliseconds. */
+  readonly longestReadAge: () => number;
   /** A peer knows a newer configuration. */
   readonly onNewerConfiguration: () => void;
 }
@@ -117,6 +119,22 @@
   }
 };
 
+/**
+ * Takes what a peer says of its configuration: its proof is as old as it says, counted from no earlier than when the
+ * peer got the message that it echoes.
+ */
+const takeConfiguration = (
+  message: RouterMessage,
+  echoedAt: number | undefined,
+  { configuration, onNewerConfiguration }: RouterPeersParts,
+): void => {
+  if (message.configuration === undefined) return;
+  const { version, age } = message.configuration;
+  const known = configuration.table()?.configuration.version ?? -1;
+  if (version > known) onNewerConfiguration();
+  if (echoedAt !== undefined) configuration.confirmVersion(version, echoedAt - age);
+};
+
 /** Peers that are told at the same times. */
 interface PeerGroup {
   readonly audience: Audience;
@@ -147,6 +165,12 @@
   const groups: readonly PeerGroup[] = audiences.map(createGroup);
   let callOffNews: (() => void) | undefined;
 
+  /**
+   * A router that is cut off from the store alone has proofs from its peers; if it stayed the first candidate for the
+   * lease of orders, nobody would hold it until the proofs of all had aged: 4.6 to 5.6 s without orders on recorded days.
+   */
+  const takesDuties = (): boolean => !standsDown && configuration.readAge() < parts.longestReadAge();
+
   const compose = (work: RouterMessage["work"], audience: Audience): Omit<RouterMessage, "echo"> => {
     const now = clock.monotonic();
     return {
@@ -158,7 +182,7 @@
       work,
       ...news.take(audience),
       wanted: configuration.wantedAges(),
-      standsDown,
+      standsDown: !takesDuties(),
       ends,
     };
   };
@@ -205,16 +229,10 @@
     if (!peers.isLarge()) sendAll();
   };
 
-  const takeConfiguration = (message: RouterMessage): void => {
-    if (message.configuration === undefined) return;
-    const { version, age } = message.configuration;
-    const known = configuration.table()?.configuration.version ?? -1;
-    if (version > known) parts.onNewerConfiguration();
-    if (message.echo === undefined) return;
-    // The peer's proof is as old as it says, counted from no earlier than when it got the message it echoes.
-    const echoedAt = message.echo - stampOrigin;
-    const isOwn = echoedAt >= startedAt && echoedAt <= clock.monotonic();
-    if (isOwn) configuration.confirmVersion(version, echoedAt - age);
+  /** @returns When the message was sent that a peer echoes; nothing if it is none of this process. */
+  const echoedAt = ({ echo }: RouterMessage): number | undefined => {
+    const at = echo === undefined ? Number.NaN : echo - stampOrigin;
+    return at >= startedAt && at <= clock.monotonic() ? at : undefined;
   };
 
   link.receive((datagram, from) => {
@@ -223,7 +241,7 @@
     if (message === undefined || peer === undefined) return;
     replicas.noteWork(peer.name, peer.ends ? noWork : byReplica(message.work));
     takeNews(message, { ...parts, cacheStore: () => configuration.table()?.cacheStore });
-    takeConfiguration(message);
+    takeConfiguration(message, echoedAt(message), parts);
   });
 
   let callOffTurn = clock.after(0, turn);
@@ -244,11 +262,11 @@
       const isFresh = (peer: Peer): boolean =>
         peers.isHeard(peer) && peer.proofAge < longestAge && (peer.isNear || !peers.isLarge());
       const fresh = peers.all().filter((peer) => isFresh(peer) && !peer.standsDown);
-      const own = configuration.age() < longestAge && !standsDown ? [self.name] : [];
+      const own = configuration.age() < longestAge && takesDuties() ? [self.name] : [];
       return [...own, ...fresh.map(({ name }) => name)];
     },
     isLarge: peers.isLarge,
-    isAmong: (duty, count) => peers.isAmong(duty, count, standsDown),
+    isAmong: (duty, count) => peers.isAmong(duty, count, !takesDuties()),
     farDelay: () => (peers.stretch(false) - 1) * peerIntervals.shortest,
     countServing: () => 1 + peers.all().filter(peers.mayServe).length,
     tellWeights: (replica, model, version) => {
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -12,6 +12,7 @@
   cacheStoreAskers,
   configurationWaitShare,
   configurationWaitShareOfMany,
+  readsBeforeStandingDown,
   registryPaceShare,
   registryPaceShareOfMany,
   registryReaders,
@@ -74,6 +75,9 @@
   let knowsReplicas = false;
   let isOver = false;
 
+  const longestHeldRead = (): number =>
+    bounds.keyRevocation * (peers.isLarge() ? configurationWaitShareOfMany : configurationWaitShare);
+
   const peers = resources.use(
     createRouterPeers({
       self,
@@ -82,6 +86,7 @@
       replicas,
       configuration,
       holders,
+      longestReadAge: () => longestHeldRead() * readsBeforeStandingDown,
       onNewerConfiguration: () => operatorFeed.hurry(),
     }),
   );
@@ -108,8 +113,7 @@
       name: "operator",
       feed: platform.operator,
       clock,
-      wait: () =>
-        bounds.keyRevocation * (peers.isLarge() ? configurationWaitShareOfMany : configurationWaitShare),
+      wait: longestHeldRead,
       pace: () => 0,
       replace: configuration.apply,
       apply: (page) => {
