Ask an engine that loads weights sooner and more often whether it is done

Cause: the first question came 600 ms after the order; the new customer's engines load in 400 ms, so that each load held its place among those at once for half as long again.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -239,10 +239,10 @@
 export const changingTime = drainBeforeLoad + 2_500;
 
 /** A replica that was told to change its weights is asked for its state this often. */
-export const loadPollInterval = 150;
+export const loadPollInterval = 100;
 
 /** The first question after an order; loads take longer. */
-export const firstLoadPoll = 600;
+export const firstLoadPoll = 300;
 
 /** A load that takes longer is looked at anew. */
 export const longestLoad = 6_000;
