Put all decisions about a request together in one place, apart from input and output

Cause: the daemon wired them up itself, so that nothing else could drive the decisions that serve; chance came from the process's own generator, so that no run could be repeated. Change: createDecisions takes what it reaches the world through, chance included; the limits that experiments vary are one read-only record. Behaviour stays as it is.

--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -25,8 +25,12 @@
   readonly attempt: ForwardAttempt;
   readonly retryShare: RetryShare;
   readonly partWait: PartWait;
+  /** Latency objectives after which a first try is turned away. */
+  readonly latenessTurnedAway: number;
   readonly metrics: Metrics;
   readonly clock: Clock;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
 }
 
 /** See {@link createAttemptLoop}. */
@@ -121,7 +125,7 @@
       left: deadline - clock.monotonic(),
       hasReturned: patience.hasReturned(admission.route.name, request.patience),
     };
-    const comeBack = turnAway(outlook, Math.random());
+    const comeBack = turnAway(outlook, parts.latenessTurnedAway, parts.random());
     if (comeBack === undefined) return;
     metrics.count(metricNames.refusals);
     throw failures.turnedAway(comeBack);
--- /dev/null
+++ b/src/coordination/forwarding/decisions.ts
@@ -0,0 +1,131 @@
+/**
+ * Everything that decides about a request, put together: admission by the configuration, turning away by load,
+ * waiting for parts, placement, attempts. It reaches replicas and peers through what it is given alone, so that
+ * simulated ones can stand in their place.
+ */
+import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
+import { createResourceStack } from "../../protocol/resourceStack.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createLogger } from "../../state/log.ts";
+import type { Metrics } from "../../state/Metrics.ts";
+import type { Clock } from "../clock.ts";
+import type { Admit } from "./admit.ts";
+import { createAnswerCheck } from "./answerCheck.ts";
+import type { AttemptLoopParts } from "./attemptLoop.ts";
+import type { CacheHolders } from "./cacheHolders.ts";
+import type { CacheStoreFollower } from "./cacheStoreFollower.ts";
+import type { ConfigurationState } from "./configurationState.ts";
+import { createEnginePlacement } from "./enginePlacement.ts";
+import { createForwardAttempt } from "./forwardAttempt.ts";
+import type { Forwarder } from "./forwarder.ts";
+import { createForwarder } from "./forwarder.ts";
+import type { LoadPolicy } from "./loadPolicy.ts";
+import { createPartSaving } from "./partSaving.ts";
+import { createPartWait } from "./partWait.ts";
+import { createPlacement } from "./placement.ts";
+import { createReplicaEstimates } from "./replicaEstimates.ts";
+import type { ReplicaEstimates } from "./replicaEstimates.ts";
+import { createReplicaHealth } from "./replicaHealth.ts";
+import { startReplicaWatch } from "./replicaWatch.ts";
+import { createRetryShare } from "./retryShare.ts";
+import type { RouterPeers } from "./routerPeers.ts";
+import type { Shutdown } from "./shutdown.ts";
+import type { ForwardingBounds } from "./types.ts";
+
+/** What a router believes, as far as decisions use it. */
+export interface DecisionBeliefs {
+  readonly configuration: ConfigurationState;
+  readonly replicas: ReplicaTable;
+  readonly holders: CacheHolders;
+  readonly peers: Pick<RouterPeers, "farDelay" | "countServing" | "tellHolder" | "tellWork" | "tellLeaving">;
+  readonly cacheStore: Pick<CacheStoreFollower, "usable">;
+}
+
+/** What decisions are made with. */
+export interface DecisionParts {
+  /** The router's data centre. */
+  readonly dataCentre: string;
+  readonly client: ReplicaClient;
+  readonly beliefs: DecisionBeliefs;
+  readonly admit: Admit;
+  readonly shutdown: Shutdown;
+  readonly bounds: ForwardingBounds;
+  readonly policy: LoadPolicy;
+  readonly clock: Clock;
+  readonly metrics: Metrics;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** See {@link createDecisions}. */
+export interface Decisions extends AsyncDisposable {
+  readonly forwarder: Forwarder;
+}
+
+const writeLog = createLogger("router");
+
+/** Lets go of what is known of replicas that leave. */
+const forgetDepartures = (
+  { replicas, holders }: DecisionBeliefs,
+  client: ReplicaClient,
+  estimates: ReplicaEstimates,
+): void => {
+  replicas.subscribe((entry, departure) => {
+    writeLog("replica", { replica: entry.id, service: entry.service, state: departure ?? "ready" });
+    if (departure !== undefined) holders.forget(entry.id);
+    if (departure !== "gone") return;
+    estimates.forget(entry.id);
+    client.forget(entry);
+  });
+};
+
+/** Creates decisions; silent replicas are watched until they are disposed of. */
+export const createDecisions = (parts: DecisionParts): Decisions => {
+  const { dataCentre, client, beliefs, bounds, policy, clock, metrics, random } = parts;
+  const { configuration, replicas, holders, peers, cacheStore } = beliefs;
+  const { farDelay } = peers;
+  const resources = createResourceStack();
+  const estimates = createReplicaEstimates();
+  const health = createReplicaHealth(replicas, clock);
+  resources.use(startReplicaWatch({ replicas, client, health, clock }));
+  forgetDepartures(beliefs, client, estimates);
+
+  const saving = createPartSaving({ clock, policy, routers: peers.countServing });
+  const shared = { replicas, estimates, clock, dataCentre, farDelay, random };
+  const engines = createEnginePlacement({
+    ...shared,
+    configuration,
+    holders,
+    bounds,
+    policy,
+    store: cacheStore.usable,
+    saving,
+  });
+  const attempt = createForwardAttempt({
+    client,
+    check: createAnswerCheck({ replicas, client, clock, onLeaving: peers.tellLeaving }),
+    holders,
+    tellHolder: peers.tellHolder,
+    onLongPrompt: peers.tellWork,
+    estimates,
+    health,
+    saving,
+    metrics,
+    clock,
+  });
+  const loop: AttemptLoopParts = {
+    admit: parts.admit,
+    placement: createPlacement({ ...shared, engines }),
+    attempt,
+    partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
+    retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
+    latenessTurnedAway: policy.latenessTurnedAway,
+    metrics,
+    clock,
+    random,
+  };
+  return {
+    forwarder: createForwarder({ ...loop, configuration, shutdown: parts.shutdown }),
+    [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
+  };
+};
--- a/src/coordination/forwarding/enginePlacement.test.ts
+++ b/src/coordination/forwarding/enginePlacement.test.ts
@@ -15,6 +15,7 @@
 import { createCacheHolders } from "./cacheHolders.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
+import { usualLoadPolicy } from "./loadPolicy.ts";
 import { createPartSaving } from "./partSaving.ts";
 import { createReplicaEstimates } from "./replicaEstimates.ts";
 
@@ -47,7 +48,9 @@
     dataCentre: "here",
     farDelay: () => farDelay,
     store: () => undefined,
-    saving: createPartSaving({ clock, routers: () => 1 }),
+    saving: createPartSaving({ clock, policy: usualLoadPolicy, routers: () => 1 }),
+    policy: usualLoadPolicy,
+    random: Math.random,
   });
   const table = createRouteTable(configurationOf(1));
   const admission = { table, route: streamRoute, service: engineService, organisation: undefined };
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -10,8 +10,6 @@
   comparedHolders,
   comparedReplicas,
   copySetup,
-  evictionRisk,
-  homePreference,
   longPromptShare,
   oldWeightsEnd,
   oldWeightsPenaltyShare,
@@ -22,6 +20,7 @@
   peerIntervals,
   weightsTolerance,
 } from "./constants.ts";
+import type { LoadPolicy } from "./loadPolicy.ts";
 import type { PartSaving, SharedParts } from "./partSaving.ts";
 import { pickSome } from "./pickSome.ts";
 import type { PlacementChoice, PlacementFailure } from "./placement.ts";
@@ -37,7 +36,10 @@
   readonly estimates: ReplicaEstimates;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
+  readonly policy: Pick<LoadPolicy, "homePreference" | "evictionRisk">;
   readonly saving: Pick<PartSaving, "lossShare">;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
 }
 
 /** See {@link createEnginePlacement}. */
@@ -100,7 +102,7 @@
 
 /** Creates a placement at engines. */
 export const createEnginePlacement = (parts: EnginePlacementParts): EnginePlacement => {
-  const { replicas, configuration, estimates, clock, bounds } = parts;
+  const { replicas, configuration, estimates, clock, bounds, policy, random } = parts;
   const { viewPrompt, nearOf, fetchSource } = createPromptViews(parts);
 
   const versionPenalty = (model: string, version: number, objective: number, wait: number): number => {
@@ -124,8 +126,8 @@
       const view = viewOf(version);
       const same = candidates.filter((each) => versionOf(each) === version);
       const holders = same.filter(({ entry }) => view.held.has(entry.id) || entry.id === view.home);
-      for (const each of pickSome(holders, comparedHolders)) few.add(each);
-      for (const each of pickSome(nearOf(same), comparedReplicas)) few.add(each);
+      for (const each of pickSome(holders, comparedHolders, random)) few.add(each);
+      for (const each of pickSome(nearOf(same), comparedReplicas, random)) few.add(each);
     }
     return [...few];
   };
@@ -169,7 +171,7 @@
 
     /** A part that is brought to one more engine drops others there, which are read again where memory is short. */
     const evictionCost = (view: PromptView, id: string): number => {
-      const risk = Math.min(1, parts.saving.lossShare() * evictionRisk);
+      const risk = Math.min(1, parts.saving.lossShare() * policy.evictionRisk);
       return (risk * view.reusable) / estimates.prefillRate(id);
     };
 
@@ -182,7 +184,7 @@
       const wait = predict(replica);
       return (
         (isLongAt(replica) ? packed(wait, objective) : wait) +
-        (isHome ? 0 : homePreference + evictionCost(view, id)) +
+        (isHome ? 0 : policy.homePreference + evictionCost(view, id)) +
         penalty(replica) +
         versionPenalty(prompt.model, version, objective, wait)
       );
@@ -218,8 +220,8 @@
     };
 
     const few = chooseFew(candidates, versionOf, viewOf);
-    let { replica, cost } = rankByCost(few, costOf);
-    if (cost === Number.POSITIVE_INFINITY) ({ replica, cost } = rankByCost(candidates, costOf));
+    let { replica, cost } = rankByCost(few, costOf, random);
+    if (cost === Number.POSITIVE_INFINITY) ({ replica, cost } = rankByCost(candidates, costOf, random));
     if (cost === Number.POSITIVE_INFINITY) return "old_weights";
     const { id } = replica.entry;
     const version = versionOf(replica);
--- a/src/coordination/forwarding/partSaving.ts
+++ b/src/coordination/forwarding/partSaving.ts
@@ -7,18 +7,13 @@
  */
 import type { CacheStore } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
-import {
-  computingWorthSaving,
-  lossGain,
-  lossWorthSaving,
-  saveBurst,
-  saveLinkShare,
-  shareWorthSaving,
-} from "./constants.ts";
+import { computingWorthSaving, lossGain, saveBurst, shareWorthSaving } from "./constants.ts";
+import type { LoadPolicy } from "./loadPolicy.ts";
 
 /** What saving is decided by. */
 export interface PartSavingParts {
   readonly clock: Clock;
+  readonly policy: Pick<LoadPolicy, "lossWorthSaving" | "saveLinkShare">;
   /** Routers that may be saving, this one included. */
   readonly routers: () => number;
 }
@@ -50,7 +45,7 @@
 }
 
 /** Creates a decision that has seen nothing. */
-export const createPartSaving = ({ clock, routers }: PartSavingParts): PartSaving => {
+export const createPartSaving = ({ clock, policy, routers }: PartSavingParts): PartSaving => {
   let lossShare = 0;
   let linkTime = saveBurst;
   let refilledAt = clock.monotonic();
@@ -60,7 +55,7 @@
   };
 
   const refill = (now: number): void => {
-    const share = saveLinkShare / Math.max(1, routers());
+    const share = policy.saveLinkShare / Math.max(1, routers());
     linkTime = Math.min(saveBurst, linkTime + (now - refilledAt) * share);
     refilledAt = now;
   };
@@ -73,7 +68,7 @@
       note(shared);
       if (shared.store === undefined || shared.isSaved || !isWorthSaving(shared)) return undefined;
       const isLost = shared.wasUsed && !shared.isKept;
-      if (!isLost && lossShare < lossWorthSaving) return undefined;
+      if (!isLost && lossShare < policy.lossWorthSaving) return undefined;
       refill(clock.monotonic());
       if (linkTime < 0) return undefined;
       linkTime -= shared.transferTime;
--- a/src/coordination/forwarding/partWait.test.ts
+++ b/src/coordination/forwarding/partWait.test.ts
@@ -9,7 +9,7 @@
 const create = () => {
   const clock = createManualClock();
   const holders = createCacheHolders({ clock, computedTokens: () => 0, memoryTokens: () => 1_000 });
-  const wait = createPartWait({ holders, clock });
+  const wait = createPartWait({ holders, clock, share: partWaitShare });
   const begin = (signal = new AbortController().signal) => {
     const state = { isOver: false };
     void wait(17, 800, signal).then(() => (state.isOver = true));
--- a/src/coordination/forwarding/partWait.ts
+++ b/src/coordination/forwarding/partWait.ts
@@ -8,12 +8,13 @@
  */
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
-import { partWaitShare } from "./constants.ts";
 
 /** What waiting works with. */
 export interface PartWaitParts {
   readonly holders: Pick<CacheHolders, "whenReady">;
   readonly clock: Clock;
+  /** Share of the latency objective that is waited at most. */
+  readonly share: number;
 }
 
 /**
@@ -26,7 +27,7 @@
 
 /** Creates a wait. */
 export const createPartWait =
-  ({ holders, clock }: PartWaitParts): PartWait =>
+  ({ holders, clock, share }: PartWaitParts): PartWait =>
   (key, objective, signal) =>
     new Promise((resolve) => {
       const finish = (): void => {
@@ -35,7 +36,7 @@
         signal.removeEventListener("abort", finish);
         resolve();
       };
-      const callOffTimer = clock.after(objective * partWaitShare, finish);
+      const callOffTimer = clock.after(objective * share, finish);
       const callOffPart = holders.whenReady(key, finish);
       signal.addEventListener("abort", finish);
       if (signal.aborted) finish();
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -28,6 +28,8 @@
   /** How old what is known of work from other data centres may be beyond what is usual, milliseconds. */
   readonly farDelay: () => number;
   readonly engines: EnginePlacement;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
 }
 
 /** A replica for a request, with what it is to be told. */
@@ -99,7 +101,7 @@
       const turns = 1 + Math.max(0, requests + 1 - slots) / slots + (requests / slots) * crowding;
       return estimates.serviceTime(id) * turns + generalPenalty(replica, route.latencyObjective);
     };
-    const best = rankByCost(candidates, predict);
+    const best = rankByCost(candidates, predict, parts.random);
     return {
       replica: best.replica,
       weightsVersion: undefined,
--- a/src/coordination/forwarding/turningAway.test.ts
+++ b/src/coordination/forwarding/turningAway.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import { longestComeBackShare } from "./constants.ts";
+import { latenessTurnedAway, longestComeBackShare } from "./constants.ts";
 import { createPatienceMemory } from "./patienceMemory.ts";
 import { turnAway } from "./turningAway.ts";
 
@@ -8,27 +8,32 @@
 
 describe("turning requests away", () => {
   it("lets in what is answered in time or a little late", () => {
-    expect(turnAway(outlook, 0.5)).toEqual(undefined);
-    expect(turnAway({ ...outlook, wait: 1_100 }, 0.5)).toEqual(undefined);
+    expect(turnAway(outlook, latenessTurnedAway, 0.5)).toEqual(undefined);
+    expect(turnAway({ ...outlook, wait: 1_100 }, latenessTurnedAway, 0.5)).toEqual(undefined);
   });
 
   it("tells a first try that is late to come back when the queue has shrunk, within what it still waits", () => {
-    const comeBack = turnAway({ ...outlook, wait: 1_500 }, 0.5);
+    const comeBack = turnAway({ ...outlook, wait: 1_500 }, latenessTurnedAway, 0.5);
     expect(comeBack).toEqual(1_100);
-    expect(turnAway({ ...outlook, wait: 60_000 }, 0.5)).toEqual(6_000 * longestComeBackShare);
-    expect(turnAway({ ...outlook, wait: 1_500 }, 0) === turnAway({ ...outlook, wait: 1_500 }, 1)).toEqual(
-      false,
+    expect(turnAway({ ...outlook, wait: 60_000 }, latenessTurnedAway, 0.5)).toEqual(
+      6_000 * longestComeBackShare,
     );
+    expect(
+      turnAway({ ...outlook, wait: 1_500 }, latenessTurnedAway, 0) ===
+        turnAway({ ...outlook, wait: 1_500 }, latenessTurnedAway, 1),
+    ).toEqual(false);
   });
 
   it("lets a caller that came back in as long as its answer can reach it", () => {
     const returned = { ...outlook, left: 4_000, hasReturned: true };
-    expect(turnAway({ ...returned, wait: 3_000 }, 0.5)).toEqual(undefined);
-    expect(turnAway({ ...returned, wait: 3_900 }, 0.5) !== undefined).toEqual(true);
+    expect(turnAway({ ...returned, wait: 3_000 }, latenessTurnedAway, 0.5)).toEqual(undefined);
+    expect(turnAway({ ...returned, wait: 3_900 }, latenessTurnedAway, 0.5) !== undefined).toEqual(true);
   });
 
   it("turns away at once what the caller can't wait for", () => {
-    expect(turnAway({ ...outlook, wait: 900, left: 1_000 }, 0.5) !== undefined).toEqual(true);
+    expect(turnAway({ ...outlook, wait: 900, left: 1_000 }, latenessTurnedAway, 0.5) !== undefined).toEqual(
+      true,
+    );
   });
 
   /**
@@ -43,7 +48,7 @@
     let answered = 0;
     for (let at = 0; at < 10_000; at += interval) {
       queue = Math.max(0, queue - interval);
-      if (turnAway({ ...outlook, wait: queue + work }, 0.5) !== undefined) continue;
+      if (turnAway({ ...outlook, wait: queue + work }, latenessTurnedAway, 0.5) !== undefined) continue;
       queue += work;
       latest = Math.max(latest, queue);
       answered += 1;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -1,24 +1,11 @@
 /** A router that passes requests on untouched, put together. */
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Clock } from "../coordination/clock.ts";
 import { systemClock } from "../coordination/clock.ts";
-import type { Admit } from "../coordination/forwarding/admit.ts";
 import { createAdmit } from "../coordination/forwarding/admit.ts";
-import { createAnswerCheck } from "../coordination/forwarding/answerCheck.ts";
 import { shutdownInterval, storeTimeoutShare } from "../coordination/forwarding/constants.ts";
-import { createEnginePlacement } from "../coordination/forwarding/enginePlacement.ts";
-import { createForwardAttempt } from "../coordination/forwarding/forwardAttempt.ts";
-import type { Forwarder } from "../coordination/forwarding/forwarder.ts";
-import { createForwarder } from "../coordination/forwarding/forwarder.ts";
-import { createPartSaving } from "../coordination/forwarding/partSaving.ts";
-import { createPartWait } from "../coordination/forwarding/partWait.ts";
-import { createPlacement } from "../coordination/forwarding/placement.ts";
-import { createReplicaEstimates } from "../coordination/forwarding/replicaEstimates.ts";
-import { createReplicaHealth } from "../coordination/forwarding/replicaHealth.ts";
-import { startReplicaWatch } from "../coordination/forwarding/replicaWatch.ts";
-import { createRetryShare } from "../coordination/forwarding/retryShare.ts";
-import type { Shutdown } from "../coordination/forwarding/shutdown.ts";
+import { createDecisions } from "../coordination/forwarding/decisions.ts";
+import { usualLoadPolicy } from "../coordination/forwarding/loadPolicy.ts";
 import { createShutdown } from "../coordination/forwarding/shutdown.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import { createHolderName, startWeightsOrders } from "../coordination/forwarding/weightsOrders.ts";
@@ -26,9 +13,7 @@
 import type { ConnectPlatform, ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
 import type { RouterEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
-import type { ResourceStack } from "../protocol/resourceStack.ts";
 import { createLogger } from "../state/log.ts";
-import type { Metrics } from "../state/Metrics.ts";
 import { ExpositionMetrics } from "../transport/expositionMetrics.ts";
 import { startForwardingServer } from "../transport/forwarding/forwardingServer.ts";
 import { startStatusServer } from "../transport/forwarding/statusServer.ts";
@@ -75,81 +60,6 @@
   port,
 });
 
-interface DecisionParts {
-  readonly self: RouterEntry;
-  readonly platform: ForwardingPlatform;
-  readonly beliefs: ForwardingBeliefs;
-  readonly admit: Admit;
-  readonly shutdown: Shutdown;
-  readonly bounds: ForwardingBounds;
-  readonly clock: Clock;
-  readonly metrics: Metrics;
-}
-
-/** Puts together what decides about requests. */
-const createDecisions = (parts: DecisionParts, resources: ResourceStack): Forwarder => {
-  const { self, platform, beliefs, admit, shutdown, bounds, clock, metrics } = parts;
-  const { configuration, replicas, holders, peers, cacheStore } = beliefs;
-  const { replicaClient: client } = platform;
-  const estimates = createReplicaEstimates();
-  const health = createReplicaHealth(replicas, clock);
-
-  resources.use(startReplicaWatch({ replicas, client, health, clock }));
-
-  replicas.subscribe((entry, departure) => {
-    writeLog("replica", { replica: entry.id, service: entry.service, state: departure ?? "ready" });
-    if (departure !== undefined) holders.forget(entry.id);
-    if (departure !== "gone") return;
-    estimates.forget(entry.id);
-    client.forget(entry);
-  });
-
-  const { dataCentre } = self;
-  const { farDelay } = peers;
-  const saving = createPartSaving({ clock, routers: peers.countServing });
-  const engines = createEnginePlacement({
-    replicas,
-    configuration,
-    holders,
-    estimates,
-    clock,
-    bounds,
-    dataCentre,
-    farDelay,
-    store: cacheStore.usable,
-    saving,
-  });
-  return createForwarder({
-    admit,
-    placement: createPlacement({
-      replicas,
-      estimates,
-      clock,
-      dataCentre,
-      farDelay,
-      engines,
-    }),
-    attempt: createForwardAttempt({
-      client,
-      check: createAnswerCheck({ replicas, client, clock, onLeaving: peers.tellLeaving }),
-      holders,
-      tellHolder: peers.tellHolder,
-      onLongPrompt: peers.tellWork,
-      estimates,
-      health,
-      saving,
-      metrics,
-      clock,
-    }),
-    partWait: createPartWait({ holders, clock }),
-    retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
-    configuration,
-    shutdown,
-    metrics,
-    clock,
-  });
-};
-
 /** A replica's connections are shared by all routers. */
 const shareConnections = ({ replicaClient }: ForwardingPlatform, beliefs: ForwardingBeliefs): void => {
   const { configuration, replicas, peers } = beliefs;
@@ -193,9 +103,19 @@
     if (departure === undefined) shareConnections(platform, beliefs);
   });
   const admit = createAdmit(configuration, bounds, clock);
-  const forwarder = createDecisions(
-    { self, platform, beliefs, admit, shutdown, bounds, clock, metrics },
-    resources,
+  const { forwarder } = resources.use(
+    createDecisions({
+      dataCentre: self.dataCentre,
+      client: platform.replicaClient,
+      beliefs,
+      admit,
+      shutdown,
+      bounds,
+      policy: usualLoadPolicy,
+      clock,
+      metrics,
+      random: Math.random,
+    }),
   );
 
   const orders = resources.use(
