Share the time that saves may take up at once among all routers

Cause: each router could save 400 ms of the store's link at once; when losses began nine of them filled it for seconds, and copies waited behind saves.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -159,11 +159,15 @@
  */
 export const lossWorthSaving = 0.1;
 
-/** Share of the link of a store of prompt parts that saving takes; the rest is for copies out of it. */
+/** Share of the link of a store of prompt parts that all routers' saves take; copies out of it wait behind them. */
 export const saveLinkShare = 0.5;
 
-/** Link time that may be saved up, milliseconds: a few prompts at once after a load of weights. */
-export const saveBurst = 400;
+/**
+ * Link time that all routers together may save up, milliseconds: a few prompts at once. With 400 ms for each of nine
+ * routers copies came late once losses began: a simulated loss of three of eight engines answered 85 % in time instead
+ * of 95 %.
+ */
+export const saveBurst = 300;
 
 /** Shared parts are worth saving if an engine takes so long to compute them, milliseconds. */
 export const computingWorthSaving = 20;
--- a/src/coordination/forwarding/partSaving.ts
+++ b/src/coordination/forwarding/partSaving.ts
@@ -47,7 +47,7 @@
 /** Creates a decision that has seen nothing. */
 export const createPartSaving = ({ clock, policy, routers }: PartSavingParts): PartSaving => {
   let lossShare = 0;
-  let linkTime = saveBurst;
+  let linkTime = 0;
   let refilledAt = clock.monotonic();
 
   const note = ({ wasUsed, isKept }: SharedParts): void => {
@@ -55,8 +55,9 @@
   };
 
   const refill = (now: number): void => {
-    const share = policy.saveLinkShare / Math.max(1, routers());
-    linkTime = Math.min(saveBurst, linkTime + (now - refilledAt) * share);
+    const count = Math.max(1, routers());
+    const refilled = linkTime + ((now - refilledAt) * policy.saveLinkShare) / count;
+    linkTime = Math.min(saveBurst / count, refilled);
     refilledAt = now;
   };
 
