Add a load lab that drives the decisions that serve, in simulated time

Cause: a change of policy took a minute and more to try, and bench/model drives only the decisions of our own interface. Change: npm run lab -- FILE runs an experiment (checked file: load, faults, seeds, policies) over engines that compute in steps, share memory between runs and cached parts, copy over links one after another, go dark, crash and load weights, a store of parts, several routers with real datagrams between them, and callers that come back, leave and give up. Tests replay the load that each kept decision answers. Left: bench/model keeps its own engine for our own interface; only cache and random numbers are shared.

--- /dev/null
+++ b/bench/lab/figures.ts
@@ -0,0 +1,91 @@
+/** What runs of an experiment come to: shares of requests, worth and where it was lost, tokens. */
+import type { LabRecord } from "./caller.ts";
+import type { LabResult } from "./simulation.ts";
+
+/** Figures of one run. Shares are of requests that are owed an answer, 0 to 1; tokens are thousands. */
+export interface LabFigures {
+  readonly served: number;
+  readonly inTime: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly failed: number;
+  /** Share of the worth owed that was earned. */
+  readonly worth: number;
+  /** The least of it over windows of two seconds. */
+  readonly worstWindow: number;
+  /** First token, 99 of 100 of those served, milliseconds. */
+  readonly firstTokenP99: number;
+  readonly computed: number;
+  readonly again: number;
+  readonly copied: number;
+  readonly preempted: number;
+}
+
+/** A mean over seeds with the standard deviation. */
+export interface Spread {
+  readonly mean: number;
+  readonly deviation: number;
+}
+
+const windowLength = 2_000;
+const thousand = 1_000;
+const tail = 0.99;
+
+const isInTime = ({ outcome, firstTokenAfter, arrival }: LabRecord): boolean =>
+  outcome === "served" && (firstTokenAfter ?? Number.POSITIVE_INFINITY) <= arrival.kind.objective;
+
+const earned = (record: LabRecord): number => {
+  if (record.outcome !== "served") return 0;
+  const { worth, lateWorth } = record.arrival.kind;
+  return isInTime(record) ? worth : lateWorth;
+};
+
+const worthOf = (records: readonly LabRecord[]): number => {
+  const owed = records.reduce((sum, { arrival }) => sum + arrival.kind.worth, 0);
+  return owed === 0 ? 1 : records.reduce((sum, record) => sum + earned(record), 0) / owed;
+};
+
+const worstWindowOf = (records: readonly LabRecord[]): number => {
+  const windows = new Map<number, LabRecord[]>();
+  for (const record of records) {
+    const window = Math.floor(record.arrival.at / windowLength);
+    windows.set(window, [...(windows.get(window) ?? []), record]);
+  }
+  return Math.min(1, ...[...windows.values()].map(worthOf));
+};
+
+/** @param warmUp - Requests that came earlier are left out, seconds. */
+export const figuresOf = ({ records, totals }: LabResult, warmUp: number): LabFigures => {
+  const owed = records.filter(
+    ({ outcome, arrival }) => outcome !== "left" && arrival.at >= warmUp * thousand,
+  );
+  const shareOf = (matches: (record: LabRecord) => boolean): number =>
+    owed.filter(matches).length / Math.max(1, owed.length);
+  const firstTokens = owed
+    .flatMap(({ outcome, firstTokenAfter }) => (outcome === "served" ? [firstTokenAfter ?? 0] : []))
+    .sort((left, right) => left - right);
+  const served = shareOf(({ outcome }) => outcome === "served");
+  const inTime = shareOf(isInTime);
+  return {
+    served,
+    inTime,
+    late: served - inTime,
+    refused: shareOf(({ outcome }) => outcome === "refused"),
+    failed: shareOf(({ outcome }) => outcome === "failed"),
+    worth: worthOf(owed),
+    worstWindow: worstWindowOf(owed),
+    firstTokenP99: firstTokens[Math.floor(firstTokens.length * tail)] ?? 0,
+    computed: totals.computed / thousand,
+    again: totals.again / thousand,
+    copied: totals.copied / thousand,
+    preempted: totals.preempted,
+  };
+};
+
+/** @returns Mean and standard deviation of one figure over runs. */
+export const spreadOf = (runs: readonly LabFigures[], figure: keyof LabFigures): Spread => {
+  const values = runs.map((run) => run[figure]);
+  const mean = values.reduce((sum, value) => sum + value, 0) / values.length;
+  const squares = values.reduce((sum, value) => sum + (value - mean) ** 2, 0);
+  return { mean, deviation: Math.sqrt(squares / Math.max(1, values.length - 1)) };
+};
--- /dev/null
+++ b/bench/lab/lab.test.ts
@@ -0,0 +1,90 @@
+/** The loads that the kept decisions answer, replayed in simulated time with and without each of them. */
+import { readdirSync } from "node:fs";
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
+import { usualLoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
+import type { Experiment } from "./experiment.ts";
+import { parseExperiment, readExperiment } from "./experiment.ts";
+import type { LabFigures } from "./figures.ts";
+import { figuresOf, spreadOf } from "./figures.ts";
+import { runLab } from "./simulation.ts";
+
+const enginesLost = readExperiment("examples/lab/enginesLost.json");
+const weightsNamed = readExperiment("examples/lab/weightsNamed.json");
+const overload = readExperiment("examples/lab/overload.json");
+
+const seeds = [1, 2];
+
+const runAll = async (
+  experiment: Experiment,
+  changes: Partial<LoadPolicy> = {},
+): Promise<readonly LabFigures[]> => {
+  const runs: LabFigures[] = [];
+  for (const seed of seeds) {
+    const result = await runLab(experiment, { ...usualLoadPolicy, ...changes }, seed);
+    runs.push(figuresOf(result, experiment.warmUp));
+  }
+  return runs;
+};
+
+const mean = (runs: readonly LabFigures[], figure: keyof LabFigures): number => spreadOf(runs, figure).mean;
+
+describe("the load lab", () => {
+  it("gives the same result for the same seed", async () => {
+    const short = { ...enginesLost, seconds: 5 };
+    const once = figuresOf(await runLab(short, usualLoadPolicy, 7), 0);
+    expect(figuresOf(await runLab(short, usualLoadPolicy, 7), 0)).toEqual(once);
+    expect(figuresOf(await runLab(short, usualLoadPolicy, 8), 0).computed === once.computed).toEqual(false);
+  });
+
+  it("names each place at fault in an experiment's file", () => {
+    const broken = (changes: object): (() => unknown) => {
+      const text = JSON.stringify({ ...enginesLost, ...changes });
+      return () => parseExperiment(text, "file.json");
+    };
+    expect(() => parseExperiment("{", "file.json")).toThrow(/file\.json/);
+    expect(broken({ extra: 1 })).toThrow(/extra/);
+    expect(broken({ seconds: -1 })).toThrow(/seconds/);
+    expect(broken({ policies: { a: { unknown: 1 } } })).toThrow(/policies\.a.*unknown/);
+    expect(broken({ faults: [{ kind: "dark", at: 1, seconds: 1, engines: 8 }] })).toThrow(
+      /faults\.0\.engines/,
+    );
+    const hot = { kind: "hotSubject", at: 1, seconds: 1, of: "none", share: 0.5 };
+    expect(broken({ faults: [hot] })).toThrow(/faults\.0\.of/);
+  });
+
+  it("has examples that can all be read", () => {
+    for (const file of readdirSync("examples/lab")) readExperiment(`examples/lab/${file}`);
+  });
+});
+
+describe("memory that holds less than what prompts share", () => {
+  it("costs less computing again where lost parts are saved in a store", async () => {
+    const saved = await runAll(enginesLost);
+    const unsaved = await runAll(enginesLost, { saveLinkShare: 0, lossWorthSaving: 1 });
+    expect(mean(saved, "again")).toBeLessThan(mean(unsaved, "again") * 0.85);
+    expect(mean(saved, "worth")).toBeGreaterThan(mean(unsaved, "worth") - 0.01);
+    expect(mean(saved, "inTime")).toBeGreaterThan(0.9);
+  });
+});
+
+describe("weights that are named again and again", () => {
+  it("cost less computing again where requests wait for a part that is being computed", async () => {
+    const waited = await runAll(weightsNamed);
+    const unwaited = await runAll(weightsNamed, { partWaitShare: 0 });
+    expect(mean(waited, "again")).toBeLessThan(mean(unwaited, "again") * 0.8);
+    expect(mean(waited, "worth")).toBeGreaterThan(0.99);
+  });
+});
+
+describe("a burst while engines are lost", () => {
+  it("fails fewer and answers sooner where what would be late is turned away, and no fewer in time", async () => {
+    const turnedAway = await runAll(overload);
+    const letIn = await runAll(overload, { latenessTurnedAway: 1_000 });
+    expect(mean(turnedAway, "failed")).toBeLessThan(mean(letIn, "failed") * 0.7);
+    expect(mean(turnedAway, "firstTokenP99")).toBeLessThan(mean(letIn, "firstTokenP99") * 0.7);
+    expect(mean(turnedAway, "inTime")).toBeGreaterThan(mean(letIn, "inTime") - 0.02);
+    expect(mean(turnedAway, "worth")).toBeGreaterThan(mean(letIn, "worth"));
+  });
+});
--- /dev/null
+++ b/bench/lab/labReplicaClient.ts
@@ -0,0 +1,195 @@
+/** Replicas of the lab as routers reach them: engines in simulated time behind the product's own client type. */
+import type { Clock } from "../../src/coordination/clock.ts";
+import { pause } from "../../src/coordination/clock.ts";
+import { upstreamError } from "../../src/protocol/errors.ts";
+import { ReplicaClient } from "../../src/protocol/forwarding/ReplicaClient.ts";
+import type {
+  AnswerHead,
+  CacheChanges,
+  EngineStatus,
+  OrderOutcome,
+  ReplicaAnswer,
+  ReplicaCall,
+  ReplicaEntry,
+} from "../../src/protocol/forwarding/types.ts";
+import type { PrefixLevel } from "../../src/protocol/types.ts";
+import type { LabFleet } from "./fleet.ts";
+
+/** One way between a router and an engine, milliseconds. */
+const latency = 0.5;
+
+/** Longest time to make a connection, milliseconds. */
+const connectTimeout = 400;
+
+const headOf = ({ request }: ReplicaCall, weightsVersion: number): AnswerHead => ({
+  status: 200,
+  headers: [],
+  echoedId: request.id,
+  isSealed: true,
+  isNotRun: false,
+  isMisdirected: false,
+  replicaId: undefined,
+  weightsVersion,
+  closes: false,
+});
+
+/** Levels of a prompt under the salt that the router gave: weights and walls never share. */
+const levelsOf = ({ request, cacheSalt }: ReplicaCall): readonly PrefixLevel[] => {
+  let tokens = 0;
+  return (request.prompt?.parts ?? []).map((part) => {
+    tokens += part.tokens;
+    return { key: `${cacheSalt ?? ""} ${part.id}`, tokens };
+  });
+};
+
+/** Pieces of an answer as they are made, for one reader. */
+const createPieces = () => {
+  let made = 0;
+  let failure: Error | undefined;
+  let isOver = false;
+  let wake: () => void = () => undefined;
+  return {
+    add: (): void => {
+      made += 1;
+      wake();
+    },
+    end: (error?: Error): void => {
+      failure = error;
+      isOver = true;
+      wake();
+    },
+    read: async function* (onLeft: () => void): AsyncGenerator<Buffer, void> {
+      let read = 0;
+      try {
+        for (;;) {
+          while (read < made) {
+            read += 1;
+            yield Buffer.from(`id: ${read}\n\n`);
+          }
+          if (failure !== undefined) throw failure;
+          if (isOver) return;
+          await new Promise<void>((resolve) => {
+            wake = resolve;
+          });
+        }
+      } finally {
+        if (!isOver) onLeft();
+      }
+    },
+  };
+};
+
+/** The client of one router. */
+export class LabReplicaClient extends ReplicaClient {
+  private readonly fleet: LabFleet;
+  private readonly clock: Clock;
+
+  constructor(fleet: LabFleet, clock: Clock) {
+    super();
+    this.fleet = fleet;
+    this.clock = clock;
+  }
+
+  override async send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
+    await pause(this.clock, latency, signal);
+    if (signal.aborted || !call.mayLeave()) throw upstreamError("cancelled", "cancelled", "not_sent");
+    const replica = this.fleet.find(call.replica.id);
+    if (replica === undefined || replica.state === "dark") return this.hang(signal);
+    if (replica.state === "down") throw upstreamError("cannot connect", "unreachable", "not_sent");
+    if (replica.state === "loading" || replica.version !== (call.weightsVersion ?? replica.version)) {
+      return this.refuse(call, replica.version, replica.state === "loading" ? 503 : 421);
+    }
+    return this.run(call, signal);
+  }
+
+  override async isReachable({ id }: ReplicaEntry, timeout: number): Promise<boolean> {
+    const state = this.fleet.find(id)?.state;
+    await pause(this.clock, state === "dark" || state === undefined ? timeout : latency);
+    return state === "up" || state === "loading";
+  }
+
+  override readStatus({ id }: ReplicaEntry): Promise<EngineStatus> {
+    const replica = this.fleet.find(id);
+    const weights = new Map([[this.fleet.model, replica?.version ?? 1]]);
+    const isChanging = replica?.state === "loading";
+    return Promise.resolve({ weights, isChanging, acceptedOrders: 0, waiting: 0, running: 0 });
+  }
+
+  override readCacheChanges(_store: unknown, since: number): Promise<CacheChanges> {
+    return this.fleet.readStoreChanges(since);
+  }
+
+  override order(): Promise<OrderOutcome> {
+    return Promise.resolve("refused");
+  }
+
+  override limitConnections(): void {
+    // The lab counts no connections.
+  }
+
+  override forget(): void {
+    // Nothing is kept for a replica.
+  }
+
+  override [Symbol.asyncDispose](): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private async hang(signal: AbortSignal): Promise<never> {
+    await pause(this.clock, connectTimeout * 100, signal);
+    throw upstreamError("cancelled", "cancelled", "sent");
+  }
+
+  private refuse(call: ReplicaCall, version: number, status: number): ReplicaAnswer {
+    const head = { ...headOf(call, version), status, isNotRun: true, isMisdirected: status === 421 };
+    return { head, body: createEmptyBody() };
+  }
+
+  private run(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
+    const replica = this.fleet.find(call.replica.id);
+    const pieces = createPieces();
+    return new Promise((resolve, reject) => {
+      let hasBegun = false;
+      const begin = (): void => {
+        hasBegun = true;
+        const body = pieces.read(() => cancel?.());
+        resolve({ head: headOf(call, replica?.version ?? 1), body });
+      };
+      const cancel = replica?.engine.submit({
+        priority: call.priority ?? 5,
+        levels: levelsOf(call),
+        answerTokens: this.fleet.answerTokens(call.request.id),
+        source: this.fleet.keeperAt(call.fetchFrom),
+        saveTo: this.fleet.keeperAt(call.saveTo),
+        onPiece: () =>
+          this.clock.after(latency, () => {
+            pieces.add();
+            if (!hasBegun) begin();
+          }),
+        onEnd: (ended) =>
+          this.clock.after(latency, () => {
+            signal.removeEventListener("abort", abort);
+            const failure = upstreamError(
+              "the connection failed",
+              "closed_early",
+              hasBegun ? "streaming" : "sent",
+            );
+            pieces.end(ended === "failed" ? failure : undefined);
+            if (ended === "failed") reject(failure);
+          }),
+      });
+      const abort = (): void => {
+        cancel?.();
+        const error = upstreamError("cancelled", "cancelled", hasBegun ? "streaming" : "sent");
+        pieces.end(error);
+        reject(error);
+      };
+      if (cancel === undefined) reject(upstreamError("cannot connect", "unreachable", "not_sent"));
+      signal.addEventListener("abort", abort, { once: true });
+    });
+  }
+}
+
+const createEmptyBody = async function* (): AsyncGenerator<Buffer, void> {
+  // A refusal's status says it all.
+};
--- /dev/null
+++ b/bench/lab/labRouter.ts
@@ -0,0 +1,162 @@
+/** A router of the lab: the decisions that serve, with beliefs of their own and peers over delayed datagrams. */
+import { createAdmit } from "../../src/coordination/forwarding/admit.ts";
+import { createCacheHolders } from "../../src/coordination/forwarding/cacheHolders.ts";
+import { followCacheStore } from "../../src/coordination/forwarding/cacheStoreFollower.ts";
+import { createConfigurationState } from "../../src/coordination/forwarding/configurationState.ts";
+import type { ConfigurationState } from "../../src/coordination/forwarding/configurationState.ts";
+import { cachedMemoryShare } from "../../src/coordination/forwarding/constants.ts";
+import { createDecisions } from "../../src/coordination/forwarding/decisions.ts";
+import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
+import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
+import { createRouterPeers } from "../../src/coordination/forwarding/routerPeers.ts";
+import { createShutdown } from "../../src/coordination/forwarding/shutdown.ts";
+import type { ForwardingBounds } from "../../src/coordination/forwarding/types.ts";
+import type { ManualClock } from "../../src/coordination/manualClock.ts";
+import type { DatagramLink } from "../../src/protocol/forwarding/DatagramLink.ts";
+import type {
+  ForwardingConfiguration,
+  OperatorRecord,
+  RouterEntry,
+} from "../../src/protocol/forwarding/types.ts";
+import { MemoryMetrics } from "../../src/state/MemoryMetrics.ts";
+import type { ReplicaTable } from "../../src/state/forwarding/replicaTable.ts";
+import { createReplicaTable } from "../../src/state/forwarding/replicaTable.ts";
+import type { Experiment } from "./experiment.ts";
+import type { LabFleet } from "./fleet.ts";
+import { labNames } from "./fleet.ts";
+import { LabReplicaClient } from "./labReplicaClient.ts";
+
+/** One router of a run. */
+export interface LabRouter {
+  readonly forwarder: Forwarder;
+  readonly replicas: ReplicaTable;
+  readonly configuration: ConfigurationState;
+  /** The operator publishes something. */
+  readonly publish: (record: OperatorRecord) => void;
+}
+
+/** What a router is made of. */
+export interface LabRouterParts {
+  readonly experiment: Experiment;
+  readonly policy: LoadPolicy;
+  readonly clock: ManualClock;
+  readonly fleet: LabFleet;
+  readonly self: RouterEntry;
+  readonly all: readonly RouterEntry[];
+  readonly link: DatagramLink;
+  readonly random: () => number;
+}
+
+/** Time limits as deployments name them; the lab's faults touch few of them. */
+const bounds: ForwardingBounds = {
+  keyRevocation: 5_000,
+  drain: 2_000,
+  lease: 3_000,
+  weights: 8_000,
+  shutdownGrace: 8_000,
+  retryRatio: 0.2,
+  retryWindow: 10_000,
+  retryReserve: 58,
+};
+
+/** Between two proofs that the configuration is in force, milliseconds. */
+const proofInterval = 500;
+
+/** The configuration that an experiment stands for. */
+export const labConfiguration = ({ kinds, engines, store }: Experiment): ForwardingConfiguration => ({
+  version: 1,
+  routes: kinds.map((kind) => ({
+    name: kind.name,
+    host: "lab.example",
+    pathPrefix: `/${kind.name}/`,
+    kind: kind.isResumable ? "resumableEventStream" : "eventStream",
+    timeout: kind.deadline,
+    latencyObjective: kind.objective,
+    priority: kind.priority,
+    targets: [{ service: labNames.service, weight: 1 }],
+    maximumAttempts: kind.maximumAttempts,
+    isAnonymous: true,
+  })),
+  services: [
+    {
+      name: labNames.service,
+      maximumConnections: undefined,
+      engine: { ...engines, models: [labNames.model] },
+      cacheStore: undefined,
+    },
+    {
+      name: "store",
+      maximumConnections: undefined,
+      engine: undefined,
+      cacheStore: store && {
+        address: labNames.store,
+        dataCentre: "centre-0",
+        linkMegabits: store.linkMegabits,
+      },
+    },
+  ],
+  organisations: undefined,
+  limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeout: 3_000, idleTimeout: 15_000 },
+});
+
+/** Starts a router. */
+export const createLabRouter = (parts: LabRouterParts): LabRouter => {
+  const { experiment, policy, clock, fleet, self, all, link, random } = parts;
+  const client = new LabReplicaClient(fleet, clock);
+  const replicas = createReplicaTable();
+  for (const { entry } of fleet.replicas) replicas.put(entry);
+  const configuration = createConfigurationState(clock);
+  const publish = (record: OperatorRecord): void =>
+    configuration.apply({
+      records: [{ offset: 0, key: record.kind, value: record }],
+      nextOffset: 1,
+      isComplete: true,
+    });
+  publish({ kind: "configuration", configuration: labConfiguration(experiment) });
+
+  const prove = (): void => {
+    configuration.confirm(clock.monotonic());
+    clock.after(proofInterval, prove);
+  };
+  prove();
+
+  const holders = createCacheHolders({
+    clock,
+    computedTokens: (id) => (replicas.get(id)?.computedTokens ?? 0) * all.length,
+    memoryTokens: (id) =>
+      replicas.get(id) === undefined
+        ? Number.POSITIVE_INFINITY
+        : experiment.engines.memoryTokens * cachedMemoryShare,
+  });
+  const peers = createRouterPeers({
+    self,
+    link,
+    clock,
+    replicas,
+    configuration,
+    holders,
+    longestReadAge: () => Number.POSITIVE_INFINITY,
+    onNewerConfiguration: () => undefined,
+  });
+  peers.add(all);
+  const cacheStore = followCacheStore({
+    configured: () => configuration.table()?.cacheStore,
+    client,
+    holders,
+    clock,
+    stretch: () => 1,
+  });
+  const { forwarder } = createDecisions({
+    dataCentre: self.dataCentre,
+    client,
+    beliefs: { configuration, replicas, holders, peers, cacheStore },
+    admit: createAdmit(configuration, bounds, clock),
+    shutdown: createShutdown(clock, bounds),
+    bounds,
+    policy,
+    clock,
+    metrics: new MemoryMetrics(),
+    random,
+  });
+  return { forwarder, replicas, configuration, publish };
+};
--- /dev/null
+++ b/bench/lab/workload.ts
@@ -0,0 +1,103 @@
+/** Requests of an experiment: when they come, what their prompts share, and how long their answers are. */
+import type { Prompt } from "../../src/protocol/forwarding/types.ts";
+import type { Random } from "../model/random.ts";
+import { createRandom, createWeightedIndex, zipfWeights } from "../model/random.ts";
+import type { Experiment, KindSpecification } from "./experiment.ts";
+import { labNames } from "./fleet.ts";
+
+/** One request as its caller makes it. */
+export interface LabArrival {
+  readonly id: string;
+  /** Simulated milliseconds. */
+  readonly at: number;
+  readonly kind: KindSpecification;
+  readonly prompt: Prompt;
+  readonly answerTokens: number;
+  /** After how many milliseconds the caller leaves, if it doesn't wait for its deadline. */
+  readonly leavesAfter: number | undefined;
+}
+
+/** Callers that leave early do so within half of the objective. */
+const leavingShare = 0.5;
+
+const millisecondsPerSecond = 1_000;
+
+const isDuring = ({ at, seconds }: { readonly at: number; readonly seconds: number }, now: number): boolean =>
+  now >= at * millisecondsPerSecond && now < (at + seconds) * millisecondsPerSecond;
+
+const rateAt = ({ faults }: Experiment, now: number): number =>
+  faults.reduce(
+    (factor, fault) => (fault.kind === "burst" && isDuring(fault, now) ? factor * fault.factor : factor),
+    1,
+  );
+
+const subjectAt = (
+  { faults }: Experiment,
+  kind: KindSpecification,
+  now: number,
+  usual: number,
+  random: Random,
+): number => {
+  for (const fault of faults) {
+    const isHot = fault.kind === "hotSubject" && fault.of === kind.name && isDuring(fault, now);
+    if (isHot && random.uniform() < fault.share) return 0;
+  }
+  return usual;
+};
+
+const leavingAt = (
+  { faults }: Experiment,
+  kind: KindSpecification,
+  now: number,
+  random: Random,
+): number | undefined => {
+  for (const fault of faults) {
+    const leaves = fault.kind === "leaving" && isDuring(fault, now) && random.uniform() < fault.share;
+    if (leaves) return random.uniform() * kind.objective * leavingShare;
+  }
+  return undefined;
+};
+
+const createPrompt = (kind: KindSpecification, subject: number, own: number, id: string): Prompt => {
+  const { openings, subjects } = kind;
+  const parts = [
+    { id: `${kind.name}-opening-${subject % openings.count}`, tokens: openings.tokens },
+    { id: `${kind.name}-subject-${subject}`, tokens: subjects.tokens },
+    { id: `own-${id}`, tokens: own },
+  ];
+  const tokens = openings.tokens + subjects.tokens + own;
+  return { model: labNames.model, tokens, answerTokens: kind.answerTokens, parts };
+};
+
+const createArrivalsOf = (
+  experiment: Experiment,
+  kind: KindSpecification,
+  seed: number,
+): readonly LabArrival[] => {
+  const random = createRandom(seed, kind.name);
+  const pickSubject = createWeightedIndex(zipfWeights(kind.subjects.count, kind.subjects.skew));
+  const end = experiment.seconds * millisecondsPerSecond;
+  const arrivals: LabArrival[] = [];
+  let at = 0;
+  for (;;) {
+    at += random.exponential(millisecondsPerSecond / (kind.perSecond * rateAt(experiment, at)));
+    if (at >= end) return arrivals;
+    const id = `${kind.name}-${arrivals.length}`;
+    const subject = subjectAt(experiment, kind, at, pickSubject(random), random);
+    const own = 1 + Math.round(random.exponential(kind.ownTokens));
+    arrivals.push({
+      id,
+      at,
+      kind,
+      prompt: createPrompt(kind, subject, own, id),
+      answerTokens: 1 + Math.round(random.exponential(kind.answerTokens)),
+      leavesAfter: leavingAt(experiment, kind, at, random),
+    });
+  }
+};
+
+/** @returns All requests of a run, the same for every policy. */
+export const createLabArrivals = (experiment: Experiment, seed: number): readonly LabArrival[] =>
+  experiment.kinds
+    .flatMap((kind) => createArrivalsOf(experiment, kind, seed))
+    .sort((left, right) => left.at - right.at);
--- a/bench/model/prefixCache.ts
+++ b/bench/model/prefixCache.ts
@@ -27,9 +27,13 @@
   /** Adds the tokens of an answer to the unit of its prompt. */
   readonly grow: (key: string, tokens: number) => void;
   readonly clear: () => void;
+  /** Forgets what is not pinned. */
+  readonly dropUnpinned: () => void;
   /** The units that would have to go for so many more tokens. Changes nothing. */
   readonly wouldEvict: (tokens: number) => readonly HeldUnit[];
   readonly usedTokens: () => number;
+  /** Tokens that can't yield. */
+  readonly pinnedTokens: () => number;
   readonly size: () => number;
 }
 
@@ -54,6 +58,7 @@
   /** In the order of use, the least recent first. */
   const units = new Map<string, Unit>();
   let used = 0;
+  let pinned = 0;
 
   const touch = (key: string, unit: Unit): void => {
     units.delete(key);
@@ -89,6 +94,7 @@
     pin: (levels, index) => {
       const key = levels[index]?.key ?? "";
       const unit = units.get(key) ?? store(key, unitTokens(levels, index));
+      if (unit.pins === 0) pinned += unit.tokens;
       unit.pins += 1;
       // Parents are marked as used after their children, so that they are evicted after them.
       for (let parent = index; parent >= 0; parent -= 1) {
@@ -102,6 +108,7 @@
       const unit = units.get(key);
       if (unit === undefined) return;
       unit.pins -= 1;
+      if (unit.pins === 0) pinned -= unit.tokens;
       evict();
     },
     grow: (key, tokens) => {
@@ -109,13 +116,23 @@
       if (unit === undefined) return;
       unit.tokens += tokens;
       used += tokens;
+      if (unit.pins > 0) pinned += tokens;
       evict();
     },
     clear: () => {
       units.clear();
       used = 0;
+      pinned = 0;
       tell({ kind: "cleared", key: "" });
     },
+    dropUnpinned: () => {
+      for (const [key, unit] of units) {
+        if (unit.pins > 0) continue;
+        units.delete(key);
+        used -= unit.tokens;
+        tell({ kind: "evicted", key });
+      }
+    },
     wouldEvict: (tokens) => {
       const evicted: HeldUnit[] = [];
       let excess = used + tokens - capacity;
@@ -128,6 +145,7 @@
       return evicted;
     },
     usedTokens: () => used,
+    pinnedTokens: () => pinned,
     size: () => units.size,
   };
 };
