--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -126,9 +126,23 @@
     const comeBack = turnAway(outlook, parts.latenessTurnedAway, parts.random());
     if (comeBack === undefined) return;
     metrics.count(metricNames.refusals);
+    writeLog("turned_away", {
+      request: request.id,
+      replica: choice.replica.entry.id,
+      predictedWait: Math.round(outlook.wait),
+      queueWait: Math.round(outlook.queueWait),
+      objective: outlook.objective,
+      comeBackAfter: Math.round(comeBack),
+    });
     throw failures.turnedAway(comeBack);
   };
 
+  const waitForPart = async (run: ForwardRun, part: number): Promise<void> => {
+    const begunAt = clock.monotonic();
+    await parts.partWait(part, run.admission.route.latencyObjective, run.stopper.signal);
+    run.noteWait(clock.monotonic() - begunAt);
+  };
+
   const begin = async (run: ForwardRun, lastEventId: string | undefined): Promise<BegunAnswer> => {
     let failure: UpstreamError | undefined;
     let failedThere: BegunAnswer | undefined;
@@ -138,7 +152,7 @@
       if (choice === undefined) break;
       if (choice.awaitedPart !== undefined && !hasWaited) {
         hasWaited = true;
-        await parts.partWait(choice.awaitedPart, run.admission.route.latencyObjective, run.stopper.signal);
+        await waitForPart(run, choice.awaitedPart);
         continue;
       }
       admitByLoad(run, choice);
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -26,6 +26,10 @@
   /** The request is about to be sent. */
   readonly noteChoice: (choice: PlacementChoice) => void;
   readonly noteFailure: (choice: PlacementChoice, failure: UpstreamError) => void;
+  /** It waited for a prompt part. @param milliseconds - How long. */
+  readonly noteWait: (milliseconds: number) => void;
+  /** Milliseconds that it waited for prompt parts. */
+  readonly waited: () => number;
   /** Whether it may run a second time. */
   readonly mayRepeat: boolean;
   /** Whether the route allows it to be sent to one more replica. */
@@ -58,6 +62,7 @@
   const sentTo = new Set<string>();
   let unsent = 0;
   let mayHaveRun = false;
+  let waited = 0;
   let lastChoice: PlacementChoice | undefined;
   const leave = (): void => stopper.stop("caller_left");
   signal.addEventListener("abort", leave);
@@ -94,6 +99,10 @@
       lastChoice = choice;
     },
     noteFailure,
+    noteWait: (milliseconds) => {
+      waited += milliseconds;
+    },
+    waited: () => waited,
     mayRepeat: route.kind === "repeatable" || route.kind === "resumableEventStream",
     hasAttemptsLeft: () => sentTo.size < route.maximumAttempts,
     isUnreachable: () => unsent >= mostUnsent,
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -65,6 +65,7 @@
       predictedWait: choice === undefined ? null : Math.round(choice.predictedWait),
       promptTokens: choice?.promptTokens ?? null,
       copiedFrom: choice?.fetchFrom ?? null,
+      waitedForPart: Math.round(run.waited()),
       ...(reason === undefined ? {} : { reason }),
     });
   };
