--- a/src/coordination/forwarding/enginePlacement.test.ts
+++ b/src/coordination/forwarding/enginePlacement.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import type { Prompt } from "../../protocol/forwarding/types.ts";
+import type { CacheStore, Prompt } from "../../protocol/forwarding/types.ts";
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { createRouteTable } from "../../state/forwarding/routeTable.ts";
 import {
@@ -16,7 +16,6 @@
 import { createConfigurationState } from "./configurationState.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
 import { usualLoadPolicy } from "./loadPolicy.ts";
-import { createPartSaving } from "./partSaving.ts";
 import { createReplicaEstimates } from "./replicaEstimates.ts";
 
 const prompt = (tokens: number, course = "course"): Prompt => ({
@@ -30,7 +29,12 @@
   ],
 });
 
-const create = (ids: readonly string[], farDelay = 0) => {
+/** @param surroundings - How late far routers are heard, the share of parts lost, and the store of prompt parts. */
+const create = (
+  ids: readonly string[],
+  farDelay = 0,
+  { lossShare = 0, store = undefined as CacheStore | undefined } = {},
+) => {
   const clock = createManualClock();
   const replicas = createReplicaTable();
   for (const id of ids) replicas.put(engineEntry(id));
@@ -47,8 +51,8 @@
     bounds,
     dataCentre: "here",
     farDelay: () => farDelay,
-    store: () => undefined,
-    saving: createPartSaving({ clock, policy: usualLoadPolicy, routers: () => 1 }),
+    store: () => store,
+    saving: { lossShare: () => lossShare },
     policy: usualLoadPolicy,
     random: Math.random,
   });
@@ -139,6 +143,62 @@
   });
 });
 
+describe("placement where parts are lost for want of memory", () => {
+  const shared = (own: number): Prompt => ({
+    model: "m",
+    tokens: 6_000 + own,
+    answerTokens: 20,
+    parts: [
+      { id: "opening", tokens: 2_500 },
+      { id: "subject", tokens: 3_500 },
+      { id: `own-${own}`, tokens: own },
+    ],
+  });
+
+  /** Where a prompt goes whose home has 80 ms of work while another engine is idle. */
+  const chosenWith = (lossShare: number) => {
+    const { choose, holders, state } = create(["a", "b"], 0, { lossShare });
+    const home = choose(shared(100)).replica.entry.id;
+    holders.note("m/1/", shared(100), home, true);
+    state(home).promptTokens[3] = 3_200;
+    return { home, chosen: choose(shared(200)).replica.entry.id };
+  };
+
+  it("stays with the engine that keeps the parts, and goes to an idle one where nothing is lost", () => {
+    const lossy = chosenWith(0.5);
+    expect(lossy.chosen).toEqual(lossy.home);
+    const ample = chosenWith(0);
+    expect(ample.chosen === ample.home).toEqual(false);
+  });
+
+  it("copies from the store what no engine keeps, and names it where an engine only may have kept it", () => {
+    const store = { address: "10.9.0.1:9000", dataCentre: "here", linkMegabits: 360_000 };
+    const { choose, holders } = create(["a", "b"], 0, { store });
+    const keys = holders.note("m/1/", shared(100), "a", true);
+    expect(keys.length).toEqual(2);
+    holders.forget("a");
+    for (const part of ["opening", "subject"]) {
+      holders.noteChange(store.address, { isKept: true, salt: "m/1/", part });
+    }
+    const copied = choose(shared(200));
+    expect([copied.fetchFrom, copied.shared?.isSaved, copied.shared?.wasUsed]).toEqual([
+      store.address,
+      true,
+      true,
+    ]);
+    holders.note("m/1/", shared(200), copied.replica.entry.id, true);
+    expect(choose(shared(300)).fetchFrom).toEqual(store.address);
+  });
+
+  it("waits for a part that another engine is computing, not for one that can be copied", () => {
+    const { choose, holders } = create(["a", "b"]);
+    const [, subject] = holders.note("m/1/", shared(100), "a", false);
+    expect(choose(shared(200)).awaitedPart).toEqual(subject);
+    holders.note("m/1/", shared(100), "a", true);
+    expect(choose(shared(200)).awaitedPart).toEqual(undefined);
+  });
+});
+
 describe("placement at engines", () => {
   it("is the same at every router that knows the same, and copies from where parts are kept", () => {
     const first = create(["a", "b", "c"]);
