--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -262,8 +262,9 @@
 
 /**
  * A prompt is turned away if its answer is predicted to begin after so many latency objectives. Predictions are short
- * of the truth where engines are full, since answers under way slow prompts down: with one and a half objectives
- * half as many came late as with none, with 0.7 nearly all were in time again (new customer's day of engines lost).
+ * of the truth where engines are full, since answers under way slow prompts down. In a simulated burst of twice the
+ * usual requests with three of eight engines lost 4.8 % failed instead of 12.8 % with no limit, and the 99th
+ * percentile of the first token was 2.5 s instead of 5.0 s (3 seeds).
  */
 export const latenessTurnedAway = 0.7;
 
