Ask the owner of a replica before placing a request where there are many routers

Each router decided from what the others had told it seconds before.

Change: every replica has one router that answers for it, by rendezvous among the routers of its data centre. Routers report their work there, and ask the owners of a few replicas (two homes of the prompt, a known holder, one at random) right before they place a request. Work and places of parts are told to owners instead of to every peer; the penalties for late word of far routers, the comparison of 24 replicas at random and homes by data centre go.

--- a/bench/lab/lab.test.ts
+++ b/bench/lab/lab.test.ts
@@ -14,6 +14,9 @@
 const weightsNamed = readExperiment("examples/lab/weightsNamed.json");
 const overload = readExperiment("examples/lab/overload.json");
 
+const manyRouters = readExperiment("examples/lab/manyRouters.json");
+const manyRoutersBurst = readExperiment("examples/lab/manyRoutersBurst.json");
+
 const seeds = [1, 2];
 
 const runAll = async (
@@ -88,3 +91,18 @@
     expect(mean(turnedAway, "worth")).toBeGreaterThan(mean(letIn, "worth"));
   });
 });
+
+describe("many routers before the same engines", () => {
+  it("serve a calm load as well as few do, since the owners of replicas are asked", async () => {
+    const few = await runAll({ ...manyRouters, routers: 6 });
+    const many = await runAll(manyRouters);
+    expect(mean(many, "worth")).toBeGreaterThan(mean(few, "worth") * 0.98);
+    expect(mean(many, "inTime")).toBeGreaterThan(mean(few, "inTime") * 0.97);
+  });
+
+  it("serve a burst with engines that went dark nearly as well as few do", async () => {
+    const few = await runAll({ ...manyRoutersBurst, routers: 6 });
+    const many = await runAll(manyRoutersBurst);
+    expect(mean(many, "worth")).toBeGreaterThan(mean(few, "worth") * 0.95);
+  });
+});
--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -9,6 +9,10 @@
 import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
 import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
 import { createRouterPeers } from "../../src/coordination/forwarding/routerPeers.ts";
+import {
+  countComputedTokens,
+  createReplicaOwners,
+} from "../../src/coordination/replicaOwners/replicaOwners.ts";
 import { createShutdown } from "../../src/coordination/forwarding/shutdown.ts";
 import type { ForwardingBounds } from "../../src/coordination/forwarding/types.ts";
 import type { ManualClock } from "../../src/coordination/manualClock.ts";
@@ -122,7 +126,7 @@
 
   const holders = createCacheHolders({
     clock,
-    computedTokens: (id) => (replicas.get(id)?.computedTokens ?? 0) * all.length,
+    computedTokens: (id) => countComputedTokens(replicas.get(id), owners, peers),
     memoryTokens: (id) =>
       replicas.get(id) === undefined
         ? Number.POSITIVE_INFINITY
@@ -139,6 +143,15 @@
     onNewerConfiguration: () => undefined,
   });
   peers.add(all);
+  const owners = createReplicaOwners({
+    self,
+    link,
+    clock,
+    replicas,
+    holders,
+    peers,
+    cacheStore: () => configuration.table()?.cacheStore?.address,
+  });
   const cacheStore = followCacheStore({
     configured: () => configuration.table()?.cacheStore,
     client,
@@ -149,7 +162,7 @@
   const { forwarder } = createDecisions({
     dataCentre: self.dataCentre,
     client,
-    beliefs: { configuration, replicas, holders, peers, cacheStore },
+    beliefs: { configuration, replicas, holders, peers, owners, cacheStore },
     admit: createAdmit(configuration, bounds, clock),
     shutdown: createShutdown(clock, bounds),
     bounds,
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -1,11 +1,13 @@
 /** Attempts one after another, as far as a request may run again, until one begins well. */
 import { UpstreamError } from "../../protocol/errors.ts";
 import type { RequestError } from "../../protocol/errors.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { Clock } from "../clock.ts";
 import { createStopper } from "../requests/stopper.ts";
+import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { Admit } from "./admit.ts";
 import { attemptPatienceShare } from "./constants.ts";
 import { failures } from "./failures.ts";
@@ -21,6 +23,7 @@
 export interface AttemptLoopParts {
   readonly admit: Admit;
   readonly placement: Placement;
+  readonly owners: Pick<ReplicaOwners, "isNeeded" | "ask">;
   readonly attempt: ForwardAttempt;
   readonly retryShare: RetryShare;
   readonly partWait: PartWait;
@@ -49,7 +52,7 @@
 
 /** Makes attempts by what placement chooses. */
 export const createAttemptLoop = (parts: AttemptLoopParts): AttemptLoop => {
-  const { admit, placement, retryShare, metrics, clock } = parts;
+  const { admit, placement, owners, retryShare, metrics, clock } = parts;
 
   const takeRetry = ({ admission }: ForwardRun): boolean => {
     if (retryShare.tryTake(admission.service.name)) return true;
@@ -99,9 +102,22 @@
     }
   };
 
-  const chooseReplica = (run: ForwardRun, isAgain: boolean): PlacementChoice | undefined => {
-    const { request, admission, sentTo } = run;
-    const found = placement.choose(request, admission, isAgain ? new Set() : sentTo);
+  /** Replicas whose state is known as of now; where nobody answers, those that were asked about. */
+  const consult = async (
+    { request, admission }: ForwardRun,
+    excluded: ReadonlySet<string>,
+  ): Promise<readonly ReplicaState[]> => {
+    const { replicas, keys } = placement.shortlist(request, admission, excluded);
+    const known = await owners.ask(replicas, keys);
+    return known.length > 0 ? known : replicas;
+  };
+
+  const choose = (
+    { request, admission }: ForwardRun,
+    excluded: ReadonlySet<string>,
+    among?: readonly ReplicaState[],
+  ): PlacementChoice | undefined => {
+    const found = placement.choose(request, admission, excluded, among);
     if (typeof found !== "string") return found;
     writeLog("no_replica", { request: request.id, service: admission.service.name, reason: found });
     return undefined;
@@ -148,7 +164,9 @@
     let failedThere: BegunAnswer | undefined;
     let hasWaited = false;
     for (;;) {
-      const choice = chooseReplica(run, failure?.fault === "wrong_weights");
+      const excluded = failure?.fault === "wrong_weights" ? new Set<string>() : run.sentTo;
+      const known = owners.isNeeded() ? await consult(run, excluded) : undefined;
+      const choice = choose(run, excluded, known);
       if (choice === undefined) break;
       if (choice.awaitedPart !== undefined && !hasWaited) {
         hasWaited = true;
--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -21,6 +21,12 @@
   readonly usedAt: number;
 }
 
+/** Who keeps or computes a part. */
+export interface PartHolder {
+  readonly holder: string;
+  readonly isReady: boolean;
+}
+
 /** See {@link createCacheHolders}. */
 export interface CacheHolders {
   /** @returns By replica: how much of the prompt's reusable parts it is believed to keep. */
@@ -35,6 +41,10 @@
   readonly deepestKey: (salt: string, prompt: Prompt) => number | undefined;
   /** @returns Whether a part was used before, wherever it is by now. */
   readonly wasUsed: (key: number) => boolean;
+  /** @returns Those believed to keep or compute a part. @param key - The part's. */
+  readonly holdersOf: (key: number) => readonly PartHolder[];
+  /** @returns The keys of a prompt's reusable parts. */
+  readonly keysOf: (salt: string, prompt: Prompt) => readonly number[];
   /** A store of prompt parts tells what it keeps. */
   readonly noteChange: (store: string, change: CacheChange) => void;
   /** A peer tells of a part. */
@@ -69,6 +79,9 @@
 /** Short, since routers tell one another; two parts with one key cost a copy that finds nothing. */
 const keyOf = (salt: string, id: string): number => hash32(`${salt}\u0000${id}`);
 
+const keysOf = (salt: string, prompt: Prompt): readonly number[] =>
+  reusableParts(prompt).map(({ id }) => keyOf(salt, id));
+
 /** Creates beliefs about nothing. */
 export const createCacheHolders = (parts: CacheHoldersParts): CacheHolders => {
   const { clock, computedTokens, memoryTokens } = parts;
@@ -130,7 +143,7 @@
       return held;
     },
     note: (salt, prompt, holder, isReady) => {
-      const keys = reusableParts(prompt).map(({ id }) => keyOf(salt, id));
+      const keys = keysOf(salt, prompt);
       for (const key of keys) noteOne(key, holder, isReady);
       return keys;
     },
@@ -138,6 +151,11 @@
       const deepest = reusableParts(prompt).at(-1);
       return deepest === undefined ? undefined : keyOf(salt, deepest.id);
     },
+    holdersOf: (key) =>
+      [...(beliefs.get(key) ?? [])].flatMap(([holder, belief]) =>
+        isKept(holder, belief) ? [{ holder, isReady: belief.isReady }] : [],
+      ),
+    keysOf,
     wasUsed: (key) => beliefs.has(key),
     noteChange: (store, { isKept: isKeptThere, salt, part }) => {
       const key = keyOf(salt, part);
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -71,21 +71,6 @@
 /** News that comes within so short a time shares a message. */
 export const newsGathering = 10;
 
-/**
- * Replicas of a version that a prompt is compared at, besides those that keep its parts, where there are many
- * routers: with 1,000 replicas comparing all took 1 ms a request.
- */
-export const comparedReplicas = 24;
-
-/** The same of those that keep a prompt's parts. */
-export const comparedHolders = 3;
-
-/** What the age of a far peer's word counts for in placement: in that time others send work to the same replica. */
-export const staleWorkPenaltyShare = 0.1;
-
-/** The most that {@link staleWorkPenaltyShare} makes of it, as a share of the latency objective. */
-export const longestStalePenaltyShare = 0.15;
-
 /** News of weights and of changes to them is repeated for so long, since messages get lost. */
 export const newsRepetition = 1_500;
 
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -9,6 +9,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
+import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { Admit } from "./admit.ts";
 import { createAnswerCheck } from "./answerCheck.ts";
 import type { AttemptLoopParts } from "./attemptLoop.ts";
@@ -37,7 +38,8 @@
   readonly configuration: ConfigurationState;
   readonly replicas: ReplicaTable;
   readonly holders: CacheHolders;
-  readonly peers: Pick<RouterPeers, "farDelay" | "countServing" | "tellHolder" | "tellWork" | "tellLeaving">;
+  readonly peers: Pick<RouterPeers, "countServing" | "tellHolder" | "tellWork" | "tellLeaving">;
+  readonly owners: Pick<ReplicaOwners, "isNeeded" | "ask" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "usable">;
 }
 
@@ -82,8 +84,7 @@
 /** Creates decisions; silent replicas are watched until they are disposed of. */
 export const createDecisions = (parts: DecisionParts): Decisions => {
   const { dataCentre, client, beliefs, bounds, policy, clock, metrics, random } = parts;
-  const { configuration, replicas, holders, peers, cacheStore } = beliefs;
-  const { farDelay } = peers;
+  const { configuration, replicas, holders, peers, owners, cacheStore } = beliefs;
   const resources = createResourceStack();
   const estimates = createReplicaEstimates();
   const health = createReplicaHealth(replicas, clock);
@@ -91,7 +92,7 @@
   forgetDepartures(beliefs, client, estimates);
 
   const saving = createPartSaving({ clock, policy, routers: peers.countServing });
-  const shared = { replicas, estimates, clock, dataCentre, farDelay, random };
+  const shared = { replicas, estimates, clock, random };
   const engines = createEnginePlacement({
     ...shared,
     configuration,
@@ -105,8 +106,13 @@
     client,
     check: createAnswerCheck({ replicas, client, clock, onLeaving: peers.tellLeaving }),
     holders,
-    tellHolder: peers.tellHolder,
+    // Owners are asked where parts are; where there are none to ask, every peer is told.
+    tellHolder: (replica, key, holder, isReady) => {
+      if (owners.isNeeded()) owners.reports.noteHolder(replica, key, holder, isReady);
+      else peers.tellHolder(key, holder, isReady);
+    },
     onLongPrompt: peers.tellWork,
+    reports: owners.reports,
     estimates,
     health,
     saving,
@@ -115,7 +121,8 @@
   });
   const loop: AttemptLoopParts = {
     admit: parts.admit,
-    placement: createPlacement({ ...shared, engines }),
+    placement: createPlacement({ ...shared, dataCentre, engines }),
+    owners,
     attempt,
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
     retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -6,8 +6,6 @@
 import type { ConfigurationState } from "./configurationState.ts";
 import {
   batchDelay,
-  comparedHolders,
-  comparedReplicas,
   copySetup,
   longPromptShare,
   oldWeightsEnd,
@@ -21,7 +19,9 @@
 import type { LoadPolicy } from "./loadPolicy.ts";
 import type { PartSaving } from "./partSaving.ts";
 import { pickSome } from "./pickSome.ts";
-import type { PlacementChoice, PlacementFailure } from "./placement.ts";
+import { askedReplicas, askedVersions } from "../replicaOwners/constants.ts";
+import { firstReplicas } from "./rendezvousReplica.ts";
+import type { PlacementChoice, PlacementFailure, Shortlist } from "./placement.ts";
 import type { PromptView, PromptViewParts } from "./promptView.ts";
 import { createPromptViews } from "./promptView.ts";
 import { rankByCost } from "./rankByCost.ts";
@@ -43,12 +43,22 @@
 
 /** See {@link createEnginePlacement}. */
 export interface EnginePlacement {
-  /** @param penalty - What a replica costs besides, milliseconds. */
+  /** @returns The replicas that are worth asking about, with the keys of the prompt's parts there. */
+  readonly shortlist: (
+    prompt: Prompt,
+    admission: Admission,
+    candidates: readonly ReplicaState[],
+  ) => Shortlist;
+  /**
+   * @param penalty - What a replica costs besides, milliseconds.
+   * @param among - The candidates to compare; all of them if none of these is of use.
+   */
   readonly choose: (
     prompt: Prompt,
     admission: Admission,
     candidates: readonly ReplicaState[],
     penalty: (replica: ReplicaState) => number,
+    among: readonly ReplicaState[],
   ) => PlacementChoice | PlacementFailure;
 }
 
@@ -94,7 +104,7 @@
 /** Creates a placement at engines. */
 export const createEnginePlacement = (parts: EnginePlacementParts): EnginePlacement => {
   const { replicas, configuration, estimates, clock, bounds, policy, random } = parts;
-  const { viewPrompt, nearOf, fetchSource } = createPromptViews(parts);
+  const { viewPrompt, fetchSource } = createPromptViews(parts);
 
   const versionPenalty = (model: string, version: number, objective: number, wait: number): number => {
     const wanted = configuration.supersededBy(model, version);
@@ -105,29 +115,8 @@
     return age < weightsTolerance ? 0 : objective * oldWeightsPenaltyShare;
   };
 
-  /** Where routers know one another's work late: some replicas at random, and those that keep parts of the prompt. */
-  const chooseFew = (
-    candidates: readonly ReplicaState[],
-    versionOf: (replica: ReplicaState) => number,
-    viewOf: (version: number) => PromptView,
-  ): readonly ReplicaState[] => {
-    if (parts.farDelay() === 0) return candidates;
-    const few = new Set<ReplicaState>();
-    for (const version of new Set(candidates.map(versionOf))) {
-      const view = viewOf(version);
-      const same = candidates.filter((each) => versionOf(each) === version);
-      const holders = same.filter(({ entry }) => view.held.has(entry.id) || entry.id === view.home);
-      for (const each of pickSome(holders, comparedHolders, random)) few.add(each);
-      for (const each of pickSome(nearOf(same), comparedReplicas, random)) few.add(each);
-    }
-    return [...few];
-  };
-
-  const choose: EnginePlacement["choose"] = (prompt, admission, candidates, penalty) => {
-    const { latencyObjective: objective } = admission.route;
-    const { engine } = admission.service;
+  const viewsOf = (prompt: Prompt, admission: Admission) => {
     const views = new Map<number, PromptView>();
-    const priority = priorityOf(admission);
     const versionOf = ({ weights }: ReplicaState): number => weights.get(prompt.model) ?? 0;
     const viewOf = (version: number): PromptView => {
       const known = views.get(version);
@@ -138,6 +127,31 @@
       views.set(version, made);
       return made;
     };
+    return { versionOf, viewOf };
+  };
+
+  const shortlist: EnginePlacement["shortlist"] = (prompt, admission, candidates) => {
+    const { versionOf, viewOf } = viewsOf(prompt, admission);
+    const versions = [...new Set(candidates.map(versionOf))].sort((left, right) => right - left);
+    const asked = new Set<ReplicaState>();
+    const keys = new Set<number>();
+    for (const version of versions.slice(0, askedVersions)) {
+      const view = viewOf(version);
+      const same = candidates.filter((each) => versionOf(each) === version);
+      const holders = same.filter(({ entry }) => view.held.has(entry.id));
+      for (const each of firstReplicas(view.part, same, askedReplicas.homes)) asked.add(each);
+      for (const each of pickSome(holders, askedReplicas.holders, random)) asked.add(each);
+      for (const each of pickSome(same, askedReplicas.others, random)) asked.add(each);
+      for (const key of parts.holders.keysOf(view.salt, prompt)) keys.add(key);
+    }
+    return { replicas: [...asked], keys: [...keys] };
+  };
+
+  const choose: EnginePlacement["choose"] = (prompt, admission, candidates, penalty, among) => {
+    const { latencyObjective: objective } = admission.route;
+    const { engine } = admission.service;
+    const { versionOf, viewOf } = viewsOf(prompt, admission);
+    const priority = priorityOf(admission);
 
     const computedAt = (replica: ReplicaState): number => {
       const view = viewOf(versionOf(replica));
@@ -187,8 +201,7 @@
       );
     };
 
-    const few = chooseFew(candidates, versionOf, viewOf);
-    let { replica, cost } = rankByCost(few, costOf, random);
+    let { replica, cost } = rankByCost(among.length > 0 ? among : candidates, costOf, random);
     if (cost === Number.POSITIVE_INFINITY) ({ replica, cost } = rankByCost(candidates, costOf, random));
     if (cost === Number.POSITIVE_INFINITY) return "old_weights";
     const { id } = replica.entry;
@@ -224,5 +237,5 @@
     };
   };
 
-  return { choose };
+  return { choose, shortlist };
 };
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -17,6 +17,7 @@
 export interface Peer {
   readonly name: string;
   readonly incarnation: string;
+  readonly dataCentre: string;
   /** It is in the same data centre. */
   readonly isNear: boolean;
   at: DatagramAddress;
@@ -100,6 +101,7 @@
     const peer = {
       name,
       incarnation,
+      dataCentre,
       isNear: dataCentre === here,
       at,
       heardAt,
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -6,14 +6,11 @@
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
-import {
-  failurePenaltyShare,
-  longestStalePenaltyShare,
-  remotePenalty,
-  staleWorkPenaltyShare,
-} from "./constants.ts";
+import { askedPlain } from "../replicaOwners/constants.ts";
+import { failurePenaltyShare, remotePenalty } from "./constants.ts";
 import type { EnginePlacement } from "./enginePlacement.ts";
 import type { SharedParts } from "./partSaving.ts";
+import { pickSome } from "./pickSome.ts";
 import { rankByCost } from "./rankByCost.ts";
 import type { ReplicaEstimates } from "./replicaEstimates.ts";
 import type { Admission } from "./types.ts";
@@ -25,8 +22,6 @@
   readonly clock: Clock;
   /** This router's data centre. */
   readonly dataCentre: string;
-  /** How old what is known of work from other data centres may be beyond what is usual, milliseconds. */
-  readonly farDelay: () => number;
   readonly engines: EnginePlacement;
   /** A number from 0 to 1. */
   readonly random: () => number;
@@ -57,13 +52,30 @@
 /** Why there is no choice. */
 export type PlacementFailure = "no_replica" | "old_weights";
 
+/** What is worth asking before a request is placed. */
+export interface Shortlist {
+  readonly replicas: readonly ReplicaState[];
+  /** Of the prompt's parts. */
+  readonly keys: readonly number[];
+}
+
 /** See {@link createPlacement}. */
 export interface Placement {
   /** @param excluded - Ids of replicas that the request was sent to already. */
+  readonly shortlist: (
+    request: CallerRequest,
+    admission: Admission,
+    excluded: ReadonlySet<string>,
+  ) => Shortlist;
+  /**
+   * @param excluded - Ids of replicas that the request was sent to already.
+   * @param among - The replicas to compare; all if it is left out, or if none of them is a candidate.
+   */
   readonly choose: (
     request: CallerRequest,
     admission: Admission,
     excluded: ReadonlySet<string>,
+    among?: readonly ReplicaState[],
   ) => PlacementChoice | PlacementFailure;
 }
 
@@ -87,12 +99,10 @@
     return failed.length > 0 ? failed : serving;
   };
 
-  /** Routers that all see the same idle replica far away, and not one another's work there, would flood it. */
-  const remoteCost = (objective: number): number =>
-    remotePenalty + Math.min(parts.farDelay() * staleWorkPenaltyShare, objective * longestStalePenaltyShare);
+  const isNear = ({ entry }: ReplicaState): boolean => entry.dataCentre === parts.dataCentre;
 
   const generalPenalty = (replica: ReplicaState, objective: number): number => {
-    const remote = replica.entry.dataCentre === parts.dataCentre ? 0 : remoteCost(objective);
+    const remote = isNear(replica) ? 0 : remotePenalty;
     return remote + replica.failureShare * objective * failurePenaltyShare;
   };
 
@@ -119,16 +129,33 @@
     };
   };
 
+  const shortlistPlain = (candidates: readonly ReplicaState[]): Shortlist => ({
+    replicas: [
+      ...new Set([
+        ...pickSome(candidates.filter(isNear), askedPlain.near, parts.random),
+        ...pickSome(candidates, askedPlain.others, parts.random),
+      ]),
+    ],
+    keys: [],
+  });
+
   return {
-    choose: ({ prompt }, admission, excluded) => {
+    shortlist: ({ prompt }, admission, excluded) => {
+      const candidates = candidatesOf(admission.service.name, excluded);
+      if (candidates.length < 2) return { replicas: [], keys: [] };
+      if (prompt === undefined || admission.service.engine === undefined) return shortlistPlain(candidates);
+      return engines.shortlist(prompt, admission, candidates);
+    },
+    choose: ({ prompt }, admission, excluded, wanted = []) => {
       const candidates = candidatesOf(admission.service.name, excluded);
       if (candidates.length === 0) return "no_replica";
+      const among = wanted.filter((each) => candidates.includes(each));
       if (prompt === undefined || admission.service.engine === undefined) {
-        return choosePlain(admission, candidates);
+        return choosePlain(admission, among.length > 0 ? among : candidates);
       }
       const penalty = (replica: ReplicaState): number =>
         generalPenalty(replica, admission.route.latencyObjective);
-      return engines.choose(prompt, admission, candidates, penalty);
+      return engines.choose(prompt, admission, candidates, penalty, among);
     },
   };
 };
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/forwarding/promptView.ts
@@ -12,10 +12,6 @@
   readonly holders: CacheHolders;
   /** @returns The store of prompt parts, if there is one that answers. */
   readonly store: () => CacheStore | undefined;
-  /** This router's data centre. */
-  readonly dataCentre: string;
-  /** How old what is known of work from other data centres may be beyond what is usual, milliseconds. */
-  readonly farDelay: () => number;
 }
 
 /** A prompt as the engines that run one version of the weights may keep it. */
@@ -26,8 +22,6 @@
   readonly part: number;
   /** Those that run these weights. */
   readonly same: readonly ReplicaState[];
-  /** Replicas among which the part has its home: those that run these weights, where there are many only near ones. */
-  readonly homes: readonly ReplicaState[];
   /** The replica that all routers expect the part at. */
   readonly home: string | undefined;
   /** The most tokens that can be copied from anywhere. */
@@ -51,8 +45,6 @@
 export interface PromptViews {
   /** @param sameWeights - The replicas that run one version of the weights, whatever else they do. */
   readonly viewPrompt: (prompt: Prompt, salt: string, sameWeights: readonly ReplicaState[]) => PromptView;
-  /** @returns Those of the own data centre where there are many routers; all where there are few. */
-  readonly nearOf: (sameWeights: readonly ReplicaState[]) => readonly ReplicaState[];
   /**
    * @param own - Tokens that the chosen replica keeps itself.
    * @returns Where to copy parts from: a replica that is known to keep more, else where they are expected.
@@ -64,22 +56,14 @@
 export const createPromptViews = (parts: PromptViewParts): PromptViews => {
   const { replicas, holders } = parts;
 
-  /** Where routers far away are heard of late, each data centre keeps parts of its own. */
-  const nearOf = (sameWeights: readonly ReplicaState[]): readonly ReplicaState[] => {
-    if (parts.farDelay() === 0) return sameWeights;
-    const near = sameWeights.filter(({ entry }) => entry.dataCentre === parts.dataCentre);
-    return near.length > 0 ? near : sameWeights;
-  };
-
   const viewPrompt = (prompt: Prompt, salt: string, sameWeights: readonly ReplicaState[]): PromptView => {
     const held = holders.find(salt, prompt);
     const shared = reusableParts(prompt);
     const reusable = shared.reduce((sum, { tokens }) => sum + tokens, 0);
     const deepest = shared.at(-1) ?? prompt.parts.at(-1);
     const part = hash32(`${salt} ${deepest?.id ?? ""}`);
-    const homes = nearOf(sameWeights);
-    const home = rendezvousReplica(part, homes)?.entry.id;
-    return { salt, held, part, same: sameWeights, homes, home, most: mostHeld(held), reusable };
+    const home = rendezvousReplica(part, sameWeights)?.entry.id;
+    return { salt, held, part, same: sameWeights, home, most: mostHeld(held), reusable };
   };
 
   /** Copying from a replica that doesn't answer would hold the request up. */
@@ -96,15 +80,11 @@
     return best;
   };
 
-  /**
-   * The home in the own data centre; for that home itself, the first of the homes in others. So all data centres
-   * copy from the one whose home comes first of all, instead of each computing the part for itself.
-   */
+  /** The home; for the home itself, the replica that comes next. */
   const expectedSource = (view: PromptView, chosen: string): string | undefined => {
     const { part, same, home } = view;
     if (home !== undefined && home !== chosen && isSource(home)) return home;
-    const near = new Set(home === chosen && view.homes.length < same.length ? view.homes : []);
-    const others = same.filter((each) => !near.has(each) && each.entry.id !== chosen && !each.isUnreachable);
+    const others = same.filter((each) => each.entry.id !== chosen && !each.isUnreachable);
     return rendezvousReplica(part, others)?.entry.id;
   };
 
@@ -127,5 +107,5 @@
     return expected === undefined ? undefined : replicas.get(expected)?.entry.address;
   };
 
-  return { viewPrompt, nearOf, fetchSource };
+  return { viewPrompt, fetchSource };
 };
--- a/src/coordination/forwarding/rendezvousReplica.ts
+++ b/src/coordination/forwarding/rendezvousReplica.ts
@@ -5,7 +5,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
 
 /** Mixes two 32-bit numbers so that every bit of either changes about half of the result's (the steps of MurmurHash3). */
-const mix = (left: number, right: number): number => {
+export const mixHashes = (left: number, right: number): number => {
   let value = Math.imul(left ^ right, 0x85ebca6b);
   value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
   value = Math.imul(value ^ (value >>> 16) ^ left, 0x85ebca6b);
@@ -20,7 +20,7 @@
   let best: ReplicaState | undefined;
   let bestScore = -1;
   for (const candidate of candidates) {
-    const score = mix(key, candidate.hash);
+    const score = mixHashes(key, candidate.hash);
     const isBetter =
       score > bestScore || (score === bestScore && candidate.entry.id < (best?.entry.id ?? ""));
     if (!isBetter) continue;
@@ -29,3 +29,21 @@
   }
   return best;
 };
+
+/** @returns The replicas that come first for a key, the first one first. @param count - How many. */
+export const firstReplicas = (
+  key: number,
+  candidates: readonly ReplicaState[],
+  count: number,
+): readonly ReplicaState[] => {
+  const first: ReplicaState[] = [];
+  while (first.length < count) {
+    const next = rendezvousReplica(
+      key,
+      candidates.filter((each) => !first.includes(each)),
+    );
+    if (next === undefined) break;
+    first.push(next);
+  }
+  return first;
+};
--- a/src/coordination/forwarding/replicaWatch.ts
+++ b/src/coordination/forwarding/replicaWatch.ts
@@ -31,6 +31,7 @@
   const probe = async (replica: ReplicaState): Promise<void> => {
     const { entry } = replica;
     probing.add(entry.id);
+    replica.isSuspected = false;
     const isReachable = await client.isReachable(entry, reachProbeTimeout);
     probing.delete(entry.id);
     if (replicas.get(entry.id) !== replica) return;
@@ -44,6 +45,7 @@
 
   const isDue = (replica: ReplicaState, now: number): boolean => {
     const quiet = now - replica.quietSince;
+    if (replica.isSuspected) return true;
     if (replica.isUnreachable) return quiet > unreachableProbeInterval;
     return replica.requests > 0 && quiet > silenceLimit;
   };
--- a/src/coordination/forwarding/routerNews.ts
+++ b/src/coordination/forwarding/routerNews.ts
@@ -12,6 +12,7 @@
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { mostHolderNews, newsRepetition } from "./constants.ts";
+import { holderIdOf } from "./holderId.ts";
 import { createNews } from "./news.ts";
 
 /** Peers in the same data centre, and those in others, which are told at other times. */
@@ -96,9 +97,8 @@
     if (replica !== undefined) replica.changingUntil = now + remaining;
   }
   const store = takers.cacheStore()?.address;
-  const storeKey = store === undefined ? undefined : replicaKeyOf(store);
   for (const { part, replica, isReady } of message.holders) {
-    const id = replica === storeKey ? store : idOf(replica);
+    const id = holderIdOf(replicas, store, replica);
     if (id !== undefined) holders.noteKey(part, id, isReady);
   }
   for (const { model, version, age } of message.wanted) configuration.noteWantedAge(model, version, age);
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -13,6 +13,7 @@
 } from "../../protocol/forwarding/peerMessage.ts";
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
 import type { ReplicaTable, ReplicaWork } from "../../state/forwarding/replicaTable.ts";
+import { wholeTokens } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
@@ -42,13 +43,13 @@
   readonly add: (entries: readonly RouterEntry[]) => void;
   /** @returns Names of routers that have been heard of just now, this one included. */
   readonly live: () => readonly string[];
+  /** @returns The other routers that may be serving, silent ones included. */
+  readonly serving: () => readonly Peer[];
   /**
    * @returns Names of live routers that take duties and whose configuration was confirmed just now; where there
    * are many routers, those of this data centre, since the others are heard of too late.
    */
   readonly inTouch: (longestAge: number) => readonly string[];
-  /** @returns How old, in milliseconds, what is known of work from other data centres may be beyond what is usual. */
-  readonly farDelay: () => number;
   /** Whether there are so many routers that each has its part of common duties. */
   readonly isLarge: () => boolean;
   /** Whether this router is one of a number that do a duty for their data centre. */
@@ -87,10 +88,6 @@
   return version === undefined || !Number.isFinite(age) ? undefined : { version, age: Math.ceil(age) };
 };
 
-/** @returns Whole tokens, without the priorities at the end that have none. */
-const withoutEnd = (tokens: readonly number[]): number[] =>
-  tokens.slice(0, tokens.findLastIndex((count) => count > 0) + 1).map(Math.round);
-
 /** The work of this router's own requests. */
 const ownWorkIn = (replicas: ReplicaTable): readonly ToldWork[] =>
   replicas
@@ -99,7 +96,7 @@
     .map(({ entry, requests, promptTokens }) => ({
       replica: replicaKeyOf(entry.id),
       requests,
-      promptTokens: withoutEnd(promptTokens),
+      promptTokens: wholeTokens(promptTokens),
     }));
 
 /** A router that is not heard has no work that counts. */
@@ -187,8 +184,11 @@
     };
   };
 
+  /** Where there are many routers the owners of replicas are told instead, and asked. */
+  const toldWork = (): readonly ToldWork[] => (peers.isLarge() ? [] : ownWorkIn(replicas));
+
   const sendTo = (group: PeerGroup): void => {
-    const work = ownWorkIn(replicas);
+    const work = toldWork();
     const message = compose(work, group.audience);
     group.sentWork = JSON.stringify(work);
     group.sentAt = clock.monotonic();
@@ -214,7 +214,7 @@
     const stretch = peers.stretch(group.audience === "near");
     if (since < peerIntervals.shortest * stretch) return false;
     if (since >= peerIntervals.longest * stretch) return true;
-    return news.hasHolders(group.audience) || JSON.stringify(ownWorkIn(replicas)) !== group.sentWork;
+    return news.hasHolders(group.audience) || JSON.stringify(toldWork()) !== group.sentWork;
   };
 
   const turn = (): void => {
@@ -258,6 +258,7 @@
         .filter(peers.isHeard)
         .map(({ name }) => name),
     ],
+    serving: () => peers.all().filter(peers.mayServe),
     inTouch: (longestAge) => {
       const isFresh = (peer: Peer): boolean =>
         peers.isHeard(peer) && peer.proofAge < longestAge && (peer.isNear || !peers.isLarge());
@@ -267,7 +268,6 @@
     },
     isLarge: peers.isLarge,
     isAmong: (duty, count) => peers.isAmong(duty, count, !takesDuties()),
-    farDelay: () => (peers.stretch(false) - 1) * peerIntervals.shortest,
     countServing: () => 1 + peers.all().filter(peers.mayServe).length,
     tellWeights: (replica, model, version) => {
       news.addWeights(replica, model, version);
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -21,6 +21,8 @@
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
+import type { ReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
+import { countComputedTokens, createReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
 import type { FeedPage, ReplicaEntry, RouterEntry } from "../protocol/forwarding/types.ts";
@@ -46,6 +48,7 @@
   readonly replicas: ReplicaTable;
   readonly holders: CacheHolders;
   readonly peers: RouterPeers;
+  readonly owners: ReplicaOwners;
   readonly cacheStore: CacheStoreFollower;
   /** Whether the registry has been read. */
   readonly knowsReplicas: () => boolean;
@@ -64,8 +67,7 @@
   const replicas = createReplicaTable();
   const holders = createCacheHolders({
     clock,
-    // Other routers compute there as much as this one, on average.
-    computedTokens: (id) => (replicas.get(id)?.computedTokens ?? 0) * peers.live().length,
+    computedTokens: (id) => countComputedTokens(replicas.get(id), owners, peers),
     memoryTokens: (id) => {
       const service = replicas.get(id)?.entry.service;
       const engine = service === undefined ? undefined : configuration.table()?.findService(service)?.engine;
@@ -101,6 +103,18 @@
     }),
   );
 
+  const owners = resources.use(
+    createReplicaOwners({
+      self,
+      link: parts.link,
+      clock,
+      replicas,
+      holders,
+      peers,
+      cacheStore: () => configuration.table()?.cacheStore?.address,
+    }),
+  );
+
   const readsForOthers = (): boolean => !peers.isLarge() || peers.isAmong("registry", registryReaders);
 
   /** Where each router reads by itself often enough, telling would only cost messages. */
@@ -165,6 +179,7 @@
     replicas,
     holders,
     peers,
+    owners,
     cacheStore,
     knowsReplicas: () => knowsReplicas,
     [Symbol.asyncDispose]: () => {
--- a/src/protocol/forwarding/byteWriter.ts
+++ b/src/protocol/forwarding/byteWriter.ts
@@ -16,6 +16,8 @@
   readonly float: (value: number) => void;
   /** A text of at most 255 bytes. Throws `RangeError` for a longer one. */
   readonly text: (value: string) => void;
+  /** The length of a list, then its items. */
+  readonly list: <T>(items: readonly T[], writeItem: (item: T) => void) => void;
   /** @returns What has been written. */
   readonly finish: () => Buffer;
 }
@@ -45,16 +47,18 @@
     bytes[at] = value;
   };
 
+  const count = (value: number): void => {
+    let rest = value;
+    while (rest >= bitsPerByte) {
+      byte((rest % bitsPerByte) + bitsPerByte);
+      rest = Math.floor(rest / bitsPerByte);
+    }
+    byte(rest);
+  };
+
   return {
     byte,
-    count: (value) => {
-      let rest = value;
-      while (rest >= bitsPerByte) {
-        byte((rest % bitsPerByte) + bitsPerByte);
-        rest = Math.floor(rest / bitsPerByte);
-      }
-      byte(rest);
-    },
+    count,
     key: (value) => {
       const at = reserve(keyBytes);
       bytes.writeUIntBE(value, at, keyBytes);
@@ -70,6 +74,10 @@
       const at = reserve(size);
       bytes.write(value, at);
     },
+    list: (items, writeItem) => {
+      count(items.length);
+      items.forEach(writeItem);
+    },
     finish: () => bytes.subarray(0, end),
   };
 };
--- /dev/null
+++ b/src/protocol/forwarding/ownerMessage.test.ts
@@ -0,0 +1,85 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import * as fc from "fast-check";
+import type { OwnerMessage } from "./ownerMessage.ts";
+import { decodeOwnerMessage, encodeOwnerMessage } from "./ownerMessage.ts";
+import { decodeRouterMessage } from "./peerMessage.ts";
+
+/** Records as the product makes them, with the usual prototype. */
+const record = <T extends object>(model: { [K in keyof T]: fc.Arbitrary<T[K]> }): fc.Arbitrary<T> =>
+  fc.record<T>(model, { noNullPrototype: true });
+
+const count = fc.nat({ max: 2 ** 40 });
+const key = fc.nat({ max: 2 ** 31 - 1 });
+const name = fc.string({ maxLength: 20 });
+const promptTokens = fc.array(count, { maxLength: 10 });
+const holders = fc.array(record({ part: count, replica: key, isReady: fc.boolean() }), { maxLength: 5 });
+
+const message: fc.Arbitrary<OwnerMessage> = fc.oneof(
+  record({
+    kind: fc.constant("work" as const),
+    name,
+    incarnation: name,
+    sequence: count,
+    reports: fc.array(
+      record({
+        replica: key,
+        requests: count,
+        promptTokens,
+        computedTokens: count,
+        isUnreachable: fc.boolean(),
+      }),
+      { maxLength: 4 },
+    ),
+    holders,
+  }),
+  record({
+    kind: fc.constant("ask" as const),
+    name,
+    number: count,
+    replicas: fc.array(key, { maxLength: 8 }),
+    parts: fc.array(count, { maxLength: 8 }),
+  }),
+  record({
+    kind: fc.constant("answer" as const),
+    number: count,
+    reports: fc.array(record({ replica: key, requests: count, promptTokens, ejectedFor: count }), {
+      maxLength: 4,
+    }),
+    holders,
+  }),
+);
+
+describe("messages between routers and the owners of replicas", () => {
+  it("are read as they were written, and not as messages to all peers", () => {
+    fc.assert(
+      fc.property(message, (written) => {
+        const datagram = encodeOwnerMessage(written);
+        expect(decodeOwnerMessage(datagram)).toEqual(written);
+        expect(decodeRouterMessage(datagram)).toEqual(undefined);
+      }),
+      { seed: 1 },
+    );
+  });
+
+  it("are dropped where they are cut off, longer than they say, or of another form", () => {
+    fc.assert(
+      fc.property(message, fc.nat(), (written, at) => {
+        const datagram = encodeOwnerMessage(written);
+        expect(decodeOwnerMessage(datagram.subarray(0, at % datagram.length))).toEqual(undefined);
+        expect(decodeOwnerMessage(Buffer.concat([datagram, Buffer.from([0])]))).toEqual(undefined);
+      }),
+      { seed: 2 },
+    );
+    expect(decodeOwnerMessage(Buffer.from("hello"))).toEqual(undefined);
+  });
+
+  it("never throw, whatever the bytes are", () => {
+    fc.assert(
+      fc.property(fc.uint8Array({ maxLength: 60 }), fc.constantFrom(0x21, 0x22, 0x23), (bytes, form) => {
+        decodeOwnerMessage(Buffer.concat([Buffer.from([form]), bytes]));
+      }),
+      { seed: 3 },
+    );
+  });
+});
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -100,28 +100,23 @@
   (standsDown ? flags.standsDown : 0) |
   (ends ? flags.ends : 0);
 
-const writeList = <T>(writer: ByteWriter, items: readonly T[], write: (item: T) => void): void => {
-  writer.count(items.length);
-  items.forEach(write);
-};
-
 const writeNews = (writer: ByteWriter, message: RouterMessage): void => {
-  writeList(writer, message.weights, ({ replica, model, version }) => {
+  writer.list(message.weights, ({ replica, model, version }) => {
     writer.key(replica);
     writer.text(model);
     writer.count(version);
   });
-  writeList(writer, message.changing, ({ replica, remaining }) => {
+  writer.list(message.changing, ({ replica, remaining }) => {
     writer.key(replica);
     writer.count(remaining);
   });
-  writeList(writer, message.leaving, writer.key);
-  writeList(writer, message.holders, ({ part, replica, isReady }) => {
+  writer.list(message.leaving, writer.key);
+  writer.list(message.holders, ({ part, replica, isReady }) => {
     writer.count(part);
     writer.key(replica);
     writer.byte(isReady ? 1 : 0);
   });
-  writeList(writer, message.wanted, ({ model, version, age }) => {
+  writer.list(message.wanted, ({ model, version, age }) => {
     writer.text(model);
     writer.count(version);
     writer.count(age);
@@ -142,10 +137,10 @@
     writer.count(message.configuration.version);
     writer.count(message.configuration.age);
   }
-  writeList(writer, message.work, ({ replica, requests, promptTokens }) => {
+  writer.list(message.work, ({ replica, requests, promptTokens }) => {
     writer.key(replica);
     writer.count(requests);
-    writeList(writer, promptTokens, writer.count);
+    writer.list(promptTokens, writer.count);
   });
   writeNews(writer, message);
   return writer.finish();
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -31,7 +31,9 @@
   readonly promptTokens: number[];
   /** Prompt tokens of this router that were computed there by now. */
   computedTokens: number;
-  /** By peer: the work that its last message told of; changed by {@link ReplicaTable.noteWork} only. */
+  /** Prompt tokens of other routers that were computed there, as far as they reported them to this one. */
+  reportedTokens: number;
+  /** By teller: the work that was last told of; changed by the table's functions only. */
   readonly peers: Map<string, ReplicaWork>;
   /** The sums over `peers`: choosing by them costs the same however many routers there are. */
   readonly peerTotals: { requests: number; readonly promptTokens: number[] };
@@ -41,6 +43,8 @@
   ejectedUntil: number;
   /** No connection can be made to it. */
   isUnreachable: boolean;
+  /** Another router can't reach it: to be tried with a connection of this router's own. */
+  isSuspected: boolean;
   /** Since when it has sent nothing although it owes an answer, milliseconds on the monotonic clock. */
   quietSince: number;
   /** Called once the replica can't be reached: requests under way there that may run again elsewhere. */
@@ -65,6 +69,24 @@
 export const tokensAhead = ({ promptTokens, peerTotals }: ReplicaState, priority: number): number =>
   sumTo(promptTokens, priority) + sumTo(peerTotals.promptTokens, priority);
 
+/** @returns Whole tokens, without the priorities at the end that have none. */
+export const wholeTokens = (tokens: readonly number[]): number[] =>
+  tokens.slice(0, tokens.findLastIndex((count) => count > 0) + 1).map(Math.round);
+
+/** @returns The work of all routers at a replica but for what one teller told. */
+export const workWithout = (
+  { requests, promptTokens, peers, peerTotals }: ReplicaState,
+  teller: string,
+): ReplicaWork => {
+  const left = peers.get(teller);
+  return {
+    requests: Math.max(0, requests + peerTotals.requests - (left?.requests ?? 0)),
+    promptTokens: promptTokens.map(
+      (own, priority) => own + (peerTotals.promptTokens[priority] ?? 0) - (left?.promptTokens[priority] ?? 0),
+    ),
+  };
+};
+
 const addToTotals = ({ peerTotals }: ReplicaState, work: ReplicaWork, sign: 1 | -1): void => {
   peerTotals.requests += sign * work.requests;
   work.promptTokens.slice(0, priorities).forEach((tokens, priority) => {
@@ -94,6 +116,10 @@
   readonly noteWeights: (id: string, model: string, version: number) => void;
   /** Takes all the work that a peer has now, by replica; what it told before counts no more. */
   readonly noteWork: (peer: string, work: ReadonlyMap<ReplicaKey, ReplicaWork>) => void;
+  /** Takes the work that a teller has at one replica; none lets go of what it told before. */
+  readonly noteWorkAt: (teller: string, key: ReplicaKey, work: ReplicaWork) => void;
+  /** Takes the work of all other routers at one replica, whoever told of it before. */
+  readonly replaceWorkAt: (teller: string, key: ReplicaKey, work: ReplicaWork) => void;
   readonly subscribe: (listener: (entry: ReplicaEntry, departure: Departure | undefined) => void) => void;
 }
 
@@ -104,11 +130,13 @@
   requests: 0,
   promptTokens: new Array<number>(priorities).fill(0),
   computedTokens: 0,
+  reportedTokens: 0,
   peers: new Map(),
   peerTotals: { requests: 0, promptTokens: new Array<number>(priorities).fill(0) },
   changingUntil: Number.NEGATIVE_INFINITY,
   ejectedUntil: Number.NEGATIVE_INFINITY,
   isUnreachable: false,
+  isSuspected: false,
   quietSince: Number.NEGATIVE_INFINITY,
   abandon: new Set(),
   failures: 0,
@@ -172,13 +200,15 @@
     tell(known.entry, "gone");
   };
 
+  const dropWorkAt = (state: ReplicaState, teller: string): void => {
+    const work = state.peers.get(teller);
+    if (work === undefined) return;
+    state.peers.delete(teller);
+    addToTotals(state, work, -1);
+  };
+
   const dropWork = (peer: string): void => {
-    for (const state of busyFor.get(peer) ?? []) {
-      const work = state.peers.get(peer);
-      if (work === undefined) continue;
-      state.peers.delete(peer);
-      addToTotals(state, work, -1);
-    }
+    for (const state of busyFor.get(peer) ?? []) dropWorkAt(state, peer);
     busyFor.delete(peer);
   };
 
@@ -195,10 +225,27 @@
     if (busy.length > 0) busyFor.set(peer, busy);
   };
 
+  const noteWorkAt = (teller: string, key: ReplicaKey, work: ReplicaWork): void => {
+    const state = byKey.get(key);
+    if (state === undefined) return;
+    dropWorkAt(state, teller);
+    if (work.requests === 0) return;
+    state.peers.set(teller, work);
+    addToTotals(state, work, 1);
+  };
+
   return {
     get: (id) => states.get(id),
     getByKey: (key) => byKey.get(key),
     noteWork,
+    noteWorkAt,
+    replaceWorkAt: (teller, key, work) => {
+      const state = byKey.get(key);
+      for (const each of [...(state?.peers.keys() ?? [])]) {
+        if (state !== undefined) dropWorkAt(state, each);
+      }
+      noteWorkAt(teller, key, work);
+    },
     all: () => [...states.values()],
     serving: (service) => byService.get(service) ?? [],
     put,
