Let a few routers of each data centre read the store for the others

Cause: every router followed the store for itself.

Change: where there are many routers three of a data centre read often; the others hold one read for 20 s, by which they hear of changes at once, and ask a reader by datagram every 0.9 s how far it has read and how long ago. An answer counts from when its question was sent, less the reader's age, and holds only for who has applied everything up to the reader's offset. Who is told nothing in time reads for itself, with growing pauses, so that 195 routers don't storm a store that is away. Orders are given by readers: the others don't know whether they reach the store.

Ruled out by tests: a proof that isn't so (random schedules of 6 routers with delays up to 0.9 s, loss, freezes, a store that is down, slow or cut off: no router ever proves a moment before which it lacks a record); a router without proofs when one or all readers freeze or it is cut off from the store alone (oldest proof under 4.85 s of 5); a storm (31 routers, 9 s without a store: under 2 calls a second each).

Measured in simulated time: 31 routers at rest make under 4.5 calls a second, 35 before by the intervals.

--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -45,6 +45,8 @@
   readonly confirm: (at: number) => void;
   /** Milliseconds since such a read was sent: a router that is cut off from the store alone lives on peers' proofs. */
   readonly readAge: () => number;
+  /** Nothing newer than what is known had been published at a moment, as another router has proved. */
+  readonly prove: (at: number) => void;
   /** A peer had proof of this version at a moment. */
   readonly confirmVersion: (version: number, at: number) => void;
 }
@@ -113,6 +115,7 @@
       readAt = Math.max(readAt, at);
       prove(at);
     },
+    prove,
     readAge: () => clock.monotonic() - readAt,
     confirmVersion: (version, at) => {
       if (version === table?.configuration.version) prove(at);
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -10,12 +10,6 @@
  */
 export const configurationWaitShare = 0.18;
 
-/**
- * The same where there are many routers, and calls to the store are dear: two reads in a row still fit into that
- * time, and peers of the data centre have proofs of their own.
- */
-export const configurationWaitShareOfMany = 0.36;
-
 /**
  * After so many times the longest wait of a held read without an answer a router takes no duties that need the store:
  * two reads in a row fit into it.
@@ -31,15 +25,6 @@
  */
 export const registryPaceShare = 0.45;
 
-/**
- * The same where there are many routers, for all but a few of a data centre: these few tell the others at once of
- * replicas that leave, so that their own reads are only the ones that the bound needs.
- */
-export const registryPaceShareOfMany = 0.75;
-
-/** How many routers of a data centre read the registry for the others: one may be cut off, and one restarting. */
-export const registryReaders = 3;
-
 /**
  * A router whose last message is older counts as gone for sharing work and duties: three of the longest intervals,
  * and with many peers as many times more as intervals are longer.
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -57,6 +57,8 @@
    * @param standsDown - This router takes no duties any more.
    */
   readonly isAmong: (duty: string, count: number, standsDown: boolean) => boolean;
+  /** @returns The names of those of this data centre that do a duty, the first one first. */
+  readonly dutyHolders: (duty: string, count: number, standsDown: boolean) => readonly string[];
   readonly forget: (peer: Peer) => void;
   /** Writes to the log that a peer is not heard any more. */
   readonly noteSilence: (peer: Peer) => void;
@@ -125,6 +127,12 @@
     return make(message, from, clock.monotonic());
   };
 
+  const dutyHolders = (duty: string, count: number, standsDown: boolean): readonly string[] => {
+    const near = [...peers.values()].filter((peer) => peer.isNear && isHeard(peer) && !peer.standsDown);
+    const names = near.map(({ name }) => name);
+    return rendezvousOrder(duty, standsDown ? names : [self, ...names]).slice(0, count);
+  };
+
   return {
     isLarge,
     stretch,
@@ -150,12 +158,8 @@
     },
     isHeard,
     mayServe,
-    isAmong: (duty, count, standsDown) => {
-      if (standsDown) return false;
-      const near = [...peers.values()].filter((peer) => peer.isNear && isHeard(peer) && !peer.standsDown);
-      const order = rendezvousOrder(duty, [self, ...near.map(({ name }) => name)]);
-      return order.slice(0, count).includes(self);
-    },
+    isAmong: (duty, count, standsDown) => !standsDown && dutyHolders(duty, count, false).includes(self),
+    dutyHolders,
     forget: ({ name }) => {
       peers.delete(name);
       countStretches();
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -218,12 +218,12 @@
     };
     for (const { peers } of routers) peers.add(entries);
     run(3_000);
-    const readers = routers.filter(({ peers }) => peers.isAmong("registry", 3));
+    const readers = routers.filter(({ peers }) => peers.isReader());
     expect(readers.filter(({ self }) => self.dataCentre === "here").length).toEqual(3);
     expect(readers.filter(({ self }) => self.dataCentre === "there").length).toEqual(3);
     readers[0]?.peers.standDown();
     run(10_000);
-    expect(routers.filter(({ peers }) => peers.isAmong("registry", 3)).length).toEqual(6);
+    expect(routers.filter(({ peers }) => peers.isReader()).length).toEqual(6);
   });
 
   it("send no more messages a second however many there are, and fewer to other data centres", () => {
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -17,6 +17,7 @@
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
+import { storeReaders } from "../storeReading/constants.ts";
 import { newsGathering, peerIntervals } from "./constants.ts";
 import type { Peer, PeerTable } from "./peerTable.ts";
 import { createPeerTable } from "./peerTable.ts";
@@ -47,13 +48,16 @@
   readonly serving: () => readonly Peer[];
   /**
    * @returns Names of live routers that take duties and whose configuration was confirmed just now; where there
-   * are many routers, those of this data centre, since the others are heard of too late.
+   * are many routers, those of this data centre that read the store for others: the others don't know whether they
+   * reach it, and those of other data centres are heard of too late.
    */
   readonly inTouch: (longestAge: number) => readonly string[];
   /** Whether there are so many routers that each has its part of common duties. */
   readonly isLarge: () => boolean;
-  /** Whether this router is one of a number that do a duty for their data centre. */
-  readonly isAmong: (duty: string, count: number) => boolean;
+  /** Whether this router reads the store for others of its data centre. */
+  readonly isReader: () => boolean;
+  /** @returns The other routers of this data centre that read the store for others. */
+  readonly readers: () => readonly Peer[];
   /** @returns How many routers may be serving, silent ones included. */
   readonly countServing: () => number;
   /** Tells peers that a replica runs new weights. */
@@ -140,6 +144,9 @@
   sentWork: string;
 }
 
+/** Names the duty in the order of those who do it. */
+const readingDuty = "registry";
+
 const audiences: readonly Audience[] = ["near", "far"];
 
 const audienceOf = ({ isNear }: Peer): Audience => (isNear ? "near" : "far");
@@ -150,6 +157,13 @@
   sentWork: "",
 });
 
+/** @returns Names of peers that take duties and whose configuration was confirmed just now. */
+const freshNames = (peers: PeerTable, longestAge: number): readonly string[] =>
+  peers
+    .all()
+    .filter((peer) => peers.isHeard(peer) && peer.proofAge < longestAge && !peer.standsDown)
+    .map(({ name }) => name);
+
 /** Starts to exchange messages. */
 export const createRouterPeers = (parts: RouterPeersParts): RouterPeers => {
   const { self, link, clock, replicas, configuration } = parts;
@@ -168,6 +182,8 @@
    */
   const takesDuties = (): boolean => !standsDown && configuration.readAge() < parts.longestReadAge();
 
+  const readerNames = (): readonly string[] => peers.dutyHolders(readingDuty, storeReaders, !takesDuties());
+
   const compose = (work: RouterMessage["work"], audience: Audience): Omit<RouterMessage, "echo"> => {
     const now = clock.monotonic();
     return {
@@ -260,14 +276,17 @@
     ],
     serving: () => peers.all().filter(peers.mayServe),
     inTouch: (longestAge) => {
-      const isFresh = (peer: Peer): boolean =>
-        peers.isHeard(peer) && peer.proofAge < longestAge && (peer.isNear || !peers.isLarge());
-      const fresh = peers.all().filter((peer) => isFresh(peer) && !peer.standsDown);
       const own = configuration.age() < longestAge && takesDuties() ? [self.name] : [];
-      return [...own, ...fresh.map(({ name }) => name)];
+      const names = [...own, ...freshNames(peers, longestAge)];
+      const readers = peers.isLarge() ? readerNames() : names;
+      return names.filter((name) => readers.includes(name));
     },
     isLarge: peers.isLarge,
-    isAmong: (duty, count) => peers.isAmong(duty, count, !takesDuties()),
+    isReader: () => peers.isAmong(readingDuty, storeReaders, !takesDuties()),
+    readers: () => {
+      const names = new Set(readerNames());
+      return peers.all().filter(({ name }) => names.has(name));
+    },
     countServing: () => 1 + peers.all().filter(peers.mayServe).length,
     tellWeights: (replica, model, version) => {
       news.addWeights(replica, model, version);
--- /dev/null
+++ b/src/coordination/storeReading/storeReading.test.ts
@@ -0,0 +1,233 @@
+import { describe, it } from "node:test";
+import { setImmediate as settled } from "node:timers/promises";
+import { expect } from "earl";
+import * as fc from "fast-check";
+import { MemoryNetwork } from "../../../tests/support/memoryNetwork.ts";
+import { pause } from "../clock.ts";
+import { createManualClock } from "../manualClock.ts";
+import type { Peer } from "../forwarding/peerTable.ts";
+import { failuresOutOfReach } from "./constants.ts";
+import { startStoreReading } from "./storeReading.ts";
+
+const bounds = { keyRevocation: 5_000, drain: 4_000 };
+const readerCount = 3;
+
+/** Routers of one data centre before a store, of which the first few read for the others. */
+const create = (count: number, seed = 1) => {
+  const clock = createManualClock(1_000);
+  const network = new MemoryNetwork(clock);
+  let random = seed;
+  const nextRandom = (): number => {
+    random = (random * 16_807) % 2_147_483_647;
+    return random / 2_147_483_647;
+  };
+  /** When each record was published. */
+  const published: number[] = [];
+  const store = { delay: 2, calls: 0, isDown: false };
+  const routers = Array.from({ length: count }, (_, index) => {
+    const state = {
+      offset: 0,
+      provenAt: clock.monotonic(),
+      readAt: clock.monotonic(),
+      registryProvenAt: clock.monotonic(),
+      isCut: false,
+    };
+    const read = async (): Promise<number | undefined> => {
+      store.calls += 1;
+      await pause(clock, store.delay);
+      if (store.isDown || state.isCut) return undefined;
+      const end = published.length;
+      await pause(clock, store.delay);
+      return end;
+    };
+    const check = async (): Promise<boolean> => {
+      const askedAt = clock.monotonic();
+      const end = await read();
+      if (end === undefined) return false;
+      state.offset = Math.max(state.offset, end);
+      state.provenAt = Math.max(state.provenAt, askedAt);
+      state.readAt = Math.max(state.readAt, askedAt);
+      return true;
+    };
+    const hurry = (): void => {
+      const askedAt = clock.monotonic();
+      void read().then((end) => {
+        if (end !== undefined) state.registryProvenAt = Math.max(state.registryProvenAt, askedAt);
+      });
+    };
+    const at = { address: "10.0.0.1", port: index + 1 };
+    const readers = (): readonly Peer[] =>
+      Array.from({ length: readerCount }, (__, port) => ({ at: { ...at, port: port + 1 } }) as Peer).filter(
+        (peer) => peer.at.port !== at.port,
+      );
+    const reading = startStoreReading({
+      link: network.open(at.port),
+      clock,
+      bounds,
+      isNeeded: () => true,
+      isReader: () => index < readerCount,
+      readers,
+      readAge: () => clock.monotonic() - state.readAt,
+      operator: {
+        feed: { offset: () => state.offset, check, hurry },
+        changedAt: () => state.offset,
+        age: () => clock.monotonic() - state.provenAt,
+        confirm: (moment) => {
+          state.provenAt = Math.max(state.provenAt, moment);
+        },
+      },
+      replicas: {
+        feed: { offset: () => state.offset, check, hurry },
+        changedAt: () => 0,
+        age: () => clock.monotonic() - state.registryProvenAt,
+        confirm: (moment) => {
+          state.registryProvenAt = Math.max(state.registryProvenAt, moment);
+        },
+      },
+      random: nextRandom,
+    });
+    return { state, reading, port: at.port };
+  });
+  const run = async (milliseconds: number, look: () => void = () => undefined): Promise<void> => {
+    const end = clock.monotonic() + milliseconds;
+    for (let next = clock.nextTimer(); next !== undefined && next <= end; next = clock.nextTimer()) {
+      clock.advanceTo(next);
+      await settled();
+      look();
+    }
+    clock.advanceTo(end);
+  };
+  const ages = (): readonly number[] => routers.map(({ state }) => clock.monotonic() - state.provenAt);
+  return { clock, network, published, store, routers, run, ages };
+};
+
+/** A key may be served this long after its end, less what a request takes on its way. */
+const longestAge = bounds.keyRevocation - 150;
+
+describe("reading the store for others", () => {
+  it("costs calls for the readers alone, and keeps everybody's proofs fresh", async () => {
+    const { store, run, ages } = create(31);
+    await run(3_000);
+    store.calls = 0;
+    let oldest = 0;
+    await run(20_000, () => {
+      oldest = Math.max(oldest, ...ages());
+    });
+    expect(oldest).toBeLessThan(bounds.keyRevocation * 0.6);
+    // Three readers, each with a read of both kinds of records in 1.5 s or so; all 31 would make 700.
+    expect(store.calls).toBeLessThan(90);
+  });
+
+  it("makes others read on as soon as there is something new", async () => {
+    const { published, clock, run, routers } = create(31);
+    await run(3_000);
+    published.push(clock.monotonic());
+    await run(3_000);
+    expect(routers.every(({ state }) => state.offset === 1)).toEqual(true);
+  });
+
+  it("goes on with another reader where one is frozen, and alone where all are", async () => {
+    const { network, run, routers, clock } = create(31);
+    await run(3_000);
+    const others = routers.slice(readerCount);
+    const oldestOfOthers = (): number =>
+      Math.max(...others.map(({ state }) => clock.monotonic() - state.provenAt));
+    let oldest = 0;
+    const look = (): void => {
+      oldest = Math.max(oldest, oldestOfOthers());
+    };
+    network.freeze(1);
+    await run(10_000, look);
+    network.freeze(2);
+    network.freeze(3);
+    await run(10_000, look);
+    expect(oldest).toBeLessThan(longestAge);
+  });
+
+  it("serves a router that is cut off from the store alone", async () => {
+    const { run, routers, clock } = create(31);
+    const cut = routers[20];
+    if (cut === undefined) throw new Error("a router is missing");
+    cut.state.isCut = true;
+    let oldest = 0;
+    await run(20_000, () => {
+      oldest = Math.max(oldest, clock.monotonic() - cut.state.provenAt);
+    });
+    expect(oldest).toBeLessThan(longestAge);
+  });
+
+  it("knows after some failed reads that it doesn't reach the store, and again that it does", async () => {
+    const { run, routers } = create(31);
+    const [reader] = routers;
+    if (reader === undefined) throw new Error("a router is missing");
+    await run(1_000);
+    reader.state.isCut = true;
+    await run(1_500 + failuresOutOfReach * 1_200);
+    expect(reader.reading.reachesStore()).toEqual(false);
+    reader.state.isCut = false;
+    await run(5_000);
+    expect(reader.reading.reachesStore()).toEqual(true);
+  });
+
+  it("doesn't storm a store that is away, nor as it comes back", async () => {
+    const { store, run, ages } = create(31);
+    await run(3_000);
+    store.isDown = true;
+    store.calls = 0;
+    await run(9_000);
+    // Each router reads for itself, with growing pauses.
+    expect(store.calls).toBeLessThan(31 * 9 * 2);
+    store.isDown = false;
+    await run(4_000);
+    expect(Math.max(...ages())).toBeLessThan(bounds.keyRevocation);
+    store.calls = 0;
+    await run(10_000);
+    expect(store.calls).toBeLessThan(50);
+  });
+
+  it("never proves what isn't so, whatever is delayed, lost, frozen or down", async () => {
+    const step = fc.oneof(
+      fc.record({ kind: fc.constant("publish" as const) }),
+      fc.record({ kind: fc.constant("freeze" as const), port: fc.integer({ min: 1, max: 6 }) }),
+      fc.record({ kind: fc.constant("thaw" as const), port: fc.integer({ min: 1, max: 6 }) }),
+      fc.record({ kind: fc.constant("messageDelay" as const), delay: fc.nat(900) }),
+      fc.record({ kind: fc.constant("storeDelay" as const), delay: fc.nat(700) }),
+      fc.record({ kind: fc.constant("down" as const), isDown: fc.boolean() }),
+      fc.record({ kind: fc.constant("cut" as const), router: fc.nat(5), isCut: fc.boolean() }),
+      fc.record({ kind: fc.constant("loss" as const), every: fc.constantFrom(0, 2, 3, 7) }),
+      fc.record({ kind: fc.constant("run" as const), milliseconds: fc.nat(2_500) }),
+    );
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(step, { minLength: 10, maxLength: 60 }),
+        fc.integer({ min: 1, max: 1_000_000 }),
+        async (steps, seed) => {
+          const { clock, network, published, store, routers, run } = create(6, seed);
+          const look = (): void => {
+            for (const { state } of routers) {
+              const before = published.filter((at) => at < state.provenAt).length;
+              expect(state.offset).toBeGreaterThanOrEqual(before);
+            }
+          };
+          for (const each of steps) {
+            if (each.kind === "publish") published.push(clock.monotonic());
+            else if (each.kind === "freeze") network.freeze(each.port);
+            else if (each.kind === "thaw") network.thaw(each.port);
+            else if (each.kind === "messageDelay") network.delay = each.delay;
+            else if (each.kind === "storeDelay") store.delay = each.delay;
+            else if (each.kind === "down") store.isDown = each.isDown;
+            else if (each.kind === "loss") network.lostOfEach = each.every;
+            else if (each.kind === "run") await run(each.milliseconds, look);
+            else {
+              const router = routers[each.router];
+              if (router !== undefined) router.state.isCut = each.isCut;
+            }
+            await settled();
+            look();
+          }
+        },
+      ),
+      { seed: 27, numRuns: 150 },
+    );
+  });
+});
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -7,17 +7,7 @@
 import type { CacheStoreFollower } from "../coordination/forwarding/cacheStoreFollower.ts";
 import { followCacheStore } from "../coordination/forwarding/cacheStoreFollower.ts";
 import { createConfigurationState } from "../coordination/forwarding/configurationState.ts";
-import {
-  cachedMemoryShare,
-  cacheStoreAskers,
-  configurationWaitShare,
-  configurationWaitShareOfMany,
-  readsBeforeStandingDown,
-  registryPaceShare,
-  registryPaceShareOfMany,
-  registryReaders,
-} from "../coordination/forwarding/constants.ts";
-import { followFeed } from "../coordination/forwarding/feedFollower.ts";
+import { cachedMemoryShare, cacheStoreAskers } from "../coordination/forwarding/constants.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
@@ -25,11 +15,13 @@
 import { countComputedTokens, createReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
-import type { FeedPage, ReplicaEntry, RouterEntry } from "../protocol/forwarding/types.ts";
+import type { RouterEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { createReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { createLogger } from "../state/log.ts";
+import type { StoreFollowing } from "./storeFollowing.ts";
+import { followStore, present } from "./storeFollowing.ts";
 
 /** What beliefs come from. */
 export interface ForwardingBeliefsParts {
@@ -56,9 +48,6 @@
 
 const writeLog = createLogger("router");
 
-const present = <T>({ records }: FeedPage<T>): readonly T[] =>
-  records.flatMap(({ value }) => (value === undefined ? [] : [value]));
-
 /** Begins to follow the store and to talk to peers. */
 export const startForwardingBeliefs = (parts: ForwardingBeliefsParts): ForwardingBeliefs => {
   const { self, platform, clock, bounds } = parts;
@@ -74,12 +63,8 @@
       return engine === undefined ? Number.POSITIVE_INFINITY : engine.memoryTokens * cachedMemoryShare;
     },
   });
-  let knowsReplicas = false;
   let isOver = false;
 
-  const longestHeldRead = (): number =>
-    bounds.keyRevocation * (peers.isLarge() ? configurationWaitShareOfMany : configurationWaitShare);
-
   const peers = resources.use(
     createRouterPeers({
       self,
@@ -88,8 +73,8 @@
       replicas,
       configuration,
       holders,
-      longestReadAge: () => longestHeldRead() * readsBeforeStandingDown,
-      onNewerConfiguration: () => operatorFeed.hurry(),
+      longestReadAge: () => following.longestReadAge(),
+      onNewerConfiguration: () => following.readOn(),
     }),
   );
 
@@ -115,47 +100,16 @@
     }),
   );
 
-  const readsForOthers = (): boolean => !peers.isLarge() || peers.isAmong("registry", registryReaders);
-
-  /** Where each router reads by itself often enough, telling would only cost messages. */
-  const tellDeparture = (id: string): void => {
-    if (peers.isLarge() && replicas.get(id)?.entry.isDraining === false) peers.tellLeaving(id);
-  };
-
-  const operatorFeed = resources.use(
-    followFeed({
-      name: "operator",
-      feed: platform.operator,
-      clock,
-      wait: longestHeldRead,
-      pace: () => 0,
-      replace: configuration.apply,
-      apply: (page) => {
-        configuration.apply(page);
-        parts.onConfiguration();
-      },
-      confirm: configuration.confirm,
-    }),
-  );
-
-  resources.use(
-    followFeed({
-      name: "replicas",
-      feed: platform.replicas,
+  const following: StoreFollowing = resources.use(
+    followStore({
+      platform,
+      link: parts.link,
       clock,
-      wait: () => 0,
-      pace: () => bounds.drain * (readsForOthers() ? registryPaceShare : registryPaceShareOfMany),
-      replace: (page: FeedPage<ReplicaEntry>) => replicas.replaceAll(present(page)),
-      apply: ({ records }) => {
-        for (const { key, value } of records) {
-          if (value?.isDraining !== false) tellDeparture(key);
-          if (value === undefined) replicas.remove(key);
-          else replicas.put(value);
-        }
-      },
-      confirm: () => {
-        knowsReplicas = true;
-      },
+      bounds,
+      configuration,
+      replicas,
+      peers,
+      onConfiguration: parts.onConfiguration,
     }),
   );
 
@@ -181,7 +135,7 @@
     peers,
     owners,
     cacheStore,
-    knowsReplicas: () => knowsReplicas,
+    knowsReplicas: following.knowsReplicas,
     [Symbol.asyncDispose]: () => {
       isOver = true;
       return resources[Symbol.asyncDispose]();
--- /dev/null
+++ b/src/daemons/storeFollowing.ts
@@ -0,0 +1,160 @@
+/** Follows the operator's records and the registry of replicas in the platform's store. */
+import type { Clock } from "../coordination/clock.ts";
+import type { ConfigurationState } from "../coordination/forwarding/configurationState.ts";
+import {
+  configurationWaitShare,
+  readsBeforeStandingDown,
+  registryPaceShare,
+} from "../coordination/forwarding/constants.ts";
+import { followFeed } from "../coordination/forwarding/feedFollower.ts";
+import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
+import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
+import {
+  longestReadAgeOfMany,
+  longHeldRead,
+  longRegistryPace,
+  readerRegistryPaceShare,
+  retryStretchOfMany,
+} from "../coordination/storeReading/constants.ts";
+import { startStoreReading } from "../coordination/storeReading/storeReading.ts";
+import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
+import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
+import type { FeedPage, FeedRecord, ReplicaEntry } from "../protocol/forwarding/types.ts";
+import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
+
+/** What following works with. */
+export interface StoreFollowingParts {
+  readonly platform: Pick<ForwardingPlatform, "operator" | "replicas">;
+  readonly link: DatagramLink;
+  readonly clock: Clock;
+  readonly bounds: ForwardingBounds;
+  readonly configuration: ConfigurationState;
+  readonly replicas: ReplicaTable;
+  readonly peers: Pick<RouterPeers, "isLarge" | "isReader" | "readers" | "tellLeaving">;
+  /** A configuration came that may have other limits. */
+  readonly onConfiguration: () => void;
+}
+
+/** Follows until it is disposed of. */
+export interface StoreFollowing extends AsyncDisposable {
+  /** Whether the registry has been read. */
+  readonly knowsReplicas: () => boolean;
+  /** A router whose last own read of the operator's records is older takes no duties, milliseconds. */
+  readonly longestReadAge: () => number;
+  /** There is something newer than what is known. */
+  readonly readOn: () => void;
+}
+
+/** @returns The values of records that were not dropped. */
+export const present = <T>({ records }: FeedPage<T>): readonly T[] =>
+  records.flatMap(({ value }) => (value === undefined ? [] : [value]));
+
+/** Starts to follow. */
+export const followStore = (parts: StoreFollowingParts): StoreFollowing => {
+  const { platform, clock, bounds, configuration, replicas, peers } = parts;
+  const resources = createResourceStack();
+  let registryProvenAt = Number.NEGATIVE_INFINITY;
+
+  const proveRegistry = (at: number): void => {
+    registryProvenAt = Math.max(registryProvenAt, at);
+  };
+
+  const shortHeldRead = (): number => bounds.keyRevocation * configurationWaitShare;
+
+  /** A router that knows that it doesn't reach the store takes no duties. */
+  const longestReadAge = (): number => {
+    if (!peers.isLarge()) return shortHeldRead() * readsBeforeStandingDown;
+    return reading.reachesStore() ? longestReadAgeOfMany : 0;
+  };
+
+  const isReadFor = (): boolean => peers.isLarge() && !peers.isReader();
+
+  const registryPace = (): number => {
+    if (isReadFor()) return longRegistryPace;
+    return bounds.drain * (peers.isLarge() ? readerRegistryPaceShare : registryPaceShare);
+  };
+
+  const retryStretch = (): number => (isReadFor() ? retryStretchOfMany : 1);
+
+  /** Where each router reads by itself often enough, telling would only cost messages. */
+  const tellDeparture = (id: string): void => {
+    if (peers.isLarge() && replicas.get(id)?.entry.isDraining === false) peers.tellLeaving(id);
+  };
+
+  const operatorFeed = resources.use(
+    followFeed({
+      name: "operator",
+      feed: platform.operator,
+      clock,
+      wait: () => (peers.isLarge() ? longHeldRead : shortHeldRead()),
+      retryStretch,
+      pace: () => 0,
+      replace: configuration.apply,
+      apply: (page) => {
+        configuration.apply(page);
+        parts.onConfiguration();
+      },
+      confirm: configuration.confirm,
+    }),
+  );
+
+  let registryChangedAt = 0;
+  const applyRegistration = ({ offset, key, value }: FeedRecord<ReplicaEntry>): void => {
+    if (value?.isDraining !== false) tellDeparture(key);
+    const isChange = value === undefined ? replicas.remove(key) : replicas.put(value);
+    if (isChange) registryChangedAt = Math.max(registryChangedAt, offset + 1);
+  };
+
+  const registryFeed = resources.use(
+    followFeed({
+      name: "replicas",
+      feed: platform.replicas,
+      clock,
+      wait: () => 0,
+      retryStretch,
+      pace: registryPace,
+      replace: (page: FeedPage<ReplicaEntry>) => {
+        replicas.replaceAll(present(page));
+        registryChangedAt = Math.max(registryChangedAt, page.nextOffset);
+      },
+      apply: ({ records }) => records.forEach(applyRegistration),
+      confirm: proveRegistry,
+    }),
+  );
+
+  const reading = resources.use(
+    startStoreReading({
+      link: parts.link,
+      clock,
+      bounds,
+      isNeeded: peers.isLarge,
+      isReader: peers.isReader,
+      readers: peers.readers,
+      readAge: configuration.readAge,
+      operator: {
+        feed: operatorFeed,
+        changedAt: () => operatorFeed.offset() ?? 0,
+        age: configuration.age,
+        confirm: configuration.prove,
+      },
+      replicas: {
+        feed: registryFeed,
+        changedAt: () => registryChangedAt,
+        age: () => clock.monotonic() - registryProvenAt,
+        confirm: proveRegistry,
+      },
+      random: Math.random,
+    }),
+  );
+
+  return {
+    knowsReplicas: () => Number.isFinite(registryProvenAt),
+    longestReadAge,
+    readOn: () => {
+      if (peers.isLarge()) void operatorFeed.check();
+      else operatorFeed.hurry();
+    },
+    [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
+  };
+};
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -104,12 +104,12 @@
   readonly all: () => readonly ReplicaState[];
   /** @returns The replicas of a service that take new work. */
   readonly serving: (service: string) => readonly ReplicaState[];
-  /** Takes a registration. */
-  readonly put: (entry: ReplicaEntry) => void;
+  /** Takes a registration. @returns Whether it changes a decision. */
+  readonly put: (entry: ReplicaEntry) => boolean;
   /** A replica leaves: it gets no new work, and doesn't come back under this id. */
   readonly markLeaving: (id: string) => void;
-  /** A replica has left. */
-  readonly remove: (id: string) => void;
+  /** A replica has left. @returns Whether it was known. */
+  readonly remove: (id: string) => boolean;
   /** Replaces everything by what the registry holds now. */
   readonly replaceAll: (entries: readonly ReplicaEntry[]) => void;
   /** Raises the version that a replica is believed to run. */
@@ -172,7 +172,7 @@
     for (const listener of listeners) listener(entry, departure);
   };
 
-  const put = (entry: ReplicaEntry): void => {
+  const put = (entry: ReplicaEntry): boolean => {
     const known = states.get(entry.id);
     if (known === undefined) {
       const state = stateOf(entry);
@@ -180,24 +180,30 @@
       byKey.set(replicaKeyOf(entry.id), state);
       reindex();
       tell(entry, entry.isDraining ? "draining" : undefined);
-      return;
+      return true;
     }
     const { isDraining: wasDraining } = known.entry;
     // An incarnation that drains doesn't come back.
     known.entry = { ...entry, isDraining: entry.isDraining || wasDraining };
-    for (const [model, version] of entry.weights) raise(known.weights, model, version);
-    if (known.entry.isDraining === wasDraining) return;
+    let isChanged = known.entry.isDraining !== wasDraining;
+    for (const [model, version] of entry.weights) {
+      isChanged ||= version > (known.weights.get(model) ?? 0);
+      raise(known.weights, model, version);
+    }
+    if (known.entry.isDraining === wasDraining) return isChanged;
     reindex();
     tell(known.entry, "draining");
+    return true;
   };
 
-  const remove = (id: string): void => {
+  const remove = (id: string): boolean => {
     const known = states.get(id);
-    if (known === undefined) return;
+    if (known === undefined) return false;
     states.delete(id);
     byKey.delete(replicaKeyOf(id));
     reindex();
     tell(known.entry, "gone");
+    return true;
   };
 
   const dropWorkAt = (state: ReplicaState, teller: string): void => {
@@ -257,7 +263,7 @@
     replaceAll: (entries) => {
       const kept = new Set(entries.map(({ id }) => id));
       for (const id of [...states.keys()]) if (!kept.has(id)) remove(id);
-      entries.forEach(put);
+      for (const entry of entries) put(entry);
     },
     noteWeights: (id, model, version) => {
       const state = states.get(id);
