Ask about more replicas before turning a prompt away

Cause: where owners are asked, a request compares four replicas; if all four are busy it was turned away, although another one of 55 was free.

Change: a request that would be turned away asks about eight more once.

--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -17,6 +17,7 @@
 import type { PartWait } from "./partWait.ts";
 import type { Placement, PlacementChoice } from "./placement.ts";
 import type { RetryShare } from "./retryShare.ts";
+import type { Outlook } from "./turningAway.ts";
 import { turnAway } from "./turningAway.ts";
 
 /** What attempts are made with. */
@@ -106,8 +107,9 @@
   const consult = async (
     { request, admission }: ForwardRun,
     excluded: ReadonlySet<string>,
+    isWide: boolean,
   ): Promise<readonly ReplicaState[]> => {
-    const { replicas, keys } = placement.shortlist(request, admission, excluded);
+    const { replicas, keys } = placement.shortlist(request, admission, excluded, isWide);
     const known = await owners.ask(replicas, keys);
     return known.length > 0 ? known : replicas;
   };
@@ -129,28 +131,31 @@
     return failures.notRun(run.deadline - clock.monotonic(), failure);
   };
 
-  /** Throws where a request that was not sent anywhere yet would be answered too late. */
-  const admitByLoad = (run: ForwardRun, choice: PlacementChoice): void => {
-    const { request, admission, deadline } = run;
-    if (request.prompt === undefined || run.sentTo.size > 0) return;
-    const outlook = {
-      wait: choice.predictedWait,
-      queueWait: choice.queueWait,
-      objective: admission.route.latencyObjective,
-      left: deadline - clock.monotonic(),
-    };
-    const comeBack = turnAway(outlook, parts.latenessTurnedAway, parts.random());
-    if (comeBack === undefined) return;
+  const outlookOf = ({ admission, deadline }: ForwardRun, choice: PlacementChoice): Outlook => ({
+    wait: choice.predictedWait,
+    queueWait: choice.queueWait,
+    objective: admission.route.latencyObjective,
+    left: deadline - clock.monotonic(),
+  });
+
+  /** @returns When a request that was not sent anywhere yet is to come back, if it would be answered too late. */
+  const turnAwayFor = (run: ForwardRun, choice: PlacementChoice): number | undefined => {
+    if (run.request.prompt === undefined || run.sentTo.size > 0) return undefined;
+    return turnAway(outlookOf(run, choice), parts.latenessTurnedAway, parts.random());
+  };
+
+  const refuse = (run: ForwardRun, choice: PlacementChoice, comeBackAfter: number): never => {
+    const outlook = outlookOf(run, choice);
     metrics.count(metricNames.refusals);
     writeLog("turned_away", {
-      request: request.id,
+      request: run.request.id,
       replica: choice.replica.entry.id,
       predictedWait: Math.round(outlook.wait),
       queueWait: Math.round(outlook.queueWait),
       objective: outlook.objective,
-      comeBackAfter: Math.round(comeBack),
+      comeBackAfter: Math.round(comeBackAfter),
     });
-    throw failures.turnedAway(comeBack);
+    throw failures.turnedAway(comeBackAfter);
   };
 
   const waitForPart = async (run: ForwardRun, part: number): Promise<void> => {
@@ -163,9 +168,10 @@
     let failure: UpstreamError | undefined;
     let failedThere: BegunAnswer | undefined;
     let hasWaited = false;
+    let isWide = false;
     for (;;) {
       const excluded = failure?.fault === "wrong_weights" ? new Set<string>() : run.sentTo;
-      const known = owners.isNeeded() ? await consult(run, excluded) : undefined;
+      const known = owners.isNeeded() ? await consult(run, excluded, isWide) : undefined;
       const choice = choose(run, excluded, known);
       if (choice === undefined) break;
       if (choice.awaitedPart !== undefined && !hasWaited) {
@@ -173,7 +179,12 @@
         await waitForPart(run, choice.awaitedPart);
         continue;
       }
-      admitByLoad(run, choice);
+      const comeBackAfter = turnAwayFor(run, choice);
+      if (comeBackAfter !== undefined && owners.isNeeded() && !isWide) {
+        isWide = true;
+        continue;
+      }
+      if (comeBackAfter !== undefined) refuse(run, choice, comeBackAfter);
       try {
         const answer = await attemptOnce(run, choice, lastEventId);
         if (isSuccess(answer.head) || !isWorthAnother(run, answer)) return answer;
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -53,6 +53,9 @@
 /** Share of the messages that goes to peers in the same data centre: they send work to the same replicas. */
 export const nearMessageShare = 0.6;
 
+/** Routers of a data centre for each one that does a duty for them, where they are fewer than those that suffice. */
+export const routersPerHolder = 5;
+
 /** News that comes within so short a time shares a message. */
 export const newsGathering = 10;
 
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -48,6 +48,7 @@
     prompt: Prompt,
     admission: Admission,
     candidates: readonly ReplicaState[],
+    isWide?: boolean,
   ) => Shortlist;
   /**
    * @param penalty - What a replica costs besides, milliseconds.
@@ -130,9 +131,10 @@
     return { versionOf, viewOf };
   };
 
-  const shortlist: EnginePlacement["shortlist"] = (prompt, admission, candidates) => {
+  const shortlist: EnginePlacement["shortlist"] = (prompt, admission, candidates, isWide = false) => {
     const { versionOf, viewOf } = viewsOf(prompt, admission);
     const versions = [...new Set(candidates.map(versionOf))].sort((left, right) => right - left);
+    const others = isWide ? askedReplicas.wide : askedReplicas.others;
     const asked = new Set<ReplicaState>();
     const keys = new Set<number>();
     for (const version of versions.slice(0, askedVersions)) {
@@ -141,7 +143,7 @@
       const holders = same.filter(({ entry }) => view.held.has(entry.id));
       for (const each of firstReplicas(view.part, same, askedReplicas.homes)) asked.add(each);
       for (const each of pickSome(holders, askedReplicas.holders, random)) asked.add(each);
-      for (const each of pickSome(same, askedReplicas.others, random)) asked.add(each);
+      for (const each of pickSome(same, others, random)) asked.add(each);
       for (const key of parts.holders.keysOf(view.salt, prompt)) keys.add(key);
     }
     return { replicas: [...asked], keys: [...keys] };
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -10,6 +10,7 @@
   nearMessageShare,
   peerMemory,
   peersAtShortestInterval,
+  routersPerHolder,
   peerSilence,
 } from "./constants.ts";
 
@@ -52,13 +53,13 @@
   /** Whether it may be serving although it may be silent. */
   readonly mayServe: (peer: Peer) => boolean;
   /**
-   * Whether this router is one of a number of this data centre that do a duty.
+   * Whether this router is one of those of this data centre that do a duty: some at most, fewer where there are few.
    *
    * @param standsDown - This router takes no duties any more.
    */
-  readonly isAmong: (duty: string, count: number, standsDown: boolean) => boolean;
+  readonly isAmong: (duty: string, most: number, standsDown: boolean) => boolean;
   /** @returns The names of those of this data centre that do a duty, the first one first. */
-  readonly dutyHolders: (duty: string, count: number, standsDown: boolean) => readonly string[];
+  readonly dutyHolders: (duty: string, most: number, standsDown: boolean) => readonly string[];
   readonly forget: (peer: Peer) => void;
   /** Writes to the log that a peer is not heard any more. */
   readonly noteSilence: (peer: Peer) => void;
@@ -127,10 +128,11 @@
     return make(message, from, clock.monotonic());
   };
 
-  const dutyHolders = (duty: string, count: number, standsDown: boolean): readonly string[] => {
+  const dutyHolders = (duty: string, most: number, standsDown: boolean): readonly string[] => {
     const near = [...peers.values()].filter((peer) => peer.isNear && isHeard(peer) && !peer.standsDown);
     const names = near.map(({ name }) => name);
-    return rendezvousOrder(duty, standsDown ? names : [self, ...names]).slice(0, count);
+    const able = standsDown ? names : [self, ...names];
+    return rendezvousOrder(duty, able).slice(0, Math.min(most, Math.ceil(able.length / routersPerHolder)));
   };
 
   return {
@@ -158,7 +160,7 @@
     },
     isHeard,
     mayServe,
-    isAmong: (duty, count, standsDown) => !standsDown && dutyHolders(duty, count, false).includes(self),
+    isAmong: (duty, most, standsDown) => !standsDown && dutyHolders(duty, most, false).includes(self),
     dutyHolders,
     forget: ({ name }) => {
       peers.delete(name);
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -61,11 +61,15 @@
 
 /** See {@link createPlacement}. */
 export interface Placement {
-  /** @param excluded - Ids of replicas that the request was sent to already. */
+  /**
+   * @param excluded - Ids of replicas that the request was sent to already.
+   * @param isWide - Whether to ask about more: the few would answer too late.
+   */
   readonly shortlist: (
     request: CallerRequest,
     admission: Admission,
     excluded: ReadonlySet<string>,
+    isWide: boolean,
   ) => Shortlist;
   /**
    * @param excluded - Ids of replicas that the request was sent to already.
@@ -140,11 +144,11 @@
   });
 
   return {
-    shortlist: ({ prompt }, admission, excluded) => {
+    shortlist: ({ prompt }, admission, excluded, isWide) => {
       const candidates = candidatesOf(admission.service.name, excluded);
       if (candidates.length < 2) return { replicas: [], keys: [] };
       if (prompt === undefined || admission.service.engine === undefined) return shortlistPlain(candidates);
-      return engines.shortlist(prompt, admission, candidates);
+      return engines.shortlist(prompt, admission, candidates, isWide);
     },
     choose: ({ prompt }, admission, excluded, wanted = []) => {
       const candidates = candidatesOf(admission.service.name, excluded);
--- a/src/coordination/replicaOwners/constants.ts
+++ b/src/coordination/replicaOwners/constants.ts
@@ -24,8 +24,11 @@
 /** Part of a new observation in the average time of an answer. */
 export const answerTimeGain = 0.1;
 
-/** Replicas that are asked about for one request, the prompt's homes among them. */
-export const askedReplicas = { homes: 2, holders: 1, others: 1 } as const;
+/**
+ * Replicas that are asked about for one request: homes of its deepest shared part, holders that are known, others at
+ * random; and how many others before a request is turned away, since somewhere else it may not be late.
+ */
+export const askedReplicas = { homes: 2, holders: 1, others: 1, wide: 8 } as const;
 
 /** Versions of the weights of which replicas are asked about: during a roll-out few run the newest. */
 export const askedVersions = 2;
