Take a deadline that is due for the cause, whichever timer fires first

Where the timer of the silent attempt fires before that of the deadline, no time is left for another attempt, the request is given up, and the stopper knows no reason: 502 upstream_failed instead of 504.

Change: a retry that has no time left, within the precision of timers, ends the request by its deadline.

--- a/src/coordination/requests/constants.ts
+++ b/src/coordination/requests/constants.ts
@@ -38,3 +38,6 @@
 
 /** How often a request that no engine has seen is bound to weights: a roll-out changes them once or twice. */
 export const maximumBindings = 3;
+
+/** Timers that are due within so many milliseconds of one another may fire in any order. */
+export const timerPrecision = 5;
--- a/src/coordination/requests/retryDecision.ts
+++ b/src/coordination/requests/retryDecision.ts
@@ -7,7 +7,7 @@
 import { isFreeToRetry, mayTryAgain } from "./attemptFailures.ts";
 import type { RequestProgress } from "./attemptFailures.ts";
 import { pickBackOff } from "./backOff.ts";
-import { firstBackOff, maximumFruitlessAttempts } from "./constants.ts";
+import { firstBackOff, maximumFruitlessAttempts, timerPrecision } from "./constants.ts";
 import type { RetryBudget } from "./retryBudget.ts";
 import type { Stopper } from "./stopper.ts";
 
@@ -52,20 +52,33 @@
     firstTokenDeadline = Math.max(firstTokenDeadline, renewed);
   };
 
+  /**
+   * Timers that are due together fire in any order: a request whose time is over has failed by its deadline, also where
+   * the silence of its last attempt was noticed first.
+   *
+   * @returns The delay, if it is over before the deadline.
+   */
+  const before = (deadline: number, delay: number): number | undefined => {
+    const now = clock.monotonic();
+    if (now + delay < deadline) return delay;
+    if (context.completionDeadline - now <= timerPrecision) stopper.stop("deadline");
+    return undefined;
+  };
+
   /** No engine takes the work just now, because those that do are the ones that failed. */
   const waitForEngine = (excluded: Set<string>): number | undefined => {
     if (failures === 0) return undefined;
     excluded.clear();
     refusals += 1;
     const delay = firstBackOff + pickBackOff(failures + refusals, parts.random);
-    return clock.monotonic() + delay < firstTokenDeadline ? delay : undefined;
+    return before(firstTokenDeadline, delay);
   };
 
   const tryAgain = (error: unknown, progress: RequestProgress): number | undefined => {
     noteFailure();
     if (failures >= maximumFruitlessAttempts || !mayTryAgain(error, progress)) return undefined;
     const delay = pickBackOff(failures, parts.random);
-    if (clock.monotonic() + delay >= context.completionDeadline) return undefined;
+    if (before(context.completionDeadline, delay) === undefined) return undefined;
     const kind = progress.delivered ? "continuation" : "attempt";
     if (!isFreeToRetry(error) && !retryBudget.tryTake(requestClass, kind)) {
       metrics.count(metricNames.retriesDenied, 1, { class: requestClass.name });
