Undo two circles of imports

placement.ts and enginePlacement.ts imported each other's types, and so did the lab's batchEngine.ts and batchState.ts: the types have modules of their own now.

--- a/bench/lab/batchEngine.ts
+++ b/bench/lab/batchEngine.ts
@@ -4,12 +4,9 @@
  * used longest ago yield, and where none is left the newest of the least urgent requests is put back and computed
  * anew.
  */
-import type { Clock } from "../../src/coordination/clock.ts";
-import type { PrefixLevel } from "../../src/protocol/types.ts";
-import type { PrefixCache } from "../model/prefixCache.ts";
 import { createPrefixCache } from "../model/prefixCache.ts";
 import type { EngineSpecification } from "./experiment.ts";
-import type { BatchState, Task } from "./batchState.ts";
+import type { BatchJob, BatchState, BatchSurroundings, PartKeeper, Task } from "./batchTypes.ts";
 import {
   admitWaiting,
   countComputed,
@@ -20,44 +17,6 @@
   removeTask,
   saveParts,
 } from "./batchState.ts";
-import type { Link } from "./links.ts";
-
-/** Something that keeps parts and can be copied from. */
-export interface PartKeeper {
-  readonly link: Link;
-  readonly cache: PrefixCache;
-}
-
-/** What all engines of a run add up, in tokens but for `preempted`. */
-export interface WorkTotals {
-  computed: number;
-  /** Shared tokens computed although some engine had them a short time ago. */
-  again: number;
-  copied: number;
-  preempted: number;
-}
-
-/** One request's work. */
-export interface BatchJob {
-  /** Smaller goes first. */
-  readonly priority: number;
-  /** The last level is the request's own. */
-  readonly levels: readonly PrefixLevel[];
-  readonly answerTokens: number;
-  readonly source: PartKeeper | undefined;
-  readonly saveTo: PartKeeper | undefined;
-  /** Some tokens of the answer were made. */
-  readonly onPiece: () => void;
-  readonly onEnd: (ended: "finished" | "failed") => void;
-}
-
-/** What engines of one run share. */
-export interface BatchSurroundings {
-  readonly clock: Clock;
-  readonly totals: WorkTotals;
-  /** By part: when any engine had it last. */
-  readonly seen: Map<string, number>;
-}
 
 /** See {@link createBatchEngine}. */
 export interface BatchEngine extends PartKeeper {
--- a/bench/lab/batchState.ts
+++ b/bench/lab/batchState.ts
@@ -1,31 +1,8 @@
 /** What stands in a batch engine, and the rules by which its requests take memory and places. */
 import type { PrefixLevel } from "../../src/protocol/types.ts";
-import type { PrefixCache } from "../model/prefixCache.ts";
-import type { BatchJob, BatchSurroundings } from "./batchEngine.ts";
-import type { EngineSpecification } from "./experiment.ts";
-import type { Link } from "./links.ts";
+import type { BatchState, Task } from "./batchTypes.ts";
 import { reserveCopy } from "./links.ts";
 
-/** A job with how far it has come. */
-export interface Task {
-  readonly job: BatchJob;
-  readonly sequence: number;
-  /** Prompt tokens that are there. */
-  done: number;
-  pinned: number;
-  made: number;
-  isCopying: boolean;
-}
-
-/** An engine's memory and queues; the engine alone changes them. */
-export interface BatchState extends BatchSurroundings {
-  readonly specification: EngineSpecification;
-  readonly cache: PrefixCache;
-  readonly link: Link;
-  waiting: Task[];
-  running: Task[];
-}
-
 /** A part that was used so long ago may be computed again without loss, milliseconds. */
 const againWithin = 10_000;
 
--- a/bench/lab/fleet.ts
+++ b/bench/lab/fleet.ts
@@ -5,7 +5,8 @@
 import type { CacheChange, CacheChanges, ReplicaEntry } from "../../src/protocol/forwarding/types.ts";
 import type { UnitEvent } from "../model/prefixCache.ts";
 import { createPrefixCache } from "../model/prefixCache.ts";
-import type { BatchEngine, PartKeeper, WorkTotals } from "./batchEngine.ts";
+import type { BatchEngine } from "./batchEngine.ts";
+import type { PartKeeper, WorkTotals } from "./batchTypes.ts";
 import { createBatchEngine } from "./batchEngine.ts";
 import type { Experiment } from "./experiment.ts";
 
--- a/bench/lab/simulation.ts
+++ b/bench/lab/simulation.ts
@@ -6,7 +6,7 @@
 import type { RouterEntry } from "../../src/protocol/forwarding/types.ts";
 import { MemoryNetwork } from "../../tests/support/memoryNetwork.ts";
 import { createRandom } from "../model/random.ts";
-import type { WorkTotals } from "./batchEngine.ts";
+import type { WorkTotals } from "./batchTypes.ts";
 import type { LabRecord } from "./caller.ts";
 import { runCaller } from "./caller.ts";
 import type { Experiment, Fault } from "./experiment.ts";
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -16,7 +16,8 @@
 import type { ForwardRun } from "./forwardRun.ts";
 import type { LoadAdmission } from "./loadAdmission.ts";
 import type { PartWait } from "./partWait.ts";
-import type { Placement, PlacementChoice } from "./placement.ts";
+import type { Placement } from "./placement.ts";
+import type { PlacementChoice } from "./placementTypes.ts";
 import type { RetryShare } from "./retryShare.ts";
 
 /** What attempts are made with. */
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -21,7 +21,7 @@
 import { pickSome } from "./pickSome.ts";
 import { askedReplicas, askedVersions } from "../replicaOwners/constants.ts";
 import { firstReplicas } from "./rendezvousReplica.ts";
-import type { PlacementChoice, PlacementFailure, Shortlist } from "./placement.ts";
+import type { PlacementChoice, PlacementFailure, Shortlist } from "./placementTypes.ts";
 import type { PromptView, PromptViewParts } from "./promptView.ts";
 import { createPromptViews } from "./promptView.ts";
 import { rankByCost } from "./rankByCost.ts";
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -6,7 +6,7 @@
 import type { Stopper } from "../requests/stopper.ts";
 import { createStopper } from "../requests/stopper.ts";
 import { mostUnsent } from "./constants.ts";
-import type { PlacementChoice } from "./placement.ts";
+import type { PlacementChoice } from "./placementTypes.ts";
 import type { Admission } from "./types.ts";
 
 /** See the module. */
--- a/src/coordination/forwarding/loadAdmission.ts
+++ b/src/coordination/forwarding/loadAdmission.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "../clock.ts";
 import { failures } from "./failures.ts";
 import type { ForwardRun } from "./forwardRun.ts";
-import type { PlacementChoice } from "./placement.ts";
+import type { PlacementChoice } from "./placementTypes.ts";
 import type { Outlook } from "./turningAway.ts";
 import { turnAway } from "./turningAway.ts";
 
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -9,7 +9,7 @@
 import { askedPlain } from "../replicaOwners/constants.ts";
 import { failurePenaltyShare, remotePenalty } from "./constants.ts";
 import type { EnginePlacement } from "./enginePlacement.ts";
-import type { SharedParts } from "./partSaving.ts";
+import type { PlacementChoice, PlacementFailure, Shortlist } from "./placementTypes.ts";
 import { pickSome } from "./pickSome.ts";
 import { rankByCost } from "./rankByCost.ts";
 import type { ReplicaEstimates } from "./replicaEstimates.ts";
@@ -27,40 +27,6 @@
   readonly random: () => number;
 }
 
-/** A replica for a request, with what it is to be told. */
-export interface PlacementChoice {
-  readonly replica: ReplicaState;
-  /** The home of the prompt's deepest shared part, whose owner knows where the part is; nothing if it is chosen. */
-  readonly directory: ReplicaState | undefined;
-  readonly weightsVersion: number | undefined;
-  readonly cacheSalt: string | undefined;
-  readonly fetchFrom: string | undefined;
-  /** What saving its prompt's parts is decided by; nothing where there is no such decision. */
-  readonly shared: SharedParts | undefined;
-  /** For engines: 0 is the most urgent. */
-  readonly priority: number | undefined;
-  /** Its prompt takes longer than the time between two messages to peers. */
-  readonly outlastsMessages: boolean;
-  /** The key of a prompt part that an engine is computing, and that is worth waiting for. */
-  readonly awaitedPart: number | undefined;
-  /** Prompt tokens that it is expected to compute. */
-  readonly promptTokens: number;
-  /** Predicted time to the beginning of the answer, milliseconds. */
-  readonly predictedWait: number;
-  /** The part of it that passes before the replica begins with the request. */
-  readonly queueWait: number;
-}
-
-/** Why there is no choice. */
-export type PlacementFailure = "no_replica" | "old_weights";
-
-/** What is worth asking before a request is placed. */
-export interface Shortlist {
-  readonly replicas: readonly ReplicaState[];
-  /** Of the prompt's parts. */
-  readonly keys: readonly number[];
-}
-
 /** See {@link createPlacement}. */
 export interface Placement {
   /**
