--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,6 +2,7 @@
 import { admissionBench } from "./admission/admission.ts";
 import { claimsBench } from "./claims/claims.ts";
 import { membershipBench } from "./membership.ts";
+import { ownersBench } from "./owners/owners.ts";
 import { parseBenchCommand } from "./options.ts";
 import { placementBench } from "./placement/placement.ts";
 import { relayBench } from "./relay/relay.ts";
@@ -20,6 +21,7 @@
   retriesBench,
   membershipBench,
   restartBench,
+  ownersBench,
 ];
 
 const list = (): string =>
