--- a/src/daemons/storeFollowing.test.ts
+++ b/src/daemons/storeFollowing.test.ts
@@ -57,7 +57,7 @@
         return { records: [], nextOffset: from, isComplete: true };
       },
     };
-    const following = followStore({
+    await using following = followStore({
       platform: { operator: operator as RecordFeed<OperatorRecord>, replicas: feed },
       link,
       clock: systemClock,
@@ -75,11 +75,11 @@
     };
     const first = await askUntil(() => state.wholeReads >= 3);
     const later = await askUntil(() => state.wholeReads >= 6);
+    expect(following.knowsReplicas()).toEqual(true);
     expect(first).toEqual(15);
     expect(later).toEqual(first);
     entries.push(engineEntry("c"));
     const changed = await askUntil(() => state.wholeReads >= 9);
     expect(changed ?? 0).toBeGreaterThan(15);
-    await following[Symbol.asyncDispose]();
   });
 });
