Let go of an owner's old answers when nobody renews them

Cause, found by reading: what an owner had answered stayed in the table of the router that had asked. If that router became the owner itself, or found nobody to ask, it counted that work for good and told it to everybody, so that an idle engine looked busy until some router reported work there.

Change: answers lapse where an owner stays silent, where this router owns the replica, and before it answers others.

--- a/src/coordination/replicaOwners/consultation.ts
+++ b/src/coordination/replicaOwners/consultation.ts
@@ -22,6 +22,8 @@
   readonly clock: Clock;
   /** Takes what an owner knows. @returns The replicas that it has told of. */
   readonly take: (answer: AnswerMessage) => readonly ReplicaState[];
+  /** Lets go of what owners answered of replicas before: it is of another time, or this router is the owner now. */
+  readonly lapse: (replicas: readonly ReplicaState[]) => void;
 }
 
 /** See {@link createConsultation}. */
@@ -38,15 +40,24 @@
   readonly hear: (answer: AnswerMessage) => void;
 }
 
+/** What one owner was asked. */
+interface Asked {
+  readonly owner: LiveRouter;
+  readonly replicas: readonly ReplicaState[];
+}
+
 /** One question to several owners. */
 interface Question {
   readonly askedAt: number;
   /** Owners that have not answered, by the number of what they were asked. */
-  readonly waiting: Map<number, LiveRouter>;
+  readonly waiting: Map<number, Asked>;
   readonly known: ReplicaState[];
   readonly finish: () => void;
 }
 
+/** Questions given up whose answers are still recognised. */
+const mostLate = 100;
+
 /** Creates a router's way to ask. */
 export const createConsultation = (parts: ConsultationParts): Consultation => {
   const { name, link, owners, clock } = parts;
@@ -73,7 +84,8 @@
   };
 
   const giveUp = (question: Question): void => {
-    for (const [key, owner] of question.waiting) {
+    for (const [key, { owner, replicas }] of question.waiting) {
+      parts.lapse(replicas);
       open.delete(key);
       late.set(key, owner);
       owners.noteSilence(owner.name);
@@ -87,6 +99,7 @@
     new Promise((resolve) => {
       const known: ReplicaState[] = [];
       const byOwner = groupByOwner(replicas, known);
+      parts.lapse(known);
       if (byOwner.size === 0) {
         resolve(known);
         return;
@@ -99,7 +112,7 @@
       const callOff = clock.after(patience(), () => giveUp(question));
       for (const [owner, owned] of byOwner) {
         number += 1;
-        question.waiting.set(number, owner);
+        question.waiting.set(number, { owner, replicas: owned });
         open.set(number, question);
         const wanted = owned.map(({ entry }) => replicaKeyOf(entry.id));
         link.send(owner.at, encodeOwnerMessage({ kind: "ask", name, number, replicas: wanted, parts: keys }));
@@ -108,7 +121,7 @@
 
   const hear = (answer: AnswerMessage): void => {
     const question = open.get(answer.number);
-    const owner = question?.waiting.get(answer.number) ?? late.get(answer.number);
+    const owner = question?.waiting.get(answer.number)?.owner ?? late.get(answer.number);
     late.delete(answer.number);
     if (owner !== undefined) owners.noteAnswer(owner.name);
     if (question === undefined) return;
@@ -121,6 +134,3 @@
 
   return { ask, hear };
 };
-
-/** Questions given up whose answers are still recognised. */
-const mostLate = 100;
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -45,7 +45,8 @@
 /** What an owner answered, in the table of a router that is not the owner. */
 export const answersTeller = "as answered";
 
-const noWork = { requests: 0, promptTokens: [] } as const;
+/** A teller that has none at a replica any more. */
+export const noWork = { requests: 0, promptTokens: [] } as const;
 
 /** Creates an owner's knowledge; work that is reported no longer is let go until it is disposed of. */
 export const createOwnedReplicas = (parts: OwnedReplicasParts): OwnedReplicas => {
@@ -86,6 +87,8 @@
   let callOff = clock.after(reportMemory / 2, forgetOld);
 
   const describe = (state: ReplicaState, asker: string): ReplicaReport => {
+    // What an owner before this one had answered would be told on for good, and keep everybody away.
+    replicas.noteWorkAt(answersTeller, replicaKeyOf(state.entry.id), noWork);
     const work = workWithout(state, tellerOf(asker));
     return {
       replica: replicaKeyOf(state.entry.id),
--- a/src/coordination/replicaOwners/replicaOwners.test.ts
+++ b/src/coordination/replicaOwners/replicaOwners.test.ts
@@ -165,6 +165,27 @@
     expect([state.isSuspected, state.isUnreachable]).toEqual([true, false]);
   });
 
+  it("don't tell on what another owner had answered them before they took over", async () => {
+    const { network, others, ownerOf, ask, run } = create(12);
+    const owner = ownerOf("engine-0");
+    const [first, ...rest] = others("engine-0");
+    if (first === undefined) throw new Error("a router is missing");
+    first.begin("engine-0", 4_000);
+    await run(2);
+    for (const router of rest) await ask(router, "engine-0");
+    first.end("engine-0", 4_000);
+    await run(50);
+    network.freeze(owner.self.port);
+    // All find the owner silent; the next one in the order answers from then on.
+    for (const router of rest) await ask(router, "engine-0");
+    await run(reportMemory * 2);
+    for (const router of rest) {
+      await ask(router, "engine-0");
+      await ask(router, "engine-0");
+      expect(totalRequests(router.replica("engine-0"))).toEqual(0);
+    }
+  });
+
   it("forget the work of a router that reports no more", async () => {
     const { network, others, ownerOf, run } = create(12);
     const [first] = others("engine-0");
--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -8,6 +8,7 @@
 import type { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
 import type { AnswerMessage } from "../../protocol/forwarding/ownerMessage.ts";
 import { decodeOwnerMessage, encodeOwnerMessage } from "../../protocol/forwarding/ownerMessage.ts";
+import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import { createResourceStack } from "../../protocol/resourceStack.ts";
 import type { CacheStore, RouterEntry } from "../../protocol/forwarding/types.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
@@ -16,7 +17,7 @@
 import { holderIdOf } from "../forwarding/holderId.ts";
 import type { RouterPeers } from "../forwarding/routerPeers.ts";
 import { createConsultation } from "./consultation.ts";
-import { answersTeller, createOwnedReplicas } from "./ownedReplicas.ts";
+import { answersTeller, createOwnedReplicas, noWork } from "./ownedReplicas.ts";
 import { createOwners } from "./owners.ts";
 import type { WorkReports } from "./workReports.ts";
 import { createWorkReports } from "./workReports.ts";
@@ -94,7 +95,11 @@
     });
   };
 
-  const consultation = createConsultation({ name, link, owners, clock, take });
+  const lapse = (told: readonly ReplicaState[]): void => {
+    for (const { entry } of told) replicas.noteWorkAt(answersTeller, replicaKeyOf(entry.id), noWork);
+  };
+
+  const consultation = createConsultation({ name, link, owners, clock, take, lapse });
 
   link.receive((datagram, from) => {
     const message = decodeOwnerMessage(datagram);
