--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { relayBench } from "./relay/relay.ts";
 import { restartBench } from "./restart.ts";
 import { retriesBench } from "./retries/retries.ts";
+import { routerBench } from "./router/router.ts";
 import { slopesBench } from "./slopes/slopes.ts";
 import type { Bench } from "./types.ts";
 
@@ -22,6 +23,7 @@
   membershipBench,
   restartBench,
   ownersBench,
+  routerBench,
 ];
 
 const list = (): string =>
--- a/soak/platform/system.ts
+++ b/soak/platform/system.ts
@@ -77,7 +77,17 @@
   readonly log: readonly string[];
 }
 
-const program = new URL("../../platform/main.js", import.meta.url);
+/** What is started in a router's place. */
+export interface RouterProgram {
+  readonly module: URL;
+  /** Options of the runtime. */
+  readonly runtimeOptions: readonly string[];
+}
+
+const compiledProgram: RouterProgram = {
+  module: new URL("../../platform/main.js", import.meta.url),
+  runtimeOptions: ["--enable-source-maps"],
+};
 
 const ports = { callers: 8_080, readiness: 8_081, peers: 7_000 } as const;
 
@@ -127,8 +137,13 @@
  * Starts everything.
  *
  * @param network - Picks the loopback addresses of the routers.
+ * @param program - The routers' program.
  */
-export const startSoakSystem = async (size: SystemSize, network: number): Promise<SoakSystem> => {
+export const startSoakSystem = async (
+  size: SystemSize,
+  network: number,
+  program: RouterProgram = compiledProgram,
+): Promise<SoakSystem> => {
   const resources = createResourceStack();
   const directory = await mkdtemp(join(tmpdir(), "pomelocleat-soak-"));
   const store = resources.use(await startStoreStandIn());
@@ -181,7 +196,8 @@
 
   const startRouter = async (place: RouterPlace): Promise<void> => {
     const environment = { [settingsVariable]: place.settingsFile };
-    place.process = await startProcess(program, [], { environment, onLine: keep });
+    const { module, runtimeOptions } = program;
+    place.process = await startProcess(module, [], { environment, onLine: keep, runtimeOptions });
   };
   const stopRouter = async ({ process }: RouterPlace): Promise<void> => {
     await process?.[Symbol.asyncDispose]();
--- a/standIns/startProcess.ts
+++ b/standIns/startProcess.ts
@@ -35,6 +35,8 @@
   readonly environment?: Readonly<Record<string, string>>;
   /** Called with every line that the process prints. */
   readonly onLine?: (line: string) => void;
+  /** Options of the runtime; those of a source that was compiled unless they are given. */
+  readonly runtimeOptions?: readonly string[];
 }
 
 const started = new Set<ChildProcess>();
@@ -98,9 +100,9 @@
 export const startProcess = async (
   module: URL,
   args: readonly string[],
-  { environment = {}, onLine }: ProcessOptions = {},
+  { environment = {}, onLine, runtimeOptions = ["--enable-source-maps"] }: ProcessOptions = {},
 ): Promise<StartedProcess> => {
-  const child = spawn(process.execPath, ["--enable-source-maps", fileURLToPath(module), ...args], {
+  const child = spawn(process.execPath, [...runtimeOptions, fileURLToPath(module), ...args], {
     stdio: ["ignore", "pipe", "inherit"],
     env: { ...process.env, ...environment },
   });
