--- a/bench/lab/caller.ts
+++ b/bench/lab/caller.ts
@@ -45,6 +45,7 @@
   patience: left,
   key: undefined,
   prompt,
+  countedTokens: undefined,
   lastEventId: undefined,
 });
 
--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -14,6 +14,7 @@
   createReplicaOwners,
 } from "../../src/coordination/replicaOwners/replicaOwners.ts";
 import { createShutdown } from "../../src/coordination/forwarding/shutdown.ts";
+import { noUsageLimits } from "../../src/coordination/usageLimits/usageLimits.ts";
 import type { ForwardingBounds } from "../../src/coordination/forwarding/types.ts";
 import type { ManualClock } from "../../src/coordination/manualClock.ts";
 import type { DatagramLink } from "../../src/protocol/forwarding/DatagramLink.ts";
@@ -61,6 +62,9 @@
   retryRatio: 0.2,
   retryWindow: 10_000,
   retryReserve: 58,
+  limitWindow: 8_000,
+  limitOvershoot: 0.1,
+  limitReserve: 0,
 };
 
 /** Between two proofs that the configuration is in force, milliseconds. */
@@ -162,7 +166,7 @@
   const { forwarder } = createDecisions({
     dataCentre: self.dataCentre,
     client,
-    beliefs: { configuration, replicas, holders, peers, owners, cacheStore },
+    beliefs: { configuration, replicas, holders, peers, owners, cacheStore, limits: noUsageLimits },
     admit: createAdmit(configuration, bounds, clock),
     shutdown: createShutdown(clock, bounds),
     bounds,
--- a/bench/router/load.ts
+++ b/bench/router/load.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from "node:http";
 import { Agent, request as httpRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { callHeaders, hosts, keys } from "../../standIns/platform/system.ts";
+import { callHeaders, hosts, keys, promptHeadersOf } from "../../standIns/platform/system.ts";
 import type { RouterPlace } from "../../soak/platform/system.ts";
 import type { Random } from "../model/random.ts";
 
@@ -16,6 +16,13 @@
   readonly bodyBytes: number;
 }
 
+const shortPrompts: Kind = {
+  name: "tag",
+  share: 0.68,
+  texts: { count: 5_217, tokens: 227, ownTokens: 1_800 },
+  bodyBytes: 2_400,
+};
+
 /** The mix of a deployment of 58 routers with 103 long and 654 short prompts and 204 plain requests a second. */
 const kinds: readonly Kind[] = [
   {
@@ -24,10 +31,14 @@
     texts: { count: 1_430, tokens: 4_870, ownTokens: 6_610 },
     bodyBytes: 12_000,
   },
-  { name: "tag", share: 0.68, texts: { count: 5_217, tokens: 227, ownTokens: 1_800 }, bodyBytes: 2_400 },
+  shortPrompts,
   { name: "read", share: 0.21, bodyBytes: 0 },
 ];
 
+/** Tokens of the part that all prompts begin with, and of an answer. */
+const commonTokens = 512;
+const answerTokens = 64;
+
 /** Milliseconds. */
 const patience = 5_000;
 
@@ -43,7 +54,7 @@
     point -= kind.share;
     if (point < 0) return kind;
   }
-  return kinds[0] as Kind;
+  return shortPrompts;
 };
 
 const headersOf = ({ name, texts }: Kind, id: string, random: Random): Record<string, string> => {
@@ -55,9 +66,14 @@
   const text = random.index(texts.count);
   return {
     ...common,
-    "x-model": "m",
-    "x-token-count": `${512 + texts.tokens + texts.ownTokens},64`,
-    "x-prefix-hash": `5c1e07a2:512,${name}${text}:${texts.tokens},${id}:${texts.ownTokens}`,
+    ...promptHeadersOf(
+      [
+        { id: "rules", tokens: commonTokens },
+        { id: `${name}${text}`, tokens: texts.tokens },
+        { id, tokens: texts.ownTokens },
+      ],
+      answerTokens,
+    ),
   };
 };
 
@@ -83,17 +99,17 @@
   seconds: number,
   random: Random,
 ): Promise<LoadResult> => {
-  const agents = routers.map(() => new Agent({ keepAlive: true }));
+  const targets = routers.map((place) => ({ place, agent: new Agent({ keepAlive: true }) }));
   const results: Promise<boolean>[] = [];
   const count = perSecond * seconds;
   const begunAt = performance.now();
   for (let index = 0; index < count; index += 1) {
-    routers.forEach((place, router) => {
-      results.push(sendOne(place, agents[router] as Agent, `bench-${perSecond}-${router}-${index}`, random));
-    });
+    for (const { place, agent } of targets) {
+      results.push(sendOne(place, agent, `bench-${perSecond}-${place.name}-${index}`, random));
+    }
     await sleep(Math.max(0, begunAt + ((index + 1) / perSecond) * 1_000 - performance.now()));
   }
   const ended = await Promise.all(results);
-  agents.forEach((agent) => agent.destroy());
+  for (const { agent } of targets) agent.destroy();
   return { sent: ended.length, succeeded: ended.filter(Boolean).length };
 };
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
+import type { UsageLimits } from "../usageLimits/usageLimits.ts";
 import type { Admit } from "./admit.ts";
 import { createAnswerCheck } from "./answerCheck.ts";
 import type { AttemptLoopParts } from "./attemptLoop.ts";
@@ -33,6 +34,7 @@
 import type { RouterPeers } from "./routerPeers.ts";
 import type { Shutdown } from "./shutdown.ts";
 import type { ForwardingBounds } from "./types.ts";
+import { createUsageAdmission } from "./usageAdmission.ts";
 
 /** What a router believes, as far as decisions use it. */
 export interface DecisionBeliefs {
@@ -42,6 +44,7 @@
   readonly peers: Pick<RouterPeers, "countServing" | "tellHolder" | "tellWork" | "tellLeaving">;
   readonly owners: Pick<ReplicaOwners, "isNeeded" | "isOwn" | "ask" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "usable">;
+  readonly limits: Pick<UsageLimits, "take" | "charge" | "giveBack">;
 }
 
 /** What decisions are made with. */
@@ -145,7 +148,12 @@
     random,
   };
   return {
-    forwarder: createForwarder({ ...loop, configuration, shutdown: parts.shutdown }),
+    forwarder: createForwarder({
+      ...loop,
+      configuration,
+      shutdown: parts.shutdown,
+      usage: createUsageAdmission({ limits: beliefs.limits, metrics }),
+    }),
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
 };
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -30,6 +30,8 @@
   readonly sentTo: ReadonlySet<string>;
   /** A replica may have run it. */
   readonly mayHaveRun: () => boolean;
+  /** How often it may have run, or run now. */
+  readonly runs: () => number;
   /** The last replica chosen, and the weights that it was expected to have. */
   readonly lastChoice: () => PlacementChoice | undefined;
   /** The request is about to be sent. */
@@ -75,6 +77,7 @@
   const sentTo = new Set<string>();
   let unsent = 0;
   let mayHaveRun = false;
+  let runs = 0;
   let waited = 0;
   let consultation: Consultation | undefined;
   let lastChoice: PlacementChoice | undefined;
@@ -86,6 +89,7 @@
 
   const noteFailure = (choice: PlacementChoice, failure: UpstreamError): void => {
     const { id } = choice.replica.entry;
+    if (failure.progress === "not_sent" || failure.progress === "refused") runs -= 1;
     if (failure.progress === "not_sent") {
       unsent += 1;
       sentTo.delete(id);
@@ -107,9 +111,11 @@
     deadline,
     sentTo,
     mayHaveRun: () => mayHaveRun,
+    runs: () => runs,
     lastChoice: () => lastChoice,
     noteChoice: (choice) => {
       sentTo.add(choice.replica.entry.id);
+      runs += 1;
       lastChoice = choice;
     },
     noteFailure,
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -12,11 +12,13 @@
 import type { Shutdown } from "./shutdown.ts";
 import { relayStream } from "./streamRelay.ts";
 import type { Admission } from "./types.ts";
+import type { UsageAdmission } from "./usageAdmission.ts";
 
 /** What forwarding works with. */
 export interface ForwarderParts extends AttemptLoopParts {
   readonly configuration: ConfigurationState;
   readonly shutdown: Shutdown;
+  readonly usage: UsageAdmission;
 }
 
 /** See {@link createForwarder}. */
@@ -56,6 +58,7 @@
     const { request, admission, sentTo } = run;
     const choice = run.lastChoice();
     run.close();
+    parts.usage.settle(run);
     open -= 1;
     const milliseconds = Math.round(clock.monotonic() - request.arrivedAt);
     const { kind } = admission.route;
@@ -130,6 +133,7 @@
       open += 1;
       try {
         if (!parts.shutdown.mayTake(run.deadline)) throw failures.ending();
+        await parts.usage.admit(run);
         return await answer(run);
       } catch (error) {
         end(run, "failed", reasonOf(error));
--- a/src/coordination/forwarding/types.ts
+++ b/src/coordination/forwarding/types.ts
@@ -23,6 +23,12 @@
   readonly retryWindow: number;
   /** Retries that all routers together may make in a window besides. */
   readonly retryReserve: number;
+  /** Over which organisations' use is counted. */
+  readonly limitWindow: number;
+  /** What all routers together may pass on beyond an organisation's limit, as a share of it. */
+  readonly limitOvershoot: number;
+  /** The same besides, in the limit's unit. */
+  readonly limitReserve: number;
 }
 
 /** A request with what the configuration says of it. */
--- /dev/null
+++ b/src/coordination/usageLimits/constants.ts
@@ -0,0 +1,70 @@
+/** Limits of keeping organisations' limits over all routers. Durations are milliseconds. */
+
+/** Between two looks at who keeps which count. */
+export const lookInterval = 250;
+
+/**
+ * A router that was not heard for so long keeps no count any more: the next one takes over. Longer than the time after
+ * which a router that hears too few others stops granting, so that two never grant at once.
+ */
+export const takeoverSilence = 2_500;
+
+/** Data centres that were not heard for so long count as cut off from this router. */
+export const quorumSilence = 1_500;
+
+/**
+ * A router that has just come is passed over for so long by those before it; it waits for {@link takeoverSilence}
+ * itself, so that the count is without a keeper for half a second at most.
+ */
+export const newcomerPatience = 2_000;
+
+/** Those that come after a keeper ask it for a sign of life when it was silent for so long. */
+export const probeSilence = 700;
+
+/** How many of those that come first for an organisation look after its count. */
+export const keepersTried = 3;
+
+/** A process whose own timer came so late stood still: what it believed of others is old. */
+export const standstill = 1_000;
+
+/** Longest wait for an answer: so many times what answers took of late, between two bounds. */
+export const answerPatience = { factor: 4, shortest: 15, longest: 80 } as const;
+
+/** Until answers have shown otherwise: how long one takes. */
+export const assumedAnswerTime = 5;
+
+/** Part of a new observation in the average time of an answer. */
+export const answerTimeGain = 0.1;
+
+/** A router that did not answer, or keeps no count, is passed over for so long. */
+export const passedOver = 400;
+
+/**
+ * An organisation is far from its limit if so much of its burst is left, in hundredths. Its requests are passed on while
+ * the question is under way: asking costs them no wait.
+ */
+export const roomyBurst = 50;
+
+/** What an answer says of the room is believed for so long. */
+export const roomMemory = 1_500;
+
+/**
+ * Share of what all routers together may pass on beyond the limit that those may use that can't ask. The rest is for
+ * counts that change their keeper and for requests that are passed on while they are asked for.
+ */
+export const unaskedShare = 0.6;
+
+/**
+ * A router that can't ask goes on for so long at the pace at which it was granted before, if the organisation was far
+ * from its limit then: as much as a cut-off data centre passes on in that time fits into the overshoot.
+ */
+export const continuation = 3_000;
+
+/** Parts of the window in which use is counted: the older a count, the coarser its age. */
+export const bucketsPerWindow = 16;
+
+/** Width of the random spread of times to come back, as a share of them: callers refused together don't return so. */
+export const returnSpread = 0.3;
+
+/** The shortest time to come back. */
+export const shortestReturn = 50;
--- /dev/null
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -0,0 +1,62 @@
+/** What a router knows of one organisation's use, and what it may pass on without asking. */
+import type { OrganisationLimit } from "../../protocol/forwarding/types.ts";
+import type { Clock } from "../clock.ts";
+import type { ForwardingBounds } from "../forwarding/types.ts";
+import { bucketsPerWindow, continuation, roomMemory, roomyBurst, unaskedShare } from "./constants.ts";
+import type { SlidingCount } from "./slidingCount.ts";
+import { createSlidingCount } from "./slidingCount.ts";
+
+/** See the module. */
+export interface UsageAccount {
+  /** Passed on here. */
+  readonly used: SlidingCount;
+  /** Passed on here without having been asked for. */
+  readonly unasked: SlidingCount;
+  /** To be told with the next question. */
+  spent: number;
+  returned: number;
+  /** Passed on while the question is under way. */
+  underWay: number;
+  /** Until when the organisation is believed to be far from its limit, milliseconds on the monotonic clock. */
+  roomyUntil: number;
+  /** How much this router had passed on in a window when it was last known to be far from it. */
+  usualUse: number;
+}
+
+const millisecondsPerSecond = 1_000;
+
+/** Creates an account of no use. */
+export const createUsageAccount = (clock: Clock, { limitWindow }: ForwardingBounds): UsageAccount => ({
+  used: createSlidingCount(clock, limitWindow, bucketsPerWindow),
+  unasked: createSlidingCount(clock, limitWindow, bucketsPerWindow),
+  spent: 0,
+  returned: 0,
+  underWay: 0,
+  roomyUntil: Number.NEGATIVE_INFINITY,
+  usualUse: 0,
+});
+
+/** @returns What one of several routers may pass on unasked in a window. */
+export const unaskedPart = (
+  { usualUse }: UsageAccount,
+  { ratePerSecond, burst }: OrganisationLimit,
+  { limitWindow, limitOvershoot, limitReserve }: ForwardingBounds,
+  routers: number,
+): number => {
+  const allowed = (ratePerSecond * limitWindow) / millisecondsPerSecond + burst;
+  const beyond = allowed * limitOvershoot + limitReserve;
+  return (beyond * unaskedShare) / routers + (usualUse * continuation) / limitWindow;
+};
+
+/** Passes on what no keeper has granted. */
+export const spendUnasked = (account: UsageAccount, amount: number): void => {
+  account.unasked.add(amount);
+  account.spent += amount;
+};
+
+/** Takes what an answer says of how far the organisation is from its limit. @param room - In hundredths. */
+export const noteRoom = (account: UsageAccount, room: number, clock: Clock): void => {
+  const isRoomy = room >= roomyBurst;
+  account.roomyUntil = isRoomy ? clock.monotonic() + roomMemory : Number.NEGATIVE_INFINITY;
+  account.usualUse = isRoomy ? account.used.sum() : 0;
+};
--- /dev/null
+++ b/src/coordination/usageLimits/usageKeeper.ts
@@ -0,0 +1,67 @@
+/** The counts that this router keeps for all: it grants what organisations' limits leave. */
+import type { LimitAnswer, LimitQuestion } from "../../protocol/forwarding/limitMessage.ts";
+import type { OrganisationLimit } from "../../protocol/forwarding/types.ts";
+import { createLogger } from "../../state/log.ts";
+import type { Clock } from "../clock.ts";
+import type { Keepers } from "./keepers.ts";
+import type { UsageBucket } from "./usageBucket.ts";
+import { createUsageBucket } from "./usageBucket.ts";
+
+/** What keeping counts works with. */
+export interface UsageKeeperParts {
+  readonly keepers: Pick<Keepers, "isActing">;
+  readonly limitOf: (organisation: string) => OrganisationLimit | undefined;
+  readonly clock: Clock;
+}
+
+/** See {@link createUsageKeeper}. */
+export interface UsageKeeper {
+  readonly answer: (question: Omit<LimitQuestion, "kind">) => LimitAnswer;
+  /** Begins and ends counts as this router becomes or ceases to be their keeper. */
+  readonly look: (organisations: Iterable<string>) => void;
+}
+
+const writeLog = createLogger("limits");
+
+/** Creates a keeper of no counts. */
+export const createUsageKeeper = ({ keepers, limitOf, clock }: UsageKeeperParts): UsageKeeper => {
+  const buckets = new Map<string, UsageBucket>();
+
+  const bucketOf = (organisation: string): UsageBucket | undefined => {
+    const known = buckets.get(organisation);
+    if (!keepers.isActing(organisation)) {
+      if (buckets.delete(organisation)) writeLog("count_ends", { organisation });
+      return undefined;
+    }
+    if (known !== undefined) return known;
+    const made = createUsageBucket(clock);
+    buckets.set(organisation, made);
+    writeLog("count_begins", { organisation });
+    return made;
+  };
+
+  const elsewhere = (number: number): LimitAnswer => ({
+    kind: "answer",
+    number,
+    verdict: "elsewhere",
+    wait: 0,
+    room: 0,
+  });
+
+  return {
+    answer: ({ number, organisation, amount, spent, returned }) => {
+      const limit = limitOf(organisation);
+      const bucket = limit === undefined ? undefined : bucketOf(organisation);
+      if (limit === undefined || bucket === undefined) return elsewhere(number);
+      bucket.charge(spent - returned, limit);
+      const wait = bucket.take(amount, limit);
+      const verdict = wait === undefined ? "granted" : "refused";
+      return { kind: "answer", number, verdict, wait: Math.ceil(wait ?? 0), room: bucket.room(limit) };
+    },
+    look: (organisations) => {
+      const limited = new Set(organisations);
+      for (const name of limited) bucketOf(name);
+      for (const name of buckets.keys()) if (!limited.has(name)) buckets.delete(name);
+    },
+  };
+};
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -12,6 +12,8 @@
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import type { ReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
+import type { UsageLimits } from "../coordination/usageLimits/usageLimits.ts";
+import { createUsageLimits } from "../coordination/usageLimits/usageLimits.ts";
 import { countComputedTokens, createReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
@@ -42,6 +44,7 @@
   readonly peers: RouterPeers;
   readonly owners: ReplicaOwners;
   readonly cacheStore: CacheStoreFollower;
+  readonly limits: UsageLimits;
   /** Whether the registry has been read. */
   readonly knowsReplicas: () => boolean;
 }
@@ -100,6 +103,19 @@
     }),
   );
 
+  const limits = resources.use(
+    createUsageLimits({
+      self,
+      link: parts.link,
+      clock,
+      bounds,
+      others: peers.serving,
+      limitOf: (organisation) => configuration.table()?.limits.get(organisation),
+      limited: () => configuration.table()?.limits.keys() ?? [],
+      random: Math.random,
+    }),
+  );
+
   const following: StoreFollowing = resources.use(
     followStore({
       platform,
@@ -135,6 +151,7 @@
     peers,
     owners,
     cacheStore,
+    limits,
     knowsReplicas: following.knowsReplicas,
     [Symbol.asyncDispose]: () => {
       isOver = true;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -50,6 +50,9 @@
   retryRatio: bounds.retryRatio,
   retryWindow: bounds.retryWindowSeconds * millisecondsPerSecond,
   retryReserve: bounds.retryReserve,
+  limitWindow: bounds.limitWindowSeconds * millisecondsPerSecond,
+  limitOvershoot: bounds.limitOvershoot,
+  limitReserve: bounds.limitReserve,
 });
 
 const describeSelf = ({ name, dataCentre, peers }: ForwardingSettings, port: number): RouterEntry => ({
--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -19,6 +19,9 @@
 const duration = z.number().min(0);
 const share = z.number().min(0);
 
+/** How closely organisations' limits are kept where the settings don't say: no more than a tenth beyond them. */
+const assumedLimits = { windowSeconds: 8, overshoot: 0.1, reserve: 0 } as const;
+
 /** Durations are milliseconds unless a name says otherwise. Fields that are not known are ignored. */
 export const forwardingSettingsSchema = z.object({
   name: z.string().min(1).describe("Tells this router from all others"),
@@ -37,6 +40,9 @@
     retryRatio: share,
     retryWindowSeconds: duration.min(1),
     retryReserve: share,
+    limitWindowSeconds: duration.min(1).default(assumedLimits.windowSeconds),
+    limitOvershoot: share.default(assumedLimits.overshoot),
+    limitReserve: share.default(assumedLimits.reserve),
   }),
 });
 
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -87,6 +87,17 @@
   readonly cacheStore: CacheStore | undefined;
 }
 
+/** How much an organisation may have run, over all routers. */
+export interface OrganisationLimit {
+  readonly unit: "requests" | "tokens";
+  /** In the unit; above 0. */
+  readonly ratePerSecond: number;
+  /** What may be used at once after a pause; above 0. */
+  readonly burst: number;
+  /** What a request counts that says nothing of its tokens. */
+  readonly plainTokens: number;
+}
+
 /** An organisation and the keys by which its callers are known. */
 export interface ForwardingOrganisation {
   readonly name: string;
@@ -95,6 +106,8 @@
   readonly priority: number | undefined;
   /** Shares no cached prompt part with any other organisation. */
   readonly isIsolated: boolean;
+  /** Nothing where it may have run as much as it sends. */
+  readonly limit: OrganisationLimit | undefined;
 }
 
 /** What callers may send, and how long they may take. */
@@ -186,6 +199,8 @@
   readonly patience: number | undefined;
   readonly key: string | undefined;
   readonly prompt: Prompt | undefined;
+  /** Tokens of prompt and answer by which limits count it; nothing if the caller didn't say. */
+  readonly countedTokens: number | undefined;
   /** The last event that the caller has of a stream it resumes. */
   readonly lastEventId: string | undefined;
 }
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -3,6 +3,7 @@
   requests: "requests",
   requestTime: "request_ms",
   refusals: "refusals",
+  limited: "limited",
   attempts: "attempts",
   retries: "retries",
   retriesDenied: "retries_denied",
--- a/src/state/forwarding/routeTable.ts
+++ b/src/state/forwarding/routeTable.ts
@@ -5,6 +5,7 @@
   ForwardingOrganisation,
   ForwardingRoute,
   ForwardingService,
+  OrganisationLimit,
 } from "../../protocol/forwarding/types.ts";
 
 /** An index of one configuration. */
@@ -16,6 +17,8 @@
   readonly findService: (name: string) => ForwardingService | undefined;
   /** The first store of prompt parts. */
   readonly cacheStores: readonly CacheStore[];
+  /** By name of an organisation that has one. */
+  readonly limits: ReadonlyMap<string, OrganisationLimit>;
 }
 
 /** Hosts are compared without case and port. */
@@ -41,6 +44,11 @@
       organisation.keys.map((key) => [key, organisation] as const),
     ),
   );
+  const limits = new Map(
+    configuration.organisations?.flatMap(({ name, limit }) =>
+      limit === undefined ? [] : [[name, limit] as const],
+    ),
+  );
   const services = new Map(configuration.services.map((service) => [service.name, service]));
 
   return {
@@ -51,6 +59,7 @@
     },
     findOrganisation: (key) => organisations.get(key),
     findService: (name) => services.get(name),
+    limits,
     cacheStores: configuration.services.flatMap(({ cacheStore }) => cacheStore ?? []),
   };
 };
--- a/standIns/platform/system.ts
+++ b/standIns/platform/system.ts
@@ -167,12 +167,35 @@
     request.end(body);
   });
 
-/** The headers of a request to an engine. */
-export const promptHeaders = (part = "5c1e07a2"): Readonly<Record<string, string>> => ({
-  "x-model": "m",
-  "x-token-count": "1460,80",
-  "x-prefix-hash": `${part}:800,91bd3f06:410,e4402b7d:250`,
-});
+/** A part of a prompt. */
+export interface CalledPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** The headers of a request to an engine with a prompt. @param answerTokens - The most that the answer may have. */
+export const promptHeadersOf = (
+  parts: readonly CalledPart[],
+  answerTokens: number,
+): Readonly<Record<string, string>> => {
+  const tokens = parts.reduce((sum, part) => sum + part.tokens, 0);
+  return {
+    "x-model": "m",
+    "x-token-count": `${tokens},${answerTokens}`,
+    "x-prefix-hash": parts.map((part) => `${part.id}:${part.tokens}`).join(","),
+  };
+};
+
+/** The headers of a usual request to an engine. */
+export const promptHeaders = (part = "5c1e07a2"): Readonly<Record<string, string>> =>
+  promptHeadersOf(
+    [
+      { id: part, tokens: 800 },
+      { id: "91bd3f06", tokens: 410 },
+      { id: "e4402b7d", tokens: 250 },
+    ],
+    80,
+  );
 
 /** A running system. */
 export interface PlatformSystem extends AsyncDisposable {
@@ -209,6 +232,9 @@
   retryRatio: 0.2,
   retryWindowSeconds: 10,
   retryReserve: 50,
+  limitWindowSeconds: 8,
+  limitOvershoot: 0.1,
+  limitReserve: 0,
 };
 
 const anyPort = { address: "127.0.0.1", port: 0 };
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -8,6 +8,7 @@
 import type { PlatformSystem } from "../../standIns/platform/system.ts";
 import {
   call,
+  configuration,
   hosts,
   keys,
   promptHeaders,
@@ -26,6 +27,37 @@
   for (const replica of [...system.desks, ...system.engines]) replica.behave(...behaviours);
 };
 
+/** An organisation that may use so many tokens a second. */
+const limitedTo = (ratePerS: number) => ({
+  tenants: [
+    { name: "one", apiKeys: [keys.known], ratePerS, burst: ratePerS, unit: "tokens", plainTokens: 200 },
+  ],
+});
+
+describe("an organisation's limit", () => {
+  it("refuses at once what is beyond it, with when to come back, and lets the rest pass", async () => {
+    await using system = await startPlatformSystem();
+    system.publish(configuration(2, limitedTo(2_000)));
+    // Requests of 1,540 tokens: the count begins empty, and fills in a second.
+    await until(async () => (await call(system.router, ask)).status === 200);
+    const ran = runsOf(system.engines).length;
+    const refused = await call(system.router, ask);
+    expect(refused.status).toEqual(429);
+    expect(Number(refused.headers["retry-after"]) > 0.1).toEqual(true);
+    expect(Number(refused.headers["retry-after"]) < 2).toEqual(true);
+    expect((await call(system.router, read)).status).toEqual(200);
+    expect(runsOf(system.engines).length).toEqual(ran);
+  });
+
+  it("counts by what the caller says, which has to be readable", async () => {
+    await using system = await startPlatformSystem();
+    const headers = { ...promptHeaders(), "x-token-count": "many" };
+    const answer = await call(system.router, { ...ask, headers });
+    expect(answer.status).toEqual(400);
+    expect(answer.body).toInclude("x-token-count");
+  });
+});
+
 describe("a request that is passed on", () => {
   it("reaches a replica untouched, with what the system adds and without the caller's key", async () => {
     await using system = await startPlatformSystem();
--- a/tests/support/forwardingFixture.ts
+++ b/tests/support/forwardingFixture.ts
@@ -17,6 +17,9 @@
   retryRatio: 0.2,
   retryWindow: 10_000,
   retryReserve: 52,
+  limitWindow: 8_000,
+  limitOvershoot: 0.1,
+  limitReserve: 0,
 };
 
 export const engineService: ForwardingService = {
