--- a/bench/lab/fleet.ts
+++ b/bench/lab/fleet.ts
@@ -53,6 +53,8 @@
 
 const entryOf = (index: number, dataCentre: string, slots: number): ReplicaEntry => ({
   id: `engine-${index}`,
+  registeredAs: `engine-${index}`,
+  bornAt: undefined,
   service: labNames.service,
   address: `10.0.${index >> 8}.${index & 255}:8000`,
   dataCentre,
--- a/bench/lab/labReplicaClient.ts
+++ b/bench/lab/labReplicaClient.ts
@@ -112,7 +112,14 @@
     const replica = this.fleet.find(id);
     const weights = new Map([[this.fleet.model, replica?.version ?? 1]]);
     const isChanging = replica?.state === "loading";
-    return Promise.resolve({ weights, isChanging, acceptedOrders: 0, waiting: 0, running: 0 });
+    return Promise.resolve({
+      weights,
+      isChanging,
+      acceptedOrders: 0,
+      bornAt: undefined,
+      waiting: 0,
+      running: 0,
+    });
   }
 
   override readCacheChanges(_store: unknown, since: number): Promise<CacheChanges> {
--- a/src/coordination/forwarding/answerCheck.ts
+++ b/src/coordination/forwarding/answerCheck.ts
@@ -1,9 +1,15 @@
 /** Whether what came back is a replica's answer to this very request. */
 import { upstreamError } from "../../protocol/errors.ts";
 import { collectBody } from "../../protocol/forwarding/collectBody.ts";
-import type { AnswerHead, CallerRequest, ReplicaAnswer } from "../../protocol/forwarding/types.ts";
+import type {
+  AnswerHead,
+  CallerRequest,
+  EngineStatus,
+  ReplicaAnswer,
+} from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { isOfAnother } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { Clock } from "../clock.ts";
 import { withTimeLimit } from "../timeLimit.ts";
@@ -31,15 +37,17 @@
   const readWeights = async (replica: string): Promise<void> => {
     const entry = replicas.get(replica)?.entry;
     if (entry === undefined) return;
-    const status = await withTimeLimit(clock, undefined, doubtTimeout, (limit) =>
+    const status: EngineStatus = await withTimeLimit(clock, undefined, doubtTimeout, (limit) =>
       client.readStatus(entry, limit),
     );
+    if (isOfAnother(entry, status)) return;
     for (const [model, version] of status.weights) replicas.noteWeights(replica, model, version);
   };
 
   const learnFromRefusal = async (head: AnswerHead, replica: string): Promise<void> => {
     if (!head.isMisdirected) return;
-    if (head.replicaId === undefined || head.replicaId === replica) {
+    const name = replicas.get(replica)?.entry.registeredAs ?? replica;
+    if (head.replicaId === undefined || head.replicaId === name) {
       await readWeights(replica);
       return;
     }
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -79,7 +79,7 @@
   replicas.subscribe((entry, departure) => {
     writeLog("replica", { replica: entry.id, service: entry.service, state: departure ?? "ready" });
     if (departure !== undefined) holders.forget(entry.id);
-    if (departure !== "gone") return;
+    if (departure === undefined || departure === "draining") return;
     estimates.forget(entry.id);
     client.forget(entry);
   });
--- a/src/coordination/forwarding/weightsChange.ts
+++ b/src/coordination/forwarding/weightsChange.ts
@@ -1,11 +1,12 @@
 /** Brings one engine to the weights wanted: empties it for a moment, gives the order, and sees it done. */
+import { upstreamError } from "../../protocol/errors.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { EngineStatus, WeightsTarget } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { totalRequests } from "../../state/forwarding/replicaTable.ts";
+import { isOfAnother, totalRequests } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import type { Tenure } from "../leases/types.ts";
@@ -86,8 +87,12 @@
   const limited = <T>(call: (limit: AbortSignal) => Promise<T>): Promise<T> =>
     withTimeLimit(clock, signal, orderTimeout, call);
 
-  const readStatus = ({ entry }: ReplicaState): Promise<EngineStatus> =>
-    limited((limit) => client.readStatus(entry, limit));
+  /** What one incarnation says counts for no other: its weights and its number of orders began anew. */
+  const readStatus = async ({ entry }: ReplicaState): Promise<EngineStatus> => {
+    const status = await limited((limit) => client.readStatus(entry, limit));
+    if (isOfAnother(entry, status)) throw upstreamError("the engine started again", "leaving", "sent");
+    return status;
+  };
 
   /** Work that ends in time is not cut off from its weights. */
   const drain = async (replica: ReplicaState): Promise<void> => {
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -142,8 +142,12 @@
 
 /** One incarnation of a replica as it registered itself. */
 export interface ReplicaEntry {
-  /** New with every start. */
+  /** New with every start: what is remembered by it is never believed of another incarnation. */
   readonly id: string;
+  /** What it is registered under and answers to; a replica that starts again may keep it. */
+  readonly registeredAs: string;
+  /** When it started, Unix milliseconds; nothing if it doesn't say. */
+  readonly bornAt: number | undefined;
   readonly service: string;
   /** `IP:PORT`; may be given to another replica later. */
   readonly address: string;
@@ -285,6 +289,8 @@
   /** An order is being carried out. */
   readonly isChanging: boolean;
   readonly acceptedOrders: number;
+  /** When it started, Unix milliseconds; nothing if it doesn't say. */
+  readonly bornAt: number | undefined;
   readonly waiting: number;
   readonly running: number;
 }
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -5,7 +5,7 @@
 import type { ReplicaKey } from "../../protocol/forwarding/peerMessage.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
-import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
+import type { EngineStatus, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 
 /** Priorities that engines tell apart: 0 is the most urgent. */
 export const priorities = 10;
@@ -21,7 +21,7 @@
 /** What is believed of one replica. */
 export interface ReplicaState {
   entry: ReplicaEntry;
-  /** 32 bits of its id's hash, the same in every process. */
+  /** 32 bits of its name's hash: the same in every process, and for every incarnation. */
   readonly hash: number;
   /** The newest weights version heard of, by model: from registrations, answers, orders and peers. */
   readonly weights: Map<string, number>;
@@ -94,8 +94,12 @@
   });
 };
 
+/** @returns Whether what an engine says of itself is another incarnation's than the one that registered so. */
+export const isOfAnother = ({ bornAt }: ReplicaEntry, status: Pick<EngineStatus, "bornAt">): boolean =>
+  bornAt !== undefined && status.bornAt !== undefined && bornAt !== status.bornAt;
+
 /** How a replica left the table. */
-export type Departure = "draining" | "gone";
+export type Departure = "draining" | "gone" | "restarted";
 
 /** See {@link createReplicaTable}. */
 export interface ReplicaTable {
@@ -108,8 +112,8 @@
   readonly put: (entry: ReplicaEntry) => boolean;
   /** A replica leaves: it gets no new work, and doesn't come back under this id. */
   readonly markLeaving: (id: string) => void;
-  /** A replica has left. @returns Whether it was known. */
-  readonly remove: (id: string) => boolean;
+  /** The registry names a replica no more. @param name - What it was registered under. @returns Whether it was known. */
+  readonly remove: (name: string) => boolean;
   /** Replaces everything by what the registry holds now. @returns Whether it changes a decision. */
   readonly replaceAll: (entries: readonly ReplicaEntry[]) => boolean;
   /** Raises the version that a replica is believed to run. */
@@ -125,7 +129,7 @@
 
 const stateOf = (entry: ReplicaEntry): ReplicaState => ({
   entry,
-  hash: hash32(entry.id),
+  hash: hash32(entry.registeredAs),
   weights: new Map(entry.weights),
   requests: 0,
   promptTokens: new Array<number>(priorities).fill(0),
@@ -144,14 +148,17 @@
 });
 
 /** Versions only rise within one incarnation, so late news of an older one changes nothing. */
-const raise = (weights: Map<string, number>, model: string, version: number): void => {
-  if (version > (weights.get(model) ?? 0)) weights.set(model, version);
+const raise = (weights: Map<string, number>, model: string, version: number): boolean => {
+  if (version <= (weights.get(model) ?? 0)) return false;
+  weights.set(model, version);
+  return true;
 };
 
 /** Creates an empty table. */
 export const createReplicaTable = (): ReplicaTable => {
   const states = new Map<string, ReplicaState>();
   const byKey = new Map<ReplicaKey, ReplicaState>();
+  const byName = new Map<string, ReplicaState>();
   /** By peer: the replicas where its last message told of work. */
   const busyFor = new Map<string, readonly ReplicaState[]>();
   const byService = new Map<string, ReplicaState[]>();
@@ -172,12 +179,33 @@
     for (const listener of listeners) listener(entry, departure);
   };
 
+  const drop = ({ entry }: ReplicaState, departure: Departure): void => {
+    states.delete(entry.id);
+    byKey.delete(replicaKeyOf(entry.id));
+    byName.delete(entry.registeredAs);
+    reindex();
+    tell(entry, departure);
+  };
+
+  /** @returns False for an entry of an incarnation before the one that is known. */
+  const makeWay = (entry: ReplicaEntry): boolean => {
+    const before = byName.get(entry.registeredAs);
+    if (before === undefined || before.entry.id === entry.id) return true;
+    if ((entry.bornAt ?? 0) < (before.entry.bornAt ?? 0)) return false;
+    drop(before, "restarted");
+    // Its process is gone: what may run again elsewhere need not wait for the connection to break.
+    for (const abandon of [...before.abandon]) abandon();
+    return true;
+  };
+
   const put = (entry: ReplicaEntry): boolean => {
+    if (!makeWay(entry)) return false;
     const known = states.get(entry.id);
     if (known === undefined) {
       const state = stateOf(entry);
       states.set(entry.id, state);
       byKey.set(replicaKeyOf(entry.id), state);
+      byName.set(entry.registeredAs, state);
       reindex();
       tell(entry, entry.isDraining ? "draining" : undefined);
       return true;
@@ -187,8 +215,7 @@
     known.entry = { ...entry, isDraining: entry.isDraining || wasDraining };
     let isChanged = known.entry.isDraining !== wasDraining;
     for (const [model, version] of entry.weights) {
-      isChanged ||= version > (known.weights.get(model) ?? 0);
-      raise(known.weights, model, version);
+      if (raise(known.weights, model, version)) isChanged = true;
     }
     if (known.entry.isDraining === wasDraining) return isChanged;
     reindex();
@@ -196,13 +223,10 @@
     return true;
   };
 
-  const remove = (id: string): boolean => {
-    const known = states.get(id);
+  const remove = (name: string): boolean => {
+    const known = byName.get(name);
     if (known === undefined) return false;
-    states.delete(id);
-    byKey.delete(replicaKeyOf(id));
-    reindex();
-    tell(known.entry, "gone");
+    drop(known, "gone");
     return true;
   };
 
@@ -261,8 +285,8 @@
     },
     remove,
     replaceAll: (entries) => {
-      const kept = new Set(entries.map(({ id }) => id));
-      const gone = [...states.keys()].filter((id) => !kept.has(id));
+      const kept = new Set(entries.map(({ registeredAs }) => registeredAs));
+      const gone = [...byName.keys()].filter((name) => !kept.has(name));
       gone.forEach(remove);
       const changes = entries.filter(put);
       return gone.length + changes.length > 0;
--- a/tests/platform/rules.test.ts
+++ b/tests/platform/rules.test.ts
@@ -38,6 +38,31 @@
   });
 });
 
+describe("entries of another writer", () => {
+  it("name no replica to use; the others hold, and a readable entry brings the replica back", async () => {
+    await using system = await startPlatformSystem();
+    const [struck, other] = system.desks;
+    if (struck === undefined || other === undefined) throw new Error("Two desks are needed.");
+    for (const value of [{ state: "ready" }, { service: 7 }, "no object", { state: "resting" }]) {
+      system.store.put("keyed.servers", struck.id, value);
+      system.store.put("keyed.servers", `ghost-${JSON.stringify(value)}`, value);
+      await until(async () => {
+        const before = struck.runs.length;
+        for (let index = 0; index < 4; index += 1) await call(system.router, post);
+        return struck.runs.length === before;
+      });
+    }
+    expect(other.runs.length > 0).toEqual(true);
+    const before = struck.runs.length;
+    system.register(struck, {});
+    system.register(other, undefined);
+    await until(async () => {
+      await call(system.router, post);
+      return struck.runs.length > before;
+    });
+  });
+});
+
 describe("a configuration that changes", () => {
   it("is in force soon, and an older one that comes late changes nothing", async () => {
     await using system = await startPlatformSystem();
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -38,8 +38,10 @@
   it("refuses at once what is beyond it, with when to come back, and lets the rest pass", async () => {
     await using system = await startPlatformSystem();
     system.publish(configuration(2, limitedTo(2_000)));
-    // Requests of 1,540 tokens: the count begins empty, and fills in a second.
+    // Requests of 1,540 tokens: the count begins empty, and has room for one and two plain ones when it is full.
     await until(async () => (await call(system.router, ask)).status === 200);
+    await sleep(1_200);
+    expect((await call(system.router, ask)).status).toEqual(200);
     const ran = runsOf(system.engines).length;
     const refused = await call(system.router, ask);
     expect(refused.status).toEqual(429);
--- a/tests/support/forwardingFixture.ts
+++ b/tests/support/forwardingFixture.ts
@@ -59,6 +59,8 @@
 
 export const engineEntry = (id: string, fields: Partial<ReplicaEntry> = {}): ReplicaEntry => ({
   id,
+  registeredAs: id,
+  bornAt: undefined,
   service: "engines",
   address: `10.0.0.${id.length}:${8_000 + id.charCodeAt(id.length - 1)}`,
   dataCentre: "here",
