--- a/src/transport/platformHttp.ts
+++ b/src/transport/platformHttp.ts
@@ -1,5 +1,5 @@
 /** JSON over HTTP towards the platform's services, and operators' calls, with typed failures. */
-import { Agent, request } from "undici";
+import { Agent } from "undici";
 import type { z } from "zod";
 import { platformError } from "../protocol/errors.ts";
 import type { PlatformError } from "../protocol/errors.ts";
@@ -111,6 +111,8 @@
  */
 export const createPlatformHttp = ({ url, timeout, headers = {} }: PlatformHttpSettings): PlatformHttp => {
   const base = url.replace(/\/+$/, "");
+  const { origin, pathname } = new URL(base);
+  const prefix = pathname.replace(/\/$/, "");
   const agent = new Agent({
     connections: maximumConnections,
     pipelining: 1,
@@ -125,8 +127,9 @@
   ): Promise<PlainPlatformAnswer & { readonly tag: string | undefined }> => {
     const changesState = call.method === "POST";
     try {
-      const answer = await request(`${base}${call.path}`, {
-        dispatcher: agent,
+      const answer = await agent.request({
+        origin,
+        path: `${prefix}${call.path}`,
         method: call.method,
         headers: {
           ...headers,
