--- a/src/state/forwarding/replicaTable.test.ts
+++ b/src/state/forwarding/replicaTable.test.ts
@@ -86,3 +86,15 @@
     );
   });
 });
+
+describe("a registration", () => {
+  it("is news where it changes who gets work, and none where weights change, which are told by themselves", () => {
+    const table = createReplicaTable();
+    expect(table.put(engineEntry("engine"))).toEqual(true);
+    expect(table.put(engineEntry("engine", { weights: new Map([["m", 2]]) }))).toEqual(false);
+    expect(table.get("engine")?.weights.get("m")).toEqual(2);
+    expect(table.replaceAll([engineEntry("engine", { weights: new Map([["m", 3]]) })])).toEqual(false);
+    expect(table.put(engineEntry("engine", { isDraining: true }))).toEqual(true);
+    expect(table.replaceAll([])).toEqual(true);
+  });
+});
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -108,7 +108,12 @@
   readonly all: () => readonly ReplicaState[];
   /** @returns The replicas of a service that take new work. */
   readonly serving: (service: string) => readonly ReplicaState[];
-  /** Takes a registration. @returns Whether it changes a decision. */
+  /**
+   * Takes a registration.
+   *
+   * @returns Whether it changes who gets work. New weights don't: whoever orders them tells all routers, and a replica
+   * that has others refuses. As long as they counted, every router read the registry for each load of one engine.
+   */
   readonly put: (entry: ReplicaEntry) => boolean;
   /** A replica leaves: it gets no new work, and doesn't come back under this id. */
   readonly markLeaving: (id: string) => void;
@@ -148,10 +153,8 @@
 });
 
 /** Versions only rise within one incarnation, so late news of an older one changes nothing. */
-const raise = (weights: Map<string, number>, model: string, version: number): boolean => {
-  if (version <= (weights.get(model) ?? 0)) return false;
-  weights.set(model, version);
-  return true;
+const raise = (weights: Map<string, number>, model: string, version: number): void => {
+  if (version > (weights.get(model) ?? 0)) weights.set(model, version);
 };
 
 /** Creates an empty table. */
@@ -213,11 +216,8 @@
     const { isDraining: wasDraining } = known.entry;
     // An incarnation that drains doesn't come back.
     known.entry = { ...entry, isDraining: entry.isDraining || wasDraining };
-    let isChanged = known.entry.isDraining !== wasDraining;
-    for (const [model, version] of entry.weights) {
-      if (raise(known.weights, model, version)) isChanged = true;
-    }
-    if (known.entry.isDraining === wasDraining) return isChanged;
+    for (const [model, version] of entry.weights) raise(known.weights, model, version);
+    if (known.entry.isDraining === wasDraining) return false;
     reindex();
     tell(known.entry, "draining");
     return true;
