--- a/src/coordination/usageLimits/constants.ts
+++ b/src/coordination/usageLimits/constants.ts
@@ -55,11 +55,17 @@
 export const unaskedShare = 0.6;
 
 /**
- * A router that can't ask goes on for so long at the pace at which it was granted before, if the organisation was far
- * from its limit then: as much as a cut-off data centre passes on in that time fits into the overshoot.
+ * A router that can't ask goes on for so long at the pace at which it was granted before: as much as a cut-off data
+ * centre passes on in that time fits into the overshoot. Where the keeper is lost nobody grants the rest meanwhile.
  */
 export const continuation = 3_000;
 
+/**
+ * Near its limit it goes on at this share of that pace: a data centre that is cut off may have a third of an
+ * organisation's use, and the others may take the whole rate meanwhile.
+ */
+export const pressedShare = 0.5;
+
 /** Parts of the window in which use is counted: the older a count, the coarser its age. */
 export const bucketsPerWindow = 16;
 
--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -2,7 +2,14 @@
 import type { OrganisationLimit } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
 import type { ForwardingBounds } from "../forwarding/types.ts";
-import { bucketsPerWindow, continuation, roomMemory, roomyBurst, unaskedShare } from "./constants.ts";
+import {
+  bucketsPerWindow,
+  continuation,
+  pressedShare,
+  roomMemory,
+  roomyBurst,
+  unaskedShare,
+} from "./constants.ts";
 import type { SlidingCount } from "./slidingCount.ts";
 import { createSlidingCount } from "./slidingCount.ts";
 
@@ -19,7 +26,7 @@
   underWay: number;
   /** Until when the organisation is believed to be far from its limit, milliseconds on the monotonic clock. */
   roomyUntil: number;
-  /** How much this router had passed on in a window when it was last known to be far from it. */
+  /** How much this router may count on that it had passed on in a window when it last heard from the keeper. */
   usualUse: number;
 }
 
@@ -58,5 +65,5 @@
 export const noteRoom = (account: UsageAccount, room: number, clock: Clock): void => {
   const isRoomy = room >= roomyBurst;
   account.roomyUntil = isRoomy ? clock.monotonic() + roomMemory : Number.NEGATIVE_INFINITY;
-  account.usualUse = isRoomy ? account.used.sum() : 0;
+  account.usualUse = account.used.sum() * (isRoomy ? 1 : pressedShare);
 };
