--- a/src/coordination/usageLimits/constants.ts
+++ b/src/coordination/usageLimits/constants.ts
@@ -40,7 +40,7 @@
 export const passedOver = 400;
 
 /**
- * An organisation is far from its limit if so much of its burst is left, in hundredths. Its requests are passed on while
+ * An organisation is far from its limit if so much of what may be used at once is left, in hundredths. Its requests are passed on while
  * the question is under way: asking costs them no wait.
  */
 export const roomyBurst = 50;
@@ -49,10 +49,12 @@
 export const roomMemory = 1_500;
 
 /**
- * Share of what all routers together may pass on beyond the limit that those may use that can't ask. The rest is for
- * counts that change their keeper and for requests that are passed on while they are asked for.
+ * Shares of what all routers together may pass on beyond the limit. Keepers add theirs to the burst: prompts come in
+ * bunches and some are larger than a small organisation's whole burst, which left a debt that refused everything after
+ * it. Routers that can't ask use the second. The rest is for counts that change their keeper, and for requests that
+ * are passed on while they are asked for.
  */
-export const unaskedShare = 0.6;
+export const overshootShares = { keeper: 0.5, unasked: 0.35 } as const;
 
 /**
  * A router that can't ask goes on for so long at the pace at which it was granted before: as much as a cut-off data
--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -5,11 +5,12 @@
 import {
   bucketsPerWindow,
   continuation,
+  overshootShares,
   pressedShare,
   roomMemory,
   roomyBurst,
-  unaskedShare,
 } from "./constants.ts";
+import { overshootOf } from "./overshoot.ts";
 import type { SlidingCount } from "./slidingCount.ts";
 import { createSlidingCount } from "./slidingCount.ts";
 
@@ -30,8 +31,6 @@
   usualUse: number;
 }
 
-const millisecondsPerSecond = 1_000;
-
 /** Creates an account of no use. */
 export const createUsageAccount = (clock: Clock, { limitWindow }: ForwardingBounds): UsageAccount => ({
   used: createSlidingCount(clock, limitWindow, bucketsPerWindow),
@@ -46,14 +45,12 @@
 /** @returns What one of several routers may pass on unasked in a window. */
 export const unaskedPart = (
   { usualUse }: UsageAccount,
-  { ratePerSecond, burst }: OrganisationLimit,
-  { limitWindow, limitOvershoot, limitReserve }: ForwardingBounds,
+  limit: OrganisationLimit,
+  bounds: ForwardingBounds,
   routers: number,
-): number => {
-  const allowed = (ratePerSecond * limitWindow) / millisecondsPerSecond + burst;
-  const beyond = allowed * limitOvershoot + limitReserve;
-  return (beyond * unaskedShare) / routers + (usualUse * continuation) / limitWindow;
-};
+): number =>
+  (overshootOf(limit, bounds) * overshootShares.unasked) / routers +
+  (usualUse * continuation) / bounds.limitWindow;
 
 /** Passes on what no keeper has granted. */
 export const spendUnasked = (account: UsageAccount, amount: number): void => {
--- a/src/coordination/usageLimits/usageBucket.ts
+++ b/src/coordination/usageLimits/usageBucket.ts
@@ -1,15 +1,21 @@
-/** The count of one organisation's use: fills at the rate of its limit, up to its burst. */
-import type { OrganisationLimit } from "../../protocol/forwarding/types.ts";
+/** The count of one organisation's use: fills at the rate of its limit, up to what may be used at once. */
 import type { Clock } from "../clock.ts";
 
+/** What fills a bucket. */
+export interface BucketFilling {
+  readonly ratePerSecond: number;
+  /** The most that it holds. */
+  readonly capacity: number;
+}
+
 /** See {@link createUsageBucket}. */
 export interface UsageBucket {
   /** @returns Milliseconds until there is room; nothing if the amount was taken. */
-  readonly take: (amount: number, limit: OrganisationLimit) => number | undefined;
+  readonly take: (amount: number, filling: BucketFilling) => number | undefined;
   /** Counts what was passed on unasked, or with a negative amount what has not run. */
-  readonly charge: (amount: number, limit: OrganisationLimit) => void;
-  /** @returns How much of the burst is left, in hundredths. */
-  readonly room: (limit: OrganisationLimit) => number;
+  readonly charge: (amount: number, filling: BucketFilling) => void;
+  /** @returns How much of its capacity is left, in hundredths. */
+  readonly room: (filling: BucketFilling) => number;
 }
 
 const millisecondsPerSecond = 1_000;
@@ -24,28 +30,28 @@
   let level = 0;
   let filledAt = clock.monotonic();
 
-  const fill = ({ ratePerSecond, burst }: OrganisationLimit): void => {
+  const fill = ({ ratePerSecond, capacity }: BucketFilling): void => {
     const now = clock.monotonic();
-    level = Math.min(burst, level + ((now - filledAt) / millisecondsPerSecond) * ratePerSecond);
+    level = Math.min(capacity, level + ((now - filledAt) / millisecondsPerSecond) * ratePerSecond);
     filledAt = now;
   };
 
   return {
-    take: (amount, limit) => {
-      fill(limit);
-      // A request larger than the whole burst would never be let in: it leaves a debt.
-      const wanted = Math.min(amount, limit.burst);
-      if (level < wanted) return ((wanted - level) / limit.ratePerSecond) * millisecondsPerSecond;
+    take: (amount, filling) => {
+      fill(filling);
+      // A request larger than the whole capacity would never be let in: it leaves a debt.
+      const wanted = Math.min(amount, filling.capacity);
+      if (level < wanted) return ((wanted - level) / filling.ratePerSecond) * millisecondsPerSecond;
       level -= amount;
       return undefined;
     },
-    charge: (amount, limit) => {
-      fill(limit);
-      level = Math.min(limit.burst, Math.max(-limit.burst, level - amount));
+    charge: (amount, filling) => {
+      fill(filling);
+      level = Math.min(filling.capacity, Math.max(-filling.capacity, level - amount));
     },
-    room: (limit) => {
-      fill(limit);
-      return Math.max(0, Math.floor((level / limit.burst) * hundredths));
+    room: (filling) => {
+      fill(filling);
+      return Math.max(0, Math.floor((level / filling.capacity) * hundredths));
     },
   };
 };
--- a/src/coordination/usageLimits/usageKeeper.ts
+++ b/src/coordination/usageLimits/usageKeeper.ts
@@ -3,14 +3,18 @@
 import type { OrganisationLimit } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
+import type { ForwardingBounds } from "../forwarding/types.ts";
+import { overshootShares } from "./constants.ts";
 import type { Keepers } from "./keepers.ts";
-import type { UsageBucket } from "./usageBucket.ts";
+import { overshootOf } from "./overshoot.ts";
+import type { BucketFilling, UsageBucket } from "./usageBucket.ts";
 import { createUsageBucket } from "./usageBucket.ts";
 
 /** What keeping counts works with. */
 export interface UsageKeeperParts {
   readonly keepers: Pick<Keepers, "isActing">;
   readonly limitOf: (organisation: string) => OrganisationLimit | undefined;
+  readonly bounds: ForwardingBounds;
   readonly clock: Clock;
 }
 
@@ -24,9 +28,15 @@
 const writeLog = createLogger("limits");
 
 /** Creates a keeper of no counts. */
-export const createUsageKeeper = ({ keepers, limitOf, clock }: UsageKeeperParts): UsageKeeper => {
+export const createUsageKeeper = ({ keepers, limitOf, bounds, clock }: UsageKeeperParts): UsageKeeper => {
   const buckets = new Map<string, UsageBucket>();
 
+  /** What a bucket is filled by. */
+  const fillingOf = (limit: OrganisationLimit): BucketFilling => ({
+    ratePerSecond: limit.ratePerSecond,
+    capacity: limit.burst + overshootOf(limit, bounds) * overshootShares.keeper,
+  });
+
   const bucketOf = (organisation: string): UsageBucket | undefined => {
     const known = buckets.get(organisation);
     if (!keepers.isActing(organisation)) {
@@ -53,10 +63,11 @@
       const limit = limitOf(organisation);
       const bucket = limit === undefined ? undefined : bucketOf(organisation);
       if (limit === undefined || bucket === undefined) return elsewhere(number);
-      bucket.charge(spent - returned, limit);
-      const wait = bucket.take(amount, limit);
+      const filling = fillingOf(limit);
+      bucket.charge(spent - returned, filling);
+      const wait = bucket.take(amount, filling);
       const verdict = wait === undefined ? "granted" : "refused";
-      return { kind: "answer", number, verdict, wait: Math.ceil(wait ?? 0), room: bucket.room(limit) };
+      return { kind: "answer", number, verdict, wait: Math.ceil(wait ?? 0), room: bucket.room(filling) };
     },
     look: (organisations) => {
       const limited = new Set(organisations);
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -72,7 +72,7 @@
   const { name, dataCentre, address, port } = parts.self;
   const self: LiveRouter = { name, dataCentre, at: { address, port } };
   const keepers = createKeepers({ self, others: parts.others, clock });
-  const keeper = createUsageKeeper({ keepers, limitOf, clock });
+  const keeper = createUsageKeeper({ keepers, limitOf, bounds, clock });
   const questions = createKeeperQuestions({ link, clock, random });
   const accounts = new Map<string, UsageAccount>();
   /** By name of a router: until when it is not asked. */
--- a/src/protocol/forwarding/limitMessage.ts
+++ b/src/protocol/forwarding/limitMessage.ts
@@ -33,7 +33,7 @@
   readonly verdict: LimitVerdict;
   /** Where it was refused: milliseconds until there is room for the amount. */
   readonly wait: number;
-  /** How much of the organisation's burst is left, in hundredths. */
+  /** How much of what may be used at once is left, in hundredths. */
   readonly room: number;
 }
 
