--- a/src/coordination/usageLimits/constants.ts
+++ b/src/coordination/usageLimits/constants.ts
@@ -13,10 +13,11 @@
 export const quorumSilence = 1_500;
 
 /**
- * A router that has just come is passed over for so long by those before it; it waits for {@link takeoverSilence}
- * itself, so that the count is without a keeper for half a second at most.
+ * A router that has just started need not wait so long once so many of those that come next have answered it: they have
+ * heard of it, and whichever kept the count keeps it no more. With the wait alone, most requests of large organisations
+ * were refused for 2.5 s after most routers had restarted together.
  */
-export const newcomerPatience = 2_000;
+export const answersBeforeActing = 5;
 
 /** Those that come after a keeper ask it for a sign of life when it was silent for so long. */
 export const probeSilence = 700;
@@ -51,10 +52,10 @@
 /**
  * Shares of what all routers together may pass on beyond the limit. Keepers add theirs to the burst: prompts come in
  * bunches and some are larger than a small organisation's whole burst, which left a debt that refused everything after
- * it. Routers that can't ask use the second. The rest is for counts that change their keeper, and for requests that
- * are passed on while they are asked for.
+ * it. A keeper that takes over begins with the second. Routers that can't ask use the third. The rest is for requests
+ * that are passed on while they are asked for.
  */
-export const overshootShares = { keeper: 0.5, unasked: 0.35 } as const;
+export const overshootShares = { keeper: 0.4, beginning: 0.15, unasked: 0.3 } as const;
 
 /**
  * A router that can't ask goes on for so long at the pace at which it was granted before: as much as a cut-off data
--- a/src/coordination/usageLimits/keepers.ts
+++ b/src/coordination/usageLimits/keepers.ts
@@ -8,7 +8,15 @@
 import type { Clock } from "../clock.ts";
 import { mixHashes } from "../forwarding/rendezvousReplica.ts";
 import type { LiveRouter } from "../replicaOwners/owners.ts";
-import { lookInterval, newcomerPatience, quorumSilence, standstill, takeoverSilence } from "./constants.ts";
+import {
+  answersBeforeActing,
+  keepersTried,
+  lookInterval,
+  probeSilence,
+  quorumSilence,
+  standstill,
+  takeoverSilence,
+} from "./constants.ts";
 
 /** What keepers are found with. */
 export interface KeepersParts {
@@ -28,6 +36,10 @@
   readonly silenceOf: (router: LiveRouter) => number;
   /** Any datagram has come. */
   readonly hear: (from: DatagramAddress) => void;
+  /** A router has answered: it has heard of this one. */
+  readonly hearAnswer: (from: DatagramAddress) => void;
+  /** @returns The routers to ask for a sign of life, since a count of an organisation may wait for it. */
+  readonly worthProbing: (organisation: string) => readonly LiveRouter[];
   /** To be called at least every {@link lookInterval}: notices that this process stood still. */
   readonly look: () => void;
 }
@@ -37,6 +49,8 @@
   readonly hash: number;
   readonly firstAt: number;
   heardAt: number | undefined;
+  /** When it last answered a question of this router. */
+  answeredAt: number | undefined;
 }
 
 const addressKey = ({ address, port }: DatagramAddress): string => `${address}:${port}`;
@@ -66,8 +80,12 @@
     const addresses = new Map<string, Known>();
     for (const router of others()) {
       const before = known.get(router.name);
-      const { firstAt, heardAt } = before ?? { firstAt: now, heardAt: undefined };
-      const entry = { router, hash: before?.hash ?? hash32(router.name), firstAt, heardAt };
+      const { firstAt, heardAt, answeredAt } = before ?? {
+        firstAt: now,
+        heardAt: undefined,
+        answeredAt: undefined,
+      };
+      const entry = { router, hash: before?.hash ?? hash32(router.name), firstAt, heardAt, answeredAt };
       read.set(router.name, entry);
       addresses.set(addressKey(router.at), entry);
     }
@@ -110,13 +128,28 @@
     return count * 2 > centres.length || (count * 2 === centres.length && centres[0]?.[1] === true);
   };
 
-  /** A router before this one that keeps the count, as far as this one can know. */
-  const isBefore = (router: LiveRouter): boolean => {
-    const entry = known.get(router.name);
-    if (entry === undefined || silenceOf(router) >= takeoverSilence) return false;
-    const isNew =
-      clock.monotonic() - entry.firstAt < newcomerPatience && entry.firstAt > startedAt + newcomerPatience;
-    return !isNew;
+  const isHeard = (router: LiveRouter): boolean => silenceOf(router) < takeoverSilence;
+
+  const nextAfterSelf = (organisation: string): readonly LiveRouter[] => {
+    const order = orderFor(organisation);
+    const own = order.findIndex(({ name }) => name === self.name);
+    return order.slice(own + 1, own + 1 + answersBeforeActing);
+  };
+
+  /** Whether those that may have kept the count meanwhile know that this router is back. */
+  const isKnownToNext = (organisation: string): boolean =>
+    nextAfterSelf(organisation).every(({ name }) => {
+      const answeredAt = known.get(name)?.answeredAt;
+      return answeredAt !== undefined && answeredAt >= awakeSince;
+    });
+
+  /** Long enough after its start, or sooner where nobody else can be the keeper. */
+  const mayBegin = (organisation: string): boolean =>
+    clock.monotonic() - awakeSince >= takeoverSilence || (known.size > 0 && isKnownToNext(organisation));
+
+  const entryAt = (from: DatagramAddress): Known | undefined => {
+    readOthers();
+    return byAddress.get(addressKey(from));
   };
 
   return {
@@ -124,18 +157,27 @@
     silenceOf,
     isActing: (organisation) => {
       noteStandstill();
-      if (clock.monotonic() - awakeSince < takeoverSilence) return false;
-      for (const router of orderFor(organisation)) {
-        if (router.name === self.name) return hearsMost();
-        if (isBefore(router)) return false;
-      }
-      return false;
+      const order = orderFor(organisation);
+      const own = order.findIndex(({ name }) => name === self.name);
+      if (order.slice(0, own).some(isHeard)) return false;
+      return mayBegin(organisation) && hearsMost();
     },
     hear: (from) => {
-      readOthers();
-      const entry = byAddress.get(addressKey(from));
+      const entry = entryAt(from);
       if (entry !== undefined) entry.heardAt = clock.monotonic();
     },
+    hearAnswer: (from) => {
+      const entry = entryAt(from);
+      if (entry !== undefined) entry.answeredAt = clock.monotonic();
+    },
+    worthProbing: (organisation) => {
+      const order = orderFor(organisation);
+      const own = order.findIndex(({ name }) => name === self.name);
+      if (own >= keepersTried) return [];
+      const silent = order.slice(0, own).filter((router) => silenceOf(router) > probeSilence);
+      const isNew = clock.monotonic() - awakeSince < takeoverSilence;
+      return isNew && !isKnownToNext(organisation) ? [...silent, ...nextAfterSelf(organisation)] : silent;
+    },
     look: noteStandstill,
   };
 };
--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -29,17 +29,28 @@
   roomyUntil: number;
   /** How much this router may count on that it had passed on in a window when it last heard from the keeper. */
   usualUse: number;
+  /** The least that it counts on: after a start little has been passed on yet. */
+  readonly leastUse: number;
 }
 
-/** Creates an account of no use. */
-export const createUsageAccount = (clock: Clock, { limitWindow }: ForwardingBounds): UsageAccount => ({
+/**
+ * Creates an account of no use.
+ *
+ * @param evenPart - What it would use in a window if all routers used as much: nothing else is known at first.
+ */
+export const createUsageAccount = (
+  clock: Clock,
+  { limitWindow }: ForwardingBounds,
+  evenPart: number,
+): UsageAccount => ({
   used: createSlidingCount(clock, limitWindow, bucketsPerWindow),
   unasked: createSlidingCount(clock, limitWindow, bucketsPerWindow),
   spent: 0,
   returned: 0,
   underWay: 0,
   roomyUntil: Number.NEGATIVE_INFINITY,
-  usualUse: 0,
+  usualUse: evenPart * pressedShare,
+  leastUse: evenPart * pressedShare,
 });
 
 /** @returns What one of several routers may pass on unasked in a window. */
@@ -62,5 +73,5 @@
 export const noteRoom = (account: UsageAccount, room: number, clock: Clock): void => {
   const isRoomy = room >= roomyBurst;
   account.roomyUntil = isRoomy ? clock.monotonic() + roomMemory : Number.NEGATIVE_INFINITY;
-  account.usualUse = account.used.sum() * (isRoomy ? 1 : pressedShare);
+  account.usualUse = Math.max(account.leastUse, account.used.sum() * (isRoomy ? 1 : pressedShare));
 };
--- a/src/coordination/usageLimits/usageBucket.ts
+++ b/src/coordination/usageLimits/usageBucket.ts
@@ -23,11 +23,13 @@
 const hundredths = 100;
 
 /**
- * Creates an empty bucket: whoever kept the count before may have granted a whole burst just now, so that only what
- * comes in from now on may be granted.
+ * Creates a bucket.
+ *
+ * @param beginning - What it holds at first. Whoever kept the count before may have granted a whole burst just now, so
+ * that little more than what comes in from now on may be granted.
  */
-export const createUsageBucket = (clock: Clock): UsageBucket => {
-  let level = 0;
+export const createUsageBucket = (clock: Clock, beginning: number): UsageBucket => {
+  let level = beginning;
   let filledAt = clock.monotonic();
 
   const fill = ({ ratePerSecond, capacity }: BucketFilling): void => {
--- a/src/coordination/usageLimits/usageKeeper.ts
+++ b/src/coordination/usageLimits/usageKeeper.ts
@@ -37,14 +37,14 @@
     capacity: limit.burst + overshootOf(limit, bounds) * overshootShares.keeper,
   });
 
-  const bucketOf = (organisation: string): UsageBucket | undefined => {
+  const bucketOf = (organisation: string, limit: OrganisationLimit): UsageBucket | undefined => {
     const known = buckets.get(organisation);
     if (!keepers.isActing(organisation)) {
       if (buckets.delete(organisation)) writeLog("count_ends", { organisation });
       return undefined;
     }
     if (known !== undefined) return known;
-    const made = createUsageBucket(clock);
+    const made = createUsageBucket(clock, overshootOf(limit, bounds) * overshootShares.beginning);
     buckets.set(organisation, made);
     writeLog("count_begins", { organisation });
     return made;
@@ -61,7 +61,7 @@
   return {
     answer: ({ number, organisation, amount, spent, returned }) => {
       const limit = limitOf(organisation);
-      const bucket = limit === undefined ? undefined : bucketOf(organisation);
+      const bucket = limit === undefined ? undefined : bucketOf(organisation, limit);
       if (limit === undefined || bucket === undefined) return elsewhere(number);
       const filling = fillingOf(limit);
       bucket.charge(spent - returned, filling);
@@ -71,7 +71,10 @@
     },
     look: (organisations) => {
       const limited = new Set(organisations);
-      for (const name of limited) bucketOf(name);
+      for (const name of limited) {
+        const limit = limitOf(name);
+        if (limit !== undefined) bucketOf(name, limit);
+      }
       for (const name of buckets.keys()) if (!limited.has(name)) buckets.delete(name);
     },
   };
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -20,7 +20,6 @@
   keepersTried,
   lookInterval,
   passedOver,
-  probeSilence,
   returnSpread,
   shortestReturn,
 } from "./constants.ts";
@@ -59,6 +58,8 @@
   readonly giveBack: (organisation: string, amount: number) => void;
 }
 
+const millisecondsPerSecond = 1_000;
+
 /** Where no organisation has a limit. */
 export const noUsageLimits: Pick<UsageLimits, "take" | "charge" | "giveBack"> = {
   take: () => undefined,
@@ -78,10 +79,16 @@
   /** By name of a router: until when it is not asked. */
   const passed = new Map<string, number>();
 
+  /** An even part of what an organisation may use in a window. */
+  const evenPart = (organisation: string): number => {
+    const rate = limitOf(organisation)?.ratePerSecond ?? 0;
+    return (rate * bounds.limitWindow) / millisecondsPerSecond / (1 + parts.others().length);
+  };
+
   const accountOf = (organisation: string): UsageAccount => {
     const known = accounts.get(organisation);
     if (known !== undefined) return known;
-    const made = createUsageAccount(clock, bounds);
+    const made = createUsageAccount(clock, bounds, evenPart(organisation));
     accounts.set(organisation, made);
     return made;
   };
@@ -152,30 +159,26 @@
     spendUnasked(account, amount);
   };
 
-  const probeThoseBefore = (): void => {
-    for (const organisation of parts.limited()) {
-      const first = firstFor(organisation);
-      const own = first.findIndex((router) => router.name === name);
-      const silent = first
-        .slice(0, Math.max(0, own))
-        .filter((each) => keepers.silenceOf(each) > probeSilence);
-      silent.forEach(questions.probe);
-    }
+  const probe = (): void => {
+    const probed = new Set([...parts.limited()].flatMap(keepers.worthProbing));
+    probed.forEach(questions.probe);
   };
 
   const look = (): void => {
     callOff = clock.after(lookInterval, look);
     keepers.look();
     keeper.look(parts.limited());
-    probeThoseBefore();
+    probe();
   };
   let callOff = clock.after(lookInterval, look);
 
   link.receive((datagram, from) => {
     keepers.hear(from);
     const message = decodeLimitMessage(datagram);
-    if (message?.kind === "answer") questions.hear(message);
-    else if (message !== undefined) link.send(from, encodeLimitMessage(keeper.answer(message)));
+    if (message?.kind === "answer") {
+      keepers.hearAnswer(from);
+      questions.hear(message);
+    } else if (message !== undefined) link.send(from, encodeLimitMessage(keeper.answer(message)));
   });
 
   return {
