--- a/src/commandLine/requestStory.test.ts
+++ b/src/commandLine/requestStory.test.ts
@@ -55,6 +55,27 @@
     expect(told.cause.includes("no fresh proof")).toEqual(true);
   });
 
+  it("names the limit that refused a request, and that the router could not ask", () => {
+    const told = story(
+      line(9, "limits", "unasked", { organisation: "levant" }),
+      line(10, "requests", "limited", {
+        request: "wanted",
+        organisation: "levant",
+        amount: 12_000,
+        comeBackAfter: 340,
+      }),
+      line(10, "requests", "failed", {
+        request: "wanted",
+        organisation: "levant",
+        milliseconds: 2,
+        reason: "RequestError: The organisation's limit is reached.",
+      }),
+    );
+    expect(told.steps[0]?.text.includes("counts 12000 beyond the limit of levant")).toEqual(true);
+    expect(told.around.map(({ text }) => text)).toEqual(["limits unasked organisation=levant"]);
+    expect(told.cause.includes("limit allows")).toEqual(true);
+  });
+
   it("names silent owners of replicas as the cause of a placement that went wrong", () => {
     const told = story(
       line(9, "owners", "silent", { owner: "router-7", milliseconds: 500 }),
--- a/src/commandLine/requestStory.ts
+++ b/src/commandLine/requestStory.ts
@@ -43,6 +43,8 @@
     `attempt at replica ${fieldOf(line, "replica")} failed: ${fieldOf(line, "fault")}, ${fieldOf(line, "progress")}, status ${fieldOf(line, "status")}`,
   "requests turned_away": (line) =>
     `turned away: replica ${fieldOf(line, "replica")} would answer after ${fieldOf(line, "predictedWait")} ms, ${fieldOf(line, "queueWait")} ms of it behind others; told to come back after ${fieldOf(line, "comeBackAfter")} ms`,
+  "requests limited": (line) =>
+    `counts ${fieldOf(line, "amount")} beyond the limit of ${fieldOf(line, "organisation")}; told to come back after ${fieldOf(line, "comeBackAfter")} ms`,
   "requests no_replica": (line) =>
     `no replica of ${fieldOf(line, "service")} could be chosen: ${fieldOf(line, "reason")}`,
   "requests resuming": (line) =>
@@ -60,6 +62,9 @@
   "daemon reloaded",
   "peers silent",
   "owners silent",
+  "limits count_begins",
+  "limits count_ends",
+  "limits unasked",
   "log left_out",
 ]);
 
@@ -119,6 +124,10 @@
     applies: (end) => kindOf(end) === "requests refused" && fieldOf(end, "reason").includes("configuration"),
     text: "the router had no fresh proof that its configuration was in force; see whether it had lost the store",
   },
+  {
+    applies: (_, own) => own.some((line) => kindOf(line) === "requests limited"),
+    text: "its organisation had used what its limit allows; see whether the router could ask the keeper of the count",
+  },
   {
     applies: (end) => kindOf(end) === "requests refused",
     text: "the request was not allowed by the configuration",
--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -29,6 +29,8 @@
   roomyUntil: number;
   /** How much this router may count on that it had passed on in a window when it last heard from the keeper. */
   usualUse: number;
+  /** No keeper answered the last question. */
+  isAlone: boolean;
   /** The least that it counts on: after a start little has been passed on yet. */
   readonly leastUse: number;
 }
@@ -51,6 +53,7 @@
   roomyUntil: Number.NEGATIVE_INFINITY,
   usualUse: evenPart * pressedShare,
   leastUse: evenPart * pressedShare,
+  isAlone: false,
 });
 
 /** @returns What one of several routers may pass on unasked in a window. */
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -12,6 +12,7 @@
 import type { LimitAnswer } from "../../protocol/forwarding/limitMessage.ts";
 import { decodeLimitMessage, encodeLimitMessage } from "../../protocol/forwarding/limitMessage.ts";
 import type { OrganisationLimit, RouterEntry } from "../../protocol/forwarding/types.ts";
+import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import type { ForwardingBounds } from "../forwarding/types.ts";
 import type { LiveRouter } from "../replicaOwners/owners.ts";
@@ -60,6 +61,8 @@
 
 const millisecondsPerSecond = 1_000;
 
+const writeLog = createLogger("limits");
+
 /** Where no organisation has a limit. */
 export const noUsageLimits: Pick<UsageLimits, "take" | "charge" | "giveBack"> = {
   take: () => undefined,
@@ -121,6 +124,15 @@
     return undefined;
   };
 
+  /** One line for each change, whatever comes while it lasts. */
+  const noteAnswer = (organisation: string, answer: LimitAnswer | undefined): void => {
+    const account = accountOf(organisation);
+    if (answer !== undefined) noteRoom(account, answer.room, clock);
+    const isAlone = answer === undefined;
+    if (isAlone !== account.isAlone) writeLog(isAlone ? "unasked" : "asked", { organisation });
+    account.isAlone = isAlone;
+  };
+
   const isWithinPart = (account: UsageAccount, amount: number, limit: OrganisationLimit): boolean => {
     const routers = 1 + parts.others().length;
     const unasked = account.underWay + account.unasked.sum();
@@ -136,7 +148,7 @@
   ): Promise<number | undefined> => {
     const account = accountOf(organisation);
     const answer = await askKeeper(organisation, amount);
-    if (answer !== undefined) noteRoom(account, answer.room, clock);
+    noteAnswer(organisation, answer);
     if (answer?.verdict === "refused") return spread(answer.wait);
     if (answer === undefined) {
       if (!isWithinPart(account, amount, limit)) return spread(bounds.limitWindow / bucketsPerWindow);
@@ -153,7 +165,7 @@
     account.used.add(amount);
     const answer = await askKeeper(organisation, amount);
     account.underWay -= amount;
-    if (answer !== undefined) noteRoom(account, answer.room, clock);
+    noteAnswer(organisation, answer);
     if (answer?.verdict === "granted") return;
     account.roomyUntil = Number.NEGATIVE_INFINITY;
     spendUnasked(account, amount);
