--- a/src/coordination/usageLimits/constants.ts
+++ b/src/coordination/usageLimits/constants.ts
@@ -22,7 +22,10 @@
 /** Those that come after a keeper ask it for a sign of life when it was silent for so long. */
 export const probeSilence = 700;
 
-/** How many of those that come first for an organisation look after its count. */
+/**
+ * How many of those that come first for an organisation look after its count, and how many are asked for one request;
+ * further ones where all of these are silent.
+ */
 export const keepersTried = 3;
 
 /** A process whose own timer came so late stood still: what it believed of others is old. */
--- a/src/coordination/usageLimits/keepers.ts
+++ b/src/coordination/usageLimits/keepers.ts
@@ -1,7 +1,7 @@
 /**
  * Which router keeps the count of an organisation's use: the one that comes first in an order that every router
  * computes alike. Nobody agrees on it. One that takes over has heard nothing of those before it for longer than they
- * would go on without hearing most data centres, so that two never grant at once; each begins with an empty bucket.
+ * would go on without hearing most data centres, so that two never grant at once; each begins with a bucket that is nearly empty.
  */
 import type { DatagramAddress } from "../../protocol/forwarding/DatagramLink.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
@@ -32,8 +32,6 @@
   readonly orderFor: (organisation: string) => readonly LiveRouter[];
   /** Whether this router is the one to grant at this moment. */
   readonly isActing: (organisation: string) => boolean;
-  /** @returns Milliseconds since a router was heard; counted from when it was first known if it never was. */
-  readonly silenceOf: (router: LiveRouter) => number;
   /** Any datagram has come. */
   readonly hear: (from: DatagramAddress) => void;
   /** A router has answered: it has heard of this one. */
@@ -109,6 +107,7 @@
     return order;
   };
 
+  /** @returns Milliseconds since a router was heard; counted from when it was first known if it never was. */
   const silenceOf = ({ name }: LiveRouter): number => {
     const entry = known.get(name);
     if (entry === undefined) return Number.POSITIVE_INFINITY;
@@ -154,7 +153,6 @@
 
   return {
     orderFor,
-    silenceOf,
     isActing: (organisation) => {
       noteStandstill();
       const order = orderFor(organisation);
@@ -173,8 +171,9 @@
     worthProbing: (organisation) => {
       const order = orderFor(organisation);
       const own = order.findIndex(({ name }) => name === self.name);
-      if (own >= keepersTried) return [];
-      const silent = order.slice(0, own).filter((router) => silenceOf(router) > probeSilence);
+      const before = order.slice(0, own);
+      if (own >= keepersTried && before.some(isHeard)) return [];
+      const silent = before.filter((router) => silenceOf(router) > probeSilence);
       const isNew = clock.monotonic() - awakeSince < takeoverSilence;
       return isNew && !isKnownToNext(organisation) ? [...silent, ...nextAfterSelf(organisation)] : silent;
     },
--- a/src/coordination/usageLimits/usageLimits.test.ts
+++ b/src/coordination/usageLimits/usageLimits.test.ts
@@ -103,8 +103,8 @@
       const entry = entries[index];
       if (entry !== undefined) routers[index] = start(entry);
     },
-    /** @returns The router that comes first for the organisation. */
-    keeper: (): number => {
+    /** @returns The routers in the order in which they keep the organisation's count. */
+    keepers: (): readonly number[] => {
       const all = entries.map(({ name, dataCentre, address, port }) => ({
         name,
         dataCentre,
@@ -113,7 +113,11 @@
       const [self, ...others] = all;
       if (self === undefined) throw new Error("There are no routers.");
       const keepers = createKeepers({ self, others: () => others, clock });
-      return entries.findIndex(({ name }) => name === keepers.orderFor(organisation)[0]?.name);
+      const order = keepers.orderFor(organisation);
+      return order.map((router) => entries.findIndex(({ name }) => name === router.name));
+    },
+    keeper(): number {
+      return this.keepers()[0] ?? 0;
     },
     changeLimit: (changed: OrganisationLimit | undefined) => {
       limit = changed;
@@ -208,6 +212,20 @@
     expect(sum >= 0.8 * smallLimit.ratePerSecond * 4).toEqual(true);
   });
 
+  it("are granted by the fourth where the first three are lost together", async () => {
+    const system = createRouters(16);
+    await system.advance(6_000);
+    await flood(system, 60, 2_400, 2);
+    for (const lost of system.keepers().slice(0, 3)) system.network.freeze(lost + 1);
+    await flood(system, 60, 2_400, 6);
+    const before = system.passed.length;
+    await flood(system, 60, 2_400, 4);
+    await system.advance(200);
+    const sum = (system.passed.length - before) * 2_400;
+    expect(mostInWindow(system.passed) <= allowed(smallLimit)).toEqual(true);
+    expect(sum >= 0.8 * smallLimit.ratePerSecond * 4).toEqual(true);
+  });
+
   it("hold when a keeper that stood still wakes up", async () => {
     const system = createRouters(16);
     await system.advance(6_000);
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -96,12 +96,11 @@
     return made;
   };
 
-  const firstFor = (organisation: string): readonly LiveRouter[] =>
-    keepers.orderFor(organisation).slice(0, keepersTried);
-
+  /** The first few that did not fail to answer just now: where most routers are lost the keeper may come late. */
   const askable = (organisation: string): readonly LiveRouter[] => {
     const now = clock.monotonic();
-    return firstFor(organisation).filter((router) => (passed.get(router.name) ?? now) <= now);
+    const order = keepers.orderFor(organisation);
+    return order.filter((router) => (passed.get(router.name) ?? now) <= now).slice(0, keepersTried);
   };
 
   /** @returns What the keeper of the count says; nothing if there is none that answers. */
