--- a/src/coordination/forwarding/retryShare.ts
+++ b/src/coordination/forwarding/retryShare.ts
@@ -3,6 +3,8 @@
  * in the window, and an even part of the common reserve.
  */
 import type { Clock } from "../clock.ts";
+import type { SlidingCount } from "../slidingCount.ts";
+import { createSlidingCount } from "../slidingCount.ts";
 import type { ForwardingBounds } from "./types.ts";
 
 /** Parts of a window: the older a count, the coarser its age. */
@@ -19,10 +21,10 @@
   readonly tryTake: (service: string) => boolean;
 }
 
-interface Bucket {
-  readonly number: number;
-  requests: number;
-  retries: number;
+/** One service's use in the window. */
+interface Counts {
+  readonly requests: SlidingCount;
+  readonly retries: SlidingCount;
 }
 
 /** What retries are shared by. */
@@ -35,19 +37,14 @@
 
 /** Creates a share that has counted nothing. */
 export const createRetryShare = ({ clock, bounds, routers }: RetryShareParts): RetryShare => {
-  const services = new Map<string, Bucket[]>();
-  const bucketLength = bounds.retryWindow / bucketsPerWindow;
+  const services = new Map<string, Counts>();
 
-  const current = (service: string): Bucket => {
-    const number = Math.floor(clock.monotonic() / bucketLength);
-    const buckets = services.get(service) ?? [];
-    services.set(service, buckets);
-    // One bucket more than a window: every window is covered wherever it begins.
-    while (buckets[0] !== undefined && buckets[0].number < number - bucketsPerWindow) buckets.shift();
-    const last = buckets.at(-1);
-    if (last?.number === number) return last;
-    const made = { number, requests: 0, retries: 0 };
-    buckets.push(made);
+  const countsOf = (service: string): Counts => {
+    const known = services.get(service);
+    if (known !== undefined) return known;
+    const count = (): SlidingCount => createSlidingCount(clock, bounds.retryWindow, bucketsPerWindow);
+    const made = { requests: count(), retries: count() };
+    services.set(service, made);
     return made;
   };
 
@@ -57,16 +54,11 @@
   };
 
   return {
-    noteRequest: (service) => {
-      current(service).requests += 1;
-    },
+    noteRequest: (service) => countsOf(service).requests.add(1),
     tryTake: (service) => {
-      const bucket = current(service);
-      const buckets = services.get(service) ?? [];
-      const requests = buckets.reduce((sum, each) => sum + each.requests, 0);
-      const retries = buckets.reduce((sum, each) => sum + each.retries, 0);
-      if (retries + 1 > allowed(requests)) return false;
-      bucket.retries += 1;
+      const { requests, retries } = countsOf(service);
+      if (retries.sum() + 1 > allowed(requests.sum())) return false;
+      retries.add(1);
       return true;
     },
   };
--- a/src/coordination/forwarding/routerNews.ts
+++ b/src/coordination/forwarding/routerNews.ts
@@ -5,14 +5,13 @@
   ToldHolder,
   ToldWeights,
 } from "../../protocol/forwarding/peerMessage.ts";
-import type { CacheStore } from "../../protocol/forwarding/types.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
-import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { mostHolderNews, newsRepetition } from "./constants.ts";
-import { holderIdOf } from "./holderId.ts";
+import type { HolderTakers } from "./toldHolders.ts";
+import { takeHolders } from "./toldHolders.ts";
 import { createNews } from "./news.ts";
 
 /** Peers in the same data centre, and those in others, which are told at other times. */
@@ -74,18 +73,15 @@
 };
 
 /** What news of peers changes. */
-export interface NewsTakers {
+export interface NewsTakers extends HolderTakers {
   readonly replicas: ReplicaTable;
   readonly configuration: Pick<ConfigurationState, "noteWantedAge">;
-  readonly holders: Pick<CacheHolders, "noteKey">;
-  /** The stores of prompt parts that the configuration names. */
-  readonly cacheStores: () => readonly CacheStore[];
   readonly clock: Clock;
 }
 
 /** Takes what a peer's message tells; replicas that this router doesn't know yet are left out. */
 export const takeNews = (message: RouterMessage, takers: NewsTakers): void => {
-  const { replicas, configuration, holders, clock } = takers;
+  const { replicas, configuration, clock } = takers;
   const now = clock.monotonic();
   const idOf = (key: ReplicaKey): string | undefined => replicas.getByKey(key)?.entry.id;
   for (const { replica, model, version } of message.weights) {
@@ -96,11 +92,7 @@
     const replica = replicas.getByKey(key);
     if (replica !== undefined) replica.changingUntil = now + remaining;
   }
-  const stores = takers.cacheStores();
-  for (const { part, replica, isReady } of message.holders) {
-    const id = holderIdOf(replicas, stores, replica);
-    if (id !== undefined) holders.noteKey(part, id, isReady);
-  }
+  takeHolders(message.holders, takers);
   for (const { model, version, age } of message.wanted) configuration.noteWantedAge(model, version, age);
   for (const key of message.leaving) {
     const id = idOf(key);
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -13,7 +13,7 @@
 import { workWithout } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "../forwarding/cacheHolders.ts";
-import { holderIdOf } from "../forwarding/holderId.ts";
+import { takeHolders } from "../forwarding/toldHolders.ts";
 import { holdersNamed, reportMemory } from "./constants.ts";
 
 /** What an owner works with. */
@@ -101,10 +101,7 @@
   return {
     takeWork: (message) => {
       for (const report of message.reports) takeReport(message, report);
-      for (const { part, replica, isReady } of message.holders) {
-        const holder = holderIdOf(replicas, parts.cacheStores(), replica);
-        if (holder !== undefined) holders.noteKey(part, holder, isReady);
-      }
+      takeHolders(message.holders, parts);
     },
     answer: ({ name, number, replicas: keys, parts: wanted }) => ({
       kind: "answer",
--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -14,7 +14,7 @@
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "../forwarding/cacheHolders.ts";
-import { holderIdOf } from "../forwarding/holderId.ts";
+import { takeHolders } from "../forwarding/toldHolders.ts";
 import type { RouterPeers } from "../forwarding/routerPeers.ts";
 import { createConsultation } from "./consultation.ts";
 import { answersTeller, createOwnedReplicas, noWork } from "./ownedReplicas.ts";
@@ -80,10 +80,7 @@
 
   const take = (answer: AnswerMessage): readonly ReplicaState[] => {
     const now = clock.monotonic();
-    for (const { part, replica, isReady } of answer.holders) {
-      const holder = holderIdOf(replicas, parts.cacheStores(), replica);
-      if (holder !== undefined) holders.noteKey(part, holder, isReady);
-    }
+    takeHolders(answer.holders, parts);
     return answer.reports.flatMap((report) => {
       const state = replicas.getByKey(report.replica);
       if (state === undefined) return [];
--- a/src/coordination/usageLimits/slidingCount.ts
+++ b/src/coordination/slidingCount.ts
@@ -1,5 +1,5 @@
 /** A sum over the last part of time, kept in buckets. */
-import type { Clock } from "../clock.ts";
+import type { Clock } from "./clock.ts";
 
 /** See {@link createSlidingCount}. */
 export interface SlidingCount {
--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -11,8 +11,8 @@
   roomyBurst,
 } from "./constants.ts";
 import { overshootOf } from "./overshoot.ts";
-import type { SlidingCount } from "./slidingCount.ts";
-import { createSlidingCount } from "./slidingCount.ts";
+import type { SlidingCount } from "../slidingCount.ts";
+import { createSlidingCount } from "../slidingCount.ts";
 
 /** See the module. */
 export interface UsageAccount {
--- a/src/protocol/forwarding/ownerMessage.ts
+++ b/src/protocol/forwarding/ownerMessage.ts
@@ -7,6 +7,7 @@
 import type { ByteWriter } from "./byteWriter.ts";
 import { createByteWriter } from "./byteWriter.ts";
 import type { ReplicaKey, ToldHolder } from "./peerMessage.ts";
+import { readHolders, writeHolders } from "./peerMessage.ts";
 
 /** All the work that a router has at one replica, and what it has seen of it. */
 export interface WorkReport {
@@ -67,13 +68,6 @@
 /** The first byte; other datagrams between routers begin with other ones. */
 const forms = { work: 0x21, ask: 0x22, answer: 0x23 } as const;
 
-const writeHolders = (writer: ByteWriter, holders: readonly ToldHolder[]): void =>
-  writer.list(holders, ({ part, replica, isReady }) => {
-    writer.count(part);
-    writer.key(replica);
-    writer.byte(isReady ? 1 : 0);
-  });
-
 const writeWork = (writer: ByteWriter, message: WorkMessage): void => {
   writer.text(message.name);
   writer.text(message.incarnation);
@@ -116,9 +110,6 @@
   return writer.finish();
 };
 
-const readHolders = (reader: ByteReader): readonly ToldHolder[] =>
-  reader.list(() => ({ part: reader.count(), replica: reader.key(), isReady: reader.byte() === 1 }));
-
 /** Object literals evaluate their fields in the order in which they are written, which is that of the bytes. */
 const readWork = (reader: ByteReader): WorkMessage => ({
   kind: "work",
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -50,6 +50,18 @@
   readonly isReady: boolean;
 }
 
+/** Writes who keeps prompt parts, in every message that tells of it. */
+export const writeHolders = (writer: ByteWriter, holders: readonly ToldHolder[]): void =>
+  writer.list(holders, ({ part, replica, isReady }) => {
+    writer.count(part);
+    writer.key(replica);
+    writer.byte(isReady ? 1 : 0);
+  });
+
+/** @returns What {@link writeHolders} has written. */
+export const readHolders = (reader: ByteReader): readonly ToldHolder[] =>
+  reader.list(() => ({ part: reader.count(), replica: reader.key(), isReady: reader.byte() === 1 }));
+
 /** Weights that the operator wants. */
 export interface ToldTarget {
   readonly model: string;
@@ -111,11 +123,7 @@
     writer.count(remaining);
   });
   writer.list(message.leaving, writer.key);
-  writer.list(message.holders, ({ part, replica, isReady }) => {
-    writer.count(part);
-    writer.key(replica);
-    writer.byte(isReady ? 1 : 0);
-  });
+  writeHolders(writer, message.holders);
   writer.list(message.wanted, ({ model, version, age }) => {
     writer.text(model);
     writer.count(version);
@@ -173,11 +181,7 @@
     weights: reader.list(() => ({ replica: reader.key(), model: reader.text(), version: reader.count() })),
     changing: reader.list(() => ({ replica: reader.key(), remaining: reader.count() })),
     leaving: reader.list(reader.key),
-    holders: reader.list(() => ({
-      part: reader.count(),
-      replica: reader.key(),
-      isReady: reader.byte() === 1,
-    })),
+    holders: readHolders(reader),
     wanted: reader.list(() => readTarget(reader)),
     standsDown: has(flags.standsDown),
     ends: has(flags.ends),
