--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -32,7 +32,10 @@
       loader: "js",
       resolveDir: process.cwd(),
     }));
-    bundler.onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({ contents: "export {};", loader: "js" }));
+    bundler.onLoad({ filter: /zod\/v4\/locales\/index\.js$/ }, () => ({
+      contents: "export {};",
+      loader: "js",
+    }));
   },
 };
 
