Write a line for a replica whose process ended, with what was in flight there

What is asked had no identity in logs. Change: fingerprintOf (method, host, path, caller, body), and crashWatch: a replica that breaks connections and takes no new one has crashed; one that leaves, or takes new ones, has not. No decision uses it yet.

--- a/src/commandLine/requestStory.ts
+++ b/src/commandLine/requestStory.ts
@@ -71,6 +71,7 @@
 /** The same about a replica. */
 const replicaEvents: ReadonlySet<string> = new Set([
   "replicas ejected",
+  "replicas crashed",
   "replicas unreachable",
   "replicas reachable_again",
   "router replica",
--- /dev/null
+++ b/src/coordination/crashes/crashWatch.test.ts
@@ -0,0 +1,63 @@
+import { describe, it } from "node:test";
+import { setImmediate as settled } from "node:timers/promises";
+import { expect } from "earl";
+import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
+import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createManualClock } from "../manualClock.ts";
+import { crashGathering } from "./constants.ts";
+import type { ReplicaCrash } from "./crashWatch.ts";
+import { createCrashWatch } from "./crashWatch.ts";
+
+const create = () => {
+  const clock = createManualClock(1_000);
+  const replicas = createReplicaTable();
+  replicas.put(engineEntry("a"));
+  const replica = replicas.get("a");
+  if (replica === undefined) throw new Error("a replica is missing");
+  const state = { isReachable: false, tries: 0 };
+  const crashes: ReplicaCrash[] = [];
+  const watch = createCrashWatch({
+    replicas,
+    client: {
+      isReachable: () => {
+        state.tries += 1;
+        return Promise.resolve(state.isReachable);
+      },
+    },
+    clock,
+    onCrash: (crash) => crashes.push(crash),
+  });
+  const pass = async (): Promise<void> => {
+    clock.advanceTo(clock.monotonic() + crashGathering);
+    for (let turn = 0; turn < 5; turn += 1) await settled();
+  };
+  return { replicas, replica, state, crashes, watch, pass };
+};
+
+describe("watching for crashes", () => {
+  it("tells all that was in flight at once, after one try", async () => {
+    const { replica, state, crashes, watch, pass } = create();
+    watch.noteBroken(replica, "1");
+    watch.noteBroken(replica, "2");
+    await pass();
+    expect([crashes, state.tries]).toEqual([[{ replica: "a", requests: ["1", "2"] }], 1]);
+  });
+
+  it("tells nothing of a replica that only broke a connection", async () => {
+    const { replica, state, crashes, watch, pass } = create();
+    state.isReachable = true;
+    watch.noteBroken(replica, "1");
+    await pass();
+    expect(crashes).toEqual([]);
+  });
+
+  it("tells nothing of one that leaves or has left", async () => {
+    const { replicas, replica, crashes, watch, pass } = create();
+    watch.noteBroken(replica, "1");
+    replicas.markLeaving("a");
+    await pass();
+    watch.noteBroken(replica, "1");
+    await pass();
+    expect(crashes).toEqual([]);
+  });
+});
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -9,6 +9,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
+import { createCrashWatch } from "../crashes/crashWatch.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { UsageCounting } from "../usageLimits/usageLimits.ts";
 import type { Admit } from "./admit.ts";
@@ -131,6 +132,7 @@
     reports: owners.reports,
     estimates,
     health,
+    crashes: createCrashWatch({ replicas, client, clock, onCrash: () => undefined }),
     saving,
     metrics,
     clock,
--- /dev/null
+++ b/src/protocol/forwarding/fingerprint.ts
@@ -0,0 +1,21 @@
+/** What a request asks, as a short text: a caller that sends the same again under another id asks the same. */
+import { hashTexts } from "../prefixLevels.ts";
+import type { CallerRequest } from "./types.ts";
+
+/** 16 hexadecimal digits of a hash. */
+export type Fingerprint = string;
+
+/** What tells requests apart; a caller is known by its key. */
+export type FingerprintedFields = Pick<CallerRequest, "method" | "host" | "target" | "key" | "body">;
+
+const digits = 16;
+
+/**
+ * The key is part of it: what one organisation asks says nothing of what a rival may have answered.
+ *
+ * @returns The same text for the same method, host, path, query, caller and body, in every process.
+ */
+export const fingerprintOf = ({ method, host, target, key, body }: FingerprintedFields): Fingerprint =>
+  hashTexts([method, host, target, key ?? ""], body)
+    .toString(digits)
+    .padStart(digits, "0");
--- a/src/protocol/prefixLevels.ts
+++ b/src/protocol/prefixLevels.ts
@@ -21,6 +21,13 @@
 /** A 64-bit hash of a short string, for ordering and for picking; the same in every process. */
 export const hash64 = (text: string): bigint => xxhash.h64(text);
 
+/** A 64-bit hash of texts, told apart where they end, and of bytes behind them; the same in every process. */
+export const hashTexts = (texts: readonly string[], bytes: Uint8Array): bigint => {
+  const hash = xxhash.create64();
+  for (const text of texts) hash.update(text).update("\u0000");
+  return hash.update(bytes).digest();
+};
+
 /** A 32-bit hash of a short string. */
 export const hash32 = (text: string): number => xxhash.h32(text);
 
