Add a test in which the same request crashes replica after replica; it fails

Reproduces the incident with real routers and replicas that end as processes do: connections reset, port closed, back after a second as a new incarnation. The caller comes back under a new id, at the next router each time.

--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -3,9 +3,9 @@
  * wire as it is told. It speaks raw HTTP/1.1, since most misbehaviour is what a server library would prevent.
  */
 import { once } from "node:events";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 
 /**
@@ -75,6 +75,8 @@
   readonly loadTime?: number;
   /** Every order is answered as if another one were being carried out. */
   readonly refusesOrders?: boolean;
+  /** Requests under which the process ends as soon as it has begun to run them, or in the middle of their stream. */
+  readonly crashesOn?: (run: Run) => "never" | "begin" | "midway";
 }
 
 /** A running replica. */
@@ -87,8 +89,14 @@
   readonly version: () => number;
   /** Behaviours of the next requests, first to last; then they are answered well. */
   readonly behave: (...behaviours: readonly Behaviour[]) => void;
+  /** Ends as a killed process does: all connections are reset, and the port is closed. */
+  readonly crash: () => void;
+  readonly hasCrashed: () => boolean;
 }
 
+/** Pauses between events from the beginning of a run until the crash that it causes. */
+const crashPauses = 2;
+
 const sealOf = (id: string, run: Run): string => `${id}.${run.id}`;
 
 const readBody = async (request: IncomingMessage): Promise<string> => {
@@ -156,14 +164,38 @@
   } else if (behaviour === "unsealed") writeRaw(response, [length], body);
 };
 
+/** @returns What closes a server's port and resets its connections, as the end of its process does. */
+const createReset = (server: Server): (() => void) => {
+  const sockets = new Set<Socket>();
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.on("close", () => sockets.delete(socket));
+  });
+  return () => {
+    server.close();
+    for (const socket of sockets) socket.resetAndDestroy();
+  };
+};
+
+/** What an order comes with, checked against what a replica is doing. */
+const isConflict = (order: Omit<ReceivedOrder, "at">, accepted: number): boolean =>
+  order.expectedRev !== undefined && order.expectedRev !== accepted;
+
 /** Starts a replica on a free port. */
 export const startReplicaStandIn = async (settings: ReplicaSettings): Promise<ReplicaStandIn> => {
   const { id, model, events = { count: 5, pause: 5 }, loadTime = 30, refusesOrders = false } = settings;
+  const { crashesOn = () => "never" } = settings;
   const runs: Run[] = [];
   const orders: ReceivedOrder[] = [];
   let behaviours: Behaviour[] = [];
   let version = model?.version ?? 0;
   let isLoading = false;
+  let hasCrashed = false;
+
+  const crash = (): void => {
+    hasCrashed = true;
+    resetAll();
+  };
 
   const reportOf = () => ({
     stage: "colocated",
@@ -206,9 +238,9 @@
   const run = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { headers, method = "", url: target = "" } = request;
     const behaviour = behaviours.shift() ?? "well";
-    const attempt = String(headers["x-attempt-id"]);
+    const asked = { id: String(headers["x-attempt-id"]), method, target, headers };
     if (behaviour === "early") {
-      answerEarly(id, attempt, response);
+      answerEarly(id, asked.id, response);
       await readBody(request);
       return;
     }
@@ -227,21 +259,19 @@
       return;
     }
     const at = performance.now();
-    const made: Run = {
-      id: attempt,
-      method,
-      target,
-      headers,
-      body,
-      at,
-      weightsVersion: version,
-      wasCut: false,
-    };
+    const made: Run = { ...asked, body, at, weightsVersion: version, wasCut: false };
     runs.push(made);
     response.on("close", () => {
       made.wasCut = !response.writableFinished;
     });
     if (behaviour === "hang") return;
+    const crashing = crashesOn(made);
+    if (crashing !== "never") {
+      if (crashing === "midway") void streamEvents(made, response, Number.POSITIVE_INFINITY);
+      await sleep(events.pause * crashPauses);
+      crash();
+      return;
+    }
     if (behaviour === "fail") refuse(response, 500, headersOf(made));
     else if (isStream(made) && behaviour === "cut") await streamEvents(made, response, 2);
     else if (behaviour !== "well") misbehave(id, events.pause, made, response, behaviour);
@@ -251,11 +281,7 @@
 
   const takeOrder = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const order = JSON.parse(await readBody(request)) as Omit<ReceivedOrder, "at">;
-    if (
-      refusesOrders ||
-      isLoading ||
-      (order.expectedRev !== undefined && order.expectedRev !== orders.length)
-    ) {
+    if (refusesOrders || isLoading || isConflict(order, orders.length)) {
       refuse(response, 409);
       return;
     }
@@ -272,11 +298,14 @@
     else if (request.url === "/-/order") void takeOrder(request, response);
     else void run(request, response);
   });
+  const resetAll = createReset(server);
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
   return {
     id,
+    crash,
+    hasCrashed: () => hasCrashed,
     address: `127.0.0.1:${port}`,
     runs,
     orders,
--- /dev/null
+++ b/tests/platform/crashingRequests.test.ts
@@ -0,0 +1,107 @@
+/**
+ * A request whose content crashes the replica that runs it came again and again, each time under a new id and at any
+ * router. Routers counted attempts by id and failures by replica, so that every try was a first one to all of them: it
+ * went to two replicas, both ended, the caller got 502 and came back. On the recorded day one such request ended 27
+ * engine processes and another 39, and each took the long streams with it that ran beside. Lines of the first run of
+ * this test, from two routers, with the same content under two ids:
+ *
+ * `attempt_failed request=request-16 replica=plain-3-start1 fault=closed_early`,
+ * `crashed replica=plain-3-start1 requests=b5d7eaa8d327de94`,
+ * `attempt_failed request=request-17 replica=plain-1-start1 fault=closed_early`,
+ * `crashed replica=plain-1-start1 requests=b5d7eaa8d327de94`.
+ */
+import type { TestContext } from "node:test";
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
+import type { CallerAnswer, CallerCall, PlatformSystem } from "../../standIns/platform/system.ts";
+import {
+  call,
+  hosts,
+  isReady,
+  promptHeaders,
+  startPlatformSystem,
+  until,
+} from "../../standIns/platform/system.ts";
+import type { CrashingReplicas } from "../support/crashingReplicas.ts";
+import { bodies, startCrashingReplicas } from "../support/crashingReplicas.ts";
+
+/** Crashes after which a request is no more to be run, and runs that may still follow. */
+const allowed = { crashes: 3, further: 3 } as const;
+
+/** Between two tries of a caller, milliseconds: engines that crashed are back meanwhile. */
+const tryInterval = 120;
+
+const read: CallerCall = { host: hosts.desk, path: "/read/2f", body: "look up" };
+const tag: CallerCall = { host: hosts.model, path: "/tag/2f", body: "tag", headers: promptHeaders() };
+
+const startSystem = async (routers = 3) => {
+  const system = await startPlatformSystem({ desks: 0, engines: 0 });
+  while (system.routers.length < routers) await system.startRouter();
+  const replicas = await startCrashingReplicas(system, { desks: 4, engines: 4 });
+  await until(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
+  await until(async () => (await Promise.all(system.routers.map((each) => call(each, tag)))).every(isServed));
+  await until(async () =>
+    (await Promise.all(system.routers.map((each) => call(each, read)))).every(isServed),
+  );
+  return {
+    system,
+    replicas,
+    [Symbol.asyncDispose]: async () => {
+      await replicas[Symbol.asyncDispose]();
+      await system[Symbol.asyncDispose]();
+    },
+  };
+};
+
+const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
+
+const routerOfTurn = ({ routers }: Pick<PlatformSystem, "routers">, turn: number): ForwardingRouter => {
+  const router = routers[turn % routers.length];
+  if (router === undefined) throw new Error("There is no router.");
+  return router;
+};
+
+/** Sends the same again and again, each time to the next router. */
+const repeat = async (
+  system: PlatformSystem,
+  asked: CallerCall,
+  times: number,
+): Promise<readonly CallerAnswer[]> => {
+  const answers: CallerAnswer[] = [];
+  for (let turn = 0; turn < times; turn += 1) {
+    answers.push(await call(routerOfTurn(system, turn), asked));
+    await sleep(tryInterval);
+  }
+  return answers;
+};
+
+/** Every run of such a request crashes its replica. @param before - Runs that were counted before. */
+const expectBounded = (context: TestContext, replicas: CrashingReplicas, body: string, before = 0): void => {
+  const runs = replicas.runsOf(body).length - before;
+  context.diagnostic(`"${body}" ran ${runs} times`);
+  expect(runs >= allowed.crashes && runs <= allowed.crashes + allowed.further).toEqual(true);
+};
+
+describe("a request that crashes the replicas that run it", () => {
+  it("reaches no more than three after it has crashed three, if it is plain", async (context) => {
+    await using started = await startSystem();
+    const { system, replicas } = started;
+    for (const path of ["/read/2f", "/post/2f"]) {
+      const before = replicas.runsOf(bodies.deadly).length;
+      await repeat(system, { ...read, path, body: bodies.deadly }, 25);
+      expectBounded(context, replicas, bodies.deadly, before);
+    }
+  });
+
+  it("reaches no more than three after it has crashed three, if it is a stream", async (context) => {
+    await using started = await startSystem();
+    const { system, replicas } = started;
+    await repeat(system, { ...tag, path: "/ask/2f", body: bodies.deadly }, 25);
+    expectBounded(context, replicas, bodies.deadly);
+    // A stream that may be resumed crashes the engine that it goes on at as well.
+    await repeat(system, { ...tag, body: bodies.deadlyMidway }, 25);
+    expectBounded(context, replicas, bodies.deadlyMidway);
+  });
+});
