Send a request that has crashed three replicas to no further one

Cause: attempts were counted by the id of a caller's attempt, failures by replica. What was asked was remembered nowhere, so that the same request under new ids ended engine after engine. Change: src/coordination/crashes. Routers tell one another what was in flight at each crash; a request at three crashes and answered nowhere since is held back by all, in every kind of route, before each attempt and each resumption, and right before its first byte leaves. Of several at the same replicas the likeliest cause is held back, and its crashes count against no other. A whole answer anywhere clears a request. Callers get 503 held_back, not run, at once, with the time until that may change.

--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -14,6 +14,7 @@
   createReplicaOwners,
 } from "../../src/coordination/replicaOwners/replicaOwners.ts";
 import { createShutdown } from "../../src/coordination/forwarding/shutdown.ts";
+import { noQuarantine } from "../../src/coordination/crashes/quarantine.ts";
 import { noUsageLimits } from "../../src/coordination/usageLimits/usageLimits.ts";
 import type { ForwardingBounds } from "../../src/coordination/forwarding/types.ts";
 import type { ManualClock } from "../../src/coordination/manualClock.ts";
@@ -145,6 +146,7 @@
     holders,
     longestReadAge: () => Number.POSITIVE_INFINITY,
     onNewerConfiguration: () => undefined,
+    quarantine: noQuarantine,
   });
   peers.add(all);
   const owners = createReplicaOwners({
@@ -166,7 +168,16 @@
   const { forwarder } = createDecisions({
     dataCentre: self.dataCentre,
     client,
-    beliefs: { configuration, replicas, holders, peers, owners, cacheStore, limits: noUsageLimits },
+    beliefs: {
+      configuration,
+      replicas,
+      holders,
+      peers,
+      owners,
+      cacheStore,
+      limits: noUsageLimits,
+      quarantine: noQuarantine,
+    },
     admit: createAdmit(configuration, bounds, clock),
     shutdown: createShutdown(clock, bounds),
     bounds,
--- a/src/coordination/crashes/crashWatch.test.ts
+++ b/src/coordination/crashes/crashWatch.test.ts
@@ -5,8 +5,11 @@
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { createManualClock } from "../manualClock.ts";
 import { crashGathering } from "./constants.ts";
-import type { ReplicaCrash } from "./crashWatch.ts";
 import { createCrashWatch } from "./crashWatch.ts";
+import type { ReplicaCrash, Suspect } from "./types.ts";
+
+const first: Suspect = { fingerprint: "1", hasBegun: false };
+const second: Suspect = { fingerprint: "2", hasBegun: true };
 
 const create = () => {
   const clock = createManualClock(1_000);
@@ -37,26 +40,26 @@
 describe("watching for crashes", () => {
   it("tells all that was in flight at once, after one try", async () => {
     const { replica, state, crashes, watch, pass } = create();
-    watch.noteBroken(replica, "1");
-    watch.noteBroken(replica, "2");
+    watch.noteBroken(replica, first);
+    watch.noteBroken(replica, second);
     await pass();
-    expect([crashes, state.tries]).toEqual([[{ replica: "a", requests: ["1", "2"] }], 1]);
+    expect([crashes, state.tries]).toEqual([[{ replica: "a", suspects: [first, second] }], 1]);
   });
 
   it("tells nothing of a replica that only broke a connection", async () => {
     const { replica, state, crashes, watch, pass } = create();
     state.isReachable = true;
-    watch.noteBroken(replica, "1");
+    watch.noteBroken(replica, first);
     await pass();
     expect(crashes).toEqual([]);
   });
 
   it("tells nothing of one that leaves or has left", async () => {
     const { replicas, replica, crashes, watch, pass } = create();
-    watch.noteBroken(replica, "1");
+    watch.noteBroken(replica, first);
     replicas.markLeaving("a");
     await pass();
-    watch.noteBroken(replica, "1");
+    watch.noteBroken(replica, first);
     await pass();
     expect(crashes).toEqual([]);
   });
--- a/src/coordination/crashes/crashWatch.ts
+++ b/src/coordination/crashes/crashWatch.ts
@@ -2,7 +2,6 @@
  * Tells replicas whose process has ended from those that only broke a connection: the first can't be connected to
  * either. What was in flight there when it ended is told with it, since one of these requests may be the cause.
  */
-import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { createLogger } from "../../state/log.ts";
@@ -10,27 +9,21 @@
 import { pause } from "../clock.ts";
 import { reachProbeTimeout } from "../forwarding/constants.ts";
 import { crashGathering } from "./constants.ts";
-
-/** A replica's process has ended with requests of this router in flight. */
-export interface ReplicaCrash {
-  /** The incarnation's id. */
-  readonly replica: string;
-  readonly requests: readonly Fingerprint[];
-}
+import type { ReplicaCrash, Suspect } from "./types.ts";
 
 /** What watching works with. */
 export interface CrashWatchParts {
   readonly replicas: Pick<ReplicaTable, "get">;
   readonly client: Pick<ReplicaClient, "isReachable">;
   readonly clock: Clock;
-  /** Called again where a request of the same replica is found broken later. */
+  /** Called again where requests of the same replica are found broken later. */
   readonly onCrash: (crash: ReplicaCrash) => void;
 }
 
 /** See {@link createCrashWatch}. */
 export interface CrashWatch {
   /** The connection of a request that was in flight at a replica broke. */
-  readonly noteBroken: (replica: ReplicaState, request: Fingerprint) => void;
+  readonly noteBroken: (replica: ReplicaState, suspect: Suspect) => void;
 }
 
 const writeLog = createLogger("replicas");
@@ -38,7 +31,7 @@
 /** Creates a watch. */
 export const createCrashWatch = ({ replicas, client, clock, onCrash }: CrashWatchParts): CrashWatch => {
   /** By id of a replica that is being tried: its broken requests. */
-  const gathered = new Map<string, Set<Fingerprint>>();
+  const gathered = new Map<string, Suspect[]>();
 
   /** One that leaves ends its process as well, and what it cuts is cut on purpose. */
   const mayCrash = (replica: ReplicaState): boolean =>
@@ -48,20 +41,21 @@
     const { entry } = replica;
     await pause(clock, crashGathering);
     const isReachable = await client.isReachable(entry, reachProbeTimeout);
-    const requests = [...(gathered.get(entry.id) ?? [])];
+    const suspects = gathered.get(entry.id) ?? [];
     gathered.delete(entry.id);
     if (isReachable || !mayCrash(replica)) return;
-    writeLog("crashed", { replica: entry.id, service: entry.service, requests: requests.join(" ") });
-    onCrash({ replica: entry.id, requests });
+    const requests = suspects.map(({ fingerprint }) => fingerprint).join(" ");
+    writeLog("crashed", { replica: entry.id, service: entry.service, requests });
+    onCrash({ replica: entry.id, suspects });
   };
 
   return {
-    noteBroken: (replica, request) => {
+    noteBroken: (replica, suspect) => {
       if (!mayCrash(replica)) return;
       const known = gathered.get(replica.entry.id);
-      known?.add(request);
+      known?.push(suspect);
       if (known !== undefined) return;
-      gathered.set(replica.entry.id, new Set([request]));
+      gathered.set(replica.entry.id, [suspect]);
       void judge(replica);
     },
   };
--- /dev/null
+++ b/src/coordination/crashes/quarantine.ts
@@ -0,0 +1,215 @@
+/**
+ * Holds back requests that crash the replicas that run them, whoever they come through and under whatever id.
+ *
+ * The load pattern that it answers: a caller sends the same again and again; each run ends a process, and the streams
+ * that ran beside it with it. Routers tell one another which requests were in flight at each crash. One that was at
+ * three, and answered nowhere since, is sent to no replica any more; where several were at the same replicas, the
+ * likeliest cause is, and its crashes count against no other. Any whole answer clears a request at once, so that
+ * popular ones, in flight at every crash, are cleared by their next answer somewhere. One that was held back by
+ * chance has its way back by a trial, which one router of all makes. The platform's store keeps what was decided.
+ */
+import type { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
+import type { CrashMessage } from "../../protocol/forwarding/crashMessage.ts";
+import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
+import { fingerprintOf } from "../../protocol/forwarding/fingerprint.ts";
+import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
+import type { CallerRequest, QuarantineRecord } from "../../protocol/forwarding/types.ts";
+import { createLogger } from "../../state/log.ts";
+import type { Clock } from "../clock.ts";
+import type { LiveRouter } from "../replicaOwners/owners.ts";
+import { settleTime, undecidedComeBack } from "./constants.ts";
+import { createCrashEvidence } from "./crashEvidence.ts";
+import { createCrashNews } from "./crashNews.ts";
+import { createHeldRequests } from "./heldRequests.ts";
+import { createQuarantineRecords } from "./quarantineRecords.ts";
+import { createRecordsCheck } from "./recordsCheck.ts";
+import { startRecordsUpkeep } from "./recordsUpkeep.ts";
+import { createTrials } from "./trials.ts";
+import type { ReplicaCrash } from "./types.ts";
+
+/** What a quarantine works with. */
+export interface QuarantineParts {
+  readonly link: DatagramLink;
+  readonly clock: Clock;
+  readonly feed: RecordFeed<QuarantineRecord>;
+  /** @returns The other routers that may be serving, silent ones included. */
+  readonly others: () => readonly Pick<LiveRouter, "at">[];
+  /** A number from 0 to 1. */
+  readonly random: () => number;
+}
+
+/** What decisions about requests ask of a quarantine. */
+export interface QuarantineChecks {
+  /** @returns Whether a request must not be sent at this moment. */
+  readonly isHeld: (request: CallerRequest) => boolean;
+  /**
+   * A request is to be passed on; where it is held back and its trial is due, this router may get to make it.
+   *
+   * @returns Milliseconds after which it is worth another try; nothing if it may be passed on.
+   */
+  readonly ask: (request: CallerRequest) => Promise<number | undefined> | undefined;
+  /** @returns Milliseconds after which a request that is held back is worth another try. */
+  readonly comeBackAfter: (request: CallerRequest) => number;
+  /** A replica has answered it whole. */
+  readonly noteAnswered: (request: CallerRequest) => void;
+  /** An attempt of it failed after it was sent: a trial is over then. */
+  readonly noteFailed: (request: CallerRequest) => void;
+  /** A replica crashed with requests of this router in flight. */
+  readonly noteCrash: (crash: ReplicaCrash) => void;
+}
+
+/** By which peers find out that they don't hold back the same. */
+export interface QuarantineDigests {
+  /** Of what is held back here. */
+  readonly digest: () => number;
+  /** A peer holds back what has this digest. */
+  readonly notePeerDigest: (digest: number) => void;
+}
+
+/** See {@link createQuarantine}. */
+export interface Quarantine extends QuarantineChecks, QuarantineDigests, AsyncDisposable {
+  /** Whether what the store knows has been read, or was waited for long enough. */
+  readonly isKnown: () => boolean;
+}
+
+/** Where nothing is ever held back. */
+export const noQuarantine: QuarantineChecks & QuarantineDigests = {
+  digest: () => 0,
+  notePeerDigest: () => undefined,
+  isHeld: () => false,
+  ask: () => undefined,
+  comeBackAfter: () => 0,
+  noteAnswered: () => undefined,
+  noteFailed: () => undefined,
+  noteCrash: () => undefined,
+};
+
+/** Why a request is held back: by what crashes show, a peer's word, or the store's. */
+type HoldReason = "crashes" | "told" | "recorded";
+
+/** Why it is held back no more: an answer here, a peer's word, the store's, or for its time. */
+type ReleaseReason = "answered" | "told" | "recorded" | "lapsed";
+
+const writeLog = createLogger("quarantine");
+
+/** Creates a quarantine, which is kept up until it is disposed of. */
+export const createQuarantine = (parts: QuarantineParts): Quarantine => {
+  const { clock, random } = parts;
+  const held = createHeldRequests(clock);
+  const evidence = createCrashEvidence(held.has);
+  const fingerprints = new WeakMap<CallerRequest, Fingerprint>();
+  let callOffDecision: (() => void) | undefined;
+
+  const nameOf = (request: CallerRequest): Fingerprint => {
+    const known = fingerprints.get(request);
+    if (known !== undefined) return known;
+    const made = fingerprintOf(request);
+    fingerprints.set(request, made);
+    return made;
+  };
+
+  const hold = (fingerprint: Fingerprint, why: HoldReason): void => {
+    if (!held.add(fingerprint, evidence.isOwn(fingerprint))) return;
+    upkeep.keep(fingerprint);
+    writeLog("held", { held: fingerprint, crashes: evidence.crashesOf(fingerprint), why });
+  };
+
+  const decide = (): void => {
+    callOffDecision = undefined;
+    for (let cause = evidence.likeliestCause(); cause !== undefined; cause = evidence.likeliestCause()) {
+      hold(cause, "crashes");
+      news.tell("held", cause);
+      void records.write(cause);
+    }
+  };
+
+  const decideSoon = (): void => {
+    callOffDecision ??= clock.after(settleTime, decide);
+  };
+
+  const release = (fingerprint: Fingerprint, why: ReleaseReason): void => {
+    evidence.clear(fingerprint);
+    if (!held.has(fingerprint)) return;
+    held.remove(fingerprint);
+    writeLog("released", { held: fingerprint, why });
+    // The crashes that it explained have another cause.
+    decideSoon();
+  };
+
+  /** The same, and the store is to forget it too. */
+  const end = (fingerprint: Fingerprint, why: ReleaseReason): void => {
+    if (held.has(fingerprint)) upkeep.drop(fingerprint);
+    release(fingerprint, why);
+  };
+
+  const records = createQuarantineRecords({
+    feed: parts.feed,
+    held,
+    onHeld: (fingerprint, record) => {
+      // Released here, and the store has not heard of it.
+      if (upkeep.isDropping(fingerprint)) return;
+      hold(fingerprint, "recorded");
+      held.take(fingerprint, record);
+    },
+    onReleased: (fingerprint) => release(fingerprint, "recorded"),
+  });
+  const upkeep = startRecordsUpkeep({ held, records, clock, onLapsed: (each) => end(each, "lapsed") });
+  const check = createRecordsCheck({ clock, random, digest: held.digest, read: records.read });
+  const trials = createTrials({ held, records, clock });
+
+  const isUndecided = (fingerprint: Fingerprint): boolean =>
+    !held.has(fingerprint) && evidence.isCause(fingerprint);
+
+  const noteEvidence = ({ replica, suspects }: ReplicaCrash, isOwn: boolean): void => {
+    evidence.note(replica, suspects, isOwn);
+    if (suspects.some(({ fingerprint }) => isUndecided(fingerprint))) decideSoon();
+  };
+
+  const takeNews = (message: CrashMessage): void => {
+    if (message.kind === "crash") noteEvidence(message, false);
+    else if (message.kind === "held") for (const each of message.fingerprints) hold(each, "told");
+    else for (const each of message.fingerprints) release(each, "told");
+  };
+  const news = createCrashNews({ ...parts, take: takeNews });
+
+  const isHeld = (request: CallerRequest): boolean => {
+    if (held.size() === 0 && callOffDecision === undefined) return false;
+    const fingerprint = nameOf(request);
+    return (held.has(fingerprint) || isUndecided(fingerprint)) && !trials.has(request);
+  };
+
+  const comeBackAfter = (request: CallerRequest): number =>
+    Math.max(undecidedComeBack, held.untilChange(nameOf(request)));
+
+  const answer = async (request: CallerRequest): Promise<number | undefined> => {
+    await upkeep.known;
+    if (!isHeld(request) || (await trials.claim(request, nameOf(request)))) return undefined;
+    return isHeld(request) ? comeBackAfter(request) : undefined;
+  };
+
+  return {
+    isKnown: upkeep.isKnown,
+    digest: held.digest,
+    notePeerDigest: check.notePeerDigest,
+    isHeld,
+    comeBackAfter,
+    ask: (request) => (upkeep.isKnown() && !isHeld(request) ? undefined : answer(request)),
+    noteAnswered: (request) => {
+      if (evidence.isEmpty() && held.size() === 0) return;
+      const fingerprint = nameOf(request);
+      if (!evidence.isSuspected(fingerprint) && !held.has(fingerprint)) return;
+      end(fingerprint, "answered");
+      news.tell("answered", fingerprint);
+    },
+    noteFailed: trials.end,
+    noteCrash: (crash) => {
+      noteEvidence(crash, true);
+      news.tellCrash(crash);
+    },
+    [Symbol.asyncDispose]: async () => {
+      callOffDecision?.();
+      await news[Symbol.asyncDispose]();
+      await upkeep[Symbol.asyncDispose]();
+    },
+  };
+};
--- /dev/null
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -0,0 +1,126 @@
+/**
+ * What the platform's store keeps of requests that are held back, for routers that start later, for all of them after
+ * a common restart, and for those that were cut off when it was decided. Its order of records decides whose trial
+ * counts.
+ */
+import { randomBytes } from "node:crypto";
+import { PlatformError } from "../../protocol/errors.ts";
+import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
+import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
+import type { FeedRecord, QuarantineRecord } from "../../protocol/forwarding/types.ts";
+import { createLogger } from "../../state/log.ts";
+import type { HeldRequests } from "./heldRequests.ts";
+
+/** What keeping works with. */
+export interface QuarantineRecordsParts {
+  readonly feed: RecordFeed<QuarantineRecord>;
+  readonly held: HeldRequests;
+  /** A request that the store knows as held back. */
+  readonly onHeld: (fingerprint: Fingerprint, record: QuarantineRecord) => void;
+  /** One that it knows as such no more. */
+  readonly onReleased: (fingerprint: Fingerprint) => void;
+}
+
+/** See {@link createQuarantineRecords}. Methods resolve with whether the store could be reached. */
+export interface QuarantineRecords {
+  /** Takes everything that the store knows by now. */
+  readonly read: () => Promise<boolean>;
+  /** Records a request that is held back, unless somebody has. */
+  readonly write: (fingerprint: Fingerprint) => Promise<boolean>;
+  readonly drop: (fingerprint: Fingerprint) => Promise<boolean>;
+  /** @returns Whether the next trial of a request is this router's. */
+  readonly claimTrial: (fingerprint: Fingerprint) => Promise<boolean>;
+}
+
+const trialNameBytes = 9;
+
+const writeLog = createLogger("quarantine");
+
+/** Creates records of which nothing has been read. */
+export const createQuarantineRecords = (parts: QuarantineRecordsParts): QuarantineRecords => {
+  const { feed, held } = parts;
+  let nextOffset: number | undefined;
+  let isFailing = false;
+  let last: Promise<boolean> = Promise.resolve(true);
+
+  const apply = ({ key, value }: FeedRecord<QuarantineRecord>): void => {
+    if (value === undefined) parts.onReleased(key);
+    else parts.onHeld(key, value);
+  };
+
+  const readNewest = async (): Promise<number> => {
+    const page = await feed.newest();
+    const present = new Set(page.records.map(({ key }) => key));
+    for (const [fingerprint, { isRecorded }] of held.entries()) {
+      if (isRecorded && !present.has(fingerprint)) parts.onReleased(fingerprint);
+    }
+    page.records.forEach(apply);
+    return page.nextOffset;
+  };
+
+  const readOn = async (): Promise<void> => {
+    nextOffset ??= await readNewest();
+    for (;;) {
+      const page = await feed.changes(nextOffset, 0);
+      page.records.forEach(apply);
+      nextOffset = page.nextOffset;
+      if (page.isComplete) return;
+    }
+  };
+
+  const readAll = async (): Promise<void> => {
+    try {
+      await readOn();
+    } catch (error) {
+      if (!(error instanceof PlatformError) || error.fault !== "expired") throw error;
+      // Records that were trimmed before they were read: only the newest of each key are to be had.
+      nextOffset = undefined;
+      await readOn();
+    }
+  };
+
+  /** One after another: records are applied in the store's order. */
+  const inTurn = (act: () => Promise<void>): Promise<boolean> => {
+    const before = last;
+    const run = async (): Promise<boolean> => {
+      await before;
+      try {
+        await act();
+        isFailing = false;
+        return true;
+      } catch (error) {
+        if (!isFailing) writeLog("store_failed", { reason: String(error) });
+        isFailing = true;
+        return false;
+      }
+    };
+    last = run();
+    return last;
+  };
+
+  const write = async (fingerprint: Fingerprint): Promise<void> => {
+    await readAll();
+    const known = held.get(fingerprint);
+    if (known === undefined || known.isRecorded) return;
+    await feed.put(fingerprint, known.record);
+    known.isRecorded = true;
+  };
+
+  return {
+    read: () => inTurn(readAll),
+    write: (fingerprint) => inTurn(() => write(fingerprint)),
+    drop: (fingerprint) => inTurn(() => feed.drop(fingerprint)),
+    claimTrial: async (fingerprint) => {
+      const trial = randomBytes(trialNameBytes).toString("base64url");
+      const isDone = await inTurn(async () => {
+        await write(fingerprint);
+        if (!held.isTrialDue(fingerprint)) return;
+        const { trials } = held.get(fingerprint)?.record ?? { trials: 0 };
+        await feed.put(fingerprint, { trials: trials + 1, trial });
+        // The first of several that were recorded at once counts.
+        await readAll();
+      });
+      return isDone && held.get(fingerprint)?.record.trial === trial;
+    },
+  };
+};
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -7,6 +7,7 @@
 import { metricNames } from "../../state/constants.ts";
 import type { Clock } from "../clock.ts";
 import { createStopper } from "../requests/stopper.ts";
+import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { Admit } from "./admit.ts";
 import { attemptPatienceShare } from "./constants.ts";
@@ -29,6 +30,7 @@
   readonly retryShare: RetryShare;
   readonly partWait: PartWait;
   readonly load: LoadAdmission;
+  readonly quarantine: QuarantineChecks;
   readonly metrics: Metrics;
   readonly clock: Clock;
   /** A number from 0 to 1. */
@@ -48,11 +50,15 @@
 
 const firstServerError = 500;
 
+/** Whether a replica may have run what failed. */
+const hasReached = ({ progress }: UpstreamError): boolean =>
+  progress !== "not_sent" && progress !== "refused";
+
 const writeLog = createLogger("requests");
 
 /** Makes attempts by what placement chooses. */
 export const createAttemptLoop = (parts: AttemptLoopParts): AttemptLoop => {
-  const { admit, placement, owners, load, retryShare, metrics, clock } = parts;
+  const { admit, placement, owners, load, quarantine, retryShare, metrics, clock } = parts;
 
   const takeRetry = ({ admission }: ForwardRun): boolean => {
     if (retryShare.tryTake(admission.service.name)) return true;
@@ -61,6 +67,7 @@
   };
 
   const mayRetry = (run: ForwardRun, failure: UpstreamError): boolean => {
+    if (hasReached(failure)) quarantine.noteFailed(run.request);
     if (run.stopper.reason() !== undefined) return false;
     if (failure.progress === "not_sent") return !run.isUnreachable();
     if (failure.progress !== "refused" && !run.mayRepeat) return false;
@@ -92,7 +99,8 @@
     const limit = attemptLimit(run);
     const callOff = limit === undefined ? undefined : clock.after(limit, () => stopper.stop("silent"));
     metrics.count(metricNames.attempts);
-    const mayLeave = (): boolean => admit.isKeyValid(request) && clock.monotonic() < deadline;
+    const mayLeave = (): boolean =>
+      admit.isKeyValid(request) && clock.monotonic() < deadline && !quarantine.isHeld(request);
     const abandon = run.mayRepeat && run.hasAttemptsLeft() ? () => stopper.stop("silent") : undefined;
     try {
       const plan = { request, admission, choice, deadline, lastEventId, mayLeave, abandon };
@@ -129,6 +137,7 @@
   const finalFailure = (run: ForwardRun, failure: UpstreamError | undefined): RequestError => {
     if (run.stopper.reason() === "deadline") return failures.late(run.mayHaveRun(), failure);
     if (run.mayHaveRun()) return failures.unknown(failure);
+    if (quarantine.isHeld(run.request)) return failures.heldBack(quarantine.comeBackAfter(run.request));
     return failures.notRun(run.deadline - clock.monotonic(), failure);
   };
 
@@ -143,7 +152,8 @@
     let failedThere: BegunAnswer | undefined;
     let hasWaited = false;
     let isWide = false;
-    for (;;) {
+    // Each attempt, one that resumes a stream too: the one before may have shown that it crashes replicas.
+    while (!quarantine.isHeld(run.request)) {
       const excluded = failure?.fault === "wrong_weights" ? new Set<string>() : run.sentTo;
       const known = owners.isNeeded() ? await consult(run, excluded, isWide) : undefined;
       const choice = choose(run, excluded, known);
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -10,6 +10,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
 import { createCrashWatch } from "../crashes/crashWatch.ts";
+import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { UsageCounting } from "../usageLimits/usageLimits.ts";
 import type { Admit } from "./admit.ts";
@@ -46,6 +47,7 @@
   readonly owners: Pick<ReplicaOwners, "isNeeded" | "isOwn" | "ask" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "usable">;
   readonly limits: UsageCounting;
+  readonly quarantine: QuarantineChecks;
 }
 
 /** What decisions are made with. */
@@ -89,7 +91,7 @@
 /** Creates decisions; silent replicas are watched until they are disposed of. */
 export const createDecisions = (parts: DecisionParts): Decisions => {
   const { dataCentre, client, beliefs, bounds, policy, clock, metrics, random } = parts;
-  const { configuration, replicas, holders, peers, owners, cacheStore } = beliefs;
+  const { configuration, replicas, holders, peers, owners, cacheStore, quarantine } = beliefs;
   const resources = createResourceStack();
   const estimates = createReplicaEstimates();
   const health = createReplicaHealth(replicas, clock);
@@ -132,7 +134,8 @@
     reports: owners.reports,
     estimates,
     health,
-    crashes: createCrashWatch({ replicas, client, clock, onCrash: () => undefined }),
+    crashes: createCrashWatch({ replicas, client, clock, onCrash: quarantine.noteCrash }),
+    quarantine,
     saving,
     metrics,
     clock,
@@ -143,6 +146,7 @@
     owners,
     attempt,
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
+    quarantine,
     retryShare: createRetryShare({ clock, bounds, routers: peers.countServing }),
     load: createLoadAdmission({ latenessTurnedAway: policy.latenessTurnedAway, metrics, clock, random }),
     metrics,
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -29,6 +29,14 @@
       outcome: outcomes.notRun,
       retryAfterSeconds: comeBackAfterMilliseconds / 1_000,
     }),
+  /** What it asks has crashed the replicas that ran it. @param milliseconds - Until that may be seen otherwise. */
+  heldBack: (milliseconds: number): RequestError =>
+    requestError("Replicas crashed running the same request; it has not run.", {
+      status: 503,
+      code: "held_back",
+      outcome: outcomes.notRun,
+      retryAfterSeconds: milliseconds / 1_000,
+    }),
   /** This router ends before the request would. */
   ending: (): RequestError =>
     requestError("This router is shutting down; the request has not run.", {
--- a/src/coordination/forwarding/feedFollower.test.ts
+++ b/src/coordination/forwarding/feedFollower.test.ts
@@ -26,6 +26,10 @@
     return Promise.resolve();
   }
 
+  override drop(): Promise<void> {
+    return Promise.resolve();
+  }
+
   private next(): Promise<FeedPage<string>> {
     const answer = this.answers.shift();
     if (answer === undefined) return new Promise(() => undefined);
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -50,10 +50,18 @@
 
 /** Creates a forwarder. */
 export const createForwarder = (parts: ForwarderParts): Forwarder => {
-  const { admit, retryShare, configuration, metrics, clock } = parts;
+  const { admit, retryShare, quarantine, configuration, metrics, clock } = parts;
   const loop = createAttemptLoop(parts);
   let open = 0;
 
+  /** Costs nothing but a look where nothing is held back. */
+  const checkQuarantine = async ({ request }: ForwardRun): Promise<void> => {
+    const wait = await quarantine.ask(request);
+    if (wait === undefined) return;
+    metrics.count(metricNames.heldBack);
+    throw failures.heldBack(wait);
+  };
+
   const end = (run: ForwardRun, outcome: RunOutcome, reason?: string): void => {
     const { request, admission, sentTo } = run;
     const choice = run.lastChoice();
@@ -133,6 +141,7 @@
       open += 1;
       try {
         if (!parts.shutdown.mayTake(run.deadline)) throw failures.ending();
+        await checkQuarantine(run);
         await parts.usage.admit(run);
         return await answer(run);
       } catch (error) {
--- a/src/coordination/forwarding/proofModel.test.ts
+++ b/src/coordination/forwarding/proofModel.test.ts
@@ -9,6 +9,7 @@
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { configurationOf, pageOf } from "../../../tests/support/forwardingFixture.ts";
 import { MemoryNetwork } from "../../../tests/support/memoryNetwork.ts";
+import { noQuarantine } from "../crashes/quarantine.ts";
 import { createManualClock } from "../manualClock.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { createConfigurationState } from "./configurationState.ts";
@@ -83,6 +84,7 @@
       holders: { noteKey: () => undefined },
       longestReadAge: () => Number.POSITIVE_INFINITY,
       onNewerConfiguration: () => undefined,
+      quarantine: noQuarantine,
     });
     peers.add(entries);
     return { startedAt, configuration, peers };
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -3,6 +3,7 @@
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { configurationOf, engineEntry, pageOf } from "../../../tests/support/forwardingFixture.ts";
 import { MemoryNetwork } from "../../../tests/support/memoryNetwork.ts";
+import { noQuarantine } from "../crashes/quarantine.ts";
 import { createManualClock } from "../manualClock.ts";
 import { messagesPerInterval, peerIntervals } from "./constants.ts";
 import { createConfigurationState } from "./configurationState.ts";
@@ -36,6 +37,7 @@
       holders: { noteKey: (key, holder, isReady) => noted.push([key, holder, isReady]) },
       longestReadAge: () => longestReadAge,
       onNewerConfiguration: () => newer.push(self.name),
+      quarantine: noQuarantine,
     });
     return { self, replicas, configuration, peers, newer, noted };
   });
@@ -54,6 +56,7 @@
       holders: { noteKey: () => undefined },
       longestReadAge: () => longestReadAge,
       onNewerConfiguration: () => undefined,
+      quarantine: noQuarantine,
     });
     return { configuration, peers, clock: ownClock };
   };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -15,6 +15,7 @@
 import type { ReplicaTable, ReplicaWork } from "../../state/forwarding/replicaTable.ts";
 import { wholeTokens } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
+import type { QuarantineDigests } from "../crashes/quarantine.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { storeReaders } from "../storeReading/constants.ts";
@@ -36,6 +37,7 @@
   readonly longestReadAge: () => number;
   /** A peer knows a newer configuration. */
   readonly onNewerConfiguration: () => void;
+  readonly quarantine: QuarantineDigests;
 }
 
 /** See {@link createRouterPeers}. */
@@ -138,6 +140,16 @@
   if (echoedAt !== undefined) configuration.confirmVersion(version, echoedAt - age);
 };
 
+/** @returns When the message was sent that a peer echoes; nothing if it was not sent within a span by this process. */
+const echoedAt = (
+  { echo }: RouterMessage,
+  stampOrigin: number,
+  span: { readonly from: number; readonly until: number },
+): number | undefined => {
+  const at = echo === undefined ? Number.NaN : echo - stampOrigin;
+  return at >= span.from && at <= span.until ? at : undefined;
+};
+
 /** Peers that are told at the same times. */
 interface PeerGroup {
   readonly audience: Audience;
@@ -213,6 +225,7 @@
       work,
       ...news.take(audience),
       wanted: configuration.wantedAges(),
+      held: parts.quarantine.digest(),
       standsDown: !takesDuties(),
       ends,
     };
@@ -271,19 +284,15 @@
     if (!peers.isLarge()) sendAll();
   };
 
-  /** @returns When the message was sent that a peer echoes; nothing if it is none of this process. */
-  const echoedAt = ({ echo }: RouterMessage): number | undefined => {
-    const at = echo === undefined ? Number.NaN : echo - stampOrigin;
-    return at >= startedAt && at <= clock.monotonic() ? at : undefined;
-  };
-
   link.receive((datagram, from) => {
     const message = decodeRouterMessage(datagram);
     const peer = message && peers.hear(message, from);
     if (message === undefined || peer === undefined) return;
     replicas.noteWork(peer.name, peer.ends ? noWork : byReplica(message.work));
     takeNews(message, { ...parts, cacheStores: () => configuration.table()?.cacheStores ?? [] });
-    takeConfiguration(message, echoedAt(message), parts);
+    const sinceStart = { from: startedAt, until: clock.monotonic() };
+    takeConfiguration(message, echoedAt(message, stampOrigin, sinceStart), parts);
+    parts.quarantine.notePeerDigest(message.held);
   });
 
   let callOffTurn = clock.after(0, turn);
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -10,6 +10,8 @@
 import { cachedMemoryShare, cacheStoreAskers } from "../coordination/forwarding/constants.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
+import type { Quarantine } from "../coordination/crashes/quarantine.ts";
+import { createQuarantine } from "../coordination/crashes/quarantine.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import type { ReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
 import type { UsageLimits } from "../coordination/usageLimits/usageLimits.ts";
@@ -45,6 +47,7 @@
   readonly owners: ReplicaOwners;
   readonly cacheStore: CacheStoreFollower;
   readonly limits: UsageLimits;
+  readonly quarantine: Quarantine;
   /** Whether the registry has been read. */
   readonly knowsReplicas: () => boolean;
 }
@@ -78,6 +81,10 @@
       holders,
       longestReadAge: () => following.longestReadAge(),
       onNewerConfiguration: () => following.readOn(),
+      quarantine: {
+        digest: () => quarantine.digest(),
+        notePeerDigest: (digest) => quarantine.notePeerDigest(digest),
+      },
     }),
   );
 
@@ -116,6 +123,16 @@
     }),
   );
 
+  const quarantine: Quarantine = resources.use(
+    createQuarantine({
+      link: parts.link,
+      clock,
+      feed: platform.quarantine,
+      others: peers.serving,
+      random: Math.random,
+    }),
+  );
+
   const following: StoreFollowing = resources.use(
     followStore({
       platform,
@@ -152,6 +169,7 @@
     owners,
     cacheStore,
     limits,
+    quarantine,
     knowsReplicas: following.knowsReplicas,
     [Symbol.asyncDispose]: () => {
       isOver = true;
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -140,7 +140,8 @@
     }),
   );
 
-  const isReady = (): boolean => !shutdown.isUnderWay() && beliefs.knowsReplicas() && admit.isFresh();
+  const isReady = (): boolean =>
+    !shutdown.isUnderWay() && beliefs.knowsReplicas() && beliefs.quarantine.isKnown() && admit.isFresh();
 
   const server = resources.use(
     await startForwardingServer({
--- a/src/protocol/forwarding/ForwardingPlatform.ts
+++ b/src/protocol/forwarding/ForwardingPlatform.ts
@@ -2,7 +2,7 @@
 import type { ForwardingWire } from "./ForwardingWire.ts";
 import type { RecordFeed } from "./RecordFeed.ts";
 import type { ReplicaClient } from "./ReplicaClient.ts";
-import type { OperatorRecord, ReplicaEntry, RouterEntry } from "./types.ts";
+import type { OperatorRecord, QuarantineRecord, ReplicaEntry, RouterEntry } from "./types.ts";
 
 /** Where the platform's store is. */
 export interface PlatformAddress {
@@ -21,6 +21,8 @@
   readonly replicas: RecordFeed<ReplicaEntry>;
   /** The key of a record is the router's name. */
   readonly routers: RecordFeed<RouterEntry>;
+  /** Requests that crash replicas; the key of a record is the request's fingerprint. */
+  readonly quarantine: RecordFeed<QuarantineRecord>;
   readonly replicaClient: ReplicaClient;
 }
 
--- a/src/protocol/forwarding/RecordFeed.ts
+++ b/src/protocol/forwarding/RecordFeed.ts
@@ -14,4 +14,7 @@
 
   /** Makes a record the newest of its key. */
   abstract put(key: string, value: T): Promise<void>;
+
+  /** Drops a key. */
+  abstract drop(key: string): Promise<void>;
 }
--- a/src/protocol/forwarding/peerMessage.test.ts
+++ b/src/protocol/forwarding/peerMessage.test.ts
@@ -26,6 +26,7 @@
   leaving: fc.array(key),
   holders: fc.array(record({ part: fc.nat({ max: 2 ** 32 - 1 }), replica: key, isReady: fc.boolean() })),
   wanted: fc.array(record({ model: text, version: count, age: small })),
+  held: fc.nat({ max: 2 ** 32 - 1 }),
   standsDown: fc.boolean(),
   ends: fc.boolean(),
 });
@@ -76,6 +77,7 @@
       leaving: [],
       holders: [],
       wanted: [],
+      held: 0,
       standsDown: false,
       ends: false,
     };
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -96,13 +96,15 @@
   /** As far as the sender has just learned. */
   readonly holders: readonly ToldHolder[];
   readonly wanted: readonly ToldTarget[];
+  /** Digest of the requests that the sender holds back, 32 bits. */
+  readonly held: number;
   /** The sender takes no duties any more. */
   readonly standsDown: boolean;
   readonly ends: boolean;
 }
 
 /** Messages of another form are not read. */
-const form = 3;
+const form = 4;
 
 const flags = { echo: 1, configuration: 2, standsDown: 4, ends: 8 } as const;
 
@@ -151,6 +153,7 @@
     writer.list(promptTokens, writer.count);
   });
   writeNews(writer, message);
+  writer.count(message.held);
   return writer.finish();
 };
 
@@ -183,6 +186,7 @@
     leaving: reader.list(reader.key),
     holders: readHolders(reader),
     wanted: reader.list(() => readTarget(reader)),
+    held: reader.count(),
     standsDown: has(flags.standsDown),
     ends: has(flags.ends),
   };
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -170,6 +170,14 @@
   readonly port: number;
 }
 
+/** A request that is sent to no replica, since it crashes those that run it. */
+export interface QuarantineRecord {
+  /** How often it was tried since. */
+  readonly trials: number;
+  /** Names the newest trial; empty before the first one. */
+  readonly trial: string;
+}
+
 /** A part of a prompt, in the order in which it is computed. */
 export interface PromptPart {
   readonly id: string;
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -4,6 +4,7 @@
   requestTime: "request_ms",
   refusals: "refusals",
   limited: "limited",
+  heldBack: "held_back",
   attempts: "attempts",
   retries: "retries",
   retriesDenied: "retries_denied",
