--- a/src/coordination/crashes/recordsCheck.ts
+++ b/src/coordination/crashes/recordsCheck.ts
@@ -24,7 +24,8 @@
 
 /** Creates a check that has seen no difference. */
 export const createRecordsCheck = ({ clock, random, digest, read }: RecordsCheckParts): RecordsCheck => {
-  let differsSince: number | undefined;
+  /** By digest that peers have told and this router does not have: since when. */
+  const different = new Map<number, number>();
   let mayReadAt = Number.NEGATIVE_INFINITY;
   let delay: number = differenceDelays.first;
   let isReading = false;
@@ -37,19 +38,18 @@
     const isChanged = digest() !== before;
     delay = isChanged ? differenceDelays.first : Math.min(differenceDelays.longest, delay * 2);
     mayReadAt = clock.monotonic() + delay * (0.5 + random() / 2);
-    differsSince = undefined;
+    different.clear();
   };
 
   return {
     notePeerDigest: (theirs) => {
-      if (theirs === digest()) {
-        differsSince = undefined;
-        return;
-      }
+      // Those that were cut off together agree with one another: that says nothing of the rest.
+      if (theirs === digest()) return;
       const now = clock.monotonic();
-      differsSince ??= now;
+      const since = different.get(theirs) ?? now;
+      different.set(theirs, since);
       // What was decided just now is on its way.
-      if (now - differsSince < differenceTime || now < mayReadAt || isReading) return;
+      if (now - since < differenceTime || now < mayReadAt || isReading) return;
       void readNow();
     },
   };
