Count only replicas as crashed that refuse connections, not those that nothing is heard of

Cause (found by reading): a router that is cut off finds every replica out of reach; with its connections reset it took all of them for crashed, and held back what it had in flight at three of them. Change: a try to connect says whether it was refused or met silence; one type of suspects in the protocol layer; explain tells of requests that are held back.

--- a/bench/lab/labReplicaClient.ts
+++ b/bench/lab/labReplicaClient.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "../../src/coordination/clock.ts";
 import { pause } from "../../src/coordination/clock.ts";
 import { upstreamError } from "../../src/protocol/errors.ts";
+import type { ConnectionTrial } from "../../src/protocol/forwarding/ReplicaClient.ts";
 import { ReplicaClient } from "../../src/protocol/forwarding/ReplicaClient.ts";
 import type {
   AnswerHead,
@@ -102,10 +103,12 @@
     return this.run(call, signal);
   }
 
-  override async isReachable({ id }: ReplicaEntry, timeout: number): Promise<boolean> {
+  override async tryConnection({ id }: ReplicaEntry, timeout: number): Promise<ConnectionTrial> {
     const state = this.fleet.find(id)?.state;
-    await pause(this.clock, state === "dark" || state === undefined ? timeout : latency);
-    return state === "up" || state === "loading";
+    const isSilent = state === "dark" || state === undefined;
+    await pause(this.clock, isSilent ? timeout : latency);
+    if (isSilent) return "silent";
+    return state === "down" ? "refused" : "made";
   }
 
   override readStatus({ id }: ReplicaEntry): Promise<EngineStatus> {
--- a/src/commandLine/requestStory.ts
+++ b/src/commandLine/requestStory.ts
@@ -65,6 +65,9 @@
   "limits count_begins",
   "limits count_ends",
   "limits unasked",
+  "quarantine held",
+  "quarantine released",
+  "quarantine trial",
   "log left_out",
 ]);
 
@@ -129,6 +132,10 @@
     applies: (_, own) => own.some((line) => kindOf(line) === "requests limited"),
     text: "its organisation had used what its limit allows; see whether the router could ask the keeper of the count",
   },
+  {
+    applies: (end) => fieldOf(end, "reason").startsWith("Replicas crashed"),
+    text: "what it asks was in flight at three replicas that crashed; see held, trial and released of the quarantine",
+  },
   {
     applies: (end) => kindOf(end) === "requests refused",
     text: "the request was not allowed by the configuration",
--- a/src/coordination/crashes/crashEvidence.ts
+++ b/src/coordination/crashes/crashEvidence.ts
@@ -4,7 +4,7 @@
  */
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import { mostCrashes, mostSuspects } from "./constants.ts";
-import type { Suspect } from "./types.ts";
+import type { Suspect } from "../../protocol/forwarding/crashMessage.ts";
 
 /** See {@link createCrashEvidence}. */
 export interface CrashEvidence {
--- a/src/coordination/crashes/crashNews.ts
+++ b/src/coordination/crashes/crashNews.ts
@@ -1,11 +1,10 @@
 /** Tells the other routers at once what this one has learned of crashes, and again a few times. */
 import type { DatagramAddress, DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
-import type { CrashMessage } from "../../protocol/forwarding/crashMessage.ts";
+import type { CrashMessage, ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import { decodeCrashMessage, encodeCrashMessage } from "../../protocol/forwarding/crashMessage.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { Clock } from "../clock.ts";
 import { mostMessagesKnown, mostNamed, tellingAgain } from "./constants.ts";
-import type { ReplicaCrash } from "./types.ts";
 
 /** What telling works with. */
 export interface CrashNewsParts {
--- a/src/coordination/crashes/crashWatch.test.ts
+++ b/src/coordination/crashes/crashWatch.test.ts
@@ -2,11 +2,12 @@
 import { setImmediate as settled } from "node:timers/promises";
 import { expect } from "earl";
 import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
+import type { ConnectionTrial } from "../../protocol/forwarding/ReplicaClient.ts";
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { createManualClock } from "../manualClock.ts";
 import { crashGathering } from "./constants.ts";
 import { createCrashWatch } from "./crashWatch.ts";
-import type { ReplicaCrash, Suspect } from "./types.ts";
+import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
 
 const first: Suspect = { fingerprint: "1", hasBegun: false };
 const second: Suspect = { fingerprint: "2", hasBegun: true };
@@ -17,14 +18,14 @@
   replicas.put(engineEntry("a"));
   const replica = replicas.get("a");
   if (replica === undefined) throw new Error("a replica is missing");
-  const state = { isReachable: false, tries: 0 };
+  const state: { trial: ConnectionTrial; tries: number } = { trial: "refused", tries: 0 };
   const crashes: ReplicaCrash[] = [];
   const watch = createCrashWatch({
     replicas,
     client: {
-      isReachable: () => {
+      tryConnection: () => {
         state.tries += 1;
-        return Promise.resolve(state.isReachable);
+        return Promise.resolve(state.trial);
       },
     },
     clock,
@@ -46,12 +47,14 @@
     expect([crashes, state.tries]).toEqual([[{ replica: "a", suspects: [first, second] }], 1]);
   });
 
-  it("tells nothing of a replica that only broke a connection", async () => {
-    const { replica, state, crashes, watch, pass } = create();
-    state.isReachable = true;
-    watch.noteBroken(replica, first);
-    await pass();
-    expect(crashes).toEqual([]);
+  it("tells nothing of a replica that only broke a connection, nor of one that was cut off", async () => {
+    for (const trial of ["made", "silent"] as const) {
+      const { replica, state, crashes, watch, pass } = create();
+      state.trial = trial;
+      watch.noteBroken(replica, first);
+      await pass();
+      expect(crashes).toEqual([]);
+    }
   });
 
   it("tells nothing of one that leaves or has left", async () => {
--- a/src/coordination/crashes/crashWatch.ts
+++ b/src/coordination/crashes/crashWatch.ts
@@ -1,6 +1,5 @@
 /**
- * Tells replicas whose process has ended from those that only broke a connection: the first can't be connected to
- * either. What was in flight there when it ended is told with it, since one of these requests may be the cause.
+ * Tells replicas whose process has ended from those that only broke a connection: the first refuse new ones. What was in flight there when it ended is told with it, since one of these requests may be the cause.
  */
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
@@ -9,12 +8,12 @@
 import { pause } from "../clock.ts";
 import { reachProbeTimeout } from "../forwarding/constants.ts";
 import { crashGathering } from "./constants.ts";
-import type { ReplicaCrash, Suspect } from "./types.ts";
+import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
 
 /** What watching works with. */
 export interface CrashWatchParts {
   readonly replicas: Pick<ReplicaTable, "get">;
-  readonly client: Pick<ReplicaClient, "isReachable">;
+  readonly client: Pick<ReplicaClient, "tryConnection">;
   readonly clock: Clock;
   /** Called again where requests of the same replica are found broken later. */
   readonly onCrash: (crash: ReplicaCrash) => void;
@@ -40,10 +39,11 @@
   const judge = async (replica: ReplicaState): Promise<void> => {
     const { entry } = replica;
     await pause(clock, crashGathering);
-    const isReachable = await client.isReachable(entry, reachProbeTimeout);
+    const trial = await client.tryConnection(entry, reachProbeTimeout);
     const suspects = gathered.get(entry.id) ?? [];
     gathered.delete(entry.id);
-    if (isReachable || !mayCrash(replica)) return;
+    // A router that is cut off hears nothing from any replica: that none of them listens must be known.
+    if (trial !== "refused" || !mayCrash(replica)) return;
     const requests = suspects.map(({ fingerprint }) => fingerprint).join(" ");
     writeLog("crashed", { replica: entry.id, service: entry.service, requests });
     onCrash({ replica: entry.id, suspects });
--- a/src/coordination/crashes/quarantine.ts
+++ b/src/coordination/crashes/quarantine.ts
@@ -9,7 +9,7 @@
  * chance has its way back by a trial, which one router of all makes. The platform's store keeps what was decided.
  */
 import type { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
-import type { CrashMessage } from "../../protocol/forwarding/crashMessage.ts";
+import type { CrashMessage, ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import { fingerprintOf } from "../../protocol/forwarding/fingerprint.ts";
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
@@ -25,7 +25,6 @@
 import { createRecordsCheck } from "./recordsCheck.ts";
 import { startRecordsUpkeep } from "./recordsUpkeep.ts";
 import { createTrials } from "./trials.ts";
-import type { ReplicaCrash } from "./types.ts";
 
 /** What a quarantine works with. */
 export interface QuarantineParts {
--- a/src/coordination/forwarding/replicaWatch.test.ts
+++ b/src/coordination/forwarding/replicaWatch.test.ts
@@ -15,9 +15,9 @@
   startReplicaWatch({
     replicas,
     client: {
-      isReachable: () => {
+      tryConnection: () => {
         state.tries += 1;
-        return Promise.resolve(state.isReachable);
+        return Promise.resolve(state.isReachable ? "made" : "silent");
       },
     },
     health: createReplicaHealth(replicas, clock),
--- a/src/coordination/forwarding/replicaWatch.ts
+++ b/src/coordination/forwarding/replicaWatch.ts
@@ -12,7 +12,7 @@
 /** What watching works with. */
 export interface ReplicaWatchParts {
   readonly replicas: ReplicaTable;
-  readonly client: Pick<ReplicaClient, "isReachable">;
+  readonly client: Pick<ReplicaClient, "tryConnection">;
   readonly health: ReplicaHealth;
   readonly clock: Clock;
   /**
@@ -38,7 +38,7 @@
     const { entry } = replica;
     probing.add(entry.id);
     replica.isSuspected = false;
-    const isReachable = await client.isReachable(entry, reachProbeTimeout);
+    const isReachable = (await client.tryConnection(entry, reachProbeTimeout)) === "made";
     probing.delete(entry.id);
     if (replicas.get(entry.id) !== replica) return;
     replica.quietSince = clock.monotonic();
--- a/src/protocol/forwarding/ReplicaClient.ts
+++ b/src/protocol/forwarding/ReplicaClient.ts
@@ -9,6 +9,15 @@
   WeightsOrder,
 } from "./types.ts";
 
+/**
+ * What came of a try to connect.
+ *
+ * - `made`: it can be connected to.
+ * - `refused`: its VM answers, and no process listens there.
+ * - `silent`: nothing came back, from the replica or from the network before it.
+ */
+export type ConnectionTrial = "made" | "refused" | "silent";
+
 /** The way to replicas. Methods throw `UpstreamError`. */
 export abstract class ReplicaClient implements AsyncDisposable {
   /**
@@ -18,8 +27,8 @@
    */
   abstract send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer>;
 
-  /** @returns Whether a new connection can be made within a time, milliseconds. */
-  abstract isReachable(replica: ReplicaEntry, timeout: number): Promise<boolean>;
+  /** Tries to make a new connection within a time, milliseconds. */
+  abstract tryConnection(replica: ReplicaEntry, timeout: number): Promise<ConnectionTrial>;
 
   /** Asks an engine for its state. */
   abstract readStatus(replica: ReplicaEntry, signal: AbortSignal): Promise<EngineStatus>;
--- a/src/protocol/forwarding/crashMessage.ts
+++ b/src/protocol/forwarding/crashMessage.ts
@@ -10,12 +10,23 @@
   readonly number: number;
 }
 
-/** A replica crashed; the sender had requests in flight there. */
-export interface CrashNews extends Numbered {
-  readonly kind: "crash";
+/** A request that was in flight at a replica when it crashed. */
+export interface Suspect {
+  readonly fingerprint: Fingerprint;
+  /** Part of its answer had come: the cause more often crashes its replica as it begins. */
+  readonly hasBegun: boolean;
+}
+
+/** A replica's process has ended with requests in flight. */
+export interface ReplicaCrash {
   /** The incarnation's id. */
   readonly replica: string;
-  readonly suspects: readonly { readonly fingerprint: Fingerprint; readonly hasBegun: boolean }[];
+  readonly suspects: readonly Suspect[];
+}
+
+/** A replica crashed; the sender had these requests in flight there. */
+export interface CrashNews extends Numbered, ReplicaCrash {
+  readonly kind: "crash";
 }
 
 /** Requests that are held back from now on, or that a replica has answered whole: those are held back no more. */
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -4,6 +4,7 @@
 import { upstreamError } from "../../protocol/errors.ts";
 import { collectBody } from "../../protocol/forwarding/collectBody.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
+import type { ConnectionTrial } from "../../protocol/forwarding/ReplicaClient.ts";
 import { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaAnswer, ReplicaCall, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { RawAnswer } from "./answerReader.ts";
@@ -22,6 +23,9 @@
 /** Connections to a replica until a limit is set. */
 const assumedConnections = 8;
 
+/** Failures to connect that the network reports, not the VM of the replica. */
+const networkFailures: ReadonlySet<string> = new Set(["EHOSTUNREACH", "ENETUNREACH", "ETIMEDOUT"]);
+
 /** A call that is no caller's request. */
 export interface SystemCall {
   readonly method: "GET" | "POST";
@@ -67,17 +71,19 @@
     return { head: this.wire.decodeAnswer(status, headers), body };
   }
 
-  override isReachable({ address }: ReplicaEntry, timeout: number): Promise<boolean> {
+  override tryConnection({ address }: ReplicaEntry, timeout: number): Promise<ConnectionTrial> {
     const [host, port] = address.split(":");
     return new Promise((resolve) => {
       const socket = connect({ host, port: Number(port), timeout });
-      const end = (isReachable: boolean): void => {
+      const end = (trial: ConnectionTrial): void => {
         socket.destroy();
-        resolve(isReachable);
+        resolve(trial);
       };
-      socket.once("connect", () => end(true));
-      socket.once("timeout", () => end(false));
-      socket.once("error", () => end(false));
+      socket.once("connect", () => end("made"));
+      socket.once("timeout", () => end("silent"));
+      socket.once("error", ({ code = "" }: NodeJS.ErrnoException) =>
+        end(networkFailures.has(code) ? "silent" : "refused"),
+      );
     });
   }
 
