Let two tests of the own interface kill and crash when they mean to, also on a busy machine

Causes, each shown by a run: 'between claim and dispatch' killed the router at any append, also the renewal of a lease, before its claim was made (with 6 s between the count and the request it fails the same way); 'needs its text where that engine fails as well' crashed engines after the stream had ended (with 1.5 s before the crash it fails the same way). Change: the first waits for an append to a stream of claims; in the second the stream stands still before its end until the crash. The checks are the same.

--- a/tests/processes/routerKilled.test.ts
+++ b/tests/processes/routerKilled.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "earl";
 import { startSystem } from "../../demo/processes.ts";
 import type { System, SystemProcess } from "../../demo/processes.ts";
+import { logStreams } from "../../src/protocol/constants.ts";
 import type { Caller, CallerResult } from "./caller.ts";
 import { createCaller, newKey, signOff } from "./caller.ts";
 import { executionsByKey, setFaults } from "./records.ts";
@@ -49,9 +50,12 @@
 
   const runs = async (key: string): Promise<number> => (await executionsByKey(system)).get(key) ?? 0;
 
-  const countAppends = async (): Promise<number> => {
+  /** Claims alone: routers append renewals of their leases at any time. */
+  const countClaims = async (): Promise<number> => {
     const answer = await fetch(`${system.logService.url}/stand-in/state`);
-    return ((await answer.json()) as { readonly appends: number }).appends;
+    const { streams } = (await answer.json()) as { readonly streams: Readonly<Record<string, number>> };
+    const claims = Object.entries(streams).filter(([name]) => name.startsWith(logStreams.claimsPrefix));
+    return claims.reduce((sum, [, count]) => sum + count, 0);
   };
 
   const told = ({ status, outcome, code }: CallerResult): string => `${status} ${outcome} ${code}`.trim();
@@ -72,10 +76,10 @@
   it("between claim and dispatch: the retry is told that the outcome is unknown, and nothing runs", async () => {
     const victim = await startVictim();
     const key = newKey();
-    const appends = await countAppends();
+    const claims = await countClaims();
     await setFaults(system.logService.url, { loseAppendAnswers: 1_000_000 });
     const first = caller.send(victim.process.url, signOff(key));
-    while ((await countAppends()) === appends) await sleep(pollInterval);
+    while ((await countClaims()) === claims) await sleep(pollInterval);
     await kill(victim);
     expect((await first).outcome).toEqual("cut");
     await setFaults(system.logService.url, { loseAppendAnswers: 0 });
@@ -109,10 +113,10 @@
   it("or freezes before it learns of its claim: it runs at one router at most", async () => {
     const victim = await startVictim();
     const key = newKey();
-    const appends = await countAppends();
+    const claims = await countClaims();
     await setFaults(system.logService.url, { loseAppendAnswers: 1_000_000 });
     const first = caller.send(victim.process.url, signOff(key));
-    while ((await countAppends()) === appends) await sleep(pollInterval);
+    while ((await countClaims()) === claims) await sleep(pollInterval);
     victim.process.kill("SIGSTOP");
     await setFaults(system.logService.url, { loseAppendAnswers: 0 });
     const second = await caller.ask(signOff(key));
--- a/tests/resume.test.ts
+++ b/tests/resume.test.ts
@@ -152,6 +152,9 @@
   });
 });
 
+/** Of the engine that continued it: more than the caller has from there, and fewer than the rest of the answer has. */
+const tokensBeforeCrash = 6;
+
 describe("a stream that had been continued before its caller lost it", () => {
   /** Each engine cuts streams after 3 tokens, so that the piece at which the caller goes comes from a second one. */
   const loseContinued = async (system: LocalSystem): Promise<ReadStream> => {
@@ -174,8 +177,11 @@
     const undisturbed = await readUndisturbed();
     await using system = await startWith({ engineSettings: slow });
     const lost = await loseContinued(system);
+    // Where the test is held up, the stream must not have come to its end before the crash.
+    for (const engine of system.engines) engine.faults.stallAfterTokens = tokensBeforeCrash;
     const answer = await resume(system, lastIdOf(lost));
     for (const engine of system.engines) engine.crash();
+    for (const engine of system.engines) engine.faults.stallAfterTokens = null;
     const cut = await readStream(answer);
     expect(isWhole(cut)).toEqual(false);
     expect(failureOf(cut)?.code).toEqual("delivered_text_needed");
