Count the trials that were made before a router started

Cause (found on the last reading): a router that starts reads only the newest record of a held request. It took a record with two trials for out of order, went on from none, and let up to two more through after each restart of all. Change: a record with more trials than are known counts; of two made at once the second still has no more than the first, and does not. The state for new ones is gone. Test: 'are no more after a restart of all routers, where both were made', failed before.

--- a/src/coordination/crashes/crashWatch.ts
+++ b/src/coordination/crashes/crashWatch.ts
@@ -1,5 +1,6 @@
 /**
- * Tells replicas whose process has ended from those that only broke a connection: the first refuse new ones. What was in flight there when it ended is told with it, since one of these requests may be the cause.
+ * Tells replicas whose process has ended from those that only broke a connection: the first refuse new ones. What was
+ * in flight there when it ended is told with it, since one of these requests may be the cause.
  */
 import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
--- a/src/coordination/crashes/heldRequests.ts
+++ b/src/coordination/crashes/heldRequests.ts
@@ -73,12 +73,12 @@
     add,
     remove: (fingerprint) => held.delete(fingerprint),
     take: (fingerprint, record) => {
-      const isNew = add(fingerprint, false);
+      add(fingerprint, false);
       const known = held.get(fingerprint);
       if (known === undefined) return;
       known.isRecorded = true;
-      const isNext = record.trials === known.record.trials + 1;
-      if ((isNew && record.trials > 0) || isNext) takeTrial(known, record);
+      // A router that starts reads the newest record alone, whatever trials came before it.
+      if (record.trials > known.record.trials) takeTrial(known, record);
     },
     isTrialDue: (fingerprint) => {
       const known = held.get(fingerprint);
--- a/src/coordination/crashes/quarantine.test.ts
+++ b/src/coordination/crashes/quarantine.test.ts
@@ -185,6 +185,21 @@
     expect(trials).toEqual(mostTrials);
   });
 
+  it("are no more after a restart of all routers, where both were made", async () => {
+    const routers = createQuarantineRouters(2);
+    await crashThree(routers);
+    for (const delay of [trialDelays.first, trialDelays.next]) {
+      await routers.advance(delay);
+      const { request, wait } = await routers.ask(0, deadly);
+      expect(wait).toEqual(undefined);
+      routers.at(0).quarantine.noteFailed(request);
+    }
+    for (const router of [...routers.routers]) await routers.stop(router);
+    routers.start(3);
+    await routers.advance(trialDelays.next * 2);
+    expect(((await routers.ask(0, deadly)).wait ?? 0) > trialDelays.next).toEqual(true);
+  });
+
   it("are not made while the store can't say whose they are", async () => {
     const routers = createQuarantineRouters(2);
     await crashThree(routers);
