Decode and log what replicas report about draining and backoff

One decoder now turns the head of an answer into one typed report, and the observer that reads limits logs and counts all of it: log lines draining, backoff_started and report_unreadable, counters draining_reported, backoffs_reported and reports_unreadable. limit_unreadable moves from the part replicaLimits to replicas with its module. No decision changes.

The settled hypothesis: no router reads either header (the only reader of answer heads was limitWords.ts, which read one other header).

--- a/bench/lab/labReplicaClient.ts
+++ b/bench/lab/labReplicaClient.ts
@@ -35,7 +35,9 @@
   isMisdirected: false,
   replicaId: undefined,
   weightsVersion,
-  namedLimit: limit?.isNamed === true ? limit.perSecond : undefined,
+  limit: limit?.isNamed === true ? limit.perSecond : undefined,
+  isDraining: false,
+  retryAfter: undefined,
   closes: false,
 });
 
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -11,9 +11,9 @@
 import type { Clock } from "../clock.ts";
 import { createCrashWatch } from "../crashes/crashWatch.ts";
 import type { QuarantineChecks } from "../crashes/quarantine.ts";
-import { createLimitWords } from "../replicaLimits/limitWords.ts";
 import type { ReplicaLimits } from "../replicaLimits/replicaLimits.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
+import { createReportObserver } from "../replicaReports/reportObserver.ts";
 import type { UsageCounting } from "../usageLimits/usageLimits.ts";
 import type { Admit } from "./admit.ts";
 import { createAnswerCheck } from "./answerCheck.ts";
@@ -140,7 +140,7 @@
     health,
     crashes: createCrashWatch({ replicas, client, clock, onCrash: quarantine.noteCrash }),
     quarantine,
-    limitWords: createLimitWords({ limits: beliefs.replicaLimits, replicas, metrics, clock }),
+    observe: createReportObserver({ limits: beliefs.replicaLimits, replicas, metrics, clock }),
     saving,
     metrics,
     clock,
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -240,29 +240,35 @@
   readonly mayLeave: () => boolean;
 }
 
-/**
- * Requests a second that a replica says it takes from all routers together; `unreadable` where what it says is no
- * such number, nothing where it says nothing.
- */
-export type NamedLimit = number | "unreadable" | undefined;
+/** A field of a report that was sent but could not be decoded. */
+export type Unreadable = "unreadable";
 
-/** The head of a replica's answer, decoded. */
-export interface AnswerHead {
+/** What a replica reports about itself in the head of an answer, with what tells whose answer it is. */
+export interface ReplicaReport {
   readonly status: number;
-  /** Names and values in turn: those to be passed on unchanged. */
-  readonly headers: readonly string[];
   /** The id of the request that it answers, as the replica says. */
   readonly echoedId: string | undefined;
   /** Carries the replica's mark; answers of anything else don't. */
   readonly isSealed: boolean;
   /** The replica says that it has not run the request and will not. */
   readonly isNotRun: boolean;
-  /** Another replica has the address, or it has other weights. */
-  readonly isMisdirected: boolean;
   /** The replica's id, where it names itself. */
   readonly replicaId: string | undefined;
+  /** Requests a second that it accepts from all routers together. */
+  readonly limit: number | Unreadable | undefined;
+  /** The replica is shutting down and accepts no new requests. */
+  readonly isDraining: boolean | Unreadable;
+  /** For how long it asks the receiver to send nothing, milliseconds. */
+  readonly retryAfter: number | Unreadable | undefined;
+}
+
+/** The head of a replica's answer, decoded. */
+export interface AnswerHead extends ReplicaReport {
+  /** Names and values in turn: those to be passed on unchanged. */
+  readonly headers: readonly string[];
+  /** Another replica has the address, or it has other weights. */
+  readonly isMisdirected: boolean;
   readonly weightsVersion: number | undefined;
-  readonly namedLimit: NamedLimit;
   /** The replica takes no further request on this connection. */
   readonly closes: boolean;
 }
