--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -54,7 +54,12 @@
 }
 
 /** A request that came, whether it was run or refused. */
-export type Arrival = Pick<Run, "headers" | "at">;
+export interface Arrival extends Pick<Run, "headers" | "at"> {
+  /** When it was turned away, milliseconds on this process's monotonic clock; nothing if it was run. */
+  refusedAt: number | undefined;
+  /** `Retry-After` of that answer. */
+  retryAfter: string | undefined;
+}
 
 /** An order as it arrived. */
 export interface ReceivedOrder {
@@ -67,6 +72,9 @@
   readonly expectedRev: number | undefined;
 }
 
+/** Headers in which a replica reports about itself, by lower-case name. */
+export type ReportHeaders = Readonly<Record<string, string>>;
+
 /** What a replica is like. */
 export interface ReplicaSettings {
   readonly id: string;
@@ -97,6 +105,8 @@
   readonly behave: (...behaviours: readonly Behaviour[]) => void;
   /** What all answers from now on name as the limit; nothing ends it. */
   readonly nameLimit: (text: string | (() => string | undefined) | undefined) => void;
+  /** Headers of all answers from now on, whatever their status. */
+  readonly report: (headers: ReportHeaders | ((behaviour: Behaviour) => ReportHeaders)) => void;
   /** Ends as a killed process does: all connections are reset, and the port is closed. */
   readonly crash: () => void;
   readonly hasCrashed: () => boolean;
@@ -223,6 +233,29 @@
   ...fields,
 });
 
+/** What a replica reports about itself in the heads of its answers. */
+const createReports = () => {
+  let limitText: () => string | undefined = () => undefined;
+  let reported: (behaviour: Behaviour) => ReportHeaders = () => ({});
+  const nameLimit: ReplicaStandIn["nameLimit"] = (text) => {
+    limitText = typeof text === "function" ? text : () => text;
+  };
+  const report: ReplicaStandIn["report"] = (headers) => {
+    reported = typeof headers === "function" ? headers : () => headers;
+  };
+  return {
+    nameLimit,
+    report,
+    setLimit: (response: ServerResponse): void => {
+      const limit = limitText();
+      if (limit !== undefined) response.setHeader("server-limit", limit);
+    },
+    set: (response: ServerResponse, behaviour: Behaviour): void => {
+      for (const [name, value] of Object.entries(reported(behaviour))) response.setHeader(name, value);
+    },
+  };
+};
+
 /** Starts a replica on a free port. */
 export const startReplicaStandIn = async (settings: ReplicaSettings): Promise<ReplicaStandIn> => {
   const { id, model, events = { count: 5, pause: 5 }, loadTime = 30, refusesOrders = false } = settings;
@@ -232,7 +265,7 @@
   const orders: ReceivedOrder[] = [];
   let behaviours: Behaviour[] = [];
   let version = model?.version ?? 0;
-  let limitText: () => string | undefined = () => undefined;
+  const reports = createReports();
   let isLoading = false;
   let hasCrashed = false;
 
@@ -271,11 +304,12 @@
   };
 
   const run = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    const limit = limitText();
-    if (limit !== undefined) response.setHeader("server-limit", limit);
     const { headers, method = "", url: target = "" } = request;
-    arrivals.push({ headers, at: performance.now() });
     const behaviour = behaviours.shift() ?? "well";
+    const arrival: Arrival = { headers, at: performance.now(), refusedAt: undefined, retryAfter: undefined };
+    arrivals.push(arrival);
+    reports.setLimit(response);
+    reports.set(response, behaviour);
     const asked = { id: String(headers["x-attempt-id"]), method, target, headers };
     if (behaviour === "early") {
       answerEarly(id, asked.id, response);
@@ -285,6 +319,8 @@
     const body = await readBody(request);
     if (refuseMisdirected(headers, { id, version }, response)) return;
     if (behaviour === "shed" || isLoading) {
+      arrival.refusedAt = performance.now();
+      arrival.retryAfter = String(response.getHeader("retry-after") ?? "");
       refuse(response, 503, { "x-not-executed": "1" });
       return;
     }
@@ -325,6 +361,7 @@
   };
 
   const server = createServer((request, response) => {
+    if (request.url === "/-/report" || request.url === "/-/order") reports.set(response, "well");
     if (request.url === "/-/report")
       sendJson(response, reportOf({ model, version, busy: isLoading, sequence: orders.length }));
     else if (request.url === "/-/order") void takeOrder(request, response);
@@ -343,9 +380,8 @@
     arrivals,
     orders,
     version: () => version,
-    nameLimit: (text) => {
-      limitText = typeof text === "function" ? text : () => text;
-    },
+    nameLimit: reports.nameLimit,
+    report: reports.report,
     behave: (...next) => {
       behaviours = [...next];
     },
--- a/tests/support/limitedReplicas.ts
+++ b/tests/support/limitedReplicas.ts
@@ -8,7 +8,7 @@
 const millisecondsPerSecond = 1_000;
 
 /** Names the router through which a request goes; passed on unchanged. */
-const throughHeader = "x-through";
+export const throughHeader = "x-through";
 
 /** The answer to a request, with when it was asked and answered: milliseconds on this process's monotonic clock. */
 export interface ReceivedAnswer extends CallerAnswer {
