--- a/tests/platform/replicaReports.test.ts
+++ b/tests/platform/replicaReports.test.ts
@@ -89,3 +89,26 @@
     ]);
   });
 });
+
+describe("a replica that asks for backoff", () => {
+  // A refusal left the replica idle, so that it looked like the best choice for the next request.
+  it("gets at most two requests of a router within it, and callers are served by the others", async (context) => {
+    await using system = await startSystem({ desks: 8, engines: 0 });
+    const [always, half, alternating, unreadable] = system.desks;
+    if (unreadable === undefined) throw new Error("Too few.");
+    for (const each of [always, alternating, unreadable]) shedAlways(each);
+    half?.behave(...Array.from({ length: 1_000 }, () => ["shed", "well"] as const).flat());
+    always?.report({ "retry-after": "3" });
+    half?.report((behaviour): Record<string, string> =>
+      behaviour === "shed" ? { "retry-after": "1.5" } : {},
+    );
+    let turn = 0;
+    alternating?.report(() => ({ "retry-after": (turn += 1) % 2 === 0 ? "1" : "4" }));
+    unreadable.report({ "retry-after": "later" });
+    const answers = await sendSteadily(system, read, { perSecond: 90, seconds: 8 });
+    const worst = worstBackoffs(context, system.desks);
+    context.diagnostic(`${(servedShare(answers) * 100).toFixed(1)} % served`);
+    expect(worst.every((count) => count <= 2)).toEqual(true);
+    expect(servedShare(answers) >= 0.98).toEqual(true);
+  });
+});
