Stop sending to replicas that report draining, whatever the registry says

Cause: the registry was the only source, no router read the header, and a store that is unavailable tells nothing.

Every path to a replica now passes one gate in ReplicaClient (send, status, orders): it checks right before the first byte leaves, and hands the head of each answer to the one observer. What it withholds is not sent, costs no retry budget and says nothing of the replica's health. The table of replicas remembers draining by incarnation, also while the registry does not list it, so that neither older nor newer records, heartbeats nor a return under the same id make it serve again; a new incarnation starts clean.

--- a/bench/lab/labReplicaClient.ts
+++ b/bench/lab/labReplicaClient.ts
@@ -106,7 +106,7 @@
     this.clock = clock;
   }
 
-  override async send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
+  protected override async transmit(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
     await pause(this.clock, latency, signal);
     if (signal.aborted || !call.mayLeave()) throw upstreamError("cancelled", "cancelled", "not_sent");
     const replica = this.fleet.find(call.replica.id);
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -34,7 +34,7 @@
 
 /** What the platform's adapter alone may name: headers, paths, topics and settings of its pages. */
 const platformNames =
-  "^x-(replica-|expect-|not-executed|cache-salt|kv-|weight-versions|prefix-hash|token-count|pin-ms|hold|tenant|deadline-ms|request-priority|model$)|^kv-|/-/|log-(append|newest|read|join)|keyed\\.|POMELOCLEAT_BOOT";
+  "^x-(replica-|expect-|not-executed|cache-salt|kv-|weight-versions|prefix-hash|token-count|pin-ms|hold|tenant|deadline-ms|request-priority|model$)|^kv-|/-/|log-(append|newest|read|join)|keyed\\.|^server-(limit|leaving)|POMELOCLEAT_BOOT";
 
 const platformNamesRule = {
   files: ["src/**/*.ts", "bench/**/*.ts", "demo/**/*.ts", "soak/**/*.ts", "tools/**/*.ts"],
--- a/src/coordination/crashes/crashWatch.test.ts
+++ b/src/coordination/crashes/crashWatch.test.ts
@@ -60,7 +60,7 @@
   it("tells nothing of one that leaves or has left", async () => {
     const { replicas, replica, crashes, watch, pass } = create();
     watch.noteBroken(replica, first);
-    replicas.markLeaving("a");
+    replicas.markDraining("a");
     await pass();
     watch.noteBroken(replica, first);
     await pass();
--- a/src/coordination/crashes/crashWatch.ts
+++ b/src/coordination/crashes/crashWatch.ts
@@ -4,7 +4,8 @@
  */
 import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
--- a/src/coordination/forwarding/answerCheck.ts
+++ b/src/coordination/forwarding/answerCheck.ts
@@ -9,7 +9,7 @@
 } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { isOfAnother } from "../../state/forwarding/replicaTable.ts";
+import { isOfAnother } from "../../state/forwarding/replicaState.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { Clock } from "../clock.ts";
 import { withTimeLimit } from "../timeLimit.ts";
@@ -51,7 +51,7 @@
       await readWeights(replica);
       return;
     }
-    replicas.markLeaving(replica);
+    replicas.markDraining(replica);
     onLeaving(replica);
   };
 
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -1,7 +1,7 @@
 /** Attempts one after another, as far as a request may run again, until one begins well. */
 import { UpstreamError } from "../../protocol/errors.ts";
 import type { RequestError } from "../../protocol/errors.ts";
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -13,6 +13,7 @@
 import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import type { ReplicaLimits } from "../replicaLimits/replicaLimits.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
+import { createReplicaGate } from "../replicaReports/replicaGate.ts";
 import { createReportObserver } from "../replicaReports/reportObserver.ts";
 import type { UsageCounting } from "../usageLimits/usageLimits.ts";
 import type { Admit } from "./admit.ts";
@@ -109,6 +110,17 @@
     }),
   );
   forgetDepartures(beliefs, client, estimates);
+  const observe = createReportObserver({
+    limits: beliefs.replicaLimits,
+    replicas,
+    // Where there are many routers each hears it from the replica with its own next request.
+    onDraining: (id) => {
+      if (!owners.isNeeded()) peers.tellLeaving(id);
+    },
+    metrics,
+    clock,
+  });
+  client.useGate(createReplicaGate({ replicas, observe, clock }));
 
   const saving = createPartSaving({ clock, policy, routers: peers.countServing });
   const shared = { replicas, estimates, clock, random };
@@ -140,7 +152,6 @@
     health,
     crashes: createCrashWatch({ replicas, client, clock, onCrash: quarantine.noteCrash }),
     quarantine,
-    observe: createReportObserver({ limits: beliefs.replicaLimits, replicas, metrics, clock }),
     saving,
     metrics,
     clock,
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/forwarding/enginePlacement.ts
@@ -1,7 +1,7 @@
 /** Placement at model engines: by prompts waiting there, parts of the prompt kept there, and weights. */
 import type { Prompt } from "../../protocol/forwarding/types.ts";
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
-import { priorities, tokensAhead, totalRequests } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { priorities, tokensAhead, totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import {
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -3,8 +3,9 @@
  * undone counted as time: old weights, bytes between data centres, parts copied, failures.
  */
 import type { CallerRequest } from "../../protocol/forwarding/types.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { totalRequests } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import { askedPlain } from "../replicaOwners/constants.ts";
 import { failurePenaltyShare, remotePenalty } from "./constants.ts";
--- a/src/coordination/forwarding/placementTypes.ts
+++ b/src/coordination/forwarding/placementTypes.ts
@@ -1,5 +1,5 @@
 /** What placement decides, whatever kind of replica it decides about. */
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { SharedParts } from "./partSaving.ts";
 
 /** A replica for a request, with what it is to be told. */
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/forwarding/promptView.ts
@@ -1,7 +1,8 @@
 /** Where the parts of a prompt are kept and expected, by the weights that replicas run. */
 import type { CacheStore, Prompt } from "../../protocol/forwarding/types.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { CacheHolders, HeldPrompt } from "./cacheHolders.ts";
 import { reusableParts } from "./cacheHolders.ts";
 import { rendezvousReplica } from "./rendezvousReplica.ts";
--- a/src/coordination/forwarding/rankByCost.ts
+++ b/src/coordination/forwarding/rankByCost.ts
@@ -1,4 +1,4 @@
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 
 /** A replica with what choosing it is predicted to cost, milliseconds. */
 export interface RankedReplica {
--- a/src/coordination/forwarding/rendezvousReplica.ts
+++ b/src/coordination/forwarding/rendezvousReplica.ts
@@ -2,7 +2,7 @@
  * Rendezvous hashing over replicas by numbers alone: with a hash of texts for each candidate a choice among 1,000
  * replicas took 2.3 ms.
  */
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 
 /** Mixes two 32-bit numbers so that every bit of either changes about half of the result's (the steps of MurmurHash3). */
 export const mixHashes = (left: number, right: number): number => {
--- a/src/coordination/forwarding/replicaHealth.ts
+++ b/src/coordination/forwarding/replicaHealth.ts
@@ -1,5 +1,6 @@
 /** Outlier detection by what requests show: replicas that fail get less work, then none for a while. */
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { averageGain, ejectionFailures, ejectionTimes, mostEjected } from "./constants.ts";
--- a/src/coordination/forwarding/replicaWatch.ts
+++ b/src/coordination/forwarding/replicaWatch.ts
@@ -3,7 +3,8 @@
  * is tried with a new connection. While none can be made it gets no work, and what may run again goes elsewhere.
  */
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { reachProbeTimeout, silenceLimit, unreachableProbeInterval, watchInterval } from "./constants.ts";
--- a/src/coordination/forwarding/routerNews.ts
+++ b/src/coordination/forwarding/routerNews.ts
@@ -110,6 +110,6 @@
   }
   for (const key of message.leaving) {
     const id = idOf(key);
-    if (id !== undefined) replicas.markLeaving(id);
+    if (id !== undefined) replicas.markDraining(id);
   }
 };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -12,8 +12,9 @@
   replicaKeyOf,
 } from "../../protocol/forwarding/peerMessage.ts";
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { wholeTokens } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { wholeTokens } from "../../state/forwarding/replicaState.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { storeReaders } from "../storeReading/constants.ts";
 import { newsGathering, newsGatheringOfMany, peerIntervals } from "./constants.ts";
--- a/src/coordination/forwarding/takenMessages.ts
+++ b/src/coordination/forwarding/takenMessages.ts
@@ -1,6 +1,7 @@
 /** What a router takes from the messages of its peers, and what it forgets of those that are silent. */
 import type { ReplicaKey, RouterMessage, ToldWork } from "../../protocol/forwarding/peerMessage.ts";
-import type { ReplicaTable, ReplicaWork } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaWork } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import type { QuarantineDigests } from "../crashes/quarantine.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
--- a/src/coordination/forwarding/weightsChange.ts
+++ b/src/coordination/forwarding/weightsChange.ts
@@ -5,8 +5,9 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { isOfAnother, totalRequests } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { isOfAnother, totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import type { Tenure } from "../leases/types.ts";
--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -6,8 +6,8 @@
  */
 import { randomUUID } from "node:crypto";
 import type { LogService } from "../../protocol/LogService.ts";
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
-import { totalRequests } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import { pause } from "../clock.ts";
 import { startLease } from "../leases/lease.ts";
 import { createLeaseHistory } from "../leases/leaseHistory.ts";
--- a/src/coordination/replicaLimits/replicaLimits.ts
+++ b/src/coordination/replicaLimits/replicaLimits.ts
@@ -10,7 +10,8 @@
 import type { ReplicaQuestion } from "../../protocol/forwarding/limitMessage.ts";
 import type { AnswerSpan, LimitWord } from "../../state/forwarding/limitWord.ts";
 import { supersedes, tellSpan, tellWord } from "../../state/forwarding/limitWord.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import type { Keeping } from "../keepers/keeping.ts";
--- a/src/coordination/replicaOwners/consultation.ts
+++ b/src/coordination/replicaOwners/consultation.ts
@@ -9,7 +9,7 @@
 import type { AnswerMessage } from "../../protocol/forwarding/ownerMessage.ts";
 import { encodeOwnerMessage } from "../../protocol/forwarding/ownerMessage.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createAnswerTimes } from "../answerTimes.ts";
 import type { Clock } from "../clock.ts";
 import { answerPatience, answerTimeGain, assumedAnswerTime } from "./constants.ts";
--- a/src/coordination/replicaOwners/owners.ts
+++ b/src/coordination/replicaOwners/owners.ts
@@ -5,7 +5,7 @@
  */
 import type { DatagramAddress } from "../../protocol/forwarding/DatagramLink.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
-import type { ReplicaState } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { mixHashes } from "../forwarding/rendezvousReplica.ts";
--- a/src/coordination/replicaReports/reportObserver.test.ts
+++ b/src/coordination/replicaReports/reportObserver.test.ts
@@ -32,12 +32,14 @@
       hearUnnamed: () => heard.push("none"),
     },
     replicas,
+    onDraining: () => undefined,
     metrics,
     clock: createManualClock(100),
   });
+  const request = { replica: state.entry, id: "asked", askedAt: 50 };
   const hear = (limit: ReplicaReport["limit"], head: Partial<ReplicaReport> = own): void =>
-    observe(state, "asked", { ...own, ...head, limit }, 50);
-  return { hear, heard, metrics };
+    observe(request, { ...own, ...head, limit });
+  return { hear, heard, metrics, replicas };
 };
 
 describe("what answers name as a limit", () => {
@@ -87,12 +89,13 @@
     const { hear, metrics } = start();
     const lines = record();
     hear(undefined, { isDraining: true });
+    hear(undefined, { isDraining: true });
     hear(undefined, { status: 503, isSealed: false, isNotRun: true, retryAfter: 3_000 });
     expect(lines).toEqual([
       ["draining", { replica: "engine", request: "asked", status: 200 }],
       ["backoff_started", { replica: "engine", request: "asked", status: 503, milliseconds: 3_000 }],
     ]);
-    expect(metrics.snapshot().draining_reported).toEqual(1);
+    expect(metrics.snapshot().draining_reported).toEqual(2);
     expect(metrics.snapshot().backoffs_reported).toEqual(1);
   });
 
--- a/src/coordination/replicaReports/reportObserver.ts
+++ b/src/coordination/replicaReports/reportObserver.ts
@@ -2,9 +2,10 @@
  * Applies what a replica reports in the head of an answer to what this router knows of it. Reports of another process
  * that answers at its address are ignored, and a field that can't be decoded changes nothing.
  */
-import type { ReplicaReport } from "../../protocol/forwarding/types.ts";
+import type { ReplicaEntry, ReplicaReport } from "../../protocol/forwarding/types.ts";
 import { metricNames } from "../../state/constants.ts";
-import type { ReplicaState, ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
@@ -14,30 +15,31 @@
 
 export interface ReportObserverDependencies {
   readonly limits: Pick<ReplicaLimits, "hear" | "hearUnnamed">;
-  readonly replicas: Pick<ReplicaTable, "subscribe">;
+  readonly replicas: Pick<ReplicaTable, "get" | "markDraining" | "subscribe">;
+  /** An answer reported draining, which this router didn't know. */
+  readonly onDraining: (id: string) => void;
   readonly metrics: Metrics;
   readonly clock: Clock;
 }
 
-/**
- * Observes the head of an answer.
- *
- * @param requestId - The request that was answered.
- * @param askedAt - When the request was handed to the client, milliseconds on the monotonic clock.
- */
-export type ReportObserver = (
-  replica: ReplicaState,
-  requestId: string,
-  report: ReplicaReport,
-  askedAt: number,
-) => void;
+/** What was answered. */
+export interface AnsweredRequest {
+  readonly replica: ReplicaEntry;
+  /** The caller's request; nothing for a call of the system's own, which a stranger at the address refuses. */
+  readonly id: string | undefined;
+  /** When it was handed to the client, milliseconds on the monotonic clock. */
+  readonly askedAt: number;
+}
+
+/** Observes the head of an answer. */
+export type ReportObserver = (request: AnsweredRequest, report: ReplicaReport) => void;
 
 const writeLog = createLogger("replicas");
 
-const isOfAnother = ({ entry }: ReplicaState, requestId: string, report: ReplicaReport): boolean => {
+const isOfAnother = ({ replica, id }: AnsweredRequest, report: ReplicaReport): boolean => {
   const { echoedId, replicaId } = report;
-  if (echoedId !== undefined && echoedId !== requestId) return true;
-  return replicaId !== undefined && replicaId !== entry.registeredAs;
+  if (id !== undefined && echoedId !== undefined && echoedId !== id) return true;
+  return replicaId !== undefined && replicaId !== replica.registeredAs;
 };
 
 /** Only a replica can mark an answer; a refusal needs no mark to be taken seriously. */
@@ -62,10 +64,11 @@
     unreadableLimits.add(id);
   };
 
-  const noteUnreadable = (id: string, requestId: string, field: string): void => {
+  const noteUnreadable = ({ replica, id }: AnsweredRequest, field: string): void => {
     metrics.count(metricNames.reportsUnreadable);
-    if (!unreadableReports.has(id)) writeLog("report_unreadable", { replica: id, request: requestId, field });
-    unreadableReports.add(id);
+    if (!unreadableReports.has(replica.id))
+      writeLog("report_unreadable", { replica: replica.id, request: id ?? null, field });
+    unreadableReports.add(replica.id);
   };
 
   const observeLimit = (replica: ReplicaState, { limit }: ReplicaReport, askedAt: number): void => {
@@ -82,30 +85,37 @@
     limits.hear(replica, { perSecond: limit, ...span });
   };
 
-  const observeDraining = ({ entry }: ReplicaState, requestId: string, report: ReplicaReport): void => {
-    const { isDraining, status } = report;
-    if (isDraining === "unreadable") noteUnreadable(entry.id, requestId, "draining");
+  const observeDraining = (request: AnsweredRequest, { isDraining, status }: ReplicaReport): void => {
+    const { id } = request.replica;
+    if (isDraining === "unreadable") noteUnreadable(request, "draining");
     if (isDraining !== true) return;
     metrics.count(metricNames.drainingReported);
-    writeLog("draining", { replica: entry.id, request: requestId, status });
+    if (!replicas.markDraining(id)) return;
+    writeLog("draining", { replica: id, request: request.id ?? null, status });
+    dependencies.onDraining(id);
   };
 
-  const observeBackoff = ({ entry }: ReplicaState, requestId: string, report: ReplicaReport): void => {
-    const { retryAfter, status } = report;
+  const observeBackoff = (request: AnsweredRequest, { retryAfter, status }: ReplicaReport): void => {
     if (retryAfter === undefined || !unavailableStatuses.has(status)) return;
     if (retryAfter === "unreadable") {
-      noteUnreadable(entry.id, requestId, "retryAfter");
+      noteUnreadable(request, "retryAfter");
       return;
     }
     metrics.count(metricNames.backoffsReported);
-    writeLog("backoff_started", { replica: entry.id, request: requestId, status, milliseconds: retryAfter });
+    writeLog("backoff_started", {
+      replica: request.replica.id,
+      request: request.id ?? null,
+      status,
+      milliseconds: retryAfter,
+    });
   };
 
-  return (replica, requestId, report, askedAt) => {
-    if (isOfAnother(replica, requestId, report)) return;
-    observeBackoff(replica, requestId, report);
-    if (!isMarked(report)) return;
-    observeDraining(replica, requestId, report);
-    observeLimit(replica, report, askedAt);
+  return (request, report) => {
+    if (isOfAnother(request, report)) return;
+    observeBackoff(request, report);
+    if (request.id !== undefined && !isMarked(report)) return;
+    observeDraining(request, report);
+    const state = replicas.get(request.replica.id);
+    if (request.id !== undefined && state !== undefined) observeLimit(state, report, request.askedAt);
   };
 };
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -65,6 +65,7 @@
   | "unreachable"
   | "refused"
   | "leaving"
+  | "withheld"
   | "overloaded"
   | "stalled"
   | "closed_early"
--- a/src/protocol/forwarding/ReplicaClient.ts
+++ b/src/protocol/forwarding/ReplicaClient.ts
@@ -1,3 +1,6 @@
+import type { UpstreamError } from "../errors.ts";
+import type { ReplicaGate } from "./ReplicaGate.ts";
+import { openGate } from "./ReplicaGate.ts";
 import type {
   CacheChanges,
   CacheStore,
@@ -6,9 +9,18 @@
   ReplicaAnswer,
   ReplicaCall,
   ReplicaEntry,
+  ReplicaReport,
   WeightsOrder,
 } from "./types.ts";
 
+/** A call that has entered the gate. */
+export interface GuardedCall {
+  readonly mayLeave: () => boolean;
+  /** Sends it; throws the gate's reason where the gate withheld it. */
+  readonly run: <T>(send: () => Promise<T>) => Promise<T>;
+  readonly observe: (report: ReplicaReport) => void;
+}
+
 /**
  * What came of a try to connect.
  *
@@ -18,14 +30,50 @@
  */
 export type ConnectionTrial = "made" | "refused" | "silent";
 
-/** The way to replicas. Methods throw `UpstreamError`. */
+/** The way to replicas; every path to them passes one gate. Methods throw `UpstreamError`. */
 export abstract class ReplicaClient implements AsyncDisposable {
+  private gate: ReplicaGate = openGate;
+
+  /** Sets what everything that is sent from now on passes. */
+  useGate(gate: ReplicaGate): void {
+    this.gate = gate;
+  }
+
   /**
    * Sends a request once, never again by itself, and resolves with the head of its answer.
    *
    * @param signal - Ends the work at the replica too.
    */
-  abstract send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer>;
+  async send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
+    const guarded = this.guard(call.replica, call.request.id);
+    const mayLeave = (): boolean => guarded.mayLeave() && call.mayLeave();
+    const answer = await guarded.run(() => this.transmit({ ...call, mayLeave }, signal));
+    guarded.observe(answer.head);
+    return answer;
+  }
+
+  /** Sends a request that has entered the gate. */
+  protected abstract transmit(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer>;
+
+  /** Lets a request enter the gate. @param requestId - Nothing for a call of the system's own. */
+  protected guard(replica: ReplicaEntry, requestId: string | undefined): GuardedCall {
+    const pass = this.gate.enter(replica, requestId);
+    let withheld: UpstreamError | undefined;
+    return {
+      mayLeave: () => {
+        withheld = pass.withhold();
+        return withheld === undefined;
+      },
+      run: async (send) => {
+        try {
+          return await send();
+        } catch (error) {
+          throw withheld ?? error;
+        }
+      },
+      observe: pass.observe,
+    };
+  }
 
   /** Tries to make a new connection within a time, milliseconds. */
   abstract tryConnection(replica: ReplicaEntry, timeout: number): Promise<ConnectionTrial>;
--- a/src/state/forwarding/limitWord.ts
+++ b/src/state/forwarding/limitWord.ts
@@ -1,6 +1,6 @@
 /** What a replica's answer named as its limit, and what this router believes of it. */
 import type { ToldSpan, ToldWord } from "../../protocol/forwarding/toldWord.ts";
-import type { ReplicaState } from "./replicaTable.ts";
+import type { ReplicaState } from "./replicaState.ts";
 
 /** When an answer was asked for and when its head came, milliseconds on the monotonic clock. */
 export interface AnswerSpan {
--- a/src/state/forwarding/replicaTable.test.ts
+++ b/src/state/forwarding/replicaTable.test.ts
@@ -5,7 +5,8 @@
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { Departure } from "./replicaTable.ts";
-import { createReplicaTable, isOfAnother } from "./replicaTable.ts";
+import { createReplicaTable } from "./replicaTable.ts";
+import { isOfAnother } from "./replicaState.ts";
 
 /** One incarnation of the replica that is registered as `engine`. */
 const incarnation = (bornAt: number, fields: Partial<ReplicaEntry> = {}): ReplicaEntry =>
@@ -98,3 +99,40 @@
     expect(table.replaceAll([])).toEqual(true);
   });
 });
+
+describe("a replica that reported draining", () => {
+  const isServing = (table: ReturnType<typeof createReplicaTable>): boolean =>
+    table.serving("engines").length > 0;
+
+  it("stays drained when the registry lists it as ready, drops it and lists it again", () => {
+    const table = createReplicaTable();
+    table.put(incarnation(100));
+    expect(table.markDraining("engine/100")).toEqual(true);
+    expect(table.markDraining("engine/100")).toEqual(false);
+    table.put(incarnation(100));
+    expect(isServing(table)).toEqual(false);
+    table.remove("engine");
+    table.put(incarnation(100));
+    expect(isServing(table)).toEqual(false);
+    table.replaceAll([]);
+    table.replaceAll([incarnation(100)]);
+    expect(isServing(table)).toEqual(false);
+  });
+
+  it("stays drained if it reported so while the registry had dropped it", () => {
+    const table = createReplicaTable();
+    expect(table.markDraining("engine/100")).toEqual(true);
+    table.put(incarnation(100));
+    expect(isServing(table)).toEqual(false);
+  });
+
+  it("starts clean as a new incarnation at the same address", () => {
+    const table = createReplicaTable();
+    table.put(incarnation(100));
+    table.markDraining("engine/100");
+    table.put(incarnation(200));
+    expect(isServing(table)).toEqual(true);
+    table.put(engineEntry("other", { address: incarnation(100).address }));
+    expect(table.serving("engines").length).toEqual(2);
+  });
+});
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -53,7 +53,7 @@
     this.wire = wire;
   }
 
-  override async send(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
+  protected override async transmit(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
     const { request, replica, mayLeave } = call;
     const reader = createAnswerReader(mayLeave, signal, this.resets.isResetting);
     this.poolOf(replica).dispatch(
@@ -104,16 +104,26 @@
     this.pools.clear();
   }
 
-  /** Makes a call of the system's own. */
-  protected async exchange(
-    replica: Pick<ReplicaEntry, "id" | "address">,
-    call: SystemCall,
+  /** Makes a call of the system's own to a replica. */
+  protected exchange(replica: ReplicaEntry, call: SystemCall, signal: AbortSignal): Promise<SystemAnswer> {
+    const guarded = this.guard(replica, undefined);
+    const observe = ({ status, headers }: RawAnswer): void =>
+      guarded.observe(this.wire.decodeAnswer(status, headers));
+    return guarded.run(() => this.exchangeAt(replica, call, signal, guarded.mayLeave, observe));
+  }
+
+  /** Makes a call of the system's own to something that is no replica. */
+  protected async exchangeAt(
+    target: Pick<ReplicaEntry, "id" | "address">,
+    { method, path, headers, body }: SystemCall,
     signal: AbortSignal,
+    mayLeave = (): boolean => true,
+    observe: (answer: RawAnswer) => void = () => undefined,
   ): Promise<SystemAnswer> {
-    const reader = createAnswerReader(() => !signal.aborted, signal, this.resets.isResetting);
-    const { method, path, headers } = call;
-    this.poolOf(replica).dispatch({ method, path, headers, body: call.body ?? null }, reader.handler);
-    const answer: RawAnswer = await reader.answer;
+    const reader = createAnswerReader(() => !signal.aborted && mayLeave(), signal, this.resets.isResetting);
+    this.poolOf(target).dispatch({ method, path, headers, body: body ?? null }, reader.handler);
+    const answer = await reader.answer;
+    observe(answer);
     const text = (await collectBody(answer.body)).toString();
     if (answer.status >= 500) {
       throw upstreamError(`${path}: status ${answer.status}`, "failed", "sent", undefined, answer.status);
--- a/tests/support/limitRouters.ts
+++ b/tests/support/limitRouters.ts
@@ -6,7 +6,7 @@
 import { createManualClock } from "../../src/coordination/manualClock.ts";
 import { createReplicaLimits } from "../../src/coordination/replicaLimits/replicaLimits.ts";
 import { noteToldLimit, tellWord } from "../../src/state/forwarding/limitWord.ts";
-import type { ReplicaState } from "../../src/state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../src/state/forwarding/replicaState.ts";
 import { createReplicaTable } from "../../src/state/forwarding/replicaTable.ts";
 import { engineEntry } from "./forwardingFixture.ts";
 import { MemoryNetwork } from "./memoryNetwork.ts";
