Send nothing to a replica for as long as it asks, and let callers be served by the others

Cause: no router read the header, and a refusal leaves no work and counts as no failure, so that the refusing replica was predicted to be the fastest; both attempts of a request went to such replicas, and the retry budget with them.

- Retry-After of a 503 or 429 closes the replica for the router that got it; the latest end of overlapping periods counts.
The gate withholds what was queued before.
- After the end, spread over routers, one request after another is let through, faster with each answer; a refusal closes it again.
- A refusal without a usable period only makes others preferred, from 50 ms up to 1 s, until the replica accepts a request.
- A request that was refused once is not used to try such a replica again, and no retry is taken from the budget if none is available.
- State lives with the incarnation, also while the registry drops it.

--- a/src/commandLine/requestStory.test.ts
+++ b/src/commandLine/requestStory.test.ts
@@ -40,6 +40,22 @@
     expect(told.cause.includes("connection failed or it was silent")).toEqual(true);
   });
 
+  it("names the replicas that were not available, and what they reported", () => {
+    const told = story(
+      line(18, "replicas", "backoff_started", { replica: "i-2", request: "other", milliseconds: 3_000 }),
+      line(20, "requests", "failed", {
+        request: "wanted",
+        replica: "i-1",
+        milliseconds: 4,
+        skipped: "i-2:backoff:1200 i-3:draining",
+        reason: "All replicas are shutting down or asked for backoff; the request has not run.",
+      }),
+    );
+    expect(told.steps[0]?.text.includes("i-2:backoff:1200 i-3:draining")).toEqual(true);
+    expect(told.around.length).toEqual(1);
+    expect(told.cause.includes("every replica of the service drained")).toEqual(true);
+  });
+
   it("names a stale configuration as the cause of a refusal, with its age, and the store that was lost", () => {
     const told = story(
       line(9, "feeds", "lost", { feed: "operator" }),
--- a/src/commandLine/requestStory.ts
+++ b/src/commandLine/requestStory.ts
@@ -74,6 +74,9 @@
 /** The same about a replica. */
 const replicaEvents: ReadonlySet<string> = new Set([
   "replicas ejected",
+  "replicas draining",
+  "replicas backoff_started",
+  "replicas backoff_ended",
   "replicas crashed",
   "replicas unreachable",
   "replicas reachable_again",
@@ -90,9 +93,13 @@
     .map((name) => `${name}=${fieldOf(line, name)}`)
     .join(" ");
 
+const describeSkipped = (line: LogLine): string =>
+  line.skipped === undefined ? "" : `; replicas that were not available: ${fieldOf(line, "skipped")}`;
+
 const stepOf = (line: LogLine): StoryStep => {
-  const describe = describers[kindOf(line)];
-  const text = describe?.(line) ?? `${kindOf(line)} ${shownFields(line)}`;
+  const described = describers[kindOf(line)]?.(line);
+  const text =
+    described === undefined ? `${kindOf(line)} ${shownFields(line)}` : described + describeSkipped(line);
   return { at: line.at, router: line.router, text };
 };
 
@@ -105,10 +112,16 @@
   return { from: Math.min(...starts) - around.before, until: Math.max(...ends) + around.after };
 };
 
+/** @returns The ids in a list such as `desk-0:backoff:1200 desk-1:draining`. */
+const skippedIn = (line: LogLine): readonly string[] =>
+  fieldOf(line, "skipped")
+    .split(" ")
+    .map((each) => each.split(":", 1).join());
+
 const linesAround = (lines: readonly LogLine[], own: readonly LogLine[]): readonly LogLine[] => {
   const { from, until } = spanOf(own);
   const routers = new Set(own.map(({ router }) => router));
-  const replicas = new Set(own.map((line) => fieldOf(line, "replica")));
+  const replicas = new Set(own.flatMap((line) => [fieldOf(line, "replica"), ...skippedIn(line)]));
   return lines
     .filter(({ at }) => Date.parse(at) >= from && Date.parse(at) <= until)
     .filter(
@@ -140,6 +153,10 @@
     applies: (end) => kindOf(end) === "requests refused",
     text: "the request was not allowed by the configuration",
   },
+  {
+    applies: (end) => fieldOf(end, "reason").startsWith("All replicas are shutting down"),
+    text: "every replica of the service drained or had asked for backoff; see which were skipped and why",
+  },
   {
     applies: (_, own) => own.some((line) => fieldOf(line, "fault") === "wrong_weights"),
     text: "the replica ran other weights than the router believed",
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -11,6 +11,7 @@
 import type { Turn } from "../replicaLimits/replicaLimits.ts";
 import type { TurnSearch } from "../replicaLimits/turnSearch.ts";
 import { createTurnSearch } from "../replicaLimits/turnSearch.ts";
+import type { Availability } from "../replicaReports/availability.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { Admit } from "./admit.ts";
 import { attemptPatienceShare } from "./constants.ts";
@@ -23,12 +24,14 @@
 import type { PartWait } from "./partWait.ts";
 import type { Placement } from "./placement.ts";
 import type { PlacementChoice, PlacementFailure } from "./placementTypes.ts";
+import { createRetryPolicy } from "./retryPolicy.ts";
 import type { RetryShare } from "./retryShare.ts";
 
 /** What attempts are made with. */
 export interface AttemptLoopParts {
   readonly admit: Admit;
   readonly placement: Placement;
+  readonly availability: Availability;
   readonly owners: Pick<ReplicaOwners, "isNeeded" | "ask">;
   readonly attempt: ForwardAttempt;
   readonly turns: LimitedTurns;
@@ -53,39 +56,12 @@
   readonly mayRetry: (run: ForwardRun, failure: UpstreamError) => boolean;
 }
 
-const firstServerError = 500;
-
-/** Whether a replica may have run what failed. */
-const hasReached = ({ progress }: UpstreamError): boolean =>
-  progress !== "not_sent" && progress !== "refused";
-
 const writeLog = createLogger("requests");
 
 /** Makes attempts by what placement chooses. */
 export const createAttemptLoop = (parts: AttemptLoopParts): AttemptLoop => {
-  const { admit, placement, owners, load, quarantine, turns, retryShare, metrics, clock } = parts;
-
-  const takeRetry = ({ admission }: ForwardRun): boolean => {
-    if (retryShare.tryTake(admission.service.name)) return true;
-    metrics.count(metricNames.retriesDenied);
-    return false;
-  };
-
-  const mayRetry = (run: ForwardRun, failure: UpstreamError): boolean => {
-    if (hasReached(failure)) quarantine.noteFailed(run.request);
-    if (run.stopper.reason() !== undefined) return false;
-    if (failure.progress === "not_sent") return !run.isUnreachable();
-    if (failure.progress !== "refused" && !run.mayRepeat) return false;
-    // A replica that only has other weights than expected is asked again.
-    if (failure.fault !== "wrong_weights" && !run.hasAttemptsLeft()) return false;
-    return takeRetry(run);
-  };
-
-  /** A failure that the replica answered itself may be none elsewhere. */
-  const isWorthAnother = (run: ForwardRun, { head }: BegunAnswer): boolean => {
-    if (head.status < firstServerError || !run.mayRepeat) return false;
-    return run.stopper.reason() === undefined && run.hasAttemptsLeft() && takeRetry(run);
-  };
+  const { admit, placement, availability, owners, load, quarantine, turns, metrics, clock } = parts;
+  const { mayRetry, isWorthAnother } = createRetryPolicy(parts);
 
   /** An attempt that another one may follow is not waited for until the end. */
   const attemptLimit = (run: ForwardRun): number | undefined => {
@@ -153,6 +129,11 @@
     if (run.mayHaveRun()) return failures.unknown(failure);
     if (quarantine.isHeld(run.request)) return failures.heldBack(quarantine.comeBackAfter(run.request));
     if (search.wasLimited()) return turns.refuse(run);
+    const retryAfter = availability.retryAfter(run.admission.service.name);
+    if (retryAfter !== undefined) {
+      metrics.count(metricNames.turnedAwayUnavailable);
+      return failures.unavailable(retryAfter, failure);
+    }
     return failures.notRun(run.deadline - clock.monotonic(), failure);
   };
 
@@ -173,6 +154,7 @@
       const excluded = search.excluded(failure?.fault === "wrong_weights" ? new Set<string>() : run.sentTo);
       const known = owners.isNeeded() ? await consult(run, excluded, isWide, search) : undefined;
       const choice = choose(run, excluded, known, search);
+      run.noteSkipped(availability.describeSkipped(run.admission.service.name));
       if (typeof choice === "string") {
         if (search.widen(choice)) continue;
         noteNoReplica(run, choice);
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -13,6 +13,7 @@
 import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import type { ReplicaLimits } from "../replicaLimits/replicaLimits.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
+import { createAvailability } from "../replicaReports/availability.ts";
 import { createReplicaGate } from "../replicaReports/replicaGate.ts";
 import { createReportObserver } from "../replicaReports/reportObserver.ts";
 import type { UsageCounting } from "../usageLimits/usageLimits.ts";
@@ -119,8 +120,10 @@
     },
     metrics,
     clock,
+    random,
   });
-  client.useGate(createReplicaGate({ replicas, observe, clock }));
+  client.useGate(createReplicaGate({ replicas, observe, metrics, clock }));
+  const availability = createAvailability({ replicas, clock, random });
 
   const saving = createPartSaving({ clock, policy, routers: peers.countServing });
   const shared = { replicas, estimates, clock, random };
@@ -158,7 +161,8 @@
   });
   const loop: AttemptLoopParts = {
     admit: parts.admit,
-    placement: createPlacement({ ...shared, dataCentre, engines }),
+    placement: createPlacement({ ...shared, availability, dataCentre, engines }),
+    availability,
     owners,
     attempt,
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -40,6 +40,18 @@
       outcome: outcomes.notRun,
       retryAfterSeconds: milliseconds / 1_000,
     }),
+  /** All replicas drain or asked for backoff. @param milliseconds - Until one accepts requests again. */
+  unavailable: (milliseconds: number, cause: UpstreamError | undefined): RequestError =>
+    requestError(
+      "All replicas are shutting down or asked for backoff; the request has not run.",
+      {
+        status: 503,
+        code: "replicas_unavailable",
+        outcome: outcomes.notRun,
+        retryAfterSeconds: milliseconds / 1_000,
+      },
+      cause,
+    ),
   /** This router ends before the request would. */
   ending: (): RequestError =>
     requestError("This router is shutting down; the request has not run.", {
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -45,6 +45,9 @@
   readonly noteConsultation: (asked: number, known: number, milliseconds: number) => void;
   /** The last time that owners were asked; nothing if they never were. */
   readonly consultation: () => Consultation | undefined;
+  /** Replicas that were not available when it was placed last, with the reasons. */
+  readonly noteSkipped: (skipped: string | undefined) => void;
+  readonly skipped: () => string | undefined;
   /** Whether it may run a second time. */
   readonly mayRepeat: boolean;
   /** Whether the route allows it to be sent to one more replica. */
@@ -81,6 +84,7 @@
   let waited = 0;
   let consultation: Consultation | undefined;
   let lastChoice: PlacementChoice | undefined;
+  let skipped: string | undefined;
   const leave = (): void => stopper.stop("caller_left");
   signal.addEventListener("abort", leave);
   if (signal.aborted) leave();
@@ -127,6 +131,10 @@
       consultation = { asked, known, milliseconds };
     },
     consultation: () => consultation,
+    noteSkipped: (described) => {
+      skipped = described;
+    },
+    skipped: () => skipped,
     mayRepeat: route.kind === "repeatable" || route.kind === "resumableEventStream",
     hasAttemptsLeft: () => sentTo.size < route.maximumAttempts,
     isUnreachable: () => unsent >= mostUnsent,
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -65,6 +65,7 @@
   const end = (run: ForwardRun, outcome: RunOutcome, reason?: string): void => {
     const { request, admission, sentTo } = run;
     const choice = run.lastChoice();
+    const skipped = run.skipped();
     run.close();
     parts.usage.settle(run);
     open -= 1;
@@ -87,6 +88,7 @@
       copiedFrom: choice?.fetchFrom ?? null,
       waitedForPart: Math.round(run.waited()),
       ...describeConsultation(run.consultation()),
+      ...(skipped === undefined ? {} : { skipped }),
       ...(reason === undefined ? {} : { reason }),
     });
   };
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -3,10 +3,11 @@
  * undone counted as time: old weights, bytes between data centres, parts copied, failures.
  */
 import type { CallerRequest } from "../../protocol/forwarding/types.ts";
-import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
+import type { Availability } from "../replicaReports/availability.ts";
+import { isAvoided } from "../replicaReports/backoff.ts";
 import { askedPlain } from "../replicaOwners/constants.ts";
 import { failurePenaltyShare, remotePenalty } from "./constants.ts";
 import type { EnginePlacement } from "./enginePlacement.ts";
@@ -19,7 +20,7 @@
 
 /** What placement works with. */
 export interface PlacementParts {
-  readonly replicas: ReplicaTable;
+  readonly availability: Pick<Availability, "available">;
   readonly estimates: ReplicaEstimates;
   readonly clock: Clock;
   /** This router's data centre. */
@@ -62,19 +63,25 @@
 
 /** Creates a placement. */
 export const createPlacement = (parts: PlacementParts): Placement => {
-  const { replicas, estimates, clock, engines } = parts;
+  const { availability, estimates, clock, engines } = parts;
 
   const isOpen = (replica: ReplicaState, now: number): boolean =>
-    now >= replica.changingUntil && now >= replica.ejectedUntil;
+    now >= replica.changingUntil && now >= replica.ejectedUntil && !isAvoided(replica, now);
+
+  /** A request that found one replica unavailable doesn't try another that may be so too. */
+  const isProven = ({ backoff }: ReplicaState, isRetry: boolean): boolean =>
+    !isRetry || backoff === undefined;
 
   /** Those that are open; if there are none, those that only failed, then those that are being changed. */
   const usable = (service: string, excluded: ReadonlySet<string>): readonly ReplicaState[] => {
     const now = clock.monotonic();
-    const serving = replicas.serving(service).filter(({ entry }) => !excluded.has(entry.id));
-    const open = serving.filter((replica) => isOpen(replica, now));
+    const available = availability.available(service).filter(({ entry }) => !excluded.has(entry.id));
+    const open = available.filter((replica) => isOpen(replica, now));
+    const proven = open.filter((replica) => isProven(replica, excluded.size > 0));
+    if (proven.length > 0) return proven;
     if (open.length > 0) return open;
-    const failed = serving.filter((replica) => now >= replica.changingUntil);
-    return failed.length > 0 ? failed : serving;
+    const failed = available.filter((replica) => now >= replica.changingUntil);
+    return failed.length > 0 ? failed : available;
   };
 
   const isWithinLimit = (replica: ReplicaState, limited: LimitedChoice, now: number): boolean => {
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/forwarding/promptView.ts
@@ -3,6 +3,8 @@
 import { hash32 } from "../../protocol/prefixLevels.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import type { Clock } from "../clock.ts";
+import { isBackingOff } from "../replicaReports/backoff.ts";
 import type { CacheHolders, HeldPrompt } from "./cacheHolders.ts";
 import { reusableParts } from "./cacheHolders.ts";
 import { rendezvousReplica } from "./rendezvousReplica.ts";
@@ -10,6 +12,7 @@
 /** What views are made of. */
 export interface PromptViewParts {
   readonly replicas: ReplicaTable;
+  readonly clock: Clock;
   readonly holders: CacheHolders;
   /** @returns The store that a part belongs to, if there is one that answers. @param part - Its hash. */
   readonly store: (part: number) => CacheStore | undefined;
@@ -55,7 +58,7 @@
 
 /** Makes views of prompts. */
 export const createPromptViews = (parts: PromptViewParts): PromptViews => {
-  const { replicas, holders } = parts;
+  const { replicas, holders, clock } = parts;
 
   const viewPrompt = (prompt: Prompt, salt: string, sameWeights: readonly ReplicaState[]): PromptView => {
     const held = holders.find(salt, prompt);
@@ -68,7 +71,10 @@
   };
 
   /** Copying from a replica that doesn't answer would hold the request up. */
-  const isSource = (id: string): boolean => replicas.get(id)?.isUnreachable === false;
+  const isSource = (id: string): boolean => {
+    const replica = replicas.get(id);
+    return replica?.isUnreachable === false && !isBackingOff(replica, clock.monotonic());
+  };
 
   /** The replica that is known to keep most of the prompt, if it is more than the chosen one keeps. */
   const knownSource = (view: PromptView, chosen: string, own: number): HeldBy | undefined => {
@@ -85,7 +91,7 @@
   const expectedSource = (view: PromptView, chosen: string): string | undefined => {
     const { part, same, home } = view;
     if (home !== undefined && home !== chosen && isSource(home)) return home;
-    const others = same.filter((each) => each.entry.id !== chosen && !each.isUnreachable);
+    const others = same.filter((each) => each.entry.id !== chosen && isSource(each.entry.id));
     return rendezvousReplica(part, others)?.entry.id;
   };
 
--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -9,6 +9,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import { pause } from "../clock.ts";
+import { isBackingOff } from "../replicaReports/backoff.ts";
 import { startLease } from "../leases/lease.ts";
 import { createLeaseHistory } from "../leases/leaseHistory.ts";
 import type { LeaseView, Tenure } from "../leases/types.ts";
@@ -87,7 +88,8 @@
     const behind = replicas
       .all()
       // One that can't be reached would hold a place among those that load until it is given up.
-      .filter((replica) => !replica.isUnreachable && missing(replica) !== undefined)
+      .filter((replica) => !replica.isUnreachable && !isBackingOff(replica, clock.monotonic()))
+      .filter((replica) => missing(replica) !== undefined)
       .sort((left, right) => totalRequests(left) - totalRequests(right));
     for (const replica of behind) {
       const { id, service } = replica.entry;
--- /dev/null
+++ b/src/coordination/replicaReports/backoff.test.ts
@@ -0,0 +1,174 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createManualClock } from "../manualClock.ts";
+import { createAvailability } from "./availability.ts";
+import {
+  isAvoided,
+  isBackingOff,
+  mayLeave,
+  noteAccepted,
+  noteRefusal,
+  noteSent,
+  startBackoff,
+} from "./backoff.ts";
+import { reopening } from "./constants.ts";
+
+const start = (ids: readonly string[] = ["engine"]) => {
+  const replicas = createReplicaTable();
+  ids.forEach((id) => replicas.put(engineEntry(id)));
+  const stateOf = (id = ids[0] ?? ""): ReplicaState => {
+    const state = replicas.get(id);
+    if (state === undefined) throw new Error("The replica is not registered.");
+    return state;
+  };
+  return { replicas, stateOf };
+};
+
+/** @returns The requests that are admitted when one is waiting at every millisecond, each answered after a while. */
+const admittedAt = (replica: ReplicaState, from: number, until: number, answerTime: number): number[] => {
+  const admitted: number[] = [];
+  for (let now = from; now < until; now += 1) {
+    for (const at of admitted) if (at + answerTime === now) noteAccepted(replica, at, now);
+    if (isBackingOff(replica, now)) continue;
+    noteSent(replica, now);
+    admitted.push(now);
+  }
+  return admitted;
+};
+
+describe("backoff", () => {
+  it("lasts until the latest end of overlapping periods, in whatever order they come", () => {
+    for (const [first, second] of [
+      [4_000, 1_000],
+      [1_000, 4_000],
+    ] as const) {
+      const replica = start().stateOf();
+      expect(startBackoff(replica, first, 0, 0)).toEqual(true);
+      expect(startBackoff(replica, second, 10, 0)).toEqual(false);
+      expect(isBackingOff(replica, Math.max(first, second) - 1)).toEqual(true);
+      expect(isBackingOff(replica, Math.max(first, second) + 10)).toEqual(false);
+    }
+  });
+
+  it("ends at different times at routers that were turned away together", () => {
+    const [early, late] = [start().stateOf(), start().stateOf()];
+    startBackoff(early, 4_000, 0, 0);
+    startBackoff(late, 4_000, 0, 1);
+    expect([early, late].map((each) => isBackingOff(each, 4_000 + reopening.spread / 2))).toEqual([
+      false,
+      true,
+    ]);
+  });
+
+  it("withholds a request that was queued before it, also after its end", () => {
+    const replica = start().stateOf();
+    startBackoff(replica, 1_000, 100, 0);
+    expect(mayLeave(replica, 50, 500)).toEqual(false);
+    expect(mayLeave(replica, 50, 2_000)).toEqual(false);
+    expect(mayLeave(replica, 2_000, 2_000)).toEqual(true);
+  });
+
+  it("is not ended by answers to requests that were sent before it", () => {
+    const replica = start().stateOf();
+    startBackoff(replica, 1_000, 100, 0);
+    expect(noteAccepted(replica, 50, 2_000)).toEqual(false);
+    expect(replica.backoff === undefined).toEqual(false);
+  });
+
+  it("is followed by a trickle that becomes the usual pace within a second", () => {
+    const replica = start().stateOf();
+    startBackoff(replica, 1_000, 0, 0);
+    const admitted = admittedAt(replica, 0, 2_000, 30);
+    expect(admitted[0]).toEqual(1_000);
+    expect(admitted.filter((at) => at < 1_100).length <= 3).toEqual(true);
+    expect(admitted.filter((at) => at >= 1_990).length).toEqual(10);
+    expect(replica.backoff).toEqual(undefined);
+  });
+
+  it("begins again with one request where the replica refuses the first one", () => {
+    const replica = start().stateOf();
+    startBackoff(replica, 1_000, 0, 0);
+    noteSent(replica, 1_000);
+    expect(startBackoff(replica, 1_000, 1_010, 0)).toEqual(true);
+    expect(isBackingOff(replica, 2_000)).toEqual(true);
+    expect(isBackingOff(replica, 2_010)).toEqual(false);
+  });
+
+  it("is unlimited in length", () => {
+    const replica = start().stateOf();
+    startBackoff(replica, 31_536_000_000, 0, 0);
+    expect(isBackingOff(replica, 31_535_999_999)).toEqual(true);
+  });
+});
+
+describe("a refusal without a usable Retry-After", () => {
+  it("makes others preferred, longer each time, until the replica accepts a request", () => {
+    const replica = start().stateOf();
+    noteRefusal(replica, 0, 1);
+    expect([isAvoided(replica, 49), isAvoided(replica, 50), isBackingOff(replica, 0)]).toEqual([
+      true,
+      false,
+      false,
+    ]);
+    noteRefusal(replica, 50, 1);
+    expect([isAvoided(replica, 149), isAvoided(replica, 150)]).toEqual([true, false]);
+    noteSent(replica, 150);
+    expect(isAvoided(replica, 151)).toEqual(true);
+    noteAccepted(replica, 150, 180);
+    expect(isAvoided(replica, 181)).toEqual(false);
+    expect(replica.backoff).toEqual(undefined);
+  });
+});
+
+describe("availability", () => {
+  const setUp = () => {
+    const clock = createManualClock(0);
+    const system = start(["a", "b"]);
+    let random = 0;
+    const availability = createAvailability({ replicas: system.replicas, clock, random: () => random });
+    return { ...system, clock, availability, setRandom: (value: number) => (random = value) };
+  };
+
+  it("is of the others while one replica asks for backoff", () => {
+    const { availability, stateOf } = setUp();
+    startBackoff(stateOf("a"), 2_500, 0, 0);
+    expect(availability.available("engines").map(({ entry }) => entry.id)).toEqual(["b"]);
+    expect(availability.retryAfter("engines")).toEqual(undefined);
+    expect(availability.describeSkipped("engines")).toEqual("a:backoff:2500");
+  });
+
+  it("tells callers to return after the backoff, spread out, where there are no others", () => {
+    const { availability, stateOf, setRandom } = setUp();
+    startBackoff(stateOf("a"), 2_500, 0, 0);
+    startBackoff(stateOf("b"), 5_000, 0, 0);
+    const times = [0, 0.25, 0.5, 0.9].map((value) => {
+      setRandom(value);
+      return availability.retryAfter("engines") ?? 0;
+    });
+    expect(times.every((time) => time >= 2_500 && time < 7_500)).toEqual(true);
+    expect(new Set(times).size).toEqual(4);
+  });
+
+  it("tells callers to return where all replicas drain, and nothing where none is registered", () => {
+    const { availability, replicas } = setUp();
+    replicas.markDraining("a");
+    replicas.markDraining("b");
+    expect(availability.available("engines")).toEqual([]);
+    expect((availability.retryAfter("engines") ?? 0) > 0).toEqual(true);
+    expect(availability.describeSkipped("engines")).toEqual("a:draining b:draining");
+    expect(availability.retryAfter("unknown")).toEqual(undefined);
+  });
+
+  it("survives a registry that drops the replica and lists it again, and not a new incarnation", () => {
+    const { availability, replicas, stateOf } = setUp();
+    startBackoff(stateOf("a"), 2_500, 0, 0);
+    replicas.remove("a");
+    replicas.put(engineEntry("a"));
+    expect(availability.available("engines").map(({ entry }) => entry.id)).toEqual(["b"]);
+    replicas.put(engineEntry("a/2", { registeredAs: "a", bornAt: 2 }));
+    expect(availability.available("engines").length).toEqual(2);
+  });
+});
--- a/src/coordination/replicaReports/reportObserver.test.ts
+++ b/src/coordination/replicaReports/reportObserver.test.ts
@@ -35,6 +35,7 @@
     onDraining: () => undefined,
     metrics,
     clock: createManualClock(100),
+    random: () => 0,
   });
   const request = { replica: state.entry, id: "asked", askedAt: 50 };
   const hear = (limit: ReplicaReport["limit"], head: Partial<ReplicaReport> = own): void =>
--- a/src/coordination/replicaReports/reportObserver.ts
+++ b/src/coordination/replicaReports/reportObserver.ts
@@ -11,6 +11,7 @@
 import type { Clock } from "../clock.ts";
 import { bindingRate } from "../replicaLimits/constants.ts";
 import type { ReplicaLimits } from "../replicaLimits/replicaLimits.ts";
+import { noteAccepted, noteRefusal, startBackoff } from "./backoff.ts";
 import { unavailableStatuses } from "./constants.ts";
 
 export interface ReportObserverDependencies {
@@ -20,6 +21,8 @@
   readonly onDraining: (id: string) => void;
   readonly metrics: Metrics;
   readonly clock: Clock;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
 }
 
 /** What was answered. */
@@ -47,7 +50,7 @@
 
 /** Creates an observer. */
 export const createReportObserver = (dependencies: ReportObserverDependencies): ReportObserver => {
-  const { limits, replicas, metrics, clock } = dependencies;
+  const { limits, replicas, metrics, clock, random } = dependencies;
   /** Ids of replicas with an unreadable limit: logged once for each. */
   const unreadableLimits = new Set<string>();
   /** The same for other fields. */
@@ -95,27 +98,34 @@
     dependencies.onDraining(id);
   };
 
-  const observeBackoff = (request: AnsweredRequest, { retryAfter, status }: ReplicaReport): void => {
-    if (retryAfter === undefined || !unavailableStatuses.has(status)) return;
-    if (retryAfter === "unreadable") {
-      noteUnreadable(request, "retryAfter");
+  const observeRefusal = (request: AnsweredRequest, state: ReplicaState, report: ReplicaReport): void => {
+    const { retryAfter, status } = report;
+    if (retryAfter === "unreadable") noteUnreadable(request, "retryAfter");
+    if (typeof retryAfter !== "number" || retryAfter === 0) {
+      noteRefusal(state, clock.monotonic(), random());
       return;
     }
     metrics.count(metricNames.backoffsReported);
-    writeLog("backoff_started", {
-      replica: request.replica.id,
-      request: request.id ?? null,
-      status,
-      milliseconds: retryAfter,
-    });
+    if (!startBackoff(state, retryAfter, clock.monotonic(), random())) return;
+    const { replica, id } = request;
+    const milliseconds = Math.round(retryAfter);
+    writeLog("backoff_started", { replica: replica.id, request: id ?? null, status, milliseconds });
+  };
+
+  const observeBackoff = (request: AnsweredRequest, state: ReplicaState, report: ReplicaReport): void => {
+    const { status, isSealed } = report;
+    if (unavailableStatuses.has(status)) observeRefusal(request, state, report);
+    else if (isSealed && noteAccepted(state, request.askedAt, clock.monotonic())) {
+      writeLog("backoff_ended", { replica: request.replica.id, request: request.id ?? null, status });
+    }
   };
 
   return (request, report) => {
     if (isOfAnother(request, report)) return;
-    observeBackoff(request, report);
+    const state = replicas.get(request.replica.id);
+    if (state !== undefined) observeBackoff(request, state, report);
     if (request.id !== undefined && !isMarked(report)) return;
     observeDraining(request, report);
-    const state = replicas.get(request.replica.id);
     if (request.id !== undefined && state !== undefined) observeLimit(state, report, request.askedAt);
   };
 };
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -10,6 +10,8 @@
   drainingReported: "draining_reported",
   backoffsReported: "backoffs_reported",
   reportsUnreadable: "reports_unreadable",
+  withheld: "requests_withheld",
+  turnedAwayUnavailable: "turned_away_unavailable",
   underLimit: "sent_under_limit",
   limitedAway: "turned_away_by_limits",
   attempts: "attempts",
--- a/src/state/forwarding/replicaState.ts
+++ b/src/state/forwarding/replicaState.ts
@@ -14,6 +14,26 @@
   readonly promptTokens: readonly number[];
 }
 
+/** How a replica has made this router send less. Times are milliseconds on the monotonic clock. */
+export interface ReplicaBackoff {
+  /** When the newest period that the replica asked for began. */
+  startedAt: number;
+  /** Nothing is sent before then: the replica asked for it. */
+  until: number;
+  /** After that, no further request is sent before then. */
+  nextAt: number;
+  /** Between two requests as the replica is tried again; shorter with each answer. */
+  interval: number;
+  /** An answer has shown since that the period is over. */
+  hasReopened: boolean;
+  /** When the last request was sent after a period had ended. */
+  sentAt: number;
+  /** Other replicas are preferred before then: it turned requests away without saying for how long. */
+  avoidedUntil: number;
+  /** Such refusals in a row. */
+  refusals: number;
+}
+
 /** What is believed of one replica. */
 export interface ReplicaState {
   entry: ReplicaEntry;
@@ -43,6 +63,8 @@
   limitEndedAt: number;
   /** Gets no request of this router before then unless there is no other: its limit leaves none. */
   limitedUntil: number;
+  /** Set from the first refusal until requests are accepted at the usual pace. */
+  backoff: ReplicaBackoff | undefined;
   /** No connection can be made to it. */
   isUnreachable: boolean;
   /** Another router can't reach it: to be tried with a connection of this router's own. */
@@ -109,6 +131,7 @@
   limit: undefined,
   limitEndedAt: Number.NEGATIVE_INFINITY,
   limitedUntil: Number.NEGATIVE_INFINITY,
+  backoff: undefined,
   isUnreachable: false,
   isSuspected: false,
   quietSince: Number.NEGATIVE_INFINITY,
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -4,14 +4,14 @@
  */
 import type { ReplicaKey } from "../../protocol/forwarding/peerMessage.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
-import { createRecentSet } from "../recentSet.ts";
+import { createRecentMap } from "../recentMap.ts";
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import { createPeerWork } from "./peerWork.ts";
-import type { ReplicaState, ReplicaWork } from "./replicaState.ts";
+import type { ReplicaBackoff, ReplicaState, ReplicaWork } from "./replicaState.ts";
 import { createReplicaState } from "./replicaState.ts";
 
-/** Incarnations remembered as draining, more than any system replaces while the registry is unavailable. */
-const mostDrainingRemembered = 4_096;
+/** Incarnations of which something is remembered: more than are replaced while a registry is unavailable. */
+const mostDepartedRemembered = 4_096;
 
 /** How a replica left the table. */
 export type Departure = "draining" | "gone" | "restarted";
@@ -23,6 +23,8 @@
   readonly all: () => readonly ReplicaState[];
   /** @returns The replicas of a service that take new work. */
   readonly serving: (service: string) => readonly ReplicaState[];
+  /** @returns Those that drain. */
+  readonly draining: (service: string) => readonly ReplicaState[];
   /**
    * Takes a registration.
    *
@@ -63,17 +65,21 @@
   const byName = new Map<string, ReplicaState>();
   const peerWork = createPeerWork((key) => byKey.get(key));
   const byService = new Map<string, ReplicaState[]>();
+  const drainingByService = new Map<string, ReplicaState[]>();
   /** Ids of incarnations that drain or drained: the registry may drop one for a while and list it as ready again. */
-  const draining = createRecentSet(mostDrainingRemembered);
+  const draining = createRecentMap<true>(mostDepartedRemembered);
+  /** By id of an incarnation that the registry dropped, for the same reason. */
+  const backoffs = createRecentMap<ReplicaBackoff>(mostDepartedRemembered);
   const listeners: ((entry: ReplicaEntry, departure: Departure | undefined) => void)[] = [];
 
   const reindex = (): void => {
     byService.clear();
+    drainingByService.clear();
     for (const state of states.values()) {
       const { service, isDraining } = state.entry;
-      if (isDraining) continue;
-      const ofService = byService.get(service);
-      if (ofService === undefined) byService.set(service, [state]);
+      const index = isDraining ? drainingByService : byService;
+      const ofService = index.get(service);
+      if (ofService === undefined) index.set(service, [state]);
       else ofService.push(state);
     }
   };
@@ -82,7 +88,8 @@
     for (const listener of listeners) listener(entry, departure);
   };
 
-  const drop = ({ entry }: ReplicaState, departure: Departure): void => {
+  const drop = ({ entry, backoff }: ReplicaState, departure: Departure): void => {
+    if (backoff !== undefined) backoffs.set(entry.id, backoff);
     states.delete(entry.id);
     byKey.delete(replicaKeyOf(entry.id));
     byName.delete(entry.registeredAs);
@@ -103,11 +110,12 @@
 
   const put = (entry: ReplicaEntry): boolean => {
     if (!makeWay(entry)) return false;
-    if (entry.isDraining) draining.add(entry.id);
+    if (entry.isDraining) draining.set(entry.id, true);
     const isDraining = draining.has(entry.id);
     const known = states.get(entry.id);
     if (known === undefined) {
       const state = createReplicaState({ ...entry, isDraining });
+      state.backoff = backoffs.get(entry.id);
       states.set(entry.id, state);
       byKey.set(replicaKeyOf(entry.id), state);
       byName.set(entry.registeredAs, state);
@@ -139,10 +147,11 @@
     replaceWorkAt: peerWork.replaceAt,
     all: () => [...states.values()],
     serving: (service) => byService.get(service) ?? [],
+    draining: (service) => drainingByService.get(service) ?? [],
     put,
     markDraining: (id) => {
       if (draining.has(id)) return false;
-      draining.add(id);
+      draining.set(id, true);
       const known = states.get(id);
       return known === undefined || put(known.entry);
     },
--- /dev/null
+++ b/src/state/recentMap.ts
@@ -0,0 +1,25 @@
+/** See {@link createRecentMap}. */
+export interface RecentMap<T> {
+  readonly has: (key: string) => boolean;
+  readonly get: (key: string) => T | undefined;
+  readonly set: (key: string, value: T) => void;
+}
+
+/**
+ * Creates a map of bounded size.
+ *
+ * @param capacity - Entries that are kept; beyond it the entry that was set longest ago is dropped.
+ */
+export const createRecentMap = <T>(capacity: number): RecentMap<T> => {
+  const entries = new Map<string, T>();
+  return {
+    has: (key) => entries.has(key),
+    get: (key) => entries.get(key),
+    set: (key, value) => {
+      entries.delete(key);
+      entries.set(key, value);
+      const oldest = entries.size > capacity ? entries.keys().next().value : undefined;
+      if (oldest !== undefined) entries.delete(oldest);
+    },
+  };
+};
