Let the soak's replicas report draining and ask for backoff

Two kinds of steps, in plans of their own (--reports), so that the plans of known seeds stay the same, and two checks from what callers got and what arrived at replicas, by router.

--- a/soak/platform/callers.ts
+++ b/soak/platform/callers.ts
@@ -3,7 +3,14 @@
 import { Agent, request as httpRequest } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Random } from "../../bench/model/random.ts";
-import { callHeaders, hosts, keys, promptHeaders } from "../../standIns/platform/system.ts";
+import {
+  callHeaders,
+  drainingReplicaOf,
+  hosts,
+  keys,
+  promptHeaders,
+} from "../../standIns/platform/system.ts";
+import { throughHeader } from "../../tests/support/limitedReplicas.ts";
 import type { RouterPlace } from "./system.ts";
 import type { CallerRecord, RequestName } from "./types.ts";
 
@@ -36,7 +43,8 @@
   readonly leaves: boolean;
 }
 
-const headersOf = ({ id, name, key }: Ask): Record<string, string> => ({
+const headersOf = ({ id, name, key }: Ask, { name: router }: RouterPlace): Record<string, string> => ({
+  [throughHeader]: router,
   host: name === "read" || name === "post" ? hosts.desk : hosts.model,
   ...callHeaders(id, key, times.patience),
   ...(name === "ask" || name === "tag" ? promptHeaders() : {}),
@@ -47,22 +55,24 @@
   agent: Agent,
   place: RouterPlace,
   ask: Ask,
-): Promise<Pick<CallerRecord, "status" | "body" | "isCut" | "hasLeft">> =>
+): Promise<Pick<CallerRecord, "status" | "body" | "isCut" | "hasLeft" | "drainingReplica">> =>
   new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let hasLeft = false;
+    let drainingReplica: string | undefined;
     const end = (status: number, isCut: boolean): void => {
       clearTimeout(timer);
-      resolve({ status, body: Buffer.concat(chunks).toString(), isCut, hasLeft });
+      resolve({ status, body: Buffer.concat(chunks).toString(), isCut, hasLeft, drainingReplica });
     };
     const read = (response: IncomingMessage): void => {
+      drainingReplica = drainingReplicaOf(response.headers);
       response.on("data", (chunk: Buffer) => chunks.push(chunk));
       response.on("end", () => end(response.statusCode ?? 0, !response.complete));
       response.on("error", () => end(response.statusCode ?? 0, true));
     };
     const method = ask.name === "read" ? "GET" : "POST";
     const path = `/${ask.name}/${ask.id}`;
-    const request = httpRequest(place.url, { agent, method, path, headers: headersOf(ask) }, read);
+    const request = httpRequest(place.url, { agent, method, path, headers: headersOf(ask, place) }, read);
     request.on("error", () => end(0, true));
     request.end(ask.sentBody);
     const leave = (): void => {
--- a/soak/platform/checks.test.ts
+++ b/soak/platform/checks.test.ts
@@ -1,7 +1,8 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import type { ReceivedOrder, Run } from "../../standIns/platform/replica.ts";
+import type { Arrival, ReceivedOrder, Run } from "../../standIns/platform/replica.ts";
 import { saltHeaders } from "../../standIns/platform/system.ts";
+import { throughHeader } from "../../tests/support/limitedReplicas.ts";
 import { eventsPerStream, findPlatformViolations } from "./checks.ts";
 import { createPlan } from "./plan.ts";
 import { shrinkPlan } from "./shrink.ts";
@@ -25,6 +26,7 @@
   sentBody: "sent",
   isCut: false,
   hasLeft: false,
+  drainingReplica: undefined,
   ...fields,
 });
 
@@ -49,10 +51,19 @@
   expectedRev: undefined,
 });
 
+const arrival = (router: string, at: number, fields: Partial<Arrival> = {}): Arrival => ({
+  headers: { [throughHeader]: router },
+  at,
+  refusedAt: undefined,
+  retryAfter: undefined,
+  ...fields,
+});
+
 const replica = (fields: Partial<ReplicaRecord>): ReplicaRecord => ({
   id: "replica",
   service: "desk",
   runs: [],
+  arrivals: [],
   orders: [],
   leftAt: undefined,
   ...fields,
@@ -152,6 +163,27 @@
     expect(promisesBroken({ callers, replicas: [replica({ runs })] }).length).toEqual(1);
   });
 
+  it("find requests to replicas that reported draining through the router that passed that on", () => {
+    const report = caller("a", { drainingReplica: "replica", endedAt: 1_050 });
+    const arrivals = [arrival("router-0", 1_800), arrival("router-1", 9_000), arrival("router-0", 2_400)];
+    const replicas = [replica({ arrivals })];
+    const promise = "a replica that reports draining gets nothing after the bound";
+    expect(promisesBroken({ callers: [report], replicas })).toEqual([promise]);
+    const steps = [{ kind: "killRouter", from: 1_500, until: 1_900, router: "router-0" } as const];
+    expect(promisesBroken({ callers: [report], replicas, steps })).toEqual([]);
+  });
+
+  it("find requests to replicas within the backoff that they asked the router for", () => {
+    const refused = arrival("router-0", 1_000, { refusedAt: 1_000, retryAfter: "2" });
+    const within = [1_600, 1_700, 2_900].map((at) => arrival("router-0", at));
+    const promise = "a replica that asks for backoff gets nothing of that router";
+    expect(promisesBroken({ replicas: [replica({ arrivals: [refused, ...within] })] })).toEqual([promise]);
+    const allowed = [arrival("router-0", 1_400), arrival("router-1", 1_600), arrival("router-0", 3_100)];
+    expect(
+      promisesBroken({ replicas: [replica({ arrivals: [refused, ...allowed, ...within.slice(1)] })] }),
+    ).toEqual([]);
+  });
+
   it("find proofs from the future", () => {
     expect(promisesBroken({ proofAges: [100, -5_890] }).length).toEqual(1);
   });
--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -1,6 +1,7 @@
 /** What must hold whatever went wrong, on what callers and replicas saw. */
-import type { ReceivedOrder } from "../../standIns/platform/replica.ts";
+import type { Arrival, ReceivedOrder } from "../../standIns/platform/replica.ts";
 import { cacheSaltOf } from "../../standIns/platform/system.ts";
+import { throughHeader } from "../../tests/support/limitedReplicas.ts";
 import type { Violation } from "../types.ts";
 import type { CallerRecord, History, ReplicaRecord, RequestName, StepRecord } from "./types.ts";
 
@@ -134,6 +135,69 @@
       }));
   });
 
+const routerOf = ({ headers }: Arrival): string => String(headers[throughHeader]);
+
+/** Whether a router lost what it knew, or could not act on it, between two moments. */
+const isRouterStruck = (steps: readonly StepRecord[], router: string, since: number, at: number): boolean =>
+  steps.some(
+    ({ kind, router: struck, from, until }) =>
+      from < at && until + slack > since && (struck === router || strikesAll.has(kind)),
+  );
+
+const strikesAll: ReadonlySet<string> = new Set(["killAllRouters", "endRoutersInTurn"]);
+
+/** Whether an answer may have been lost or late on its way from a replica. */
+const isLinkHarmed = (steps: readonly StepRecord[], at: number): boolean =>
+  steps.some(({ kind, from, until }) => harmsLinks.has(kind) && from < at + slack && until + aftermath > at);
+
+const harmsLinks: ReadonlySet<string> = new Set([
+  "replicaReset",
+  "replicaSilent",
+  "replicaOneWay",
+  "replicaDelayed",
+  "replicaMuted",
+]);
+
+const drainingIsRespected = ({ callers, replicas, steps, bounds }: History): readonly Violation[] =>
+  replicas.flatMap(({ id, arrivals }) => {
+    const reports = callers.filter(({ drainingReplica }) => drainingReplica === id);
+    return arrivals.flatMap((arrival) => {
+      const router = routerOf(arrival);
+      const report = reports.find(
+        ({ router: through, endedAt }) => through === router && endedAt + bounds.drain + slack < arrival.at,
+      );
+      if (report === undefined || isRouterStruck(steps, router, report.sentAt, arrival.at)) return [];
+      return {
+        promise: "a replica that reports draining gets nothing after the bound",
+        detail: `${router} reached ${id} ${Math.round(arrival.at - report.endedAt)} ms after it passed that on`,
+      };
+    });
+  });
+
+/** Requests under way when a replica asks for backoff may arrive for so long; after that so many. */
+const backoffGrace = 500;
+const mostInBackoff = 2;
+
+const backoffIsRespected = ({ replicas, steps }: History): readonly Violation[] =>
+  replicas.flatMap(({ id, arrivals }) =>
+    arrivals.flatMap((refused) => {
+      const { refusedAt, retryAfter } = refused;
+      if (refusedAt === undefined || retryAfter === undefined || retryAfter === "") return [];
+      const end = refusedAt + Number(retryAfter) * 1_000;
+      const router = routerOf(refused);
+      const within = arrivals.filter(
+        (arrival) =>
+          routerOf(arrival) === router && arrival.at > refusedAt + backoffGrace && arrival.at < end,
+      );
+      if (within.length <= mostInBackoff || isLinkHarmed(steps, refusedAt)) return [];
+      if (isRouterStruck(steps, router, refusedAt, end)) return [];
+      return {
+        promise: "a replica that asks for backoff gets nothing of that router",
+        detail: `${router} sent ${within.length} requests to ${id} within ${retryAfter} s`,
+      };
+    }),
+  );
+
 const hasOneHolder = (id: string, orders: readonly ReceivedOrder[]): readonly Violation[] => {
   const found: Violation[] = [];
   const holders = new Map<number, string>();
@@ -253,6 +317,8 @@
   ...nothingIsBlamed(history),
   ...takenKeysEnd(history),
   ...leavingIsRespected(history),
+  ...drainingIsRespected(history),
+  ...backoffIsRespected(history),
   ...history.replicas.flatMap(({ id, orders }) => hasOneHolder(id, orders)),
   ...oldWeightsEnd(history),
   ...wallsHold(history),
--- a/soak/platform/disturber.ts
+++ b/soak/platform/disturber.ts
@@ -1,7 +1,7 @@
 /** Carries out the steps of a plan, each undone after its time, and notes what it struck. */
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Behaviour } from "../../standIns/platform/replica.ts";
-import { keys } from "../../standIns/platform/system.ts";
+import type { Behaviour, ReportHeaders } from "../../standIns/platform/replica.ts";
+import { drainingReport, keys } from "../../standIns/platform/system.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
 import type { Step, StepKind } from "./plan.ts";
 import { bounds } from "./system.ts";
@@ -27,6 +27,10 @@
 /** A service that leaves must not be left without replicas. */
 const fewestReplicas = 2;
 
+/** What a replica may ask for, seconds; requests that it turns away at most. */
+const backoffSeconds = { least: 0.8, most: 2.5 } as const;
+const mostRefused = 5_000;
+
 /** What engines and plain services do on the wire that they should not. */
 const misbehaviours = {
   engines: ["shed", "fail", "reset", "cut", "crossed", "unsealed"],
@@ -131,21 +135,55 @@
 
   const pickReplica = (target: number): ReplicaPlace | undefined =>
     pick(
-      system.replicas.filter(({ leftAt }) => leftAt === undefined),
+      system.replicas.filter(({ leftAt, isReporting }) => leftAt === undefined && !isReporting),
       target,
     );
 
+  /** Other replicas of its service that take requests. */
+  const countOthers = (place: ReplicaPlace): number =>
+    system.replicas.filter(
+      (other) =>
+        other !== place &&
+        other.service === place.service &&
+        other.leftAt === undefined &&
+        !other.isReporting,
+    ).length;
+
   const leave = async (place: ReplicaPlace | undefined): Promise<void> => {
-    const others = system.replicas.filter(
-      ({ service, leftAt }) => service === place?.service && leftAt === undefined,
-    );
-    if (place === undefined || others.length <= fewestReplicas) return;
+    if (place === undefined || countOthers(place) < fewestReplicas) return;
     system.register(place, "draining");
     place.leftAt = performance.now();
     await sleep(bounds.drain * 2);
     system.register(place, undefined);
   };
 
+  /** Its answers say so long before the registry does. */
+  const reportDraining = async (place: ReplicaPlace | undefined, duration: number): Promise<void> => {
+    if (place === undefined || countOthers(place) < fewestReplicas) return;
+    place.isReporting = true;
+    place.replica.report(drainingReport);
+    await sleep(duration);
+    await leave(place);
+  };
+
+  const askForBackoff = async (
+    place: ReplicaPlace | undefined,
+    duration: number,
+    target: number,
+  ): Promise<void> => {
+    if (place === undefined || countOthers(place) < fewestReplicas) return;
+    place.isReporting = true;
+    const seconds = String(backoffSeconds.least + (backoffSeconds.most - backoffSeconds.least) * target);
+    place.replica.report((behaviour): ReportHeaders =>
+      behaviour === "shed" ? { "retry-after": seconds } : {},
+    );
+    place.replica.behave(...Array.from({ length: mostRefused }, () => "shed" as const));
+    await sleep(duration);
+    place.replica.behave();
+    place.replica.report({});
+    place.isReporting = false;
+  };
+
   const publish = (fields: Readonly<Record<string, unknown>> = {}): void => {
     version += 1 + (version % 3);
     system.publish(version, { ...fields, tenants: tenantsWith(keysLeft) });
@@ -195,6 +233,8 @@
     replicaDelayed: ({ duration, target }) => harm(pickReplica(target)?.proxy, "delay", duration),
     replicaMuted: ({ duration, target }) => harm(pickReplica(target)?.proxy, "mute", duration),
     replicaMisbehaves: ({ target }) => misbehave(pickReplica(target), target),
+    replicaReportsDraining: ({ target, duration }) => reportDraining(pickReplica(target), duration),
+    replicaAsksForBackoff: ({ target, duration }) => askForBackoff(pickReplica(target), duration, target),
     replicaLeaves: ({ target }) => leave(pickReplica(target)),
     takeKey,
     nameWeights,
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --suspend --shrink --logs DIR]`:
  * routers as processes before the platform's stand-in, struck from outside by a seeded plan. Exit code 1 if a
  * promise was broken; the plan and the routers' logs of such a run are kept.
  */
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import type { Step } from "./plan.ts";
-import { createPlan, describePlan } from "./plan.ts";
+import { allStepKinds, createPlan, describePlan, usualStepKinds } from "./plan.ts";
 import type { SoakOutcome } from "./run.ts";
 import { runSoak } from "./run.ts";
 import { shrinkPlan } from "./shrink.ts";
@@ -24,6 +24,7 @@
     engines: { type: "string", default: "4" },
     desks: { type: "string", default: "3" },
     only: { type: "string" },
+    reports: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -38,7 +39,8 @@
 const firstSeed = Number(values.seed ?? Date.now() % 1_000_000);
 
 const planOf = (seed: number): readonly Step[] => {
-  const plan = createPlan(seed, Number(values.seconds));
+  const kinds = values.reports ? allStepKinds : usualStepKinds;
+  const plan = createPlan(seed, Number(values.seconds), kinds);
   const only = values.only?.split(",").map(Number);
   return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
 };
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -1,7 +1,7 @@
 /** The plan of a run: what happens when, the same for the same seed. */
 import { createRandom } from "../../bench/model/random.ts";
 
-export const stepKinds = [
+export const usualStepKinds = [
   "killRouter",
   "endRouter",
   "endRoutersInTurn",
@@ -26,8 +26,11 @@
   "changeSettings",
 ] as const;
 
+/** The usual ones, and replicas that report about themselves in their answers. */
+export const allStepKinds = [...usualStepKinds, "replicaReportsDraining", "replicaAsksForBackoff"] as const;
+
 /** What may happen. */
-export type StepKind = (typeof stepKinds)[number];
+export type StepKind = (typeof allStepKinds)[number];
 
 /** One thing that happens. */
 export interface Step {
@@ -45,13 +48,20 @@
 /** Between two steps on average, milliseconds: several overlap. */
 const meanGap = 700;
 
-/** @returns The steps of a seed, in the order of their times. */
-export const createPlan = (seed: number, seconds: number): readonly Step[] => {
+/**
+ * @param kinds - What may happen: the same seed with other kinds is another plan.
+ * @returns The steps of a seed, in the order of their times.
+ */
+export const createPlan = (
+  seed: number,
+  seconds: number,
+  kinds: readonly StepKind[] = usualStepKinds,
+): readonly Step[] => {
   const random = createRandom(seed, "platform-soak");
   const steps: Step[] = [];
   const end = seconds * 1_000;
   for (let at = meanGap; at < end; at += meanGap * 2 * random.uniform()) {
-    const kind = stepKinds[Math.floor(random.uniform() * stepKinds.length)] ?? "killRouter";
+    const kind = kinds[Math.floor(random.uniform() * kinds.length)] ?? "killRouter";
     const span = durations.longest - durations.shortest;
     const duration = Math.round(durations.shortest + span * random.uniform());
     steps.push({ kind, at: Math.round(at), duration, target: random.uniform() });
--- a/soak/platform/run.ts
+++ b/soak/platform/run.ts
@@ -69,6 +69,7 @@
       id: replica.id,
       service,
       runs: replica.runs,
+      arrivals: replica.arrivals,
       orders: replica.orders,
       leftAt,
     })),
--- a/soak/platform/system.ts
+++ b/soak/platform/system.ts
@@ -60,6 +60,8 @@
   readonly service: string;
   readonly proxy: LoopbackProxy;
   leftAt: number | undefined;
+  /** Its answers report draining or ask for backoff. */
+  isReporting: boolean;
 }
 
 /** A running system. */
@@ -131,7 +133,7 @@
   const add = async (service: string, replica: ReplicaStandIn): Promise<void> => {
     resources.use(replica);
     const proxy = resources.use(await startLoopbackProxy(replica.address));
-    places.push({ replica, service, proxy, leftAt: undefined });
+    places.push({ replica, service, proxy, leftAt: undefined, isReporting: false });
   };
   const events = { count: eventsPerStream, pause: 20 };
   for (let index = 0; index < size.engines; index += 1) {
--- a/soak/platform/types.ts
+++ b/soak/platform/types.ts
@@ -1,5 +1,5 @@
 /** What a soak run on the platform's stand-in records, for the checks. Times are milliseconds on one clock. */
-import type { ReceivedOrder, Run } from "../../standIns/platform/replica.ts";
+import type { Arrival, ReceivedOrder, Run } from "../../standIns/platform/replica.ts";
 import type { StepKind } from "./plan.ts";
 
 /** The ways in which callers ask; the configuration's routes have these names. */
@@ -19,6 +19,8 @@
   readonly body: string;
   readonly sentBody: string;
   readonly isCut: boolean;
+  /** The replica whose answer it is, if the answer reports that the replica drains. */
+  readonly drainingReplica: string | undefined;
   /** The caller went away by itself. */
   readonly hasLeft: boolean;
 }
@@ -28,6 +30,7 @@
   readonly id: string;
   readonly service: string;
   readonly runs: readonly Run[];
+  readonly arrivals: readonly Arrival[];
   readonly orders: readonly ReceivedOrder[];
   /** When the store accepted that it leaves. */
   readonly leftAt: number | undefined;
--- a/standIns/platform/system.ts
+++ b/standIns/platform/system.ts
@@ -6,7 +6,7 @@
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import { startForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
-import type { ReplicaSettings, ReplicaStandIn, Run } from "./replica.ts";
+import type { ReplicaSettings, ReplicaStandIn, ReportHeaders, Run } from "./replica.ts";
 import { startReplicaStandIn } from "./replica.ts";
 import type { StoreStandIn } from "./store.ts";
 import { startStoreStandIn } from "./store.ts";
@@ -197,6 +197,15 @@
     80,
   );
 
+/** What the answers of a replica that drains carry. */
+export const drainingReport: ReportHeaders = { "server-leaving": "1" };
+
+/** @returns The replica whose answer it is, if the answer reports that the replica drains. */
+export const drainingReplicaOf = (headers: IncomingHttpHeaders): string | undefined => {
+  const seal = headers["x-replica-seal"];
+  return headers["server-leaving"] === "1" && typeof seal === "string" ? seal.split(".")[0] : undefined;
+};
+
 /** A running system. */
 export interface PlatformSystem extends AsyncDisposable {
   readonly store: StoreStandIn;
--- a/tests/platform/replicaReports.test.ts
+++ b/tests/platform/replicaReports.test.ts
@@ -3,7 +3,14 @@
 import { expect } from "earl";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { CallerCall, PlatformSystem, PlatformSystemSettings } from "../../standIns/platform/system.ts";
-import { hosts, isReady, promptHeaders, startPlatformSystem, until } from "../../standIns/platform/system.ts";
+import {
+  drainingReport,
+  hosts,
+  isReady,
+  promptHeaders,
+  startPlatformSystem,
+  until,
+} from "../../standIns/platform/system.ts";
 import type { ReceivedAnswer } from "../support/limitedReplicas.ts";
 import { sendSteadily } from "../support/limitedReplicas.ts";
 import { arrivalsAfterDraining, worstInBackoff } from "../support/replicaReports.ts";
@@ -15,8 +22,6 @@
 /** Until a router that passed on an answer that reports draining must have stopped, milliseconds. */
 const drainBound = 600;
 
-const leaving = { "server-leaving": "1" } as const;
-
 const startSystem = async (
   replicas: Pick<PlatformSystemSettings, "desks" | "engines">,
   routers = 6,
@@ -69,7 +74,7 @@
     ]);
     system.store.faults.isSilent = true;
     const draining = [...system.desks.slice(0, 2), ...[...system.engines].sort(byRuns).slice(0, 1)];
-    draining.forEach((replica) => replica.report(leaving));
+    draining.forEach((replica) => replica.report(drainingReport));
     const [plain, streams] = await Promise.all([
       sendSteadily(system, read, { perSecond: 90, seconds: 4 }),
       sendSteadily(system, tag, { perSecond: 40, seconds: 4 }),
--- a/tests/support/replicaReports.ts
+++ b/tests/support/replicaReports.ts
@@ -1,5 +1,6 @@
 /** Arrivals at replicas that report draining or ask for backoff, by router. */
 import type { Arrival, ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import { drainingReplicaOf } from "../../standIns/platform/system.ts";
 import type { ReceivedAnswer } from "./limitedReplicas.ts";
 import { throughHeader } from "./limitedReplicas.ts";
 
@@ -17,8 +18,8 @@
   bound: number,
 ): number => {
   const reportedAt = new Map<string, number>();
-  for (const { replica: id, headers, router, answeredAt } of answers) {
-    if (id !== replica.id || headers["server-leaving"] !== "1") continue;
+  for (const { headers, router, answeredAt } of answers) {
+    if (drainingReplicaOf(headers) !== replica.id) continue;
     const key = String(router);
     reportedAt.set(key, Math.min(reportedAt.get(key) ?? Number.POSITIVE_INFINITY, answeredAt));
   }
