--- a/bench/lab/experiment.ts
+++ b/bench/lab/experiment.ts
@@ -80,6 +80,15 @@
     isNamed: z.boolean().default(true),
     refuses: z.boolean().default(false),
   }),
+  /** Engines report draining in their answers, which the registry doesn't, and are gone for good after that. */
+  z.strictObject({ kind: z.literal("draining"), ...during, engines: whole }),
+  /** Engines turn everything away and ask for backoff, seconds; without it they don't say for how long. */
+  z.strictObject({
+    kind: z.literal("backingOff"),
+    ...during,
+    engines: whole,
+    retryAfter: nonNegative.optional(),
+  }),
   /** The store of prompt parts is down and comes back empty. */
   z.strictObject({ kind: z.literal("storeDown"), ...during }),
 ]);
--- a/bench/lab/figures.ts
+++ b/bench/lab/figures.ts
@@ -25,6 +25,12 @@
   readonly worstIntake: number;
   /** What came to limited engines, of what their limits are good for. */
   readonly limitUse: number;
+  /** Requests to engines that had told the router that they drain. */
+  readonly afterDraining: number;
+  /** The most requests of one router to an engine within one backoff that it had asked for. */
+  readonly worstInBackoff: number;
+  /** What came to engines in the third second after they had turned everything away, of what came to the others. */
+  readonly recovered: number;
   /** Datagrams between routers for each request. */
   readonly messages: number;
 }
@@ -81,6 +87,20 @@
   return sum(came) / Math.max(1, sum(allowed));
 };
 
+/** Engines that turned everything away are to have their share again within so long, milliseconds. */
+const recoveryTime = 3_000;
+
+const recoveredOf = ({ replicas, refusals }: LabResult["fleet"]): number => {
+  const shares = refusals.map(({ engines, until }) => {
+    const meanOf = (some: LabResult["fleet"]["replicas"]): number =>
+      some.reduce((sum, { arrivals }) => sum + arrivals.filter(isThird).length, 0) / some.length;
+    const isThird = (at: number): boolean =>
+      at >= until + recoveryTime - thousand && at < until + recoveryTime;
+    return meanOf(replicas.slice(0, engines)) / Math.max(1, meanOf(replicas.slice(engines)));
+  });
+  return Math.min(1, ...shares);
+};
+
 /** @param warmUp - Requests that came earlier are left out, seconds. */
 export const figuresOf = (result: LabResult, warmUp: number): LabFigures => {
   const { records, totals, limits } = result;
@@ -109,6 +129,9 @@
     preempted: totals.preempted,
     worstIntake: Math.max(0, ...limits.map(worstIntakeOf)),
     limitUse: limitUseOf(limits),
+    afterDraining: result.fleet.reports.afterDraining(),
+    worstInBackoff: result.fleet.reports.worstInBackoff(),
+    recovered: recoveredOf(result.fleet),
     messages: result.messages / Math.max(1, records.length),
   };
 };
--- a/bench/lab/fleet.ts
+++ b/bench/lab/fleet.ts
@@ -6,6 +6,8 @@
 import type { UnitEvent } from "../model/prefixCache.ts";
 import { createPrefixCache } from "../model/prefixCache.ts";
 import type { BatchEngine } from "./batchEngine.ts";
+import type { ReportLog } from "./reportLog.ts";
+import { createReportLog } from "./reportLog.ts";
 import type { PartKeeper, WorkTotals } from "./batchTypes.ts";
 import { createBatchEngine } from "./batchEngine.ts";
 import type { Experiment } from "./experiment.ts";
@@ -21,6 +23,10 @@
   version: number;
   /** What it takes; nothing if it takes all that comes. */
   limit: LabLimit | undefined;
+  /** Its answers report that it drains. */
+  isDraining: boolean;
+  /** Set while it turns everything away. */
+  refusal: LabRefusal | undefined;
   /** When requests came, milliseconds. */
   readonly arrivals: number[];
 }
@@ -35,6 +41,18 @@
   readonly refuses: boolean;
 }
 
+/** How an engine turns requests away. */
+export interface LabRefusal {
+  /** The backoff that it asks for, milliseconds. */
+  readonly retryAfter: number | undefined;
+}
+
+/** Engines that turned everything away, and when that was over, milliseconds. */
+export interface PastRefusal {
+  readonly engines: number;
+  readonly until: number;
+}
+
 /** A limit that an engine had. */
 export interface KeptLimit extends LabLimit {
   readonly until: number;
@@ -58,6 +76,12 @@
   readonly limit: (count: number, limit: Omit<LabLimit, "since">, seconds: number) => void;
   /** Limits that there were, with what came from all routers. */
   readonly limits: readonly KeptLimit[];
+  /** Lets engines report draining, then ends them. */
+  readonly drain: (count: number, seconds: number) => void;
+  /** Lets engines turn everything away for a while. */
+  readonly refuse: (count: number, refusal: LabRefusal, seconds: number) => void;
+  readonly refusals: readonly PastRefusal[];
+  readonly reports: ReportLog;
   /** @param onLoaded - An engine runs the new weights. */
   readonly loadWeights: (
     version: number,
@@ -137,6 +161,8 @@
       state: "up",
       version: 1,
       limit: undefined,
+      isDraining: false,
+      refusal: undefined,
       arrivals: [],
     };
   });
@@ -161,6 +187,28 @@
     replica.state = "up";
   };
 
+  const drain: LabFleet["drain"] = (count, seconds) => {
+    for (const replica of replicas.slice(0, count)) {
+      replica.isDraining = true;
+      clock.after(seconds * millisecondsPerSecond, () => {
+        replica.engine.crash(false);
+        replica.state = "down";
+      });
+    }
+  };
+
+  const refusals: PastRefusal[] = [];
+  const refuse: LabFleet["refuse"] = (count, refusal, seconds) => {
+    const duration = seconds * millisecondsPerSecond;
+    refusals.push({ engines: count, until: clock.monotonic() + duration });
+    for (const replica of replicas.slice(0, count)) {
+      replica.refusal = refusal;
+      clock.after(duration, () => {
+        replica.refusal = undefined;
+      });
+    }
+  };
+
   return {
     model: labNames.model,
     replicas,
@@ -183,6 +231,10 @@
         clock.after(seconds * millisecondsPerSecond, () => bringBack(replica));
       }
     },
+    drain,
+    refuse,
+    refusals,
+    reports: createReportLog(clock),
     limit: limitEngines,
     limits,
     loadWeights: async (version, onChanging, onLoaded) => {
--- a/bench/lab/lab.ts
+++ b/bench/lab/lab.ts
@@ -34,6 +34,9 @@
   "copied",
   "preempted",
   "worstIntake",
+  "afterDraining",
+  "worstInBackoff",
+  "recovered",
   "limitUse",
   "messages",
 ];
--- a/bench/lab/labReplicaClient.ts
+++ b/bench/lab/labReplicaClient.ts
@@ -14,7 +14,7 @@
   ReplicaEntry,
 } from "../../src/protocol/forwarding/types.ts";
 import type { PrefixLevel } from "../../src/protocol/types.ts";
-import type { LabFleet, LabLimit, LabReplica } from "./fleet.ts";
+import type { LabFleet, LabRefusal, LabReplica } from "./fleet.ts";
 
 /** One way between a router and an engine, milliseconds. */
 const latency = 0.5;
@@ -25,7 +25,7 @@
 const headOf = (
   { request }: ReplicaCall,
   weightsVersion: number,
-  limit: LabLimit | undefined,
+  { limit, isDraining }: Pick<LabReplica, "limit" | "isDraining">,
 ): AnswerHead => ({
   status: 200,
   headers: [],
@@ -36,11 +36,14 @@
   replicaId: undefined,
   weightsVersion,
   limit: limit?.isNamed === true ? limit.perSecond : undefined,
-  isDraining: false,
+  isDraining,
   retryAfter: undefined,
   closes: false,
 });
 
+/** An engine that reports nothing. */
+const unlimited = { limit: undefined, isDraining: false } as const;
+
 const limitWindow = 1_000;
 
 /** Whether an engine that refuses what is beyond its limit has taken as much of late. */
@@ -99,11 +102,14 @@
 export class LabReplicaClient extends ReplicaClient {
   private readonly fleet: LabFleet;
   private readonly clock: Clock;
+  private readonly router: string;
 
-  constructor(fleet: LabFleet, clock: Clock) {
+  /** @param router - The router's name. */
+  constructor(fleet: LabFleet, clock: Clock, router: string) {
     super();
     this.fleet = fleet;
     this.clock = clock;
+    this.router = router;
   }
 
   protected override async transmit(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
@@ -115,6 +121,8 @@
     if (replica.state === "loading" || replica.version !== (call.weightsVersion ?? replica.version)) {
       return this.refuse(call, replica.version, replica.state === "loading" ? 503 : 421);
     }
+    this.fleet.reports.noteArrival(replica.entry.id, this.router);
+    if (replica.refusal !== undefined) return this.turnAway(call, replica, replica.refusal);
     const isOver = isOverLimit(replica, this.clock.monotonic());
     replica.arrivals.push(this.clock.monotonic());
     return isOver ? this.refuse(call, replica.version, 503) : this.run(call, signal);
@@ -168,11 +176,21 @@
   }
 
   private refuse(call: ReplicaCall, version: number, status: number): ReplicaAnswer {
-    const { limit } = this.fleet.find(call.replica.id) ?? {};
-    const head = { ...headOf(call, version, limit), status, isNotRun: true, isMisdirected: status === 421 };
+    const replica = this.fleet.find(call.replica.id) ?? unlimited;
+    const head = { ...headOf(call, version, replica), status, isNotRun: true, isMisdirected: status === 421 };
     return { head, body: createEmptyBody() };
   }
 
+  private turnAway(
+    call: ReplicaCall,
+    { entry, version }: LabReplica,
+    { retryAfter }: LabRefusal,
+  ): ReplicaAnswer {
+    if (retryAfter !== undefined) this.fleet.reports.noteBackoff(entry.id, this.router, retryAfter);
+    const refused = this.refuse(call, version, 503);
+    return { ...refused, head: { ...refused.head, retryAfter } };
+  }
+
   private run(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
     const replica = this.fleet.find(call.replica.id);
     const pieces = createPieces();
@@ -181,7 +199,8 @@
       const begin = (): void => {
         hasBegun = true;
         const body = pieces.read(() => cancel?.());
-        resolve({ head: headOf(call, replica?.version ?? 1, replica?.limit), body });
+        if (replica?.isDraining === true) this.fleet.reports.noteDraining(replica.entry.id, this.router);
+        resolve({ head: headOf(call, replica?.version ?? 1, replica ?? unlimited), body });
       };
       const cancel = replica?.engine.submit({
         priority: call.priority ?? 5,
--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -113,7 +113,7 @@
 /** Starts a router. */
 export const createLabRouter = (parts: LabRouterParts): LabRouter => {
   const { experiment, policy, clock, fleet, self, all, link, random } = parts;
-  const client = new LabReplicaClient(fleet, clock);
+  const client = new LabReplicaClient(fleet, clock, self.name);
   const replicas = createReplicaTable();
   for (const { entry } of fleet.replicas) replicas.put(entry);
   const configuration = createConfigurationState(clock);
--- a/bench/lab/simulation.ts
+++ b/bench/lab/simulation.ts
@@ -21,6 +21,7 @@
   readonly records: readonly LabRecord[];
   readonly totals: Readonly<WorkTotals>;
   readonly limits: readonly KeptLimit[];
+  readonly fleet: Pick<LabFleet, "replicas" | "refusals" | "reports">;
   /** Datagrams between routers. */
   readonly messages: number;
 }
@@ -80,7 +81,12 @@
     fleet.strike(fault.engines, fault.kind === "dark", fault.seconds);
   } else if (fault.kind === "weights") changeWeights(experiment, clock, fleet, routers);
   else if (fault.kind === "limited") fleet.limit(fault.engines, fault, fault.seconds);
-  else if (fault.kind === "storeDown") fleet.strikeStore(fault.seconds);
+  else if (fault.kind === "draining") fleet.drain(fault.engines, fault.seconds);
+  else if (fault.kind === "backingOff") {
+    const { retryAfter } = fault;
+    const asked = retryAfter === undefined ? undefined : retryAfter * millisecondsPerSecond;
+    fleet.refuse(fault.engines, { retryAfter: asked }, fault.seconds);
+  } else if (fault.kind === "storeDown") fleet.strikeStore(fault.seconds);
 };
 
 /** Advances from timer to timer; promises settle in between. */
@@ -130,6 +136,7 @@
     records,
     totals: fleet.totals,
     limits: fleet.limits,
+    fleet,
     messages: network.sent,
   };
 };
