Tell other routers to prefer others where a replica asks for backoff

Each router had to be turned away itself before it kept away, which costs a request of each router and, with one attempt only, its caller's answer.

It is a preference of one second, no ban: others may have room there, and use it where nothing else is left. Peers are told by a datagram of its own, owners of replicas with the report of work, in a byte that older routers read as before; their messages stay the same.

--- a/bench/owners/owners.ts
+++ b/bench/owners/owners.ts
@@ -71,6 +71,7 @@
         promptTokens: [0, 0, 0, 8_000],
         computedTokens: 1_000_000,
         isUnreachable: false,
+        isBackingOff: false,
         limit: undefined,
       },
     ],
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -48,7 +48,10 @@
   readonly configuration: ConfigurationState;
   readonly replicas: ReplicaTable;
   readonly holders: CacheHolders;
-  readonly peers: Pick<RouterPeers, "countServing" | "tellHolder" | "tellWork" | "tellLeaving">;
+  readonly peers: Pick<
+    RouterPeers,
+    "countServing" | "tellHolder" | "tellWork" | "tellLeaving" | "tellBackoff"
+  >;
   readonly owners: Pick<ReplicaOwners, "isNeeded" | "isOwn" | "ask" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "usable">;
   readonly limits: UsageCounting;
@@ -118,6 +121,8 @@
     onDraining: (id) => {
       if (!owners.isNeeded()) peers.tellLeaving(id);
     },
+    // Where there are many routers its owner is told with the report of work.
+    onBackoff: peers.tellBackoff,
     metrics,
     clock,
     random,
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -16,6 +16,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { wholeTokens } from "../../state/forwarding/replicaState.ts";
 import type { ConfigurationState } from "./configurationState.ts";
+import { createBackoffExchange } from "../replicaReports/backoffExchange.ts";
 import { storeReaders } from "../storeReading/constants.ts";
 import { newsGathering, newsGatheringOfMany, peerIntervals } from "./constants.ts";
 import type { Peer, PeerTable } from "./peerTable.ts";
@@ -65,6 +66,8 @@
   readonly tellWork: () => void;
   /** Tells peers that a replica leaves. */
   readonly tellLeaving: (replica: string) => void;
+  /** Tells peers at once that a replica asks for backoff; where there are many, its owner tells those that ask. */
+  readonly tellBackoff: (replica: ReplicaState) => void;
   /** Tells peers at once that a replica names a limit; where there are many, its owner tells those that ask. */
   readonly tellLimit: (replica: ReplicaState) => void;
   /** Tells peers, with the next message, that a replica computes or keeps a prompt part. */
@@ -241,6 +244,9 @@
     if (!peers.isLarge()) sendAll();
   };
 
+  const audience = (): readonly Peer[] => (peers.isLarge() ? [] : peers.all().filter(peers.mayServe));
+  const tellBackoff = createBackoffExchange({ ...parts, audience });
+
   link.receive((datagram, from) => {
     const message = decodeRouterMessage(datagram);
     const peer = message && peers.hear(message, from);
@@ -276,6 +282,7 @@
     tellChanging: (replica, until) => tellSoon(() => news.addChanging(replica, until)),
     tellLeaving: (replica) => tellSoon(() => news.addLeaving(replica)),
     tellWork,
+    tellBackoff,
     tellLimit: ({ entry, limit }) => {
       if (limit !== undefined && !peers.isLarge()) tellSoon(() => news.addLimit(entry.id, limit));
     },
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -17,6 +17,7 @@
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "../forwarding/cacheHolders.ts";
 import { takeHolders } from "../forwarding/toldHolders.ts";
+import { preferOthers, preferOthersUntil } from "../replicaReports/backoff.ts";
 import { toldMemory } from "../replicaLimits/constants.ts";
 import { holdersNamed, reportMemory } from "./constants.ts";
 
@@ -78,6 +79,7 @@
     replicas.noteWorkAt(tellerOf(name), key, report);
     // Whoever can't reach it may be cut off itself: the owner looks before it believes.
     if (report.isUnreachable) state.isSuspected = true;
+    if (report.isBackingOff) preferOthers(state, clock.monotonic());
     if (report.limit !== undefined) noteToldLimit(state, report.limit, clock.monotonic());
   };
 
@@ -103,7 +105,7 @@
       replica: replicaKeyOf(state.entry.id),
       requests: work.requests,
       promptTokens: work.promptTokens.map((tokens) => Math.max(0, Math.round(tokens))),
-      ejectedFor: Math.max(0, Math.round(state.ejectedUntil - clock.monotonic())),
+      ejectedFor: Math.max(0, Math.round(preferOthersUntil(state) - clock.monotonic())),
       limit: tellRecentLimit(state, clock.monotonic()),
     };
   };
--- a/src/coordination/replicaOwners/workReports.ts
+++ b/src/coordination/replicaOwners/workReports.ts
@@ -7,6 +7,7 @@
 import type { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
 import type { ToldHolder } from "../../protocol/forwarding/peerMessage.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
+import { isBackingOff } from "../replicaReports/backoff.ts";
 import { tellWord } from "../../state/forwarding/limitWord.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
@@ -48,6 +49,7 @@
   promptTokens: wholeTokens(replica.promptTokens),
   computedTokens: Math.max(0, Math.round(replica.computedTokens)),
   isUnreachable: replica.isUnreachable,
+  isBackingOff: isBackingOff(replica, now),
   limit: replica.limit && tellWord(replica.limit, now),
 });
 
--- a/src/coordination/replicaReports/backoff.ts
+++ b/src/coordination/replicaReports/backoff.ts
@@ -66,6 +66,16 @@
   if (backoff.interval > 0) backoff.interval = recoveryIntervals.first;
 };
 
+/** The replica asked another router for backoff: a preference, since it may have room for this one. */
+export const preferOthers = (replica: ReplicaState, now: number): void => {
+  const backoff = open(replica);
+  backoff.avoidedUntil = Math.max(backoff.avoidedUntil, now + avoidance.longest);
+};
+
+/** @returns Until when other routers are told to prefer others, milliseconds on the monotonic clock. */
+export const preferOthersUntil = ({ ejectedUntil, backoff }: ReplicaState): number =>
+  Math.max(ejectedUntil, backoff?.avoidedUntil ?? ejectedUntil);
+
 /** A request is sent to the replica. */
 export const noteSent = ({ backoff }: ReplicaState, now: number): void => {
   if (backoff === undefined || now < backoff.until) return;
--- /dev/null
+++ b/src/coordination/replicaReports/backoffExchange.ts
@@ -0,0 +1,38 @@
+/**
+ * Tells peers which replicas ask for backoff, so that they prefer others for a moment. Where there are many routers the
+ * owners of replicas do: each router would tell all others otherwise.
+ */
+import { decodeBackoffMessage, encodeBackoffMessage } from "../../protocol/forwarding/backoffMessage.ts";
+import type { DatagramAddress, DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
+import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { Clock } from "../clock.ts";
+import { preferOthers } from "./backoff.ts";
+
+export interface BackoffExchangeDependencies {
+  readonly link: DatagramLink;
+  readonly replicas: Pick<ReplicaTable, "getByKey">;
+  readonly clock: Clock;
+  /** @returns Whom to tell. */
+  readonly audience: () => readonly { readonly at: DatagramAddress }[];
+}
+
+/** Starts to take what peers tell. @returns What tells them that a replica asks for backoff. */
+export const createBackoffExchange = ({
+  link,
+  replicas,
+  clock,
+  audience,
+}: BackoffExchangeDependencies): ((replica: ReplicaState) => void) => {
+  link.receive((datagram) => {
+    for (const key of decodeBackoffMessage(datagram) ?? []) {
+      const replica = replicas.getByKey(key);
+      if (replica !== undefined) preferOthers(replica, clock.monotonic());
+    }
+  });
+  return ({ entry }) => {
+    const datagram = encodeBackoffMessage([replicaKeyOf(entry.id)]);
+    for (const { at } of audience()) link.send(at, datagram);
+  };
+};
--- a/src/coordination/replicaReports/reportObserver.test.ts
+++ b/src/coordination/replicaReports/reportObserver.test.ts
@@ -33,6 +33,7 @@
     },
     replicas,
     onDraining: () => undefined,
+    onBackoff: () => undefined,
     metrics,
     clock: createManualClock(100),
     random: () => 0,
--- a/src/coordination/replicaReports/reportObserver.ts
+++ b/src/coordination/replicaReports/reportObserver.ts
@@ -19,6 +19,8 @@
   readonly replicas: Pick<ReplicaTable, "get" | "markDraining" | "subscribe">;
   /** An answer reported draining, which this router didn't know. */
   readonly onDraining: (id: string) => void;
+  /** A replica began to ask this router for backoff. */
+  readonly onBackoff: (replica: ReplicaState) => void;
   readonly metrics: Metrics;
   readonly clock: Clock;
   /** A number from 0 to 1. */
@@ -107,6 +109,7 @@
     }
     metrics.count(metricNames.backoffsReported);
     if (!startBackoff(state, retryAfter, clock.monotonic(), random())) return;
+    dependencies.onBackoff(state);
     const { replica, id } = request;
     const milliseconds = Math.round(retryAfter);
     writeLog("backoff_started", { replica: replica.id, request: id ?? null, status, milliseconds });
--- a/src/protocol/forwarding/ownerMessage.test.ts
+++ b/src/protocol/forwarding/ownerMessage.test.ts
@@ -32,6 +32,7 @@
         promptTokens,
         computedTokens: count,
         isUnreachable: fc.boolean(),
+        isBackingOff: fc.boolean(),
         limit,
       }),
       { maxLength: 4 },
--- a/src/protocol/forwarding/ownerMessage.ts
+++ b/src/protocol/forwarding/ownerMessage.ts
@@ -21,6 +21,8 @@
   readonly computedTokens: number;
   /** The router can make no connection to it. */
   readonly isUnreachable: boolean;
+  /** It asked the router for backoff. */
+  readonly isBackingOff: boolean;
   /** The limit that its answers named; nothing if the router knows of none. */
   readonly limit: ToldWord | undefined;
 }
@@ -54,7 +56,7 @@
   readonly replica: ReplicaKey;
   readonly requests: number;
   readonly promptTokens: readonly number[];
-  /** Milliseconds for which it is to get no work, since it failed. */
+  /** Milliseconds for which others are to be preferred, since it failed or asked a router for backoff. */
   readonly ejectedFor: number;
   /** The limit that its answers named not long ago; nothing if the owner knows of none. */
   readonly limit: ToldWord | undefined;
@@ -74,6 +76,12 @@
 /** The first byte; other datagrams between routers begin with other ones. */
 const forms = { work: 0x21, ask: 0x22, answer: 0x23 } as const;
 
+/** Bits of one byte. Routers that know only the first take any other value for none. */
+const conditions = { unreachable: 1, backingOff: 2 } as const;
+
+const conditionsOf = ({ isUnreachable, isBackingOff }: WorkReport): number =>
+  (isUnreachable ? conditions.unreachable : 0) | (isBackingOff ? conditions.backingOff : 0);
+
 const writeWork = (writer: ByteWriter, message: WorkMessage): void => {
   writer.text(message.name);
   writer.text(message.incarnation);
@@ -83,7 +91,7 @@
     writer.count(report.requests);
     writer.list(report.promptTokens, writer.count);
     writer.count(report.computedTokens);
-    writer.byte(report.isUnreachable ? 1 : 0);
+    writer.byte(conditionsOf(report));
     writeOptionalWord(writer, report.limit);
   });
   writeHolders(writer, message.holders);
@@ -119,19 +127,29 @@
 };
 
 /** Object literals evaluate their fields in the order in which they are written, which is that of the bytes. */
+const readReport = (reader: ByteReader): WorkReport => {
+  const replica = reader.key();
+  const requests = reader.count();
+  const promptTokens = reader.list(reader.count);
+  const computedTokens = reader.count();
+  const condition = reader.byte();
+  return {
+    replica,
+    requests,
+    promptTokens,
+    computedTokens,
+    isUnreachable: (condition & conditions.unreachable) !== 0,
+    isBackingOff: (condition & conditions.backingOff) !== 0,
+    limit: readOptionalWord(reader),
+  };
+};
+
 const readWork = (reader: ByteReader): WorkMessage => ({
   kind: "work",
   name: reader.text(),
   incarnation: reader.text(),
   sequence: reader.count(),
-  reports: reader.list(() => ({
-    replica: reader.key(),
-    requests: reader.count(),
-    promptTokens: reader.list(reader.count),
-    computedTokens: reader.count(),
-    isUnreachable: reader.byte() === 1,
-    limit: readOptionalWord(reader),
-  })),
+  reports: reader.list(() => readReport(reader)),
   holders: readHolders(reader),
 });
 
