--- a/src/coordination/replicaReports/reportObserver.test.ts
+++ b/src/coordination/replicaReports/reportObserver.test.ts
@@ -101,6 +101,25 @@
     expect(metrics.snapshot().backoffs_reported).toEqual(1);
   });
 
+  it("is a backoff in a 429, and in a 503 that bears no mark of the replica", () => {
+    const { hear, replicas } = start();
+    const lines = record();
+    hear(undefined, { status: 429, isSealed: false, isNotRun: true, retryAfter: 1_000 });
+    expect(lines.length).toEqual(1);
+    replicas.remove("engine");
+    replicas.put(engineEntry("engine", { bornAt: 2 }));
+    hear(undefined, { status: 503, isSealed: false, retryAfter: 9_000 });
+    expect(replicas.get("engine")?.backoff?.until).toEqual(9_100);
+  });
+
+  it("is no period where it is zero or can't be decoded, but others are preferred", () => {
+    const { hear, replicas } = start();
+    hear(undefined, { status: 503, isNotRun: true, retryAfter: 0 });
+    hear(undefined, { status: 503, isNotRun: true, retryAfter: "unreadable" });
+    const backoff = replicas.get("engine")?.backoff;
+    expect([backoff?.until, backoff?.refusals]).toEqual([Number.NEGATIVE_INFINITY, 2]);
+  });
+
   it("is no backoff in an answer that is no refusal", () => {
     const { hear } = start();
     const lines = record();
--- a/tests/platform/replicaReports.test.ts
+++ b/tests/platform/replicaReports.test.ts
@@ -1,7 +1,7 @@
 import type { TestContext } from "node:test";
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import type { Behaviour, ReplicaStandIn, ReportHeaders } from "../../standIns/platform/replica.ts";
 import type { CallerCall, PlatformSystem, PlatformSystemSettings } from "../../standIns/platform/system.ts";
 import {
   drainingReport,
@@ -13,7 +13,7 @@
 } from "../../standIns/platform/system.ts";
 import type { ReceivedAnswer } from "../support/limitedReplicas.ts";
 import { sendSteadily } from "../support/limitedReplicas.ts";
-import { arrivalsAfterDraining, worstInBackoff } from "../support/replicaReports.ts";
+import { arrivalsAfterDraining, arrivalsAfterFirst, worstInBackoff } from "../support/replicaReports.ts";
 
 const read: CallerCall = { host: hosts.desk, path: "/read/2f", body: "look up" };
 
@@ -45,8 +45,11 @@
 /** The busiest comes first. */
 const byRuns = (left: ReplicaStandIn, right: ReplicaStandIn): number => right.runs.length - left.runs.length;
 
-const shedAlways = (replica: ReplicaStandIn | undefined): void =>
-  replica?.behave(...Array.from({ length: 2_000 }, () => "shed" as const));
+/** Every answer of a replica goes on like this. */
+const behaveAlways = (replica: ReplicaStandIn | undefined, behaviour: Behaviour): void =>
+  replica?.behave(...Array.from({ length: 2_000 }, () => behaviour));
+
+const shedAlways = (replica: ReplicaStandIn | undefined): void => behaveAlways(replica, "shed");
 
 const countAfterDraining = (
   context: TestContext,
@@ -95,6 +98,67 @@
   });
 });
 
+describe("a replica that reports draining in some kind of answer", () => {
+  it("gets nothing after a failure, a refusal or the head of a stream that says so", async (context) => {
+    await using system = await startSystem({ desks: 4, engines: 4 });
+    const [failing, refusing] = system.desks;
+    const [engine] = system.engines;
+    if (failing === undefined || refusing === undefined || engine === undefined) throw new Error("Too few.");
+    const draining = [failing, refusing, ...system.engines.slice(0, 2)];
+    draining.forEach((replica) => replica.report(drainingReport));
+    behaveAlways(failing, "fail");
+    behaveAlways(refusing, "shed");
+    behaveAlways(engine, "cut");
+    const since = performance.now();
+    const [plain, streams] = await Promise.all([
+      sendSteadily(system, read, { perSecond: 60, seconds: 3 }),
+      sendSteadily(system, tag, { perSecond: 40, seconds: 3 }),
+    ]);
+    const counts = draining.map((replica) => arrivalsAfterFirst(replica, since, drainBound));
+    context.diagnostic(`arrivals after the bound: ${counts.join(", ")}`);
+    expect(counts).toEqual([0, 0, 0, 0]);
+    expect(streams.every(isServed)).toEqual(true);
+    // With two attempts a request may meet both bad replicas once for each router.
+    expect(servedShare(plain) >= 0.9).toEqual(true);
+  });
+
+  it("is not the one at which its broken stream is resumed", async () => {
+    await using system = await startSystem({ desks: 0, engines: 2 }, 1);
+    const [leaving, staying] = system.engines;
+    if (leaving === undefined || staying === undefined) throw new Error("Too few.");
+    for (const each of system.engines) {
+      each.report(drainingReport);
+      each.behave("cut");
+    }
+    const [answer] = await sendSteadily(system, tag, { perSecond: 1, seconds: 1 });
+    // Both have reported draining by now: the stream ends rather than going back to either.
+    expect(answer?.isCut).toEqual(true);
+    expect(leaving.arrivals.length + staying.arrivals.length).toEqual(2);
+  });
+
+  it("makes routers reject at once where it is the only one of its service", async () => {
+    await using system = await startSystem({ desks: 1, engines: 0 }, 2);
+    system.desks[0]?.report(drainingReport);
+    await sendSteadily(system, read, { perSecond: 20, seconds: 1 });
+    const answers = await sendSteadily(system, read, { perSecond: 40, seconds: 1 });
+    expectTrueRejections(answers, 0.5);
+  });
+});
+
+/** Longest time for an answer that needs no replica, milliseconds: many times what it takes on a busy machine. */
+const atOnce = 400;
+
+/** @param least - The shortest time after which a caller may be told to return, seconds. */
+const expectTrueRejections = (answers: readonly ReceivedAnswer[], least: number): void => {
+  expect(answers.every(({ status }) => status === 503)).toEqual(true);
+  expect(answers.every(({ body }) => body.includes("replicas_unavailable"))).toEqual(true);
+  expect(answers.every(({ body }) => body.includes("not_run"))).toEqual(true);
+  expect(answers.every(({ askedAt, answeredAt }) => answeredAt - askedAt < atOnce)).toEqual(true);
+  const times = answers.map(({ headers }) => Number(headers["retry-after"]));
+  expect(times.every((time) => time >= least)).toEqual(true);
+  expect(new Set(times.map((time) => time.toFixed(2))).size > 5).toEqual(true);
+};
+
 describe("a replica that asks for backoff", () => {
   // A refusal left the replica idle, so that it looked like the best choice for the next request.
   it("gets at most two requests of a router within it, and callers are served by the others", async (context) => {
@@ -116,4 +180,50 @@
     expect(worst.every((count) => count <= 2)).toEqual(true);
     expect(servedShare(answers) >= 0.98).toEqual(true);
   });
+
+  it("makes routers reject at once, until it ends, where all replicas do", async () => {
+    await using system = await startSystem({ desks: 3, engines: 0 }, 2);
+    for (const desk of system.desks) {
+      shedAlways(desk);
+      desk.report({ "retry-after": "4" });
+    }
+    await sendSteadily(system, read, { perSecond: 40, seconds: 1 });
+    const answers = await sendSteadily(system, read, { perSecond: 40, seconds: 1 });
+    // At most two of the four seconds have passed.
+    expectTrueRejections(answers, 1.9);
+  });
+
+  it("gets its share again within three seconds after its end", async (context) => {
+    await using system = await startSystem({ desks: 4, engines: 0 });
+    const [desk, ...others] = system.desks;
+    shedAlways(desk);
+    desk?.report((behaviour): ReportHeaders => (behaviour === "shed" ? { "retry-after": "1.5" } : {}));
+    await sendSteadily(system, read, { perSecond: 90, seconds: 3 });
+    desk?.behave();
+    await sendSteadily(system, read, { perSecond: 90, seconds: 3 });
+    const before = system.desks.map(({ runs }) => runs.length);
+    await sendSteadily(system, read, { perSecond: 90, seconds: 3 });
+    const [own = 0, ...rest] = system.desks.map(({ runs }, index) => runs.length - (before[index] ?? 0));
+    context.diagnostic(`${own} requests, the others ${rest.join(", ")}`);
+    const mean = rest.reduce((sum, count) => sum + count, 0) / others.length;
+    expect(own >= mean / 2).toEqual(true);
+  });
+
+  it("gets no orders within it either", async (context) => {
+    await using system = await startSystem({ desks: 0, engines: 3 }, 1);
+    await sendSteadily(system, tag, { perSecond: 20, seconds: 1 });
+    const engine = [...system.engines].sort(byRuns)[0];
+    shedAlways(engine);
+    engine?.report({ "retry-after": "2" });
+    await sendSteadily(system, tag, { perSecond: 20, seconds: 1 });
+    engine?.report({});
+    engine?.behave();
+    const refusedAt = engine?.arrivals.findLast((each) => each.refusedAt !== undefined)?.refusedAt ?? 0;
+    system.nameWeights(2);
+    await until(() => engine?.version() === 2);
+    const [order] = engine?.orders ?? [];
+    const after = (order?.at ?? 0) - refusedAt;
+    context.diagnostic(`ordered ${Math.round(after)} ms after the refusal`);
+    expect(after >= 2_000).toEqual(true);
+  });
 });
--- a/tests/support/replicaReports.ts
+++ b/tests/support/replicaReports.ts
@@ -29,6 +29,18 @@
   }).length;
 };
 
+/** @returns Arrivals from each router longer than a bound after the first one since a moment. */
+export const arrivalsAfterFirst = (
+  { arrivals }: Pick<ReplicaStandIn, "arrivals">,
+  since: number,
+  bound: number,
+): number => {
+  const first = new Map<string, number>();
+  const later = arrivals.filter(({ at }) => at >= since);
+  for (const arrival of later) first.set(routerOf(arrival), first.get(routerOf(arrival)) ?? arrival.at);
+  return later.filter((arrival) => arrival.at > (first.get(routerOf(arrival)) ?? arrival.at) + bound).length;
+};
+
 /** @returns The most requests that one router sent to a replica within one backoff that the replica had asked for. */
 export const worstInBackoff = ({ arrivals }: Pick<ReplicaStandIn, "arrivals">): number => {
   const counts = arrivals.map(({ headers, refusedAt, retryAfter }) => {
