--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -50,7 +50,7 @@
   readonly holders: CacheHolders;
   readonly peers: Pick<
     RouterPeers,
-    "countServing" | "tellHolder" | "tellWork" | "tellLeaving" | "tellBackoff"
+    "countServing" | "tellHolder" | "tellWork" | "tellLeaving" | "broadcastBackoff"
   >;
   readonly owners: Pick<ReplicaOwners, "isNeeded" | "isOwn" | "ask" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "usable">;
@@ -122,7 +122,7 @@
       if (!owners.isNeeded()) peers.tellLeaving(id);
     },
     // Where there are many routers its owner is told with the report of work.
-    onBackoff: peers.tellBackoff,
+    onBackoff: peers.broadcastBackoff,
     metrics,
     clock,
     random,
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -66,8 +66,8 @@
   readonly tellWork: () => void;
   /** Tells peers that a replica leaves. */
   readonly tellLeaving: (replica: string) => void;
-  /** Tells peers at once that a replica asks for backoff; where there are many, its owner tells those that ask. */
-  readonly tellBackoff: (replica: ReplicaState) => void;
+  /** Notifies peers that a replica asked for backoff; does nothing where owners of replicas answer for it. */
+  readonly broadcastBackoff: (replica: ReplicaState) => void;
   /** Tells peers at once that a replica names a limit; where there are many, its owner tells those that ask. */
   readonly tellLimit: (replica: ReplicaState) => void;
   /** Tells peers, with the next message, that a replica computes or keeps a prompt part. */
@@ -245,7 +245,7 @@
   };
 
   const audience = (): readonly Peer[] => (peers.isLarge() ? [] : peers.all().filter(peers.mayServe));
-  const tellBackoff = createBackoffExchange({ ...parts, audience });
+  const broadcastBackoff = createBackoffExchange({ ...parts, audience });
 
   link.receive((datagram, from) => {
     const message = decodeRouterMessage(datagram);
@@ -282,7 +282,7 @@
     tellChanging: (replica, until) => tellSoon(() => news.addChanging(replica, until)),
     tellLeaving: (replica) => tellSoon(() => news.addLeaving(replica)),
     tellWork,
-    tellBackoff,
+    broadcastBackoff,
     tellLimit: ({ entry, limit }) => {
       if (limit !== undefined && !peers.isLarge()) tellSoon(() => news.addLimit(entry.id, limit));
     },
--- a/src/coordination/replicaReports/backoff.ts
+++ b/src/coordination/replicaReports/backoff.ts
@@ -1,7 +1,7 @@
 /**
- * Circuit breaker by what a replica asks for. `Retry-After` closes it for the router that got the answer; then one
- * request after the other is let through, faster with each answer. A refusal without a usable `Retry-After` only makes
- * other replicas preferred, for a time that doubles with each.
+ * Backoff of one replica as this router keeps to it. `Retry-After` stops all requests of the router that got the answer;
+ * after its end they are admitted one by one, faster with each answer. A refusal without a usable `Retry-After` only
+ * makes other replicas preferred, for a time that doubles with each.
  */
 import type { ReplicaBackoff, ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { avoidance, recoveryIntervals, reopening } from "./constants.ts";
--- a/src/coordination/replicaReports/backoffExchange.ts
+++ b/src/coordination/replicaReports/backoffExchange.ts
@@ -1,7 +1,4 @@
-/**
- * Tells peers which replicas ask for backoff, so that they prefer others for a moment. Where there are many routers the
- * owners of replicas do: each router would tell all others otherwise.
- */
+/** Notifies peers of replicas that ask for backoff, so that they prefer others for a moment. */
 import { decodeBackoffMessage, encodeBackoffMessage } from "../../protocol/forwarding/backoffMessage.ts";
 import type { DatagramAddress, DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
@@ -14,11 +11,11 @@
   readonly link: DatagramLink;
   readonly replicas: Pick<ReplicaTable, "getByKey">;
   readonly clock: Clock;
-  /** @returns Whom to tell. */
+  /** @returns Peers to notify. */
   readonly audience: () => readonly { readonly at: DatagramAddress }[];
 }
 
-/** Starts to take what peers tell. @returns What tells them that a replica asks for backoff. */
+/** Starts to apply notifications of peers. @returns A function that notifies them of a replica. */
 export const createBackoffExchange = ({
   link,
   replicas,
