--- a/bench/lab/lab.test.ts
+++ b/bench/lab/lab.test.ts
@@ -19,6 +19,9 @@
 
 const replicasLimited = readExperiment("examples/lab/replicasLimited.json");
 
+const replicasBackingOff = readExperiment("examples/lab/replicasBackingOff.json");
+const replicasDraining = readExperiment("examples/lab/replicasDraining.json");
+
 const seeds = [1, 2];
 
 const runAll = async (
@@ -126,3 +129,20 @@
     }
   });
 });
+
+describe("engines that report draining or ask for backoff", () => {
+  const runWith = async (experiment: Experiment, routers: number): Promise<LabFigures> =>
+    figuresOf(await runLab({ ...experiment, routers }, usualLoadPolicy, 1), experiment.warmUp);
+
+  it("get nothing of routers that were told, and others serve, before few routers and many", async () => {
+    for (const routers of [6, 58]) {
+      const backingOff = await runWith(replicasBackingOff, routers);
+      expect(backingOff.worstInBackoff).toBeLessThanOrEqual(2);
+      expect(backingOff.served).toBeGreaterThan(0.98);
+      expect(backingOff.recovered).toBeGreaterThan(0.5);
+      const draining = await runWith(replicasDraining, routers);
+      expect(draining.afterDraining).toEqual(0);
+      expect(draining.served).toBeGreaterThan(0.98);
+    }
+  });
+});
