--- a/tests/platform/replicaReports.test.ts
+++ b/tests/platform/replicaReports.test.ts
@@ -12,7 +12,7 @@
   until,
 } from "../../standIns/platform/system.ts";
 import type { ReceivedAnswer } from "../support/limitedReplicas.ts";
-import { sendSteadily } from "../support/limitedReplicas.ts";
+import { allowedIntake, sendSteadily, worstIntake } from "../support/limitedReplicas.ts";
 import { arrivalsAfterDraining, arrivalsAfterFirst, worstInBackoff } from "../support/replicaReports.ts";
 
 const read: CallerCall = { host: hosts.desk, path: "/read/2f", body: "look up" };
@@ -136,6 +136,24 @@
     expect(leaving.arrivals.length + staying.arrivals.length).toEqual(2);
   });
 
+  it("serves again as a new incarnation under its id and address", async () => {
+    await using system = await startSystem({ desks: 2, engines: 0 }, 2);
+    const [desk, other] = system.desks;
+    if (desk === undefined || other === undefined) throw new Error("Too few.");
+    desk.report(drainingReport);
+    await sendSteadily(system, read, { perSecond: 40, seconds: 2 });
+    desk.report({});
+    system.register(desk, { sequence: 2 });
+    const before = desk.runs.length;
+    await sendSteadily(system, read, { perSecond: 40, seconds: 1 });
+    expect(desk.runs.length).toEqual(before);
+    system.register(desk, { born: 2 });
+    await until(async () => {
+      await sendSteadily(system, read, { perSecond: 40, seconds: 1 });
+      return desk.runs.length > before;
+    });
+  });
+
   it("makes routers reject at once where it is the only one of its service", async () => {
     await using system = await startSystem({ desks: 1, engines: 0 }, 2);
     system.desks[0]?.report(drainingReport);
@@ -181,6 +199,25 @@
     expect(servedShare(answers) >= 0.98).toEqual(true);
   });
 
+  it("is kept away from together with replicas that name a limit, drain, or do all of it", async (context) => {
+    await using system = await startSystem({ desks: 8, engines: 0 });
+    const [limited, refusing, draining] = system.desks;
+    if (limited === undefined || refusing === undefined || draining === undefined)
+      throw new Error("Too few.");
+    for (const each of [limited, refusing, draining]) each.nameLimit("1.6");
+    shedAlways(refusing);
+    refusing.report({ "retry-after": "1" });
+    draining.report(drainingReport);
+    const since = performance.now();
+    const answers = await sendSteadily(system, read, { perSecond: 80, seconds: 7 });
+    const intakes = [limited, refusing, draining].map((each) => worstIntake(each, answers));
+    context.diagnostic(`worst intake ${intakes.join(", ")} of ${allowedIntake(1.6)}`);
+    expect(intakes.every((intake) => intake <= allowedIntake(1.6))).toEqual(true);
+    expect(Math.max(...worstBackoffs(context, system.desks)) <= 2).toEqual(true);
+    expect(arrivalsAfterFirst(draining, since, drainBound)).toEqual(0);
+    expect(servedShare(answers) >= 0.98).toEqual(true);
+  });
+
   it("makes routers reject at once, until it ends, where all replicas do", async () => {
     await using system = await startSystem({ desks: 3, engines: 0 }, 2);
     for (const desk of system.desks) {
