--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/forwarding/placement.ts
@@ -69,15 +69,14 @@
     now >= replica.changingUntil && now >= replica.ejectedUntil && !isAvoided(replica, now);
 
   /** A request that found one replica unavailable doesn't try another that may be so too. */
-  const isProven = ({ backoff }: ReplicaState, isRetry: boolean): boolean =>
-    !isRetry || backoff === undefined;
+  const isProven = ({ backoff }: ReplicaState): boolean => backoff === undefined;
 
   /** Those that are open; if there are none, those that only failed, then those that are being changed. */
   const usable = (service: string, excluded: ReadonlySet<string>): readonly ReplicaState[] => {
     const now = clock.monotonic();
     const available = availability.available(service).filter(({ entry }) => !excluded.has(entry.id));
     const open = available.filter((replica) => isOpen(replica, now));
-    const proven = open.filter((replica) => isProven(replica, excluded.size > 0));
+    const proven = excluded.size > 0 ? open.filter(isProven) : open;
     if (proven.length > 0) return proven;
     if (open.length > 0) return open;
     const failed = available.filter((replica) => now >= replica.changingUntil);
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/forwarding/promptView.ts
@@ -71,16 +71,15 @@
   };
 
   /** Copying from a replica that doesn't answer would hold the request up. */
-  const isSource = (id: string): boolean => {
-    const replica = replicas.get(id);
-    return replica?.isUnreachable === false && !isBackingOff(replica, clock.monotonic());
-  };
+  const isSource = (replica: ReplicaState | undefined, now: number): boolean =>
+    replica?.isUnreachable === false && !isBackingOff(replica, now);
 
   /** The replica that is known to keep most of the prompt, if it is more than the chosen one keeps. */
   const knownSource = (view: PromptView, chosen: string, own: number): HeldBy | undefined => {
+    const now = clock.monotonic();
     let best: HeldBy | undefined;
     for (const [id, held] of view.held) {
-      if (id === chosen || held.readyTokens <= own || !isSource(id)) continue;
+      if (id === chosen || held.readyTokens <= own || !isSource(replicas.get(id), now)) continue;
       const more = held.readyTokens - (best?.held.readyTokens ?? 0);
       if (more > 0 || (more === 0 && held.usedAt > (best?.held.usedAt ?? 0))) best = { id, held };
     }
@@ -90,8 +89,9 @@
   /** The home; for the home itself, the replica that comes next. */
   const expectedSource = (view: PromptView, chosen: string): string | undefined => {
     const { part, same, home } = view;
-    if (home !== undefined && home !== chosen && isSource(home)) return home;
-    const others = same.filter((each) => each.entry.id !== chosen && isSource(each.entry.id));
+    const now = clock.monotonic();
+    if (home !== undefined && home !== chosen && isSource(replicas.get(home), now)) return home;
+    const others = same.filter((each) => each.entry.id !== chosen && isSource(each, now));
     return rendezvousReplica(part, others)?.entry.id;
   };
 
