Use the terms of the field in the comments on draining and backoff

Six comments still used private words (told, hears, stranger) or described the caller instead of the reason. Comments only: no code, no test changed.

--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -117,11 +117,11 @@
   const observe = createReportObserver({
     limits: beliefs.replicaLimits,
     replicas,
-    // Where there are many routers each hears it from the replica with its own next request.
+    // In large systems a broadcast per router costs more than the one request after which each learns it itself.
     onDraining: (id) => {
       if (!owners.isNeeded()) peers.tellLeaving(id);
     },
-    // Where there are many routers its owner is told with the report of work.
+    // In large systems the work report to the owner of the replica carries it.
     onBackoff: peers.broadcastBackoff,
     metrics,
     clock,
--- a/src/coordination/replicaReports/backoff.ts
+++ b/src/coordination/replicaReports/backoff.ts
@@ -72,7 +72,7 @@
   backoff.avoidedUntil = Math.max(backoff.avoidedUntil, now + avoidance.longest);
 };
 
-/** @returns Until when other routers are told to prefer others, milliseconds on the monotonic clock. */
+/** @returns When other routers may stop preferring other replicas, milliseconds on the monotonic clock. */
 export const preferOthersUntil = ({ ejectedUntil, backoff }: ReplicaState): number =>
   Math.max(ejectedUntil, backoff?.avoidedUntil ?? ejectedUntil);
 
--- a/src/coordination/replicaReports/constants.ts
+++ b/src/coordination/replicaReports/constants.ts
@@ -1,6 +1,6 @@
 /** Limits of what replicas report about themselves. Durations are milliseconds. */
 
-/** Statuses with which a replica turns a request away, so that `Retry-After` is about the replica. */
+/** Statuses of rejections by the replica itself, in which `Retry-After` is about the replica. */
 export const unavailableStatuses: ReadonlySet<number> = new Set([429, 503]);
 
 /** Routers return to a replica spread over so long after its backoff, or over a share of it if that is less. */
--- a/src/coordination/replicaReports/reportObserver.ts
+++ b/src/coordination/replicaReports/reportObserver.ts
@@ -30,7 +30,7 @@
 /** What was answered. */
 export interface AnsweredRequest {
   readonly replica: ReplicaEntry;
-  /** The caller's request; nothing for a call of the system's own, which a stranger at the address refuses. */
+  /** The caller's request; nothing for status reads and orders, which another process at the address rejects. */
   readonly id: string | undefined;
   /** When it was handed to the client, milliseconds on the monotonic clock. */
   readonly askedAt: number;
--- a/src/protocol/forwarding/backoffMessage.ts
+++ b/src/protocol/forwarding/backoffMessage.ts
@@ -1,4 +1,4 @@
-/** A datagram with which a router tells its peers which replicas have just asked it for backoff. */
+/** Notification to peers: replicas that have just asked the sender for backoff. */
 import { createByteReader } from "./byteReader.ts";
 import { createByteWriter } from "./byteWriter.ts";
 import type { ReplicaKey } from "./peerMessage.ts";
