--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -13,6 +13,7 @@
 import type { ConnectPlatform, ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
 import type { RouterEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
+import { metricNames } from "../state/constants.ts";
 import { createLogger } from "../state/log.ts";
 import { ExpositionMetrics } from "../transport/expositionMetrics.ts";
 import { startForwardingServer } from "../transport/forwarding/forwardingServer.ts";
@@ -84,6 +85,7 @@
   const bounds = { ...boundsOf(settings) };
   const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
   const platform = resources.use(connect({ store: settings.store, storeTimeout }));
+  platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
   const link = resources.use(await openUdpLink(settings.peers));
   const self = describeSelf(settings, link.port);
   const shutdown = createShutdown(clock, bounds);
--- a/src/protocol/forwarding/ForwardingPlatform.ts
+++ b/src/protocol/forwarding/ForwardingPlatform.ts
@@ -1,4 +1,5 @@
 import type { LogService } from "../LogService.ts";
+import type { EpochSource } from "../storeEpoch.ts";
 import type { ForwardingWire } from "./ForwardingWire.ts";
 import type { RecordFeed } from "./RecordFeed.ts";
 import type { ReplicaClient } from "./ReplicaClient.ts";
@@ -14,6 +15,7 @@
 /** What a router needs of the platform that it runs on; an adapter provides it. */
 export interface ForwardingPlatform extends AsyncDisposable {
   readonly wire: ForwardingWire;
+  readonly epochs: EpochSource;
   /** For leases. */
   readonly log: LogService;
   readonly operator: RecordFeed<OperatorRecord>;
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -31,6 +31,7 @@
   leaseGrants: "lease_grants",
   leaseLosses: "lease_losses",
   orders: "orders",
+  storeEpochChanges: "store_epoch_changes",
   restatements: "restatements",
   peerRefusals: "peer_refusals",
   peerMessages: "peer_messages",
--- a/src/transport/platformHttp.ts
+++ b/src/transport/platformHttp.ts
@@ -21,8 +21,13 @@
   readonly timeout: number;
   /** Sent with each call. */
   readonly headers?: Readonly<Record<string, string>>;
+  /** Called with the headers of each answer before its status is looked at. */
+  readonly onAnswer?: (headers: AnswerHeaders) => void;
 }
 
+/** Headers of an answer, their names in lower case. */
+export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>;
+
 /** One call to a platform service. */
 export interface PlatformCall<Schema extends z.ZodType> {
   readonly method: "GET" | "POST";
@@ -45,6 +50,7 @@
 export interface PlainPlatformAnswer {
   readonly status: number;
   readonly bytes: Buffer;
+  readonly headers: AnswerHeaders;
 }
 
 /** An answer with the tag by which it can be asked for again. */
@@ -109,7 +115,8 @@
  *
  * @returns The pool; disposing it cuts calls in flight.
  */
-export const createPlatformHttp = ({ url, timeout, headers = {} }: PlatformHttpSettings): PlatformHttp => {
+export const createPlatformHttp = (settings: PlatformHttpSettings): PlatformHttp => {
+  const { url, timeout, headers = {}, onAnswer } = settings;
   const base = url.replace(/\/+$/, "");
   const { origin, pathname } = new URL(base);
   const prefix = pathname.replace(/\/$/, "");
@@ -139,9 +146,11 @@
         body: call.body ?? null,
         signal: AbortSignal.timeout(timeout + (call.wait ?? 0)),
       });
+      onAnswer?.(answer.headers);
       const { etag } = answer.headers;
       const tag = typeof etag === "string" ? etag : undefined;
-      return { status: answer.statusCode, bytes: Buffer.from(await answer.body.arrayBuffer()), tag };
+      const bytes = Buffer.from(await answer.body.arrayBuffer());
+      return { status: answer.statusCode, bytes, headers: answer.headers, tag };
     } catch (error) {
       const mayHaveTakenEffect = changesState && !failedToConnect(error);
       throw platformError(`${what}: no answer`, "unreachable", mayHaveTakenEffect, error);
@@ -170,10 +179,11 @@
     },
     exchange: async (call) => {
       const what = `${call.method} ${base}${call.path}`;
-      const { status, bytes } = await send(call, what);
+      const answer = await send(call, what);
+      const { status } = answer;
       const isAnswer = (status >= 200 && status <= 299) || call.expected?.includes(status) === true;
       if (!isAnswer) throw statusFailure(what, status, call.method === "POST");
-      return { status, bytes };
+      return answer;
     },
     [Symbol.asyncDispose]: () => agent.destroy(),
   };
