--- a/standIns/platform/store.ts
+++ b/standIns/platform/store.ts
@@ -3,7 +3,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { Topics } from "./topics.ts";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { StoreCopy, Topics } from "./topics.ts";
 import { createTopics, keyedRecord, splitRecords, valueOf } from "./topics.ts";
 
 /** What a test can switch on; each is off at first. */
@@ -14,6 +15,10 @@
   isSilent: boolean;
   /** The next appends are done, and their connections closed without an answer. */
   loseAppends: number;
+  /** Answers are sent so long after the call was carried out, milliseconds. */
+  answerDelay: number;
+  /** Answers don't name the epoch. */
+  hidesEpoch: boolean;
 }
 
 /** A running store. */
@@ -28,6 +33,14 @@
   readonly reads: ReadonlyMap<string, number>;
   /** Writes as the operator or a replica would. */
   readonly put: (topic: string, key: string, value: unknown) => void;
+  /** Resets all open connections. */
+  readonly closeConnections: () => void;
+  /**
+   * Is away for a time, then returns from a copy in the next epoch.
+   *
+   * @param away - Milliseconds.
+   */
+  readonly returnFrom: (copy: StoreCopy, away: number) => Promise<void>;
 }
 
 const pageSize = 500;
@@ -51,10 +64,16 @@
   return Buffer.concat(chunks);
 };
 
-const sendJson = (response: ServerResponse, status: number, value: unknown): void => {
-  response.writeHead(status, { "content-type": "application/json" });
-  response.end(JSON.stringify(value));
-};
+/** What a call is answered with. */
+interface Answer {
+  readonly status: number;
+  readonly body: Buffer;
+}
+
+const json = (status: number, value: unknown): Answer => ({
+  status,
+  body: Buffer.from(JSON.stringify(value)),
+});
 
 /**
  * Starts a store on a free port.
@@ -62,41 +81,42 @@
  * @param topics - Of another store: this one is a second way to it, with faults of its own.
  */
 export const startStoreStandIn = async (topics = createTopics()): Promise<StoreStandIn> => {
-  const faults: StoreFaults = { isBusy: false, isSilent: false, loseAppends: 0 };
+  const faults: StoreFaults = {
+    isBusy: false,
+    isSilent: false,
+    loseAppends: 0,
+    answerDelay: 0,
+    hidesEpoch: false,
+  };
   const calls = new Map<string, number>();
   const reads = new Map<string, number>();
 
-  const append = (query: URLSearchParams, body: Buffer, response: ServerResponse): void => {
+  const append = (query: URLSearchParams, body: Buffer): Answer | undefined => {
     const topic = query.get("topic") ?? "";
     const at = query.get("at");
-    if (at !== null && Number(at) !== topics.end(topic)) {
-      sendJson(response, 412, { end: topics.end(topic) });
-      return;
-    }
+    if (at !== null && Number(at) !== topics.end(topic)) return json(412, { end: topics.end(topic) });
     const offset = topics.append(topic, splitRecords(body));
     if (faults.loseAppends > 0) {
       faults.loseAppends -= 1;
-      response.destroy();
-      return;
+      return undefined;
     }
-    sendJson(response, 200, { offset, end: topics.end(topic) });
+    return json(200, { offset, end: topics.end(topic) });
   };
 
-  const read = async (query: URLSearchParams, response: ServerResponse): Promise<void> => {
+  const read = async (query: URLSearchParams): Promise<Answer | undefined> => {
     const topic = query.get("topic") ?? "";
     reads.set(topic, (reads.get(topic) ?? 0) + 1);
     const from = Number(query.get("from"));
+    const epoch = topics.epoch();
     await topics.waitFor(topic, from, Number(query.get("waitMs") ?? 0));
+    if (topics.epoch() !== epoch) return undefined;
     const records = topics.read(topic, from);
-    if (records === undefined) {
-      sendJson(response, 410, { first: topics.first(topic) });
-      return;
-    }
+    if (records === undefined) return json(410, { first: topics.first(topic) });
     const head = [writeOffset(topics.end(topic)), writeOffset(topics.first(topic))];
-    response.end(Buffer.concat([...head, ...records.map(({ bytes }) => frame(bytes))]));
+    return { status: 200, body: Buffer.concat([...head, ...records.map(({ bytes }) => frame(bytes))]) };
   };
 
-  const newest = (query: URLSearchParams, response: ServerResponse): void => {
+  const newest = (query: URLSearchParams): Answer => {
     const topic = query.get("topic") ?? "";
     const after = query.get("after") ?? "";
     const all = [...topics.newest(topic)].filter(([key]) => key > after);
@@ -106,7 +126,16 @@
       offset,
       value: valueOf(bytes).toString("base64"),
     }));
-    sendJson(response, 200, { items, hasMore: all.length > page.length, end: topics.end(topic) });
+    return json(200, { items, hasMore: all.length > page.length, end: topics.end(topic) });
+  };
+
+  /** @returns Nothing where the connection ends without an answer. */
+  const carryOut = (pathname: string, query: URLSearchParams, body: Buffer): Promise<Answer | undefined> => {
+    if (faults.isBusy) return Promise.resolve(json(503, {}));
+    if (pathname === "/-/log-append") return Promise.resolve(append(query, body));
+    if (pathname === "/-/log-read") return read(query);
+    if (pathname === "/-/log-newest") return Promise.resolve(newest(query));
+    return Promise.resolve(json(404, {}));
   };
 
   const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -114,11 +143,16 @@
     calls.set(pathname, (calls.get(pathname) ?? 0) + 1);
     const body = await readBody(request);
     if (faults.isSilent) return;
-    if (faults.isBusy) sendJson(response, 503, {});
-    else if (pathname === "/-/log-append") append(searchParams, body, response);
-    else if (pathname === "/-/log-read") await read(searchParams, response);
-    else if (pathname === "/-/log-newest") newest(searchParams, response);
-    else sendJson(response, 404, {});
+    const made = await carryOut(pathname, searchParams, body);
+    const epoch = topics.epoch();
+    if (faults.answerDelay > 0) await sleep(faults.answerDelay);
+    if (made === undefined) {
+      response.destroy();
+      return;
+    }
+    const named = faults.hidesEpoch ? {} : { "store-era": String(epoch) };
+    response.writeHead(made.status, { "content-type": "application/json", ...named });
+    response.end(made.body);
   };
 
   const server = createServer((request, response) => void answer(request, response));
@@ -134,6 +168,14 @@
     put: (topic, key, value) => {
       topics.append(topic, [keyedRecord(key, value)]);
     },
+    closeConnections: () => server.closeAllConnections(),
+    returnFrom: async (copy, away) => {
+      faults.isSilent = true;
+      server.closeAllConnections();
+      await sleep(away);
+      topics.returnFrom(copy);
+      faults.isSilent = false;
+    },
     [Symbol.asyncDispose]: () => {
       server.close();
       server.closeAllConnections();
--- a/standIns/platform/topics.ts
+++ b/standIns/platform/topics.ts
@@ -6,11 +6,25 @@
   readonly bytes: Buffer;
 }
 
+interface TopicCopy {
+  readonly records: readonly StoredRecord[];
+  readonly end: number;
+  readonly keys: ReadonlyMap<string, StoredRecord>;
+}
+
+/** The store as it was at a moment, by topic. */
+export type StoreCopy = ReadonlyMap<string, TopicCopy>;
+
 /** See {@link createTopics}. */
 export interface Topics {
+  /** Rises each time the store returns from a copy. */
+  readonly epoch: () => number;
+  readonly copy: () => StoreCopy;
+  /** Loses everything that is not in a copy; offsets from its end on are given out again. */
+  readonly returnFrom: (copy: StoreCopy) => void;
   /** @returns The offset of the first record. */
   readonly append: (topic: string, records: readonly Buffer[]) => number;
-  /** @returns The records from an offset on, or nothing if they are no longer kept. */
+  /** @returns The records from an offset on; nothing if they are no longer kept, or the topic ends before it. */
   readonly read: (topic: string, from: number) => readonly StoredRecord[] | undefined;
   readonly first: (topic: string) => number;
   readonly end: (topic: string) => number;
@@ -18,7 +32,7 @@
   readonly newest: (topic: string) => ReadonlyMap<string, StoredRecord>;
   /** Deletes the records before an offset; the newest of each key stay. */
   readonly trim: (topic: string, before: number) => void;
-  /** Resolves when a topic has a record at an offset, or after a time. */
+  /** Resolves when a topic has a record at an offset, when the store returns from a copy, or after a time. */
   readonly waitFor: (topic: string, offset: number, milliseconds: number) => Promise<void>;
 }
 
@@ -56,6 +70,7 @@
 /** Creates a store without topics. */
 export const createTopics = (): Topics => {
   const topics = new Map<string, Topic>();
+  let epoch = 1;
 
   const topicOf = (name: string): Topic => {
     const known = topics.get(name);
@@ -84,13 +99,37 @@
     return first;
   };
 
+  const copy = (): StoreCopy =>
+    new Map(
+      [...topics].map(([name, { records, end, keys }]) => [
+        name,
+        { records: [...records], end, keys: new Map(keys) },
+      ]),
+    );
+
+  const returnFrom: Topics["returnFrom"] = (copied) => {
+    epoch += 1;
+    for (const [name, topic] of topics) {
+      const { records = [], end = 0, keys = [] } = copied.get(name) ?? {};
+      topic.records = [...records];
+      topic.end = end;
+      topic.keys.clear();
+      for (const [key, record] of keys) topic.keys.set(key, record);
+      for (const wake of [...topic.waiting]) wake();
+    }
+  };
+
   const firstOf = ({ records, end }: Topic): number => records[0]?.offset ?? end;
 
   return {
+    epoch: () => epoch,
+    copy,
+    returnFrom,
     append,
     read: (name, from) => {
       const topic = topicOf(name);
-      return from < firstOf(topic) ? undefined : topic.records.filter(({ offset }) => offset >= from);
+      if (from < firstOf(topic) || from > topic.end) return undefined;
+      return topic.records.filter(({ offset }) => offset >= from);
     },
     first: (name) => firstOf(topicOf(name)),
     end: (name) => topicOf(name).end,
@@ -101,7 +140,7 @@
     },
     waitFor: (name, offset, milliseconds) => {
       const topic = topicOf(name);
-      if (topic.end > offset) return Promise.resolve();
+      if (topic.end !== offset) return Promise.resolve();
       return new Promise((resolve) => {
         const wake = (): void => {
           clearTimeout(timer);
--- /dev/null
+++ b/tests/platform/storeEpochs.test.ts
@@ -0,0 +1,261 @@
+import { setTimeout as sleep } from "node:timers/promises";
+import type { TestContext } from "node:test";
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import { startStoreStandIn } from "../../standIns/platform/store.ts";
+import type { PlatformSystem } from "../../standIns/platform/system.ts";
+import { call, configuration, isReady, until } from "../../standIns/platform/system.ts";
+import {
+  added,
+  awaitAdded,
+  awayTime,
+  countStatus,
+  read,
+  registeredRouters,
+  revocableKey,
+  startReturningSystem,
+  timeUntil,
+  timeUntilAll,
+  withAddedRoute,
+  withRevocable,
+} from "../support/returningStore.ts";
+
+/** Within which a change must be in force, milliseconds. */
+const applyBound = 2_000;
+
+const weightsBound = 5_000;
+
+const registrationBound = 5_000;
+
+const readWithRevocable = { ...read, key: revocableKey };
+
+/** Reports a time and says whether it is within a bound. */
+const isWithin = (context: TestContext, what: string, time: number, bound: number): boolean => {
+  context.diagnostic(`${what}: ${Math.round(time)} ms`);
+  return time <= bound;
+};
+
+const allOnVersion = ({ engines }: PlatformSystem, version: number): boolean =>
+  engines.every((engine) => engine.version() >= version);
+
+/** @returns Fences of all orders that engines have accepted, in the order of their acceptance. */
+const fencesOf = ({ engines }: PlatformSystem): readonly number[] =>
+  engines
+    .flatMap(({ orders }) => orders)
+    .sort((left, right) => left.at - right.at)
+    .map(({ fence }) => fence);
+
+const totalCalls = ({ store }: PlatformSystem): number =>
+  [...store.calls.values()].reduce((sum, count) => sum + count, 0);
+
+const isRising = (values: readonly number[]): boolean =>
+  values.every((value, index) => value >= (values[index - 1] ?? value));
+
+describe("a store that returned from an older copy", () => {
+  it("keeps everything in force until the operator has written again", async () => {
+    await using system = await startReturningSystem();
+    const copy = system.store.topics.copy();
+    system.publish(withAddedRoute(2));
+    await awaitAdded(system);
+    await system.store.returnFrom(copy, awayTime);
+    for (let round = 0; round < 5; round += 1) {
+      expect(await countStatus(system.routers, 200, added)).toEqual(system.routers.length);
+      await sleep(100);
+    }
+  });
+
+  // Readers kept offsets of the epoch before, which the copy did not reach.
+  it("delivers configurations that were published at offsets that routers had read before", async (context) => {
+    await using system = await startReturningSystem();
+    const copy = system.store.topics.copy();
+    system.publish(configuration(2));
+    system.publish(configuration(3));
+    await sleep(300);
+    await system.store.returnFrom(copy, awayTime);
+    system.publish(configuration(3));
+    system.publish(withAddedRoute(4));
+    const time = await timeUntilAll(system, 4_000, 200, added);
+    expect(isWithin(context, "in force", time, applyBound)).toEqual(true);
+  });
+
+  // No read fails then: the offsets exist again, with other records.
+  it("delivers configurations although others appended past the old end before a router read", async (context) => {
+    await using system = await startReturningSystem();
+    const copy = system.store.topics.copy();
+    system.publish(configuration(2));
+    await sleep(300);
+    const returned = system.store.returnFrom(copy, awayTime);
+    await returned;
+    system.publish(withAddedRoute(4));
+    for (let version = 1; version < 6; version += 1) system.nameWeights(1);
+    const time = await timeUntilAll(system, 4_000, 200, added);
+    expect(isWithin(context, "in force", time, applyBound)).toEqual(true);
+  });
+
+  it("delivers the revocation of a key that was published after its return", async (context) => {
+    await using system = await startReturningSystem();
+    system.publish(withRevocable(2, false));
+    await until(async () => (await countStatus(system.routers, 200, readWithRevocable)) === 6);
+    const copy = system.store.topics.copy();
+    system.publish(withRevocable(3, false));
+    system.publish(withRevocable(5, false));
+    await sleep(300);
+    await system.store.returnFrom(copy, awayTime);
+    system.publish(withRevocable(5, false));
+    system.publish(withRevocable(6, true));
+    const time = await timeUntilAll(system, 4_000, 401, readWithRevocable);
+    expect(isWithin(context, "revoked", time, applyBound)).toEqual(true);
+  });
+
+  // Nobody read the target, and the lease's records were not found at their offsets.
+  it("delivers weights that were named after its return, ordered under rising fences", async (context) => {
+    await using system = await startReturningSystem();
+    system.nameWeights(2);
+    await until(() => allOnVersion(system, 2));
+    const copy = system.store.topics.copy();
+    system.publish(configuration(2));
+    system.publish(configuration(3));
+    system.nameWeights(3);
+    await until(() => allOnVersion(system, 3));
+    await system.store.returnFrom(copy, awayTime);
+    system.nameWeights(3);
+    system.nameWeights(4);
+    const time = await timeUntil(8_000, () => allOnVersion(system, 4));
+    expect(isWithin(context, "all engines on new weights", time, weightsBound)).toEqual(true);
+    expect(isRising(fencesOf(system))).toEqual(true);
+  });
+
+  it("delivers weights after it returned empty, and once more from a still older copy", async (context) => {
+    await using system = await startReturningSystem();
+    const empty = new Map();
+    system.nameWeights(2);
+    await until(() => allOnVersion(system, 2));
+    for (const version of [3, 4]) {
+      await system.store.returnFrom(empty, awayTime);
+      system.publish(configuration(1));
+      for (const replica of [...system.desks, ...system.engines])
+        system.register(replica, { sequence: version });
+      system.nameWeights(version);
+    }
+    const time = await timeUntil(8_000, () => allOnVersion(system, 4));
+    expect(isWithin(context, "all engines on new weights", time, weightsBound)).toEqual(true);
+    expect(isRising(fencesOf(system))).toEqual(true);
+  });
+
+  // Routers registered once, at their start.
+  it("gets the registration of a router that it lost", async (context) => {
+    await using system = await startReturningSystem();
+    const copy = system.store.topics.copy();
+    await system.startRouter();
+    await until(() => registeredRouters(system).length === 7);
+    await system.store.returnFrom(copy, awayTime);
+    const time = await timeUntil(registrationBound * 2, () => registeredRouters(system).length === 7);
+    expect(isWithin(context, "registered again", time, registrationBound)).toEqual(true);
+  });
+
+  it("lists no replica again that routers know to be gone", async () => {
+    await using system = await startReturningSystem();
+    const [gone] = system.desks;
+    if (gone === undefined) throw new Error("There is no replica.");
+    const copy = system.store.topics.copy();
+    system.register(gone, undefined);
+    await sleep(600);
+    const before = gone.arrivals.length;
+    await system.store.returnFrom(copy, awayTime);
+    for (let round = 0; round < 20; round += 1) {
+      await countStatus(system.routers, 200, read);
+      await sleep(50);
+    }
+    expect(gone.arrivals.length - before).toEqual(0);
+  });
+
+  it("leaves a replica in use that registered after the copy was made", async () => {
+    await using system = await startReturningSystem({ desks: 1 });
+    const [late] = system.desks;
+    if (late === undefined) throw new Error("There is no replica.");
+    system.register(late, undefined);
+    await sleep(600);
+    const copy = system.store.topics.copy();
+    system.register(late, {});
+    await until(async () => (await countStatus(system.routers, 200, read)) === system.routers.length);
+    const countRefusals = async (rounds: number): Promise<number> => {
+      let refusals = 0;
+      for (let round = 0; round < rounds; round += 1) {
+        refusals += system.routers.length - (await countStatus(system.routers, 200, read));
+        await sleep(50);
+      }
+      return refusals;
+    };
+    await system.store.returnFrom(copy, awayTime);
+    const before = await countRefusals(10);
+    system.register(late, { sequence: 2 });
+    expect([before, await countRefusals(50)]).toEqual([0, 0]);
+  });
+
+  // A refused read was taken for a complete one and repeated at once.
+  it("is called no more than twice as often as before", async (context) => {
+    await using system = await startReturningSystem();
+    const countCalls = async (): Promise<number> => {
+      const before = totalCalls(system);
+      await sleep(3_000);
+      return totalCalls(system) - before;
+    };
+    const copy = system.store.topics.copy();
+    system.publish(configuration(2));
+    const before = await countCalls();
+    await system.store.returnFrom(copy, awayTime);
+    const after = await countCalls();
+    context.diagnostic(`calls in three seconds: ${before} before, ${after} after`);
+    expect(after <= 2 * before).toEqual(true);
+  });
+});
+
+describe("a router, before the operator has written again", () => {
+  // It read the copy, which proves nothing about what was lost.
+  it("serves no older configuration than its peers, where it starts then", async () => {
+    await using system = await startReturningSystem();
+    system.publish(withRevocable(2, false));
+    await until(async () => (await countStatus(system.routers, 200, readWithRevocable)) === 6);
+    const copy = system.store.topics.copy();
+    system.publish(withRevocable(3, true));
+    await until(async () => (await countStatus(system.routers, 401, readWithRevocable)) === 6);
+    await system.store.returnFrom(copy, awayTime);
+    const late = await system.startRouter();
+    const statuses = new Set<number>();
+    await until(async () => {
+      statuses.add((await call(late, readWithRevocable)).status);
+      return isReady(late);
+    });
+    for (let round = 0; round < 20; round += 1) {
+      statuses.add((await call(late, readWithRevocable)).status);
+      await sleep(50);
+    }
+    expect(statuses.has(200)).toEqual(false);
+    expect(statuses.has(401)).toEqual(true);
+  });
+
+  it("gets a revocation that it had not read from its peers, where the store has lost it", async (context) => {
+    await using system = await startReturningSystem();
+    await using way = await startStoreStandIn(system.store.topics);
+    const cut = await system.startRouter(way);
+    system.publish(withRevocable(2, false));
+    await until(async () => (await countStatus(system.routers, 200, readWithRevocable)) === 7);
+    const copy = system.store.topics.copy();
+    way.faults.isSilent = true;
+    way.closeConnections();
+    system.publish(withRevocable(3, true));
+    const publishedAt = performance.now();
+    await until(async () => (await countStatus(system.routers, 401, readWithRevocable)) === 6);
+    await system.store.returnFrom(copy, awayTime);
+    way.faults.isSilent = false;
+    const served: number[] = [];
+    for (let round = 0; round < 60; round += 1) {
+      const askedAt = performance.now();
+      if ((await call(cut, readWithRevocable)).status === 200) served.push(askedAt - publishedAt);
+      await sleep(50);
+    }
+    context.diagnostic(`last served ${Math.round(served.at(-1) ?? 0)} ms after the revocation`);
+    expect(served.every((age) => age <= applyBound)).toEqual(true);
+    expect((await call(cut, readWithRevocable)).status).toEqual(401);
+  });
+});
--- /dev/null
+++ b/tests/support/returningStore.ts
@@ -0,0 +1,95 @@
+/** A system whose store returns from older copies, and what operator and replicas then write again. */
+import { setTimeout as sleep } from "node:timers/promises";
+import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
+import type { CallerCall, PlatformSystem, PlatformSystemSettings } from "../../standIns/platform/system.ts";
+import {
+  call,
+  configuration,
+  hosts,
+  isReady,
+  keys,
+  startPlatformSystem,
+  until,
+} from "../../standIns/platform/system.ts";
+
+/** How long the store is away before it returns, milliseconds. */
+export const awayTime = 400;
+
+export const read: CallerCall = { host: hosts.desk, path: "/read/2f", body: "look up" };
+
+/** Served by configurations that have the added route. */
+export const added: CallerCall = { host: hosts.desk, path: "/added/2f", body: "look up" };
+
+/** Keys of an organisation whose key may be revoked. */
+export const revocableKey = "key-three";
+
+const usual = configuration(1);
+
+const addedRoute = { ...usual.routes[0], name: "added", pathPrefix: "/added/" };
+
+export const withAddedRoute = (version: number) =>
+  configuration(version, { routes: [...usual.routes, addedRoute] });
+
+/** A configuration with a third organisation, whose key is there or revoked. */
+export const withRevocable = (version: number, isRevoked: boolean) =>
+  configuration(version, {
+    tenants: [
+      ...usual.tenants,
+      { name: "three", apiKeys: isRevoked ? [] : [revocableKey], priority: 1, isolated: false },
+    ],
+  });
+
+/** Starts a system whose routers are all ready. */
+export const startReturningSystem = async (
+  settings: PlatformSystemSettings = {},
+  routers = 6,
+): Promise<PlatformSystem> => {
+  const system = await startPlatformSystem({ desks: 4, engines: 5, ...settings });
+  while (system.routers.length < routers) await system.startRouter();
+  await until(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
+  return system;
+};
+
+/** @returns How many routers answer a request with a status. */
+export const countStatus = async (
+  routers: readonly ForwardingRouter[],
+  status: number,
+  asked: CallerCall,
+): Promise<number> => {
+  const answers = await Promise.all(routers.map((router) => call(router, asked)));
+  return answers.filter((answer) => answer.status === status).length;
+};
+
+/** @returns Milliseconds until something held; infinity if it didn't within a time. */
+export const timeUntil = async (
+  longest: number,
+  condition: () => boolean | Promise<boolean>,
+): Promise<number> => {
+  const since = performance.now();
+  while (performance.now() - since < longest) {
+    if (await condition()) return performance.now() - since;
+    await sleep(20);
+  }
+  return Number.POSITIVE_INFINITY;
+};
+
+/** @returns Milliseconds until all routers answer a request with a status. */
+export const timeUntilAll = (
+  { routers }: Pick<PlatformSystem, "routers">,
+  longest: number,
+  status: number,
+  asked: CallerCall,
+): Promise<number> =>
+  timeUntil(longest, async () => (await countStatus(routers, status, asked)) === routers.length);
+
+/** @returns The names under which routers are registered. */
+export const registeredRouters = ({ store }: Pick<PlatformSystem, "store">): readonly string[] => [
+  ...store.topics.newest("keyed.routers").keys(),
+];
+
+/** Waits until all routers serve a configuration's added route. */
+export const awaitAdded = async (system: PlatformSystem): Promise<void> => {
+  await until(async () => (await countStatus(system.routers, 200, added)) === system.routers.length);
+};
+
+export { keys };
