Drop datagrams that are sent after their link was closed

A router that ends closes its link while requests are still being reported; the closed socket threw, as an unhandled rejection (tests/platform/replicaLimits.test.ts, seen once feeds ended without waiting for their held reads). Datagrams may always be lost, so one that comes too late is.

--- a/src/transport/forwarding/udpLink.ts
+++ b/src/transport/forwarding/udpLink.ts
@@ -6,6 +6,7 @@
 
 class UdpLink extends DatagramLink {
   private readonly socket: Socket;
+  private isClosed = false;
 
   constructor(socket: Socket) {
     super();
@@ -17,6 +18,7 @@
   }
 
   override send({ address, port }: DatagramAddress, datagram: Buffer): void {
+    if (this.isClosed) return;
     // A datagram that can't be sent is a lost one.
     this.socket.send(datagram, port, address, () => undefined);
   }
@@ -26,6 +28,7 @@
   }
 
   override [Symbol.asyncDispose](): Promise<void> {
+    this.isClosed = true;
     return new Promise((resolve) => this.socket.close(() => resolve()));
   }
 }
