--- a/bench/claims/simulatedLog.ts
+++ b/bench/claims/simulatedLog.ts
@@ -3,7 +3,8 @@
 import { pause } from "../../src/coordination/clock.ts";
 import { platformError } from "../../src/protocol/errors.ts";
 import { LogService } from "../../src/protocol/LogService.ts";
-import type { LogPage, LogRecord } from "../../src/protocol/types.ts";
+import { unnamedEpoch } from "../../src/protocol/storeEpoch.ts";
+import type { AppendedRecords, LogPage, LogRecord } from "../../src/protocol/types.ts";
 
 /** Bytes that a record has on the wire beside its data, roughly. */
 const recordOverhead = 45;
@@ -38,7 +39,7 @@
     this.refilledAt = clock.monotonic();
   }
 
-  override async append(stream: string, data: readonly string[]): Promise<readonly number[]> {
+  override async append(stream: string, data: readonly string[]): Promise<AppendedRecords> {
     await pause(this.clock, this.settings.appendLatency);
     if (!this.takeToken()) {
       this.refused += 1;
@@ -47,12 +48,13 @@
     this.appends += 1;
     const records = this.streams.get(stream) ?? [];
     this.streams.set(stream, records);
-    return data.map((item) => {
+    const offsets = data.map((item) => {
       const offset = records.length;
       this.bytesAppended += item.length + recordOverhead;
       records.push({ offset, appendedAt: this.clock.wall(), data: item });
       return offset;
     });
+    return { offsets, epoch: unnamedEpoch };
   }
 
   override async read(stream: string, from: number, limit: number): Promise<LogPage> {
@@ -61,7 +63,7 @@
     const kept = this.streams.get(stream) ?? [];
     const records = kept.slice(from, from + limit);
     for (const { data } of records) this.bytesRead += data.length + recordOverhead;
-    return { records, earliestOffset: 0, nextOffset: kept.length };
+    return { records, earliestOffset: 0, nextOffset: kept.length, epoch: unnamedEpoch };
   }
 
   private takeToken(): boolean {
--- a/bench/claims/singleClaimLedger.ts
+++ b/bench/claims/singleClaimLedger.ts
@@ -8,7 +8,7 @@
 import type { PartitionReader } from "../../src/coordination/claims/partitionReader.ts";
 import { claimFailures } from "../../src/coordination/claims/errors.ts";
 import type { LogService } from "../../src/protocol/LogService.ts";
-import type { RequestContext } from "../../src/protocol/types.ts";
+import type { AppendedRecords, RequestContext } from "../../src/protocol/types.ts";
 
 const ignore = (): void => undefined;
 
@@ -27,9 +27,9 @@
     const holder = randomUUID();
     const reader = this.readers.get(key.stream) ?? createPartitionReader(this.log, key.stream);
     this.readers.set(key.stream, reader);
-    const append = (record: string): Promise<readonly number[]> => this.log.append(key.stream, [record]);
+    const append = (record: string): Promise<AppendedRecords> => this.log.append(key.stream, [record]);
     const claim = { kind: "claim" as const, key: key.digest, holder, fingerprint, expected: 0 };
-    const [offset = 0] = await append(encodeClaimRecord(claim));
+    const [offset = 0] = (await append(encodeClaimRecord(claim))).offsets;
     const { standing } = await reader.lookUp(key, offset);
     if (standing?.holder !== holder) throw claimFailures.inProgress();
     const complete = async (summary: string): Promise<void> => {
--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -33,6 +33,8 @@
 import type { LabFleet } from "./fleet.ts";
 import { labNames } from "./fleet.ts";
 import { LabReplicaClient } from "./labReplicaClient.ts";
+import { StorePosition } from "../../src/protocol/StorePosition.ts";
+import { unnamedEpoch } from "../../src/protocol/storeEpoch.ts";
 
 /** One router of a run. */
 export interface LabRouter {
@@ -117,10 +119,11 @@
   const replicas = createReplicaTable();
   for (const { entry } of fleet.replicas) replicas.put(entry);
   const configuration = createConfigurationState(clock);
+  const start = new StorePosition(unnamedEpoch, 0);
   const publish = (record: OperatorRecord): void =>
     configuration.apply({
-      records: [{ offset: 0, key: record.kind, value: record }],
-      nextOffset: 1,
+      records: [{ position: start, key: record.kind, value: record }],
+      next: start.advancedBy(1),
       isComplete: true,
     });
   publish({ kind: "configuration", configuration: labConfiguration(experiment) });
--- a/src/commandLine/publishConfiguration.test.ts
+++ b/src/commandLine/publishConfiguration.test.ts
@@ -3,9 +3,10 @@
 import { configurationOf, createFakeLog } from "../../tests/support/configuration.ts";
 import { PlatformError, platformError } from "../protocol/errors.ts";
 import { LogService } from "../protocol/LogService.ts";
-import type { LogPage } from "../protocol/types.ts";
+import type { AppendedRecords, LogPage } from "../protocol/types.ts";
 import { publishConfiguration } from "./publishConfiguration.ts";
 import type { PublishResult } from "./publishConfiguration.ts";
+import { unnamedEpoch } from "../protocol/storeEpoch.ts";
 
 /** What the log does with the next calls; it works again when the list is used up. */
 type Fault = "taken_answer_lost" | "lost_before" | "refused" | "rival_first";
@@ -17,14 +18,14 @@
   let reads = 0;
 
   class FaultyLog extends LogService {
-    override async append(stream: string, data: readonly string[]): Promise<readonly number[]> {
+    override async append(stream: string, data: readonly string[]): Promise<AppendedRecords> {
       const fault = faults.shift();
       if (fault === "refused") throw platformError("fake: 429", "overloaded", false);
       if (fault === "lost_before") throw platformError("fake: lost", "unreachable", true);
       if (fault === "rival_first") await publish(log, 7, "rosalia");
       const offsets = data.map((item) => records.append(item).offset);
       if (fault === "taken_answer_lost") throw platformError("fake: lost", "unreachable", true);
-      return offsets;
+      return { offsets, epoch: unnamedEpoch };
     }
 
     override read(_stream: string, fromOffset: number, limit: number): Promise<LogPage> {
--- a/src/coordination/claims/partitionWriter.ts
+++ b/src/coordination/claims/partitionWriter.ts
@@ -91,7 +91,7 @@
     inFlight = batch;
     try {
       const records = batch.map((item) => item.data);
-      const offsets = await log.append(stream, records);
+      const { offsets } = await log.append(stream, records);
       isDown = false;
       pauseLength = pauseLength > backOff.first ? pauseLength * 0.9 : 0;
       batch.forEach((item, index) =>
--- a/src/coordination/crashes/logRecordFeed.test.ts
+++ b/src/coordination/crashes/logRecordFeed.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import { FakeLog } from "../../../tests/support/fakeLog.ts";
+import { positionAt } from "../../../tests/support/positions.ts";
 import { createManualClock } from "../manualClock.ts";
 import { LogRecordFeed } from "./logRecordFeed.ts";
 
@@ -15,10 +16,10 @@
     await log.append(stream, ["no record", JSON.stringify({ key: 7 })]);
     await feed.put("first", { trials: 1, trial: "a" });
     await feed.drop("second");
-    const { records, nextOffset } = await feed.newest();
+    const { records, next } = await feed.newest();
     expect(records.map(({ key, value }) => [key, value?.trials])).toEqual([["first", 1]]);
-    expect(nextOffset).toEqual(6);
-    const later = await feed.changes(4, 0);
+    expect(next).toEqual(positionAt(6));
+    const later = await feed.changes(positionAt(4), 0);
     expect(later.records.map(({ key, value }) => [key, value === undefined])).toEqual([
       ["first", false],
       ["second", true],
--- a/src/coordination/crashes/quarantine.test.ts
+++ b/src/coordination/crashes/quarantine.test.ts
@@ -13,6 +13,7 @@
   settleTime,
   trialDelays,
 } from "./constants.ts";
+import { positionAt } from "../../../tests/support/positions.ts";
 
 /** The users' bound: a router in touch knows of what crashed three replicas within it, milliseconds. */
 const contactTime = 3_000;
@@ -267,7 +268,7 @@
     const routers = createQuarantineRouters(3);
     await crashThree(routers);
     const [{ key }] = [...routers.records.log.slice(-1), { key: "" }];
-    routers.records.log.push({ offset: routers.records.log.length, key, value: undefined });
+    routers.records.log.push({ position: positionAt(routers.records.log.length), key, value: undefined });
     await routers.stop(routers.at(2));
     routers.start(4);
     await routers.advance(contactTime);
--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -7,6 +7,7 @@
 import { PlatformError } from "../../protocol/errors.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
+import type { StorePosition } from "../../protocol/StorePosition.ts";
 import type { FeedRecord, QuarantineRecord } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import type { HeldRequests } from "./heldRequests.ts";
@@ -39,7 +40,7 @@
 /** Creates records of which nothing has been read. */
 export const createQuarantineRecords = (parts: QuarantineRecordsParts): QuarantineRecords => {
   const { feed, held } = parts;
-  let nextOffset: number | undefined;
+  let next: StorePosition | undefined;
   let isFailing = false;
   let last: Promise<boolean> = Promise.resolve(true);
 
@@ -48,22 +49,22 @@
     else parts.onHeld(key, value);
   };
 
-  const readNewest = async (): Promise<number> => {
+  const readNewest = async (): Promise<StorePosition> => {
     const page = await feed.newest();
     const present = new Set(page.records.map(({ key }) => key));
     for (const [fingerprint, { isRecorded }] of held.entries()) {
       if (isRecorded && !present.has(fingerprint)) parts.onReleased(fingerprint);
     }
     page.records.forEach(apply);
-    return page.nextOffset;
+    return page.next;
   };
 
   const readOn = async (): Promise<void> => {
-    nextOffset ??= await readNewest();
+    next ??= await readNewest();
     for (;;) {
-      const page = await feed.changes(nextOffset, 0);
+      const page = await feed.changes(next, 0);
       page.records.forEach(apply);
-      nextOffset = page.nextOffset;
+      next = page.next;
       if (page.isComplete) return;
     }
   };
@@ -74,7 +75,7 @@
     } catch (error) {
       if (!(error instanceof PlatformError) || error.fault !== "expired") throw error;
       // Records that were trimmed before they were read: only the newest of each key are to be had.
-      nextOffset = undefined;
+      next = undefined;
       await readOn();
     }
   };
--- a/src/coordination/forwarding/feedFollower.test.ts
+++ b/src/coordination/forwarding/feedFollower.test.ts
@@ -6,24 +6,31 @@
 import type { FeedPage } from "../../protocol/forwarding/types.ts";
 import { createManualClock } from "../manualClock.ts";
 import { followFeed } from "./feedFollower.ts";
+import type { StoreEpoch } from "../../protocol/storeEpoch.ts";
+import { StorePosition } from "../../protocol/StorePosition.ts";
+import { createStoreEpochs } from "../../state/storeEpochs.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 
 /** A feed whose reads a test answers one by one. */
 class ScriptedFeed extends RecordFeed<string> {
   readonly asked: string[] = [];
-  answers: (FeedPage<string> | Error)[] = [];
+  answers: (FeedPage<string> | Promise<FeedPage<string>> | Error)[] = [];
 
   override newest(): Promise<FeedPage<string>> {
     this.asked.push("newest");
     return this.next();
   }
 
-  override changes(fromOffset: number, wait: number): Promise<FeedPage<string>> {
-    this.asked.push(`from ${fromOffset} wait ${wait}`);
-    return this.next();
+  override async changes(from: StorePosition, wait: number, signal?: AbortSignal): Promise<FeedPage<string>> {
+    this.asked.push(`from ${from.offsetIn(from.epoch)} wait ${wait}`);
+    const ended = new Promise<never>((_, reject) => {
+      signal?.addEventListener("abort", () => reject(platformError("cut", "unreachable", false)));
+    });
+    return Promise.race([this.next(), ended]);
   }
 
-  override put(): Promise<void> {
-    return Promise.resolve();
+  override put(): Promise<StoreEpoch> {
+    return Promise.resolve(unnamedEpoch);
   }
 
   override drop(): Promise<void> {
@@ -37,9 +44,9 @@
   }
 }
 
-const page = (nextOffset: number, isComplete: boolean, value = "v"): FeedPage<string> => ({
-  records: [{ offset: nextOffset - 1, key: "k", value }],
-  nextOffset,
+const page = (nextOffset: number, isComplete: boolean, value = "v", epoch = 1): FeedPage<string> => ({
+  records: [{ position: new StorePosition(epoch, nextOffset - 1), key: "k", value }],
+  next: new StorePosition(epoch, nextOffset),
   isComplete,
 });
 
@@ -47,21 +54,24 @@
   const clock = createManualClock(100);
   const feed = new ScriptedFeed();
   feed.answers = answers;
+  const epochs = createStoreEpochs();
+  epochs.observe(1);
   const seen: string[] = [];
   const follower = followFeed({
     name: "test",
     feed,
+    epochs,
     clock,
     wait: () => 900,
     pace: () => 0,
     replace: ({ records }) => seen.push(`all ${records.length}`),
-    apply: ({ nextOffset }) => seen.push(`to ${nextOffset}`),
+    apply: ({ next }) => seen.push(`to ${next.offsetIn(next.epoch)}`),
     confirm: (at) => seen.push(`proof ${at}`),
   });
   const turns = async (): Promise<void> => {
     for (let count = 0; count < 20; count += 1) await nextTurn();
   };
-  return { clock, feed, seen, follower, turns };
+  return { clock, feed, epochs, seen, follower, turns };
 };
 
 describe("following a feed", () => {
@@ -95,4 +105,45 @@
     expect(proofs[0]).toEqual("proof 100");
     expect(proofs.length).toEqual(2);
   });
+
+  // The read that was held would otherwise be waited for, and its offset kept.
+  it("reads everything anew in a new epoch, without waiting for the read that is held back", async () => {
+    const { feed, epochs, seen, turns } = start([page(5, true), page(6, true)]);
+    await turns();
+    expect(feed.asked.at(-1)).toEqual("from 6 wait 900");
+    feed.answers = [page(2, true, "copy", 2), page(3, true, "copy", 2)];
+    epochs.observe(2);
+    await turns();
+    expect(feed.asked.slice(-3)).toEqual(["newest", "from 2 wait 0", "from 3 wait 900"]);
+    expect(seen.slice(-3)).toEqual(["all 1", "to 3", "proof 100"]);
+  });
+
+  it("takes a log that ends before its position for a fault, and not for the end of what is new", async () => {
+    const beyond = platformError("ends before", "beyond_end", false);
+    const { clock, feed, seen, turns } = start([page(5, true), page(6, true), beyond, page(3, true)]);
+    await turns();
+    clock.advanceTo(1_000);
+    await turns();
+    expect(feed.asked.slice(2)).toEqual(["from 6 wait 900", "newest", "from 3 wait 0"]);
+    expect(seen).toEqual(["all 1", "to 6", "proof 100", "all 1"]);
+  });
+
+  it("keeps its position where a check of an earlier epoch is answered late", async () => {
+    const { feed, epochs, follower, turns } = start([page(5, true), page(6, true)]);
+    await turns();
+    let answerLate: (late: FeedPage<string>) => void = () => undefined;
+    feed.answers = [
+      new Promise((resolve) => {
+        answerLate = resolve;
+      }),
+    ];
+    const checked = follower.check();
+    await turns();
+    feed.answers = [page(2, true, "copy", 2), page(3, true, "copy", 2)];
+    epochs.observe(2);
+    await turns();
+    answerLate(page(9, true, "late", 1));
+    expect(await checked).toEqual(false);
+    expect(follower.position()).toEqual(new StorePosition(2, 3));
+  });
 });
--- a/src/coordination/forwarding/feedFollower.ts
+++ b/src/coordination/forwarding/feedFollower.ts
@@ -1,7 +1,11 @@
 /** One task that keeps up with a feed: the newest record of every key first, then changes as they come. */
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import type { FeedPage } from "../../protocol/forwarding/types.ts";
+import type { PlatformFault } from "../../protocol/errors.ts";
 import { PlatformError } from "../../protocol/errors.ts";
+import type { EpochSource } from "../../protocol/storeEpoch.ts";
+import type { StorePosition } from "../../protocol/StorePosition.ts";
+import { laterPosition } from "../../protocol/StorePosition.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
@@ -9,22 +13,25 @@
 
 const writeLog = createLogger("feeds");
 
-/** What following works with. */
-export interface FeedFollowerParts<T> {
+/** See {@link followFeed}. */
+export interface FeedFollowerDependencies<T> {
   readonly name: string;
   readonly feed: RecordFeed<T>;
+  readonly epochs: EpochSource;
   readonly clock: Clock;
   /** How long the store may hold a read back while there is nothing new, milliseconds. */
   readonly wait: () => number;
-  /** By how much waits after failures grow; where many routers read, an outage would cost as many calls as they make. */
+  /** Factor on delays after failures. */
   readonly retryStretch?: () => number;
   /** Between the end of one read and the next, milliseconds: records that come close together share a read. */
   readonly pace: () => number;
-  /** Takes everything that there is: keys that are not among the records were dropped. */
+  /** Before everything is read anew in a new epoch, milliseconds. */
+  readonly rereadDelay?: () => number;
+  /** Takes the newest record of every key. */
   readonly replace: (page: FeedPage<T>) => void;
   readonly apply: (page: FeedPage<T>) => void;
   /**
-   * Everything written before a moment is known.
+   * Everything written in this epoch before a moment is known.
    *
    * @param askedAt - That moment: when the read was sent, milliseconds on the monotonic clock.
    */
@@ -41,50 +48,62 @@
    * @returns Whether everything written before is known now.
    */
   readonly check: () => Promise<boolean>;
-  /** @returns The offset up to which all records are known; nothing before the first read. */
-  readonly offset: () => number | undefined;
+  /** @returns The position up to which all records are known; nothing before the first read of an epoch. */
+  readonly position: () => StorePosition | undefined;
 }
 
+/** Faults after which only the newest record of each key can be had. */
+const rereadFaults: ReadonlySet<PlatformFault> = new Set(["expired", "beyond_end", "epoch_ended"]);
+
 /** Starts to follow a feed. */
-export const followFeed = <T>(parts: FeedFollowerParts<T>): FeedFollower => {
-  const { name, feed, clock } = parts;
+export const followFeed = <T>(dependencies: FeedFollowerDependencies<T>): FeedFollower => {
+  const { name, feed, epochs, clock } = dependencies;
   const stop = new AbortController();
-  let nextOffset: number | undefined;
+  let next: StorePosition | undefined;
   let failures = 0;
   let isUpToDate = false;
   let hasRead = false;
   let wake = new AbortController();
+  /** Ends with the epoch: what was asked in one is not waited for in the next. */
+  let epochEnd = new AbortController();
+  let isRereadDue = false;
+
+  const isStopped = (): boolean => stop.signal.aborted;
 
-  const readNewest = async (): Promise<number> => {
+  const readNewest = async (): Promise<StorePosition> => {
     const page = await feed.newest();
-    parts.replace(page);
+    dependencies.replace(page);
     isUpToDate = false;
-    return page.nextOffset;
+    return page.next;
   };
 
-  const readChanges = async (from: number): Promise<number> => {
+  const readChanges = async (from: StorePosition): Promise<StorePosition> => {
     const askedAt = clock.monotonic();
-    const page = await feed.changes(from, isUpToDate ? parts.wait() : 0);
-    parts.apply(page);
+    const page = await feed.changes(from, isUpToDate ? dependencies.wait() : 0, epochEnd.signal);
+    dependencies.apply(page);
     isUpToDate = page.isComplete;
-    if (isUpToDate) parts.confirm(askedAt);
-    return page.nextOffset;
+    if (isUpToDate) dependencies.confirm(askedAt);
+    return page.next;
   };
 
-  /** Reads may overtake one another: what is known never shrinks. */
-  const advance = (to: number): void => {
-    nextOffset = Math.max(nextOffset ?? 0, to);
+  /** Reads may overtake one another, also over the end of an epoch: the position never moves back. */
+  const advance = (to: StorePosition): void => {
+    if (to.epoch < epochs.current()) return;
+    next = next === undefined ? to : laterPosition(next, to);
   };
 
-  const noteExpiry = (error: unknown): void => {
-    // Records that were trimmed before they were read: only the newest of each key are to be had.
-    if (error instanceof PlatformError && error.fault === "expired") nextOffset = undefined;
+  /** @returns Whether everything has to be read anew. */
+  const noteFault = (error: unknown): boolean => {
+    if (!(error instanceof PlatformError) || !rereadFaults.has(error.fault)) return false;
+    if (error.fault === "beyond_end") writeLog("beyond_end", { feed: name, reason: error.message });
+    next = undefined;
+    return true;
   };
 
   const noteFailure = (error: unknown): void => {
     failures += 1;
     isUpToDate = false;
-    noteExpiry(error);
+    noteFault(error);
     if (failures === 1) writeLog("lost", { feed: name, reason: String(error) });
   };
 
@@ -97,57 +116,77 @@
   const retryDelay = (): number => {
     const { first, longest } = feedRetryDelays;
     const delay = Math.min(longest, first * 2 ** (failures - 1));
-    return delay * (0.5 + Math.random() / 2) * (parts.retryStretch?.() ?? 1);
+    return delay * (0.5 + Math.random() / 2) * (dependencies.retryStretch?.() ?? 1);
   };
 
   const step = async (): Promise<void> => {
+    const { signal } = epochEnd;
     try {
-      advance(nextOffset === undefined ? await readNewest() : await readChanges(nextOffset));
+      advance(next === undefined ? await readNewest() : await readChanges(next));
       noteSuccess();
     } catch (error) {
-      if (!stop.signal.aborted) noteFailure(error);
+      if (!isStopped() && !signal.aborted) noteFailure(error);
     }
   };
 
-  const isStopped = (): boolean => stop.signal.aborted;
+  const waitForReread = async (): Promise<void> => {
+    isRereadDue = false;
+    const delay = dependencies.rereadDelay?.() ?? 0;
+    if (delay > 0) await pause(clock, delay, stop.signal);
+  };
+
+  const waitForNext = async (): Promise<void> => {
+    wake = new AbortController();
+    if (isStopped()) wake.abort();
+    const delay = failures > 0 ? retryDelay() : dependencies.pace();
+    if (delay > 0) await pause(clock, delay, wake.signal);
+  };
 
   const run = async (): Promise<void> => {
     while (!isStopped()) {
+      if (isRereadDue) await waitForReread();
       await step();
-      if (failures === 0 && !isUpToDate) continue;
-      wake = new AbortController();
-      if (isStopped()) wake.abort();
-      const delay = failures > 0 ? retryDelay() : parts.pace();
-      if (delay > 0) await pause(clock, delay, wake.signal);
+      if (!isRereadDue && (failures > 0 || isUpToDate)) await waitForNext();
     }
   };
   const task = run();
 
+  epochs.subscribe(() => {
+    next = undefined;
+    isUpToDate = false;
+    isRereadDue = true;
+    epochEnd.abort();
+    epochEnd = new AbortController();
+    wake.abort();
+  });
+
   const check = async (): Promise<boolean> => {
     if (!hasRead) return false;
     const askedAt = clock.monotonic();
     try {
-      // What was held back may be held for long, from an offset that is kept no longer.
-      if (nextOffset === undefined) advance(await readNewest());
-      const page = await feed.changes(nextOffset ?? 0, 0);
-      if (isStopped()) return false;
-      parts.apply(page);
-      advance(page.nextOffset);
-      if (page.isComplete) parts.confirm(askedAt);
+      // A read that is held back may be held for long, from an offset that is no longer kept.
+      if (next === undefined) advance(await readNewest());
+      if (next === undefined) return false;
+      const page = await feed.changes(next, 0);
+      if (isStopped() || page.next.epoch < epochs.current()) return false;
+      dependencies.apply(page);
+      advance(page.next);
+      if (page.isComplete) dependencies.confirm(askedAt);
       return page.isComplete;
     } catch (error) {
       writeLog("check_failed", { feed: name, reason: String(error) });
-      noteExpiry(error);
+      noteFault(error);
       return false;
     }
   };
 
   return {
     check,
-    offset: () => nextOffset,
+    position: () => next,
     hurry: () => wake.abort(),
     [Symbol.asyncDispose]: async () => {
       stop.abort();
+      epochEnd.abort();
       wake.abort();
       await task;
     },
--- a/src/coordination/leases/lease.test.ts
+++ b/src/coordination/leases/lease.test.ts
@@ -4,7 +4,7 @@
 import fc from "fast-check";
 import { LogService } from "../../protocol/LogService.ts";
 import { platformError } from "../../protocol/errors.ts";
-import type { LogPage, LogRecord } from "../../protocol/types.ts";
+import type { AppendedRecords, LogPage, LogRecord } from "../../protocol/types.ts";
 import { MemoryMetrics } from "../../state/MemoryMetrics.ts";
 import type { Clock } from "../clock.ts";
 import { createManualClock } from "../manualClock.ts";
@@ -12,6 +12,7 @@
 import { startLease } from "./lease.ts";
 import type { Lease } from "./lease.ts";
 import { createLeaseHistory } from "./leaseHistory.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 
 const duration = 1_000;
 const lease = "orders/levant";
@@ -30,18 +31,20 @@
     outage = false;
     next: AppendFate = "taken";
 
-    override append(_stream: string, data: readonly string[]): Promise<readonly number[]> {
-      const take = (): readonly number[] =>
-        data.map((item) => {
+    override append(_stream: string, data: readonly string[]): Promise<AppendedRecords> {
+      const take = (): AppendedRecords => ({
+        offsets: data.map((item) => {
           records.push({ offset: records.length, appendedAt: 0, data: item });
           return records.length - 1;
-        });
+        }),
+        epoch: unnamedEpoch,
+      });
       const fate = this.outage ? "refused" : this.next;
       this.next = "taken";
       if (fate === "taken") return Promise.resolve(take());
       if (fate === "answeredLate") {
-        const offsets = take();
-        return new Promise((resolve) => late.push(() => resolve(offsets)));
+        const taken = take();
+        return new Promise((resolve) => late.push(() => resolve(taken)));
       }
       if (fate === "answerLost") take();
       if (fate === "takenLate") late.push(take);
@@ -51,7 +54,12 @@
     override read(_stream: string, fromOffset: number, limit: number): Promise<LogPage> {
       if (this.outage) return Promise.reject(platformError("no answer", "unreachable", false));
       const kept = records.slice(Math.max(fromOffset, earliestOffset)).slice(0, limit);
-      return Promise.resolve({ records: kept, earliestOffset, nextOffset: records.length });
+      return Promise.resolve({
+        records: kept,
+        earliestOffset,
+        nextOffset: records.length,
+        epoch: unnamedEpoch,
+      });
     }
   }
   return {
--- a/src/coordination/leases/leaseHistory.test.ts
+++ b/src/coordination/leases/leaseHistory.test.ts
@@ -3,6 +3,7 @@
 import { createManualClock } from "../manualClock.ts";
 import { createLeaseHistory } from "./leaseHistory.ts";
 import { encodeLeaseRecord } from "./leaseRecord.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 
 const lease = "orders/levant";
 
@@ -23,6 +24,7 @@
     .filter((record) => record.offset >= earliestOffset),
   earliestOffset,
   nextOffset: records.length,
+  epoch: unnamedEpoch,
 });
 
 describe("lease history", () => {
--- a/src/coordination/leases/leaseLog.ts
+++ b/src/coordination/leases/leaseLog.ts
@@ -74,7 +74,7 @@
     if (record.kind !== "release") sent.set(record.id, { at: clock.monotonic(), duration: record.duration });
     metrics.count(metricNames.leaseAppends);
     const data = encodeLeaseRecord(record);
-    const [offset] = await log.append(logStreams.leases, [data]);
+    const [offset] = (await log.append(logStreams.leases, [data])).offsets;
     // With nothing unread before it, the record needs no read.
     if (offset === history.readTo()) history.apply({ offset, data });
     return offset !== undefined && offset < history.readTo();
--- a/src/coordination/storeReading/storeReading.test.ts
+++ b/src/coordination/storeReading/storeReading.test.ts
@@ -8,6 +8,7 @@
 import type { Peer } from "../forwarding/peerTable.ts";
 import { failuresOutOfReach } from "./constants.ts";
 import { startStoreReading } from "./storeReading.ts";
+import { positionAt } from "../../../tests/support/positions.ts";
 
 const bounds = { keyRevocation: 5_000, drain: 4_000 };
 const readerCount = 3;
@@ -69,16 +70,16 @@
       readers,
       readAge: () => clock.monotonic() - state.readAt,
       operator: {
-        feed: { offset: () => state.offset, check, hurry },
-        changedAt: () => state.offset,
+        feed: { position: () => positionAt(state.offset), check, hurry },
+        changedAt: () => positionAt(state.offset),
         age: () => clock.monotonic() - state.provenAt,
         confirm: (moment) => {
           state.provenAt = Math.max(state.provenAt, moment);
         },
       },
       replicas: {
-        feed: { offset: () => state.offset, check, hurry },
-        changedAt: () => 0,
+        feed: { position: () => positionAt(state.offset), check, hurry },
+        changedAt: () => positionAt(0),
         age: () => clock.monotonic() - state.registryProvenAt,
         confirm: (moment) => {
           state.registryProvenAt = Math.max(state.registryProvenAt, moment);
--- a/src/coordination/storeReading/storeReading.ts
+++ b/src/coordination/storeReading/storeReading.ts
@@ -8,6 +8,7 @@
 import type { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
 import type { ProofAnswer, ReadProgress } from "../../protocol/forwarding/proofMessage.ts";
 import { decodeProofMessage, encodeProofMessage } from "../../protocol/forwarding/proofMessage.ts";
+import type { StorePosition } from "../../protocol/StorePosition.ts";
 import type { Clock } from "../clock.ts";
 import type { FeedFollower } from "../forwarding/feedFollower.ts";
 import type { Peer } from "../forwarding/peerTable.ts";
@@ -27,9 +28,9 @@
 
 /** One kind of records, as a router knows them. */
 export interface FollowedRecords {
-  readonly feed: Pick<FeedFollower, "offset" | "check" | "hurry">;
-  /** @returns The offset of the last record that changed something. */
-  readonly changedAt: () => number;
+  readonly feed: Pick<FeedFollower, "position" | "check" | "hurry">;
+  /** @returns The position after the last record that changed something; nothing before the first read of an epoch. */
+  readonly changedAt: () => StorePosition | undefined;
   /** @returns Milliseconds since everything written before then was known. */
   readonly age: () => number;
   /** Everything written before a moment is known. */
@@ -110,8 +111,9 @@
   };
 
   /** @returns Whether the reader's proof holds for this router too. */
-  const takeProof = (records: FollowedRecords, { offset, age }: ReadProgress, since: number): boolean => {
-    if ((records.feed.offset() ?? 0) < offset) return false;
+  const takeProof = (records: FollowedRecords, { position, age }: ReadProgress, since: number): boolean => {
+    const known = records.feed.position();
+    if (known?.epoch !== position.epoch || known.isBefore(position)) return false;
     records.confirm(since - age);
     return true;
   };
@@ -126,7 +128,10 @@
 
   const progressOf = ({ changedAt, age }: FollowedRecords): ReadProgress | undefined => {
     const since = age();
-    return Number.isFinite(since) ? { offset: changedAt(), age: Math.ceil(since) } : undefined;
+    const position = changedAt();
+    return position === undefined || !Number.isFinite(since)
+      ? undefined
+      : { position, age: Math.ceil(since) };
   };
 
   const answer = (asked: number): Buffer | undefined => {
--- a/src/daemons/storeFollowing.test.ts
+++ b/src/daemons/storeFollowing.test.ts
@@ -12,6 +12,9 @@
 import { platformError } from "../protocol/errors.ts";
 import { createReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { followStore } from "./storeFollowing.ts";
+import { createStoreEpochs } from "../state/storeEpochs.ts";
+import { positionAt } from "../../tests/support/positions.ts";
+import { unnamedEpoch } from "../protocol/storeEpoch.ts";
 
 /** A store that forgets its history: changes are to be had only as the newest of each key. */
 const forgetful = (entries: () => readonly ReplicaEntry[]) => {
@@ -20,14 +23,14 @@
     newest: () => {
       state.wholeReads += 1;
       state.end += 5;
-      const records = entries().map((value) => ({ offset: 0, key: value.id, value }));
-      return Promise.resolve({ records, nextOffset: state.end, isComplete: true });
+      const records = entries().map((value) => ({ position: positionAt(0), key: value.id, value }));
+      return Promise.resolve({ records, next: positionAt(state.end), isComplete: true });
     },
     // Every third read comes before more is forgotten.
     changes: (from) => {
       state.reads += 1;
       return state.reads % 3 === 0
-        ? Promise.resolve({ records: [], nextOffset: from, isComplete: true })
+        ? Promise.resolve({ records: [], next: from, isComplete: true })
         : Promise.reject(platformError("records expired", "expired", false));
     },
   };
@@ -54,11 +57,15 @@
       newest: () => Promise.resolve(pageOf({ kind: "configuration", configuration: configurationOf(1) })),
       changes: async (from) => {
         await sleep(20);
-        return { records: [], nextOffset: from, isComplete: true };
+        return { records: [], next: from, isComplete: true };
       },
     };
     await using following = followStore({
-      platform: { operator: operator as RecordFeed<OperatorRecord>, replicas: feed },
+      platform: {
+        epochs: createStoreEpochs(),
+        operator: operator as RecordFeed<OperatorRecord>,
+        replicas: feed,
+      },
       link,
       clock: systemClock,
       bounds: { ...bounds, drain: 100 },
@@ -71,7 +78,7 @@
       while (!isDone()) await sleep(5);
       await sleep(40);
       listener(encodeProofMessage({ kind: "question", number: 7 }), { address: "10.0.0.1", port: 2 });
-      return answers.at(-1)?.replicas.offset;
+      return answers.at(-1)?.replicas.position.offsetIn(unnamedEpoch);
     };
     const first = await askUntil(() => state.wholeReads >= 3);
     const later = await askUntil(() => state.wholeReads >= 6);
--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -16,16 +16,17 @@
   readerRegistryPaceShare,
   retryStretchOfMany,
 } from "../coordination/storeReading/constants.ts";
+import { createRegistryRecovery } from "../coordination/storeEpochs/registryRecovery.ts";
 import { startStoreReading } from "../coordination/storeReading/storeReading.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
-import type { FeedPage, FeedRecord, ReplicaEntry } from "../protocol/forwarding/types.ts";
+import type { FeedPage } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 
 /** What following works with. */
 export interface StoreFollowingParts {
-  readonly platform: Pick<ForwardingPlatform, "operator" | "replicas">;
+  readonly platform: Pick<ForwardingPlatform, "epochs" | "operator" | "replicas">;
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
@@ -81,6 +82,7 @@
     followFeed({
       name: "operator",
       feed: platform.operator,
+      epochs: platform.epochs,
       clock,
       wait: () => (peers.isLarge() ? longHeldRead : shortHeldRead()),
       retryStretch,
@@ -94,27 +96,22 @@
     }),
   );
 
-  let registryChangedAt = 0;
-  const applyRegistration = ({ offset, key, value }: FeedRecord<ReplicaEntry>): void => {
-    const isChange = value === undefined ? replicas.remove(key) : replicas.put(value);
-    if (isChange) registryChangedAt = Math.max(registryChangedAt, offset + 1);
-  };
-
+  const registry = createRegistryRecovery(replicas, clock);
   const registryFeed = resources.use(
     followFeed({
       name: "replicas",
       feed: platform.replicas,
+      epochs: platform.epochs,
       clock,
       wait: () => 0,
       retryStretch,
       pace: registryPace,
-      replace: (page: FeedPage<ReplicaEntry>) => {
-        // A store that forgets its history is read whole again and again: that alone is no news for others.
-        const isChange = replicas.replaceAll(present(page));
-        if (isChange) registryChangedAt = Math.max(registryChangedAt, page.nextOffset);
+      replace: registry.replace,
+      apply: registry.apply,
+      confirm: (at) => {
+        registry.confirm(at);
+        proveRegistry(at);
       },
-      apply: ({ records }) => records.forEach(applyRegistration),
-      confirm: proveRegistry,
     }),
   );
 
@@ -129,13 +126,13 @@
       readAge: configuration.readAge,
       operator: {
         feed: operatorFeed,
-        changedAt: () => operatorFeed.offset() ?? 0,
+        changedAt: operatorFeed.position,
         age: configuration.age,
         confirm: configuration.prove,
       },
       replicas: {
         feed: registryFeed,
-        changedAt: () => registryChangedAt,
+        changedAt: registry.changedAt,
         age: () => clock.monotonic() - registryProvenAt,
         confirm: proveRegistry,
       },
--- a/src/protocol/LogService.ts
+++ b/src/protocol/LogService.ts
@@ -1,13 +1,18 @@
-import type { LogPage } from "./types.ts";
+import type { AppendedRecords, LogPage } from "./types.ts";
 
-/** The platform's append-only log service. Every method throws `PlatformError`. */
+/**
+ * The platform's append-only log service. Every method throws `PlatformError`.
+ *
+ * A service whose epoch never changes keeps all that it has acknowledged. One that returns from older copies of itself
+ * names a newer epoch in every answer from then on; offsets are to be compared within one epoch only.
+ */
 export abstract class LogService {
   /**
    * Appends records to a stream, in order and all or none.
    *
-   * @returns The offset of each record.
+   * @returns The offset of each record, and the epoch in which it was given out.
    */
-  abstract append(stream: string, records: readonly string[]): Promise<readonly number[]>;
+  abstract append(stream: string, records: readonly string[]): Promise<AppendedRecords>;
 
   /**
    * Reads a stream from an offset on. Offsets no longer kept are skipped: compare `earliestOffset`.
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -105,8 +105,15 @@
   return error;
 };
 
-/** What went wrong at the platform's log service or VM list. */
-export type PlatformFault = "unreachable" | "overloaded" | "expired" | "malformed";
+/**
+ * What went wrong at the platform's log service or VM list.
+ *
+ * - `expired`: the records asked for are no longer kept.
+ * - `beyond_end`: the log ends before the offset asked for, although its epoch has not ended.
+ * - `epoch_ended`: the store has returned from a copy since the offset was given out, or the answer was made.
+ */
+export type PlatformFault =
+  "unreachable" | "overloaded" | "expired" | "beyond_end" | "epoch_ended" | "malformed";
 
 /**
  * A platform service (log service, VM list) did not do what was asked. `mayHaveTakenEffect` is true if an
--- a/src/protocol/forwarding/proofMessage.test.ts
+++ b/src/protocol/forwarding/proofMessage.test.ts
@@ -4,6 +4,7 @@
 import { decodeOwnerMessage } from "./ownerMessage.ts";
 import { decodeRouterMessage } from "./peerMessage.ts";
 import { decodeProofMessage, encodeProofMessage } from "./proofMessage.ts";
+import { positionAt } from "../../../tests/support/positions.ts";
 
 const count = fc.nat({ max: 2 ** 45 });
 
@@ -17,8 +18,8 @@
           : ({
               kind: "answer",
               number,
-              operator: { offset: first, age: firstAge },
-              replicas: { offset: second, age: secondAge },
+              operator: { position: positionAt(first), age: firstAge },
+              replicas: { position: positionAt(second), age: secondAge },
             } as const);
         const datagram = encodeProofMessage(message);
         expect(decodeProofMessage(datagram)).toEqual(message);
--- a/src/protocol/forwarding/proofMessage.ts
+++ b/src/protocol/forwarding/proofMessage.ts
@@ -1,9 +1,10 @@
 /**
  * What a router asks those that read the platform's store for others, and their answer: how far they have read and
- * how long ago that was. Offsets are those of the store's records, the same for every reader.
+ * how long ago that was. Positions are those of the store's records, the same for every reader in an epoch.
  */
 import { createByteReader } from "./byteReader.ts";
 import { createByteWriter } from "./byteWriter.ts";
+import { StorePosition } from "../StorePosition.ts";
 
 /** A router asks. */
 export interface ProofQuestion {
@@ -14,8 +15,8 @@
 
 /** How far a reader has read one kind of records. */
 export interface ReadProgress {
-  /** The offset up to which all is known that can change a decision. */
-  readonly offset: number;
+  /** Up to which all is known that can change a decision. */
+  readonly position: StorePosition;
   /** Milliseconds since a read was sent that found nothing after it. */
   readonly age: number;
 }
@@ -33,7 +34,7 @@
 export type ProofMessage = ProofQuestion | ProofAnswer;
 
 /** The first byte; other datagrams between routers begin with other ones. */
-const forms = { question: 0x31, answer: 0x32 } as const;
+const forms = { question: 0x31, answer: 0x33 } as const;
 
 /** @returns The datagram. Counts must be whole numbers of 0 or more. */
 export const encodeProofMessage = (message: ProofMessage): Buffer => {
@@ -41,8 +42,9 @@
   writer.byte(forms[message.kind]);
   writer.count(message.number);
   if (message.kind === "answer") {
-    for (const { offset, age } of [message.operator, message.replicas]) {
-      writer.count(offset);
+    for (const { position, age } of [message.operator, message.replicas]) {
+      writer.count(position.epoch);
+      writer.count(position.offsetIn(position.epoch));
       writer.count(age);
     }
   }
@@ -56,7 +58,10 @@
     const form = reader.byte();
     if (form !== forms.question && form !== forms.answer) return undefined;
     const number = reader.count();
-    const readProgress = (): ReadProgress => ({ offset: reader.count(), age: reader.count() });
+    const readProgress = (): ReadProgress => ({
+      position: new StorePosition(reader.count(), reader.count()),
+      age: reader.count(),
+    });
     const message: ProofMessage =
       form === forms.question
         ? { kind: "question", number }
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -3,6 +3,8 @@
  * them. Durations are milliseconds; all data is read-only.
  */
 
+import type { StorePosition } from "../StorePosition.ts";
+
 /**
  * What may be done with a request.
  *
@@ -321,7 +323,7 @@
 
 /** One record of a feed. */
 export interface FeedRecord<T> {
-  readonly offset: number;
+  readonly position: StorePosition;
   readonly key: string;
   /** Nothing if the key was dropped. */
   readonly value: T | undefined;
@@ -330,8 +332,8 @@
 /** Records with where to go on. */
 export interface FeedPage<T> {
   readonly records: readonly FeedRecord<T>[];
-  /** The offset to read from next. */
-  readonly nextOffset: number;
+  /** Where to read on. */
+  readonly next: StorePosition;
   /** True if there is nothing after these records yet. */
   readonly isComplete: boolean;
 }
--- a/src/protocol/types.ts
+++ b/src/protocol/types.ts
@@ -1,5 +1,6 @@
 /** Data that several layers hand to one another. All of it is read-only. */
 import type { ClassConfiguration, OrganisationConfiguration } from "./configuration/schema.ts";
+import type { StoreEpoch } from "./storeEpoch.ts";
 
 /** A VM as the platform lists it. */
 export interface ListedVm {
@@ -191,4 +192,12 @@
   readonly earliestOffset: number;
   /** The offset that the next append will get. */
   readonly nextOffset: number;
+  /** In which its offsets were given out. */
+  readonly epoch: StoreEpoch;
+}
+
+/** Records that the log service has taken. */
+export interface AppendedRecords {
+  readonly offsets: readonly number[];
+  readonly epoch: StoreEpoch;
 }
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -42,6 +42,13 @@
   readonly remove: (name: string) => boolean;
   /** Replaces everything by what the registry holds now. @returns Whether it changes a decision. */
   readonly replaceAll: (entries: readonly ReplicaEntry[]) => boolean;
+  /**
+   * Takes what an older copy of the registry holds. Incarnations that were gone before stay so; those that it lacks stay
+   * until they are removed, since they may be registered again.
+   *
+   * @returns The names that it lacks.
+   */
+  readonly merge: (entries: readonly ReplicaEntry[]) => readonly string[];
   /** Raises the version that a replica is believed to run. */
   readonly noteWeights: (id: string, model: string, version: number) => void;
   /** Takes all the work that a peer has now, by replica; what it told before counts no more. */
@@ -68,6 +75,8 @@
   const drainingByService = new Map<string, ReplicaState[]>();
   /** Ids of incarnations that drain or drained: the registry may drop one for a while and list it as ready again. */
   const draining = createRecentMap<true>(mostDepartedRemembered);
+  /** Ids of incarnations that the registry dropped. */
+  const departed = createRecentMap<true>(mostDepartedRemembered);
   /** By id of an incarnation that the registry dropped, for the same reason. */
   const backoffs = createRecentMap<ReplicaBackoff>(mostDepartedRemembered);
   const listeners: ((entry: ReplicaEntry, departure: Departure | undefined) => void)[] = [];
@@ -90,6 +99,7 @@
 
   const drop = ({ entry, backoff }: ReplicaState, departure: Departure): void => {
     if (backoff !== undefined) backoffs.set(entry.id, backoff);
+    departed.set(entry.id, true);
     states.delete(entry.id);
     byKey.delete(replicaKeyOf(entry.id));
     byName.delete(entry.registeredAs);
@@ -139,6 +149,12 @@
     return true;
   };
 
+  /** Names that a list of entries lacks. */
+  const missingIn = (entries: readonly ReplicaEntry[]): readonly string[] => {
+    const kept = new Set(entries.map(({ registeredAs }) => registeredAs));
+    return [...byName.keys()].filter((name) => !kept.has(name));
+  };
+
   return {
     get: (id) => states.get(id),
     getByKey: (key) => byKey.get(key),
@@ -157,12 +173,16 @@
     },
     remove,
     replaceAll: (entries) => {
-      const kept = new Set(entries.map(({ registeredAs }) => registeredAs));
-      const gone = [...byName.keys()].filter((name) => !kept.has(name));
+      const gone = missingIn(entries);
       gone.forEach(remove);
       const changes = entries.filter(put);
       return gone.length + changes.length > 0;
     },
+    merge: (entries) => {
+      const missing = missingIn(entries);
+      entries.filter(({ id }) => !departed.has(id)).forEach(put);
+      return missing;
+    },
     noteWeights: (id, model, version) => {
       const state = states.get(id);
       if (state !== undefined) raise(state.weights, model, version);
--- a/src/transport/httpLogService.ts
+++ b/src/transport/httpLogService.ts
@@ -7,7 +7,8 @@
 import { z } from "zod";
 import { platformError } from "../protocol/errors.ts";
 import { LogService } from "../protocol/LogService.ts";
-import type { LogPage } from "../protocol/types.ts";
+import { unnamedEpoch } from "../protocol/storeEpoch.ts";
+import type { AppendedRecords, LogPage } from "../protocol/types.ts";
 import { createPlatformHttp } from "./platformHttp.ts";
 import type { PlatformHttpSettings } from "./platformHttp.ts";
 
@@ -24,7 +25,7 @@
 const recordsPath = (stream: string): string => `/streams/${encodeURIComponent(stream)}/records`;
 
 /** Offsets rise within a page and start at the one asked for. */
-const isOrdered = (page: LogPage, fromOffset: number): boolean =>
+const isOrdered = (page: z.output<typeof pageAnswer>, fromOffset: number): boolean =>
   page.records.every((record, index) => {
     const previous = page.records[index - 1]?.offset ?? fromOffset - 1;
     return record.offset > previous && record.offset < page.nextOffset;
@@ -39,11 +40,11 @@
   const http = createPlatformHttp(settings);
 
   class HttpLogService extends LogService implements AsyncDisposable {
-    override async append(stream: string, records: readonly string[]): Promise<readonly number[]> {
+    override async append(stream: string, records: readonly string[]): Promise<AppendedRecords> {
       const path = recordsPath(stream);
       const body = JSON.stringify({ records });
       const { offsets } = await http.call({ method: "POST", path, body, answer: appendAnswer });
-      if (offsets.length === records.length) return offsets;
+      if (offsets.length === records.length) return { offsets, epoch: unnamedEpoch };
       throw platformError(`POST ${path}: answer lacks offsets`, "malformed", true);
     }
 
@@ -56,7 +57,7 @@
       const query = `from=${fromOffset}&limit=${limit}&waitMilliseconds=${waitMilliseconds}`;
       const path = `${recordsPath(stream)}?${query}`;
       const page = await http.call({ method: "GET", path, answer: pageAnswer, wait: waitMilliseconds });
-      if (isOrdered(page, fromOffset)) return page;
+      if (isOrdered(page, fromOffset)) return { ...page, epoch: unnamedEpoch };
       throw platformError(`GET ${path}: records out of order`, "malformed", false);
     }
 
--- a/src/transport/platformHttp.ts
+++ b/src/transport/platformHttp.ts
@@ -38,6 +38,8 @@
   readonly answer: Schema;
   /** Milliseconds that the service was asked to wait, on top of the timeout. */
   readonly wait?: number;
+  /** Cuts the call. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** A call whose answer is not JSON, or whose status says something. */
@@ -144,7 +146,10 @@
           ...(typeof call.body === "string" ? { "content-type": "application/json" } : {}),
         },
         body: call.body ?? null,
-        signal: AbortSignal.timeout(timeout + (call.wait ?? 0)),
+        signal: AbortSignal.any([
+          AbortSignal.timeout(timeout + (call.wait ?? 0)),
+          ...(call.signal === undefined ? [] : [call.signal]),
+        ]),
       });
       onAnswer?.(answer.headers);
       const { etag } = answer.headers;
--- a/standIns/platform/store.ts
+++ b/standIns/platform/store.ts
@@ -39,8 +39,13 @@
    * Is away for a time, then returns from a copy in the next epoch.
    *
    * @param away - Milliseconds.
+   * @param options - Whether calls that are under way are still answered.
    */
-  readonly returnFrom: (copy: StoreCopy, away: number) => Promise<void>;
+  readonly returnFrom: (
+    copy: StoreCopy,
+    away: number,
+    options?: { readonly keepsConnections: boolean },
+  ) => Promise<void>;
 }
 
 const pageSize = 500;
@@ -169,9 +174,9 @@
       topics.append(topic, [keyedRecord(key, value)]);
     },
     closeConnections: () => server.closeAllConnections(),
-    returnFrom: async (copy, away) => {
+    returnFrom: async (copy, away, options) => {
       faults.isSilent = true;
-      server.closeAllConnections();
+      if (options?.keepsConnections !== true) server.closeAllConnections();
       await sleep(away);
       topics.returnFrom(copy);
       faults.isSilent = false;
--- a/tests/platform/storeEpochs.test.ts
+++ b/tests/platform/storeEpochs.test.ts
@@ -4,10 +4,11 @@
 import { expect } from "earl";
 import { startStoreStandIn } from "../../standIns/platform/store.ts";
 import type { PlatformSystem } from "../../standIns/platform/system.ts";
-import { call, configuration, isReady, until } from "../../standIns/platform/system.ts";
+import { call, configuration, isReady } from "../../standIns/platform/system.ts";
 import {
   added,
-  awaitAdded,
+  awaitStatus,
+  awaitThat,
   awayTime,
   countStatus,
   read,
@@ -56,7 +57,7 @@
     await using system = await startReturningSystem();
     const copy = system.store.topics.copy();
     system.publish(withAddedRoute(2));
-    await awaitAdded(system);
+    await awaitStatus(system, 200, added);
     await system.store.returnFrom(copy, awayTime);
     for (let round = 0; round < 5; round += 1) {
       expect(await countStatus(system.routers, 200, added)).toEqual(system.routers.length);
@@ -95,7 +96,7 @@
   it("delivers the revocation of a key that was published after its return", async (context) => {
     await using system = await startReturningSystem();
     system.publish(withRevocable(2, false));
-    await until(async () => (await countStatus(system.routers, 200, readWithRevocable)) === 6);
+    await awaitStatus(system, 200, readWithRevocable);
     const copy = system.store.topics.copy();
     system.publish(withRevocable(3, false));
     system.publish(withRevocable(5, false));
@@ -111,12 +112,12 @@
   it("delivers weights that were named after its return, ordered under rising fences", async (context) => {
     await using system = await startReturningSystem();
     system.nameWeights(2);
-    await until(() => allOnVersion(system, 2));
+    await awaitThat(() => allOnVersion(system, 2));
     const copy = system.store.topics.copy();
     system.publish(configuration(2));
     system.publish(configuration(3));
     system.nameWeights(3);
-    await until(() => allOnVersion(system, 3));
+    await awaitThat(() => allOnVersion(system, 3));
     await system.store.returnFrom(copy, awayTime);
     system.nameWeights(3);
     system.nameWeights(4);
@@ -129,7 +130,7 @@
     await using system = await startReturningSystem();
     const empty = new Map();
     system.nameWeights(2);
-    await until(() => allOnVersion(system, 2));
+    await awaitThat(() => allOnVersion(system, 2));
     for (const version of [3, 4]) {
       await system.store.returnFrom(empty, awayTime);
       system.publish(configuration(1));
@@ -147,7 +148,7 @@
     await using system = await startReturningSystem();
     const copy = system.store.topics.copy();
     await system.startRouter();
-    await until(() => registeredRouters(system).length === 7);
+    await awaitThat(() => registeredRouters(system).length === 7);
     await system.store.returnFrom(copy, awayTime);
     const time = await timeUntil(registrationBound * 2, () => registeredRouters(system).length === 7);
     expect(isWithin(context, "registered again", time, registrationBound)).toEqual(true);
@@ -177,7 +178,7 @@
     await sleep(600);
     const copy = system.store.topics.copy();
     system.register(late, {});
-    await until(async () => (await countStatus(system.routers, 200, read)) === system.routers.length);
+    await awaitStatus(system, 200, read);
     const countRefusals = async (rounds: number): Promise<number> => {
       let refusals = 0;
       for (let round = 0; round < rounds; round += 1) {
@@ -215,14 +216,14 @@
   it("serves no older configuration than its peers, where it starts then", async () => {
     await using system = await startReturningSystem();
     system.publish(withRevocable(2, false));
-    await until(async () => (await countStatus(system.routers, 200, readWithRevocable)) === 6);
+    await awaitStatus(system, 200, readWithRevocable);
     const copy = system.store.topics.copy();
     system.publish(withRevocable(3, true));
-    await until(async () => (await countStatus(system.routers, 401, readWithRevocable)) === 6);
+    await awaitStatus(system, 401, readWithRevocable);
     await system.store.returnFrom(copy, awayTime);
     const late = await system.startRouter();
     const statuses = new Set<number>();
-    await until(async () => {
+    await awaitThat(async () => {
       statuses.add((await call(late, readWithRevocable)).status);
       return isReady(late);
     });
@@ -239,13 +240,13 @@
     await using way = await startStoreStandIn(system.store.topics);
     const cut = await system.startRouter(way);
     system.publish(withRevocable(2, false));
-    await until(async () => (await countStatus(system.routers, 200, readWithRevocable)) === 7);
+    await awaitStatus(system, 200, readWithRevocable);
     const copy = system.store.topics.copy();
     way.faults.isSilent = true;
     way.closeConnections();
     system.publish(withRevocable(3, true));
     const publishedAt = performance.now();
-    await until(async () => (await countStatus(system.routers, 401, readWithRevocable)) === 6);
+    await awaitThat(async () => (await countStatus(system.routers, 401, readWithRevocable)) === 6);
     await system.store.returnFrom(copy, awayTime);
     way.faults.isSilent = false;
     const served: number[] = [];
--- a/tests/support/fakeLog.ts
+++ b/tests/support/fakeLog.ts
@@ -3,8 +3,9 @@
 import type { PlatformError } from "../../src/protocol/errors.ts";
 import { platformError } from "../../src/protocol/errors.ts";
 import { LogService } from "../../src/protocol/LogService.ts";
-import type { LogPage, LogRecord } from "../../src/protocol/types.ts";
+import type { AppendedRecords, LogPage, LogRecord } from "../../src/protocol/types.ts";
 import type { ManualClock } from "../../src/coordination/manualClock.ts";
+import { unnamedEpoch } from "../../src/protocol/storeEpoch.ts";
 
 /** Enough for every promise that waits for nothing outside to settle. */
 const turnsBeforeTimePasses = 3;
@@ -40,7 +41,7 @@
     this.clock = clock;
   }
 
-  override append(stream: string, records: readonly string[]): Promise<readonly number[]> {
+  override append(stream: string, records: readonly string[]): Promise<AppendedRecords> {
     return this.track(this.appendNow(stream, records));
   }
 
@@ -57,7 +58,7 @@
     }
   }
 
-  private async appendNow(stream: string, records: readonly string[]): Promise<readonly number[]> {
+  private async appendNow(stream: string, records: readonly string[]): Promise<AppendedRecords> {
     await nextTurn();
     if (this.isDown) throw refused();
     this.appends += 1;
@@ -70,7 +71,7 @@
     const offsets = take();
     await nextTurn();
     if (this.loseAnswers-- > 0) throw lost();
-    return offsets;
+    return { offsets, epoch: unnamedEpoch };
   }
 
   private async readNow(stream: string, fromOffset: number, limit: number): Promise<LogPage> {
@@ -80,7 +81,12 @@
     const records = this.streams.get(stream) ?? [];
     const earliestOffset = this.earliest.get(stream) ?? 0;
     const from = Math.max(fromOffset, earliestOffset);
-    return { records: records.slice(from, from + limit), earliestOffset, nextOffset: records.length };
+    return {
+      records: records.slice(from, from + limit),
+      earliestOffset,
+      nextOffset: records.length,
+      epoch: unnamedEpoch,
+    };
   }
 
   /** Lets what was delayed take effect. */
--- a/tests/support/forwardingFixture.ts
+++ b/tests/support/forwardingFixture.ts
@@ -7,6 +7,7 @@
   OperatorRecord,
   ReplicaEntry,
 } from "../../src/protocol/forwarding/types.ts";
+import { positionAt } from "./positions.ts";
 
 export const bounds: ForwardingBounds = {
   keyRevocation: 5_000,
@@ -52,8 +53,8 @@
 
 /** A page of a feed that holds one record. */
 export const pageOf = (value: OperatorRecord, offset = 0) => ({
-  records: [{ offset, key: value.kind, value }],
-  nextOffset: offset + 1,
+  records: [{ position: positionAt(offset), key: value.kind, value }],
+  next: positionAt(offset + 1),
   isComplete: true,
 });
 
--- a/tests/support/quarantineRouters.ts
+++ b/tests/support/quarantineRouters.ts
@@ -13,6 +13,10 @@
   QuarantineRecord,
 } from "../../src/protocol/forwarding/types.ts";
 import { MemoryNetwork } from "./memoryNetwork.ts";
+import type { StoreEpoch } from "../../src/protocol/storeEpoch.ts";
+import type { StorePosition } from "../../src/protocol/StorePosition.ts";
+import { positionAt } from "./positions.ts";
+import { unnamedEpoch } from "../../src/protocol/storeEpoch.ts";
 
 /** The store's records of one topic. */
 export interface MemoryRecords {
@@ -36,25 +40,30 @@
   override newest(): Promise<FeedPage<QuarantineRecord>> {
     const byKey = new Map(this.records.log.map((record) => [record.key, record]));
     const records = [...byKey.values()].filter(({ value }) => value !== undefined);
-    return this.answer({ records, nextOffset: this.records.log.length, isComplete: true });
+    return this.answer({ records, next: this.end(), isComplete: true });
   }
 
-  override changes(fromOffset: number): Promise<FeedPage<QuarantineRecord>> {
-    const records = this.records.log.slice(fromOffset);
-    return this.answer({ records, nextOffset: this.records.log.length, isComplete: true });
+  override changes(from: StorePosition): Promise<FeedPage<QuarantineRecord>> {
+    const records = this.records.log.slice(from.offsetIn(unnamedEpoch));
+    return this.answer({ records, next: this.end(), isComplete: true });
   }
 
-  override put(key: string, value: QuarantineRecord): Promise<void> {
-    return this.append(key, value);
+  override async put(key: string, value: QuarantineRecord): Promise<StoreEpoch> {
+    await this.append(key, value);
+    return unnamedEpoch;
   }
 
   override drop(key: string): Promise<void> {
     return this.append(key, undefined);
   }
 
+  private end(): StorePosition {
+    return positionAt(this.records.log.length);
+  }
+
   private append(key: string, value: QuarantineRecord | undefined): Promise<void> {
     if (this.records.cutOff.has(this.port)) return this.fail();
-    this.records.log.push({ offset: this.records.log.length, key, value });
+    this.records.log.push({ position: this.end(), key, value });
     return Promise.resolve();
   }
 
--- a/tests/support/returningStore.ts
+++ b/tests/support/returningStore.ts
@@ -2,15 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { CallerCall, PlatformSystem, PlatformSystemSettings } from "../../standIns/platform/system.ts";
-import {
-  call,
-  configuration,
-  hosts,
-  isReady,
-  keys,
-  startPlatformSystem,
-  until,
-} from "../../standIns/platform/system.ts";
+import { call, configuration, hosts, isReady, startPlatformSystem } from "../../standIns/platform/system.ts";
 
 /** How long the store is away before it returns, milliseconds. */
 export const awayTime = 400;
@@ -46,7 +38,7 @@
 ): Promise<PlatformSystem> => {
   const system = await startPlatformSystem({ desks: 4, engines: 5, ...settings });
   while (system.routers.length < routers) await system.startRouter();
-  await until(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
+  await awaitThat(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
   return system;
 };
 
@@ -87,9 +79,19 @@
   ...store.topics.newest("keyed.routers").keys(),
 ];
 
-/** Waits until all routers serve a configuration's added route. */
-export const awaitAdded = async (system: PlatformSystem): Promise<void> => {
-  await until(async () => (await countStatus(system.routers, 200, added)) === system.routers.length);
+/** Longest wait for what a test begins with, milliseconds. */
+const longestSetUp = 10_000;
+
+/** Waits until something holds; throws if it takes too long. */
+export const awaitThat = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
+  const time = await timeUntil(longestSetUp, condition);
+  if (!Number.isFinite(time))
+    throw new Error(`A condition of the test did not hold within ${longestSetUp} ms.`);
 };
 
-export { keys };
+/** Waits until all routers answer a request with a status. */
+export const awaitStatus = (
+  { routers }: Pick<PlatformSystem, "routers">,
+  status: number,
+  asked: CallerCall,
+): Promise<void> => awaitThat(async () => (await countStatus(routers, status, asked)) === routers.length);
