Add a test in which fences fall once the store returned empty; it fails

Orders of six routers, which are started again before and after the return: fence 11, then 1. Fences are offsets, and the store gives these out again.

--- a/tests/platform/storeEpochs.test.ts
+++ b/tests/platform/storeEpochs.test.ts
@@ -143,6 +143,29 @@
     expect(isRising(fencesOf(system))).toEqual(true);
   });
 
+  // Fences are offsets, which begin anew; routers that start then know of none that was given out.
+  it("has engines ordered under rising fences after all routers were started again", async (context) => {
+    await using system = await startReturningSystem();
+    const restart = async (): Promise<void> => {
+      await system.stopRouters();
+      for (let count = 0; count < 6; count += 1) await system.startRouter();
+    };
+    system.nameWeights(2);
+    await awaitThat(() => allOnVersion(system, 2));
+    await restart();
+    system.nameWeights(3);
+    await awaitThat(() => allOnVersion(system, 3));
+    await system.store.returnFrom(new Map(), awayTime);
+    system.publish(configuration(1));
+    for (const replica of [...system.desks, ...system.engines]) system.register(replica, { sequence: 2 });
+    system.nameWeights(4);
+    await restart();
+    const time = await timeUntil(8_000, () => allOnVersion(system, 4));
+    context.diagnostic(`fences: ${[...new Set(fencesOf(system))].join(", ")}`);
+    expect(isWithin(context, "all engines on new weights", time, weightsBound)).toEqual(true);
+    expect(isRising(fencesOf(system))).toEqual(true);
+  });
+
   // Routers registered once, at their start.
   it("gets the registration of a router that it lost", async (context) => {
     await using system = await startReturningSystem();
