End every tenure with the store's epoch; let fences rise over epochs by construction

Cause: fences and validity of records hung on offsets that are given out again.

The history of leases begins anew with an epoch. Only records written in it count (a late one of the epoch before is void), a holder's tenure ends as soon as its process learns of the epoch, and contenders wait a full lease from then, or from their start where no grant of this epoch is there. A fence is the epoch times 2^32 plus the grant's offset. Records carry the epoch only where the store names one, so that logs of other stores stay readable for older routers. A log that is shorter than what was read, in the same epoch, is logged and read anew.

--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -6,6 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { LogService } from "../../protocol/LogService.ts";
+import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import { pause } from "../clock.ts";
@@ -21,6 +22,7 @@
 /** What orders work with. */
 export interface WeightsOrdersParts extends Omit<WeightsChangeParts, "signal" | "mayOrder"> {
   readonly log: LogService;
+  readonly epochs: Pick<EpochSource, "current">;
   readonly bounds: ForwardingBounds;
   readonly isCandidate: () => boolean;
 }
@@ -42,6 +44,7 @@
     name: leaseName,
     history: createLeaseHistory(clock),
     duration: () => bounds.lease,
+    epoch: parts.epochs.current,
   });
 
   /**
--- a/src/coordination/leases/lease.ts
+++ b/src/coordination/leases/lease.ts
@@ -3,10 +3,12 @@
  *
  * A tenure counts from before its record was sent, on this process's monotonic clock, and ends a safety share
  * early. A contender waits for the full duration from when it read the last record. So the tenure is over by
- * the time another can begin, however long either process was paused.
+ * the time another can begin, however long either process was paused. A new epoch of the store ends every tenure.
  */
 import { metricNames } from "../../state/constants.ts";
 import { createLogger } from "../../state/log.ts";
+import type { StoreEpoch } from "../../protocol/storeEpoch.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 import { pause } from "../clock.ts";
 import { pollShare, renewalShare, safetyShare } from "./constants.ts";
 import { createLeaseLog } from "./leaseLog.ts";
@@ -19,6 +21,8 @@
   readonly duration: () => number;
   /** Whether this router should try to get the lease; a holder keeps it all the same. */
   readonly isCandidate: () => boolean;
+  /** @returns The newest epoch of the store; without it the store has none. */
+  readonly epoch?: () => StoreEpoch;
 }
 
 /** A lease that is sought or held until it is disposed of. */
@@ -30,6 +34,7 @@
 }
 
 interface Held {
+  readonly epoch: StoreEpoch;
   readonly fencingNumber: number;
   readonly beganAt: number;
   readonly followsRelease: boolean;
@@ -57,9 +62,13 @@
     return result;
   };
 
-  const isCurrent = (): boolean => held !== undefined && clock.monotonic() < held.validUntil;
+  const currentEpoch = (): StoreEpoch => parts.epoch?.() ?? unnamedEpoch;
+  const isCurrent = (): boolean =>
+    held !== undefined && held.epoch === currentEpoch() && clock.monotonic() < held.validUntil;
   const isHeldAs = (fencingNumber: number): boolean => held?.fencingNumber === fencingNumber && isCurrent();
 
+  const reasonOfLoss = (usual: string): string => (held?.epoch === currentEpoch() ? usual : "epoch ended");
+
   const forget = (reason: string): void => {
     if (held === undefined) return;
     writeLog("lost", { lease: name, fencingNumber: held.fencingNumber, reason });
@@ -70,7 +79,15 @@
   const begin = (fencingNumber: number, validUntil: number, renewAt: number): void => {
     if (validUntil <= clock.monotonic()) return;
     const note = records.head()?.note ?? [];
-    held = { fencingNumber, beganAt: clock.monotonic(), followsRelease, validUntil, renewAt, note };
+    held = {
+      epoch: history.epoch(),
+      fencingNumber,
+      beganAt: clock.monotonic(),
+      followsRelease,
+      validUntil,
+      renewAt,
+      note,
+    };
     writeLog("granted", { lease: name, fencingNumber });
     metrics.count(metricNames.leaseGrants);
   };
@@ -80,7 +97,7 @@
     const head = records.head();
     const own = records.ownAppend();
     if (head === undefined || own === undefined) {
-      if (head?.holder !== holder) forget("taken");
+      if (head?.holder !== holder) forget(reasonOfLoss("taken"));
       return;
     }
     const validUntil = own.at + own.duration * (1 - safetyShare);
@@ -112,7 +129,7 @@
 
   const step = async (): Promise<void> => {
     follow();
-    if (!isCurrent()) forget("expired");
+    if (!isCurrent()) forget(reasonOfLoss("expired"));
     if (held === undefined) {
       if (parts.isCandidate()) await contend();
     } else if (clock.monotonic() >= held.renewAt) await renew(held);
--- a/src/coordination/leases/leaseHistory.test.ts
+++ b/src/coordination/leases/leaseHistory.test.ts
@@ -7,8 +7,9 @@
 
 const lease = "orders/levant";
 
-const grant = (holder: string, readTo: number): string =>
+const grant = (holder: string, readTo: number, epoch?: number): string =>
   encodeLeaseRecord({
+    ...(epoch === undefined ? {} : { epoch }),
     kind: "grant",
     lease,
     holder,
@@ -18,13 +19,13 @@
     note: [],
   });
 
-const page = (records: readonly string[], earliestOffset = 0) => ({
+const page = (records: readonly string[], earliestOffset = 0, epoch = unnamedEpoch) => ({
   records: records
     .map((data, offset) => ({ offset, appendedAt: 0, data }))
     .filter((record) => record.offset >= earliestOffset),
   earliestOffset,
   nextOffset: records.length,
-  epoch: unnamedEpoch,
+  epoch,
 });
 
 describe("lease history", () => {
@@ -80,4 +81,38 @@
     history.applyPage(3, { ...later, records: later.records.slice(3) });
     expect(history.readTo()).toEqual(2);
   });
+
+  it("begins anew with an epoch: no earlier record counts, contenders wait, and fences rise", () => {
+    const clock = createManualClock(100);
+    const history = createLeaseHistory(clock);
+    const before = [grant("a", 0, 1), grant("b", 1, 1), grant("c", 2, 1)];
+    history.applyPage(0, page(before, 0, 1));
+    const fence = history.state(lease).head?.fencingNumber ?? 0;
+    clock.advanceTo(5_000);
+    history.applyPage(3, page(before.slice(0, 1), 0, 2));
+    expect(history.state(lease).head).toEqual(undefined);
+    expect([history.epoch(), history.lostAt()]).toEqual([2, 5_000]);
+    const after = [...before.slice(0, 1), grant("d", 1, 2)];
+    history.applyPage(0, page(after, 0, 2));
+    const head = history.state(lease).head;
+    expect([head?.holder, head?.offset]).toEqual(["d", 1]);
+    expect((head?.fencingNumber ?? 0) > fence).toEqual(true);
+  });
+
+  // The writer had read records that are lost now.
+  it("takes a record of an earlier epoch that arrives late for void", () => {
+    const history = createLeaseHistory(createManualClock());
+    history.applyPage(0, page([grant("a", 0, 2), grant("late", 1, 1)], 0, 2));
+    expect(history.state(lease).head?.holder).toEqual("a");
+    history.applyPage(0, page([grant("late", 0, 2)], 0, 1));
+    expect([history.epoch(), history.state(lease).head?.holder]).toEqual([2, "a"]);
+  });
+
+  it("begins anew where the log is shorter than what was read of it, although its epoch is the same", () => {
+    const clock = createManualClock(100);
+    const history = createLeaseHistory(clock);
+    history.applyPage(0, page([grant("a", 0), grant("b", 1)]));
+    history.applyPage(2, page([grant("a", 0)]));
+    expect([history.readTo(), history.state(lease).head, history.lostAt()]).toEqual([0, undefined, 100]);
+  });
 });
--- a/src/coordination/leases/leaseHistory.ts
+++ b/src/coordination/leases/leaseHistory.ts
@@ -7,28 +7,44 @@
  *
  * Where records expired before they were read, the validity of some that follow can't be told. Those count
  * as possibly valid: nobody acts under them, and contenders wait for them.
+ *
+ * A new epoch of the store ends all tenures: records of an earlier one may be lost to some readers and known to others.
+ * The history begins anew with it, only records written in it count, and contenders wait as if records had expired.
  */
+import type { StoreEpoch } from "../../protocol/storeEpoch.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 import type { LogPage, LogRecord } from "../../protocol/types.ts";
+import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
+import { fenceOf } from "./fences.ts";
 import { decodeLeaseRecord } from "./leaseRecord.ts";
 import type { LeaseRecord } from "./leaseRecord.ts";
 import type { LeaseHead, LeaseState } from "./types.ts";
 
+const writeLog = createLogger("leases");
+
 /** What a record turned out to be. */
 export type LeaseVerdict = "valid" | "void" | "undecided";
 
 /** The stream of leases as one process has read it. */
 export interface LeaseHistory {
+  /** The epoch that is being read; that of a store without epochs before the first page. */
+  readonly epoch: () => StoreEpoch;
   /** The offset to read from next. */
   readonly readTo: () => number;
-  /** When records were last found to have expired unread, milliseconds on the monotonic clock. */
+  /** When records were last found to be lost unread, by expiry or a new epoch, milliseconds on the monotonic clock. */
   readonly lostAt: () => number | undefined;
   readonly state: (lease: string) => LeaseState;
   readonly states: () => ReadonlyMap<string, LeaseState>;
-  /** Takes a page; repeated pages and pages out of order do no harm. */
+  /** Takes a page; repeated pages, pages out of order and pages of earlier epochs do no harm. */
   readonly applyPage: (fromOffset: number, page: LogPage) => void;
-  /** Takes a record if it is the next one. @returns Nothing if it is not, or is no record of a lease. */
-  readonly apply: (record: Pick<LogRecord, "offset" | "data">) => LeaseVerdict | undefined;
+  /**
+   * Takes a record if it is the next one.
+   *
+   * @param epoch - In which its offset was given out.
+   * @returns Nothing if it is not, or is no record of a lease.
+   */
+  readonly apply: (record: Pick<LogRecord, "offset" | "data">, epoch: StoreEpoch) => LeaseVerdict | undefined;
 }
 
 interface Entry {
@@ -38,10 +54,12 @@
   lastUndecided: number;
 }
 
+const epochOf = ({ epoch = unnamedEpoch }: LeaseRecord): StoreEpoch => epoch;
+
 const headOf = (offset: number, record: LeaseRecord, before: LeaseHead | undefined): LeaseHead => ({
   offset,
   kind: record.kind,
-  fencingNumber: record.kind === "grant" ? offset : record.grant,
+  fencingNumber: record.kind === "grant" ? fenceOf(epochOf(record), offset) : record.grant,
   holder: record.holder,
   id: record.id,
   note: record.kind === "release" ? (before?.note ?? []) : record.note,
@@ -50,6 +68,7 @@
 /** Creates a history that has read nothing. */
 export const createLeaseHistory = (clock: Clock): LeaseHistory => {
   const leases = new Map<string, Entry>();
+  let epoch: StoreEpoch = unnamedEpoch;
   let readTo = 0;
   /** Records below this offset may have expired unread. */
   let lostTo = 0;
@@ -69,12 +88,15 @@
   };
 
   const decide = (offset: number, record: LeaseRecord): LeaseVerdict => {
+    if (epochOf(record) !== epoch) return "void";
     const entry = entryOf(record.lease);
     const verdict = judge(entry, offset, record);
     if (verdict === "void") return verdict;
     if (verdict === "valid") {
       entry.lastValid = offset;
       entry.head = headOf(offset, record, entry.head);
+      // Whoever was granted a lease in this epoch has waited for those of the one before.
+      if (lostTo === 0) lostAt = undefined;
     } else entry.lastUndecided = offset;
     // A release that may be void frees nothing.
     if (record.kind !== "release") {
@@ -83,23 +105,38 @@
     return verdict;
   };
 
-  const apply = ({ offset, data }: Pick<LogRecord, "offset" | "data">): LeaseVerdict | undefined => {
-    if (offset !== readTo) return undefined;
+  const apply: LeaseHistory["apply"] = ({ offset, data }, ofEpoch) => {
+    if (ofEpoch !== epoch || offset !== readTo) return undefined;
     readTo = offset + 1;
     const record = decodeLeaseRecord(data);
     return record && decide(offset, record);
   };
 
+  const beginAnew = (inEpoch: StoreEpoch): void => {
+    epoch = inEpoch;
+    leases.clear();
+    readTo = 0;
+    lostTo = 0;
+    lostAt = clock.monotonic();
+  };
+
   const applyPage = (fromOffset: number, page: LogPage): void => {
+    if (page.epoch < epoch) return;
+    if (page.epoch > epoch) beginAnew(page.epoch);
+    else if (page.nextOffset < fromOffset) {
+      writeLog("log_went_back", { epoch, readTo, end: page.nextOffset });
+      beginAnew(epoch);
+    }
     if (page.earliestOffset > readTo) {
       readTo = page.earliestOffset;
       lostTo = page.earliestOffset;
       lostAt = clock.monotonic();
     }
-    if (fromOffset <= readTo) page.records.forEach(apply);
+    if (fromOffset <= readTo) page.records.forEach((record) => apply(record, page.epoch));
   };
 
   return {
+    epoch: () => epoch,
     readTo: () => readTo,
     lostAt: () => lostAt,
     state: (lease) => {
--- a/src/coordination/leases/leaseLog.ts
+++ b/src/coordination/leases/leaseLog.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from "node:crypto";
 import { logStreams } from "../../protocol/constants.ts";
 import type { LogService } from "../../protocol/LogService.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
@@ -31,7 +32,7 @@
 }
 
 /** The fields of a record that do not depend on its kind. */
-export type LeaseRecordBase = Pick<LeaseRecord, "lease" | "holder" | "id" | "readTo">;
+export type LeaseRecordBase = Pick<LeaseRecord, "lease" | "holder" | "id" | "readTo" | "epoch">;
 
 /** See {@link createLeaseLog}. */
 export interface LeaseLog {
@@ -63,7 +64,9 @@
     for (;;) {
       const from = history.readTo();
       const page = await log.read(logStreams.leases, from, leasePageSize);
+      const epoch = history.epoch();
       history.applyPage(from, page);
+      if (history.epoch() !== epoch || history.readTo() < from) continue;
       if (history.readTo() >= page.nextOffset || page.records.length === 0) return;
     }
   };
@@ -74,16 +77,23 @@
     if (record.kind !== "release") sent.set(record.id, { at: clock.monotonic(), duration: record.duration });
     metrics.count(metricNames.leaseAppends);
     const data = encodeLeaseRecord(record);
-    const [offset] = (await log.append(logStreams.leases, [data])).offsets;
+    const { offsets, epoch } = await log.append(logStreams.leases, [data]);
+    const [offset] = offsets;
     // With nothing unread before it, the record needs no read.
-    if (offset === history.readTo()) history.apply({ offset, data });
-    return offset !== undefined && offset < history.readTo();
+    if (offset === history.readTo()) history.apply({ offset, data }, epoch);
+    return offset !== undefined && epoch === history.epoch() && offset < history.readTo();
   };
 
   const head = (): LeaseHead | undefined => history.state(name).head;
 
   return {
-    base: () => ({ lease: name, holder, id: randomUUID(), readTo: history.readTo() }),
+    base: () => ({
+      lease: name,
+      holder,
+      id: randomUUID(),
+      readTo: history.readTo(),
+      ...(history.epoch() === unnamedEpoch ? {} : { epoch: history.epoch() }),
+    }),
     readToEnd,
     append: async (record) => {
       const isRead = await send(record).catch(() => false);
--- a/src/coordination/leases/leaseRecord.ts
+++ b/src/coordination/leases/leaseRecord.ts
@@ -10,6 +10,8 @@
   id: z.string().min(1).max(100),
   /** The writer had read every record of the stream below this offset. */
   readTo: offset,
+  /** Of the store, in which the writer had read; left out by stores without epochs. */
+  epoch: z.number().int().min(0).optional(),
 };
 const tenure = {
   /** How long the tenure goes on from this record, milliseconds. */
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -130,6 +130,7 @@
       client: platform.replicaClient,
       peers,
       log: platform.log,
+      epochs: platform.epochs,
       clock,
       metrics,
       bounds,
