Keep what routers know over a return of the store: copies of lost records, proofs, registrations

What callers saw: a router that started before the operator had written again served a key that all its peers refused; one that had been cut off served it for as long as it was watched; the registration of a router that the store had lost never came back. Causes: a read of a copy counted as proof that nothing newer was published; nobody kept what the store had lost; registrations were written once. Two faults in one commit, since both mends change the same composition.

- Recovery window: for 2 s after a return (less where keys are revoked faster) reads prove nothing; older proofs stay valid for as long as they did.
A peer's newer version or an unread newer epoch voids a proof as well.
A router that starts waits up to 150 ms for a first message of a peer, which peers now send at once, and takes the window from it.
- Copies: routers that know a newer record of the operator than the store write it into a topic of their own, three of them first, one after another; peers that hear of a newer version read it there.
- Registrations are written again in each epoch, spread by 10 ms for each router, and read after writing.
- Messages between routers name the epoch (form 6): routers of the version before don't hear these, nor the other way.

--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -15,6 +15,7 @@
 } from "../../src/coordination/replicaOwners/replicaOwners.ts";
 import { createKeeping } from "../../src/coordination/keepers/keeping.ts";
 import { createReplicaLimits } from "../../src/coordination/replicaLimits/replicaLimits.ts";
+import { noEpochs } from "../../src/coordination/storeEpochs/recoveryWindow.ts";
 import { createShutdown } from "../../src/coordination/forwarding/shutdown.ts";
 import { noQuarantine } from "../../src/coordination/crashes/quarantine.ts";
 import { noUsageLimits } from "../../src/coordination/usageLimits/usageLimits.ts";
@@ -151,6 +152,7 @@
     holders,
     longestReadAge: () => Number.POSITIVE_INFINITY,
     onNewerConfiguration: () => undefined,
+    ...noEpochs,
     quarantine: noQuarantine,
   });
   peers.add(all);
--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -10,6 +10,8 @@
 import { createRouteTable } from "../../state/forwarding/routeTable.ts";
 import type { RouteTable } from "../../state/forwarding/routeTable.ts";
 import type { Clock } from "../clock.ts";
+import type { RecoveryWindow } from "../storeEpochs/recoveryWindow.ts";
+import { noRecovery } from "../storeEpochs/recoveryWindow.ts";
 
 /** Weights that the operator wants of a model. */
 export interface WantedWeights {
@@ -49,6 +51,18 @@
   readonly prove: (at: number) => void;
   /** A peer had proof of this version at a moment. */
   readonly confirmVersion: (version: number, at: number) => void;
+  /** A peer has this version: reads that don't find it prove nothing. */
+  readonly notePeerVersion: (version: number) => void;
+  /** @returns The newest record known of each key. */
+  readonly newest: () => readonly KnownRecord[];
+  /** @returns The version of the newest record known of a key; 0 if there is none. */
+  readonly versionOf: (key: string) => number;
+}
+
+/** A record that the operator published. */
+export interface KnownRecord {
+  readonly key: string;
+  readonly record: OperatorRecord;
 }
 
 /** Versions that peers are told of: those that engines may still be behind. */
@@ -56,12 +70,27 @@
 
 const writeLog = createLogger("configuration");
 
-/** Creates a state without a configuration. */
-export const createConfigurationState = (clock: Clock): ConfigurationState => {
+/** @returns The version of a record; versions of one key can be compared. */
+export const versionOfRecord = (record: OperatorRecord): number =>
+  record.kind === "configuration" ? record.configuration.version : record.target.version;
+
+/**
+ * Creates a state without a configuration.
+ *
+ * @param recovery - Says which reads prove something.
+ */
+export const createConfigurationState = (
+  clock: Clock,
+  recovery: Pick<RecoveryWindow, "allowsProof"> = noRecovery,
+): ConfigurationState => {
   /** By model, in rising order. */
   const wanted = new Map<string, readonly WantedWeights[]>();
   let table: RouteTable | undefined;
+  const newest = new Map<string, OperatorRecord>();
   let provenAt = Number.NEGATIVE_INFINITY;
+  /** The newest proof from before the store's last return. */
+  let provenBefore = Number.NEGATIVE_INFINITY;
+  let newestOfPeers = Number.NEGATIVE_INFINITY;
   let readAt = Number.NEGATIVE_INFINITY;
 
   const takeRecord = (record: OperatorRecord): void => {
@@ -82,10 +111,20 @@
     writeLog("weights_wanted", { model, version });
   };
 
+  const keepNewest = (key: string, record: OperatorRecord): void => {
+    const known = newest.get(key);
+    if (known === undefined || versionOfRecord(record) > versionOfRecord(known)) newest.set(key, record);
+  };
+
   const prove = (at: number): void => {
+    if (newestOfPeers > (table?.configuration.version ?? Number.NEGATIVE_INFINITY)) return;
+    if (recovery.allowsProof(at)) provenBefore = Math.max(provenBefore, at);
     provenAt = Math.max(provenAt, at);
   };
 
+  const validProof = (): number =>
+    [provenAt, provenBefore].find(recovery.allowsProof) ?? Number.NEGATIVE_INFINITY;
+
   return {
     table: () => table,
     wantedWeights: (model) => wanted.get(model)?.at(-1),
@@ -106,10 +145,14 @@
       });
       if (versions !== undefined) wanted.set(model, versions);
     },
-    age: () => clock.monotonic() - provenAt,
-    provenAt: () => provenAt,
+    age: () => clock.monotonic() - validProof(),
+    provenAt: validProof,
     apply: ({ records }) => {
-      for (const { value } of records) if (value !== undefined) takeRecord(value);
+      for (const { key, value } of records) {
+        if (value === undefined) continue;
+        takeRecord(value);
+        keepNewest(key, value);
+      }
     },
     confirm: (at) => {
       readAt = Math.max(readAt, at);
@@ -120,5 +163,16 @@
     confirmVersion: (version, at) => {
       if (version === table?.configuration.version) prove(at);
     },
+    notePeerVersion: (version) => {
+      newestOfPeers = Math.max(newestOfPeers, version);
+      const isBehind = newestOfPeers > (table?.configuration.version ?? Number.NEGATIVE_INFINITY);
+      // A router that starts has read a store that lacks what its peers have in force.
+      if (isBehind && !Number.isFinite(validProof())) provenAt = Number.NEGATIVE_INFINITY;
+    },
+    newest: () => [...newest].map(([key, record]) => ({ key, record })),
+    versionOf: (key) => {
+      const record = newest.get(key);
+      return record === undefined ? 0 : versionOfRecord(record);
+    },
   };
 };
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -46,6 +46,8 @@
   readonly all: () => readonly Peer[];
   /** Takes a router that the store knows. */
   readonly add: (entry: RouterEntry) => void;
+  /** Whether a message is the first one of a process. */
+  readonly isNew: (message: Pick<RouterMessage, "name" | "incarnation">) => boolean;
   /** @returns The sender of a message that came just now; nothing if a newer message came before it. */
   readonly hear: (message: RouterMessage, from: DatagramAddress) => Peer | undefined;
   /** Whether a message of it came just now. */
@@ -144,6 +146,10 @@
       if (name === self || peers.has(name)) return;
       make(entry, { address, port }, Number.NEGATIVE_INFINITY);
     },
+    isNew: ({ name, incarnation }) => {
+      const known = peers.get(name);
+      return known?.incarnation !== incarnation || known.theirTime === undefined;
+    },
     hear: (message, from) => {
       if (message.name === self) return undefined;
       const peer = meet(message, from);
--- a/src/coordination/forwarding/proofModel.test.ts
+++ b/src/coordination/forwarding/proofModel.test.ts
@@ -12,6 +12,7 @@
 import { noQuarantine } from "../crashes/quarantine.ts";
 import { createManualClock } from "../manualClock.ts";
 import type { ConfigurationState } from "./configurationState.ts";
+import { noEpochs } from "../storeEpochs/recoveryWindow.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import type { RouterPeers } from "./routerPeers.ts";
 import { createRouterPeers } from "./routerPeers.ts";
@@ -84,6 +85,7 @@
       holders: { noteKey: () => undefined },
       longestReadAge: () => Number.POSITIVE_INFINITY,
       onNewerConfiguration: () => undefined,
+      ...noEpochs,
       quarantine: noQuarantine,
     });
     peers.add(entries);
--- a/src/coordination/forwarding/routerNews.ts
+++ b/src/coordination/forwarding/routerNews.ts
@@ -85,13 +85,15 @@
 /** What news of peers changes. */
 export interface NewsTakers extends HolderTakers {
   readonly replicas: ReplicaTable;
-  readonly configuration: Pick<ConfigurationState, "noteWantedAge">;
+  readonly configuration: Pick<ConfigurationState, "noteWantedAge" | "wantedWeights">;
+  /** A peer knows newer weights wanted. */
+  readonly onNewerConfiguration: () => void;
   readonly clock: Clock;
 }
 
 /** Takes what a peer's message tells; replicas that this router doesn't know yet are left out. */
 export const takeNews = (message: RouterMessage, takers: NewsTakers): void => {
-  const { replicas, configuration, clock } = takers;
+  const { replicas, configuration, clock, onNewerConfiguration } = takers;
   const now = clock.monotonic();
   const idOf = (key: ReplicaKey): string | undefined => replicas.getByKey(key)?.entry.id;
   for (const { replica, model, version } of message.weights) {
@@ -103,7 +105,10 @@
     if (replica !== undefined) replica.changingUntil = now + remaining;
   }
   takeHolders(message.holders, takers);
-  for (const { model, version, age } of message.wanted) configuration.noteWantedAge(model, version, age);
+  for (const { model, version, age } of message.wanted) {
+    if (version > (configuration.wantedWeights(model)?.version ?? 0)) onNewerConfiguration();
+    configuration.noteWantedAge(model, version, age);
+  }
   for (const { replica: key, word } of message.limited) {
     const replica = replicas.getByKey(key);
     if (replica !== undefined) noteToldLimit(replica, word, now);
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -6,6 +6,7 @@
 import { noQuarantine } from "../crashes/quarantine.ts";
 import { createManualClock } from "../manualClock.ts";
 import { messagesPerInterval, peerIntervals } from "./constants.ts";
+import { noEpochs } from "../storeEpochs/recoveryWindow.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import { createRouterPeers } from "./routerPeers.ts";
 
@@ -37,6 +38,7 @@
       holders: { noteKey: (key, holder, isReady) => noted.push([key, holder, isReady]) },
       longestReadAge: () => longestReadAge,
       onNewerConfiguration: () => newer.push(self.name),
+      ...noEpochs,
       quarantine: noQuarantine,
     });
     return { self, replicas, configuration, peers, newer, noted };
@@ -56,6 +58,7 @@
       holders: { noteKey: () => undefined },
       longestReadAge: () => longestReadAge,
       onNewerConfiguration: () => undefined,
+      ...noEpochs,
       quarantine: noQuarantine,
     });
     return { configuration, peers, clock: ownClock };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -94,6 +94,17 @@
   return version === undefined || !Number.isFinite(age) ? undefined : { version, age: Math.ceil(age) };
 };
 
+/** What a message says of requests that are quarantined and of the store. */
+const describeState = ({
+  quarantine,
+  epochs,
+  recovery,
+}: RouterPeersParts): Pick<RouterMessage, "held" | "storeEpoch" | "recovering"> => ({
+  held: quarantine.digest(),
+  storeEpoch: epochs.current(),
+  recovering: Math.ceil(recovery.remaining()),
+});
+
 /** The work of this router's own requests. */
 const ownWorkIn = (replicas: ReplicaTable): readonly ToldWork[] =>
   replicas
@@ -126,6 +137,12 @@
   sentWork: "",
 });
 
+const liveNames = (peers: PeerTable): readonly string[] =>
+  peers
+    .all()
+    .filter(peers.isHeard)
+    .map(({ name }) => name);
+
 /** @returns Names of peers that take duties and whose configuration was confirmed just now. */
 const freshNames = (peers: PeerTable, longestAge: number): readonly string[] =>
   peers
@@ -180,7 +197,7 @@
       work,
       ...news.take(audience),
       wanted: configuration.wantedAges(),
-      held: parts.quarantine.digest(),
+      ...describeState(parts),
       standsDown: !takesDuties(),
       ends,
     };
@@ -217,11 +234,7 @@
     return news.hasHolders(group.audience) || JSON.stringify(toldWork()) !== group.sentWork;
   };
 
-  const heardNames = (): readonly string[] =>
-    peers
-      .all()
-      .filter(peers.isHeard)
-      .map(({ name }) => name);
+  const heardNames = (): readonly string[] => liveNames(peers);
 
   /** Every belief about a part asks for it. */
   let liveCount = 1;
@@ -247,10 +260,18 @@
   const audience = (): readonly Peer[] => (peers.isLarge() ? [] : peers.all().filter(peers.mayServe));
   const broadcastBackoff = createBackoffExchange({ ...parts, audience });
 
+  /** A router that starts waits for what its peers know. */
+  const greet = ({ at }: Peer): void => {
+    const message = compose(toldWork(), "near");
+    link.send(at, encodeRouterMessage({ ...message, echo: undefined }));
+  };
+
   link.receive((datagram, from) => {
     const message = decodeRouterMessage(datagram);
+    const isNew = message !== undefined && peers.isNew(message);
     const peer = message && peers.hear(message, from);
     if (message === undefined || peer === undefined) return;
+    if (isNew) greet(peer);
     const sinceStart = { from: startedAt, until: clock.monotonic() };
     takeMessage(message, peer, echoedAt(message, stampOrigin, sinceStart), parts);
   });
--- a/src/coordination/forwarding/takenMessages.ts
+++ b/src/coordination/forwarding/takenMessages.ts
@@ -2,8 +2,10 @@
 import type { ReplicaKey, RouterMessage, ToldWork } from "../../protocol/forwarding/peerMessage.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaWork } from "../../state/forwarding/replicaState.ts";
+import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { Clock } from "../clock.ts";
 import type { QuarantineDigests } from "../crashes/quarantine.ts";
+import type { RecoveryWindow } from "../storeEpochs/recoveryWindow.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import type { Peer, PeerTable } from "./peerTable.ts";
@@ -15,8 +17,12 @@
   readonly replicas: ReplicaTable;
   readonly configuration: ConfigurationState;
   readonly holders: Pick<CacheHolders, "noteKey">;
-  /** A peer knows a newer configuration. */
+  /** A peer knows a newer configuration, or newer weights wanted. */
   readonly onNewerConfiguration: () => void;
+  /** A peer knows a newer epoch of the store. */
+  readonly onNewerEpoch: () => void;
+  readonly epochs: Pick<EpochSource, "current">;
+  readonly recovery: Pick<RecoveryWindow, "extend" | "noteContact" | "remaining">;
   readonly quarantine: QuarantineDigests;
 }
 
@@ -44,13 +50,25 @@
 const takeConfiguration = (
   message: RouterMessage,
   echoedAt: number | undefined,
-  { configuration, onNewerConfiguration }: Pick<MessageTakers, "configuration" | "onNewerConfiguration">,
+  { configuration, onNewerConfiguration, epochs }: MessageTakers,
 ): void => {
   if (message.configuration === undefined) return;
   const { version, age } = message.configuration;
+  configuration.notePeerVersion(version);
   const known = configuration.table()?.configuration.version ?? -1;
   if (version > known) onNewerConfiguration();
-  if (echoedAt !== undefined) configuration.confirmVersion(version, echoedAt - age);
+  const isOfKnownEpoch = message.storeEpoch <= epochs.current();
+  if (echoedAt !== undefined && isOfKnownEpoch) configuration.confirmVersion(version, echoedAt - age);
+};
+
+/** Takes what a peer knows of the store; an epoch of a peer starts a read and replaces none. */
+const takeStoreState = (
+  { storeEpoch, recovering }: RouterMessage,
+  { epochs, recovery, onNewerEpoch }: Pick<MessageTakers, "epochs" | "recovery" | "onNewerEpoch">,
+): void => {
+  if (storeEpoch > epochs.current()) onNewerEpoch();
+  if (storeEpoch === epochs.current()) recovery.extend(recovering);
+  recovery.noteContact();
 };
 
 /** Takes everything that a peer's message tells. @param echoedAt - When it got the message that it echoes. */
@@ -64,6 +82,7 @@
   replicas.noteWork(name, ends ? noWork : byReplica(message.work));
   takeNews(message, { ...takers, cacheStores: () => configuration.table()?.cacheStores ?? [] });
   takeConfiguration(message, echoedAt, takers);
+  takeStoreState(message, takers);
   takers.quarantine.notePeerDigest(message.held);
 };
 
--- a/src/coordination/leases/lease.ts
+++ b/src/coordination/leases/lease.ts
@@ -45,6 +45,24 @@
 
 const writeLog = createLogger("leases");
 
+const describeHeld = (
+  held: Held | undefined,
+  now: number,
+): Pick<LeaseView, "fencingNumber" | "remaining"> => ({
+  fencingNumber: held?.fencingNumber ?? null,
+  remaining: held === undefined ? null : Math.max(0, Math.round(held.validUntil - now)),
+});
+
+/** @returns Runs works one after another: two renewals at once would make each other void. */
+const createSequence = () => {
+  let previous: Promise<unknown> = Promise.resolve();
+  return <T>(work: () => Promise<T>): Promise<T> => {
+    const result = previous.then(work);
+    previous = result.catch(() => undefined);
+    return result;
+  };
+};
+
 /** Starts to seek a lease. */
 export const startLease = (parts: LeaseParts): Lease => {
   const { name, holder, history, clock, metrics } = parts;
@@ -53,24 +71,15 @@
   let held: Held | undefined;
   /** Whether the last record before the last own grant was a release. */
   let followsRelease = false;
-  let previous: Promise<unknown> = Promise.resolve();
-
-  /** Two renewals at once would make each other void. */
-  const exclusively = <T>(work: () => Promise<T>): Promise<T> => {
-    const result = previous.then(work);
-    previous = result.catch(() => undefined);
-    return result;
-  };
+  const exclusively = createSequence();
 
   const currentEpoch = (): StoreEpoch => parts.epoch?.() ?? unnamedEpoch;
-  const isCurrent = (): boolean =>
-    held !== undefined && held.epoch === currentEpoch() && clock.monotonic() < held.validUntil;
+  const isCurrent = (): boolean => held?.epoch === currentEpoch() && clock.monotonic() < held.validUntil;
   const isHeldAs = (fencingNumber: number): boolean => held?.fencingNumber === fencingNumber && isCurrent();
 
-  const reasonOfLoss = (usual: string): string => (held?.epoch === currentEpoch() ? usual : "epoch ended");
-
-  const forget = (reason: string): void => {
+  const forget = (usualReason: string): void => {
     if (held === undefined) return;
+    const reason = held.epoch === currentEpoch() ? usualReason : "epoch ended";
     writeLog("lost", { lease: name, fencingNumber: held.fencingNumber, reason });
     metrics.count(metricNames.leaseLosses);
     held = undefined;
@@ -97,7 +106,7 @@
     const head = records.head();
     const own = records.ownAppend();
     if (head === undefined || own === undefined) {
-      if (head?.holder !== holder) forget(reasonOfLoss("taken"));
+      if (head?.holder !== holder) forget("taken");
       return;
     }
     const validUntil = own.at + own.duration * (1 - safetyShare);
@@ -129,7 +138,7 @@
 
   const step = async (): Promise<void> => {
     follow();
-    if (!isCurrent()) forget(reasonOfLoss("expired"));
+    if (!isCurrent()) forget("expired");
     if (held === undefined) {
       if (parts.isCandidate()) await contend();
     } else if (clock.monotonic() >= held.renewAt) await renew(held);
@@ -169,11 +178,11 @@
 
   const tenure = (): Tenure | undefined => {
     if (held === undefined || !isCurrent()) return undefined;
-    const { fencingNumber, beganAt, followsRelease: isHandedOver } = held;
+    const { fencingNumber, beganAt } = held;
     return {
       fencingNumber,
       beganAt,
-      followsRelease: isHandedOver,
+      followsRelease: held.followsRelease,
       isValid: () => isHeldAs(fencingNumber),
       note: () => held?.note ?? [],
       setNote: (note) => {
@@ -190,9 +199,8 @@
       lease: name,
       candidate: parts.isCandidate(),
       held: isCurrent(),
-      fencingNumber: held?.fencingNumber ?? null,
       lastHolder: records.head()?.holder ?? null,
-      remaining: held === undefined ? null : Math.max(0, Math.round(held.validUntil - clock.monotonic())),
+      ...describeHeld(held, clock.monotonic()),
     }),
     [Symbol.asyncDispose]: async () => {
       stop.abort();
--- /dev/null
+++ b/src/coordination/storeEpochs/routerRegistration.ts
@@ -0,0 +1,71 @@
+/** Registers a router in the platform's store, and again in each epoch. */
+import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
+import type { RouterEntry } from "../../protocol/forwarding/types.ts";
+import type { EpochSource, StoreEpoch } from "../../protocol/storeEpoch.ts";
+import { createLogger } from "../../state/log.ts";
+import type { Clock } from "../clock.ts";
+import { pause } from "../clock.ts";
+import { registrationSpread } from "./constants.ts";
+
+/** See {@link startRegistration}. */
+export interface RegistrationDependencies {
+  readonly self: RouterEntry;
+  readonly feed: RecordFeed<RouterEntry>;
+  readonly epochs: EpochSource;
+  readonly clock: Clock;
+  /** Milliseconds after an attempt that failed. */
+  readonly retryInterval: () => number;
+  /** @returns How many routers may be serving. */
+  readonly countRouters: () => number;
+  /** A number from 0 to 1. */
+  readonly random: () => number;
+  /** Takes the routers that the store lists. */
+  readonly onListed: (entries: readonly RouterEntry[]) => void;
+}
+
+const writeLog = createLogger("router");
+
+/** Starts to register until it is disposed of. */
+export const startRegistration = (dependencies: RegistrationDependencies): AsyncDisposable => {
+  const { self, feed, epochs, clock } = dependencies;
+  const stop = new AbortController();
+  let registeredIn: StoreEpoch | undefined;
+  let task = Promise.resolve();
+
+  const attempt = async (): Promise<void> => {
+    const epoch = await feed.put(self.name, self);
+    // Read after writing: of two routers that register at once, one finds the other.
+    const { records } = await feed.newest();
+    dependencies.onListed(records.flatMap(({ value }) => (value === undefined ? [] : [value])));
+    registeredIn = epoch;
+  };
+
+  const register = async (delay: number): Promise<void> => {
+    await pause(clock, delay, stop.signal);
+    while (!stop.signal.aborted && registeredIn !== epochs.current()) {
+      try {
+        await attempt();
+      } catch (error) {
+        writeLog("registration_failed", { reason: String(error) });
+        await pause(clock, dependencies.retryInterval(), stop.signal);
+      }
+    }
+    writeLog("registered", { epoch: registeredIn ?? null });
+  };
+
+  const registerLater = (delay: number): void => {
+    task = task.then(() => register(delay));
+  };
+
+  registerLater(0);
+  epochs.subscribe(() =>
+    registerLater(dependencies.random() * dependencies.countRouters() * registrationSpread),
+  );
+
+  return {
+    [Symbol.asyncDispose]: async () => {
+      stop.abort();
+      await task;
+    },
+  };
+};
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -1,5 +1,4 @@
 /** What a router that passes requests on believes, and the tasks that keep it up: store, registry, peers. */
-import { setTimeout as sleep } from "node:timers/promises";
 import type { Clock } from "../coordination/clock.ts";
 import type { CacheHolders } from "../coordination/forwarding/cacheHolders.ts";
 import { createCacheHolders } from "../coordination/forwarding/cacheHolders.ts";
@@ -17,6 +16,9 @@
 import type { UsageCounting } from "../coordination/usageLimits/usageLimits.ts";
 import { createKeeping } from "../coordination/keepers/keeping.ts";
 import type { ReplicaLimits } from "../coordination/replicaLimits/replicaLimits.ts";
+import type { RecoveryWindow } from "../coordination/storeEpochs/recoveryWindow.ts";
+import { createRecoveryWindow } from "../coordination/storeEpochs/recoveryWindow.ts";
+import { startRegistration } from "../coordination/storeEpochs/routerRegistration.ts";
 import { createReplicaLimits } from "../coordination/replicaLimits/replicaLimits.ts";
 import { createUsageLimits } from "../coordination/usageLimits/usageLimits.ts";
 import { countComputedTokens, createReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
@@ -26,9 +28,8 @@
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { createReplicaTable } from "../state/forwarding/replicaTable.ts";
-import { createLogger } from "../state/log.ts";
 import type { StoreFollowing } from "./storeFollowing.ts";
-import { followStore, present } from "./storeFollowing.ts";
+import { followStore } from "./storeFollowing.ts";
 
 /** What beliefs come from. */
 export interface ForwardingBeliefsParts {
@@ -56,13 +57,32 @@
   readonly knowsReplicas: () => boolean;
 }
 
-const writeLog = createLogger("router");
+const registerRouter = (
+  { self, platform, clock, bounds }: ForwardingBeliefsParts,
+  peers: RouterPeers,
+  recovery: RecoveryWindow,
+): AsyncDisposable =>
+  startRegistration({
+    self,
+    feed: platform.routers,
+    epochs: platform.epochs,
+    clock,
+    retryInterval: () => bounds.drain,
+    countRouters: peers.countServing,
+    random: Math.random,
+    onListed: (entries) => {
+      peers.add(entries);
+      if (entries.every(({ name }) => name === self.name)) recovery.noteContact();
+    },
+  });
 
 /** Begins to follow the store and to talk to peers. */
 export const startForwardingBeliefs = (parts: ForwardingBeliefsParts): ForwardingBeliefs => {
   const { self, platform, clock, bounds } = parts;
   const resources = createResourceStack();
-  const configuration = createConfigurationState(clock);
+  const { epochs } = platform;
+  const recovery = createRecoveryWindow(epochs, clock, bounds);
+  const configuration = createConfigurationState(clock, recovery);
   const replicas = createReplicaTable();
   const holders = createCacheHolders({
     clock,
@@ -73,8 +93,6 @@
       return engine === undefined ? Number.POSITIVE_INFINITY : engine.memoryTokens * cachedMemoryShare;
     },
   });
-  let isOver = false;
-
   const peers = resources.use(
     createRouterPeers({
       self,
@@ -85,6 +103,9 @@
       holders,
       longestReadAge: () => following.longestReadAge(),
       onNewerConfiguration: () => following.readOn(),
+      onNewerEpoch: () => following.readEpoch(),
+      epochs,
+      recovery,
       quarantine: {
         digest: () => quarantine.digest(),
         notePeerDigest: (digest) => quarantine.notePeerDigest(digest),
@@ -155,6 +176,8 @@
   const following: StoreFollowing = resources.use(
     followStore({
       platform,
+      self: self.name,
+      recovery,
       link: parts.link,
       clock,
       bounds,
@@ -165,20 +188,7 @@
     }),
   );
 
-  /** Routers register once; from then on datagrams tell them of one another. */
-  const register = async (): Promise<void> => {
-    while (!isOver) {
-      try {
-        await platform.routers.put(self.name, self);
-        peers.add(present(await platform.routers.newest()));
-        return;
-      } catch (error) {
-        writeLog("registration_failed", { reason: String(error) });
-        await sleep(bounds.drain);
-      }
-    }
-  };
-  void register();
+  resources.use(registerRouter(parts, peers, recovery));
 
   return {
     configuration,
@@ -191,9 +201,6 @@
     replicaLimits,
     quarantine,
     knowsReplicas: following.knowsReplicas,
-    [Symbol.asyncDispose]: () => {
-      isOver = true;
-      return resources[Symbol.asyncDispose]();
-    },
+    [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
 };
--- a/src/daemons/storeFollowing.test.ts
+++ b/src/daemons/storeFollowing.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "earl";
 import { bounds, configurationOf, engineEntry, pageOf } from "../../tests/support/forwardingFixture.ts";
 import { systemClock } from "../coordination/clock.ts";
+import { noRecovery } from "../coordination/storeEpochs/recoveryWindow.ts";
 import { createConfigurationState } from "../coordination/forwarding/configurationState.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ProofAnswer } from "../protocol/forwarding/proofMessage.ts";
@@ -64,14 +65,23 @@
       platform: {
         epochs: createStoreEpochs(),
         operator: operator as RecordFeed<OperatorRecord>,
+        operatorCopies: operator as RecordFeed<OperatorRecord>,
         replicas: feed,
       },
+      self: "router-1",
+      recovery: noRecovery,
       link,
       clock: systemClock,
       bounds: { ...bounds, drain: 100 },
       configuration: createConfigurationState(systemClock),
       replicas: createReplicaTable(),
-      peers: { isLarge: () => true, isReader: () => true, readers: () => [] },
+      peers: {
+        countServing: () => 10,
+        isLarge: () => true,
+        isReader: () => true,
+        live: () => [],
+        readers: () => [],
+      },
       onConfiguration: () => undefined,
     });
     const askUntil = async (isDone: () => boolean): Promise<number | undefined> => {
--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -16,23 +16,34 @@
   readerRegistryPaceShare,
   retryStretchOfMany,
 } from "../coordination/storeReading/constants.ts";
+import {
+  epochReadInterval,
+  longestRereadDelay,
+  registryRereadStretch,
+  rereadSpread,
+  timerSlack,
+} from "../coordination/storeEpochs/constants.ts";
+import { createOperatorRecovery } from "../coordination/storeEpochs/operatorRecovery.ts";
+import type { RecoveryWindow } from "../coordination/storeEpochs/recoveryWindow.ts";
 import { createRegistryRecovery } from "../coordination/storeEpochs/registryRecovery.ts";
 import { startStoreReading } from "../coordination/storeReading/storeReading.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
-import type { FeedPage } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 
 /** What following works with. */
 export interface StoreFollowingParts {
-  readonly platform: Pick<ForwardingPlatform, "epochs" | "operator" | "replicas">;
+  readonly platform: Pick<ForwardingPlatform, "epochs" | "operator" | "operatorCopies" | "replicas">;
+  /** The name of this router. */
+  readonly self: string;
+  readonly recovery: Pick<RecoveryWindow, "remaining">;
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
   readonly configuration: ConfigurationState;
   readonly replicas: ReplicaTable;
-  readonly peers: Pick<RouterPeers, "isLarge" | "isReader" | "readers">;
+  readonly peers: Pick<RouterPeers, "countServing" | "isLarge" | "isReader" | "live" | "readers">;
   /** A configuration came that may have other limits. */
   readonly onConfiguration: () => void;
 }
@@ -45,12 +56,10 @@
   readonly longestReadAge: () => number;
   /** There is something newer than what is known. */
   readonly readOn: () => void;
+  /** There is a newer epoch of the store. */
+  readonly readEpoch: () => void;
 }
 
-/** @returns The values of records that were not dropped. */
-export const present = <T>({ records }: FeedPage<T>): readonly T[] =>
-  records.flatMap(({ value }) => (value === undefined ? [] : [value]));
-
 /** Starts to follow. */
 export const followStore = (parts: StoreFollowingParts): StoreFollowing => {
   const { platform, clock, bounds, configuration, replicas, peers } = parts;
@@ -78,6 +87,22 @@
 
   const retryStretch = (): number => (isReadFor() ? retryStretchOfMany : 1);
 
+  /** Routers that others read for have these to tell them of changes. */
+  const rereadDelay = (): number =>
+    isReadFor() ? Math.random() * Math.min(longestRereadDelay, peers.countServing() * rereadSpread) : 0;
+
+  const recovery = resources.use(
+    createOperatorRecovery({
+      self: parts.self,
+      copies: platform.operatorCopies,
+      configuration,
+      live: peers.live,
+      clock,
+      random: Math.random,
+      onRecovered: parts.onConfiguration,
+    }),
+  );
+
   const operatorFeed = resources.use(
     followFeed({
       name: "operator",
@@ -87,9 +112,14 @@
       wait: () => (peers.isLarge() ? longHeldRead : shortHeldRead()),
       retryStretch,
       pace: () => 0,
-      replace: configuration.apply,
+      rereadDelay,
+      replace: (page) => {
+        configuration.apply(page);
+        recovery.noteNewest(page);
+      },
       apply: (page) => {
         configuration.apply(page);
+        recovery.noteStored(page);
         parts.onConfiguration();
       },
       confirm: configuration.confirm,
@@ -106,6 +136,7 @@
       wait: () => 0,
       retryStretch,
       pace: registryPace,
+      rereadDelay: () => rereadDelay() * registryRereadStretch,
       replace: registry.replace,
       apply: registry.apply,
       confirm: (at) => {
@@ -140,13 +171,35 @@
     }),
   );
 
+  /** A read that was held back since before proves nothing yet. */
+  let callOffCheck: () => void = () => undefined;
+  platform.epochs.subscribe(() => {
+    callOffCheck();
+    if (isReadFor()) return;
+    callOffCheck = clock.after(parts.recovery.remaining() + timerSlack, () => void operatorFeed.check());
+  });
+  resources.defer(() => {
+    callOffCheck();
+    return undefined;
+  });
+
+  let epochReadAt = Number.NEGATIVE_INFINITY;
+
+  const readEpoch = (): void => {
+    if (clock.monotonic() - epochReadAt < epochReadInterval) return;
+    epochReadAt = clock.monotonic();
+    void operatorFeed.check();
+  };
+
   return {
     knowsReplicas: () => Number.isFinite(registryProvenAt),
     longestReadAge,
     readOn: () => {
+      recovery.readCopies();
       if (peers.isLarge()) reading.readOn();
       else operatorFeed.hurry();
     },
+    readEpoch,
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
 };
--- a/src/protocol/forwarding/ForwardingPlatform.ts
+++ b/src/protocol/forwarding/ForwardingPlatform.ts
@@ -19,6 +19,8 @@
   /** For leases. */
   readonly log: LogService;
   readonly operator: RecordFeed<OperatorRecord>;
+  /** Copies of what the operator published, written by routers where the store has lost it. */
+  readonly operatorCopies: RecordFeed<OperatorRecord>;
   /** The key of a record is the replica's id. */
   readonly replicas: RecordFeed<ReplicaEntry>;
   /** The key of a record is the router's name. */
--- a/src/protocol/forwarding/peerMessage.test.ts
+++ b/src/protocol/forwarding/peerMessage.test.ts
@@ -33,6 +33,8 @@
     }),
   ),
   held: fc.nat({ max: 2 ** 32 - 1 }),
+  storeEpoch: fc.nat({ max: 2 ** 32 - 1 }),
+  recovering: fc.nat({ max: 2 ** 32 - 1 }),
   standsDown: fc.boolean(),
   ends: fc.boolean(),
 });
@@ -85,6 +87,8 @@
       wanted: [],
       limited: [],
       held: 0,
+      storeEpoch: 0,
+      recovering: 0,
       standsDown: false,
       ends: false,
     };
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -10,6 +10,7 @@
 import type { ByteWriter } from "./byteWriter.ts";
 import { createByteWriter } from "./byteWriter.ts";
 import { hash64 } from "../prefixLevels.ts";
+import type { StoreEpoch } from "../storeEpoch.ts";
 import type { ToldWord } from "./toldWord.ts";
 import { readWord, writeWord } from "./toldWord.ts";
 
@@ -108,13 +109,17 @@
   readonly limited: readonly ToldLimit[];
   /** Digest of the requests that the sender holds back, 32 bits. */
   readonly held: number;
+  /** The newest epoch of the store that the sender knows. */
+  readonly storeEpoch: StoreEpoch;
+  /** Milliseconds until reads of the store prove something again after its return from a copy. */
+  readonly recovering: number;
   /** The sender takes no duties any more. */
   readonly standsDown: boolean;
   readonly ends: boolean;
 }
 
 /** Messages of another form are not read. */
-const form = 5;
+const form = 6;
 
 const flags = { echo: 1, configuration: 2, standsDown: 4, ends: 8 } as const;
 
@@ -168,6 +173,8 @@
   });
   writeNews(writer, message);
   writer.count(message.held);
+  writer.count(message.storeEpoch);
+  writer.count(message.recovering);
   return writer.finish();
 };
 
@@ -202,6 +209,8 @@
     wanted: reader.list(() => readTarget(reader)),
     limited: reader.list(() => ({ replica: reader.key(), word: readWord(reader) })),
     held: reader.count(),
+    storeEpoch: reader.count(),
+    recovering: reader.count(),
     standsDown: has(flags.standsDown),
     ends: has(flags.ends),
   };
