Write quarantine records again in each epoch of the store; keep released requests released

A record was taken for written for good, and a request that the store lists no more for released, so that a return from a copy would have freed requests that crash replicas; one that had been answered since would have been quarantined again. A record counts in the epoch that acknowledged it; what an earlier epoch held is written again, by the routers that saw the crashes first; what this router dropped is dropped again.

--- a/src/coordination/crashes/heldRequests.ts
+++ b/src/coordination/crashes/heldRequests.ts
@@ -2,6 +2,7 @@
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { QuarantineRecord } from "../../protocol/forwarding/types.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
+import type { StoreEpoch } from "../../protocol/storeEpoch.ts";
 import type { Clock } from "../clock.ts";
 import { mostHeld, mostTrials, quarantineTime, trialDelays } from "./constants.ts";
 
@@ -14,8 +15,8 @@
   record: QuarantineRecord;
   /** No trial begins before. */
   trialFrom: number;
-  /** The platform's store has taken the record. */
-  isRecorded: boolean;
+  /** The epoch in which the platform's store has taken the record. */
+  recordedIn: StoreEpoch | undefined;
 }
 
 /** See {@link createHeldRequests}. */
@@ -27,8 +28,12 @@
   /** @returns Whether it was not held back before. */
   readonly add: (fingerprint: Fingerprint, isOwn: boolean) => boolean;
   readonly remove: (fingerprint: Fingerprint) => void;
-  /** Takes a record of the store; a trial counts once, for the first router that has recorded it. */
-  readonly take: (fingerprint: Fingerprint, record: QuarantineRecord) => void;
+  /**
+   * Takes a record of the store; a trial counts once, for the first router that has recorded it.
+   *
+   * @param epoch - In which the store has it.
+   */
+  readonly take: (fingerprint: Fingerprint, record: QuarantineRecord, epoch: StoreEpoch) => void;
   readonly isTrialDue: (fingerprint: Fingerprint) => boolean;
   /** @returns Milliseconds until something may change for it: a trial, or the end. */
   readonly untilChange: (fingerprint: Fingerprint) => number;
@@ -47,7 +52,7 @@
     if (held.has(fingerprint)) return false;
     const since = clock.monotonic();
     const trialFrom = since + trialDelays.first;
-    held.set(fingerprint, { since, isOwn, record: noTrial, trialFrom, isRecorded: false });
+    held.set(fingerprint, { since, isOwn, record: noTrial, trialFrom, recordedIn: undefined });
     const oldest = held.keys().next();
     if (held.size > mostHeld && oldest.done !== true) held.delete(oldest.value);
     return true;
@@ -72,11 +77,11 @@
     entries: () => [...held],
     add,
     remove: (fingerprint) => held.delete(fingerprint),
-    take: (fingerprint, record) => {
+    take: (fingerprint, record, epoch) => {
       add(fingerprint, false);
       const known = held.get(fingerprint);
       if (known === undefined) return;
-      known.isRecorded = true;
+      known.recordedIn = epoch;
       // A router that starts reads the newest record alone, whatever trials came before it.
       if (record.trials > known.record.trials) takeTrial(known, record);
     },
--- a/src/coordination/crashes/quarantine.test.ts
+++ b/src/coordination/crashes/quarantine.test.ts
@@ -326,6 +326,47 @@
   });
 });
 
+describe("a quarantine whose store returns from an older copy", () => {
+  const recordsOf = (routers: ReturnType<typeof createQuarantineRouters>): readonly string[] => {
+    const newest = new Map(routers.records.log.map(({ key, value }) => [key, value]));
+    return [...newest].filter(([, value]) => value !== undefined).map(([key]) => key);
+  };
+
+  // Routers took the record for written, and the store's new list for a release.
+  it("keeps what it quarantines, and records it again", async () => {
+    const routers = createQuarantineRouters(4);
+    await crashThree(routers);
+    await routers.advance(contactTime * 4);
+    expect(recordsOf(routers).length).toEqual(1);
+    routers.returnStore(0);
+    await routers.advance(contactTime * 2);
+    expect(routers.heldAt(deadly)).toEqual([1, 2, 3, 4]);
+    expect(recordsOf(routers).length).toEqual(1);
+    routers.start(5);
+    await routers.advance(contactTime);
+    expect(routers.heldAt(deadly)).toEqual([1, 2, 3, 4, 5]);
+  });
+
+  // The copy lists a request again that was answered since.
+  it("doesn't quarantine again what was released", async () => {
+    const routers = createQuarantineRouters(4);
+    await crashThree(routers);
+    await routers.advance(contactTime);
+    const length = routers.records.log.length;
+    routers.at(1).quarantine.noteAnswered(requestOf(deadly));
+    await routers.advance(contactTime);
+    expect(recordsOf(routers)).toEqual([]);
+    routers.returnStore(length);
+    await routers.advance(contactTime * 2);
+    expect(routers.heldAt(deadly)).toEqual([]);
+    routers.crash(0, "other", ["another"]);
+    routers.start(5);
+    await routers.advance(contactTime * 4);
+    expect(recordsOf(routers)).toEqual([]);
+    expect(routers.heldAt(deadly).filter((port) => port !== 5)).toEqual([]);
+  });
+});
+
 describe("memory of crashes", () => {
   it("stays bounded under many distinct requests, and a cause among them is found", async (context) => {
     const routers = createQuarantineRouters(1);
--- a/src/coordination/crashes/quarantine.ts
+++ b/src/coordination/crashes/quarantine.ts
@@ -12,6 +12,7 @@
 import type { CrashMessage, ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import { fingerprintOf } from "../../protocol/forwarding/fingerprint.ts";
+import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import type { CallerRequest, QuarantineRecord } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
@@ -41,6 +42,7 @@
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly feed: RecordFeed<QuarantineRecord>;
+  readonly epochs: EpochSource;
   /** @returns The other routers that may be serving, silent ones included. */
   readonly others: () => readonly Pick<LiveRouter, "at">[];
   /** A number from 0 to 1. */
@@ -164,16 +166,23 @@
 
   const records = createQuarantineRecords({
     feed: parts.feed,
+    epochs: parts.epochs,
     held,
-    onHeld: (fingerprint, record) => {
+    onHeld: (fingerprint, record, epoch) => {
       // Released here, and the store has not heard of it.
       if (upkeep.isDropping(fingerprint)) return;
       hold(fingerprint, "recorded");
-      held.take(fingerprint, record);
+      held.take(fingerprint, record, epoch);
     },
     onReleased: (fingerprint) => release(fingerprint, "recorded"),
   });
-  const upkeep = startRecordsUpkeep({ held, records, clock, onLapsed: (each) => end(each, "lapsed") });
+  const upkeep = startRecordsUpkeep({
+    held,
+    records,
+    clock,
+    epochs: parts.epochs,
+    onLapsed: (each) => end(each, "lapsed"),
+  });
   const check = createRecordsCheck({ clock, random, digest: held.digest, read: records.read });
   const trials = createTrials({ held, records, clock, idOf: names.idOf });
 
--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -4,20 +4,25 @@
  * counts.
  */
 import { randomBytes } from "node:crypto";
+import type { PlatformFault } from "../../protocol/errors.ts";
 import { PlatformError } from "../../protocol/errors.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
 import type { FeedRecord, QuarantineRecord } from "../../protocol/forwarding/types.ts";
+import type { EpochSource, StoreEpoch } from "../../protocol/storeEpoch.ts";
 import { createLogger } from "../../state/log.ts";
+import { createRecentMap } from "../../state/recentMap.ts";
+import { mostHeld } from "./constants.ts";
 import type { HeldRequests } from "./heldRequests.ts";
 
 /** What keeping works with. */
 export interface QuarantineRecordsParts {
   readonly feed: RecordFeed<QuarantineRecord>;
   readonly held: HeldRequests;
-  /** A request that the store knows as held back. */
-  readonly onHeld: (fingerprint: Fingerprint, record: QuarantineRecord) => void;
+  readonly epochs: Pick<EpochSource, "current">;
+  /** A request that the store lists as quarantined. */
+  readonly onHeld: (fingerprint: Fingerprint, record: QuarantineRecord, epoch: StoreEpoch) => void;
   /** One that it knows as such no more. */
   readonly onReleased: (fingerprint: Fingerprint) => void;
 }
@@ -35,27 +40,39 @@
 
 const trialNameBytes = 9;
 
+/** Faults after which only the newest record of each key can be had. */
+const rereadFaults: ReadonlySet<PlatformFault> = new Set(["expired", "beyond_end", "epoch_ended"]);
+
 const writeLog = createLogger("quarantine");
 
 /** Creates records of which nothing has been read. */
 export const createQuarantineRecords = (parts: QuarantineRecordsParts): QuarantineRecords => {
-  const { feed, held } = parts;
+  const { feed, held, epochs } = parts;
+  /** Requests whose records this router has dropped: an older copy of the store may list them again. */
+  const dropped = createRecentMap<true>(mostHeld);
   let next: StorePosition | undefined;
   let isFailing = false;
   let last: Promise<boolean> = Promise.resolve(true);
 
-  const apply = ({ key, value }: FeedRecord<QuarantineRecord>): void => {
+  const apply = ({ position, key, value }: FeedRecord<QuarantineRecord>): void => {
     if (value === undefined) parts.onReleased(key);
-    else parts.onHeld(key, value);
+    else parts.onHeld(key, value, position.epoch);
+  };
+
+  /** What this router has dropped is dropped again, and not taken from a copy. */
+  const applyCopy = async (records: readonly FeedRecord<QuarantineRecord>[]): Promise<void> => {
+    records.filter(({ key }) => !dropped.has(key)).forEach(apply);
+    for (const { key } of records) if (dropped.has(key)) await feed.drop(key);
   };
 
   const readNewest = async (): Promise<StorePosition> => {
     const page = await feed.newest();
     const present = new Set(page.records.map(({ key }) => key));
-    for (const [fingerprint, { isRecorded }] of held.entries()) {
-      if (isRecorded && !present.has(fingerprint)) parts.onReleased(fingerprint);
+    // Records of an earlier epoch may have been lost: they are written again.
+    for (const [fingerprint, { recordedIn }] of held.entries()) {
+      if (recordedIn === page.next.epoch && !present.has(fingerprint)) parts.onReleased(fingerprint);
     }
-    page.records.forEach(apply);
+    await applyCopy(page.records);
     return page.next;
   };
 
@@ -73,8 +90,7 @@
     try {
       await readOn();
     } catch (error) {
-      if (!(error instanceof PlatformError) || error.fault !== "expired") throw error;
-      // Records that were trimmed before they were read: only the newest of each key are to be had.
+      if (!(error instanceof PlatformError) || !rereadFaults.has(error.fault)) throw error;
       next = undefined;
       await readOn();
     }
@@ -102,15 +118,20 @@
   const write = async (fingerprint: Fingerprint): Promise<void> => {
     await readAll();
     const known = held.get(fingerprint);
-    if (known === undefined || known.isRecorded) return;
-    await feed.put(fingerprint, known.record);
-    known.isRecorded = true;
+    if (known === undefined || known.recordedIn === epochs.current()) return;
+    known.recordedIn = await feed.put(fingerprint, known.record);
+    dropped.delete(fingerprint);
+  };
+
+  const drop = async (fingerprint: Fingerprint): Promise<void> => {
+    await feed.drop(fingerprint);
+    dropped.set(fingerprint, true);
   };
 
   return {
     read: () => inTurn(readAll),
     write: (fingerprint) => inTurn(() => write(fingerprint)),
-    drop: (fingerprint) => inTurn(() => feed.drop(fingerprint)),
+    drop: (fingerprint) => inTurn(() => drop(fingerprint)),
     claimTrial: async (fingerprint) => {
       const trial = randomBytes(trialNameBytes).toString("base64url");
       const isDone = await inTurn(async () => {
--- a/src/coordination/crashes/recordsUpkeep.ts
+++ b/src/coordination/crashes/recordsUpkeep.ts
@@ -1,5 +1,6 @@
 /** Keeps the store's records and what a router holds back in step: the first read, and what the store has not taken. */
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
+import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import { firstReadPatience, otherWriterDelay, quarantineTime, recordInterval } from "./constants.ts";
@@ -11,6 +12,7 @@
   readonly held: HeldRequests;
   readonly records: QuarantineRecords;
   readonly clock: Clock;
+  readonly epochs: EpochSource;
   /** A request has been held back for as long as one is. */
   readonly onLapsed: (fingerprint: Fingerprint) => void;
 }
@@ -30,10 +32,15 @@
 }
 
 /** Starts to read and write until it is disposed of. */
-export const startRecordsUpkeep = ({ held, records, clock, onLapsed }: RecordsUpkeepParts): RecordsUpkeep => {
+export const startRecordsUpkeep = (parts: RecordsUpkeepParts): RecordsUpkeep => {
+  const { held, records, clock, epochs, onLapsed } = parts;
   const over = new AbortController();
   const dropping = new Set<Fingerprint>();
   let isKnown = false;
+  let epochSince = Number.NEGATIVE_INFINITY;
+  epochs.subscribe(() => {
+    epochSince = clock.monotonic();
+  });
 
   const dropAll = async (): Promise<void> => {
     for (const fingerprint of dropping) {
@@ -42,8 +49,9 @@
   };
 
   /** A router that saw none of the crashes leaves the writing to one that did, which may have ended. */
-  const isToBeWritten = ({ isRecorded, isOwn, since }: Held): boolean =>
-    !isRecorded && (isOwn || clock.monotonic() - since > otherWriterDelay);
+  const isToBeWritten = ({ recordedIn, isOwn, since }: Held): boolean =>
+    recordedIn !== epochs.current() &&
+    (isOwn || clock.monotonic() - Math.max(since, epochSince) > otherWriterDelay);
 
   const keepUp = async (): Promise<void> => {
     await dropAll();
--- a/src/daemons/completionQuarantine.ts
+++ b/src/daemons/completionQuarantine.ts
@@ -9,6 +9,7 @@
 import { fingerprintOfJob } from "../coordination/requests/fingerprint.ts";
 import type { CompletionJob } from "../coordination/requests/types.ts";
 import { logStreams } from "../protocol/constants.ts";
+import { noEpochChanges } from "../protocol/storeEpoch.ts";
 import type { LogService } from "../protocol/LogService.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 
@@ -47,6 +48,7 @@
         link,
         clock,
         feed: new LogRecordFeed(log, logStreams.quarantine),
+        epochs: noEpochChanges,
         others: () => [everybody],
         random: Math.random,
       },
--- a/src/daemons/forwardingBeliefs.ts
+++ b/src/daemons/forwardingBeliefs.ts
@@ -168,6 +168,7 @@
       link: parts.link,
       clock,
       feed: platform.quarantine,
+      epochs,
       others: peers.serving,
       random: Math.random,
     }),
--- a/src/protocol/storeEpoch.ts
+++ b/src/protocol/storeEpoch.ts
@@ -19,3 +19,6 @@
   /** Calls back after each rise. */
   readonly subscribe: (listener: (change: EpochChange) => void) => void;
 }
+
+/** The epochs of a store that has none. */
+export const noEpochChanges: EpochSource = { current: () => unnamedEpoch, subscribe: () => undefined };
--- a/src/state/recentMap.ts
+++ b/src/state/recentMap.ts
@@ -3,6 +3,7 @@
   readonly has: (key: string) => boolean;
   readonly get: (key: string) => T | undefined;
   readonly set: (key: string, value: T) => void;
+  readonly delete: (key: string) => void;
 }
 
 /**
@@ -15,6 +16,9 @@
   return {
     has: (key) => entries.has(key),
     get: (key) => entries.get(key),
+    delete: (key) => {
+      entries.delete(key);
+    },
     set: (key, value) => {
       entries.delete(key);
       entries.set(key, value);
--- a/tests/support/quarantineRouters.ts
+++ b/tests/support/quarantineRouters.ts
@@ -14,9 +14,9 @@
 } from "../../src/protocol/forwarding/types.ts";
 import { MemoryNetwork } from "./memoryNetwork.ts";
 import type { StoreEpoch } from "../../src/protocol/storeEpoch.ts";
-import type { StorePosition } from "../../src/protocol/StorePosition.ts";
-import { positionAt } from "./positions.ts";
-import { unnamedEpoch } from "../../src/protocol/storeEpoch.ts";
+import { StorePosition } from "../../src/protocol/StorePosition.ts";
+import type { StoreEpochs } from "../../src/state/storeEpochs.ts";
+import { createStoreEpochs } from "../../src/state/storeEpochs.ts";
 
 /** The store's records of one topic. */
 export interface MemoryRecords {
@@ -24,10 +24,12 @@
   /** Ports of routers that the store does not answer. */
   readonly cutOff: Set<number>;
   reads: number;
+  epoch: StoreEpoch;
 }
 
 /** One router's way to them. */
 class MemoryFeed extends RecordFeed<QuarantineRecord> {
+  readonly epochs = createStoreEpochs();
   private readonly records: MemoryRecords;
   private readonly port: number;
 
@@ -44,13 +46,17 @@
   }
 
   override changes(from: StorePosition): Promise<FeedPage<QuarantineRecord>> {
-    const records = this.records.log.slice(from.offsetIn(unnamedEpoch));
+    if (this.records.cutOff.has(this.port)) return this.fail();
+    this.epochs.observe(this.records.epoch);
+    if (from.epoch !== this.records.epoch)
+      return Promise.reject(platformError("ended", "epoch_ended", false));
+    const records = this.records.log.slice(from.offsetIn(this.records.epoch));
     return this.answer({ records, next: this.end(), isComplete: true });
   }
 
   override async put(key: string, value: QuarantineRecord): Promise<StoreEpoch> {
     await this.append(key, value);
-    return unnamedEpoch;
+    return this.records.epoch;
   }
 
   override drop(key: string): Promise<void> {
@@ -58,17 +64,19 @@
   }
 
   private end(): StorePosition {
-    return positionAt(this.records.log.length);
+    return new StorePosition(this.records.epoch, this.records.log.length);
   }
 
   private append(key: string, value: QuarantineRecord | undefined): Promise<void> {
     if (this.records.cutOff.has(this.port)) return this.fail();
+    this.epochs.observe(this.records.epoch);
     this.records.log.push({ position: this.end(), key, value });
     return Promise.resolve();
   }
 
   private answer(page: FeedPage<QuarantineRecord>): Promise<FeedPage<QuarantineRecord>> {
     if (this.records.cutOff.has(this.port)) return this.fail();
+    this.epochs.observe(this.records.epoch);
     this.records.reads += 1;
     return Promise.resolve(page);
   }
@@ -113,8 +121,9 @@
 export const createQuarantineRouters = (count: number) => {
   const clock = createManualClock(1_000);
   const network = new MemoryNetwork(clock);
-  const records: MemoryRecords = { log: [], cutOff: new Set(), reads: 0 };
+  const records: MemoryRecords = { log: [], cutOff: new Set(), reads: 0, epoch: 1 };
   const routers: QuarantineRouter[] = [];
+  const trackers: StoreEpochs[] = [];
   /** Ports that exchange no datagrams with the rest. */
   const apart = new Set<number>();
 
@@ -125,13 +134,24 @@
         .filter((other) => other.port !== port && apart.has(other.port) === apart.has(port))
         .map((other) => ({ at: { address: "10.0.0.1", port: other.port } }));
     const feed = new MemoryFeed(records, port);
-    const quarantine = createQuarantine({ link, clock, feed, others, random: () => port / (count + 100) });
+    const { epochs } = feed;
+    trackers.push(epochs);
+    const random = (): number => port / (count + 100);
+    const quarantine = createQuarantine({ link, clock, feed, epochs, others, random });
     const router = { port, quarantine };
     routers.push(router);
     return router;
   };
   for (let port = 1; port <= count; port += 1) start(port);
 
+  /** The store loses all records from an offset on. */
+  const returnStore = (length: number): void => {
+    records.log.length = length;
+    records.epoch += 1;
+    // Routers read other topics all the time.
+    for (const epochs of trackers) epochs.observe(records.epoch);
+  };
+
   /** What routers' messages to one another say all the time. */
   const beat = (): void => {
     for (const { port, quarantine } of routers) {
@@ -164,6 +184,7 @@
     routers,
     apart,
     start,
+    returnStore,
     stop: async (router: QuarantineRouter): Promise<void> => {
       routers.splice(routers.indexOf(router), 1);
       const disposed = router.quarantine[Symbol.asyncDispose]();
