Name the store's epoch and the age of the last read where a request is refused

A refusal by an outdated configuration could not be told from one by a current configuration of a store that had lost records. The line `requests refused` and `explain` name version, epoch, age of the last read and age of the proof.

--- a/src/commandLine/requestStory.test.ts
+++ b/src/commandLine/requestStory.test.ts
@@ -63,10 +63,13 @@
         request: "wanted",
         reason: "RequestError: This router can't tell whether its configuration is in force.",
         configurationVersion: 7,
+        storeEpoch: 3,
+        readAge: 120,
         configurationAge: 4_900,
       }),
     );
-    expect(told.steps[0]?.text.includes("proved 4900 ms before")).toEqual(true);
+    const proof = "configuration 7, store epoch 3, read 120 ms and proved 4900 ms before";
+    expect(told.steps[0]?.text.includes(proof)).toEqual(true);
     expect(told.around[0]?.text.startsWith("feeds lost")).toEqual(true);
     expect(told.cause.includes("no fresh proof")).toEqual(true);
   });
--- a/src/commandLine/requestStory.ts
+++ b/src/commandLine/requestStory.ts
@@ -38,7 +38,7 @@
     `the stream from replica ${fieldOf(line, "replica")} broke after ${fieldOf(line, "milliseconds")} ms: ${fieldOf(line, "reason")}`,
   "requests stream_left": (line) => `the caller left after ${fieldOf(line, "milliseconds")} ms`,
   "requests refused": (line) =>
-    `refused before any replica was chosen: ${fieldOf(line, "reason")} (configuration ${fieldOf(line, "configurationVersion")}, proved ${fieldOf(line, "configurationAge")} ms before)`,
+    `refused before any replica was chosen: ${fieldOf(line, "reason")} (configuration ${fieldOf(line, "configurationVersion")}, store epoch ${fieldOf(line, "storeEpoch")}, read ${fieldOf(line, "readAge")} ms and proved ${fieldOf(line, "configurationAge")} ms before)`,
   "requests attempt_failed": (line) =>
     `attempt at replica ${fieldOf(line, "replica")} failed: ${fieldOf(line, "fault")}, ${fieldOf(line, "progress")}, status ${fieldOf(line, "status")}`,
   "requests turned_away": (line) =>
--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -6,6 +6,8 @@
  */
 import type { ToldTarget } from "../../protocol/forwarding/peerMessage.ts";
 import type { OperatorRecord, FeedPage } from "../../protocol/forwarding/types.ts";
+import type { StoreEpoch } from "../../protocol/storeEpoch.ts";
+import { unnamedEpoch } from "../../protocol/storeEpoch.ts";
 import { createLogger } from "../../state/log.ts";
 import { createRouteTable } from "../../state/forwarding/routeTable.ts";
 import type { RouteTable } from "../../state/forwarding/routeTable.ts";
@@ -53,6 +55,8 @@
   readonly confirmVersion: (version: number, at: number) => void;
   /** A peer has this version: reads that don't find it prove nothing. */
   readonly notePeerVersion: (version: number) => void;
+  /** @returns The epoch of the store in which the operator's records were last read. */
+  readonly epoch: () => StoreEpoch;
   /** @returns The newest record known of each key. */
   readonly newest: () => readonly KnownRecord[];
   /** @returns The version of the newest record known of a key; 0 if there is none. */
@@ -90,6 +94,7 @@
   let provenAt = Number.NEGATIVE_INFINITY;
   /** The newest proof from before the store's last return. */
   let provenBefore = Number.NEGATIVE_INFINITY;
+  let epoch: StoreEpoch = unnamedEpoch;
   let newestOfPeers = Number.NEGATIVE_INFINITY;
   let readAt = Number.NEGATIVE_INFINITY;
 
@@ -147,7 +152,8 @@
     },
     age: () => clock.monotonic() - validProof(),
     provenAt: validProof,
-    apply: ({ records }) => {
+    apply: ({ records, next }) => {
+      epoch = next.epoch;
       for (const { key, value } of records) {
         if (value === undefined) continue;
         takeRecord(value);
@@ -169,6 +175,7 @@
       // A router that starts has read a store that lacks what its peers have in force.
       if (isBehind && !Number.isFinite(validProof())) provenAt = Number.NEGATIVE_INFINITY;
     },
+    epoch: () => epoch,
     newest: () => [...newest].map(([key, record]) => ({ key, record })),
     versionOf: (key) => {
       const record = newest.get(key);
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -102,6 +102,8 @@
         request: request.id,
         reason: reasonOf(error),
         configurationVersion: configuration.table()?.configuration.version ?? null,
+        storeEpoch: configuration.epoch(),
+        readAge: Math.round(Math.min(configuration.readAge(), Number.MAX_SAFE_INTEGER)),
         configurationAge: finiteAge(configuration),
       });
       throw error;
