End calls of the store at their time limits whatever the garbage collector does

Seen twice: tests/platform/rules.test.ts "serves keys no longer than it may without knowing that they are valid" never became ready again after the store was silent (hung), and a run of storeEpochs.test.ts hung once.

--- a/src/transport/platformHttp.ts
+++ b/src/transport/platformHttp.ts
@@ -79,6 +79,25 @@
   exchange(call: PlainPlatformCall): Promise<PlainPlatformAnswer>;
 }
 
+/**
+ * Ends a call after a time or with a signal. `AbortSignal.any` would do, but loses timeouts that the garbage collector
+ * finds no other reference to.
+ */
+const limitCall = (milliseconds: number, signal: AbortSignal | undefined) => {
+  const limit = new AbortController();
+  const cut = (): void => limit.abort();
+  const timer = setTimeout(cut, milliseconds);
+  signal?.addEventListener("abort", cut);
+  if (signal?.aborted === true) cut();
+  return {
+    signal: limit.signal,
+    [Symbol.dispose]: (): void => {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", cut);
+    },
+  };
+};
+
 /** Tells whether a failure came before any byte of the request left. */
 const failedToConnect = (error: unknown): boolean => {
   if (!(error instanceof Error)) return false;
@@ -135,6 +154,7 @@
     further: Readonly<Record<string, string>> = {},
   ): Promise<PlainPlatformAnswer & { readonly tag: string | undefined }> => {
     const changesState = call.method === "POST";
+    using limit = limitCall(timeout + (call.wait ?? 0), call.signal);
     try {
       const answer = await agent.request({
         origin,
@@ -146,10 +166,7 @@
           ...(typeof call.body === "string" ? { "content-type": "application/json" } : {}),
         },
         body: call.body ?? null,
-        signal: AbortSignal.any([
-          AbortSignal.timeout(timeout + (call.wait ?? 0)),
-          ...(call.signal === undefined ? [] : [call.signal]),
-        ]),
+        signal: limit.signal,
       });
       onAnswer?.(answer.headers);
       const { etag } = answer.headers;
