--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -30,6 +30,7 @@
   "storeDelayed",
   "storeMuted",
   "storeLosesAnswers",
+  "storeReturns",
   "killRouter",
   "killAllRouters",
   "endRouter",
--- a/soak/platform/disturber.ts
+++ b/soak/platform/disturber.ts
@@ -31,6 +31,10 @@
 const backoffSeconds = { least: 0.8, most: 2.5 } as const;
 const mostRefused = 5_000;
 
+/** How long the store may be away before it returns from a copy, and until the operator writes again, milliseconds. */
+const longestAway = 600;
+const rewriteDelay = 200;
+
 /** What engines and plain services do on the wire that they should not. */
 const misbehaviours = {
   engines: ["shed", "fail", "reset", "cut", "crossed", "unsealed"],
@@ -114,6 +118,19 @@
   return { kill, end, endInTurn, freeze };
 };
 
+/** @param writeAgain - What the operator does a moment after a return. */
+const createReturns = (system: SoakSystem, writeAgain: () => void) => {
+  let isReturning = false;
+  return async ({ duration, target }: Step): Promise<void> => {
+    if (isReturning) return;
+    isReturning = true;
+    await system.returnStore(duration, longestAway * target);
+    await sleep(rewriteDelay);
+    writeAgain();
+    isReturning = false;
+  };
+};
+
 /** @param spareKeys - Keys that the operator may take away, first to last. */
 export const createDisturber = (system: SoakSystem, spareKeys: readonly string[]): Disturber => {
   const steps: StepRecord[] = [];
@@ -203,6 +220,12 @@
     weights.push({ version: newest, at: performance.now() });
   };
 
+  const returnStore = createReturns(system, () => {
+    system.publish(version, { tenants: tenantsWith(keysLeft) });
+    const newest = weights.at(-1);
+    if (newest !== undefined) system.nameWeights(newest.version);
+  });
+
   const changeSettings = async (place: RouterPlace | undefined, target: number): Promise<void> => {
     if (place === undefined) return;
     await system.writeSettings(place, bounds.retryReserve + Math.floor(target * 10));
@@ -238,6 +261,7 @@
     replicaLeaves: ({ target }) => leave(pickReplica(target)),
     takeKey,
     nameWeights,
+    storeReturns: returnStore,
     changeConfiguration: () => publish(),
     changeSettings: ({ target }, router) => changeSettings(router, target),
   };
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --suspend --shrink --logs DIR]`:
  * routers as processes before the platform's stand-in, struck from outside by a seeded plan. Exit code 1 if a
  * promise was broken; the plan and the routers' logs of such a run are kept.
  */
@@ -7,7 +7,7 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import type { Step } from "./plan.ts";
-import { allStepKinds, createPlan, describePlan, usualStepKinds } from "./plan.ts";
+import { allStepKinds, createPlan, returningStepKinds, describePlan, usualStepKinds } from "./plan.ts";
 import type { SoakOutcome } from "./run.ts";
 import { runSoak } from "./run.ts";
 import { shrinkPlan } from "./shrink.ts";
@@ -25,6 +25,7 @@
     desks: { type: "string", default: "3" },
     only: { type: "string" },
     reports: { type: "boolean", default: false },
+    returns: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -39,7 +40,8 @@
 const firstSeed = Number(values.seed ?? Date.now() % 1_000_000);
 
 const planOf = (seed: number): readonly Step[] => {
-  const kinds = values.reports ? allStepKinds : usualStepKinds;
+  const reporting = values.reports ? allStepKinds : usualStepKinds;
+  const kinds = values.returns ? returningStepKinds : reporting;
   const plan = createPlan(seed, Number(values.seconds), kinds);
   const only = values.only?.split(",").map(Number);
   return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -29,8 +29,11 @@
 /** The usual ones, and replicas that report about themselves in their answers. */
 export const allStepKinds = [...usualStepKinds, "replicaReportsDraining", "replicaAsksForBackoff"] as const;
 
+/** All of these, and a store that returns from older copies of itself. */
+export const returningStepKinds = [...allStepKinds, "storeReturns", "storeReturns"] as const;
+
 /** What may happen. */
-export type StepKind = (typeof allStepKinds)[number];
+export type StepKind = (typeof returningStepKinds)[number];
 
 /** One thing that happens. */
 export interface Step {
--- a/soak/platform/system.ts
+++ b/soak/platform/system.ts
@@ -2,12 +2,14 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import type { ResourceStack } from "../../src/protocol/resourceStack.ts";
 import { createResourceStack } from "../../src/protocol/resourceStack.ts";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { StoreStandIn } from "../../standIns/platform/store.ts";
 import { startStoreStandIn } from "../../standIns/platform/store.ts";
+import type { StoreCopy } from "../../standIns/platform/topics.ts";
 import {
   configuration,
   createWriters,
@@ -74,6 +76,13 @@
   readonly register: (place: ReplicaPlace, state: "ready" | "draining" | undefined) => void;
   readonly publish: (version: number, fields?: Readonly<Record<string, unknown>>) => void;
   readonly nameWeights: (version: number) => void;
+  /**
+   * The store is away for a time and returns from a copy; replicas then register again.
+   *
+   * @param age - How old the copy is at least, milliseconds.
+   * @param away - Milliseconds.
+   */
+  readonly returnStore: (age: number, away: number) => Promise<void>;
   readonly writeSettings: (place: RouterPlace, retryReserve: number) => Promise<void>;
   /** Lines that the routers have printed, the last ones. */
   readonly log: readonly string[];
@@ -107,6 +116,10 @@
 /** Milliseconds. */
 const heartbeatInterval = 500;
 
+/** Copies of the store that are kept, and milliseconds between two. */
+const mostCopies = 10;
+const copyInterval = 400;
+
 const mostLogLines = 200_000;
 
 /** Each run has addresses of its own, so that several can run at once. */
@@ -164,7 +177,9 @@
   const replicas = await startReplicas(size, resources);
   const log: string[] = [];
 
+  const registered = new Map<ReplicaPlace, "ready" | "draining" | undefined>();
   const register: SoakSystem["register"] = (place, state) => {
+    registered.set(place, state);
     const { replica, service, proxy } = place;
     const address = proxy.address;
     const entry = { ...entryOf(service, replica, replica.version()), address, state: state ?? "" };
@@ -202,6 +217,31 @@
     });
   }
 
+  const copies: { readonly at: number; readonly copy: StoreCopy }[] = [];
+  const copying = setInterval(() => {
+    copies.push({ at: performance.now(), copy: store.topics.copy() });
+    copies.splice(0, copies.length - mostCopies);
+  }, copyInterval);
+  resources.defer(() => {
+    clearInterval(copying);
+    return undefined;
+  });
+
+  const returnStore: SoakSystem["returnStore"] = async (age, away) => {
+    const before = performance.now() - age;
+    const [oldest] = copies;
+    const { copy } = copies.findLast(({ at }) => at <= before) ?? oldest ?? { copy: store.topics.copy() };
+    const ways = [store, ...routers.map((place) => place.store)];
+    for (const way of ways) {
+      way.faults.isAway = true;
+      way.closeConnections();
+    }
+    await sleep(away);
+    store.topics.returnFrom(copy);
+    for (const way of ways) way.faults.isAway = false;
+    for (const [place, state] of registered) register(place, state);
+  };
+
   const keep = (line: string): void => {
     log.push(line);
     if (log.length > mostLogLines) log.splice(0, mostLogLines / 2);
@@ -226,6 +266,7 @@
     register,
     publish: (version, fields) => writers.publish(configuration(version, fields)),
     nameWeights: writers.nameWeights,
+    returnStore,
     writeSettings: (place, retryReserve) => {
       const address = new URL(place.url).hostname;
       return writeFile(
--- a/standIns/platform/store.ts
+++ b/standIns/platform/store.ts
@@ -13,6 +13,8 @@
   isBusy: boolean;
   /** No call is answered. */
   isSilent: boolean;
+  /** The same, until the store returns from a copy. */
+  isAway: boolean;
   /** The next appends are done, and their connections closed without an answer. */
   loseAppends: number;
   /** Answers are sent so long after the call was carried out, milliseconds. */
@@ -89,6 +91,7 @@
   const faults: StoreFaults = {
     isBusy: false,
     isSilent: false,
+    isAway: false,
     loseAppends: 0,
     answerDelay: 0,
     hidesEpoch: false,
@@ -147,7 +150,7 @@
     const { pathname, searchParams } = new URL(request.url ?? "/", "http://store");
     calls.set(pathname, (calls.get(pathname) ?? 0) + 1);
     const body = await readBody(request);
-    if (faults.isSilent) return;
+    if (faults.isSilent || faults.isAway) return;
     const made = await carryOut(pathname, searchParams, body);
     const epoch = topics.epoch();
     if (faults.answerDelay > 0) await sleep(faults.answerDelay);
@@ -175,11 +178,11 @@
     },
     closeConnections: () => server.closeAllConnections(),
     returnFrom: async (copy, away, options) => {
-      faults.isSilent = true;
+      faults.isAway = true;
       if (options?.keepsConnections !== true) server.closeAllConnections();
       await sleep(away);
       topics.returnFrom(copy);
-      faults.isSilent = false;
+      faults.isAway = false;
     },
     [Symbol.asyncDispose]: () => {
       server.close();
