--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,6 +10,7 @@
 import { retriesBench } from "./retries/retries.ts";
 import { routerBench } from "./router/router.ts";
 import { slopesBench } from "./slopes/slopes.ts";
+import { storeEpochsBench } from "./storeEpochs/storeEpochs.ts";
 import type { Bench } from "./types.ts";
 
 /** Every bench, in the order in which they are listed; add yours here. */
@@ -24,6 +25,7 @@
   restartBench,
   ownersBench,
   routerBench,
+  storeEpochsBench,
 ];
 
 const list = (): string =>
--- a/standIns/platform/system.ts
+++ b/standIns/platform/system.ts
@@ -224,6 +224,11 @@
   readonly stopRouters: () => Promise<void>;
 }
 
+/** @returns The names under which routers are registered. */
+export const registeredRouters = ({ store }: Pick<PlatformSystem, "store">): readonly string[] => [
+  ...store.topics.newest("keyed.routers").keys(),
+];
+
 /** What a system is made of. */
 export interface PlatformSystemSettings {
   readonly desks?: number;
--- a/tests/platform/storeEpochs.test.ts
+++ b/tests/platform/storeEpochs.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "earl";
 import { startStoreStandIn } from "../../standIns/platform/store.ts";
 import type { PlatformSystem } from "../../standIns/platform/system.ts";
-import { call, configuration, isReady } from "../../standIns/platform/system.ts";
+import { call, configuration, isReady, registeredRouters } from "../../standIns/platform/system.ts";
 import {
   added,
   awaitStatus,
@@ -12,7 +12,6 @@
   awayTime,
   countStatus,
   read,
-  registeredRouters,
   revocableKey,
   startReturningSystem,
   timeUntil,
--- a/tests/support/returningStore.ts
+++ b/tests/support/returningStore.ts
@@ -74,11 +74,6 @@
 ): Promise<number> =>
   timeUntil(longest, async () => (await countStatus(routers, status, asked)) === routers.length);
 
-/** @returns The names under which routers are registered. */
-export const registeredRouters = ({ store }: Pick<PlatformSystem, "store">): readonly string[] => [
-  ...store.topics.newest("keyed.routers").keys(),
-];
-
 /** Longest wait for what a test begins with, milliseconds. */
 const longestSetUp = 10_000;
 
