--- a/src/coordination/storeReading/storeReading.test.ts
+++ b/src/coordination/storeReading/storeReading.test.ts
@@ -8,7 +8,7 @@
 import type { Peer } from "../forwarding/peerTable.ts";
 import { failuresOutOfReach } from "./constants.ts";
 import { startStoreReading } from "./storeReading.ts";
-import { positionAt } from "../../../tests/support/positions.ts";
+import { StorePosition } from "../../protocol/StorePosition.ts";
 
 const bounds = { keyRevocation: 5_000, drain: 4_000 };
 const readerCount = 3;
@@ -27,6 +27,7 @@
   const store = { delay: 2, calls: 0, isDown: false };
   const routers = Array.from({ length: count }, (_, index) => {
     const state = {
+      epoch: 1,
       offset: 0,
       provenAt: clock.monotonic(),
       readAt: clock.monotonic(),
@@ -70,16 +71,16 @@
       readers,
       readAge: () => clock.monotonic() - state.readAt,
       operator: {
-        feed: { position: () => positionAt(state.offset), check, hurry },
-        changedAt: () => positionAt(state.offset),
+        feed: { position: () => new StorePosition(state.epoch, state.offset), check, hurry },
+        changedAt: () => new StorePosition(state.epoch, state.offset),
         age: () => clock.monotonic() - state.provenAt,
         confirm: (moment) => {
           state.provenAt = Math.max(state.provenAt, moment);
         },
       },
       replicas: {
-        feed: { position: () => positionAt(state.offset), check, hurry },
-        changedAt: () => positionAt(0),
+        feed: { position: () => new StorePosition(state.epoch, state.offset), check, hurry },
+        changedAt: () => new StorePosition(state.epoch, 0),
         age: () => clock.monotonic() - state.registryProvenAt,
         confirm: (moment) => {
           state.registryProvenAt = Math.max(state.registryProvenAt, moment);
@@ -128,6 +129,24 @@
     expect(clock.monotonic() - struck.state.provenAt < longestAge).toEqual(true);
   });
 
+  // Offsets of another epoch may be higher and say nothing.
+  it("proves nothing to a router that knows another epoch of the store", async () => {
+    const { routers, run } = create(6);
+    await run(3_000);
+    const behind = routers.at(-1);
+    if (behind === undefined) throw new Error("There are no routers.");
+    for (const { state } of routers) if (state !== behind.state) state.epoch = 2;
+    behind.state.offset = 100;
+    behind.state.isCut = true;
+    await run(100);
+    const before = behind.state.provenAt;
+    await run(3_000);
+    expect(behind.state.provenAt).toEqual(before);
+    behind.state.epoch = 2;
+    await run(3_000);
+    expect(behind.state.provenAt > before).toEqual(true);
+  });
+
   it("costs calls for the readers alone, and keeps everybody's proofs fresh", async () => {
     const { store, run, ages } = create(31);
     await run(3_000);
