--- a/src/coordination/storeEpochs/routerRegistration.ts
+++ b/src/coordination/storeEpochs/routerRegistration.ts
@@ -50,7 +50,7 @@
         await pause(clock, dependencies.retryInterval(), stop.signal);
       }
     }
-    writeLog("registered", { epoch: registeredIn ?? null });
+    if (registeredIn !== undefined && !stop.signal.aborted) writeLog("registered", { epoch: registeredIn });
   };
 
   const registerLater = (delay: number): void => {
