--- a/tests/model/leaseModel.ts
+++ b/tests/model/leaseModel.ts
@@ -190,21 +190,28 @@
 };
 
 /** Times count only as ages, and ages only up to the duration of a tenure. */
-const keyOf = ({ now, log, routers, ...rest }: State): string => {
+const keyOf = ({ now, epoch, engineFence, problem, log, routers }: State): string => {
   const ageOf = (since: number): number => Math.min(duration, now - since);
-  const grantKey = ({ sentAt, ...grant }: Grant) => ({ ...grant, age: ageOf(sentAt) });
-  return JSON.stringify({
-    ...rest,
-    log: log.map(grantKey),
-    routers: routers.map(({ epochSince, headSince, append, tenure, ...router }) => ({
-      ...router,
-      epochAge: ageOf(epochSince),
-      headAge: ageOf(headSince),
-      append: append && grantKey(append),
-      tenure:
-        tenure !== undefined && tenure.until > now ? { ...tenure, until: tenure.until - now } : undefined,
-    })),
-  });
+  const grantKey = (grant: Grant): string =>
+    `${grant.epoch},${grant.holder},${grant.readTo},${grant.fence},${ageOf(grant.sentAt)}`;
+  const appendKey = (append: Append | undefined): string =>
+    append === undefined
+      ? ""
+      : `${grantKey(append)},${append.taken?.epoch ?? ""},${append.taken?.offset ?? ""}`;
+  const tenureKey = (tenure: Tenure | undefined): string =>
+    tenure === undefined || tenure.until <= now
+      ? ""
+      : `${tenure.epoch},${tenure.fence},${tenure.until - now}`;
+  const routerKey = (router: Router): string =>
+    [
+      router.epoch,
+      ageOf(router.epochSince),
+      router.head,
+      ageOf(router.headSince),
+      appendKey(router.append),
+      tenureKey(router.tenure),
+    ].join(";");
+  return [epoch, engineFence, problem, ...log.map(grantKey), "", ...routers.map(routerKey)].join("|");
 };
 
 /** Creates the model. */
