Decide in one place which failed reads need a whole read; share the values of a page

A result that nobody used is gone. Behaviour stays as it is: 73 tests of feeds, quarantine, epochs, daemons and the adapter pass, six real routers among them.

--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -4,8 +4,7 @@
  * counts.
  */
 import { randomBytes } from "node:crypto";
-import type { PlatformFault } from "../../protocol/errors.ts";
-import { PlatformError } from "../../protocol/errors.ts";
+import { requiresReread } from "../../protocol/errors.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
@@ -40,9 +39,6 @@
 
 const trialNameBytes = 9;
 
-/** Faults after which only the newest record of each key can be had. */
-const rereadFaults: ReadonlySet<PlatformFault> = new Set(["expired", "beyond_end", "epoch_ended"]);
-
 const writeLog = createLogger("quarantine");
 
 /** Creates records of which nothing has been read. */
@@ -90,7 +86,7 @@
     try {
       await readOn();
     } catch (error) {
-      if (!(error instanceof PlatformError) || !rereadFaults.has(error.fault)) throw error;
+      if (!requiresReread(error)) throw error;
       next = undefined;
       await readOn();
     }
--- a/src/coordination/forwarding/feedFollower.ts
+++ b/src/coordination/forwarding/feedFollower.ts
@@ -1,8 +1,7 @@
 /** One task that keeps up with a feed: the newest record of every key first, then changes as they come. */
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import type { FeedPage } from "../../protocol/forwarding/types.ts";
-import type { PlatformFault } from "../../protocol/errors.ts";
-import { PlatformError } from "../../protocol/errors.ts";
+import { PlatformError, requiresReread } from "../../protocol/errors.ts";
 import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
 import { laterPosition } from "../../protocol/StorePosition.ts";
@@ -52,9 +51,6 @@
   readonly position: () => StorePosition | undefined;
 }
 
-/** Faults after which only the newest record of each key can be had. */
-const rereadFaults: ReadonlySet<PlatformFault> = new Set(["expired", "beyond_end", "epoch_ended"]);
-
 /** Starts to follow a feed. */
 export const followFeed = <T>(dependencies: FeedFollowerDependencies<T>): FeedFollower => {
   const { name, feed, epochs, clock } = dependencies;
@@ -92,12 +88,11 @@
     next = next === undefined ? to : laterPosition(next, to);
   };
 
-  /** @returns Whether everything has to be read anew. */
-  const noteFault = (error: unknown): boolean => {
-    if (!(error instanceof PlatformError) || !rereadFaults.has(error.fault)) return false;
-    if (error.fault === "beyond_end") writeLog("beyond_end", { feed: name, reason: error.message });
-    next = undefined;
-    return true;
+  const noteFault = (error: unknown): void => {
+    if (error instanceof PlatformError && error.fault === "beyond_end") {
+      writeLog("beyond_end", { feed: name, reason: error.message });
+    }
+    if (requiresReread(error)) next = undefined;
   };
 
   const noteFailure = (error: unknown): void => {
--- a/src/coordination/storeEpochs/registryRecovery.ts
+++ b/src/coordination/storeEpochs/registryRecovery.ts
@@ -1,4 +1,5 @@
 /** Keeps replicas that an older copy of the registry lacks until they have had time to register again. */
+import { presentValues } from "../../protocol/forwarding/RecordFeed.ts";
 import type { FeedPage, FeedRecord, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
 import { createLogger } from "../../state/log.ts";
@@ -29,12 +30,9 @@
   const missing = new Set<string>();
   let removeFrom = Number.POSITIVE_INFINITY;
 
-  const present = ({ records }: FeedPage<ReplicaEntry>): readonly ReplicaEntry[] =>
-    records.flatMap(({ value }) => (value === undefined ? [] : [value]));
-
   const mergeCopy = (page: FeedPage<ReplicaEntry>): void => {
     missing.clear();
-    replicas.merge(present(page)).forEach((name) => missing.add(name));
+    replicas.merge(presentValues(page)).forEach((name) => missing.add(name));
     removeFrom = clock.monotonic() + recoveryTime;
     changedAt = page.next;
     writeLog("registry_read", { epoch: page.next.epoch, missing: missing.size });
@@ -59,7 +57,7 @@
         mergeCopy(page);
         return;
       }
-      const isChange = replicas.replaceAll(present(page));
+      const isChange = replicas.replaceAll(presentValues(page));
       if (isChange || changedAt === undefined) changedAt = page.next;
     },
     apply: ({ records }) => records.forEach(applyRecord),
--- a/src/coordination/storeEpochs/routerRegistration.ts
+++ b/src/coordination/storeEpochs/routerRegistration.ts
@@ -1,5 +1,6 @@
 /** Registers a router in the platform's store, and again in each epoch. */
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
+import { presentValues } from "../../protocol/forwarding/RecordFeed.ts";
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
 import type { EpochSource, StoreEpoch } from "../../protocol/storeEpoch.ts";
 import { createLogger } from "../../state/log.ts";
@@ -35,8 +36,7 @@
   const attempt = async (): Promise<void> => {
     const epoch = await feed.put(self.name, self);
     // Read after writing: of two routers that register at once, one finds the other.
-    const { records } = await feed.newest();
-    dependencies.onListed(records.flatMap(({ value }) => (value === undefined ? [] : [value])));
+    dependencies.onListed(presentValues(await feed.newest()));
     registeredIn = epoch;
   };
 
--- a/src/protocol/errors.ts
+++ b/src/protocol/errors.ts
@@ -136,6 +136,13 @@
   return error;
 };
 
+/** Faults after which only the newest record of each key can be had. */
+const rereadFaults: ReadonlySet<PlatformFault> = new Set(["expired", "beyond_end", "epoch_ended"]);
+
+/** Whether a failed read means that everything has to be read anew. */
+export const requiresReread = (error: unknown): boolean =>
+  error instanceof PlatformError && rereadFaults.has(error.fault);
+
 /** One thing wrong in a settings or configuration file. */
 export interface FileProblem {
   /** Where in the file, for example `organisations[2].models[0]`. */
--- a/src/protocol/forwarding/RecordFeed.ts
+++ b/src/protocol/forwarding/RecordFeed.ts
@@ -2,6 +2,10 @@
 import type { StorePosition } from "../StorePosition.ts";
 import type { FeedPage } from "./types.ts";
 
+/** @returns The values of records that were not dropped. */
+export const presentValues = <T>({ records }: FeedPage<T>): readonly T[] =>
+  records.flatMap(({ value }) => (value === undefined ? [] : [value]));
+
 /** Records with keys in the platform's store, of which the newest of each key counts. Methods throw `PlatformError`. */
 export abstract class RecordFeed<T> {
   /**
