Log entries of the registry that have no effect, and how a router learned of draining

Change, no decision altered: an entry without effect is logged once with its reason and position (entry_dropped); the line of a replica's state has the source of the report and the age of the registry; a request's line has the age of the registry when it was sent, and explain shows both.

--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -191,6 +191,7 @@
       owners,
       cacheStore,
       limits: noUsageLimits,
+      registryAge: () => 0,
       replicaLimits: createReplicaLimits({
         coordination,
         replicas,
--- a/src/commandLine/requestTimeline.test.ts
+++ b/src/commandLine/requestTimeline.test.ts
@@ -57,6 +57,22 @@
     expect(timeline.cause.includes("every replica of the service drained")).toEqual(true);
   });
 
+  it("says how old the registry was when a request was sent, and which of its entries had no effect", () => {
+    const timeline = timelineOf(
+      line(19, "replicas", "entry_dropped", { replica: "i-1", reason: "departed", isDraining: true }),
+      line(20, "requests", "served", {
+        request: "wanted",
+        replica: "i-1",
+        milliseconds: 9,
+        registryAge: 240,
+      }),
+    );
+    expect(timeline.steps[0]?.text.includes("the registry had been read 240 ms before")).toEqual(true);
+    expect(timeline.around.map(({ text }) => text)).toEqual([
+      "replicas entry_dropped replica=i-1 reason=departed isDraining=true",
+    ]);
+  });
+
   it("names a stale configuration as the cause of a refusal, with its age and the loss of the store", () => {
     const timeline = timelineOf(
       line(9, "feeds", "lost", { feed: "operator" }),
--- a/src/commandLine/requestTimeline.ts
+++ b/src/commandLine/requestTimeline.ts
@@ -76,6 +76,7 @@
 const replicaEvents: ReadonlySet<string> = new Set([
   "replicas ejected",
   "replicas draining",
+  "replicas entry_dropped",
   "replicas backoff_started",
   "replicas backoff_ended",
   "replicas crashed",
@@ -97,12 +98,17 @@
 const describeSkipped = (line: LogLine): string =>
   line.skipped === undefined ? "" : `; replicas that were not available: ${fieldOf(line, "skipped")}`;
 
+const describeRegistryAge = (line: LogLine): string =>
+  numberOf(line, "registryAge") === undefined
+    ? ""
+    : `; when it was sent, the registry had been read ${fieldOf(line, "registryAge")} ms before`;
+
 const stepOf = (line: LogLine): TimelineStep => {
   const described = describers[eventNameOf(line)]?.(line);
   const text =
     described === undefined
       ? `${eventNameOf(line)} ${formatFields(line)}`
-      : described + describeSkipped(line);
+      : described + describeRegistryAge(line) + describeSkipped(line);
   return { at: line.at, router: line.router, text };
 };
 
--- a/src/coordination/crashes/crashMonitor.test.ts
+++ b/src/coordination/crashes/crashMonitor.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from "node:test";
 import { setImmediate as settled } from "node:timers/promises";
 import { expect } from "earl";
-import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
+import { drainingAnswer, engineEntry } from "../../../tests/support/forwardingFixture.ts";
 import type { ConnectionProbeResult } from "../../protocol/forwarding/ReplicaClient.ts";
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { createManualClock } from "../manualClock.ts";
@@ -60,7 +60,7 @@
   it("reports no crash of a replica that drains or has left", async () => {
     const { replicas, replica, crashes, monitor, advance } = create();
     monitor.noteBrokenConnection(replica, first);
-    replicas.markDraining("a");
+    replicas.markDraining("a", drainingAnswer);
     await advance();
     monitor.noteBrokenConnection(replica, first);
     await advance();
--- a/src/coordination/forwarding/answerCheck.ts
+++ b/src/coordination/forwarding/answerCheck.ts
@@ -50,14 +50,14 @@
     for (const [model, version] of status.weights) replicas.noteWeights(replica, model, version);
   };
 
-  const learnFromRefusal = async (head: AnswerHead, replica: string): Promise<void> => {
+  const learnFromRefusal = async (head: AnswerHead, replica: string, request: string): Promise<void> => {
     if (!head.isMisdirected) return;
     const name = replicas.get(replica)?.entry.registeredAs ?? replica;
     if (head.replicaId === undefined || head.replicaId === name) {
       await readWeights(replica);
       return;
     }
-    replicas.markDraining(replica);
+    replicas.markDraining(replica, { source: "address", detail: request });
     onLeaving(replica);
   };
 
@@ -68,7 +68,7 @@
     if (head.isNotExecuted) {
       // The status alone decides; a body that is cut off does not change it.
       await collectBody(body).catch(() => undefined);
-      await learnFromRefusal(head, replica).catch((error: unknown) => {
+      await learnFromRefusal(head, replica, request.id).catch((error: unknown) => {
         writeLog("status_unknown", { replica, reason: String(error) });
       });
       const fault = head.isMisdirected ? "wrong_weights" : "overloaded";
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -38,6 +38,8 @@
   readonly partWait: PartWait;
   readonly load: LoadAdmission;
   readonly quarantine: QuarantineChecks;
+  /** @returns Milliseconds since the time up to which all records of the registry are known. */
+  readonly registryAge: () => number;
   readonly metrics: Metrics;
   readonly clock: Clock;
   /** A number from 0 to 1. */
@@ -87,7 +89,7 @@
   ): Promise<StartedAnswer> => {
     const { request, admission, deadline } = run;
     const stopper = createStopper(run.stopper);
-    run.noteChoice(choice);
+    run.noteChoice(choice, dependencies.registryAge());
     const timeout = attemptTimeout(run);
     const stopTimer = timeout === undefined ? undefined : clock.after(timeout, () => stopper.stop("silent"));
     metrics.count(metricNames.attempts);
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -24,6 +24,7 @@
 import type { CacheStoreFollower } from "./cacheStoreFollower.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
+import { finiteAge } from "./finiteAge.ts";
 import { createForwardAttempt } from "./forwardAttempt.ts";
 import type { Forwarder } from "./forwarder.ts";
 import { createForwarder } from "./forwarder.ts";
@@ -57,6 +58,8 @@
   readonly limits: UsageLimits;
   readonly replicaLimits: ReplicaLimits;
   readonly quarantine: QuarantineChecks;
+  /** @returns Milliseconds since the time up to which all records of the registry are known. */
+  readonly registryAge: () => number;
 }
 
 export interface DecisionDependencies {
@@ -83,12 +86,19 @@
 
 /** Logs changes of replicas, and drops the cache holders and estimates of those that leave. */
 const forgetDepartedReplicas = (
-  { replicas, holders }: DecisionView,
+  { replicas, holders, registryAge }: DecisionView,
   client: ReplicaClient,
   estimates: ReplicaEstimates,
 ): void => {
   replicas.subscribe((entry, departure) => {
-    writeLog("replica", { replica: entry.id, service: entry.service, state: departure ?? "ready" });
+    const { source, detail } = replicas.get(entry.id)?.draining ?? {};
+    writeLog("replica", {
+      replica: entry.id,
+      service: entry.service,
+      state: departure ?? "ready",
+      registryAge: finiteAge(registryAge()),
+      ...(source === undefined ? {} : { source, detail: detail ?? "" }),
+    });
     if (departure !== undefined) holders.forget(entry.id);
     if (departure === undefined || departure === "draining") return;
     estimates.forget(entry.id);
@@ -172,6 +182,7 @@
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
     quarantine,
     grants: createLimitGrants({ limits: view.replicaLimits, metrics, clock }),
+    registryAge: view.registryAge,
     retryShare: createRetryShare({ clock, bounds, routerCount: peers.countServing }),
     load: createLoadAdmission({ sheddingThreshold: policy.latenessTurnedAway, metrics, clock, random }),
     metrics,
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -34,8 +34,14 @@
   readonly executions: () => number;
   /** @returns The last choice of a replica, with the weights that it was expected to run. */
   readonly lastChoice: () => PlacementChoice | undefined;
-  /** Records that the request is about to be sent. */
-  readonly noteChoice: (choice: PlacementChoice) => void;
+  /**
+   * Records that the request is about to be sent.
+   *
+   * @param registryAge - Milliseconds since the time up to which all records of the registry are known.
+   */
+  readonly noteChoice: (choice: PlacementChoice, registryAge: number) => void;
+  /** @returns The age of the registry at the last choice, milliseconds; `undefined` before the first one. */
+  readonly registryAge: () => number | undefined;
   readonly noteFailure: (choice: PlacementChoice, failure: UpstreamError) => void;
   /** Records a wait for a prompt part. */
   readonly noteWait: (milliseconds: number) => void;
@@ -84,6 +90,7 @@
   let waited = 0;
   let ownerQuery: OwnerQueryStats | undefined;
   let lastChoice: PlacementChoice | undefined;
+  let registryAge: number | undefined;
   let skipped: string | undefined;
   const onCallerGone = (): void => stopper.stop("caller_left");
   signal.addEventListener("abort", onCallerGone);
@@ -117,7 +124,9 @@
     mayHaveRun: () => mayHaveRun,
     executions: () => executions,
     lastChoice: () => lastChoice,
-    noteChoice: (choice) => {
+    registryAge: () => registryAge,
+    noteChoice: (choice, age) => {
+      registryAge = age;
       sentTo.add(choice.replica.entry.id);
       executions += 1;
       lastChoice = choice;
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -8,6 +8,7 @@
 import type { AttemptLoopDependencies } from "./attemptLoop.ts";
 import { createAttemptLoop } from "./attemptLoop.ts";
 import type { ConfigurationState } from "./configurationState.ts";
+import { finiteAge } from "./finiteAge.ts";
 import { isSuccess } from "./forwardAttempt.ts";
 import { failures } from "./failures.ts";
 import type { ForwardRun, OwnerQueryStats } from "./forwardRun.ts";
@@ -52,10 +53,6 @@
         askedFor: ownerQuery.milliseconds,
       };
 
-/** JSON has no infinity, which is the age of a configuration that was never confirmed. */
-const finiteAge = ({ age }: ConfigurationState): number =>
-  Math.round(Math.min(age(), Number.MAX_SAFE_INTEGER));
-
 /** Creates a forwarder. */
 export const createForwarder = (dependencies: ForwarderDependencies): Forwarder => {
   const { requestAdmission, retryShare, quarantine, configuration, metrics, clock } = dependencies;
@@ -74,6 +71,7 @@
     const { request, admission, sentTo } = run;
     const choice = run.lastChoice();
     const skipped = run.skipped();
+    const registryAge = run.registryAge();
     run.close();
     dependencies.usage.settle(run);
     open -= 1;
@@ -89,7 +87,8 @@
       attempts: sentTo.size,
       milliseconds,
       configurationVersion: admission.table.configuration.version,
-      configurationAge: finiteAge(configuration),
+      configurationAge: finiteAge(configuration.age()),
+      registryAge: registryAge === undefined ? null : finiteAge(registryAge),
       weightsVersion: choice?.weightsVersion ?? null,
       predictedWait: choice === undefined ? null : Math.round(choice.predictedWait),
       promptTokens: choice?.promptTokens ?? null,
@@ -111,8 +110,8 @@
         reason: reasonOf(error),
         configurationVersion: configuration.table()?.configuration.version ?? null,
         storeEpoch: configuration.epoch(),
-        readAge: Math.round(Math.min(configuration.readAge(), Number.MAX_SAFE_INTEGER)),
-        configurationAge: finiteAge(configuration),
+        readAge: finiteAge(configuration.readAge()),
+        configurationAge: finiteAge(configuration.age()),
       });
       throw error;
     }
--- a/src/coordination/forwarding/routerUpdates.ts
+++ b/src/coordination/forwarding/routerUpdates.ts
@@ -118,6 +118,6 @@
   }
   for (const key of message.leaving) {
     const id = idOf(key);
-    if (id !== undefined) replicas.markDraining(id);
+    if (id !== undefined) replicas.markDraining(id, { source: "peer", detail: message.name });
   }
 };
--- a/src/coordination/replicaReports/backoff.test.ts
+++ b/src/coordination/replicaReports/backoff.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
+import { drainingAnswer, engineEntry } from "../../../tests/support/forwardingFixture.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import { createManualClock } from "../manualClock.ts";
@@ -154,8 +154,8 @@
 
   it("gives callers a retry time where all replicas drain, and none where no replica is registered", () => {
     const { availability, replicas } = setUp();
-    replicas.markDraining("a");
-    replicas.markDraining("b");
+    replicas.markDraining("a", drainingAnswer);
+    replicas.markDraining("b", drainingAnswer);
     expect(availability.available("engines")).toEqual([]);
     expect((availability.retryAfter("engines") ?? 0) > 0).toEqual(true);
     expect(availability.describeSkipped("engines")).toEqual("a:draining b:draining");
--- a/src/coordination/replicaReports/reportObserver.ts
+++ b/src/coordination/replicaReports/reportObserver.ts
@@ -98,7 +98,7 @@
     if (isDraining === "unreadable") noteUnreadable(request, "draining");
     if (isDraining !== true) return;
     metrics.count(metricNames.drainingReported);
-    if (!replicas.markDraining(id)) return;
+    if (!replicas.markDraining(id, { source: "answer", detail: request.id ?? "" })) return;
     writeLog("draining", { replica: id, request: request.id ?? null, status });
     dependencies.onDraining(id);
   };
--- a/src/coordination/storeEpochs/registryRecovery.ts
+++ b/src/coordination/storeEpochs/registryRecovery.ts
@@ -48,7 +48,7 @@
 
   const applyRecord = ({ position, key, value }: FeedRecord<ReplicaEntry>): void => {
     missing.delete(key);
-    const isChange = value === undefined ? replicas.remove(key) : replicas.put(value);
+    const isChange = value === undefined ? replicas.remove(key) : replicas.put(value, position);
     if (isChange && lastChange?.isBefore(position.advancedBy(1)) === true)
       lastChange = position.advancedBy(1);
   };
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -60,6 +60,8 @@
   readonly quarantine: Quarantine;
   /** Whether the registry of replicas has been read. */
   readonly knowsReplicas: () => boolean;
+  /** @returns Milliseconds since the time up to which all records of the registry are known. */
+  readonly registryAge: () => number;
 }
 
 const registerRouter = (
@@ -207,6 +209,7 @@
     replicaLimits,
     quarantine,
     knowsReplicas: storeFollowing.knowsReplicas,
+    registryAge: storeFollowing.registryAge,
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
 };
--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -9,6 +9,7 @@
   maxReadAgeFactor,
   registryReadIntervalShare,
 } from "../coordination/forwarding/constants.ts";
+import type { FeedFollower } from "../coordination/forwarding/feedFollower.ts";
 import { followFeed } from "../coordination/forwarding/feedFollower.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
@@ -60,6 +61,8 @@
 export interface StoreFollowing extends AsyncDisposable {
   /** Whether the registry of replicas has been read. */
   readonly knowsReplicas: () => boolean;
+  /** @returns Milliseconds since the time up to which all records of the registry are known. */
+  readonly registryAge: () => number;
   /** A router whose own last read of the operator's records is older takes no duties, milliseconds. */
   readonly maxReadAge: () => number;
   /** Reads because a peer knows newer records. */
@@ -68,6 +71,26 @@
   readonly readEpoch: () => void;
 }
 
+/** A long poll sent before the recovery window ends confirms nothing, so the records are read again after it. */
+const scheduleRecoveryChecks = (
+  { platform, recovery, clock }: StoreFollowingDependencies,
+  delegatesReads: () => boolean,
+  operatorFeed: Pick<FeedFollower, "check">,
+): AsyncDisposable => {
+  let cancelCheck: () => void = () => undefined;
+  platform.epochs.subscribe(() => {
+    cancelCheck();
+    if (delegatesReads()) return;
+    cancelCheck = clock.after(recovery.remaining() + timerSlack, () => void operatorFeed.check());
+  });
+  return {
+    [Symbol.asyncDispose]: () => {
+      cancelCheck();
+      return Promise.resolve();
+    },
+  };
+};
+
 /** Starts to follow the store. */
 export const followStore = (dependencies: StoreFollowingDependencies): StoreFollowing => {
   const { platform, clock, bounds, configuration, replicas, peers } = dependencies;
@@ -136,6 +159,8 @@
     }),
   );
 
+  const registryAge = (): number => clock.monotonic() - registryConfirmedAt;
+
   const registry = createRegistryRecovery(replicas, clock);
   const registryFeed = resources.use(
     followFeed({
@@ -175,27 +200,14 @@
       replicas: {
         feed: registryFeed,
         lastChangePosition: registry.lastChangePosition,
-        age: () => clock.monotonic() - registryConfirmedAt,
+        age: registryAge,
         confirm: confirmRegistry,
       },
       random: Math.random,
     }),
   );
 
-  // A long poll sent before the recovery window ends confirms nothing, so the records are read again after it.
-  let cancelCheck: () => void = () => undefined;
-  platform.epochs.subscribe(() => {
-    cancelCheck();
-    if (delegatesReads()) return;
-    cancelCheck = clock.after(
-      dependencies.recovery.remaining() + timerSlack,
-      () => void operatorFeed.check(),
-    );
-  });
-  resources.defer(() => {
-    cancelCheck();
-    return undefined;
-  });
+  resources.use(scheduleRecoveryChecks(dependencies, delegatesReads, operatorFeed));
 
   let epochReadAt = Number.NEGATIVE_INFINITY;
 
@@ -207,6 +219,7 @@
 
   return {
     knowsReplicas: () => Number.isFinite(registryConfirmedAt),
+    registryAge,
     maxReadAge,
     requestRead: () => {
       recovery.readCopies();
--- a/src/state/forwarding/replicaState.ts
+++ b/src/state/forwarding/replicaState.ts
@@ -34,9 +34,24 @@
   refusals: number;
 }
 
+/** How this router learned that a replica drains. */
+export interface DrainingReport {
+  /**
+   * - `registry`: its registration.
+   * - `answer`: the head of its answer to a request or a call of this router.
+   * - `address`: another replica answered at its address.
+   * - `peer`: another router.
+   */
+  readonly source: "registry" | "answer" | "address" | "peer";
+  /** The position of the registration, the id of the request, or the name of the router; empty if unknown. */
+  readonly detail: string;
+}
+
 /** The state of one replica. */
 export interface ReplicaState {
   entry: ReplicaEntry;
+  /** The first report that it drains; `undefined` if there is none. */
+  draining: DrainingReport | undefined;
   /** 32-bit hash of its name: the same in every process and for every incarnation. */
   readonly hash: number;
   /** By model: the newest weights version seen in registrations, responses, orders and messages of peers. */
@@ -124,6 +139,7 @@
 /** @returns The initial state of a registered replica. */
 export const createReplicaState = (entry: ReplicaEntry): ReplicaState => ({
   entry,
+  draining: undefined,
   hash: hash32(entry.registeredAs),
   weights: new Map(entry.weights),
   requests: 0,
--- a/src/state/forwarding/replicaTable.test.ts
+++ b/src/state/forwarding/replicaTable.test.ts
@@ -1,11 +1,12 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import * as fc from "fast-check";
-import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
+import { drainingAnswer, engineEntry } from "../../../tests/support/forwardingFixture.ts";
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { Departure } from "./replicaTable.ts";
 import { createReplicaTable } from "./replicaTable.ts";
+import { setLogSink } from "../log.ts";
 import { isDifferentIncarnation } from "./replicaState.ts";
 
 /** One incarnation of the replica that is registered as `engine`. */
@@ -107,8 +108,8 @@
   it("keeps draining when the registry lists it as ready, removes it and lists it again", () => {
     const table = createReplicaTable();
     table.put(incarnation(100));
-    expect(table.markDraining("engine/100")).toEqual(true);
-    expect(table.markDraining("engine/100")).toEqual(false);
+    expect(table.markDraining("engine/100", drainingAnswer)).toEqual(true);
+    expect(table.markDraining("engine/100", drainingAnswer)).toEqual(false);
     table.put(incarnation(100));
     expect(isServing(table)).toEqual(false);
     table.remove("engine");
@@ -121,7 +122,7 @@
 
   it("keeps draining if it reported so while it was missing from the registry", () => {
     const table = createReplicaTable();
-    expect(table.markDraining("engine/100")).toEqual(true);
+    expect(table.markDraining("engine/100", drainingAnswer)).toEqual(true);
     table.put(incarnation(100));
     expect(isServing(table)).toEqual(false);
   });
@@ -129,10 +130,29 @@
   it("gets new work as a new incarnation at the same address", () => {
     const table = createReplicaTable();
     table.put(incarnation(100));
-    table.markDraining("engine/100");
+    table.markDraining("engine/100", drainingAnswer);
     table.put(incarnation(200));
     expect(isServing(table)).toEqual(true);
     table.put(engineEntry("other", { address: incarnation(100).address }));
     expect(table.serving("engines").length).toEqual(2);
   });
 });
+
+describe("an entry of the registry that has no effect", () => {
+  it("is logged once with the reason and whether it says that the replica drains", () => {
+    const lines: unknown[] = [];
+    setLogSink((_, event, fields) => lines.push([event, fields.replica, fields.reason, fields.isDraining]));
+    const table = createReplicaTable();
+    table.put(incarnation(200));
+    table.put(incarnation(100));
+    table.put(incarnation(100));
+    table.put(incarnation(100, { isDraining: true }));
+    table.remove("engine");
+    table.merge([incarnation(200)]);
+    expect(lines).toEqual([
+      ["entry_dropped", "engine/100", "earlier_start", false],
+      ["entry_dropped", "engine/100", "earlier_start", true],
+      ["entry_dropped", "engine/200", "departed", false],
+    ]);
+  });
+});
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -6,8 +6,10 @@
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import { createBoundedMap } from "../boundedMap.ts";
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
+import type { StorePosition } from "../../protocol/StorePosition.ts";
+import { createDroppedEntryLog } from "./droppedEntries.ts";
 import { createPeerWork } from "./peerWork.ts";
-import type { ReplicaBackoff, ReplicaState, ReplicaWork } from "./replicaState.ts";
+import type { DrainingReport, ReplicaBackoff, ReplicaState, ReplicaWork } from "./replicaState.ts";
 import { createReplicaState } from "./replicaState.ts";
 
 /** Removed incarnations whose state is kept; more than are replaced while a registry is unavailable. */
@@ -31,14 +33,15 @@
    * @returns Whether it changes which replicas get work. New weights do not count: the router that orders them notifies
    * all others, and a replica with other weights refuses the request. If they counted, every router would read the
    * registry each time one engine loads weights.
+   * @param position - The position of the registration, for the log.
    */
-  readonly put: (entry: ReplicaEntry) => boolean;
+  readonly put: (entry: ReplicaEntry, position?: StorePosition) => boolean;
   /**
    * Marks an incarnation as draining: it gets no new work, whatever the registry says of it now or later.
    *
    * @returns Whether this was not known before.
    */
-  readonly markDraining: (id: string) => boolean;
+  readonly markDraining: (id: string, report: DrainingReport) => boolean;
   /** Removes a replica that left the registry. @param name - Its registered name. @returns Whether it was known. */
   readonly remove: (name: string) => boolean;
   /** Replaces all entries by the current ones of the registry. @returns Whether it changes which replicas get work. */
@@ -74,11 +77,12 @@
   const byService = new Map<string, ReplicaState[]>();
   const drainingByService = new Map<string, ReplicaState[]>();
   /** Ids of incarnations that drain or drained: the registry may remove one temporarily and list it as ready again. */
-  const draining = createBoundedMap<true>(maxRememberedIncarnations);
+  const draining = createBoundedMap<DrainingReport>(maxRememberedIncarnations);
   /** Ids of incarnations that were removed from the table. */
   const departed = createBoundedMap<true>(maxRememberedIncarnations);
   /** By id: the backoff of an incarnation that was removed, kept because the registry may list it again. */
   const backoffs = createBoundedMap<ReplicaBackoff>(maxRememberedIncarnations);
+  const logDropped = createDroppedEntryLog();
   const listeners: ((entry: ReplicaEntry, departure: Departure | undefined) => void)[] = [];
 
   const reindex = (): void => {
@@ -108,23 +112,29 @@
   };
 
   /** Removes an earlier incarnation of an entry. @returns False if a later incarnation is known. */
-  const replaceEarlierIncarnation = (entry: ReplicaEntry): boolean => {
+  const replaceEarlierIncarnation = (entry: ReplicaEntry, position?: StorePosition): boolean => {
     const before = byName.get(entry.registeredAs);
     if (before === undefined || before.entry.id === entry.id) return true;
-    if ((entry.bornAt ?? 0) < (before.entry.bornAt ?? 0)) return false;
+    if ((entry.bornAt ?? 0) < (before.entry.bornAt ?? 0)) {
+      logDropped(entry, "earlier_start", position);
+      return false;
+    }
     removeState(before, "restarted");
     // Its process has ended: requests that may be retried elsewhere need not wait for the connection to break.
     for (const abandon of [...before.abandon]) abandon();
     return true;
   };
 
-  const put = (entry: ReplicaEntry): boolean => {
-    if (!replaceEarlierIncarnation(entry)) return false;
-    if (entry.isDraining) draining.set(entry.id, true);
-    const isDraining = draining.has(entry.id);
+  const put = (entry: ReplicaEntry, position?: StorePosition): boolean => {
+    if (!replaceEarlierIncarnation(entry, position)) return false;
+    if (entry.isDraining && !draining.has(entry.id))
+      draining.set(entry.id, { source: "registry", detail: position?.toString() ?? "" });
+    const report = draining.get(entry.id);
+    const isDraining = report !== undefined;
     const known = states.get(entry.id);
     if (known === undefined) {
       const state = createReplicaState({ ...entry, isDraining });
+      state.draining = report;
       state.backoff = backoffs.get(entry.id);
       states.set(entry.id, state);
       byKey.set(replicaKeyOf(entry.id), state);
@@ -135,6 +145,7 @@
     }
     const { isDraining: wasDraining } = known.entry;
     known.entry = { ...entry, isDraining };
+    known.draining = report;
     for (const [model, version] of entry.weights) raiseVersion(known.weights, model, version);
     if (isDraining === wasDraining) return false;
     reindex();
@@ -165,9 +176,9 @@
     serving: (service) => byService.get(service) ?? [],
     draining: (service) => drainingByService.get(service) ?? [],
     put,
-    markDraining: (id) => {
+    markDraining: (id, report) => {
       if (draining.has(id)) return false;
-      draining.set(id, true);
+      draining.set(id, report);
       const known = states.get(id);
       return known === undefined || put(known.entry);
     },
@@ -175,12 +186,15 @@
     replaceAll: (entries) => {
       const gone = missingIn(entries);
       gone.forEach(remove);
-      const changes = entries.filter(put);
+      const changes = entries.filter((entry) => put(entry));
       return gone.length + changes.length > 0;
     },
     merge: (entries) => {
       const missing = missingIn(entries);
-      entries.filter(({ id }) => !departed.has(id)).forEach(put);
+      for (const entry of entries) {
+        if (departed.has(entry.id)) logDropped(entry, "departed");
+        else put(entry);
+      }
       return missing;
     },
     noteWeights: (id, model, version) => {
--- a/tests/support/forwardingFixture.ts
+++ b/tests/support/forwardingFixture.ts
@@ -7,6 +7,7 @@
   OperatorRecord,
   ReplicaEntry,
 } from "../../src/protocol/forwarding/types.ts";
+import type { DrainingReport } from "../../src/state/forwarding/replicaState.ts";
 import { positionAt } from "./positions.ts";
 
 export const bounds: ForwardingBounds = {
@@ -51,6 +52,9 @@
   limits: { headerBytes: 16_384, bodyBytes: 100_000, headerTimeout: 3_000, idleTimeout: 15_000 },
 });
 
+/** An answer that reports draining. */
+export const drainingAnswer: DrainingReport = { source: "answer", detail: "request" };
+
 /** @returns A page of a feed with one record. */
 export const pageOf = (value: OperatorRecord, offset = 0) => ({
   records: [{ position: positionAt(offset), key: value.kind, value }],
