Add failing tests of draining reports that are dropped

Cause: a report of draining, or a removal, is judged against this router's own picture of the replica and dropped before it has had its effect everywhere.

--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -261,4 +261,26 @@
     run(2_000);
     expect(second.noted).toEqual([[17, "engine", true]]);
   });
+
+  // An entry may lapse while its replica drains, and the registry may list it as ready again.
+  it("announce a replica that drains to a router that does not list it at the moment", () => {
+    const { first, second, run, entries } = create(["a", "b"]);
+    second.peers.add(entries);
+    run(1_000);
+    second.replicas.remove("engine");
+    first.peers.announceLeaving("engine");
+    run(1_000);
+    second.replicas.put(engineEntry("engine"));
+    expect(second.replicas.serving("engines")).toEqual([]);
+  });
+
+  // A router that has lost the store alone would send to the replica until it reads the registry again.
+  it("announce a replica whose registration says that it drains", () => {
+    const { first, second, run, entries } = create(["a", "b"]);
+    second.peers.add(entries);
+    run(1_000);
+    first.replicas.put(engineEntry("engine", { isDraining: true }));
+    run(1_000);
+    expect(second.replicas.serving("engines")).toEqual([]);
+  });
 });
--- a/src/daemons/storeFollowing.test.ts
+++ b/src/daemons/storeFollowing.test.ts
@@ -14,6 +14,9 @@
 import { createReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { followStore } from "./storeFollowing.ts";
 import { createStoreEpochs } from "../state/storeEpochs.ts";
+import type { Peer } from "../coordination/forwarding/peerTable.ts";
+import { recoveryDuration } from "../coordination/storeEpochs/constants.ts";
+import { StorePosition } from "../protocol/StorePosition.ts";
 import { positionAt } from "../../tests/support/positions.ts";
 import { defaultEpoch } from "../protocol/storeEpoch.ts";
 
@@ -101,3 +104,74 @@
     expect(changed ?? 0).toBeGreaterThan(15);
   });
 });
+
+describe("a router that others read the store for", () => {
+  // It reads the registry itself only every 20 s, and relies on proofs of readers in between.
+  it("drops a replica that a restored store lacks as soon as a reader's proof shows that it is still missing", async () => {
+    let listener: (datagram: Buffer, from: { address: string; port: number }) => void = () => undefined;
+    const state = { epoch: 1, ids: ["a", "b"] };
+    const positionNow = (): StorePosition => new StorePosition(state.epoch, 10);
+    const reader = { address: "10.0.0.1", port: 2 };
+    const link = {
+      port: 1,
+      send: (_: unknown, datagram: Buffer) => {
+        const message = decodeProofMessage(datagram);
+        if (message?.kind !== "question") return;
+        const progress = { position: positionNow(), age: 0 };
+        const { number } = message;
+        const answer = { kind: "answer", number, operator: progress, replicas: progress } as const;
+        queueMicrotask(() => listener(encodeProofMessage(answer), reader));
+      },
+      receive: (newListener: typeof listener) => {
+        listener = newListener;
+      },
+    } as unknown as DatagramLink;
+    const unchanged = (from: StorePosition) => ({ records: [], next: from, isComplete: true });
+    const registry: Pick<RecordFeed<ReplicaEntry>, "newest" | "changes"> = {
+      newest: () => {
+        const records = state.ids.map((id) => ({ position: positionNow(), key: id, value: engineEntry(id) }));
+        return Promise.resolve({ records, next: positionNow(), isComplete: true });
+      },
+      changes: (from) => Promise.resolve(unchanged(from)),
+    };
+    const operator: Pick<RecordFeed<OperatorRecord>, "newest" | "changes"> = {
+      newest: () => Promise.resolve({ records: [], next: positionNow(), isComplete: true }),
+      changes: async (from) => {
+        await sleep(20);
+        return unchanged(from);
+      },
+    };
+    const epochs = createStoreEpochs();
+    epochs.observe(1);
+    const replicas = createReplicaTable();
+    await using following = followStore({
+      platform: {
+        epochs,
+        operator: operator as RecordFeed<OperatorRecord>,
+        operatorCopies: operator as RecordFeed<OperatorRecord>,
+        replicas: registry as RecordFeed<ReplicaEntry>,
+      },
+      self: "router-1",
+      recovery: noRecovery,
+      link,
+      clock: systemClock,
+      bounds: { ...bounds, drain: 4_000 },
+      configuration: createConfigurationState(systemClock),
+      replicas,
+      peers: {
+        countServing: () => 10,
+        isLarge: () => true,
+        isStoreReader: () => false,
+        live: () => [],
+        otherStoreReaders: () => [{ at: reader } as Peer],
+      },
+      onConfiguration: () => undefined,
+    });
+    while (!following.knowsReplicas()) await sleep(5);
+    state.epoch = 2;
+    state.ids = ["a"];
+    epochs.observe(2);
+    await sleep(recoveryDuration + 1_500);
+    expect(replicas.all().map(({ entry }) => entry.id)).toEqual(["a"]);
+  });
+});
