Order registrations by the store, and keep draining apart from them

What callers saw: a request reached a replica after it had said that it leaves; such a replica exits, and what it had not finished fails.

Cause: a report of draining was judged against this router's own picture. The table dropped an entry with an earlier start time (a clock that had stepped back), merged no entry of an incarnation that had been removed once, listed removed replicas again when an older read came late, and took a report that it knew from an answer for one that nobody else needs, so that routers that rely on its proofs were not told to read.

Change: RegistryRecords holds what the registry says, by the store's order alone, and answers whether others must read; the table holds which incarnations drain, by key, where no entry can undo it. Start times order nothing any more. An incarnation that was replaced returns with its second entry in a row, since a lost write may be carried out late; a copy neither brings one back nor replaces one that drains, and what is not applied is logged.

--- a/src/coordination/storeEpochs/registryRecovery.ts
+++ b/src/coordination/storeEpochs/registryRecovery.ts
@@ -1,15 +1,21 @@
-/** Keeps replicas that are missing in an older copy of the registry until they have had time to register again. */
-import { presentValues } from "../../protocol/forwarding/RecordFeed.ts";
+/**
+ * Applies the registry's records to the table of replicas, across changes of the store's epoch.
+ *
+ * Within an epoch the store's order decides which incarnation of a replica is registered. Start times are not compared:
+ * they come from clocks that may step.
+ */
 import type { FeedPage, FeedRecord, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
-import { createLogger } from "../../state/log.ts";
+import type { DropReason } from "../../state/forwarding/droppedEntries.ts";
+import { createDroppedEntryLog } from "../../state/forwarding/droppedEntries.ts";
+import { createRegistryRecords } from "../../state/forwarding/registryRecords.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { recoveryDuration } from "./constants.ts";
 
 const writeLog = createLogger("storeEpochs");
 
-/** Applies the registry's records to the table of replicas, across changes of the store's epoch. */
 export interface RegistryRecovery {
   /** Applies a whole read: the newest record of every key. */
   readonly replace: (page: FeedPage<ReplicaEntry>) => void;
@@ -17,23 +23,89 @@
   readonly apply: (page: FeedPage<ReplicaEntry>) => void;
   /** Records that everything written before a time is known, milliseconds on the monotonic clock. */
   readonly confirm: (at: number) => void;
-  /** @returns The position after the last record that changed placement; `undefined` before the first read. */
+  /**
+   * @returns The position after the last record that another router must have applied to send requests to the same
+   *   replicas; `undefined` before the first read.
+   */
   readonly lastChangePosition: () => StorePosition | undefined;
 }
 
 /** Creates an empty view of the registry. */
-export const createRegistryRecovery = (
-  replicas: Pick<ReplicaTable, "merge" | "put" | "remove" | "replaceAll">,
-  clock: Clock,
-): RegistryRecovery => {
+export const createRegistryRecovery = (replicas: ReplicaTable, clock: Clock): RegistryRecovery => {
+  const records = createRegistryRecords();
+  const logDropped = createDroppedEntryLog();
   let lastChange: StorePosition | undefined;
-  /** Names of replicas that are missing in the copy. */
+  /** Names of replicas that are missing in the copy from which the store was restored. */
   const missing = new Set<string>();
   let removeFrom = Number.POSITIVE_INFINITY;
+  /** By name: the id of a replaced incarnation that has written one entry since. */
+  const returning = new Map<string, string>();
+
+  /**
+   * Whether an entry of a replaced incarnation may be a write that the store carried out late, after its answer was
+   * lost. Such a write comes alone, while a running replica repeats its entry. A report of draining always counts.
+   */
+  const isLateWrite = ({ id, registeredAs, isDraining }: ReplicaEntry): boolean => {
+    const isRepeated = returning.get(registeredAs) === id;
+    returning.delete(registeredAs);
+    if (isDraining || isRepeated || replicas.departureOf(id) !== "restarted") return false;
+    returning.set(registeredAs, id);
+    return true;
+  };
+
+  /** Draining holds for its incarnation, whether or not the record is still the newest one. */
+  const noteDraining = ({ position, value }: FeedRecord<ReplicaEntry>): void => {
+    if (value?.isDraining === true)
+      replicas.markDraining(value.id, { source: "registry", detail: position.toString() });
+  };
+
+  /** @returns Whether it changes which replicas get work from this router. */
+  const applyInOrder = ({ position, key, value }: FeedRecord<ReplicaEntry>): boolean => {
+    if (value === undefined) return replicas.remove(key);
+    if (!isLateWrite(value)) return replicas.put(value);
+    logDropped(value, "late_write", position);
+    return false;
+  };
+
+  /** @returns Whether it changes which replicas get work, here or at a router that knows only the registry. */
+  const applyRecord = (record: FeedRecord<ReplicaEntry>): boolean => {
+    noteDraining(record);
+    const effect = records.apply(record);
+    if (effect === "superseded") return false;
+    missing.delete(record.key);
+    const changesTable = applyInOrder(record);
+    return changesTable || effect === "placement";
+  };
+
+  /**
+   * @returns Why an entry of a copy does not apply. The copy is older than what this router knows, so it neither brings
+   *   back an incarnation nor replaces one that drains; if the replica is running, its next entry does.
+   */
+  const reasonToDrop = ({ id, registeredAs }: ReplicaEntry): DropReason | undefined => {
+    if (replicas.departureOf(id) !== undefined) return "departed";
+    const listed = replicas.getByName(registeredAs)?.entry;
+    return listed?.isDraining === true && listed.id !== id ? "replaces_draining" : undefined;
+  };
+
+  const mergeRecord = (record: FeedRecord<ReplicaEntry>): void => {
+    const { position, value } = record;
+    records.apply(record);
+    noteDraining(record);
+    if (value === undefined) return;
+    const reason = reasonToDrop(value);
+    if (reason === undefined) replicas.put(value);
+    else logDropped(value, reason, position);
+  };
 
   const mergeCopy = (page: FeedPage<ReplicaEntry>): void => {
+    records.clear();
+    returning.clear();
     missing.clear();
-    replicas.merge(presentValues(page)).forEach((name) => missing.add(name));
+    const listed = new Set(page.records.filter(({ value }) => value !== undefined).map(({ key }) => key));
+    for (const { entry } of replicas.all()) {
+      if (!listed.has(entry.registeredAs)) missing.add(entry.registeredAs);
+    }
+    page.records.forEach(mergeRecord);
     removeFrom = clock.monotonic() + recoveryDuration;
     lastChange = page.next;
     writeLog("registry_read", { epoch: page.next.epoch, missing: missing.size });
@@ -46,23 +118,24 @@
     removeFrom = Number.POSITIVE_INFINITY;
   };
 
-  const applyRecord = ({ position, key, value }: FeedRecord<ReplicaEntry>): void => {
-    missing.delete(key);
-    const isChange = value === undefined ? replicas.remove(key) : replicas.put(value, position);
-    if (isChange && lastChange?.isBefore(position.advancedBy(1)) === true)
-      lastChange = position.advancedBy(1);
+  const replaceAll = (page: FeedPage<ReplicaEntry>): void => {
+    const removed = records.removeMissing(page);
+    removed.forEach(replicas.remove);
+    const changes = page.records.filter(applyRecord);
+    if (removed.length + changes.length > 0 || lastChange === undefined) lastChange = page.next;
   };
 
   return {
     replace: (page) => {
-      if (lastChange !== undefined && lastChange.epoch !== page.next.epoch) {
-        mergeCopy(page);
-        return;
+      if (lastChange !== undefined && lastChange.epoch !== page.next.epoch) mergeCopy(page);
+      else replaceAll(page);
+    },
+    apply: (page) => {
+      for (const record of page.records) {
+        const next = record.position.advancedBy(1);
+        if (applyRecord(record) && lastChange?.isBefore(next) === true) lastChange = next;
       }
-      const isChange = replicas.replaceAll(presentValues(page));
-      if (isChange || lastChange === undefined) lastChange = page.next;
     },
-    apply: ({ records }) => records.forEach(applyRecord),
     confirm: (at) => {
       if (at >= removeFrom) removeMissing();
     },
--- a/src/state/boundedMap.ts
+++ b/src/state/boundedMap.ts
@@ -1,9 +1,9 @@
 /** A map that keeps the entries set most recently. */
-export interface BoundedMap<T> {
-  readonly has: (key: string) => boolean;
-  readonly get: (key: string) => T | undefined;
-  readonly set: (key: string, value: T) => void;
-  readonly delete: (key: string) => void;
+export interface BoundedMap<T, K = string> {
+  readonly has: (key: K) => boolean;
+  readonly get: (key: K) => T | undefined;
+  readonly set: (key: K, value: T) => void;
+  readonly delete: (key: K) => void;
 }
 
 /**
@@ -11,8 +11,8 @@
  *
  * @param capacity - Maximum number of entries; beyond it the entry that was set least recently is removed.
  */
-export const createBoundedMap = <T>(capacity: number): BoundedMap<T> => {
-  const entries = new Map<string, T>();
+export const createBoundedMap = <T, K = string>(capacity: number): BoundedMap<T, K> => {
+  const entries = new Map<K, T>();
   return {
     has: (key) => entries.has(key),
     get: (key) => entries.get(key),
--- a/src/state/forwarding/droppedEntries.ts
+++ b/src/state/forwarding/droppedEntries.ts
@@ -4,7 +4,7 @@
 import { createLogger } from "../log.ts";
 
 /** Why an entry of the registry has no effect. */
-export type DropReason = "earlier_start" | "departed";
+export type DropReason = "departed" | "late_write" | "replaces_draining";
 
 /** Logs entries of the registry that have no effect. */
 export type LogDroppedEntry = (entry: ReplicaEntry, reason: DropReason, position?: StorePosition) => void;
--- a/src/state/forwarding/replicaTable.test.ts
+++ b/src/state/forwarding/replicaTable.test.ts
@@ -6,7 +6,6 @@
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { Departure } from "./replicaTable.ts";
 import { createReplicaTable } from "./replicaTable.ts";
-import { setLogSink } from "../log.ts";
 import { isDifferentIncarnation } from "./replicaState.ts";
 
 /** One incarnation of the replica that is registered as `engine`. */
@@ -68,22 +67,23 @@
     expect(isDifferentIncarnation(engineEntry("engine"), { bornAt: 100 })).toEqual(false);
   });
 
-  it("is the newest registered incarnation, in whatever order entries arrive", () => {
-    const step = fc.record({ bornAt: fc.nat({ max: 5 }), isWhole: fc.boolean() });
+  // Start times come from clocks that may step, so they don't order incarnations.
+  it("is replaced by the incarnation that is registered next, also if that has an earlier start time", () => {
     fc.assert(
-      fc.property(fc.array(step, { minLength: 1, maxLength: 20 }), (steps) => {
+      fc.property(fc.array(fc.nat({ max: 5 }), { minLength: 1, maxLength: 20 }), (starts) => {
         const table = createReplicaTable();
-        let newest = -1;
-        for (const { bornAt, isWhole } of steps) {
-          newest = Math.max(newest, bornAt);
-          if (isWhole) table.replaceAll([incarnation(bornAt), engineEntry("other")]);
-          else table.put(incarnation(bornAt));
+        for (const bornAt of starts) {
+          table.put(incarnation(bornAt));
           const known = table.all().filter(({ entry }) => entry.registeredAs === "engine");
-          expect(known.map(({ entry }) => entry.id)).toEqual([`engine/${newest}`]);
-          expect(table.getByKey(replicaKeyOf(`engine/${newest}`))?.entry.bornAt).toEqual(newest);
+          expect(known.map(({ entry }) => entry.id)).toEqual([`engine/${bornAt}`]);
+          expect(table.getByKey(replicaKeyOf(`engine/${bornAt}`))?.entry.bornAt).toEqual(bornAt);
+          expect(table.getByName("engine")?.entry.bornAt).toEqual(bornAt);
+          expect(table.departureOf(`engine/${bornAt}`)).toEqual(undefined);
         }
+        const last = starts.at(-1) ?? 0;
         expect(table.remove("engine")).toEqual(true);
-        expect(table.get(`engine/${newest}`)).toEqual(undefined);
+        expect(table.get(`engine/${last}`)).toEqual(undefined);
+        expect(table.departureOf(`engine/${last}`)).toEqual("gone");
       }),
     );
   });
@@ -95,9 +95,10 @@
     expect(table.put(engineEntry("engine"))).toEqual(true);
     expect(table.put(engineEntry("engine", { weights: new Map([["m", 2]]) }))).toEqual(false);
     expect(table.get("engine")?.weights.get("m")).toEqual(2);
-    expect(table.replaceAll([engineEntry("engine", { weights: new Map([["m", 3]]) })])).toEqual(false);
     expect(table.put(engineEntry("engine", { isDraining: true }))).toEqual(true);
-    expect(table.replaceAll([])).toEqual(true);
+    expect(table.put(engineEntry("engine", { isDraining: true }))).toEqual(false);
+    expect(table.remove("engine")).toEqual(true);
+    expect(table.remove("engine")).toEqual(false);
   });
 });
 
@@ -115,8 +116,17 @@
     table.remove("engine");
     table.put(incarnation(100));
     expect(isServing(table)).toEqual(false);
-    table.replaceAll([]);
-    table.replaceAll([incarnation(100)]);
+    table.put(incarnation(50));
+    table.put(incarnation(100));
+    expect(isServing(table)).toEqual(false);
+    expect(table.get("engine/100")?.draining).toEqual(drainingAnswer);
+  });
+
+  it("keeps draining if only its key was known when it reported so", () => {
+    const table = createReplicaTable();
+    expect(table.markKeyDraining(replicaKeyOf("engine/100"), drainingAnswer)).toEqual(true);
+    expect(table.markDraining("engine/100", drainingAnswer)).toEqual(false);
+    table.put(incarnation(100));
     expect(isServing(table)).toEqual(false);
   });
 
@@ -137,22 +147,3 @@
     expect(table.serving("engines").length).toEqual(2);
   });
 });
-
-describe("an entry of the registry that has no effect", () => {
-  it("is logged once with the reason and whether it says that the replica drains", () => {
-    const lines: unknown[] = [];
-    setLogSink((_, event, fields) => lines.push([event, fields.replica, fields.reason, fields.isDraining]));
-    const table = createReplicaTable();
-    table.put(incarnation(200));
-    table.put(incarnation(100));
-    table.put(incarnation(100));
-    table.put(incarnation(100, { isDraining: true }));
-    table.remove("engine");
-    table.merge([incarnation(200)]);
-    expect(lines).toEqual([
-      ["entry_dropped", "engine/100", "earlier_start", false],
-      ["entry_dropped", "engine/100", "earlier_start", true],
-      ["entry_dropped", "engine/200", "departed", false],
-    ]);
-  });
-});
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -6,8 +6,6 @@
 import { replicaKeyOf } from "../../protocol/forwarding/peerMessage.ts";
 import { createBoundedMap } from "../boundedMap.ts";
 import type { ReplicaEntry } from "../../protocol/forwarding/types.ts";
-import type { StorePosition } from "../../protocol/StorePosition.ts";
-import { createDroppedEntryLog } from "./droppedEntries.ts";
 import { createPeerWork } from "./peerWork.ts";
 import type { DrainingReport, ReplicaBackoff, ReplicaState, ReplicaWork } from "./replicaState.ts";
 import { createReplicaState } from "./replicaState.ts";
@@ -22,37 +20,34 @@
 export interface ReplicaTable {
   readonly get: (id: string) => ReplicaState | undefined;
   readonly getByKey: (key: ReplicaKey) => ReplicaState | undefined;
+  /** @param name - The name under which it is registered. */
+  readonly getByName: (name: string) => ReplicaState | undefined;
   readonly all: () => readonly ReplicaState[];
   /** @returns The replicas of a service that take new work. */
   readonly serving: (service: string) => readonly ReplicaState[];
   /** @returns The replicas of a service that drain. */
   readonly draining: (service: string) => readonly ReplicaState[];
   /**
-   * Applies a registration.
+   * Applies a registration. Another incarnation of the same name is removed as restarted.
    *
    * @returns Whether it changes which replicas get work. New weights do not count: the router that orders them notifies
    * all others, and a replica with other weights refuses the request. If they counted, every router would read the
    * registry each time one engine loads weights.
-   * @param position - The position of the registration, for the log.
    */
-  readonly put: (entry: ReplicaEntry, position?: StorePosition) => boolean;
+  readonly put: (entry: ReplicaEntry) => boolean;
   /**
-   * Marks an incarnation as draining: it gets no new work, whatever the registry says of it now or later.
+   * Marks an incarnation as draining: it gets no new work, whatever the registry says of it now or later, also if it is
+   * not listed at the moment.
    *
    * @returns Whether this was not known before.
    */
   readonly markDraining: (id: string, report: DrainingReport) => boolean;
+  /** Does the same for an incarnation of which only the key is known. */
+  readonly markKeyDraining: (key: ReplicaKey, report: DrainingReport) => boolean;
   /** Removes a replica that left the registry. @param name - Its registered name. @returns Whether it was known. */
   readonly remove: (name: string) => boolean;
-  /** Replaces all entries by the current ones of the registry. @returns Whether it changes which replicas get work. */
-  readonly replaceAll: (entries: readonly ReplicaEntry[]) => boolean;
-  /**
-   * Merges the entries of an older copy of the registry. Incarnations that were removed before stay removed. Replicas
-   * that the copy lacks stay until they are removed, since they may be registered again.
-   *
-   * @returns The names that the copy lacks.
-   */
-  readonly merge: (entries: readonly ReplicaEntry[]) => readonly string[];
+  /** @returns Why an incarnation was removed; `undefined` if it is listed, or never was. */
+  readonly departureOf: (id: string) => Departure | undefined;
   /** Raises the known weights version of a replica. */
   readonly noteWeights: (id: string, model: string, version: number) => void;
   /** Replaces all the work that a peer reported, by replica. */
@@ -76,13 +71,12 @@
   const peerWork = createPeerWork((key) => byKey.get(key));
   const byService = new Map<string, ReplicaState[]>();
   const drainingByService = new Map<string, ReplicaState[]>();
-  /** Ids of incarnations that drain or drained: the registry may remove one temporarily and list it as ready again. */
-  const draining = createBoundedMap<DrainingReport>(maxRememberedIncarnations);
-  /** Ids of incarnations that were removed from the table. */
-  const departed = createBoundedMap<true>(maxRememberedIncarnations);
+  /** Incarnations that drain or drained, listed or not: the registry may remove one and list it as ready again. */
+  const draining = createBoundedMap<DrainingReport, ReplicaKey>(maxRememberedIncarnations);
+  /** By id: why an incarnation was removed; deleted when it is listed again. */
+  const departures = createBoundedMap<Departure>(maxRememberedIncarnations);
   /** By id: the backoff of an incarnation that was removed, kept because the registry may list it again. */
   const backoffs = createBoundedMap<ReplicaBackoff>(maxRememberedIncarnations);
-  const logDropped = createDroppedEntryLog();
   const listeners: ((entry: ReplicaEntry, departure: Departure | undefined) => void)[] = [];
 
   const reindex = (): void => {
@@ -103,7 +97,7 @@
 
   const removeState = ({ entry, backoff }: ReplicaState, departure: Departure): void => {
     if (backoff !== undefined) backoffs.set(entry.id, backoff);
-    departed.set(entry.id, true);
+    departures.set(entry.id, departure);
     states.delete(entry.id);
     byKey.delete(replicaKeyOf(entry.id));
     byName.delete(entry.registeredAs);
@@ -111,45 +105,61 @@
     notify(entry, departure);
   };
 
-  /** Removes an earlier incarnation of an entry. @returns False if a later incarnation is known. */
-  const replaceEarlierIncarnation = (entry: ReplicaEntry, position?: StorePosition): boolean => {
-    const before = byName.get(entry.registeredAs);
-    if (before === undefined || before.entry.id === entry.id) return true;
-    if ((entry.bornAt ?? 0) < (before.entry.bornAt ?? 0)) {
-      logDropped(entry, "earlier_start", position);
-      return false;
-    }
-    removeState(before, "restarted");
+  const removeOtherIncarnation = ({ id, registeredAs }: ReplicaEntry): void => {
+    const listed = byName.get(registeredAs);
+    if (listed === undefined || listed.entry.id === id) return;
+    removeState(listed, "restarted");
     // Its process has ended: requests that may be retried elsewhere need not wait for the connection to break.
-    for (const abandon of [...before.abandon]) abandon();
+    for (const abandon of [...listed.abandon]) abandon();
+  };
+
+  const add = (entry: ReplicaEntry): void => {
+    const key = replicaKeyOf(entry.id);
+    const report = draining.get(key);
+    const state = createReplicaState({ ...entry, isDraining: report !== undefined });
+    state.draining = report;
+    state.backoff = backoffs.get(entry.id);
+    departures.delete(entry.id);
+    states.set(entry.id, state);
+    byKey.set(key, state);
+    byName.set(entry.registeredAs, state);
+    reindex();
+    notify(state.entry, report === undefined ? undefined : "draining");
+  };
+
+  const startDraining = (state: ReplicaState, report: DrainingReport): void => {
+    state.entry = { ...state.entry, isDraining: true };
+    state.draining = report;
+    reindex();
+    notify(state.entry, "draining");
+  };
+
+  const markKeyDraining = (key: ReplicaKey, report: DrainingReport): boolean => {
+    if (draining.has(key)) return false;
+    draining.set(key, report);
+    const listed = byKey.get(key);
+    if (listed !== undefined) startDraining(listed, report);
     return true;
   };
 
-  const put = (entry: ReplicaEntry, position?: StorePosition): boolean => {
-    if (!replaceEarlierIncarnation(entry, position)) return false;
-    if (entry.isDraining && !draining.has(entry.id))
-      draining.set(entry.id, { source: "registry", detail: position?.toString() ?? "" });
-    const report = draining.get(entry.id);
-    const isDraining = report !== undefined;
-    const known = states.get(entry.id);
-    if (known === undefined) {
-      const state = createReplicaState({ ...entry, isDraining });
-      state.draining = report;
-      state.backoff = backoffs.get(entry.id);
-      states.set(entry.id, state);
-      byKey.set(replicaKeyOf(entry.id), state);
-      byName.set(entry.registeredAs, state);
-      reindex();
-      notify(state.entry, isDraining ? "draining" : undefined);
-      return true;
-    }
-    const { isDraining: wasDraining } = known.entry;
+  const markDraining = (id: string, report: DrainingReport): boolean =>
+    markKeyDraining(replicaKeyOf(id), report);
+
+  const update = (known: ReplicaState, entry: ReplicaEntry): boolean => {
+    const { service, isDraining } = known.entry;
     known.entry = { ...entry, isDraining };
-    known.draining = report;
     for (const [model, version] of entry.weights) raiseVersion(known.weights, model, version);
-    if (isDraining === wasDraining) return false;
+    if (service === entry.service) return false;
     reindex();
-    notify(known.entry, "draining");
+    return true;
+  };
+
+  const put = (entry: ReplicaEntry): boolean => {
+    const starts = entry.isDraining && markDraining(entry.id, { source: "registry", detail: "" });
+    removeOtherIncarnation(entry);
+    const known = states.get(entry.id);
+    if (known !== undefined) return update(known, entry) || starts;
+    add(entry);
     return true;
   };
 
@@ -160,15 +170,10 @@
     return true;
   };
 
-  /** @returns The known names that a list of entries lacks. */
-  const missingIn = (entries: readonly ReplicaEntry[]): readonly string[] => {
-    const kept = new Set(entries.map(({ registeredAs }) => registeredAs));
-    return [...byName.keys()].filter((name) => !kept.has(name));
-  };
-
   return {
     get: (id) => states.get(id),
     getByKey: (key) => byKey.get(key),
+    getByName: (name) => byName.get(name),
     noteWork: peerWork.note,
     noteWorkAt: peerWork.noteAt,
     replaceWorkAt: peerWork.replaceAt,
@@ -176,27 +181,10 @@
     serving: (service) => byService.get(service) ?? [],
     draining: (service) => drainingByService.get(service) ?? [],
     put,
-    markDraining: (id, report) => {
-      if (draining.has(id)) return false;
-      draining.set(id, report);
-      const known = states.get(id);
-      return known === undefined || put(known.entry);
-    },
+    markDraining,
+    markKeyDraining,
     remove,
-    replaceAll: (entries) => {
-      const gone = missingIn(entries);
-      gone.forEach(remove);
-      const changes = entries.filter((entry) => put(entry));
-      return gone.length + changes.length > 0;
-    },
-    merge: (entries) => {
-      const missing = missingIn(entries);
-      for (const entry of entries) {
-        if (departed.has(entry.id)) logDropped(entry, "departed");
-        else put(entry);
-      }
-      return missing;
-    },
+    departureOf: departures.get,
     noteWeights: (id, model, version) => {
       const state = states.get(id);
       if (state !== undefined) raiseVersion(state.weights, model, version);
