Keep announced draining of replicas that are not listed

Cause: a peer's announcement that a replica drains was ignored where this router did not list the replica, for example while its entry had lapsed. Once the registry listed it as ready again, the router sent requests to it.

Change: the announcement is kept by the replica's key, which needs no entry.

Measured: the test failed before (the replica served) and passes.

--- a/src/coordination/forwarding/routerUpdates.ts
+++ b/src/coordination/forwarding/routerUpdates.ts
@@ -94,7 +94,10 @@
   readonly clock: Clock;
 }
 
-/** Applies the updates in a peer's message; those about replicas that this router does not know yet are ignored. */
+/**
+ * Applies the updates in a peer's message. Those about replicas that are not listed are ignored, except for draining:
+ * the registry may list such a replica later, while answers and status reads correct the other updates.
+ */
 export const applyUpdates = (message: RouterMessage, dependencies: UpdateDependencies): void => {
   const { replicas, configuration, clock, onNewerConfiguration } = dependencies;
   const now = clock.monotonic();
@@ -116,8 +119,5 @@
     const replica = replicas.getByKey(key);
     if (replica !== undefined) noteAnnouncedLimit(replica, reportedLimit, now);
   }
-  for (const key of message.leaving) {
-    const id = idOf(key);
-    if (id !== undefined) replicas.markDraining(id, { source: "peer", detail: message.name });
-  }
+  for (const key of message.leaving) replicas.markKeyDraining(key, { source: "peer", detail: message.name });
 };
