Drop replicas that a restored store lacks also by a reader's proof

Cause: the grace of such replicas ended only with this router's own read of the registry. Routers that others read for read it every 20 s, and a proof of a reader moved the age of their registry without ending the grace.

Change: one function takes the time up to which everything is known, from an own read or from a proof.

--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -97,10 +97,6 @@
   const resources = createResourceStack();
   let registryConfirmedAt = Number.NEGATIVE_INFINITY;
 
-  const confirmRegistry = (at: number): void => {
-    registryConfirmedAt = Math.max(registryConfirmedAt, at);
-  };
-
   const smallFleetLongPoll = (): number => bounds.keyRevocation * configurationLongPollShare;
 
   // A router in a large fleet that knows it can't reach the store takes no duties.
@@ -162,6 +158,13 @@
   const registryAge = (): number => clock.monotonic() - registryConfirmedAt;
 
   const registry = createRegistryRecovery(replicas, clock);
+
+  /** Replicas that a restored store lacks are dropped also by another router's proof. */
+  const confirmRegistry = (at: number): void => {
+    registry.confirm(at);
+    registryConfirmedAt = Math.max(registryConfirmedAt, at);
+  };
+
   const registryFeed = resources.use(
     followFeed({
       name: "replicas",
@@ -174,10 +177,7 @@
       rereadDelay: () => rereadDelay() * registryRereadFactor,
       replace: registry.replace,
       apply: registry.apply,
-      confirm: (at) => {
-        registry.confirm(at);
-        confirmRegistry(at);
-      },
+      confirm: confirmRegistry,
     }),
   );
 
