Announce draining replicas to peers whatever the source of the report

Cause: only reports in answers were announced.

Change: what the table learns, from whatever source, goes along with the next messages; again in a new epoch of the store and to a router that starts. No message is sent for it.

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -281,6 +281,9 @@
 /** Upper limit of updates about holders of prompt parts in one message. */
 export const maxHolderUpdatesPerMessage = 40;
 
+/** Upper limit of draining replicas in one message, 3 KB; of more, the registry tells. */
+export const maxLeavingPerMessage = 500;
+
 /**
  * A replica that owes an answer and has sent nothing for this long is probed with a new connection. Several times the
  * gap between an engine's tokens, and well below the time that callers wait for the first one.
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -6,6 +6,7 @@
 import { noQuarantine } from "../crashes/quarantine.ts";
 import { createManualClock } from "../manualClock.ts";
 import { messagesPerInterval, peerMessageIntervals } from "./constants.ts";
+import { createStoreEpochs } from "../../state/storeEpochs.ts";
 import { noEpochs } from "../storeEpochs/recoveryWindow.ts";
 import { createConfigurationState } from "./configurationState.ts";
 import { createRouterPeers } from "./routerPeers.ts";
@@ -15,6 +16,8 @@
 const create = (names: readonly string[], dataCentreOf: (index: number) => string = () => "here") => {
   const clock = createManualClock(1_000);
   const network = new MemoryNetwork(clock);
+  const epochs = createStoreEpochs();
+  epochs.observe(1);
   const entries = names.map((name, index) => ({
     name,
     incarnation: `${name}-1`,
@@ -39,6 +42,7 @@
       maxReadAge: () => longestReadAge,
       onNewerConfiguration: () => newer.push(self.name),
       ...noEpochs,
+      epochs,
       quarantine: noQuarantine,
     });
     return { self, replicas, configuration, peers, newer, noted };
@@ -66,7 +70,7 @@
   const run = (milliseconds: number): void => clock.advanceTo(clock.monotonic() + milliseconds);
   const [first, second] = routers;
   if (first === undefined || second === undefined) throw new Error("two routers are needed");
-  return { clock, network, entries, routers, run, restart, first, second };
+  return { clock, network, epochs, entries, routers, run, restart, first, second };
 };
 
 describe("router peers", () => {
@@ -283,4 +287,30 @@
     run(1_000);
     expect(second.replicas.serving("engines")).toEqual([]);
   });
+
+  it("announce draining replicas again in a new epoch of the store, which may have lost their reports", () => {
+    const { first, second, run, entries, network, epochs } = create(["a", "b"]);
+    second.peers.add(entries);
+    run(1_000);
+    network.isDown = true;
+    first.replicas.put(engineEntry("engine", { isDraining: true }));
+    run(5_000);
+    network.isDown = false;
+    run(3_000);
+    expect(second.replicas.serving("engines").length).toEqual(1);
+    epochs.observe(2);
+    run(1_000);
+    expect(second.replicas.serving("engines")).toEqual([]);
+  });
+
+  it("announce draining replicas to a router that starts", () => {
+    const { first, second, run, entries, network } = create(["a", "b"]);
+    first.replicas.put(engineEntry("engine", { isDraining: true }));
+    network.isDown = true;
+    run(5_000);
+    network.isDown = false;
+    second.peers.add(entries);
+    run(1_000);
+    expect(second.replicas.serving("engines")).toEqual([]);
+  });
 });
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -12,6 +12,7 @@
   replicaKeyOf,
 } from "../../protocol/forwarding/peerMessage.ts";
 import type { RouterEntry } from "../../protocol/forwarding/types.ts";
+import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { wholeTokens } from "../../state/forwarding/replicaState.ts";
@@ -21,12 +22,13 @@
 import { updateDelay, largeFleetUpdateDelay, peerMessageIntervals } from "./constants.ts";
 import type { Peer, PeerTable } from "./peerTable.ts";
 import { createPeerTable } from "./peerTable.ts";
-import type { Audience } from "./routerUpdates.ts";
+import type { Audience, RouterUpdates } from "./routerUpdates.ts";
 import { createRouterUpdates } from "./routerUpdates.ts";
 import type { PeerMessageDependencies } from "./applyPeerMessage.ts";
 import { echoedSentAt, expirePeers, applyPeerMessage } from "./applyPeerMessage.ts";
 
 export interface RouterPeersDependencies extends PeerMessageDependencies {
+  readonly epochs: EpochSource;
   readonly self: RouterEntry;
   readonly link: DatagramLink;
   /** A router whose last own read of the store is older takes no duties that need the store; milliseconds. */
@@ -179,6 +181,26 @@
   }
 };
 
+/**
+ * Announces draining replicas with the next messages, whatever the source: a router that can't read the registry learns
+ * of them from its peers. In a new epoch of the store, the registry may have lost their reports.
+ *
+ * @returns A function that announces all of them again.
+ */
+const announceDraining = (
+  { replicas, epochs }: Pick<RouterPeersDependencies, "replicas" | "epochs">,
+  { addLeaving }: Pick<RouterUpdates, "addLeaving">,
+): (() => void) => {
+  const announceAll = (): void => {
+    for (const { entry } of replicas.all()) if (entry.isDraining) addLeaving(entry.id);
+  };
+  replicas.subscribe(({ id }, departure) => {
+    if (departure === "draining") addLeaving(id);
+  });
+  epochs.subscribe(announceAll);
+  return announceAll;
+};
+
 /** Starts to exchange messages with the other routers until it is disposed of. */
 export const createRouterPeers = (dependencies: RouterPeersDependencies): RouterPeers => {
   const { self, link, clock, replicas, configuration } = dependencies;
@@ -186,6 +208,7 @@
   const startedAt = clock.monotonic();
   const stampOrigin = Math.floor(Math.random() * stampOrigins);
   const updates = createRouterUpdates(clock);
+  const announceAllDraining = announceDraining(dependencies, updates);
   let hasSteppedDown = false;
   let isShuttingDown = false;
   const groups: readonly PeerGroup[] = audiences.map(createGroup);
@@ -251,14 +274,12 @@
     return updates.hasHolders(group.audience) || JSON.stringify(announcedWork()) !== group.sentWork;
   };
 
-  const livePeerNames = (): readonly string[] => liveNamesOf(peers);
-
   /** Cached, since every estimate of a cached prompt part uses it. */
   let liveCount = 1;
 
   const tick = (): void => {
     expirePeers(peers, replicas);
-    liveCount = 1 + livePeerNames().length;
+    liveCount = 1 + liveNamesOf(peers).length;
     groups.filter(isDue).forEach(sendTo);
     const factor = Math.min(...audiences.map((audience) => peers.intervalFactor(audience === "near")));
     cancelTick = clock.after(peerMessageIntervals.shortest * factor, tick);
@@ -282,8 +303,8 @@
    * pending updates about prompt parts for near peers: other near peers don't get them.
    */
   const greet = ({ at }: Peer): void => {
-    const message = compose(announcedWork(), "near");
-    link.send(at, encodeRouterMessage({ ...message, echo: undefined }));
+    announceAllDraining();
+    link.send(at, encodeRouterMessage({ ...compose(announcedWork(), "near"), echo: undefined }));
   };
 
   link.receive((datagram, from) => {
@@ -303,7 +324,7 @@
       entries.forEach(peers.add);
       sendSoon();
     },
-    live: () => [self.name, ...livePeerNames()],
+    live: () => [self.name, ...liveNamesOf(peers)],
     countLive: () => liveCount,
     serving: () => peers.all().filter(peers.mayServe),
     dutyCandidates: (longestAge) => {
--- a/src/coordination/forwarding/routerUpdates.ts
+++ b/src/coordination/forwarding/routerUpdates.ts
@@ -11,7 +11,7 @@
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { ConfigurationState } from "./configurationState.ts";
-import { maxHolderUpdatesPerMessage, updateRepetitionTime } from "./constants.ts";
+import { maxHolderUpdatesPerMessage, maxLeavingPerMessage, updateRepetitionTime } from "./constants.ts";
 import type { HolderDependencies } from "./applyAnnouncedHolders.ts";
 import { applyAnnouncedHolders } from "./applyAnnouncedHolders.ts";
 import { createUpdates } from "./updates.ts";
@@ -75,7 +75,10 @@
           replica: replicaKeyOf(id),
           remaining: Math.max(0, Math.round(until - now)),
         })),
-        leaving: leaving.entries().map(([id]) => replicaKeyOf(id)),
+        leaving: leaving
+          .entries()
+          .slice(-maxLeavingPerMessage)
+          .map(([id]) => replicaKeyOf(id)),
         holders: announced,
         reportedLimits: reportedLimits.entries().map(([id, reportedLimit]) => ({
           replica: replicaKeyOf(id),
--- a/src/coordination/storeEpochs/recoveryWindow.ts
+++ b/src/coordination/storeEpochs/recoveryWindow.ts
@@ -5,7 +5,7 @@
  * operator has written them again. A starting router can't know whether the store has just returned; its peers can.
  */
 import type { EpochSource } from "../../protocol/storeEpoch.ts";
-import { defaultEpoch } from "../../protocol/storeEpoch.ts";
+import { noEpochChanges } from "../../protocol/storeEpoch.ts";
 import type { Clock } from "../clock.ts";
 import type { ForwardingBounds } from "../forwarding/types.ts";
 import { joinTimeout, recoveryShare, recoveryDuration } from "./constants.ts";
@@ -32,7 +32,7 @@
 /** The epoch-related dependencies for a store without epochs. */
 export const noEpochs = {
   onNewerEpoch: () => undefined,
-  epochs: { current: () => defaultEpoch },
+  epochs: noEpochChanges,
   recovery: noRecovery,
 } as const;
 
