Bound reads of the registry by the drain bound

Cause: every call of the store waited 0.15 of the time for which a revoked key may be served.

Change: the registry has a client of its own, with 0.375 of the drain bound at most. With the interval of 0.45 one such read fits into the bound. On the users' deployments nothing changes (0.75 s: 0.15 x 5 s, 0.375 x 2 s).

--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -262,6 +262,12 @@
 /** Longest wait for the platform's store, as a share of the time for which a revoked key may still be served. */
 export const storeTimeoutShare = 0.15;
 
+/**
+ * Longest wait for a read of the registry, as a share of the time for which a leaving replica may still get work. With
+ * the interval between reads, one read that is never answered fits into that time.
+ */
+export const registryTimeoutShare = 0.375;
+
 /**
  * Phases of a shutdown, as shares of the grace period: until when every request is accepted, by when the load balancer
  * has certainly noticed, and when everything must have ended. A request that is accepted after the first and cut off at
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -3,7 +3,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../coordination/clock.ts";
 import { createRequestAdmission } from "../coordination/forwarding/requestAdmission.ts";
-import { shutdownPollInterval, storeTimeoutShare } from "../coordination/forwarding/constants.ts";
+import {
+  registryTimeoutShare,
+  shutdownPollInterval,
+  storeTimeoutShare,
+} from "../coordination/forwarding/constants.ts";
 import { createDecisions } from "../coordination/forwarding/decisions.ts";
 import { defaultLoadPolicy } from "../coordination/forwarding/loadPolicy.ts";
 import { createShutdown } from "../coordination/forwarding/shutdown.ts";
@@ -94,7 +98,8 @@
   const metrics = new PrometheusMetrics();
   const bounds = { ...toForwardingBounds(settings) };
   const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
-  const platform = resources.use(connect({ store: settings.store, storeTimeout }));
+  const registryTimeout = Math.min(storeTimeout, bounds.drain * registryTimeoutShare);
+  const platform = resources.use(connect({ store: settings.store, storeTimeout, registryTimeout }));
   platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
   const link = resources.use(await openUdpLink(settings.peers));
   const self = describeSelf(settings, link.port);
--- a/src/protocol/forwarding/ForwardingPlatform.ts
+++ b/src/protocol/forwarding/ForwardingPlatform.ts
@@ -10,6 +10,8 @@
   readonly store: { readonly address: string; readonly port: number };
   /** Timeout of a call to the store, milliseconds. */
   readonly storeTimeout: number;
+  /** Timeout of a call that reads the registry of replicas, milliseconds. */
+  readonly registryTimeout: number;
 }
 
 /** The services of the underlying platform that a router uses, provided by a platform adapter. */
