--- a/src/coordination/storeEpochs/registryRecovery.test.ts
+++ b/src/coordination/storeEpochs/registryRecovery.test.ts
@@ -80,7 +80,61 @@
   });
 });
 
+describe("a report of draining in the registry", () => {
+  it("counts also in a record that a newer one has superseded", () => {
+    const { registry, serving } = start();
+    registry.replace(pageOf(5, [[7, "a", engineEntry("a")]]));
+    registry.apply(pageOf(7, [[6, "a", engineEntry("a", { isDraining: true })]]));
+    expect(serving()).toEqual([]);
+  });
+
+  it("counts also in a copy of the store that lists a removed replica", () => {
+    const { registry, serving } = start();
+    registry.replace(pageOf(5, [[1, "a", engineEntry("a")]]));
+    registry.apply(pageOf(8, [[7, "a"]]));
+    registry.replace(pageOf(3, [[2, "a", engineEntry("a", { isDraining: true })]], 2));
+    registry.apply(pageOf(4, [[3, "a", engineEntry("a")]], 2));
+    expect(serving()).toEqual([]);
+  });
+
+  it("counts in a copy of the store that lists a replica whose entry had lapsed before", () => {
+    const { registry, serving } = start();
+    registry.replace(pageOf(5, [[1, "a", engineEntry("a")]]));
+    registry.apply(pageOf(8, [[7, "a"]]));
+    registry.apply(pageOf(9, [[8, "a", engineEntry("a")]]));
+    registry.replace(pageOf(10, [[9, "a", engineEntry("a", { isDraining: true })]], 2));
+    expect(serving()).toEqual([]);
+  });
+});
+
 describe("a whole read of the registry", () => {
+  it("never moves the position back", () => {
+    const { registry } = start();
+    registry.replace(pageOf(5, [[1, "a", engineEntry("a")]]));
+    registry.apply(pageOf(8, [[7, "a", engineEntry("a", { isDraining: true })]]));
+    registry.replace(pageOf(4, [[2, "b", engineEntry("b")]]));
+    expect(registry.lastChangePosition()).toEqual(new StorePosition(1, 8));
+  });
+
+  // Its pages are no snapshot: the proofs that other routers get must cover every record that was read.
+  it("advances the position beyond the records that it contains", () => {
+    const { registry } = start();
+    const drained = engineEntry("a", { isDraining: true });
+    registry.replace(pageOf(5, [[7, "a", drained]]));
+    registry.apply(pageOf(8, [[7, "a", drained]]));
+    expect(registry.lastChangePosition()).toEqual(new StorePosition(1, 8));
+    registry.replace(pageOf(2, [[3, "a", engineEntry("a")]], 2));
+    expect(registry.lastChangePosition()).toEqual(new StorePosition(2, 4));
+  });
+
+  it("does not drop a replica that registered after it", () => {
+    const { registry, serving } = start();
+    registry.replace(pageOf(5, []));
+    registry.apply(pageOf(8, [[7, "a", engineEntry("a")]]));
+    registry.replace(pageOf(6, []));
+    expect(serving()).toEqual(["a"]);
+  });
+
   it("advances the position only if it changes which replicas get work", () => {
     const { registry } = start();
     registry.replace(pageOf(5, [[1, "a", engineEntry("a")]]));
@@ -149,6 +203,24 @@
     expect(serving()).toEqual(["a/100"]);
   });
 
+  // Such a report may be the last record that the replica writes.
+  it("counts as draining with one entry after a late write had replaced it", () => {
+    const { registry, serving } = start();
+    registry.replace(pageOf(5, [[1, "a", incarnation(200)]]));
+    registry.apply(pageOf(8, [[7, "a", incarnation(100)]]));
+    registry.apply(pageOf(9, [[8, "a", incarnation(200, { isDraining: true })]]));
+    expect(serving()).toEqual([]);
+  });
+
+  it("is not replaced by a late write that is read twice", () => {
+    const { registry, serving } = start();
+    registry.replace(pageOf(5, [[1, "a", incarnation(100)]]));
+    registry.apply(pageOf(8, [[7, "a", incarnation(200)]]));
+    registry.apply(pageOf(9, [[8, "a", incarnation(100)]]));
+    registry.replace(pageOf(9, [[8, "a", incarnation(100)]]));
+    expect(serving()).toEqual(["a/200"]);
+  });
+
   it("is not listed again by such a write after it has left", () => {
     const { registry, serving } = start();
     registry.replace(pageOf(5, [[1, "a", incarnation(100)]]));
--- a/src/coordination/storeEpochs/registryRecovery.ts
+++ b/src/coordination/storeEpochs/registryRecovery.ts
@@ -6,6 +6,7 @@
  */
 import type { FeedPage, FeedRecord, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
+import { laterPosition } from "../../protocol/StorePosition.ts";
 import type { DropReason } from "../../state/forwarding/droppedEntries.ts";
 import { createDroppedEntryLog } from "../../state/forwarding/droppedEntries.ts";
 import { createRegistryRecords } from "../../state/forwarding/registryRecords.ts";
@@ -16,6 +17,10 @@
 
 const writeLog = createLogger("storeEpochs");
 
+/** @returns The position after everything in a whole read, which may contain records beyond its own position. */
+const endOf = ({ records, next }: FeedPage<ReplicaEntry>): StorePosition =>
+  records.reduce((end, { position }) => laterPosition(end, position.advancedBy(1)), next);
+
 export interface RegistryRecovery {
   /** Applies a whole read: the newest record of every key. */
   readonly replace: (page: FeedPage<ReplicaEntry>) => void;
@@ -107,7 +112,7 @@
     }
     page.records.forEach(mergeRecord);
     removeFrom = clock.monotonic() + recoveryDuration;
-    lastChange = page.next;
+    lastChange = endOf(page);
     writeLog("registry_read", { epoch: page.next.epoch, missing: missing.size });
   };
 
@@ -122,7 +127,8 @@
     const removed = records.removeMissing(page);
     removed.forEach(replicas.remove);
     const changes = page.records.filter(applyRecord);
-    if (removed.length + changes.length > 0 || lastChange === undefined) lastChange = page.next;
+    if (lastChange === undefined) lastChange = endOf(page);
+    else if (removed.length + changes.length > 0) lastChange = laterPosition(lastChange, endOf(page));
   };
 
   return {
--- a/src/state/forwarding/registryRecords.ts
+++ b/src/state/forwarding/registryRecords.ts
@@ -54,7 +54,7 @@
   return {
     apply: ({ position, key, value: entry }) => {
       const known = positionOf(key);
-      if (known !== undefined && laterPosition(position, known) === known) return "superseded";
+      if (known !== undefined && laterPosition(known, position) === known) return "superseded";
       if (entry === undefined) return remove(key, position);
       const before = newest.get(key);
       newest.set(key, { position, entry });
--- a/src/state/forwarding/replicaTable.test.ts
+++ b/src/state/forwarding/replicaTable.test.ts
@@ -60,6 +60,15 @@
     expect(table.serving("engines").length).toEqual(1);
   });
 
+  it("has replaced its previous incarnation also if that had left the registry before", () => {
+    const table = createReplicaTable();
+    table.put(incarnation(100));
+    table.remove("engine");
+    expect(table.departureOf("engine/100")).toEqual("gone");
+    table.put(incarnation(200));
+    expect(table.departureOf("engine/100")).toEqual("restarted");
+  });
+
   it("is recognised by the start time in the engine's status", () => {
     expect(isDifferentIncarnation(incarnation(100), { bornAt: 200 })).toEqual(true);
     expect(isDifferentIncarnation(incarnation(100), { bornAt: 100 })).toEqual(false);
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -75,6 +75,8 @@
   const draining = createBoundedMap<DrainingReport, ReplicaKey>(maxRememberedIncarnations);
   /** By id: why an incarnation was removed; deleted when it is listed again. */
   const departures = createBoundedMap<Departure>(maxRememberedIncarnations);
+  /** By name: the id of an incarnation that left the registry, until the name is listed again. */
+  const goneIds = createBoundedMap<string>(maxRememberedIncarnations);
   /** By id: the backoff of an incarnation that was removed, kept because the registry may list it again. */
   const backoffs = createBoundedMap<ReplicaBackoff>(maxRememberedIncarnations);
   const listeners: ((entry: ReplicaEntry, departure: Departure | undefined) => void)[] = [];
@@ -98,6 +100,7 @@
   const removeState = ({ entry, backoff }: ReplicaState, departure: Departure): void => {
     if (backoff !== undefined) backoffs.set(entry.id, backoff);
     departures.set(entry.id, departure);
+    if (departure === "gone") goneIds.set(entry.registeredAs, entry.id);
     states.delete(entry.id);
     byKey.delete(replicaKeyOf(entry.id));
     byName.delete(entry.registeredAs);
@@ -119,6 +122,9 @@
     const state = createReplicaState({ ...entry, isDraining: report !== undefined });
     state.draining = report;
     state.backoff = backoffs.get(entry.id);
+    const goneId = goneIds.get(entry.registeredAs);
+    if (goneId !== undefined) departures.set(goneId, "restarted");
+    goneIds.delete(entry.registeredAs);
     departures.delete(entry.id);
     states.set(entry.id, state);
     byKey.set(key, state);
