Soak restarts with clocks behind and lapses, and bench the registry at size

The bench registry measures, with the modules that serve in simulated time, how long routers go on after the store has accepted that a replica drains, where the readers knew it from an answer.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { ownersBench } from "./owners/owners.ts";
 import { parseBenchCommand } from "./options.ts";
 import { placementBench } from "./placement/placement.ts";
+import { registryBench } from "./registry/registry.ts";
 import { relayBench } from "./relay/relay.ts";
 import { restartBench } from "./restart.ts";
 import { retriesBench } from "./retries/retries.ts";
@@ -26,6 +27,7 @@
   ownersBench,
   routerBench,
   storeEpochsBench,
+  registryBench,
 ];
 
 const list = (): string =>
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -35,6 +35,10 @@
 const maxStoreOutage = 600;
 const republishDelay = 200;
 
+/** Start time of a replica before its clock steps, and the step at a restart, milliseconds. */
+const firstReplicaStart = 1_700_000_000_000;
+const replicaClockStep = 2_000;
+
 /** Misbehaviours of engines and plain services on the wire. */
 const misbehaviours = {
   engines: ["shed", "fail", "reset", "cut", "crossed", "unsealed"],
@@ -142,29 +146,11 @@
   };
 };
 
-/**
- * Creates a fault injector for a system.
- *
- * @param spareKeys - API keys that the operator may revoke, in this order.
- */
-export const createFaultInjector = (system: SoakSystem, spareKeys: readonly string[]): FaultInjector => {
-  const steps: StepRecord[] = [];
-  const shutdowns: ShutdownRecord[] = [];
-  const keysTaken: { readonly key: string; readonly at: number }[] = [];
-  const weights: { readonly version: number; readonly at: number }[] = [];
-  let version = 1;
-  let remainingKeys = [...spareKeys];
-  const { kill, shutDown, shutDownInTurn, freeze } = createRouterFaults(system, shutdowns);
-
-  const pick = <T>(items: readonly T[], target: number): T | undefined =>
-    items[Math.min(items.length - 1, Math.floor(target * items.length))];
-
-  const pickRouter = (target: number): RouterSlot | undefined =>
-    pick(
-      system.routers.filter(({ isBusy, process }) => !isBusy && process !== undefined),
-      target,
-    );
+const pick = <T>(items: readonly T[], target: number): T | undefined =>
+  items[Math.min(items.length - 1, Math.floor(target * items.length))];
 
+/** Creates the faults of replicas, except those of their connections. */
+const createReplicaFaults = (system: SoakSystem) => {
   const pickReplica = (target: number): ReplicaSlot | undefined =>
     pick(
       system.replicas.filter(({ drainingSince, isReporting }) => drainingSince === undefined && !isReporting),
@@ -198,6 +184,24 @@
     await drain(slot);
   };
 
+  /** Its next heartbeat registers it again; later it drains. */
+  const lapse = async (slot: ReplicaSlot | undefined, duration: number): Promise<void> => {
+    if (slot === undefined) return;
+    system.register(slot, undefined);
+    await sleep(duration);
+    await drain(slot);
+  };
+
+  /** It restarts under its name with a clock that has stepped; later it drains. */
+  const restart = async (slot: ReplicaSlot | undefined, duration: number, target: number): Promise<void> => {
+    if (slot === undefined) return;
+    const step = target < 0.5 ? -replicaClockStep : replicaClockStep;
+    slot.bornAt = (slot.bornAt ?? firstReplicaStart) + step;
+    system.register(slot, "ready");
+    await sleep(duration);
+    await drain(slot);
+  };
+
   const askForBackoff = async (
     slot: ReplicaSlot | undefined,
     duration: number,
@@ -216,6 +220,30 @@
     slot.isReporting = false;
   };
 
+  return { pickReplica, drain, reportDraining, lapse, restart, askForBackoff };
+};
+
+/**
+ * Creates a fault injector for a system.
+ *
+ * @param spareKeys - API keys that the operator may revoke, in this order.
+ */
+export const createFaultInjector = (system: SoakSystem, spareKeys: readonly string[]): FaultInjector => {
+  const steps: StepRecord[] = [];
+  const shutdowns: ShutdownRecord[] = [];
+  const keysTaken: { readonly key: string; readonly at: number }[] = [];
+  const weights: { readonly version: number; readonly at: number }[] = [];
+  let version = 1;
+  let remainingKeys = [...spareKeys];
+  const { kill, shutDown, shutDownInTurn, freeze } = createRouterFaults(system, shutdowns);
+  const { pickReplica, drain, reportDraining, lapse, restart, askForBackoff } = createReplicaFaults(system);
+
+  const pickRouter = (target: number): RouterSlot | undefined =>
+    pick(
+      system.routers.filter(({ isBusy, process }) => !isBusy && process !== undefined),
+      target,
+    );
+
   const publish = (fields: Readonly<Record<string, unknown>> = {}): void => {
     version += 1 + (version % 3);
     system.publish(version, { ...fields, tenants: createTenants(remainingKeys) });
@@ -274,6 +302,8 @@
     replicaReportsDraining: ({ target, duration }) => reportDraining(pickReplica(target), duration),
     replicaAsksForBackoff: ({ target, duration }) => askForBackoff(pickReplica(target), duration, target),
     replicaLeaves: ({ target }) => drain(pickReplica(target)),
+    replicaRestarts: ({ target, duration }) => restart(pickReplica(target), duration, target),
+    entryLapses: ({ target, duration }) => lapse(pickReplica(target), duration),
     takeKey,
     nameWeights,
     storeReturns: restoreStore,
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --suspend --shrink --logs DIR]`:
  * runs routers as processes with the platform's stand-in, under the faults of a seeded plan. Exit code 1 if an
  * invariant was violated; the plan and the routers' logs of such a run are written to the directory of `--logs`.
  */
@@ -10,6 +10,7 @@
 import {
   replicaReportStepKinds,
   createPlan,
+  registryStepKinds,
   storeRestoreStepKinds,
   describePlan,
   defaultStepKinds,
@@ -32,6 +33,7 @@
     only: { type: "string" },
     reports: { type: "boolean", default: false },
     returns: { type: "boolean", default: false },
+    registry: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -47,7 +49,8 @@
 
 const createSeedPlan = (seed: number): readonly Step[] => {
   const reportKinds = values.reports ? replicaReportStepKinds : defaultStepKinds;
-  const kinds = values.returns ? storeRestoreStepKinds : reportKinds;
+  const restoreKinds = values.returns ? storeRestoreStepKinds : reportKinds;
+  const kinds = values.registry ? registryStepKinds : restoreKinds;
   const plan = createPlan(seed, Number(values.seconds), kinds);
   const only = values.only?.split(",").map(Number);
   return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -36,8 +36,16 @@
 /** All kinds; a store that is restored from an older backup is listed twice, so that it is twice as likely. */
 export const storeRestoreStepKinds = [...replicaReportStepKinds, "storeReturns", "storeReturns"] as const;
 
+/** All kinds, and replicas that drain after a restart with a clock that has stepped, or after a lapse of their entry. */
+export const registryStepKinds = [
+  ...storeRestoreStepKinds,
+  "replicaRestarts",
+  "replicaRestarts",
+  "entryLapses",
+] as const;
+
 /** The kind of a step. */
-export type StepKind = (typeof storeRestoreStepKinds)[number];
+export type StepKind = (typeof registryStepKinds)[number];
 
 /** One fault or change during a run. */
 export interface Step {
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -1,7 +1,13 @@
 /** A short run of the soak, runs of its other kinds of steps, and the seeds that failed, each with the cause. */
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import { replicaReportStepKinds, createPlan, storeRestoreStepKinds, defaultStepKinds } from "./plan.ts";
+import {
+  replicaReportStepKinds,
+  createPlan,
+  registryStepKinds,
+  storeRestoreStepKinds,
+  defaultStepKinds,
+} from "./plan.ts";
 import { runSoak } from "./runSoak.ts";
 
 /** The size at which the seeds failed: the number of replicas decides which one a step affects. */
@@ -15,6 +21,7 @@
   readonly isSuspending?: boolean;
   readonly isReporting?: boolean;
   readonly isReturning?: boolean;
+  readonly isRegistryStruck?: boolean;
 }[] = [
   { seed: 3, seconds: 5, cause: "a short run with several kinds of faults" },
   { seed: 1027, seconds: 12, cause: "replicas that never registered again after loading new weights" },
@@ -25,6 +32,12 @@
   },
   { seed: 5, seconds: 10, cause: "replicas that report draining and backoff", isReporting: true },
   { seed: 11, seconds: 10, cause: "a store that is restored from older backups", isReturning: true },
+  {
+    seed: 4,
+    seconds: 8,
+    cause: "replicas that restart with clocks behind, and entries that lapse",
+    isRegistryStruck: true,
+  },
   { seed: 2, seconds: 8, cause: "routers on VMs that are suspended", isSuspending: true },
 ];
 
@@ -36,12 +49,15 @@
     isSuspending = false,
     isReporting = false,
     isReturning = false,
+    isRegistryStruck = false,
   } of seeds) {
-    const stepKinds = isReporting ? replicaReportStepKinds : defaultStepKinds;
+    const reportKinds = isReporting ? replicaReportStepKinds : defaultStepKinds;
+    const restoreKinds = isReturning ? storeRestoreStepKinds : reportKinds;
+    const kinds = isRegistryStruck ? registryStepKinds : restoreKinds;
     it(`keep all invariants with seed ${seed}: ${cause}`, async () => {
       const { violations } = await runSoak({
         seed,
-        plan: createPlan(seed, seconds, isReturning ? storeRestoreStepKinds : stepKinds),
+        plan: createPlan(seed, seconds, kinds),
         size,
         isSuspending,
       });
--- a/soak/platform/soakSystem.ts
+++ b/soak/platform/soakSystem.ts
@@ -62,6 +62,8 @@
   readonly service: string;
   readonly proxy: LoopbackProxy;
   drainingSince: number | undefined;
+  /** The start time in its entry, Unix milliseconds by a clock that may step; `undefined` before its first restart. */
+  bornAt: number | undefined;
   /** True while its answers report draining or ask for backoff. */
   isReporting: boolean;
 }
@@ -143,7 +145,7 @@
   const add = async (service: string, replica: ReplicaStandIn): Promise<void> => {
     resources.use(replica);
     const proxy = resources.use(await startLoopbackProxy(replica.address));
-    slots.push({ replica, service, proxy, drainingSince: undefined, isReporting: false });
+    slots.push({ replica, service, proxy, drainingSince: undefined, bornAt: undefined, isReporting: false });
   };
   const events = { count: eventsPerStream, pause: 20 };
   for (let index = 0; index < size.engines; index += 1) {
@@ -183,6 +185,7 @@
       ...createRegistryEntry(service, replica, replica.version()),
       address,
       state: state ?? "",
+      ...(slot.bornAt === undefined ? {} : { born: slot.bornAt }),
     };
     writers.register(replica.id, state === undefined ? undefined : entry);
   };
