Judge records of the quarantine by their order, not by what was dropped before

A request that crashes replicas was let through to three more.

Change: a later record of a request ends the memory of its removal; a removal that is read before the request's own record belongs to an earlier quarantine; records that precede a removal are read before it.

--- a/src/coordination/crashes/quarantine.test.ts
+++ b/src/coordination/crashes/quarantine.test.ts
@@ -347,6 +347,28 @@
     expect(routers.quarantinedAt(deadly)).toEqual([1, 2, 3, 4, 5]);
   });
 
+  // Otherwise a router that once released the request drops the newer record from the copy.
+  it("keeps a request quarantined that crashed three replicas again after its release", async () => {
+    const routers = createQuarantineRouters(4);
+    await crashThree(routers);
+    await routers.advance(requiredKnownWithin);
+    routers.at(3).quarantine.noteAnswered(requestOf(deadly));
+    await routers.advance(requiredKnownWithin);
+    expect(recordsOf(routers)).toEqual([]);
+    for (const replica of ["d", "e", "f"]) {
+      routers.crash(0, replica, [deadly]);
+      await routers.advance(20);
+    }
+    await routers.advance(requiredKnownWithin * 4);
+    expect(routers.quarantinedAt(deadly)).toEqual([1, 2, 3, 4]);
+    const { length } = routers.records.log;
+    routers.restoreStore(length);
+    await routers.advance(requiredKnownWithin * 2);
+    expect(routers.quarantinedAt(deadly)).toEqual([1, 2, 3, 4]);
+    expect(recordsOf(routers).length).toEqual(1);
+    expect(routers.records.log.slice(length).filter(({ value }) => value === undefined)).toEqual([]);
+  });
+
   // Guards against the copy listing a request again that has been answered since.
   it("doesn't quarantine released requests again", async () => {
     const routers = createQuarantineRouters(4);
--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -56,6 +56,19 @@
     else dependencies.onQuarantined(key, value, position.epoch);
   };
 
+  /** A removal that is read before the request's own record belongs to an earlier quarantine of the same request. */
+  const isOfEarlierQuarantine = ({ key, value }: FeedRecord<QuarantineRecord>): boolean => {
+    const known = requests.get(key);
+    return value === undefined && known !== undefined && known.recordedIn === undefined;
+  };
+
+  const applyChange = (record: FeedRecord<QuarantineRecord>): void => {
+    if (isOfEarlierQuarantine(record)) return;
+    // A record that is written after this router dropped the request quarantines it anew.
+    if (record.value !== undefined) dropped.delete(record.key);
+    apply(record);
+  };
+
   /** Drops again the records that this router has dropped before; they may come from an older copy of the store. */
   const applyCopy = async (records: readonly FeedRecord<QuarantineRecord>[]): Promise<void> => {
     records.filter(({ key }) => !dropped.has(key)).forEach(apply);
@@ -77,7 +90,7 @@
     next ??= await readNewest();
     for (;;) {
       const page = await feed.changes(next, 0);
-      page.records.forEach(apply);
+      page.records.forEach(applyChange);
       next = page.next;
       if (page.isComplete) return;
     }
@@ -121,6 +134,8 @@
   };
 
   const drop = async (fingerprint: Fingerprint): Promise<void> => {
+    // Records that precede the removal must not be read after it.
+    await readAll();
     await feed.drop(fingerprint);
     dropped.set(fingerprint, true);
   };
