Let the soak's operator write again under the version that is in force

Cause: after a restored store the operator of the soak wrote version 1, where the run had published version 2. The soak's fault, not the routers'.

Change: the fault injector starts at the version that the run publishes.

--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -40,6 +40,9 @@
 const replicaUptime = 1_000;
 const replicaClockStep = 5_000;
 
+/** The version of the configuration that the run publishes before the faults begin. */
+export const firstVersion = 2;
+
 /** Misbehaviours of engines and plain services on the wire. */
 const misbehaviours = {
   engines: ["shed", "fail", "reset", "cut", "crossed", "unsealed"],
@@ -241,7 +244,7 @@
   const shutdowns: ShutdownRecord[] = [];
   const keysTaken: { readonly key: string; readonly at: number }[] = [];
   const weights: { readonly version: number; readonly at: number }[] = [];
-  let version = 1;
+  let version = firstVersion;
   let remainingKeys = [...spareKeys];
   const { kill, shutDown, shutDownInTurn, freeze } = createRouterFaults(system, shutdowns);
   const { pickReplica, drain, reportDraining, lapse, restart, askForBackoff } = createReplicaFaults(system);
--- a/soak/platform/runSoak.ts
+++ b/soak/platform/runSoak.ts
@@ -5,7 +5,7 @@
 import type { Violation } from "../types.ts";
 import { startSoakCallers } from "./callers.ts";
 import { findPlatformViolations } from "./checks.ts";
-import { createFaultInjector, createTenants } from "./faultInjector.ts";
+import { createFaultInjector, createTenants, firstVersion } from "./faultInjector.ts";
 import type { Step } from "./plan.ts";
 import type { SystemSize } from "./soakSystem.ts";
 import { bounds, compiledProgram, startSoakSystem, suspendableProgram } from "./soakSystem.ts";
@@ -49,7 +49,7 @@
     process.pid + seed,
     isSuspending ? suspendableProgram : compiledProgram,
   );
-  system.publish(2, { tenants: createTenants(spareKeys) });
+  system.publish(firstVersion, { tenants: createTenants(spareKeys) });
   await sleep(warmUp);
   const faultInjector = createFaultInjector(system, spareKeys);
   const callers = startSoakCallers(system.routers, createRandom(seed, "callers"), spareKeys);
