--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -287,7 +287,7 @@
 /** Upper limit of updates about holders of prompt parts in one message. */
 export const maxHolderUpdatesPerMessage = 40;
 
-/** Upper limit of draining replicas in one message, 3 KB; of more, the registry tells. */
+/** Upper limit of draining replicas in one message: 3 KB. Routers learn of more from the registry. */
 export const maxLeavingPerMessage = 500;
 
 /**
--- a/src/coordination/forwarding/finiteAge.ts
+++ b/src/coordination/forwarding/finiteAge.ts
@@ -1,2 +1,7 @@
-/** JSON has no infinity, which is the age of what was never confirmed. @returns Whole milliseconds. */
+/**
+ * Prepares an age for the log: JSON has no infinity, which is the age of what was never confirmed.
+ *
+ * @param age - Milliseconds.
+ * @returns Whole milliseconds.
+ */
 export const finiteAge = (age: number): number => Math.round(Math.min(age, Number.MAX_SAFE_INTEGER));
--- a/src/state/forwarding/droppedEntries.ts
+++ b/src/state/forwarding/droppedEntries.ts
@@ -7,7 +7,7 @@
 export type DropReason = "departed" | "late_write" | "replaces_draining";
 
 /** Logs entries of the registry that have no effect. */
-export type LogDroppedEntry = (entry: ReplicaEntry, reason: DropReason, position?: StorePosition) => void;
+export type LogDroppedEntry = (entry: ReplicaEntry, reason: DropReason, position: StorePosition) => void;
 
 /** Entries that are remembered in order to log each of them once: a replica repeats its entry with every heartbeat. */
 const maxRememberedEntries = 4_096;
@@ -21,6 +21,6 @@
     const key = `${id} ${reason} ${isDraining}`;
     if (logged.has(key)) return;
     logged.set(key, true);
-    writeLog("entry_dropped", { replica: id, reason, isDraining, position: position?.toString() ?? "" });
+    writeLog("entry_dropped", { replica: id, reason, isDraining, position: position.toString() });
   };
 };
