--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -1,5 +1,5 @@
 /** A simulated router: the production decisions with their own state, and peers over delayed datagrams. */
-import { createRequestAdmission } from "../../src/coordination/forwarding/requestAdmission.ts";
+import { createRequestAdmission } from "../../src/coordination/admission/requestAdmission.ts";
 import { createCacheHolders } from "../../src/coordination/forwarding/cacheHolders.ts";
 import { followCacheStores } from "../../src/coordination/forwarding/cacheStoreFollower.ts";
 import { createConfigurationState } from "../../src/coordination/forwarding/configurationState.ts";
--- a/bench/owners/owners.ts
+++ b/bench/owners/owners.ts
@@ -12,9 +12,9 @@
 } from "../../tests/support/forwardingFixture.ts";
 import { createCacheHolders } from "../../src/coordination/forwarding/cacheHolders.ts";
 import { createConfigurationState } from "../../src/coordination/forwarding/configurationState.ts";
-import { createEnginePlacement } from "../../src/coordination/forwarding/enginePlacement.ts";
+import { createEnginePlacement } from "../../src/coordination/placement/enginePlacement.ts";
 import { defaultLoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
-import { createReplicaEstimates } from "../../src/coordination/forwarding/replicaEstimates.ts";
+import { createReplicaEstimates } from "../../src/coordination/estimates/replicaEstimates.ts";
 import { createManualClock } from "../../src/coordination/manualClock.ts";
 import { createOwners } from "../../src/coordination/replicaOwners/owners.ts";
 import { decodeOwnerMessage, encodeOwnerMessage } from "../../src/protocol/forwarding/ownerMessage.ts";
--- a/src/coordination/forwarding/limitGrants.ts
+++ b/src/coordination/admission/limitGrants.ts
@@ -6,9 +6,9 @@
 import { pause } from "../clock.ts";
 import type { ReplicaLimits, Grant } from "../replicaLimits/replicaLimits.ts";
 import type { GrantSearch } from "../replicaLimits/grantSearch.ts";
-import { failures } from "./failures.ts";
-import type { ForwardRun } from "./forwardRun.ts";
-import type { PlacementChoice } from "./placementTypes.ts";
+import { failures } from "../forwarding/failures.ts";
+import type { ForwardRun } from "../forwarding/forwardRun.ts";
+import type { PlacementChoice } from "../placement/placementTypes.ts";
 
 export interface LimitGrantsDependencies {
   readonly limits: Pick<ReplicaLimits, "acquire" | "comeBackAfter">;
--- a/src/coordination/forwarding/loadAdmission.ts
+++ b/src/coordination/admission/loadAdmission.ts
@@ -3,9 +3,9 @@
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
-import { failures } from "./failures.ts";
-import type { ForwardRun } from "./forwardRun.ts";
-import type { PlacementChoice } from "./placementTypes.ts";
+import { failures } from "../forwarding/failures.ts";
+import type { ForwardRun } from "../forwarding/forwardRun.ts";
+import type { PlacementChoice } from "../placement/placementTypes.ts";
 import type { AnswerPrediction } from "./loadShedding.ts";
 import { decideShedding } from "./loadShedding.ts";
 
--- a/src/coordination/forwarding/loadShedding.test.ts
+++ b/src/coordination/admission/loadShedding.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import { sheddingThreshold, maxRetryAfterShare } from "./constants.ts";
+import { sheddingThreshold, maxRetryAfterShare } from "../forwarding/constants.ts";
 import { decideShedding } from "./loadShedding.ts";
 
 const prediction = { wait: 200, queueWait: 100, objective: 800, remaining: 6_000 };
--- a/src/coordination/forwarding/loadShedding.ts
+++ b/src/coordination/admission/loadShedding.ts
@@ -12,7 +12,7 @@
   maxRetryAfterShare,
   minRetryAfter,
   usefulAnswerShare,
-} from "./constants.ts";
+} from "../forwarding/constants.ts";
 
 /** Prediction for a request that has not been sent yet. Durations are milliseconds. */
 export interface AnswerPrediction {
--- a/src/coordination/forwarding/requestAdmission.ts
+++ b/src/coordination/admission/requestAdmission.ts
@@ -13,9 +13,9 @@
 import { hash64 } from "../../protocol/prefixLevels.ts";
 import { refusals } from "../requests/refusals.ts";
 import type { Clock } from "../clock.ts";
-import type { ConfigurationState } from "./configurationState.ts";
-import { refusalRetryAfter, revocationMargin } from "./constants.ts";
-import type { Admission, ForwardingBounds } from "./types.ts";
+import type { ConfigurationState } from "../forwarding/configurationState.ts";
+import { refusalRetryAfter, revocationMargin } from "../forwarding/constants.ts";
+import type { Admission, ForwardingBounds } from "../forwarding/types.ts";
 
 const hashRange = 2 ** 64;
 
--- a/src/coordination/forwarding/usageAdmission.ts
+++ b/src/coordination/admission/usageAdmission.ts
@@ -5,7 +5,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import { refusals } from "../requests/refusals.ts";
 import type { UsageLimits } from "../usageLimits/usageLimits.ts";
-import type { ForwardRun } from "./forwardRun.ts";
+import type { ForwardRun } from "../forwarding/forwardRun.ts";
 
 export interface UsageAdmissionDependencies {
   readonly limits: UsageLimits;
--- a/src/coordination/coordinators/coordinators.ts
+++ b/src/coordination/coordinators/coordinators.ts
@@ -7,7 +7,7 @@
 import type { DatagramAddress } from "../../protocol/forwarding/DatagramLink.ts";
 import { hash32 } from "../../protocol/prefixLevels.ts";
 import type { Clock } from "../clock.ts";
-import { mixHashes } from "../forwarding/rendezvousReplica.ts";
+import { mixHashes } from "../placement/rendezvousReplica.ts";
 import type { LiveRouter } from "../replicaOwners/owners.ts";
 import {
   dataCentreTimeout,
--- a/src/coordination/forwarding/replicaEstimates.ts
+++ b/src/coordination/estimates/replicaEstimates.ts
@@ -1,5 +1,10 @@
 /** Estimates how fast replicas are from the answers that this router forwards. */
-import { assumedPrefillRate, assumedServiceTime, smoothingFactor, minRateSampleTokens } from "./constants.ts";
+import {
+  assumedPrefillRate,
+  assumedServiceTime,
+  smoothingFactor,
+  minRateSampleTokens,
+} from "../forwarding/constants.ts";
 
 export interface ReplicaEstimates {
   /** @returns Prompt tokens that the engine computes per millisecond. */
--- a/src/coordination/forwarding/cacheStoreFollower.ts
+++ b/src/coordination/forwarding/cacheStoreFollower.ts
@@ -13,7 +13,7 @@
 import { withTimeLimit } from "../timeLimit.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import { cacheStorePollInterval, cacheStoreTimeout } from "./constants.ts";
-import { mixHashes } from "./rendezvousReplica.ts";
+import { mixHashes } from "../placement/rendezvousReplica.ts";
 
 export interface CacheStoreFollowerDependencies {
   /** @returns The stores in the current configuration. */
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -6,7 +6,7 @@
 import type { Stopper } from "../requests/stopper.ts";
 import { createStopper } from "../requests/stopper.ts";
 import { maxUnsentAttempts } from "./constants.ts";
-import type { PlacementChoice } from "./placementTypes.ts";
+import type { PlacementChoice } from "../placement/placementTypes.ts";
 import type { Admission } from "./types.ts";
 
 /** Result of querying the owners of replicas for their state, for the log. */
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -16,7 +16,7 @@
 import type { Shutdown } from "./shutdown.ts";
 import { relayStream } from "./streamRelay.ts";
 import type { Admission } from "./types.ts";
-import type { UsageAdmission } from "./usageAdmission.ts";
+import type { UsageAdmission } from "../admission/usageAdmission.ts";
 
 export interface ForwarderDependencies extends AttemptLoopDependencies {
   readonly configuration: ConfigurationState;
--- a/src/coordination/forwarding/enginePlacement.test.ts
+++ b/src/coordination/placement/enginePlacement.test.ts
@@ -12,11 +12,11 @@
   streamRoute,
 } from "../../../tests/support/forwardingFixture.ts";
 import { createManualClock } from "../manualClock.ts";
-import { createCacheHolders } from "./cacheHolders.ts";
-import { createConfigurationState } from "./configurationState.ts";
+import { createCacheHolders } from "../forwarding/cacheHolders.ts";
+import { createConfigurationState } from "../forwarding/configurationState.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
-import { defaultLoadPolicy } from "./loadPolicy.ts";
-import { createReplicaEstimates } from "./replicaEstimates.ts";
+import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
+import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
 
 const prompt = (tokens: number, course = "course"): Prompt => ({
   model: "m",
--- a/src/coordination/forwarding/enginePlacement.ts
+++ b/src/coordination/placement/enginePlacement.ts
@@ -3,7 +3,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { priorities, tokensAhead, totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
-import type { ConfigurationState } from "./configurationState.ts";
+import type { ConfigurationState } from "../forwarding/configurationState.ts";
 import {
   delayPerRunningRequest,
   copySetupTime,
@@ -15,8 +15,8 @@
   packingTargetShare,
   peerMessageIntervals,
   oldWeightsGracePeriod,
-} from "./constants.ts";
-import type { LoadPolicy } from "./loadPolicy.ts";
+} from "../forwarding/constants.ts";
+import type { LoadPolicy } from "../forwarding/loadPolicy.ts";
 import type { PartSaving } from "./partSaving.ts";
 import { pickRandom } from "./pickRandom.ts";
 import { queriedReplicas, queriedVersions } from "../replicaOwners/constants.ts";
@@ -25,9 +25,9 @@
 import type { PromptView, PromptViewDependencies } from "./promptView.ts";
 import { createPromptViews } from "./promptView.ts";
 import { cheapestReplica } from "./cheapestReplica.ts";
-import type { ReplicaEstimates } from "./replicaEstimates.ts";
+import type { ReplicaEstimates } from "../estimates/replicaEstimates.ts";
 import { describeSharedParts, findAwaitedPart, transferTime } from "./sharedParts.ts";
-import type { Admission, ForwardingBounds } from "./types.ts";
+import type { Admission, ForwardingBounds } from "../forwarding/types.ts";
 
 export interface EnginePlacementDependencies extends PromptViewDependencies {
   readonly configuration: ConfigurationState;
--- a/src/coordination/forwarding/partSaving.test.ts
+++ b/src/coordination/placement/partSaving.test.ts
@@ -2,8 +2,8 @@
 import { expect } from "earl";
 import type { CacheStore } from "../../protocol/forwarding/types.ts";
 import { createManualClock } from "../manualClock.ts";
-import { saveBurst, saveLinkShare } from "./constants.ts";
-import { defaultLoadPolicy } from "./loadPolicy.ts";
+import { saveBurst, saveLinkShare } from "../forwarding/constants.ts";
+import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import { createPartSaving } from "./partSaving.ts";
 import type { SaveCandidate } from "./partSaving.ts";
 
--- a/src/coordination/forwarding/partSaving.ts
+++ b/src/coordination/placement/partSaving.ts
@@ -7,8 +7,13 @@
  */
 import type { CacheStore } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
-import { minComputingTimeToSave, lossSmoothingFactor, saveBurst, minShareToSave } from "./constants.ts";
-import type { LoadPolicy } from "./loadPolicy.ts";
+import {
+  minComputingTimeToSave,
+  lossSmoothingFactor,
+  saveBurst,
+  minShareToSave,
+} from "../forwarding/constants.ts";
+import type { LoadPolicy } from "../forwarding/loadPolicy.ts";
 
 export interface PartSavingDependencies {
   readonly clock: Clock;
--- a/src/coordination/forwarding/partWait.test.ts
+++ b/src/coordination/placement/partWait.test.ts
@@ -2,8 +2,8 @@
 import { setImmediate as settled } from "node:timers/promises";
 import { expect } from "earl";
 import { createManualClock } from "../manualClock.ts";
-import { createCacheHolders } from "./cacheHolders.ts";
-import { partWaitShare } from "./constants.ts";
+import { createCacheHolders } from "../forwarding/cacheHolders.ts";
+import { partWaitShare } from "../forwarding/constants.ts";
 import { createPartWait } from "./partWait.ts";
 
 const create = () => {
--- a/src/coordination/forwarding/partWait.ts
+++ b/src/coordination/placement/partWait.ts
@@ -7,7 +7,7 @@
  * by a share of the latency objective, since the engine that computes the part may fail.
  */
 import type { Clock } from "../clock.ts";
-import type { CacheHolders } from "./cacheHolders.ts";
+import type { CacheHolders } from "../forwarding/cacheHolders.ts";
 
 export interface PartWaitDependencies {
   readonly holders: Pick<CacheHolders, "whenReady">;
--- a/src/coordination/forwarding/placement.ts
+++ b/src/coordination/placement/placement.ts
@@ -10,14 +10,14 @@
 import type { Availability } from "../replicaReports/availability.ts";
 import { isAvoided } from "../replicaReports/backoff.ts";
 import { queriedPlainReplicas } from "../replicaOwners/constants.ts";
-import { failurePenaltyShare, remotePenalty } from "./constants.ts";
+import { failurePenaltyShare, remotePenalty } from "../forwarding/constants.ts";
 import type { EnginePlacement } from "./enginePlacement.ts";
 import { limitPenalty } from "../replicaLimits/constants.ts";
 import type { LimitedCandidates, PlacementChoice, PlacementFailure, Shortlist } from "./placementTypes.ts";
 import { pickRandom } from "./pickRandom.ts";
 import { cheapestReplica } from "./cheapestReplica.ts";
-import type { ReplicaEstimates } from "./replicaEstimates.ts";
-import type { Admission } from "./types.ts";
+import type { ReplicaEstimates } from "../estimates/replicaEstimates.ts";
+import type { Admission } from "../forwarding/types.ts";
 
 export interface PlacementDependencies {
   readonly availability: Pick<Availability, "available">;
--- a/src/coordination/forwarding/promptView.ts
+++ b/src/coordination/placement/promptView.ts
@@ -5,8 +5,8 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import { isBackingOff } from "../replicaReports/backoff.ts";
-import type { CacheHolders, CachedPrompt } from "./cacheHolders.ts";
-import { reusableParts } from "./cacheHolders.ts";
+import type { CacheHolders, CachedPrompt } from "../forwarding/cacheHolders.ts";
+import { reusableParts } from "../forwarding/cacheHolders.ts";
 import { rendezvousReplica } from "./rendezvousReplica.ts";
 
 export interface PromptViewDependencies {
--- a/src/coordination/forwarding/sharedParts.ts
+++ b/src/coordination/placement/sharedParts.ts
@@ -1,7 +1,7 @@
 /** Describes a prompt's shared parts for the decisions to save them and to wait for them. */
 import type { CacheStore, EngineCapacity, Prompt } from "../../protocol/forwarding/types.ts";
-import type { CacheHolders, CachedPrompt } from "./cacheHolders.ts";
-import { minComputingTimeToAwait } from "./constants.ts";
+import type { CacheHolders, CachedPrompt } from "../forwarding/cacheHolders.ts";
+import { minComputingTimeToAwait } from "../forwarding/constants.ts";
 import type { SaveCandidate } from "./partSaving.ts";
 import type { PromptView } from "./promptView.ts";
 
--- a/src/coordination/replicaLimits/grantSearch.ts
+++ b/src/coordination/replicaLimits/grantSearch.ts
@@ -1,5 +1,5 @@
 /** One request's search for a replica that can take it, where replicas report limits. */
-import type { LimitedCandidates, PlacementFailure } from "../forwarding/placementTypes.ts";
+import type { LimitedCandidates, PlacementFailure } from "../placement/placementTypes.ts";
 import { maxRefusals, maxReservations, reservationWaitShare } from "./constants.ts";
 
 /**
--- a/src/coordination/replicaOwners/owners.ts
+++ b/src/coordination/replicaOwners/owners.ts
@@ -8,7 +8,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
-import { mixHashes } from "../forwarding/rendezvousReplica.ts";
+import { mixHashes } from "../placement/rendezvousReplica.ts";
 import { membersRefreshInterval, maxOwnerCandidates, unreachableOwnerTimes } from "./constants.ts";
 
 /** A router that may be serving; it may be unreachable. */
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import { systemClock } from "../coordination/clock.ts";
-import { createRequestAdmission } from "../coordination/forwarding/requestAdmission.ts";
+import { createRequestAdmission } from "../coordination/admission/requestAdmission.ts";
 import {
   registryTimeoutShare,
   shutdownPollInterval,
