Carry organisations' prompts, reserved memory and prefill rates between routers

Cause: shedding and placement under overload need to know what each organisation has queued at a replica, what memory its running requests need, and how fast it computes; each router knew only its own part.

--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -7,6 +7,7 @@
 import { cachedMemoryShare } from "../../src/coordination/forwarding/constants.ts";
 import { createDecisions } from "../../src/coordination/forwarding/decisions.ts";
 import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
+import { noLoadFeatures } from "../../src/coordination/forwarding/loadFeatures.ts";
 import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
 import { createRouterPeers } from "../../src/coordination/forwarding/routerPeers.ts";
 import {
@@ -205,6 +206,7 @@
     shutdown: createShutdown(clock, bounds),
     bounds,
     policy,
+    features: noLoadFeatures,
     clock,
     metrics: new MemoryMetrics(),
     random,
--- a/src/coordination/forwarding/applyPeerMessage.ts
+++ b/src/coordination/forwarding/applyPeerMessage.ts
@@ -29,7 +29,7 @@
 const noWork = new Map<ReplicaKey, ReplicaWork>();
 
 const byReplica = (work: readonly AnnouncedWork[]): ReadonlyMap<ReplicaKey, ReplicaWork> =>
-  new Map(work.map(({ replica, requests, promptTokens }) => [replica, { requests, promptTokens }]));
+  new Map(work.map(({ replica, ...atReplica }) => [replica, atReplica]));
 
 /** Drops the announced work of peers that are not live, and removes peers that can't be serving any more. */
 export const expirePeers = (peers: PeerTable, replicas: ReplicaTable): void => {
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -24,6 +24,7 @@
 import type { PartWait } from "../placement/partWait.ts";
 import type { Placement } from "../placement/placement.ts";
 import type { PlacementChoice, PlacementFailure } from "../placement/placementTypes.ts";
+import type { Admission } from "./types.ts";
 import { createRetryPolicy } from "./retryPolicy.ts";
 import type { RetryShare } from "./retryShare.ts";
 
@@ -32,6 +33,8 @@
   readonly placement: Placement;
   readonly availability: Availability;
   readonly owners: Pick<ReplicaOwners, "isEnabled" | "query">;
+  /** @returns The key under which a request's organisation is counted; 0 if organisations are not counted. */
+  readonly organisationKey: (admission: Admission) => number;
   readonly attempt: ForwardAttempt;
   readonly grants: LimitGrants;
   readonly retryShare: RetryShare;
@@ -128,7 +131,7 @@
       search.limitedChoice(),
     );
     const askedAt = clock.monotonic();
-    const known = await owners.query(replicas, keys);
+    const known = await owners.query(replicas, keys, dependencies.organisationKey(admission));
     run.noteOwnerQuery(replicas.length, known.length, Math.round(clock.monotonic() - askedAt));
     return known.length > 0 ? known : replicas;
   };
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -30,7 +30,9 @@
 import { createForwarder } from "./forwarder.ts";
 import { createLimitGrants } from "../admission/limitGrants.ts";
 import { createLoadAdmission } from "../admission/loadAdmission.ts";
+import type { LoadFeatures } from "./loadFeatures.ts";
 import type { LoadPolicy } from "./loadPolicy.ts";
+import { noOrganisation, organisationKeyOf } from "./organisationKey.ts";
 import { createPartSaving } from "../placement/partSaving.ts";
 import { createPartWait } from "../placement/partWait.ts";
 import { createPlacement } from "../placement/placement.ts";
@@ -71,6 +73,7 @@
   readonly shutdown: Shutdown;
   readonly bounds: ForwardingBounds;
   readonly policy: LoadPolicy;
+  readonly features: LoadFeatures;
   readonly clock: Clock;
   readonly metrics: Metrics;
   /** @returns A random number from 0 to 1. */
@@ -108,7 +111,8 @@
 
 /** Creates the forwarder and starts to monitor replicas. */
 export const createDecisions = (dependencies: DecisionDependencies): Decisions => {
-  const { dataCentre, client, view, bounds, policy, clock, metrics, random } = dependencies;
+  const { dataCentre, client, view, bounds, policy, features, clock, metrics, random } = dependencies;
+  const organisationKey = features.fairShares ? organisationKeyOf : (): number => noOrganisation;
   const { configuration, replicas, holders, peers, owners, cacheStore, quarantine } = view;
   const resources = createResourceStack();
   const estimates = createReplicaEstimates();
@@ -170,6 +174,7 @@
     crashes: createCrashMonitor({ replicas, client, clock, onCrash: quarantine.noteCrash }),
     quarantine,
     saving,
+    organisationKey,
     metrics,
     clock,
   });
@@ -178,6 +183,7 @@
     placement: createPlacement({ ...placementDependencies, availability, dataCentre, engines }),
     availability,
     owners,
+    organisationKey,
     attempt,
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
     quarantine,
--- a/src/coordination/forwarding/routerPeers.test.ts
+++ b/src/coordination/forwarding/routerPeers.test.ts
@@ -87,6 +87,8 @@
     expect(second.replicas.get("engine")?.peers.get("a")).toEqual({
       requests: 3,
       promptTokens: [0, 0, 0, 0, 700],
+      organisations: [],
+      reservedTokens: 0,
     });
   });
 
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -15,7 +15,7 @@
 import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
-import { wholeTokens } from "../../state/forwarding/replicaState.ts";
+import { toOrganisationWork, wholeTokens } from "../../state/forwarding/replicaState.ts";
 import type { ConfigurationState } from "./configurationState.ts";
 import { createBackoffExchange } from "../replicaReports/backoffExchange.ts";
 import { storeReaderCount } from "../storeReading/constants.ts";
@@ -124,10 +124,12 @@
   replicas
     .all()
     .filter(({ requests }) => requests > 0)
-    .map(({ entry, requests, promptTokens }) => ({
+    .map(({ entry, requests, promptTokens, organisationTokens, reservedTokens }) => ({
       replica: replicaKeyOf(entry.id),
       requests,
       promptTokens: wholeTokens(promptTokens),
+      organisations: [...organisationTokens].flatMap(toOrganisationWork),
+      reservedTokens: Math.round(reservedTokens),
     }));
 
 /** Peers that get their messages at the same time. */
--- a/src/coordination/placement/enginePlacement.ts
+++ b/src/coordination/placement/enginePlacement.ts
@@ -248,6 +248,7 @@
         tokensToCompute(replica) / estimates.prefillRate(id) > peerMessageIntervals.shortest,
       awaitedPart: findAwaitedPart(view, (holder) => replicas.get(holder) !== undefined, rate),
       promptTokens: Math.max(0, tokensToCompute(replica)),
+      reservedTokens: 0,
       predictedWait,
       queueWait: predictQueue(replica),
     };
--- a/src/coordination/placement/placement.ts
+++ b/src/coordination/placement/placement.ts
@@ -137,6 +137,7 @@
       outlastsMessageInterval: false,
       awaitedPart: undefined,
       promptTokens: 0,
+      reservedTokens: 0,
       predictedWait: best.cost,
       queueWait: 0,
     };
--- a/src/coordination/placement/placementTypes.ts
+++ b/src/coordination/placement/placementTypes.ts
@@ -24,6 +24,8 @@
   readonly awaitedPart: number | undefined;
   /** Prompt tokens that the replica is expected to compute. */
   readonly promptTokens: number;
+  /** Memory tokens that the request holds or will need there; 0 where memory is not counted. */
+  readonly reservedTokens: number;
   /** Predicted time until the answer starts. */
   readonly predictedWait: number;
   /** The part of `predictedWait` that passes before the replica starts on the request. */
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -26,6 +26,8 @@
   readonly holders: Pick<CacheHolders, "notePart" | "holdersOf">;
   /** @returns The configured cache stores, which keep prompt parts. */
   readonly cacheStores: () => readonly CacheStore[];
+  /** @returns The prefill rate to report, prompt tokens per millisecond; 0 if none is known. */
+  readonly prefillRate: (replica: ReplicaState) => number;
   readonly clock: Clock;
 }
 
@@ -99,14 +101,17 @@
   };
   let cancel = clock.after(reportLifetime / 2, expireReports);
 
-  const reportOn = (state: ReplicaState, asker: string): ReplicaLoadReport => {
+  const reportOn = (state: ReplicaState, asker: string, organisation: number): ReplicaLoadReport => {
     // Answers of an earlier owner would otherwise be passed on forever, and keep all routers away from the replica.
     replicas.noteWorkAt(ownerAnswersSource, replicaKeyOf(state.entry.id), noWork);
-    const work = workExcluding(state, reportSourceOf(asker));
+    const work = workExcluding(state, reportSourceOf(asker), organisation);
     return {
       replica: replicaKeyOf(state.entry.id),
       requests: work.requests,
       promptTokens: work.promptTokens.map((tokens) => Math.max(0, Math.round(tokens))),
+      organisations: work.organisations ?? [],
+      reservedTokens: work.reservedTokens ?? 0,
+      prefillRate: dependencies.prefillRate(state),
       ejectedFor: Math.max(0, Math.round(avoidReplicaUntil(state) - clock.monotonic())),
       limit: recentLimitOf(state, clock.monotonic()),
     };
@@ -117,12 +122,12 @@
       for (const report of message.reports) applyReport(message, report);
       applyAnnouncedHolders(message.holders, dependencies);
     },
-    answer: ({ name, number, replicas: keys, parts }) => ({
+    answer: ({ name, number, replicas: keys, parts, organisation }) => ({
       kind: "answer",
       number,
       reports: keys.flatMap((key) => {
         const state = replicas.getByKey(key);
-        return state === undefined ? [] : [reportOn(state, name)];
+        return state === undefined ? [] : [reportOn(state, name, organisation)];
       }),
       holders: parts.flatMap((part): readonly AnnouncedHolder[] =>
         holders
--- a/src/coordination/replicaOwners/ownerQueries.ts
+++ b/src/coordination/replicaOwners/ownerQueries.ts
@@ -30,11 +30,13 @@
 export interface OwnerQueries {
   /**
    * @param keys - Keys of the prompt's parts.
+   * @param organisation - Key of the organisation whose prompts are counted; 0 for none.
    * @returns The replicas whose state is known now, because their owners answered or this router is the owner.
    */
   readonly query: (
     replicas: readonly ReplicaState[],
     keys: readonly number[],
+    organisation: number,
   ) => Promise<readonly ReplicaState[]>;
   /** Handles the answer of an owner. */
   readonly receiveAnswer: (answer: AnswerMessage) => void;
@@ -94,7 +96,7 @@
     query.finish();
   };
 
-  const startQuery: OwnerQueries["query"] = (replicas, keys) =>
+  const startQuery: OwnerQueries["query"] = (replicas, keys, organisation) =>
     new Promise((resolve) => {
       const known: ReplicaState[] = [];
       const byOwner = groupByOwner(replicas, known);
@@ -116,7 +118,14 @@
         const keysOfReplicas = owned.map(({ entry }) => replicaKeyOf(entry.id));
         link.send(
           owner.at,
-          encodeOwnerMessage({ kind: "ask", name, number, replicas: keysOfReplicas, parts: keys }),
+          encodeOwnerMessage({
+            kind: "ask",
+            name,
+            number,
+            replicas: keysOfReplicas,
+            parts: keys,
+            organisation,
+          }),
         );
       }
     });
--- a/src/coordination/replicaOwners/replicaOwners.test.ts
+++ b/src/coordination/replicaOwners/replicaOwners.test.ts
@@ -5,7 +5,7 @@
 import { engineEntry } from "../../../tests/support/forwardingFixture.ts";
 import { MemoryNetwork } from "../../../tests/support/MemoryNetwork.ts";
 import { createReplicaTable } from "../../state/forwarding/replicaTable.ts";
-import { totalRequests } from "../../state/forwarding/replicaState.ts";
+import { organisationTokensAt, totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createCacheHolders } from "../forwarding/cacheHolders.ts";
 import { createManualClock } from "../manualClock.ts";
@@ -76,9 +76,14 @@
   };
   const others = (id: string) => routers.filter((router) => router !== ownerOf(id));
   /** Asks about one engine. */
-  const ask = async (router: (typeof routers)[number], id: string, keys: readonly number[] = []) => {
+  const ask = async (
+    router: (typeof routers)[number],
+    id: string,
+    keys: readonly number[] = [],
+    organisation = 0,
+  ) => {
     let known: readonly ReplicaState[] | undefined;
-    void router.owners.query([router.replica(id)], keys).then((answered) => (known = answered));
+    void router.owners.query([router.replica(id)], keys, organisation).then((answered) => (known = answered));
     await run(answerTimeout.longest + 5);
     if (known === undefined) throw new Error("the question is still open");
     return known.length > 0;
@@ -115,6 +120,27 @@
     expect(totalRequests(first.replica("engine-0"))).toEqual(1);
   });
 
+  it("report the prompts of the asker's organisation and reserved memory, without the asker's own", async () => {
+    const { others, ask, run } = create(12);
+    const [first, second] = others("engine-0");
+    if (first === undefined || second === undefined) throw new Error("routers are missing");
+    for (const [router, tokens] of [
+      [first, 3_000],
+      [second, 1_000],
+    ] as const) {
+      router.replica("engine-0").organisationTokens.set(7, tokens);
+      router.replica("engine-0").organisationTokens.set(8, 500);
+      router.replica("engine-0").reservedTokens += 2 * tokens;
+      router.begin("engine-0", tokens + 500);
+    }
+    await run(2);
+    await ask(second, "engine-0", [], 7);
+    const { peerTotals } = second.replica("engine-0");
+    expect([...peerTotals.organisationTokens]).toEqual([[7, 3_000]]);
+    expect(organisationTokensAt(second.replica("engine-0"), 7)).toEqual(4_000);
+    expect(peerTotals.reservedTokens).toEqual(6_000);
+  });
+
   it("report where prompt parts are computed and kept", async () => {
     const { others, ask, run } = create(12);
     const [first, second] = others("engine-0");
@@ -229,7 +255,7 @@
           else if (each.kind === "ask") {
             const question = { until: clock.monotonic() + answerTimeout.longest };
             open.add(question);
-            void router.owners.query([router.replica(id)], []).then(() => {
+            void router.owners.query([router.replica(id)], [], 0).then(() => {
               open.delete(question);
               expect(clock.monotonic() <= question.until).toEqual(true);
             });
--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -33,6 +33,8 @@
   readonly peers: Pick<RouterPeers, "isLarge" | "serving">;
   /** @returns The configured cache stores, which keep prompt parts. */
   readonly cacheStores: () => readonly CacheStore[];
+  /** @returns The prefill rate that this router reports as the owner; 0 if none is known. */
+  readonly prefillRate?: (replica: ReplicaState) => number;
 }
 
 export interface ReplicaOwners extends AsyncDisposable {
@@ -44,11 +46,13 @@
    * Queries the owners of replicas for their state.
    *
    * @param keys - Keys of the prompt's parts.
+   * @param organisation - Key of the organisation whose prompts are counted; 0 for none.
    * @returns The replicas whose state is known now.
    */
   readonly query: (
     replicas: readonly ReplicaState[],
     keys: readonly number[],
+    organisation: number,
   ) => Promise<readonly ReplicaState[]>;
   readonly reports: Pick<WorkReports, "noteRequestSent" | "noteWorkChanged" | "noteHolder">;
 }
@@ -77,7 +81,13 @@
     clock,
   });
   const owned = resources.use(
-    createOwnedReplicas({ replicas, holders, cacheStores: dependencies.cacheStores, clock }),
+    createOwnedReplicas({
+      replicas,
+      holders,
+      cacheStores: dependencies.cacheStores,
+      prefillRate: dependencies.prefillRate ?? (() => 0),
+      clock,
+    }),
   );
   const reports = resources.use(
     createWorkReports({ name, incarnation, link, owners, replicas, clock, isEnabled: peers.isLarge }),
@@ -90,6 +100,7 @@
       const state = replicas.getByKey(report.replica);
       if (state === undefined) return [];
       replicas.replaceWorkAt(ownerAnswersSource, report.replica, report);
+      if (report.prefillRate > 0) state.reportedRate = { rate: report.prefillRate, receivedAt: now };
       // The owner monitors unreachable replicas, and has checked this one since this router marked it unreachable.
       if (report.ejectedFor === 0 && now >= state.ejectedUntil) state.isUnreachable = false;
       state.ejectedUntil = Math.max(state.ejectedUntil, now + report.ejectedFor);
--- a/src/coordination/replicaOwners/workReports.ts
+++ b/src/coordination/replicaOwners/workReports.ts
@@ -11,7 +11,7 @@
 import { toReportedLimitMessage } from "../../state/forwarding/reportedLimit.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
-import { wholeTokens } from "../../state/forwarding/replicaState.ts";
+import { toOrganisationWork, wholeTokens } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import { maxReportedHolders, reportBatchInterval, reportRepeatInterval } from "./constants.ts";
 import type { LiveRouter, Owners } from "./owners.ts";
@@ -50,6 +50,8 @@
   replica: replicaKeyOf(replica.entry.id),
   requests: replica.requests,
   promptTokens: wholeTokens(replica.promptTokens),
+  organisations: [...replica.organisationTokens].flatMap(toOrganisationWork),
+  reservedTokens: Math.round(replica.reservedTokens),
   computedTokens: Math.max(0, Math.round(replica.computedTokens)),
   isUnreachable: replica.isUnreachable,
   isBackingOff: isBackingOff(replica, now),
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -9,6 +9,7 @@
   storeTimeoutShare,
 } from "../coordination/forwarding/constants.ts";
 import { createDecisions } from "../coordination/forwarding/decisions.ts";
+import type { LoadFeatures } from "../coordination/forwarding/loadFeatures.ts";
 import { defaultLoadPolicy } from "../coordination/forwarding/loadPolicy.ts";
 import { createShutdown } from "../coordination/forwarding/shutdown.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
@@ -60,6 +61,15 @@
   limitReserve: bounds.limitReserve,
 });
 
+const toLoadFeatures = (
+  { guarantees, replicaSpeeds, batchMemory }: ForwardingSettings,
+  { guaranteeOf }: ForwardingPlatform,
+): LoadFeatures => ({
+  fairShares: guarantees.some((name) => guaranteeOf(name) === "fairShares"),
+  minSpeedSpread: replicaSpeeds?.minSpread,
+  batchMemory,
+});
+
 const describeSelf = ({ name, dataCentre, peers }: ForwardingSettings, port: number): RouterEntry => ({
   name,
   incarnation: randomBytes(incarnationBytes).toString("base64url"),
@@ -103,6 +113,7 @@
   platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
   const link = resources.use(await openUdpLink(settings.peers));
   const self = describeSelf(settings, link.port);
+  const features = toLoadFeatures(settings, platform);
   const shutdown = createShutdown(clock, bounds);
 
   const forwardingView = resources.use(
@@ -132,6 +143,7 @@
       shutdown,
       bounds,
       policy: defaultLoadPolicy,
+      features,
       clock,
       metrics,
       random: Math.random,
@@ -186,6 +198,7 @@
   );
   const url = `http://${settings.callers.address}:${server.port}`;
   writeLog("listening", { incarnation: self.incarnation, url });
+  writeLog("features", { ...features, minSpeedSpread: features.minSpeedSpread ?? null });
 
   const drain = async (): Promise<void> => {
     shutdown.begin();
--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -31,6 +31,15 @@
   metricsPort: z.number().int().min(0).max(maxPort).describe("Where metrics are served; 0: nowhere"),
   peers: endpoint.describe("Where other routers' datagrams are received"),
   store: endpoint.describe("The platform's store"),
+  guarantees: z
+    .array(z.string())
+    .default([])
+    .describe("Guarantees by the platform's names; others are ignored"),
+  replicaSpeeds: z
+    .object({ minSpread: z.number().min(1) })
+    .optional()
+    .describe("From which ratio of the fastest to the slowest replica on learned speeds are used"),
+  batchMemory: z.boolean().default(false).describe("Whether placement counts the memory of running requests"),
   bounds: z.object({
     keyRevocation: duration,
     drain: duration,
--- a/src/protocol/forwarding/ForwardingPlatform.ts
+++ b/src/protocol/forwarding/ForwardingPlatform.ts
@@ -14,6 +14,9 @@
   readonly registryTimeout: number;
 }
 
+/** What an operator promises its callers for a deployment, as settings of a router request it. */
+export type Guarantee = "fairShares";
+
 /** The services of the underlying platform that a router uses, provided by a platform adapter. */
 export interface ForwardingPlatform extends AsyncDisposable {
   readonly wire: ForwardingWire;
@@ -30,6 +33,8 @@
   /** Requests that crash replicas, by request fingerprint. */
   readonly quarantine: RecordFeed<QuarantineRecord>;
   readonly replicaClient: ReplicaClient;
+  /** @returns The guarantee that the platform knows under a name; `undefined` if this system need not know it. */
+  readonly guaranteeOf: (name: string) => Guarantee | undefined;
 }
 
 export type ConnectPlatform = (address: PlatformAddress) => ForwardingPlatform;
--- a/src/protocol/forwarding/ownerMessage.test.ts
+++ b/src/protocol/forwarding/ownerMessage.test.ts
@@ -19,6 +19,10 @@
   nil: undefined,
 });
 
+const organisations = fc.array(record({ key: fc.nat({ max: 2 ** 32 - 1 }), promptTokens: count }), {
+  maxLength: 4,
+});
+
 const message: fc.Arbitrary<OwnerMessage> = fc.oneof(
   record({
     kind: fc.constant("work" as const),
@@ -30,6 +34,8 @@
         replica: key,
         requests: count,
         promptTokens,
+        organisations,
+        reservedTokens: count,
         computedTokens: count,
         isUnreachable: fc.boolean(),
         isBackingOff: fc.boolean(),
@@ -45,13 +51,24 @@
     number: count,
     replicas: fc.array(key, { maxLength: 8 }),
     parts: fc.array(count, { maxLength: 8 }),
+    organisation: fc.nat({ max: 2 ** 32 - 1 }),
   }),
   record({
     kind: fc.constant("answer" as const),
     number: count,
-    reports: fc.array(record({ replica: key, requests: count, promptTokens, ejectedFor: count, limit }), {
-      maxLength: 4,
-    }),
+    reports: fc.array(
+      record({
+        replica: key,
+        requests: count,
+        promptTokens,
+        organisations,
+        reservedTokens: count,
+        prefillRate: fc.nat({ max: 4_000 }).map((sixteenths) => sixteenths / 16),
+        ejectedFor: count,
+        limit,
+      }),
+      { maxLength: 4 },
+    ),
     holders,
   }),
 );
--- a/src/protocol/forwarding/ownerMessage.ts
+++ b/src/protocol/forwarding/ownerMessage.ts
@@ -7,10 +7,10 @@
 import { createByteReader } from "./byteReader.ts";
 import type { ByteWriter } from "./byteWriter.ts";
 import { createByteWriter } from "./byteWriter.ts";
-import type { ReplicaKey, AnnouncedHolder } from "./peerMessage.ts";
+import type { AnnouncedHolder, OrganisationTokens, ReplicaKey } from "./peerMessage.ts";
 import type { ReportedLimitMessage } from "./reportedLimitMessage.ts";
 import { readOptionalReportedLimit, writeOptionalReportedLimit } from "./reportedLimitMessage.ts";
-import { readHolders, writeHolders } from "./peerMessage.ts";
+import { readAmounts, readHolders, writeAmounts, writeHolders } from "./peerMessage.ts";
 
 /** A router's whole work at one replica, and the state in which the router sees the replica. */
 export interface WorkReport {
@@ -18,6 +18,10 @@
   readonly requests: number;
   /** Prompt tokens of the requests without a first token, by priority; missing trailing entries are 0. */
   readonly promptTokens: readonly number[];
+  /** The same tokens by organisation, where organisations are counted. */
+  readonly organisations: readonly OrganisationTokens[];
+  /** Memory tokens that the requests hold or will need; 0 where memory is not counted. */
+  readonly reservedTokens: number;
   /** Prompt tokens computed there for this router since the router started. */
   readonly computedTokens: number;
   /** Whether the router fails to connect to the replica. */
@@ -50,6 +54,8 @@
   readonly replicas: readonly ReplicaKey[];
   /** The keys of the prompt's parts. */
   readonly parts: readonly number[];
+  /** The key of the request's organisation, whose prompts the answer counts; 0 for none. */
+  readonly organisation: number;
 }
 
 /** The load of a replica as its owner knows it, without the work of the router that asks. */
@@ -57,6 +63,11 @@
   readonly replica: ReplicaKey;
   readonly requests: number;
   readonly promptTokens: readonly number[];
+  /** The entry of the organisation that the query names; empty if it has no prompts there. */
+  readonly organisations: readonly OrganisationTokens[];
+  readonly reservedTokens: number;
+  /** Prompt tokens that the replica computes per millisecond, as its owner estimates; 0 if unknown. */
+  readonly prefillRate: number;
   /** Milliseconds for which other replicas are preferred, since this one failed or asked a router to back off. */
   readonly ejectedFor: number;
   /** The limit that the replica's responses reported recently; `undefined` if the owner knows of none. */
@@ -77,6 +88,9 @@
 /** The first byte of each datagram, which distinguishes it from the other datagrams between routers. */
 const messageTypes = { work: 0x21, ask: 0x22, answer: 0x23 } as const;
 
+/** Rates are sent as whole numbers of this part of a token per millisecond. */
+const rateResolution = 16;
+
 /** Bit flags of one byte. Routers that know only the first flag read any other value as no flag. */
 const conditions = { unreachable: 1, backingOff: 2 } as const;
 
@@ -89,8 +103,7 @@
   writer.varint(message.sequence);
   writer.list(message.reports, (report) => {
     writer.uint48(report.replica);
-    writer.varint(report.requests);
-    writer.list(report.promptTokens, writer.varint);
+    writeAmounts(writer, report);
     writer.varint(report.computedTokens);
     writer.uint8(encodeConditions(report));
     writeOptionalReportedLimit(writer, report.limit);
@@ -103,14 +116,15 @@
   writer.varint(message.number);
   writer.list(message.replicas, writer.uint48);
   writer.list(message.parts, writer.varint);
+  writer.varint(message.organisation);
 };
 
 const writeAnswer = (writer: ByteWriter, message: AnswerMessage): void => {
   writer.varint(message.number);
   writer.list(message.reports, (report) => {
     writer.uint48(report.replica);
-    writer.varint(report.requests);
-    writer.list(report.promptTokens, writer.varint);
+    writeAmounts(writer, report);
+    writer.varint(Math.round(report.prefillRate * rateResolution));
     writer.varint(report.ejectedFor);
     writeOptionalReportedLimit(writer, report.limit);
   });
@@ -133,14 +147,12 @@
 
 const readWorkReport = (reader: ByteReader): WorkReport => {
   const replica = reader.uint48();
-  const requests = reader.varint();
-  const promptTokens = reader.list(reader.varint);
+  const amounts = readAmounts(reader);
   const computedTokens = reader.varint();
   const condition = reader.uint8();
   return {
     replica,
-    requests,
-    promptTokens,
+    ...amounts,
     computedTokens,
     isUnreachable: (condition & conditions.unreachable) !== 0,
     isBackingOff: (condition & conditions.backingOff) !== 0,
@@ -164,6 +176,7 @@
   number: reader.varint(),
   replicas: reader.list(reader.uint48),
   parts: reader.list(reader.varint),
+  organisation: reader.varint(),
 });
 
 const readAnswer = (reader: ByteReader): AnswerMessage => ({
@@ -171,8 +184,8 @@
   number: reader.varint(),
   reports: reader.list(() => ({
     replica: reader.uint48(),
-    requests: reader.varint(),
-    promptTokens: reader.list(reader.varint),
+    ...readAmounts(reader),
+    prefillRate: reader.varint() / rateResolution,
     ejectedFor: reader.varint(),
     limit: readOptionalReportedLimit(reader),
   })),
--- a/src/protocol/forwarding/peerMessage.test.ts
+++ b/src/protocol/forwarding/peerMessage.test.ts
@@ -20,7 +20,17 @@
   sentAt: time,
   echo: fc.option(time, { nil: undefined }),
   configuration: fc.option(record({ version: count, age: count }), { nil: undefined }),
-  work: fc.array(record({ replica: key, requests: small, promptTokens: fc.array(small, { maxLength: 10 }) })),
+  work: fc.array(
+    record({
+      replica: key,
+      requests: small,
+      promptTokens: fc.array(small, { maxLength: 10 }),
+      organisations: fc.array(record({ key: fc.nat({ max: 2 ** 32 - 1 }), promptTokens: small }), {
+        maxLength: 4,
+      }),
+      reservedTokens: small,
+    }),
+  ),
   weights: fc.array(record({ replica: key, model: text, version: count })),
   changingReplicas: fc.array(record({ replica: key, remaining: small })),
   leaving: fc.array(key),
@@ -92,7 +102,13 @@
       hasSteppedDown: false,
       isShuttingDown: false,
     };
-    const workAtReplica = { replica: replicaKeyOf("engine-1"), requests: 3, promptTokens: [0, 12_000] };
+    const workAtReplica = {
+      replica: replicaKeyOf("engine-1"),
+      requests: 3,
+      promptTokens: [0, 12_000],
+      organisations: [],
+      reservedTokens: 0,
+    };
     const work = Array.from({ length: 100 }, () => workAtReplica);
     const bytes = encodeRouterMessage({ ...empty, work }).length - encodeRouterMessage(empty).length;
     expect(bytes / work.length).toBeLessThanOrEqual(12);
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -31,6 +31,17 @@
   readonly requests: number;
   /** Prompt tokens of the requests without a first token, by priority; missing trailing entries are 0. */
   readonly promptTokens: readonly number[];
+  /** The same tokens by organisation, where organisations are counted. */
+  readonly organisations: readonly OrganisationTokens[];
+  /** Memory tokens that the requests hold or will need; 0 where memory is not counted. */
+  readonly reservedTokens: number;
+}
+
+/** Prompt tokens of one organisation's requests without a first token. */
+export interface OrganisationTokens {
+  /** 32-bit hash of the organisation's name. */
+  readonly key: number;
+  readonly promptTokens: number;
 }
 
 /** The weights that a replica runs. */
@@ -177,10 +188,9 @@
     writer.varint(message.configuration.version);
     writer.varint(message.configuration.age);
   }
-  writer.list(message.work, ({ replica, requests, promptTokens }) => {
-    writer.uint48(replica);
-    writer.varint(requests);
-    writer.list(promptTokens, writer.varint);
+  writer.list(message.work, (work) => {
+    writer.uint48(work.replica);
+    writeAmounts(writer, work);
   });
   writeUpdates(writer, message);
   writer.varint(message.quarantineDigest);
@@ -189,10 +199,40 @@
   return writer.finish();
 };
 
+/** The amounts of work at a replica, as messages between routers carry them. */
+export type WorkAmounts = Omit<AnnouncedWork, "replica">;
+
+/** Organisations and memory follow only if they are counted: where neither is, work takes no bytes more. */
+export const writeAmounts = (writer: ByteWriter, amounts: WorkAmounts): void => {
+  const { requests, promptTokens, organisations, reservedTokens } = amounts;
+  const hasDetails = organisations.length > 0 || reservedTokens > 0;
+  writer.varint(requests * 2 + (hasDetails ? 1 : 0));
+  writer.list(promptTokens, writer.varint);
+  if (!hasDetails) return;
+  writer.list(organisations, ({ key, promptTokens: tokens }) => {
+    writer.varint(key);
+    writer.varint(tokens);
+  });
+  writer.varint(reservedTokens);
+};
+
+/** Reads what {@link writeAmounts} has written. */
+export const readAmounts = (reader: ByteReader): WorkAmounts => {
+  const first = reader.varint();
+  const requests = Math.floor(first / 2);
+  const promptTokens = reader.list(reader.varint);
+  if (first % 2 === 0) return { requests, promptTokens, organisations: [], reservedTokens: 0 };
+  return {
+    requests,
+    promptTokens,
+    organisations: reader.list(() => ({ key: reader.varint(), promptTokens: reader.varint() })),
+    reservedTokens: reader.varint(),
+  };
+};
+
 const readWork = (reader: ByteReader): AnnouncedWork => ({
   replica: reader.uint48(),
-  requests: reader.varint(),
-  promptTokens: reader.list(reader.varint),
+  ...readAmounts(reader),
 });
 
 const readTarget = (reader: ByteReader): AnnouncedTarget => ({
--- a/src/state/forwarding/peerWork.ts
+++ b/src/state/forwarding/peerWork.ts
@@ -8,6 +8,12 @@
   work.promptTokens.slice(0, priorities).forEach((tokens, priority) => {
     peerTotals.promptTokens[priority] = (peerTotals.promptTokens[priority] ?? 0) + sign * tokens;
   });
+  peerTotals.reservedTokens += sign * (work.reservedTokens ?? 0);
+  for (const { key, promptTokens } of work.organisations ?? []) {
+    const tokens = (peerTotals.organisationTokens.get(key) ?? 0) + sign * promptTokens;
+    if (tokens > 0) peerTotals.organisationTokens.set(key, tokens);
+    else peerTotals.organisationTokens.delete(key);
+  }
 };
 
 /** The work of other routers at replicas. Work at a replica that is not known is ignored. */
--- a/src/state/forwarding/replicaState.ts
+++ b/src/state/forwarding/replicaState.ts
@@ -6,12 +6,24 @@
 /** Number of priorities that engines distinguish; 0 is the most urgent. */
 export const priorities = 10;
 
+/** Work of one organisation at a replica. */
+export interface OrganisationWork {
+  /** 32-bit hash of the organisation's name. */
+  readonly key: number;
+  /** Prompt tokens of its requests that have not returned a first token yet. */
+  readonly promptTokens: number;
+}
+
 /** Work at a replica. */
 export interface ReplicaWork {
   /** Requests in progress. */
   readonly requests: number;
   /** By priority: prompt tokens of the requests that have not returned a first token yet. */
   readonly promptTokens: readonly number[];
+  /** The organisations with prompts that have not returned a first token; absent if they are not counted. */
+  readonly organisations?: readonly OrganisationWork[];
+  /** Memory tokens that the requests in progress hold or will need; absent if they are not counted. */
+  readonly reservedTokens?: number;
 }
 
 /** The backoff that a replica asked this router for. Times are milliseconds on the monotonic clock. */
@@ -34,6 +46,14 @@
   refusals: number;
 }
 
+/** The prefill rate of a replica as its owner estimates it. */
+export interface ReportedRate {
+  /** Prompt tokens per millisecond. */
+  readonly rate: number;
+  /** When the report arrived, milliseconds on the monotonic clock. */
+  readonly receivedAt: number;
+}
+
 /** How this router learned that a replica drains. */
 export interface DrainingReport {
   /**
@@ -60,6 +80,10 @@
   requests: number;
   /** By priority: prompt tokens of this router's requests that have not returned a first token yet. */
   readonly promptTokens: number[];
+  /** By key of the organisation: the same prompt tokens, where organisations are counted. */
+  readonly organisationTokens: Map<number, number>;
+  /** Memory tokens that this router's requests in progress hold or will need, where memory is counted. */
+  reservedTokens: number;
   /** Prompt tokens of this router's requests that the replica has computed so far. */
   computedTokens: number;
   /** Prompt tokens of other routers' requests that the replica has computed, as far as they reported them. */
@@ -67,7 +91,15 @@
   /** By reporting router: the work that it reported last. Only the functions of the table change it. */
   readonly peers: Map<string, ReplicaWork>;
   /** The sums over `peers`, so that the cost of a placement decision does not depend on the number of routers. */
-  readonly peerTotals: { requests: number; readonly promptTokens: number[] };
+  readonly peerTotals: {
+    requests: number;
+    readonly promptTokens: number[];
+    /** By key of the organisation. */
+    readonly organisationTokens: Map<number, number>;
+    reservedTokens: number;
+  };
+  /** The prefill rate that its owner reported last; `undefined` if none did. */
+  reportedRate: ReportedRate | undefined;
   /** Gets no new work before then, since its weights are being changed; milliseconds on the monotonic clock. */
   changingUntil: number;
   /** Gets no new work before then, since it failed; milliseconds on the monotonic clock. */
@@ -111,22 +143,44 @@
 export const tokensAhead = ({ promptTokens, peerTotals }: ReplicaState, priority: number): number =>
   sumThrough(promptTokens, priority) + sumThrough(peerTotals.promptTokens, priority);
 
+/** @returns The prompt tokens without a first token that an organisation has at a replica, over all routers. */
+export const organisationTokensAt = (
+  { organisationTokens, peerTotals }: ReplicaState,
+  organisation: number,
+): number =>
+  (organisationTokens.get(organisation) ?? 0) + (peerTotals.organisationTokens.get(organisation) ?? 0);
+
+/** @returns The memory tokens that the requests of all routers at a replica hold or will need. */
+export const reservedTokensAt = ({ reservedTokens, peerTotals }: ReplicaState): number =>
+  reservedTokens + peerTotals.reservedTokens;
+
+/** @returns An organisation's entry as it is reported to other routers; empty if it has no prompt tokens. */
+export const toOrganisationWork = ([key, tokens]: readonly [number, number]): readonly OrganisationWork[] =>
+  tokens >= 1 ? [{ key, promptTokens: Math.round(tokens) }] : [];
+
 /** @returns The tokens by priority, rounded, without trailing priorities that have none. */
 export const wholeTokens = (tokens: readonly number[]): number[] =>
   tokens.slice(0, tokens.findLastIndex((count) => count > 0) + 1).map(Math.round);
 
-/** @returns The work of all routers at a replica, except what one router reported. */
-export const workExcluding = (
-  { requests, promptTokens, peers, peerTotals }: ReplicaState,
-  reporter: string,
-): ReplicaWork => {
+/**
+ * @param organisation - The key of the only organisation to include.
+ * @returns The work of all routers at a replica, except what one router reported.
+ */
+export const workExcluding = (state: ReplicaState, reporter: string, organisation: number): ReplicaWork => {
+  const { requests, promptTokens, peers, peerTotals } = state;
   const reported = peers.get(reporter);
+  const reportedByOrganisation = reported?.organisations?.find(({ key }) => key === organisation);
   return {
     requests: Math.max(0, requests + peerTotals.requests - (reported?.requests ?? 0)),
     promptTokens: promptTokens.map(
       (own, priority) =>
         own + (peerTotals.promptTokens[priority] ?? 0) - (reported?.promptTokens[priority] ?? 0),
     ),
+    organisations: toOrganisationWork([
+      organisation,
+      organisationTokensAt(state, organisation) - (reportedByOrganisation?.promptTokens ?? 0),
+    ]),
+    reservedTokens: Math.max(0, Math.round(reservedTokensAt(state) - (reported?.reservedTokens ?? 0))),
   };
 };
 
@@ -144,10 +198,18 @@
   weights: new Map(entry.weights),
   requests: 0,
   promptTokens: new Array<number>(priorities).fill(0),
+  organisationTokens: new Map(),
+  reservedTokens: 0,
   computedTokens: 0,
   reportedTokens: 0,
   peers: new Map(),
-  peerTotals: { requests: 0, promptTokens: new Array<number>(priorities).fill(0) },
+  peerTotals: {
+    requests: 0,
+    promptTokens: new Array<number>(priorities).fill(0),
+    organisationTokens: new Map(),
+    reservedTokens: 0,
+  },
+  reportedRate: undefined,
   changingUntil: Number.NEGATIVE_INFINITY,
   ejectedUntil: Number.NEGATIVE_INFINITY,
   limit: undefined,
--- a/standIns/platform/platformSystem.ts
+++ b/standIns/platform/platformSystem.ts
@@ -251,6 +251,8 @@
   readonly engine?: Partial<ReplicaSettings>;
   readonly desk?: Partial<ReplicaSettings>;
   readonly bounds?: Partial<ForwardingSettings["bounds"]>;
+  /** Settings of the features under load. */
+  readonly load?: Partial<Pick<ForwardingSettings, "guarantees" | "replicaSpeeds" | "batchMemory">>;
   /** False starts with an empty store: no configuration and no registered replicas. */
   readonly isPublished?: boolean;
 }
@@ -317,6 +319,9 @@
         metricsPort: 0,
         peers: anyPort,
         store: { address: "127.0.0.1", port: Number(routerStore.address.split(":")[1]) },
+        guarantees: [],
+        batchMemory: false,
+        ...settings.load,
         bounds: { ...bounds, ...settings.bounds },
       },
       connectPlatform,
