Count usage from the start in a lone router, and rely on nothing after a refusal

Cause: a coordinator counted nothing in its first 2.5 s, also where the store lists no other router; requests then used up what a router may forward without a count, and a request that fits the limit got 429. A refusal with half of the burst left counted as far from the limit, so the next request was forwarded uncounted. Change: a router that the store has listed alone since it began to run without a pause coordinates at once. An answer counts as far from the limit only if it grants.

--- a/src/coordination/coordinators/coordinators.ts
+++ b/src/coordination/coordinators/coordinators.ts
@@ -26,6 +26,8 @@
   readonly others: () => readonly LiveRouter[];
   /** @returns The data centre whose routers come first for a key; `undefined` if none is preferred. */
   readonly nearestDataCentre?: (key: string) => string | undefined;
+  /** @returns When the store listed no other router, milliseconds on the monotonic clock; `undefined` if it lists some. */
+  readonly listedAloneAt?: () => number | undefined;
   readonly clock: Clock;
 }
 
@@ -79,13 +81,19 @@
   return scored.map(({ router }) => router);
 };
 
+/**
+ * Whether most data centres are reachable. Of two halves that reach only themselves, the one with the data centre whose
+ * name comes first goes on.
+ */
+const isMajority = (reachable: ReadonlyMap<string, boolean>): boolean => {
+  const sorted = [...reachable].sort(([left], [right]) => (left < right ? -1 : 1));
+  const count = sorted.filter(([, isReachable]) => isReachable).length;
+  return count * 2 > sorted.length || (count * 2 === sorted.length && sorted[0]?.[1] === true);
+};
+
 /** Creates one router's view of the coordinators. */
-export const createCoordinators = ({
-  self,
-  others,
-  nearestDataCentre,
-  clock,
-}: CoordinatorsDependencies): Coordinators => {
+export const createCoordinators = (dependencies: CoordinatorsDependencies): Coordinators => {
+  const { self, others, nearestDataCentre, listedAloneAt = () => undefined, clock } = dependencies;
   const startedAt = clock.monotonic();
   let known = new Map<string, KnownRouter>();
   let byAddress = new Map<string, KnownRouter>();
@@ -141,10 +149,7 @@
     return clock.monotonic() - (entry.lastSeenAt ?? entry.knownSince);
   };
 
-  /**
-   * Whether this router receives from a majority of data centres. Of two halves that reach only themselves, the one with
-   * the data centre whose name comes first goes on.
-   */
+  /** Whether this router receives from a majority of data centres. */
   const hasQuorum = (): boolean => {
     const reachable = new Map<string, boolean>();
     for (const { router } of known.values()) {
@@ -152,9 +157,7 @@
       reachable.set(router.dataCentre, (reachable.get(router.dataCentre) ?? false) || isRecent);
     }
     if (!reachable.has(self.dataCentre)) reachable.set(self.dataCentre, true);
-    const sorted = [...reachable].sort(([left], [right]) => (left < right ? -1 : 1));
-    const count = sorted.filter(([, isReachable]) => isReachable).length;
-    return count * 2 > sorted.length || (count * 2 === sorted.length && sorted[0]?.[1] === true);
+    return isMajority(reachable);
   };
 
   const isAlive = (router: LiveRouter): boolean => timeSinceSeen(router) < takeoverTimeout;
@@ -176,9 +179,15 @@
       return answeredAt !== undefined && answeredAt >= runningSince;
     });
 
+  /** Whether the store listed no other router since this process began to run without a pause, and none is known. */
+  const isAlone = (): boolean =>
+    known.size === 0 && (listedAloneAt() ?? Number.NEGATIVE_INFINITY) >= runningSince;
+
   /** Whether enough time has passed since the start, or no other router can be the coordinator. */
   const mayBegin = (key: string): boolean =>
-    clock.monotonic() - runningSince >= takeoverTimeout || (known.size > 0 && isKnownToSuccessors(key));
+    clock.monotonic() - runningSince >= takeoverTimeout ||
+    isAlone() ||
+    (known.size > 0 && isKnownToSuccessors(key));
 
   /** One router of each data centre not seen recently: without a majority of them a coordinator grants nothing. */
   const dataCentresToProbe = (): readonly LiveRouter[] => {
--- a/src/coordination/coordinators/keyCoordination.ts
+++ b/src/coordination/coordinators/keyCoordination.ts
@@ -23,6 +23,8 @@
   readonly others: () => readonly LiveRouter[];
   /** @returns The data centre whose routers come first for a key; `undefined` if none is preferred. */
   readonly nearestDataCentre?: (key: string) => string | undefined;
+  /** @returns When the store listed no other router, milliseconds on the monotonic clock; `undefined` if it lists some. */
+  readonly listedAloneAt?: () => number | undefined;
   /** A number from 0 to 1. */
   readonly random: () => number;
 }
@@ -65,7 +67,8 @@
   const { name, dataCentre, address, port } = dependencies.self;
   const self: LiveRouter = { name, dataCentre, at: { address, port } };
   const { nearestDataCentre = () => undefined } = dependencies;
-  const coordinators = createCoordinators({ self, others, nearestDataCentre, clock });
+  const { listedAloneAt = () => undefined } = dependencies;
+  const coordinators = createCoordinators({ self, others, nearestDataCentre, listedAloneAt, clock });
   const queries = createCoordinatorQueries({ link, clock, random });
   /** By name of a router: the time until which it is not queried about any key. */
   const skippedUntil = new Map<string, number>();
--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -1,4 +1,5 @@
 /** What a router knows of one organisation's usage, and what it may forward without a grant. */
+import type { LimitAnswer } from "../../protocol/forwarding/limitMessage.ts";
 import type { OrganisationLimit } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
 import type { ForwardingBounds } from "../forwarding/types.ts";
@@ -73,9 +74,16 @@
   account.spent += amount;
 };
 
-/** Applies the share of the burst that is left, by an answer of the coordinator. @param percent - From 0 to 100. */
-export const noteRemaining = (account: UsageAccount, percent: number, clock: Clock): void => {
-  const isFarFromLimit = percent >= optimisticThreshold;
+/**
+ * Applies an answer of the coordinator. A refusal shows that the organisation is near its limit also if most of the burst
+ * is left: the next prompt may be as large as the refused one.
+ */
+export const noteAnswer = (
+  account: UsageAccount,
+  { verdict, remainingPercent }: Pick<LimitAnswer, "verdict" | "remainingPercent">,
+  clock: Clock,
+): void => {
+  const isFarFromLimit = verdict === "granted" && remainingPercent >= optimisticThreshold;
   account.optimisticUntil = isFarFromLimit
     ? clock.monotonic() + optimisticDuration
     : Number.NEGATIVE_INFINITY;
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -16,7 +16,7 @@
 import type { KeyCoordination } from "../coordinators/keyCoordination.ts";
 import { bucketsPerWindow, minRetryAfter, retryJitter } from "./constants.ts";
 import type { UsageAccount } from "./usageAccount.ts";
-import { createUsageAccount, noteRemaining, spendUngranted, ungrantedAllowance } from "./usageAccount.ts";
+import { createUsageAccount, noteAnswer, spendUngranted, ungrantedAllowance } from "./usageAccount.ts";
 import { createUsageCoordinator } from "./usageCoordinator.ts";
 
 export interface UsageLimitsDependencies {
@@ -97,9 +97,9 @@
   };
 
   /** Writes one log line when the coordinator becomes unreachable, and one when it answers again. */
-  const noteAnswer = (organisation: string, answer: LimitAnswer | undefined): void => {
+  const applyAnswer = (organisation: string, answer: LimitAnswer | undefined): void => {
     const account = accountOf(organisation);
-    if (answer !== undefined) noteRemaining(account, answer.remainingPercent, clock);
+    if (answer !== undefined) noteAnswer(account, answer, clock);
     const isWithoutCoordinator = answer === undefined;
     if (isWithoutCoordinator !== account.isWithoutCoordinator)
       writeLog(isWithoutCoordinator ? "unasked" : "asked", { organisation });
@@ -120,7 +120,7 @@
   ): Promise<number | undefined> => {
     const account = accountOf(organisation);
     const answer = await queryCoordinator(organisation, amount);
-    noteAnswer(organisation, answer);
+    applyAnswer(organisation, answer);
     if (answer?.verdict === "refused") return addJitter(answer.wait);
     if (answer === undefined) {
       if (!isWithinAllowance(account, amount, limit)) return addJitter(bounds.limitWindow / bucketsPerWindow);
@@ -137,7 +137,7 @@
     account.used.add(amount);
     const answer = await queryCoordinator(organisation, amount);
     account.inFlight -= amount;
-    noteAnswer(organisation, answer);
+    applyAnswer(organisation, answer);
     if (answer?.verdict === "granted") return;
     account.optimisticUntil = Number.NEGATIVE_INFINITY;
     spendUngranted(account, amount);
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -68,6 +68,7 @@
   { self, platform, clock, bounds }: ForwardingViewDependencies,
   peers: RouterPeers,
   recovery: RecoveryWindow,
+  onListedAlone: (isAlone: boolean) => void,
 ): AsyncDisposable =>
   startRegistration({
     self,
@@ -79,7 +80,9 @@
     random: Math.random,
     onListed: (entries) => {
       peers.add(entries);
-      if (entries.every(({ name }) => name === self.name)) recovery.noteContact();
+      const isAlone = entries.every(({ name }) => name === self.name);
+      onListedAlone(isAlone);
+      if (isAlone) recovery.noteContact();
     },
   });
 
@@ -142,6 +145,7 @@
     }),
   );
 
+  let listedAloneAt: number | undefined;
   const keyCoordination = resources.use(
     createKeyCoordination({
       self,
@@ -149,6 +153,7 @@
       clock,
       others: peers.serving,
       nearestDataCentre: (key) => replicas.get(key)?.entry.dataCentre,
+      listedAloneAt: () => listedAloneAt,
       random: Math.random,
     }),
   );
@@ -196,7 +201,11 @@
     }),
   );
 
-  resources.use(registerRouter(dependencies, peers, recovery));
+  resources.use(
+    registerRouter(dependencies, peers, recovery, (isAlone) => {
+      listedAloneAt = isAlone ? clock.monotonic() : undefined;
+    }),
+  );
 
   return {
     configuration,
