Tell the other routers which prompt parts were used before, so that lost parts are saved

Cause: with 60 routers each sees a part once in some 40 s and counts every use as the first, so parts that engines evicted are hardly ever saved in a cache store and are computed again. Change: an owner's answer names the requested parts that it has seen used, where batchMemory is set; the routers' common share of link time then covers every configured store instead of one.

--- a/bench/owners/owners.ts
+++ b/bench/owners/owners.ts
@@ -77,6 +77,7 @@
         limit: undefined,
       },
     ],
+    usedParts: [0x9abc_def0, 0x1234_5678],
     holders: [
       { part: 0x9abc_def0, replica: replicaKey, isReady: true },
       { part: 0x1234_5678, replica: replicaKey, isReady: true },
--- a/src/coordination/forwarding/cacheHolders.ts
+++ b/src/coordination/forwarding/cacheHolders.ts
@@ -41,6 +41,8 @@
   readonly deepestKey: (salt: string, prompt: Prompt) => number | undefined;
   /** @returns Whether a part was used before, even if no holder is known any more. */
   readonly wasUsed: (key: number) => boolean;
+  /** Records that other routers have used a part before, whether or not a holder is known. */
+  readonly noteUsed: (key: number) => void;
   /** @returns The holders assumed to cache or compute a part. */
   readonly holdersOf: (key: number) => readonly PartHolder[];
   /** @returns The keys of a prompt's reusable parts. */
@@ -172,6 +174,11 @@
       ),
     keysOf,
     wasUsed: (key) => entriesByPart.has(key),
+    noteUsed: (key) => {
+      if (entriesByPart.has(key)) return;
+      entriesByPart.set(key, new Map());
+      evictOldest();
+    },
     noteStoreChange: (store, { isStored, salt, part }) => {
       const key = keyOf(salt, part);
       if (isStored) noteReported(key, store);
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -143,7 +143,12 @@
   client.useGate(createReplicaGate({ replicas, observe, metrics, clock }));
   const availability = createAvailability({ replicas, clock, random });
 
-  const saving = createPartSaving({ clock, policy, routerCount: peers.countServing });
+  const saving = createPartSaving({
+    clock,
+    policy,
+    routerCount: peers.countServing,
+    storeCount: () => (features.batchMemory ? (configuration.table()?.cacheStores.length ?? 1) : 1),
+  });
   const placementDependencies = { replicas, estimates, clock, random };
   const engines = createEnginePlacement({
     ...placementDependencies,
--- a/src/coordination/placement/partSaving.ts
+++ b/src/coordination/placement/partSaving.ts
@@ -20,6 +20,8 @@
   readonly policy: Pick<LoadPolicy, "lossWorthSaving" | "saveLinkShare">;
   /** @returns Number of routers that may be saving, this one included. */
   readonly routerCount: () => number;
+  /** @returns Number of stores whose links the routers share. */
+  readonly storeCount: () => number;
 }
 
 /** What the decision to save a prompt's shared parts depends on. */
@@ -51,7 +53,8 @@
   readonly lossShare: () => number;
 }
 
-export const createPartSaving = ({ clock, policy, routerCount }: PartSavingDependencies): PartSaving => {
+export const createPartSaving = (dependencies: PartSavingDependencies): PartSaving => {
+  const { clock, policy, routerCount, storeCount } = dependencies;
   let lossShare = 0;
   let availableLinkTime = 0;
   let refilledAt = clock.monotonic();
@@ -61,7 +64,7 @@
   };
 
   const refillLinkTime = (now: number): void => {
-    const count = Math.max(1, routerCount());
+    const count = Math.max(1, routerCount()) / Math.max(1, storeCount());
     const refilled = availableLinkTime + ((now - refilledAt) * policy.saveLinkShare) / count;
     availableLinkTime = Math.min(saveBurst / count, refilled);
     refilledAt = now;
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -23,11 +23,13 @@
 
 export interface OwnedReplicasDependencies {
   readonly replicas: ReplicaTable;
-  readonly holders: Pick<CacheHolders, "notePart" | "holdersOf">;
+  readonly holders: Pick<CacheHolders, "notePart" | "holdersOf" | "wasUsed">;
   /** @returns The configured cache stores, which keep prompt parts. */
   readonly cacheStores: () => readonly CacheStore[];
   /** @returns The prefill rate to report, prompt tokens per millisecond; 0 if none is known. */
   readonly prefillRate: (replica: ReplicaState) => number;
+  /** Whether answers name the parts that were used before; the other routers decide by them which parts to save. */
+  readonly reportsUsedParts: boolean;
   readonly clock: Clock;
 }
 
@@ -129,6 +131,7 @@
         const state = replicas.getByKey(key);
         return state === undefined ? [] : [reportOn(state, name, organisation)];
       }),
+      usedParts: dependencies.reportsUsedParts ? parts.filter(holders.wasUsed) : [],
       holders: parts.flatMap((part): readonly AnnouncedHolder[] =>
         holders
           .holdersOf(part)
--- a/src/coordination/replicaOwners/replicaOwners.test.ts
+++ b/src/coordination/replicaOwners/replicaOwners.test.ts
@@ -39,6 +39,7 @@
       holders,
       peers: { isLarge: () => true, serving: () => others as never },
       cacheStores: () => [],
+      reportsUsedParts: true,
     });
     const replica = (id: string): ReplicaState => {
       const found = replicas.get(id);
@@ -110,6 +111,18 @@
     expect(second.replica("engine-0").peerTotals.promptTokens[3]).toEqual(4_000);
   });
 
+  it("report that a part was used by another router also after it was evicted, so that it is saved", async () => {
+    const { others, ask, run } = create(12);
+    const [first, second] = others("engine-0");
+    if (first === undefined || second === undefined) throw new Error("routers are missing");
+    first.owners.reports.noteHolder(first.replica("engine-0"), 17, "engine-0", true);
+    // Longer than a holder is assumed to keep a part that nobody uses.
+    await run(70_000);
+    await ask(second, "engine-0", [17, 18]);
+    expect(second.holders.holdersOf(17)).toEqual([]);
+    expect([second.holders.wasUsed(17), second.holders.wasUsed(18)]).toEqual([true, false]);
+  });
+
   it("don't count the asking router's own work twice", async () => {
     const { others, ask, run } = create(12);
     const [first] = others("engine-0");
--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -29,10 +29,12 @@
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly replicas: ReplicaTable;
-  readonly holders: Pick<CacheHolders, "notePart" | "holdersOf">;
+  readonly holders: Pick<CacheHolders, "notePart" | "noteUsed" | "holdersOf" | "wasUsed">;
   readonly peers: Pick<RouterPeers, "isLarge" | "serving">;
   /** @returns The configured cache stores, which keep prompt parts. */
   readonly cacheStores: () => readonly CacheStore[];
+  /** Whether this router's answers as an owner name the parts that were used before. */
+  readonly reportsUsedParts?: boolean;
   /** @returns The prefill rate that this router reports as the owner; 0 if none is known. */
   readonly prefillRate?: (replica: ReplicaState) => number;
 }
@@ -85,6 +87,7 @@
       replicas,
       holders,
       cacheStores: dependencies.cacheStores,
+      reportsUsedParts: dependencies.reportsUsedParts ?? false,
       prefillRate: dependencies.prefillRate ?? (() => 0),
       clock,
     }),
@@ -95,6 +98,7 @@
 
   const applyAnswer = (answer: AnswerMessage): readonly ReplicaState[] => {
     const now = clock.monotonic();
+    answer.usedParts.forEach(holders.noteUsed);
     applyAnnouncedHolders(answer.holders, dependencies);
     return answer.reports.flatMap((report) => {
       const state = replicas.getByKey(report.replica);
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -123,6 +123,7 @@
       link,
       clock,
       bounds,
+      features,
       onConfiguration: () => {
         server.applyLimits();
         divideConnectionLimits(platform, forwardingView);
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -17,6 +17,7 @@
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { Quarantine } from "../coordination/crashes/quarantine.ts";
 import { createQuarantine } from "../coordination/crashes/quarantine.ts";
+import type { LoadFeatures } from "../coordination/forwarding/loadFeatures.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import type { ReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
 import type { UsageLimits } from "../coordination/usageLimits/usageLimits.ts";
@@ -43,6 +44,7 @@
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
+  readonly features: LoadFeatures;
   /** Called when a configuration was received; its limits may differ. */
   readonly onConfiguration: () => void;
 }
@@ -142,6 +144,7 @@
       holders,
       peers,
       cacheStores: () => configuration.table()?.cacheStores ?? [],
+      reportsUsedParts: dependencies.features.batchMemory,
     }),
   );
 
--- a/src/protocol/forwarding/ownerMessage.test.ts
+++ b/src/protocol/forwarding/ownerMessage.test.ts
@@ -69,6 +69,7 @@
       }),
       { maxLength: 4 },
     ),
+    usedParts: fc.array(count, { maxLength: 8 }),
     holders,
   }),
 );
--- a/src/protocol/forwarding/ownerMessage.ts
+++ b/src/protocol/forwarding/ownerMessage.ts
@@ -79,6 +79,8 @@
   readonly kind: "answer";
   readonly number: number;
   readonly reports: readonly ReplicaLoadReport[];
+  /** The requested prompt parts that were used before, also if no replica has them cached any more. */
+  readonly usedParts: readonly number[];
   /** The replicas that have the requested prompt parts cached or compute them. */
   readonly holders: readonly AnnouncedHolder[];
 }
@@ -128,6 +130,7 @@
     writer.varint(report.ejectedFor);
     writeOptionalReportedLimit(writer, report.limit);
   });
+  writer.list(message.usedParts, writer.varint);
   writeHolders(writer, message.holders);
 };
 
@@ -189,6 +192,7 @@
     ejectedFor: reader.varint(),
     limit: readOptionalReportedLimit(reader),
   })),
+  usedParts: reader.list(reader.varint),
   holders: readHolders(reader),
 });
 
