Age estimates of replicas and measure prefill rates under load

Cause: a replica whose estimate became bad once got no requests afterwards, and only requests correct an estimate; prefill rates were learned from idle replicas alone.

Reports carry prefilled tokens only then: messages without the setting have the same bytes as before.

--- a/bench/owners/owners.ts
+++ b/bench/owners/owners.ts
@@ -95,6 +95,7 @@
         organisations: [{ key: 0x1111_2222, promptTokens: 8_000 }],
         reservedTokens: 12_100,
         computedTokens: 1_000_000,
+        prefilledTokens: 0,
         isUnreachable: false,
         isBackingOff: false,
         limit: undefined,
--- a/src/coordination/estimates/replicaEstimates.ts
+++ b/src/coordination/estimates/replicaEstimates.ts
@@ -1,10 +1,18 @@
-/** Estimates how fast replicas are from the answers that this router forwards. */
+/**
+ * Estimates how fast replicas are from the answers that this router forwards, and from what the owners of replicas
+ * report where learned speeds are used.
+ */
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import { createLogger } from "../../state/log.ts";
+import type { Clock } from "../clock.ts";
 import {
   assumedPrefillRate,
   assumedServiceTime,
   smoothingFactor,
   minRateSampleTokens,
 } from "../forwarding/constants.ts";
+import { createAgedEstimates } from "./agedEstimates.ts";
+import type { ReplicaSpeeds } from "./replicaSpeeds.ts";
 
 export interface ReplicaEstimates {
   /** @returns Prompt tokens that the engine computes per millisecond. */
@@ -22,13 +30,67 @@
   readonly forget: (replica: string) => void;
 }
 
+/** Needed where learned speeds are used and estimates age. */
+export interface AgeingDependencies {
+  readonly replicas: Pick<ReplicaTable, "get">;
+  readonly clock: Clock;
+  readonly speeds: Pick<ReplicaSpeeds, "medianRate" | "rateOf">;
+}
+
+const writeLog = createLogger("estimates");
+
 const minPrefillRate = 1;
 
 /** A single slow answer says little: it counts as at most this many times the average. */
 const maxOutlierFactor = 4;
 
-/** Creates estimates that start from the assumed values. */
-export const createReplicaEstimates = (): ReplicaEstimates => {
+const toRate = (tokens: number, milliseconds: number): number =>
+  Math.max(minPrefillRate, tokens / Math.max(1, milliseconds));
+
+const createAgeingEstimates = ({ replicas, clock, speeds }: AgeingDependencies): ReplicaEstimates => {
+  const rates = createAgedEstimates({
+    replicas,
+    clock,
+    assumed: assumedPrefillRate,
+    // Placement uses the rates that owners measure, and `replicaSpeeds.ts` logs them, where rates differ much.
+    onChange: () => undefined,
+  });
+  const times = createAgedEstimates({
+    replicas,
+    clock,
+    assumed: assumedServiceTime,
+    onChange: ({ entry }, milliseconds, before) =>
+      writeLog("service_time_changed", {
+        replica: entry.id,
+        service: entry.service,
+        milliseconds: Math.round(milliseconds),
+        before: Math.round(before),
+      }),
+  });
+  return {
+    prefillRate: (id) => {
+      const replica = replicas.get(id);
+      const shared = replica && speeds.rateOf(replica);
+      return shared ?? rates.significant(id, replica && speeds.medianRate(replica.entry.service));
+    },
+    serviceTime: times.significant,
+    learnPrefill: (id, tokens, milliseconds) => {
+      if (tokens < minRateSampleTokens) return;
+      const before = rates.current(id);
+      const rate = toRate(tokens, milliseconds);
+      rates.learn(id, Math.min(before * maxOutlierFactor, Math.max(before / maxOutlierFactor, rate)));
+    },
+    learnServiceTime: (id, milliseconds) => {
+      times.learn(id, Math.min(milliseconds, times.current(id) * maxOutlierFactor));
+    },
+    forget: (id) => {
+      rates.forget(id);
+      times.forget(id);
+    },
+  };
+};
+
+const createLastingEstimates = (): ReplicaEstimates => {
   const rates = new Map<string, number>();
   const times = new Map<string, number>();
 
@@ -47,8 +109,7 @@
     serviceTime: (replica) => times.get(replica) ?? assumedServiceTime,
     learnPrefill: (replica, tokens, milliseconds) => {
       if (tokens < minRateSampleTokens) return;
-      const rate = Math.max(minPrefillRate, tokens / Math.max(1, milliseconds));
-      updateAverage(rates, replica, rate, assumedPrefillRate);
+      updateAverage(rates, replica, toRate(tokens, milliseconds), assumedPrefillRate);
     },
     learnServiceTime: (replica, milliseconds) => {
       const before = times.get(replica) ?? assumedServiceTime;
@@ -60,3 +121,12 @@
     },
   };
 };
+
+/**
+ * Creates estimates that start from the assumed values.
+ *
+ * @param ageing - If given, estimates without new samples return to the median of the service's replicas, and the rates
+ * that owners report are used for services whose replicas differ in speed.
+ */
+export const createReplicaEstimates = (ageing?: AgeingDependencies): ReplicaEstimates =>
+  ageing === undefined ? createLastingEstimates() : createAgeingEstimates(ageing);
--- a/src/coordination/forwarding/applyPeerMessage.ts
+++ b/src/coordination/forwarding/applyPeerMessage.ts
@@ -5,6 +5,7 @@
 import type { EpochSource } from "../../protocol/storeEpoch.ts";
 import type { Clock } from "../clock.ts";
 import type { QuarantineDigests } from "../crashes/quarantine.ts";
+import type { ReplicaSpeeds } from "../estimates/replicaSpeeds.ts";
 import type { RecoveryWindow } from "../storeEpochs/recoveryWindow.ts";
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { ConfigurationState } from "./configurationState.ts";
@@ -23,13 +24,20 @@
   readonly epochs: Pick<EpochSource, "current">;
   readonly recovery: Pick<RecoveryWindow, "extend" | "noteContact" | "remaining">;
   readonly quarantine: QuarantineDigests;
+  /** Where speeds are learned: measures the prefill rates of replicas. */
+  readonly speeds?: Pick<ReplicaSpeeds, "noteAnnounced"> | undefined;
 }
 
 /** Replaces the work of a peer that is not live or shuts down. */
 const noWork = new Map<ReplicaKey, ReplicaWork>();
 
 const byReplica = (work: readonly AnnouncedWork[]): ReadonlyMap<ReplicaKey, ReplicaWork> =>
-  new Map(work.map(({ replica, ...atReplica }) => [replica, atReplica]));
+  new Map(
+    work.map(({ replica, requests, promptTokens, organisations, reservedTokens }) => [
+      replica,
+      { requests, promptTokens, organisations, reservedTokens },
+    ]),
+  );
 
 /** Drops the announced work of peers that are not live, and removes peers that can't be serving any more. */
 export const expirePeers = (peers: PeerTable, replicas: ReplicaTable): void => {
@@ -84,6 +92,7 @@
 ): void => {
   const { replicas, configuration } = dependencies;
   replicas.noteWork(name, isShuttingDown ? noWork : byReplica(message.work));
+  dependencies.speeds?.noteAnnounced(name, message.incarnation, message.work);
   applyUpdates(message, { ...dependencies, cacheStores: () => configuration.table()?.cacheStores ?? [] });
   applyConfiguration(message, echoedSentAt, dependencies);
   applyStoreState(message, dependencies);
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -38,6 +38,7 @@
 import { createPlacement } from "../placement/placement.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
 import type { ReplicaEstimates } from "../estimates/replicaEstimates.ts";
+import type { ReplicaSpeeds } from "../estimates/replicaSpeeds.ts";
 import { createReplicaHealth } from "./replicaHealth.ts";
 import { startReplicaMonitor } from "./replicaMonitor.ts";
 import { createRetryShare } from "./retryShare.ts";
@@ -57,6 +58,8 @@
   >;
   readonly owners: Pick<ReplicaOwners, "isEnabled" | "isOwnerOf" | "query" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "findStore">;
+  /** Present if learned speeds are used. */
+  readonly speeds?: ReplicaSpeeds | undefined;
   readonly limits: UsageLimits;
   readonly replicaLimits: ReplicaLimits;
   readonly quarantine: QuarantineChecks;
@@ -115,7 +118,8 @@
   const organisationKey = features.fairShares ? organisationKeyOf : (): number => noOrganisation;
   const { configuration, replicas, holders, peers, owners, cacheStore, quarantine } = view;
   const resources = createResourceStack();
-  const estimates = createReplicaEstimates();
+  const { speeds } = view;
+  const estimates = createReplicaEstimates(speeds && { replicas, clock, speeds });
   const health = createReplicaHealth(replicas, clock);
   resources.use(
     startReplicaMonitor({
@@ -170,6 +174,7 @@
     onLongPrompt: peers.announceWork,
     reports: owners.reports,
     estimates,
+    speeds,
     health,
     crashes: createCrashMonitor({ replicas, client, clock, onCrash: quarantine.noteCrash }),
     quarantine,
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -124,12 +124,13 @@
   replicas
     .all()
     .filter(({ requests }) => requests > 0)
-    .map(({ entry, requests, promptTokens, organisationTokens, reservedTokens }) => ({
+    .map(({ entry, requests, promptTokens, organisationTokens, reservedTokens, prefilledTokens }) => ({
       replica: replicaKeyOf(entry.id),
       requests,
       promptTokens: wholeTokens(promptTokens),
       organisations: [...organisationTokens].flatMap(toOrganisationWork),
       reservedTokens: Math.round(reservedTokens),
+      prefilledTokens: Math.round(prefilledTokens),
     }));
 
 /** Peers that get their messages at the same time. */
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -17,6 +17,7 @@
 import type { Clock } from "../clock.ts";
 import type { CacheHolders } from "../forwarding/cacheHolders.ts";
 import { applyAnnouncedHolders } from "../forwarding/applyAnnouncedHolders.ts";
+import type { ReplicaSpeeds } from "../estimates/replicaSpeeds.ts";
 import { avoidReplica, avoidReplicaUntil } from "../replicaReports/backoff.ts";
 import { announcedLimitMaxAge } from "../replicaLimits/constants.ts";
 import { maxHoldersPerPart, reportLifetime } from "./constants.ts";
@@ -26,8 +27,8 @@
   readonly holders: Pick<CacheHolders, "notePart" | "holdersOf">;
   /** @returns The configured cache stores, which keep prompt parts. */
   readonly cacheStores: () => readonly CacheStore[];
-  /** @returns The prefill rate to report, prompt tokens per millisecond; 0 if none is known. */
-  readonly prefillRate: (replica: ReplicaState) => number;
+  /** Where speeds are learned: measures the prefill rates of replicas. */
+  readonly speeds: Pick<ReplicaSpeeds, "noteReport" | "reportedRate"> | undefined;
   readonly clock: Clock;
 }
 
@@ -81,6 +82,7 @@
     state.reportedTokens += isSameProcess ? Math.max(0, computedTokens - before.computedTokens) : 0;
     replicas.noteWorkAt(ownerAnswersSource, key, noWork);
     replicas.noteWorkAt(reportSourceOf(name), key, report);
+    dependencies.speeds?.noteReport(state, name, incarnation, report.prefilledTokens);
     // The reporting router may be cut off itself: the owner tries a connection before it marks the replica unreachable.
     if (report.isUnreachable) state.isSuspected = true;
     if (report.isBackingOff) avoidReplica(state, clock.monotonic());
@@ -111,7 +113,7 @@
       promptTokens: work.promptTokens.map((tokens) => Math.max(0, Math.round(tokens))),
       organisations: work.organisations ?? [],
       reservedTokens: work.reservedTokens ?? 0,
-      prefillRate: dependencies.prefillRate(state),
+      prefillRate: dependencies.speeds?.reportedRate(state) ?? 0,
       ejectedFor: Math.max(0, Math.round(avoidReplicaUntil(state) - clock.monotonic())),
       limit: recentLimitOf(state, clock.monotonic()),
     };
--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -18,6 +18,7 @@
 import type { CacheHolders } from "../forwarding/cacheHolders.ts";
 import { applyAnnouncedHolders } from "../forwarding/applyAnnouncedHolders.ts";
 import type { RouterPeers } from "../forwarding/routerPeers.ts";
+import type { ReplicaSpeeds } from "../estimates/replicaSpeeds.ts";
 import { createOwnerQueries } from "./ownerQueries.ts";
 import { ownerAnswersSource, createOwnedReplicas, noWork } from "./ownedReplicas.ts";
 import { createOwners } from "./owners.ts";
@@ -33,8 +34,8 @@
   readonly peers: Pick<RouterPeers, "isLarge" | "serving">;
   /** @returns The configured cache stores, which keep prompt parts. */
   readonly cacheStores: () => readonly CacheStore[];
-  /** @returns The prefill rate that this router reports as the owner; 0 if none is known. */
-  readonly prefillRate?: (replica: ReplicaState) => number;
+  /** Measures the prefill rates that this router reports as the owner, and notes those of other owners. */
+  readonly speeds?: ReplicaSpeeds | undefined;
 }
 
 export interface ReplicaOwners extends AsyncDisposable {
@@ -85,7 +86,7 @@
       replicas,
       holders,
       cacheStores: dependencies.cacheStores,
-      prefillRate: dependencies.prefillRate ?? (() => 0),
+      speeds: dependencies.speeds,
       clock,
     }),
   );
@@ -100,7 +101,7 @@
       const state = replicas.getByKey(report.replica);
       if (state === undefined) return [];
       replicas.replaceWorkAt(ownerAnswersSource, report.replica, report);
-      if (report.prefillRate > 0) state.reportedRate = { rate: report.prefillRate, receivedAt: now };
+      if (report.prefillRate > 0) dependencies.speeds?.noteReceivedRate(state, report.prefillRate);
       // The owner monitors unreachable replicas, and has checked this one since this router marked it unreachable.
       if (report.ejectedFor === 0 && now >= state.ejectedUntil) state.isUnreachable = false;
       state.ejectedUntil = Math.max(state.ejectedUntil, now + report.ejectedFor);
--- a/src/coordination/replicaOwners/workReports.ts
+++ b/src/coordination/replicaOwners/workReports.ts
@@ -53,6 +53,7 @@
   organisations: [...replica.organisationTokens].flatMap(toOrganisationWork),
   reservedTokens: Math.round(replica.reservedTokens),
   computedTokens: Math.max(0, Math.round(replica.computedTokens)),
+  prefilledTokens: Math.round(replica.prefilledTokens),
   isUnreachable: replica.isUnreachable,
   isBackingOff: isBackingOff(replica, now),
   limit: replica.limit && toReportedLimitMessage(replica.limit, now),
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -123,6 +123,8 @@
       link,
       clock,
       bounds,
+      features,
+      metrics,
       onConfiguration: () => {
         server.applyLimits();
         divideConnectionLimits(platform, forwardingView);
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -13,6 +13,9 @@
   cachedMemoryShare,
   cacheStorePollersAtShortestInterval,
 } from "../coordination/forwarding/constants.ts";
+import type { LoadFeatures } from "../coordination/forwarding/loadFeatures.ts";
+import type { ReplicaSpeeds, ReplicaSpeedsDependencies } from "../coordination/estimates/replicaSpeeds.ts";
+import { createReplicaSpeeds, publishSpeeds } from "../coordination/estimates/replicaSpeeds.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { Quarantine } from "../coordination/crashes/quarantine.ts";
@@ -32,6 +35,7 @@
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
 import type { RouterEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { Metrics } from "../state/Metrics.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { createReplicaTable } from "../state/forwarding/replicaTable.ts";
 import type { StoreFollowing } from "./storeFollowing.ts";
@@ -43,6 +47,8 @@
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
+  readonly features: Pick<LoadFeatures, "minSpeedSpread">;
+  readonly metrics: Metrics;
   /** Called when a configuration was received; its limits may differ. */
   readonly onConfiguration: () => void;
 }
@@ -54,6 +60,8 @@
   readonly holders: CacheHolders;
   readonly peers: RouterPeers;
   readonly owners: ReplicaOwners;
+  /** `undefined` if learned speeds are not used. */
+  readonly speeds: ReplicaSpeeds | undefined;
   readonly cacheStore: CacheStoreFollower;
   readonly limits: UsageLimits;
   readonly replicaLimits: ReplicaLimits;
@@ -83,6 +91,25 @@
     },
   });
 
+/** @param findOwners - Called only after the view has been started. */
+const createSpeeds = (
+  { features, clock, metrics }: ForwardingViewDependencies,
+  replicas: ReplicaTable,
+  findOwners: () => ReplicaOwners,
+): ReplicaSpeeds | undefined => {
+  if (features.minSpeedSpread === undefined) return undefined;
+  const speedsDependencies: ReplicaSpeedsDependencies = {
+    replicas,
+    clock,
+    minSpread: features.minSpeedSpread,
+    isMeasured: (replica) => !findOwners().isEnabled() || findOwners().isOwnerOf(replica),
+    isOwnerOf: (replica) => findOwners().isOwnerOf(replica),
+  };
+  const speeds = createReplicaSpeeds(speedsDependencies);
+  publishSpeeds(speeds, speedsDependencies, metrics);
+  return speeds;
+};
+
 /** Starts to follow the store and to exchange messages with peers. */
 export const startForwardingView = (dependencies: ForwardingViewDependencies): ForwardingView => {
   const { self, platform, clock, bounds } = dependencies;
@@ -100,6 +127,7 @@
       return engine === undefined ? Number.POSITIVE_INFINITY : engine.memoryTokens * cachedMemoryShare;
     },
   });
+  const speeds = createSpeeds(dependencies, replicas, () => owners);
   const peers = resources.use(
     createRouterPeers({
       self,
@@ -117,6 +145,7 @@
         digest: () => quarantine.digest(),
         notePeerDigest: (digest) => quarantine.notePeerDigest(digest),
       },
+      speeds,
     }),
   );
 
@@ -139,6 +168,7 @@
       holders,
       peers,
       cacheStores: () => configuration.table()?.cacheStores ?? [],
+      speeds,
     }),
   );
 
@@ -204,6 +234,7 @@
     holders,
     peers,
     owners,
+    speeds,
     cacheStore,
     limits,
     replicaLimits,
--- a/src/protocol/forwarding/ownerMessage.test.ts
+++ b/src/protocol/forwarding/ownerMessage.test.ts
@@ -37,6 +37,7 @@
         organisations,
         reservedTokens: count,
         computedTokens: count,
+        prefilledTokens: count,
         isUnreachable: fc.boolean(),
         isBackingOff: fc.boolean(),
         limit,
--- a/src/protocol/forwarding/ownerMessage.ts
+++ b/src/protocol/forwarding/ownerMessage.ts
@@ -24,6 +24,8 @@
   readonly reservedTokens: number;
   /** Prompt tokens computed there for this router since the router started. */
   readonly computedTokens: number;
+  /** Prompt tokens of this router's requests whose first token has arrived; 0 where speeds are not learned from it. */
+  readonly prefilledTokens: number;
   /** Whether the router fails to connect to the replica. */
   readonly isUnreachable: boolean;
   /** Whether the replica asked the router to back off. */
@@ -92,10 +94,12 @@
 const rateResolution = 16;
 
 /** Bit flags of one byte. Routers that know only the first flag read any other value as no flag. */
-const conditions = { unreachable: 1, backingOff: 2 } as const;
+const conditions = { unreachable: 1, backingOff: 2, prefilled: 4 } as const;
 
-const encodeConditions = ({ isUnreachable, isBackingOff }: WorkReport): number =>
-  (isUnreachable ? conditions.unreachable : 0) | (isBackingOff ? conditions.backingOff : 0);
+const encodeConditions = ({ isUnreachable, isBackingOff, prefilledTokens }: WorkReport): number =>
+  (isUnreachable ? conditions.unreachable : 0) |
+  (isBackingOff ? conditions.backingOff : 0) |
+  (prefilledTokens > 0 ? conditions.prefilled : 0);
 
 const writeWork = (writer: ByteWriter, message: WorkMessage): void => {
   writer.shortText(message.name);
@@ -106,6 +110,7 @@
     writeAmounts(writer, report);
     writer.varint(report.computedTokens);
     writer.uint8(encodeConditions(report));
+    if (report.prefilledTokens > 0) writer.varint(report.prefilledTokens);
     writeOptionalReportedLimit(writer, report.limit);
   });
   writeHolders(writer, message.holders);
@@ -154,6 +159,7 @@
     replica,
     ...amounts,
     computedTokens,
+    prefilledTokens: (condition & conditions.prefilled) === 0 ? 0 : reader.varint(),
     isUnreachable: (condition & conditions.unreachable) !== 0,
     isBackingOff: (condition & conditions.backingOff) !== 0,
     limit: readOptionalReportedLimit(reader),
--- a/src/protocol/forwarding/peerMessage.test.ts
+++ b/src/protocol/forwarding/peerMessage.test.ts
@@ -29,6 +29,7 @@
         maxLength: 4,
       }),
       reservedTokens: small,
+      prefilledTokens: small,
     }),
   ),
   weights: fc.array(record({ replica: key, model: text, version: count })),
@@ -108,6 +109,7 @@
       promptTokens: [0, 12_000],
       organisations: [],
       reservedTokens: 0,
+      prefilledTokens: 0,
     };
     const work = Array.from({ length: 100 }, () => workAtReplica);
     const bytes = encodeRouterMessage({ ...empty, work }).length - encodeRouterMessage(empty).length;
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -35,6 +35,8 @@
   readonly organisations: readonly OrganisationTokens[];
   /** Memory tokens that the requests hold or will need; 0 where memory is not counted. */
   readonly reservedTokens: number;
+  /** Prompt tokens of its requests whose first token has arrived; 0 where speeds are not learned from it. */
+  readonly prefilledTokens: number;
 }
 
 /** Prompt tokens of one organisation's requests without a first token. */
@@ -139,14 +141,21 @@
 /** The first byte of the datagram; datagrams that begin with another one are ignored. */
 const messageType = 6;
 
-const flags = { echo: 1, configuration: 2, hasSteppedDown: 4, isShuttingDown: 8 } as const;
+const flags = { echo: 1, configuration: 2, hasSteppedDown: 4, isShuttingDown: 8, prefilled: 16 } as const;
 
-const encodeFlags = ({ echo, configuration, hasSteppedDown, isShuttingDown }: RouterMessage): number =>
+/** Whether the work at replicas includes prefilled tokens: where none does, no entry takes a byte for them. */
+const hasPrefilled = ({ work }: RouterMessage): boolean =>
+  work.some(({ prefilledTokens }) => prefilledTokens > 0);
+
+const encodeStateFlags = ({ echo, configuration, hasSteppedDown, isShuttingDown }: RouterMessage): number =>
   (echo === undefined ? 0 : flags.echo) |
   (configuration === undefined ? 0 : flags.configuration) |
   (hasSteppedDown ? flags.hasSteppedDown : 0) |
   (isShuttingDown ? flags.isShuttingDown : 0);
 
+const encodeFlags = (message: RouterMessage): number =>
+  encodeStateFlags(message) | (hasPrefilled(message) ? flags.prefilled : 0);
+
 const writeUpdates = (writer: ByteWriter, message: RouterMessage): void => {
   writer.list(message.weights, ({ replica, model, version }) => {
     writer.uint48(replica);
@@ -188,9 +197,11 @@
     writer.varint(message.configuration.version);
     writer.varint(message.configuration.age);
   }
+  const includesPrefilled = hasPrefilled(message);
   writer.list(message.work, (work) => {
     writer.uint48(work.replica);
     writeAmounts(writer, work);
+    if (includesPrefilled) writer.varint(work.prefilledTokens);
   });
   writeUpdates(writer, message);
   writer.varint(message.quarantineDigest);
@@ -200,7 +211,7 @@
 };
 
 /** The amounts of work at a replica, as messages between routers carry them. */
-export type WorkAmounts = Omit<AnnouncedWork, "replica">;
+export type WorkAmounts = Omit<AnnouncedWork, "replica" | "prefilledTokens">;
 
 /** Organisations and memory follow only if they are counted: where neither is, work takes no bytes more. */
 export const writeAmounts = (writer: ByteWriter, amounts: WorkAmounts): void => {
@@ -230,9 +241,10 @@
   };
 };
 
-const readWork = (reader: ByteReader): AnnouncedWork => ({
+const readWork = (reader: ByteReader, includesPrefilled: boolean): AnnouncedWork => ({
   replica: reader.uint48(),
   ...readAmounts(reader),
+  prefilledTokens: includesPrefilled ? reader.varint() : 0,
 });
 
 const readTarget = (reader: ByteReader): AnnouncedTarget => ({
@@ -254,7 +266,7 @@
     configuration: isSet(flags.configuration)
       ? { version: reader.varint(), age: reader.varint() }
       : undefined,
-    work: reader.list(() => readWork(reader)),
+    work: reader.list(() => readWork(reader, isSet(flags.prefilled))),
     weights: reader.list(() => ({
       replica: reader.uint48(),
       model: reader.shortText(),
--- a/src/state/MemoryMetrics.ts
+++ b/src/state/MemoryMetrics.ts
@@ -1,5 +1,5 @@
 import type { MetricName } from "./constants.ts";
-import type { MetricTags } from "./Metrics.ts";
+import type { GaugeValue, MetricTags } from "./Metrics.ts";
 import { Metrics } from "./Metrics.ts";
 
 const seriesKey = (name: MetricName, tags: MetricTags): string => {
@@ -13,6 +13,7 @@
  */
 export class MemoryMetrics extends Metrics {
   private readonly totals = new Map<string, number>();
+  private readonly gauges = new Map<MetricName, () => readonly GaugeValue[]>();
 
   override count(name: MetricName, amount = 1, tags: MetricTags = {}): void {
     const key = seriesKey(name, tags);
@@ -23,7 +24,14 @@
     this.count(name, 1, tags);
   }
 
+  override observe(name: MetricName, _tagNames: readonly string[], read: () => readonly GaugeValue[]): void {
+    this.gauges.set(name, read);
+  }
+
   override snapshot(): Readonly<Record<string, number>> {
-    return Object.fromEntries([...this.totals].sort());
+    const gaugeValues = [...this.gauges].flatMap(([name, read]) =>
+      read().map(({ value, tags }): [string, number] => [seriesKey(name, tags), value]),
+    );
+    return Object.fromEntries([...this.totals, ...gaugeValues].sort());
   }
 }
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -36,6 +36,8 @@
   peerRefusals: "peer_refusals",
   peerMessages: "peer_messages",
   peerChanges: "peer_changes",
+  replicaPrefillRate: "replica_prefill_rate",
+  replicaPrefillRateAge: "replica_prefill_rate_age_ms",
 } as const;
 
 /** The name of a metric as it is emitted. */
--- a/src/state/forwarding/replicaState.ts
+++ b/src/state/forwarding/replicaState.ts
@@ -46,12 +46,14 @@
   refusals: number;
 }
 
-/** The prefill rate of a replica as its owner estimates it. */
+/** The prefill rate of a replica as its owner estimates it; at its owner, the last estimate. */
 export interface ReportedRate {
   /** Prompt tokens per millisecond. */
   readonly rate: number;
   /** When the report arrived, milliseconds on the monotonic clock. */
   readonly receivedAt: number;
+  /** The replica's {@link weightsGeneration} at that time. */
+  readonly generation: number;
 }
 
 /** How this router learned that a replica drains. */
@@ -86,6 +88,8 @@
   reservedTokens: number;
   /** Prompt tokens of this router's requests that the replica has computed so far. */
   computedTokens: number;
+  /** Prompt tokens of this router's requests whose first token has arrived, where learned speeds are used. */
+  prefilledTokens: number;
   /** Prompt tokens of other routers' requests that the replica has computed, as far as they reported them. */
   reportedTokens: number;
   /** By reporting router: the work that it reported last. Only the functions of the table change it. */
@@ -184,6 +188,13 @@
   };
 };
 
+/** @returns A number that increases whenever a replica is known to run newer weights. */
+export const weightsGeneration = ({ weights }: ReplicaState): number => {
+  let sum = 0;
+  for (const version of weights.values()) sum += version;
+  return sum;
+};
+
 /** @returns Whether the status of an engine comes from another incarnation than its registration. */
 export const isDifferentIncarnation = (
   { bornAt }: ReplicaEntry,
@@ -201,6 +212,7 @@
   organisationTokens: new Map(),
   reservedTokens: 0,
   computedTokens: 0,
+  prefilledTokens: 0,
   reportedTokens: 0,
   peers: new Map(),
   peerTotals: {
--- a/src/transport/PrometheusMetrics.test.ts
+++ b/src/transport/PrometheusMetrics.test.ts
@@ -14,4 +14,18 @@
     expect(text).toInclude('pomelocleat_first_token_ms_count{kind="eventStream"} 1');
     expect(metrics.snapshot()).toEqual({ "requests repeatable served": 3 });
   });
+
+  it("exposes the present values of gauges, so that the series of a departed replica does not remain", async () => {
+    const metrics = new PrometheusMetrics();
+    let values = [
+      { value: 46, tags: { replica: "first" } },
+      { value: 112, tags: { replica: "second" } },
+    ];
+    metrics.observe("replica_prefill_rate", ["replica"], () => values);
+    expect(await metrics.text()).toInclude('pomelocleat_replica_prefill_rate{replica="first"} 46');
+    values = values.slice(1);
+    const text = await metrics.text();
+    expect(text).toInclude('pomelocleat_replica_prefill_rate{replica="second"} 112');
+    expect(text.includes("first")).toEqual(false);
+  });
 });
--- a/src/transport/PrometheusMetrics.ts
+++ b/src/transport/PrometheusMetrics.ts
@@ -1,7 +1,7 @@
-/** Metrics for Prometheus: counters and histograms that a collector scrapes as text. */
-import { Counter, Histogram, Registry } from "prom-client";
+/** Metrics for Prometheus: counters, histograms and gauges that a collector scrapes as text. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { MetricName } from "../state/constants.ts";
-import type { MetricTags } from "../state/Metrics.ts";
+import type { GaugeValue, MetricTags } from "../state/Metrics.ts";
 import { Metrics } from "../state/Metrics.ts";
 
 const prefix = "pomelocleat_";
@@ -34,6 +34,20 @@
     histogram.observe(tags, milliseconds);
   }
 
+  override observe(name: MetricName, tagNames: readonly string[], read: () => readonly GaugeValue[]): void {
+    const gauge: Gauge = new Gauge({
+      help: name.replaceAll("_", " "),
+      name: `${prefix}${name}`,
+      labelNames: [...tagNames],
+      registers: [this.registry],
+      // Resets first, so that values that are no longer read do not remain.
+      collect: () => {
+        gauge.reset();
+        for (const { value, tags } of read()) gauge.set(tags, value);
+      },
+    });
+  }
+
   override snapshot(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.totals].sort());
   }
