--- a/src/coordination/estimates/busyRate.ts
+++ b/src/coordination/estimates/busyRate.ts
@@ -7,21 +7,26 @@
  * which is a large part of a short period. Between two first tokens of a busy period, the delay cancels out.
  */
 
-/** Time constant of the averages, milliseconds: 86 % of the weight is on the last 2 s, 95 % on the last 3 s. */
-const averagingTime = 1_000;
+import { staleShare } from "./ageing.ts";
+
+/** Time constant of the averages, milliseconds of usual computation: 95 % of the weight is on the last 2.7 s. */
+const averagingTime = 900;
 
 /** Samples are collected up to this number of tokens: the time of fewer depends on when reports happen to arrive. */
 const minSampleTokens = 6_000;
 
+/** The same for their time, milliseconds: work that peers announce arrives several prompts at a time. */
+const minSampleTime = 200;
+
 /** Weight of the estimate that a rate starts from, as busy time in milliseconds. */
 const startingWeight = 300;
 
 /**
  * A sample counts as at most this many times faster or slower than the estimate. Replicas whose speeds differ by a
  * factor of 2.4 are still learned at once, and one prompt of 12,000 tokens that waits for seconds moves the estimate of
- * a replica with 66 tokens per millisecond by less than a fifth.
+ * a replica with 66 tokens per millisecond by less than a quarter.
  */
-const maxOutlierFactor = 3;
+const maxOutlierFactor = 2;
 
 /** What is known of a replica's work after an event. */
 export interface BusySample {
@@ -40,6 +45,8 @@
    * @returns The new rate, tokens per millisecond; `undefined` if the sample does not change it.
    */
   readonly note: (sample: BusySample, expected: number | undefined) => number | undefined;
+  /** Ends the busy period: until the next sample, it is not known what the replica computes. */
+  readonly pause: () => void;
 }
 
 /** Creates the estimate of one replica; a few operations for each sample. */
@@ -60,8 +67,12 @@
     sinceFirstToken = 0;
   };
 
-  const decay = (now: number, expected: number | undefined): void => {
-    const remaining = Math.exp((average.updatedAt - now) / averagingTime);
+  /**
+   * Earlier samples lose weight with the tokens of later ones, not with their time, which a single slow prompt may
+   * extend. They also age as the estimate does.
+   */
+  const decay = (now: number, usualTime: number, expected: number | undefined): void => {
+    const remaining = Math.exp(-usualTime / averagingTime) * (1 - staleShare(now - average.updatedAt));
     average.updatedAt = now;
     average.tokens *= remaining;
     average.time *= remaining;
@@ -72,9 +83,9 @@
   };
 
   const addCollected = (now: number, expected: number | undefined): number => {
-    decay(now, expected);
     const { tokens } = collected;
-    const usual = tokens / (expected ?? tokens / Math.max(1, collected.time));
+    const usual = expected === undefined ? collected.time : tokens / expected;
+    decay(now, usual, expected);
     const time = Math.min(usual * maxOutlierFactor, Math.max(usual / maxOutlierFactor, collected.time));
     average.tokens += tokens;
     average.time += time;
@@ -84,13 +95,18 @@
   };
 
   return {
+    pause: () => {
+      isBusy = false;
+      sinceFirstToken = undefined;
+    },
     note: ({ now, outstandingTokens, computedTokens }, expected) => {
       if (isBusy && sinceFirstToken !== undefined) sinceFirstToken += Math.max(0, now - notedAt);
       notedAt = now;
       if (isBusy && computedTokens > 0) collect(computedTokens);
       isBusy = outstandingTokens > 0;
       if (!isBusy) sinceFirstToken = undefined;
-      return collected.tokens < minSampleTokens ? undefined : addCollected(now, expected);
+      const isComplete = collected.tokens >= minSampleTokens && collected.time >= minSampleTime;
+      return isComplete ? addCollected(now, expected) : undefined;
     },
   };
 };
--- a/src/coordination/estimates/replicaSpeeds.ts
+++ b/src/coordination/estimates/replicaSpeeds.ts
@@ -206,7 +206,15 @@
     });
   };
 
+  /**
+   * A router that is not the owner learns only of the work of routers that could not reach the owner: it would hold the
+   * replica for much slower than it is.
+   */
   const measure = (replica: ReplicaState, computedTokens: number): void => {
+    if (!isMeasured(replica)) {
+      measurements.get(replica)?.busyRate.pause();
+      return;
+    }
     const measurement = measurementOf(replica);
     const outstandingTokens = tokensAhead(replica, priorities - 1);
     const sample = { now: clock.monotonic(), outstandingTokens, computedTokens };
@@ -228,11 +236,9 @@
   return {
     notePromptComputed: (replica, tokens) => {
       replica.prefilledTokens += tokens;
-      if (isMeasured(replica)) measure(replica, tokens);
-    },
-    noteOwnWork: (replica) => {
-      if (isMeasured(replica)) measure(replica, 0);
+      measure(replica, tokens);
     },
+    noteOwnWork: (replica) => measure(replica, 0),
     noteReport,
     noteAnnounced: (router, incarnation, work) => {
       for (const replica of announced.get(router) ?? []) measure(replica, 0);
