--- a/src/protocol/forwarding/ownerMessage.test.ts
+++ b/src/protocol/forwarding/ownerMessage.test.ts
@@ -86,6 +86,33 @@
     );
   });
 
+  it("reports work without speeds in the same bytes as before speeds were learned, so that no link gets busier", () => {
+    const report = {
+      replica: 1,
+      requests: 3,
+      promptTokens: [0, 12_000],
+      organisations: [],
+      reservedTokens: 0,
+      computedTokens: 1_000_000,
+      isUnreachable: false,
+      isBackingOff: false,
+      limit: undefined,
+    };
+    const encode = (prefilledTokens: number): string =>
+      encodeOwnerMessage({
+        kind: "work",
+        name: "router-1",
+        incarnation: "process-1",
+        sequence: 7,
+        reports: [{ ...report, prefilledTokens }],
+        holders: [],
+      }).toString("hex");
+    expect(encode(0)).toEqual(
+      "2108726f757465722d310970726f636573732d310701000000000001060200e05dc0843d000000",
+    );
+    expect(encode(3_000_000).length / 2 - encode(0).length / 2).toEqual(4);
+  });
+
   it("rejects truncated, extended and unrelated datagrams", () => {
     fc.assert(
       fc.property(message, fc.nat(), (original, cut) => {
