--- a/tests/support/speedSimulation.ts
+++ b/tests/support/speedSimulation.ts
@@ -1,4 +1,4 @@
-/** Routers and engines of different speeds on a manual clock; every engine has prompts to compute all the time. */
+/** Routers and engines of different speeds on a manual clock. */
 import { createRandom } from "../../bench/model/random.ts";
 import { createReplicaEstimates } from "../../src/coordination/estimates/replicaEstimates.ts";
 import { createReplicaSpeeds } from "../../src/coordination/estimates/replicaSpeeds.ts";
@@ -20,8 +20,8 @@
 
 const promptSizes = { short: 2_400, long: 12_000, longShare: 0.2 } as const;
 
-/** Prompts at each engine at any time: it is never idle. */
-const outstandingPrompts = 4;
+/** Prompts at each engine at any time, by default: it is never idle. */
+const usualPrompts = 4;
 
 /** Interval at which each router queries the owners of some engines, or announces its work, milliseconds. */
 const exchangeInterval = 200;
@@ -45,6 +45,8 @@
   readonly isLarge: boolean;
   /** Share of the requests that are cancelled before their first token. */
   readonly cancelledShare?: number;
+  /** Prompts that each engine has at any time; 0 if the test sends all prompts itself. */
+  readonly outstandingPrompts?: number;
 }
 
 /** Starts the engines and routers; time passes with `run`. */
@@ -54,6 +56,7 @@
   seed,
   isLarge,
   cancelledShare = 0,
+  outstandingPrompts = usualPrompts,
 }: SimulationOptions) => {
   const clock = createManualClock(1_000);
   const network = new MemoryNetwork(clock);
@@ -145,15 +148,22 @@
     return router;
   };
 
-  /** Sends a prompt from any router; the next one follows when this one has got its first token. */
-  const sendPrompt = (engine: SimulatedEngine): void => {
+  const anyRouter = (): SimulatedRouter => {
     const router = routers[random.index(routers.length)];
-    const state = router?.replicas.get(engine.id);
-    if (router === undefined || state === undefined) throw new Error(engine.id);
-    const tokens = random.uniform() < promptSizes.longShare ? promptSizes.long : promptSizes.short;
-    const isCancelled = random.uniform() < cancelledShare;
-    const id = engine.id;
-    const { speeds, owners } = router;
+    if (router === undefined) throw new Error("no router runs");
+    return router;
+  };
+
+  /** Sends a prompt of a router to an engine, which computes prompts one after another. */
+  const send = (
+    { speeds, owners, replicas }: SimulatedRouter,
+    engine: SimulatedEngine,
+    tokens: number,
+    isCancelled: boolean,
+    onFirstToken: () => void,
+  ): void => {
+    const state = replicas.get(engine.id);
+    if (state === undefined) throw new Error(engine.id);
     const addTokens = (count: number): void => {
       state.promptTokens[3] = (state.promptTokens[3] ?? 0) + count;
     };
@@ -172,6 +182,15 @@
         state.requests -= 1;
         owners.reports.noteWorkChanged(state);
       });
+      onFirstToken();
+    });
+  };
+
+  /** Sends a prompt from any router; the next one follows when this one has got its first token. */
+  const sendPrompt = (engine: SimulatedEngine): void => {
+    const { id } = engine;
+    const tokens = random.uniform() < promptSizes.longShare ? promptSizes.long : promptSizes.short;
+    send(anyRouter(), engine, tokens, random.uniform() < cancelledShare, () => {
       if (engine.id === id) sendPrompt(engine);
     });
   };
@@ -187,6 +206,9 @@
     network,
     engines,
     routers,
+    random,
+    anyRouter,
+    send,
     startRouter,
     run: (milliseconds: number): void => clock.advanceTo(clock.monotonic() + milliseconds),
     /** Restarts an engine as a new incarnation at another speed. */
