Merge the estimates of replica speeds under load

Cause: speeds were learned only from replicas that a router found idle, and were never forgotten. Used only where replicaSpeeds.minSpread is set.

--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -18,6 +18,7 @@
 import type { CacheHolders } from "../forwarding/cacheHolders.ts";
 import { applyAnnouncedHolders } from "../forwarding/applyAnnouncedHolders.ts";
 import type { RouterPeers } from "../forwarding/routerPeers.ts";
+import type { ReplicaSpeeds } from "../estimates/replicaSpeeds.ts";
 import { createOwnerQueries } from "./ownerQueries.ts";
 import { ownerAnswersSource, createOwnedReplicas, noWork } from "./ownedReplicas.ts";
 import { createOwners } from "./owners.ts";
@@ -35,8 +36,8 @@
   readonly cacheStores: () => readonly CacheStore[];
   /** Whether this router's answers as an owner name the parts that were used before. */
   readonly reportsUsedParts?: boolean;
-  /** @returns The prefill rate that this router reports as the owner; 0 if none is known. */
-  readonly prefillRate?: (replica: ReplicaState) => number;
+  /** Measures the prefill rates that this router reports as the owner, and notes those of other owners. */
+  readonly speeds?: ReplicaSpeeds | undefined;
 }
 
 export interface ReplicaOwners extends AsyncDisposable {
@@ -88,7 +89,7 @@
       holders,
       cacheStores: dependencies.cacheStores,
       reportsUsedParts: dependencies.reportsUsedParts ?? false,
-      prefillRate: dependencies.prefillRate ?? (() => 0),
+      speeds: dependencies.speeds,
       clock,
     }),
   );
@@ -104,7 +105,7 @@
       const state = replicas.getByKey(report.replica);
       if (state === undefined) return [];
       replicas.replaceWorkAt(ownerAnswersSource, report.replica, report);
-      if (report.prefillRate > 0) state.reportedRate = { rate: report.prefillRate, receivedAt: now };
+      if (report.prefillRate > 0) dependencies.speeds?.noteReceivedRate(state, report.prefillRate);
       // The owner monitors unreachable replicas, and has checked this one since this router marked it unreachable.
       if (report.ejectedFor === 0 && now >= state.ejectedUntil) state.isUnreachable = false;
       state.ejectedUntil = Math.max(state.ejectedUntil, now + report.ejectedFor);
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -124,6 +124,7 @@
       clock,
       bounds,
       features,
+      metrics,
       onConfiguration: () => {
         server.applyLimits();
         divideConnectionLimits(platform, forwardingView);
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -13,11 +13,13 @@
   cachedMemoryShare,
   cacheStorePollersAtShortestInterval,
 } from "../coordination/forwarding/constants.ts";
+import type { LoadFeatures } from "../coordination/forwarding/loadFeatures.ts";
+import type { ReplicaSpeeds, ReplicaSpeedsDependencies } from "../coordination/estimates/replicaSpeeds.ts";
+import { createReplicaSpeeds, publishSpeeds } from "../coordination/estimates/replicaSpeeds.ts";
 import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import { createRouterPeers } from "../coordination/forwarding/routerPeers.ts";
 import type { Quarantine } from "../coordination/crashes/quarantine.ts";
 import { createQuarantine } from "../coordination/crashes/quarantine.ts";
-import type { LoadFeatures } from "../coordination/forwarding/loadFeatures.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import type { ReplicaOwners } from "../coordination/replicaOwners/replicaOwners.ts";
 import type { UsageLimits } from "../coordination/usageLimits/usageLimits.ts";
@@ -33,6 +35,7 @@
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
 import type { RouterEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
+import type { Metrics } from "../state/Metrics.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 import { createReplicaTable } from "../state/forwarding/replicaTable.ts";
 import type { StoreFollowing } from "./storeFollowing.ts";
@@ -44,7 +47,8 @@
   readonly link: DatagramLink;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
-  readonly features: LoadFeatures;
+  readonly features: Pick<LoadFeatures, "minSpeedSpread" | "batchMemory">;
+  readonly metrics: Metrics;
   /** Called when a configuration was received; its limits may differ. */
   readonly onConfiguration: () => void;
 }
@@ -56,6 +60,8 @@
   readonly holders: CacheHolders;
   readonly peers: RouterPeers;
   readonly owners: ReplicaOwners;
+  /** `undefined` if learned speeds are not used. */
+  readonly speeds: ReplicaSpeeds | undefined;
   readonly cacheStore: CacheStoreFollower;
   readonly limits: UsageLimits;
   readonly replicaLimits: ReplicaLimits;
@@ -88,6 +94,36 @@
     },
   });
 
+/** @param findOwners - Called only after the view has been started. */
+const createSpeeds = (
+  { features, clock, metrics }: ForwardingViewDependencies,
+  replicas: ReplicaTable,
+  findOwners: () => ReplicaOwners,
+): ReplicaSpeeds | undefined => {
+  if (features.minSpeedSpread === undefined) return undefined;
+  const speedsDependencies: ReplicaSpeedsDependencies = {
+    replicas,
+    clock,
+    minSpread: features.minSpeedSpread,
+    isMeasured: (replica) => !findOwners().isEnabled() || findOwners().isOwnerOf(replica),
+    isOwnerOf: (replica) => findOwners().isOwnerOf(replica),
+  };
+  const speeds = createReplicaSpeeds(speedsDependencies);
+  publishSpeeds(speeds, speedsDependencies, metrics);
+  return speeds;
+};
+
+/** Keeps when the store last listed this router alone. */
+const createLoneListing = (clock: Clock) => {
+  let at: number | undefined;
+  return {
+    note: (isAlone: boolean): void => {
+      at = isAlone ? clock.monotonic() : undefined;
+    },
+    at: () => at,
+  };
+};
+
 /** Starts to follow the store and to exchange messages with peers. */
 export const startForwardingView = (dependencies: ForwardingViewDependencies): ForwardingView => {
   const { self, platform, clock, bounds } = dependencies;
@@ -105,6 +141,7 @@
       return engine === undefined ? Number.POSITIVE_INFINITY : engine.memoryTokens * cachedMemoryShare;
     },
   });
+  const speeds = createSpeeds(dependencies, replicas, () => owners);
   const peers = resources.use(
     createRouterPeers({
       self,
@@ -122,6 +159,7 @@
         digest: () => quarantine.digest(),
         notePeerDigest: (digest) => quarantine.notePeerDigest(digest),
       },
+      speeds,
     }),
   );
 
@@ -145,10 +183,11 @@
       peers,
       cacheStores: () => configuration.table()?.cacheStores ?? [],
       reportsUsedParts: dependencies.features.batchMemory,
+      speeds,
     }),
   );
 
-  let listedAloneAt: number | undefined;
+  const loneListing = createLoneListing(clock);
   const keyCoordination = resources.use(
     createKeyCoordination({
       self,
@@ -156,7 +195,7 @@
       clock,
       others: peers.serving,
       nearestDataCentre: (key) => replicas.get(key)?.entry.dataCentre,
-      listedAloneAt: () => listedAloneAt,
+      listedAloneAt: loneListing.at,
       random: Math.random,
     }),
   );
@@ -204,11 +243,7 @@
     }),
   );
 
-  resources.use(
-    registerRouter(dependencies, peers, recovery, (isAlone) => {
-      listedAloneAt = isAlone ? clock.monotonic() : undefined;
-    }),
-  );
+  resources.use(registerRouter(dependencies, peers, recovery, loneListing.note));
 
   return {
     configuration,
@@ -216,6 +251,7 @@
     holders,
     peers,
     owners,
+    speeds,
     cacheStore,
     limits,
     replicaLimits,
