Hand over changed store records by datagram in large deployments

Cause: every router of a large deployment kept a long poll of the operator's records open, and read the registry after each change that a reader's proof reported. At 60 routers each change of weights cost some 64 calls, and each replica that registered or left some 50. All three readers of a data centre read the registry regularly.

Change: an answer to a proof query carries the records that the asking router lacks, if they are at most 8 and small (weights, registrations). Routers that others read for keep no long poll open. A peer's announcement causes a query, and a read only if it stays unresolved for 400 ms. Only the first reader of a data centre reads the registry regularly; the others query it. A reader whose answers are stale is replaced by the next one. A new bench, storeCalls, counts calls by topic and kind.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,7 @@
 import { retriesBench } from "./retries/retries.ts";
 import { routerBench } from "./router/router.ts";
 import { slopesBench } from "./slopes/slopes.ts";
+import { storeCallsBench } from "./storeCalls/storeCalls.ts";
 import { storeEpochsBench } from "./storeEpochs/storeEpochs.ts";
 import type { Bench } from "./types.ts";
 
@@ -28,6 +29,7 @@
   routerBench,
   storeEpochsBench,
   registryBench,
+  storeCallsBench,
 ];
 
 const list = (): string =>
--- a/bench/registry/registry.ts
+++ b/bench/registry/registry.ts
@@ -105,12 +105,48 @@
   }
 }
 
+/** The same topic for one router, which may be cut off from the store. */
+class RouterFeed<T> extends RecordFeed<T> {
+  private readonly shared: RecordFeed<T>;
+  private readonly isCut: () => boolean;
+
+  constructor(shared: RecordFeed<T>, isCut: () => boolean) {
+    super();
+    this.shared = shared;
+    this.isCut = isCut;
+  }
+
+  override newest(): Promise<FeedPage<T>> {
+    return this.guard(() => this.shared.newest());
+  }
+
+  override changes(from: FeedPage<T>["next"], wait: number): Promise<FeedPage<T>> {
+    return this.guard(() => this.shared.changes(from, wait));
+  }
+
+  override put(key: string, value: T): Promise<number> {
+    return this.shared.put(key, value);
+  }
+
+  override drop(key: string): Promise<void> {
+    return this.shared.drop(key);
+  }
+
+  private async guard<U>(call: () => Promise<U>): Promise<U> {
+    if (this.isCut()) throw new Error("cut off");
+    const answer = await call();
+    if (this.isCut()) throw new Error("cut off");
+    return answer;
+  }
+}
+
 interface Size {
   readonly routers: number;
   readonly dataCentres: number;
 }
 
-const startRouters = ({ routers, dataCentres }: Size, clock: ManualClock) => {
+/** Starts routers in simulated time, with a store whose calls are counted. */
+export const startRouters = ({ routers, dataCentres }: Size, clock: ManualClock) => {
   const network = new MemoryNetwork(clock);
   const operator = new SimulatedFeed<OperatorRecord>(clock);
   const copies = new SimulatedFeed<OperatorRecord>(clock);
@@ -125,7 +161,9 @@
     address: "10.0.0.1",
     port: index + 1,
   }));
+  const cutRouters = new Set<string>();
   const started = entries.map((self) => {
+    const isCut = (): boolean => cutRouters.has(self.name);
     const replicas = createReplicaTable();
     const configuration = createConfigurationState(clock);
     const link = network.open(self.port);
@@ -138,11 +176,16 @@
       configuration,
       holders: { notePart: () => undefined },
       maxReadAge: () => following.maxReadAge(),
-      onNewerConfiguration: () => undefined,
+      onNewerConfiguration: () => following.requestRead(),
       quarantine: noQuarantine,
     });
     const following = followStore({
-      platform: { epochs: noEpochChanges, operator, operatorCopies: copies, replicas: registry },
+      platform: {
+        epochs: noEpochChanges,
+        operator: new RouterFeed(operator, isCut),
+        operatorCopies: new RouterFeed(copies, isCut),
+        replicas: new RouterFeed(registry, isCut),
+      },
       self: self.name,
       recovery: noRecovery,
       link,
@@ -154,13 +197,14 @@
       onConfiguration: () => undefined,
     });
     peers.add(entries);
-    return { replicas, peers };
+    return { name: self.name, port: self.port, configuration, replicas, peers };
   });
   const calls = (): number => operator.calls + copies.calls + registry.calls;
-  return { network, registry, routers: started, calls };
+  return { network, operator, registry, routers: started, cutRouters, calls };
 };
 
-const run = async (clock: ManualClock, milliseconds: number, observe: () => void): Promise<void> => {
+/** Advances the simulated time by steps of a millisecond. */
+export const run = async (clock: ManualClock, milliseconds: number, observe: () => void): Promise<void> => {
   for (let step = 0; step < milliseconds; step += 1) {
     clock.advanceTo(clock.monotonic() + 1);
     await settle();
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -56,7 +56,9 @@
   readonly isLarge: () => boolean;
   /** Whether this router reads the store for others of its data centre. */
   readonly isStoreReader: () => boolean;
-  /** @returns The other routers of this data centre that read the store for others. */
+  /** Whether this router is the first of those, which reads the registry regularly for the others too. */
+  readonly isFirstStoreReader: () => boolean;
+  /** @returns The other routers of this data centre that read the store for others, the first one first. */
   readonly otherStoreReaders: () => readonly Peer[];
   /** @returns How many routers may be serving, including this one and unreachable ones. */
   readonly countServing: () => number;
@@ -337,10 +339,9 @@
     },
     isLarge: peers.isLarge,
     isStoreReader: () => peers.isDutyHolder(readingDuty, storeReaderCount, !takesDuties()),
-    otherStoreReaders: () => {
-      const names = new Set(readerNames());
-      return peers.all().filter(({ name }) => names.has(name));
-    },
+    isFirstStoreReader: () => readerNames()[0] === self.name,
+    otherStoreReaders: () =>
+      readerNames().flatMap((name) => peers.all().find((peer) => peer.name === name) ?? []),
     countServing: () => 1 + peers.all().filter(peers.mayServe).length,
     announceWeights: (id, model, version) => announceSoon(() => updates.addWeights(id, model, version)),
     announceChanging: (replica, until) => announceSoon(() => updates.addChanging(replica, until)),
--- a/src/coordination/storeEpochs/registryRecovery.ts
+++ b/src/coordination/storeEpochs/registryRecovery.ts
@@ -18,7 +18,7 @@
 const writeLog = createLogger("storeEpochs");
 
 /** @returns The position after everything in a whole read, which may contain records beyond its own position. */
-const endOf = ({ records, next }: FeedPage<ReplicaEntry>): StorePosition =>
+export const endOf = ({ records, next }: FeedPage<ReplicaEntry>): StorePosition =>
   records.reduce((end, { position }) => laterPosition(end, position.advancedBy(1)), next);
 
 export interface RegistryRecovery {
@@ -35,8 +35,17 @@
   readonly lastChangePosition: () => StorePosition | undefined;
 }
 
-/** Creates an empty view of the registry. */
-export const createRegistryRecovery = (replicas: ReplicaTable, clock: Clock): RegistryRecovery => {
+/**
+ * Creates an empty view of the registry.
+ *
+ * @param onChange - Called for each changed record that another router must have applied to send requests to the same
+ *   replicas.
+ */
+export const createRegistryRecovery = (
+  replicas: ReplicaTable,
+  clock: Clock,
+  onChange: (record: FeedRecord<ReplicaEntry>) => void = () => undefined,
+): RegistryRecovery => {
   const records = createRegistryRecords();
   const logDropped = createDroppedEntryLog();
   let lastChange: StorePosition | undefined;
@@ -139,7 +148,9 @@
     apply: (page) => {
       for (const record of page.records) {
         const next = record.position.advancedBy(1);
-        if (applyRecord(record) && lastChange?.isBefore(next) === true) lastChange = next;
+        if (!applyRecord(record)) continue;
+        onChange(record);
+        if (lastChange?.isBefore(next) === true) lastChange = next;
       }
     },
     confirm: (at) => {
--- a/src/coordination/storeReading/constants.ts
+++ b/src/coordination/storeReading/constants.ts
@@ -39,7 +39,13 @@
 /** The same share for a router that reads for others and has missed its regular read of the registry. */
 export const readerRegistryAgeShare = 0.42;
 
-/** Share of the same time between two regular reads of the registry by a router that reads for others. */
+/**
+ * Share of the same time after which a reader that is not the first one queries the first reader about the registry.
+ * The answer comes before {@link readerRegistryAgeShare}, so that only the first reader reads it regularly.
+ */
+export const readerQueryAgeShare = 0.25;
+
+/** Share of the same time between two regular reads of the registry by the first of the routers that read for others. */
 export const readerRegistryIntervalShare = 0.35;
 
 /** Delay after a failed own read: doubles up to the longest, so that an outage costs few calls. */
@@ -62,3 +68,25 @@
  * one long poll and a failed one.
  */
 export const largeFleetMaxReadAge = largeFleetLongPoll * 1.25;
+
+/** Records of a topic that a router keeps to hand over, and the most in one answer, which must fit into a datagram. */
+export const maxKeptRecords = 64;
+export const maxHandedRecords = 8;
+
+/** Between two reads of the operator's records where others read for a router. */
+export const delegatedOperatorInterval = 20_000;
+
+/** Between two queries to readers that peers' announcements of newer records cause. */
+export const announcedQueryInterval = 100;
+
+/**
+ * A router reads the store itself if it knows no newer record this long after a peer has announced one. Covers the
+ * store's answer to an open long poll, or a query to a reader and one more after a time-out.
+ */
+export const announcedReadDelay = 400;
+
+/**
+ * A reader whose answer is older than these shares of the bounds has lost the store, and the next query goes to another
+ * reader. They cover the shares after which readers read again, one check of freshness and a slow call.
+ */
+export const staleAnswerShares = { operator: 0.4, registry: 0.52 } as const;
--- a/src/coordination/storeReading/storeReading.ts
+++ b/src/coordination/storeReading/storeReading.ts
@@ -4,17 +4,23 @@
  *
  * An answer is a proof that nothing newer had been published at a given time: the time at which the query was
  * sent, less the age that the reader reports. It is valid only for a router that has itself applied all records up to
- * the reader's position.
+ * the reader's position. The answer hands over records that the asking router lacks, if they are few and small.
  */
 import type { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
-import type { ProofAnswer, ReadProgress } from "../../protocol/forwarding/proofMessage.ts";
+import type {
+  KnownPositions,
+  ProofAnswer,
+  ProofQuestion,
+  ReadProgress,
+} from "../../protocol/forwarding/proofMessage.ts";
 import { decodeProofMessage, encodeProofMessage } from "../../protocol/forwarding/proofMessage.ts";
+import type { OperatorRecord, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { StorePosition } from "../../protocol/StorePosition.ts";
 import type { Clock } from "../clock.ts";
-import type { FeedFollower } from "../forwarding/feedFollower.ts";
 import type { Peer } from "../forwarding/peerTable.ts";
 import type { ForwardingBounds } from "../forwarding/types.ts";
 import {
+  announcedQueryInterval,
   freshnessCheckInterval,
   ownReadAgeShare,
   ownReadRetryDelays,
@@ -24,22 +30,14 @@
   proofInterval,
   proofTimeout,
   readerReadAgeShare,
+  readerQueryAgeShare,
   readerRegistryAgeShare,
+  storeReaderCount,
+  staleAnswerShares,
 } from "./constants.ts";
-
-/** A router's state of one kind of records: the operator's, or the registry. */
-export interface FollowedRecords {
-  readonly feed: Pick<FeedFollower, "position" | "check" | "readNow">;
-  /**
-   * @returns The position after the last record that may change a decision; `undefined` before the first read of an
-   * epoch.
-   */
-  readonly lastChangePosition: () => StorePosition | undefined;
-  /** @returns Milliseconds since the time up to which all records are known. */
-  readonly age: () => number;
-  /** Records that everything written before a time is known, milliseconds on the monotonic clock. */
-  readonly confirm: (at: number) => void;
-}
+import { createAnnouncedReads } from "./announcedReads.ts";
+import type { FollowedRecords } from "./proofAnswer.ts";
+import { createProofAnswer, knownPosition } from "./proofAnswer.ts";
 
 export interface StoreReadingDependencies {
   readonly link: DatagramLink;
@@ -49,18 +47,21 @@
   readonly isEnabled: () => boolean;
   /** @returns Whether this router reads for others. */
   readonly isReader: () => boolean;
-  /** @returns The readers of this router's data centre. */
+  /** @returns Whether this router is the first reader, which reads the registry regularly; `true` if absent. */
+  readonly isFirstReader?: () => boolean;
+  /** @returns The other readers of this router's data centre, the first reader first. */
   readonly readers: () => readonly Peer[];
   /** @returns Milliseconds since this router's own last successful read of the operator's records was sent. */
   readonly readAge: () => number;
-  readonly operator: FollowedRecords;
-  readonly replicas: FollowedRecords;
+  readonly operator: FollowedRecords<OperatorRecord>;
+  readonly replicas: FollowedRecords<ReplicaEntry>;
+  /** Called if no newer record is known some time after a peer has announced one. */
+  readonly onUnresolved?: () => void;
   /** @returns A number from 0 to 1. */
   readonly random: () => number;
 }
 
-interface Question {
-  readonly number: number;
+interface Question extends Pick<ProofQuestion, "number" | "known"> {
   readonly askedAt: number;
 }
 
@@ -71,8 +72,9 @@
   /** @returns Whether this router's own reads reach the store, as far as it has tried. */
   readonly reachesStore: () => boolean;
   /**
-   * Reads newer records that a peer has announced: at once, but after failed reads not before the retry delay. Every
-   * message of every peer announces them, so a store that rejects this router would otherwise get several reads a
+   * Gets newer records that a peer has announced: from a reader, or for a reader by its open long poll, and if none
+   * has arrived after a short time by a read. After failed reads the next one waits for the retry delay. Every message
+   * of every peer announces the records, so a store that rejects this router would otherwise get several reads a
    * second.
    */
   readonly requestRead: () => void;
@@ -84,12 +86,13 @@
   let number = Math.floor(random() * firstNumberBound);
   let pending: Question | undefined;
   let askedAt = Number.NEGATIVE_INFINITY;
-  let readerIndex = 0;
+  let readerIndex = Math.floor(random() * storeReaderCount);
   let isChecking = false;
   let mayCheckAt = Number.NEGATIVE_INFINITY;
   let failures = 0;
   let failedAt = Number.NEGATIVE_INFINITY;
   let registryReadAt = Number.NEGATIVE_INFINITY;
+  let wasReader = true;
 
   const check = async (): Promise<void> => {
     if (isChecking || clock.monotonic() < mayCheckAt) return;
@@ -103,58 +106,59 @@
     mayCheckAt = clock.monotonic() + delay;
   };
 
+  const knownPositions = (): KnownPositions | undefined => {
+    const known = { operator: knownPosition(operator), replicas: knownPosition(replicas) };
+    return known.operator === undefined || known.replicas === undefined
+      ? undefined
+      : { operator: known.operator, replicas: known.replicas };
+  };
+
+  /** Readers query the first one; the queries of the others are spread over all readers. */
   const sendQuery = (): void => {
     const readers = dependencies.readers();
-    const reader = readers[readerIndex % Math.max(1, readers.length)];
+    const reader = dependencies.isReader() ? readers[0] : readers[readerIndex % Math.max(1, readers.length)];
     if (reader === undefined) return;
     number += 1;
     askedAt = clock.monotonic();
-    pending = { number, askedAt };
-    link.send(reader.at, encodeProofMessage({ kind: "question", number }));
+    const known = knownPositions();
+    const question = { number, ...(known === undefined ? {} : { known }) };
+    pending = { ...question, askedAt };
+    link.send(reader.at, encodeProofMessage({ kind: "question", ...question }));
   };
 
   /** @returns Whether the reader's proof holds for this router too. */
-  const applyProof = (records: FollowedRecords, { position, age }: ReadProgress, since: number): boolean => {
-    const known = records.feed.position();
+  const applyProof = <T>(
+    records: FollowedRecords<T>,
+    { position, age, records: handed }: ReadProgress<T>,
+    asked: StorePosition | undefined,
+    since: number,
+  ): boolean => {
+    if (asked !== undefined && handed !== undefined) records.handOver?.receive(asked, position, handed);
+    const known = knownPosition(records);
     if (known?.epoch !== position.epoch || known.isBefore(position)) return false;
     records.confirm(since - age);
     return true;
   };
 
+  const isStale = ({ operator: ofOperator, replicas: ofReplicas }: ProofAnswer): boolean =>
+    ofOperator.age > bounds.keyRevocation * staleAnswerShares.operator ||
+    ofReplicas.age > bounds.drain * staleAnswerShares.registry;
+
   const applyAnswer = (answer: ProofAnswer): void => {
     if (pending?.number !== answer.number) return;
-    const since = pending.askedAt;
+    const { askedAt: since, known } = pending;
     pending = undefined;
-    if (!applyProof(operator, answer.operator, since)) void check();
-    if (!applyProof(replicas, answer.replicas, since)) replicas.feed.readNow();
-  };
-
-  const progressOf = ({ lastChangePosition, age }: FollowedRecords): ReadProgress | undefined => {
-    const since = age();
-    const position = lastChangePosition();
-    return position === undefined || !Number.isFinite(since)
-      ? undefined
-      : { position, age: Math.ceil(since) };
-  };
-
-  const answer = (asked: number): Buffer | undefined => {
-    const progress = { operator: progressOf(operator), replicas: progressOf(replicas) };
-    if (progress.operator === undefined || progress.replicas === undefined) return undefined;
-    const { operator: operatorProgress, replicas: replicasProgress } = progress;
-    return encodeProofMessage({
-      kind: "answer",
-      number: asked,
-      operator: operatorProgress,
-      replicas: replicasProgress,
-    });
+    if (isStale(answer)) readerIndex += 1;
+    if (!applyProof(operator, answer.operator, known?.operator, since)) void check();
+    if (!applyProof(replicas, answer.replicas, known?.replicas, since)) replicas.feed.readNow();
   };
 
   link.receive((datagram, from) => {
     const message = decodeProofMessage(datagram);
     if (message?.kind === "answer") applyAnswer(message);
     if (message?.kind !== "question") return;
-    const reply = answer(message.number);
-    if (reply !== undefined) link.send(from, reply);
+    const reply = createProofAnswer(message, operator, replicas);
+    if (reply !== undefined) link.send(from, encodeProofMessage(reply));
   });
 
   const queryIfDue = (): void => {
@@ -173,13 +177,22 @@
     replicas.feed.readNow();
   };
 
+  /** A router that becomes a reader must not wait for the end of the long interval between its own reads. */
+  const noteRole = (isReader: boolean): void => {
+    if (isReader && !wasReader) operator.feed.readNow();
+    wasReader = isReader;
+  };
+
   const checkFreshness = (): void => {
     cancel = clock.after(freshnessCheckInterval, checkFreshness);
     if (!dependencies.isEnabled()) return;
     const isReader = dependencies.isReader();
+    noteRole(isReader);
     const registryShare = isReader ? readerRegistryAgeShare : ownRegistryAgeShare;
     if (replicas.age() > bounds.drain * registryShare) readRegistry();
     if (isReader) {
+      const isFirst = dependencies.isFirstReader?.() ?? true;
+      if (!isFirst && replicas.age() > bounds.drain * readerQueryAgeShare) sendQuery();
       if (dependencies.readAge() > bounds.keyRevocation * readerReadAgeShare) void check();
       return;
     }
@@ -188,12 +201,26 @@
   };
   let cancel = clock.after(random() * freshnessCheckInterval, checkFreshness);
 
+  const announced = createAnnouncedReads({
+    clock,
+    known: () => knownPosition(operator),
+    query: () => {
+      const isDue = pending === undefined && clock.monotonic() - askedAt >= announcedQueryInterval;
+      if (isDue && !dependencies.isReader()) sendQuery();
+    },
+    onUnresolved: () => {
+      dependencies.onUnresolved?.();
+      void check();
+    },
+  });
+
   return {
-    requestRead: () => void check(),
+    requestRead: announced.request,
     reachesStore: () =>
       failures < failuresUntilUnreachable || dependencies.readAge() < clock.monotonic() - failedAt,
     [Symbol.asyncDispose]: () => {
       cancel();
+      announced.stop();
       return Promise.resolve();
     },
   };
--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -16,6 +16,7 @@
 import {
   largeFleetMaxReadAge,
   largeFleetLongPoll,
+  delegatedOperatorInterval,
   delegatedRegistryInterval,
   readerRegistryIntervalShare,
   delegatedRetryFactor,
@@ -29,10 +30,14 @@
 } from "../coordination/storeEpochs/constants.ts";
 import { createOperatorRecovery } from "../coordination/storeEpochs/operatorRecovery.ts";
 import type { RecoveryWindow } from "../coordination/storeEpochs/recoveryWindow.ts";
-import { createRegistryRecovery } from "../coordination/storeEpochs/registryRecovery.ts";
+import { createRegistryRecovery, endOf } from "../coordination/storeEpochs/registryRecovery.ts";
+import type { RecordHandOver } from "../coordination/storeReading/recordHandOver.ts";
+import { createRecordHandOver } from "../coordination/storeReading/recordHandOver.ts";
 import { startStoreReading } from "../coordination/storeReading/storeReading.ts";
 import type { DatagramLink } from "../protocol/forwarding/DatagramLink.ts";
 import type { ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
+import { isSmallOperatorRecord, isSmallReplicaRecord } from "../protocol/forwarding/recordMessage.ts";
+import type { FeedPage, OperatorRecord, ReplicaEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
 
@@ -48,7 +53,7 @@
   readonly replicas: ReplicaTable;
   readonly peers: Pick<
     RouterPeers,
-    "countServing" | "isLarge" | "isStoreReader" | "live" | "otherStoreReaders"
+    "countServing" | "isFirstStoreReader" | "isLarge" | "isStoreReader" | "live" | "otherStoreReaders"
   >;
   /**
    * Called after each read of the operator's changes or of the copies of its records, also if nothing has changed; the
@@ -91,35 +96,47 @@
   };
 };
 
+/** How often this router reads the store: seldom if others read it for this router. */
+const createReadSchedule = ({ bounds, peers }: Pick<StoreFollowingDependencies, "bounds" | "peers">) => {
+  const smallFleetLongPoll = (): number => bounds.keyRevocation * configurationLongPollShare;
+  const delegatesReads = (): boolean => peers.isLarge() && !peers.isStoreReader();
+  return {
+    smallFleetLongPoll,
+    delegatesReads,
+    /** Readers notify the others of changes, so that these need no open long poll. */
+    operatorLongPoll: (): number => {
+      if (delegatesReads()) return 0;
+      return peers.isLarge() ? largeFleetLongPoll : smallFleetLongPoll();
+    },
+    operatorReadInterval: (): number => (delegatesReads() ? delegatedOperatorInterval : 0),
+    registryReadInterval: (): number => {
+      if (!peers.isLarge()) return bounds.drain * registryReadIntervalShare;
+      return peers.isFirstStoreReader()
+        ? bounds.drain * readerRegistryIntervalShare
+        : delegatedRegistryInterval;
+    },
+    retryFactor: (): number => (delegatesReads() ? delegatedRetryFactor : 1),
+    /** Routers that delegate reads are notified of changes by the readers, so they can wait and spread the load. */
+    rereadDelay: (): number =>
+      delegatesReads()
+        ? Math.random() * Math.min(longestRereadDelay, peers.countServing() * rereadSpreadPerRouter)
+        : 0,
+  };
+};
+
 /** Starts to follow the store. */
 export const followStore = (dependencies: StoreFollowingDependencies): StoreFollowing => {
   const { platform, clock, bounds, configuration, replicas, peers } = dependencies;
   const resources = createResourceStack();
   let registryConfirmedAt = Number.NEGATIVE_INFINITY;
-
-  const smallFleetLongPoll = (): number => bounds.keyRevocation * configurationLongPollShare;
+  const schedule = createReadSchedule(dependencies);
 
   // A router in a large fleet that knows it can't reach the store takes no duties.
   const maxReadAge = (): number => {
-    if (!peers.isLarge()) return smallFleetLongPoll() * maxReadAgeFactor;
+    if (!peers.isLarge()) return schedule.smallFleetLongPoll() * maxReadAgeFactor;
     return storeReading.reachesStore() ? largeFleetMaxReadAge : 0;
   };
 
-  const delegatesReads = (): boolean => peers.isLarge() && !peers.isStoreReader();
-
-  const registryReadInterval = (): number => {
-    if (delegatesReads()) return delegatedRegistryInterval;
-    return bounds.drain * (peers.isLarge() ? readerRegistryIntervalShare : registryReadIntervalShare);
-  };
-
-  const retryFactor = (): number => (delegatesReads() ? delegatedRetryFactor : 1);
-
-  // Routers that delegate reads are notified of changes by the readers, so they can wait and spread the load.
-  const rereadDelay = (): number =>
-    delegatesReads()
-      ? Math.random() * Math.min(longestRereadDelay, peers.countServing() * rereadSpreadPerRouter)
-      : 0;
-
   const recovery = resources.use(
     createOperatorRecovery({
       self: dependencies.self,
@@ -132,32 +149,42 @@
     }),
   );
 
+  const applyOperator = (page: FeedPage<OperatorRecord>): void => {
+    configuration.apply(page);
+    recovery.noteStored(page);
+    page.records.forEach(operatorHandOver.keep);
+    dependencies.onConfiguration();
+  };
+
   const operatorFeed = resources.use(
     followFeed({
       name: "operator",
       feed: platform.operator,
       epochs: platform.epochs,
       clock,
-      longPollTimeout: () => (peers.isLarge() ? largeFleetLongPoll : smallFleetLongPoll()),
-      retryDelayFactor: retryFactor,
-      readInterval: () => 0,
-      rereadDelay,
+      longPollTimeout: schedule.operatorLongPoll,
+      retryDelayFactor: schedule.retryFactor,
+      readInterval: schedule.operatorReadInterval,
+      rereadDelay: schedule.rereadDelay,
       replace: (page) => {
         configuration.apply(page);
         recovery.noteNewest(page);
+        operatorHandOver.restart(page.next);
       },
-      apply: (page) => {
-        configuration.apply(page);
-        recovery.noteStored(page);
-        dependencies.onConfiguration();
-      },
+      apply: applyOperator,
       confirm: configuration.confirm,
     }),
   );
 
+  const operatorHandOver: RecordHandOver<OperatorRecord> = createRecordHandOver({
+    position: operatorFeed.position,
+    isSmall: isSmallOperatorRecord,
+    apply: applyOperator,
+  });
+
   const registryAge = (): number => clock.monotonic() - registryConfirmedAt;
 
-  const registry = createRegistryRecovery(replicas, clock);
+  const registry = createRegistryRecovery(replicas, clock, (record) => registryHandOver.keep(record));
 
   /** Replicas that a restored store lacks are dropped also by another router's proof. */
   const confirmRegistry = (at: number): void => {
@@ -172,15 +199,24 @@
       epochs: platform.epochs,
       clock,
       longPollTimeout: () => 0,
-      retryDelayFactor: retryFactor,
-      readInterval: registryReadInterval,
-      rereadDelay: () => rereadDelay() * registryRereadFactor,
-      replace: registry.replace,
+      retryDelayFactor: schedule.retryFactor,
+      readInterval: schedule.registryReadInterval,
+      rereadDelay: () => schedule.rereadDelay() * registryRereadFactor,
+      replace: (page) => {
+        registry.replace(page);
+        registryHandOver.restart(endOf(page));
+      },
       apply: registry.apply,
       confirm: confirmRegistry,
     }),
   );
 
+  const registryHandOver: RecordHandOver<ReplicaEntry> = createRecordHandOver({
+    position: registryFeed.position,
+    isSmall: isSmallReplicaRecord,
+    apply: registry.apply,
+  });
+
   const storeReading = resources.use(
     startStoreReading({
       link: dependencies.link,
@@ -188,26 +224,30 @@
       bounds,
       isEnabled: peers.isLarge,
       isReader: peers.isStoreReader,
+      isFirstReader: peers.isFirstStoreReader,
       readers: peers.otherStoreReaders,
       readAge: configuration.readAge,
       operator: {
         feed: operatorFeed,
-        lastChangePosition: operatorFeed.position,
+        handOver: operatorHandOver,
+        lastChangePosition: operatorHandOver.known,
         age: configuration.age,
         // The proof is another router's, so it does not count as a read of this one.
         confirm: configuration.prove,
       },
       replicas: {
         feed: registryFeed,
+        handOver: registryHandOver,
         lastChangePosition: registry.lastChangePosition,
         age: registryAge,
         confirm: confirmRegistry,
       },
+      onUnresolved: recovery.readCopies,
       random: Math.random,
     }),
   );
 
-  resources.use(scheduleRecoveryChecks(dependencies, delegatesReads, operatorFeed));
+  resources.use(scheduleRecoveryChecks(dependencies, schedule.delegatesReads, operatorFeed));
 
   let epochReadAt = Number.NEGATIVE_INFINITY;
 
@@ -222,7 +262,8 @@
     registryAge,
     maxReadAge,
     requestRead: () => {
-      recovery.readCopies();
+      // After a return from an older copy the copies may be the only place of a record.
+      if (!peers.isLarge() || dependencies.recovery.remaining() > 0) recovery.readCopies();
       if (peers.isLarge()) storeReading.requestRead();
       else operatorFeed.readNow();
     },
--- a/standIns/platform/platformSystem.ts
+++ b/standIns/platform/platformSystem.ts
@@ -282,6 +282,10 @@
 export const isReady = async ({ readinessPort }: ForwardingRouter): Promise<boolean> =>
   (await fetch(`http://127.0.0.1:${readinessPort}${readinessPath}`)).ok;
 
+/** Starts a router with the real adapter. */
+export const startPlatformRouter = (settings: ForwardingSettings): Promise<ForwardingRouter> =>
+  startForwardingRouter(settings, connectPlatform);
+
 const startAll = (
   count: number,
   createSettings: (index: number) => ReplicaSettings,
@@ -310,22 +314,19 @@
   };
 
   const startRouter = async (routerStore: StoreStandIn = store): Promise<ForwardingRouter> => {
-    const router = await startForwardingRouter(
-      {
-        name: `router-${routers.length}`,
-        dataCentre: "here",
-        callers: anyPort,
-        readiness: anyPort,
-        metricsPort: 0,
-        peers: anyPort,
-        store: { address: "127.0.0.1", port: Number(routerStore.address.split(":")[1]) },
-        guarantees: [],
-        batchMemory: false,
-        ...settings.load,
-        bounds: { ...bounds, ...settings.bounds },
-      },
-      connectPlatform,
-    );
+    const router = await startPlatformRouter({
+      name: `router-${routers.length}`,
+      dataCentre: "here",
+      callers: anyPort,
+      readiness: anyPort,
+      metricsPort: 0,
+      peers: anyPort,
+      store: { address: "127.0.0.1", port: Number(routerStore.address.split(":")[1]) },
+      guarantees: [],
+      batchMemory: false,
+      ...settings.load,
+      bounds: { ...bounds, ...settings.bounds },
+    });
     routers.push(router);
     return router;
   };
--- a/standIns/platform/store.ts
+++ b/standIns/platform/store.ts
@@ -33,6 +33,8 @@
   readonly calls: ReadonlyMap<string, number>;
   /** Number of reads by topic. */
   readonly reads: ReadonlyMap<string, number>;
+  /** Number of requests by topic and kind, for example `keyed.op read`. */
+  readonly callsByKind: ReadonlyMap<string, number>;
   /** Writes a keyed record, as the operator or a replica does. */
   readonly put: (topic: string, key: string, value: unknown) => void;
   /** Resets all open connections. */
@@ -50,6 +52,10 @@
   ) => Promise<void>;
 }
 
+/** @returns The kind of a request: `append`, `newest`, `read`, or `wait` for a read that may wait for a record. */
+const kindOf = (pathname: string, query: URLSearchParams): string =>
+  Number(query.get("waitMs") ?? 0) > 0 ? "wait" : pathname.slice(pathname.lastIndexOf("-") + 1);
+
 const pageSize = 500;
 const offsetBytes = 8;
 
@@ -98,6 +104,7 @@
   };
   const calls = new Map<string, number>();
   const reads = new Map<string, number>();
+  const callsByKind = new Map<string, number>();
 
   const append = (query: URLSearchParams, body: Buffer): Answer | undefined => {
     const topic = query.get("topic") ?? "";
@@ -153,6 +160,8 @@
   const answer = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { pathname, searchParams } = new URL(request.url ?? "/", "http://store");
     calls.set(pathname, (calls.get(pathname) ?? 0) + 1);
+    const kind = `${searchParams.get("topic") ?? ""} ${kindOf(pathname, searchParams)}`;
+    callsByKind.set(kind, (callsByKind.get(kind) ?? 0) + 1);
     const body = await readBody(request);
     if (faults.isUnresponsive || faults.isDown) return;
     const result = await handleCall(pathname, searchParams, body);
@@ -177,6 +186,7 @@
     faults,
     calls,
     reads,
+    callsByKind,
     put: (topic, key, value) => {
       topics.append(topic, [keyedRecord(key, value)]);
     },
