Bound the memory of answers that callers do not read

Cause: a stream to a slow caller holds one write, and a whole body is held entirely; over all callers neither was bounded.

Change: the setting callerBufferBytes. Above it the largest answers are stopped, callers that have read nothing for 3 s are disconnected, the largest first, and requests are refused (503 callers_too_slow, not run) while the rest exceeds the bound. Absent or 0: as before.

--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -185,6 +185,8 @@
       limits: () => configuration.table()?.configuration.limits,
       // Closing the connection lets the caller reconnect through the load balancer to a router that is ready.
       shouldCloseConnections: () => !isReady(),
+      callerBufferBytes: settings.callerBufferBytes ?? 0,
+      metrics,
     }),
   );
   const status = resources.use(
--- a/src/daemons/forwardingSettings.test.ts
+++ b/src/daemons/forwardingSettings.test.ts
@@ -36,6 +36,8 @@
     expect(() => parse({ callers: "nowhere", bounds: { ...settings.bounds, lease: "long" } })).toThrow(
       /callers: must be IP:PORT\n.*bounds\.lease/s,
     );
+    expect(() => parse({ callerBufferBytes: -1 })).toThrow(/callerBufferBytes/);
+    expect(() => parse({ callerBufferBytes: "many" })).toThrow(/callerBufferBytes/);
     expect(() => parse({ store: "10.0.0.1:70000" })).toThrow(/store: must be IP:PORT/);
     expect(() => parseForwardingSettings("{", "settings.json")).toThrow(/settings\.json/);
   });
--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -40,6 +40,12 @@
     .optional()
     .describe("From which ratio of the fastest to the slowest replica on learned speeds are used"),
   batchMemory: z.boolean().default(false).describe("Whether placement counts the memory of running requests"),
+  callerBufferBytes: z
+    .number()
+    .int()
+    .min(0)
+    .optional()
+    .describe("Bytes held for all callers that read slowly; 0 or absent: unbounded"),
   bounds: z.object({
     keyRevocation: duration,
     drain: duration,
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -36,6 +36,9 @@
   peerRefusals: "peer_refusals",
   peerMessages: "peer_messages",
   peerChanges: "peer_changes",
+  callersCutOff: "callers_cut_off",
+  callerReadsStopped: "caller_reads_stopped",
+  callerMemoryRefusals: "caller_memory_refusals",
 } as const;
 
 /** The name of a metric as it is emitted. */
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -8,7 +8,11 @@
 import { requestError, RequestError } from "../../protocol/errors.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
 import type { CallerLimits, CallerRequest, ForwardedAnswer } from "../../protocol/forwarding/types.ts";
+import { callerMemoryRetryDelay } from "../../state/forwarding/callerMemory.ts";
 import { createLogger } from "../../state/log.ts";
+import type { Metrics } from "../../state/Metrics.ts";
+import type { CallerBuffer } from "./callerBuffers.ts";
+import { createCallerBuffers } from "./callerBuffers.ts";
 
 export interface ForwardingServerDependencies {
   readonly address: string;
@@ -20,6 +24,9 @@
   readonly limits: () => CallerLimits | undefined;
   /** True if answers carry `connection: close`, so that callers open another connection for their next request. */
   readonly shouldCloseConnections: () => boolean;
+  /** Bytes that answers to slow callers may hold together; 0 for no bound. */
+  readonly callerBufferBytes: number;
+  readonly metrics: Metrics;
 }
 
 /** A listening server; disposal closes its connections at once. */
@@ -49,6 +56,14 @@
     outcome: outcomes.notRun,
   });
 
+const callersTooSlow = () =>
+  requestError("Answers that callers don't read fill this router's memory; the request has not run.", {
+    status: 503,
+    code: "callers_too_slow",
+    outcome: outcomes.notRun,
+    retryAfterSeconds: callerMemoryRetryDelay / 1_000,
+  });
+
 const headerBytesOf = (rawHeaders: readonly string[]): number =>
   rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
@@ -71,6 +86,10 @@
   dependencies: ForwardingServerDependencies,
 ): Promise<ForwardingServer> => {
   const { wire, forward, limits, shouldCloseConnections } = dependencies;
+  const buffers = createCallerBuffers({
+    bound: dependencies.callerBufferBytes,
+    metrics: dependencies.metrics,
+  });
 
   const decode = async (message: IncomingMessage): Promise<CallerRequest> => {
     const arrivedAt = steadyNow();
@@ -101,10 +120,16 @@
     response.end(body);
   };
 
-  const writeStream = async (response: ServerResponse, body: AsyncIterable<Buffer>): Promise<void> => {
+  const writeStream = async (
+    response: ServerResponse,
+    body: AsyncIterable<Buffer>,
+    buffer: CallerBuffer,
+  ): Promise<void> => {
     for await (const chunk of body) {
       if (chunk.length === 0) continue;
+      buffer.noteWritten(chunk.length);
       if (!response.write(chunk) && !response.destroyed) await once(response, "drain").catch(() => undefined);
+      await buffer.mayContinue();
       if (response.destroyed) return;
     }
     response.end();
@@ -116,12 +141,14 @@
     if (Buffer.isBuffer(body)) headers.push("content-length", String(body.length));
     if (shouldCloseConnections()) headers.push("connection", "close");
     response.writeHead(answer.status, headers);
+    const buffer = buffers.track(response);
     if (Buffer.isBuffer(body)) {
+      buffer.noteWritten(body.length);
       response.end(body);
       return;
     }
     response.flushHeaders();
-    await writeStream(response, body);
+    await writeStream(response, body, buffer);
   };
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -130,6 +157,7 @@
       if (!response.writableFinished) disconnected.abort();
     });
     try {
+      if (buffers.mustRefuse()) throw callersTooSlow();
       const answer = await forward(await decode(message), disconnected.signal);
       await writeAnswer(response, answer);
     } catch (error) {
@@ -164,6 +192,7 @@
       server.headersTimeout = limit.headerTimeout;
     },
     [Symbol.asyncDispose]: async () => {
+      buffers.stop();
       server.close();
       server.closeAllConnections();
       await Promise.resolve();
