--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -38,6 +38,9 @@
   peerChanges: "peer_changes",
   replicaPrefillRate: "replica_prefill_rate",
   replicaPrefillRateAge: "replica_prefill_rate_age_ms",
+  callersCutOff: "callers_cut_off",
+  callerReadsStopped: "caller_reads_stopped",
+  callerMemoryRefusals: "caller_memory_refusals",
 } as const;
 
 /** The name of a metric as it is emitted. */
