--- a/src/coordination/estimates/replicaEstimates.test.ts
+++ b/src/coordination/estimates/replicaEstimates.test.ts
@@ -136,6 +136,50 @@
     });
   }
 
+  it("return to the median of the service within 3 s without samples, and not before", () => {
+    const { clock, estimates } = create(true);
+    const [slow, ...others] = ids;
+    for (let count = 0; count < 40; count += 1) {
+      clock.advanceTo(clock.monotonic() + 20);
+      for (const id of others) estimates.learnServiceTime(id, 50);
+      estimates.learnServiceTime(slow, 200);
+    }
+    const atFirst = estimates.serviceTime(slow);
+    expect(atFirst).toBeGreaterThan(150);
+    clock.advanceTo(clock.monotonic() + 1_000);
+    expect(estimates.serviceTime(slow)).toBeGreaterThan(0.8 * atFirst);
+    clock.advanceTo(clock.monotonic() + estimateLifetime - 1_000);
+    expect(estimates.serviceTime(slow)).toEqual(estimates.serviceTime(others[0]));
+  });
+
+  it("start from the median for a new incarnation and for new weights", () => {
+    const { clock, replicas, estimates } = create(true);
+    const [slow, ...others] = ids;
+    for (let count = 0; count < 40; count += 1) {
+      for (const id of others) estimates.learnPrefill(id, 6_000, 100);
+      estimates.learnPrefill(slow, 6_000, 300);
+    }
+    clock.advanceTo(clock.monotonic() + 300);
+    const median = estimates.prefillRate(others[0]);
+    expect(estimates.prefillRate(slow)).toBeLessThan(median / 2);
+    replicas.put(engineEntry("restarted", { registeredAs: slow }));
+    expect(estimates.prefillRate("restarted")).toEqual(median);
+    for (let count = 0; count < 40; count += 1) estimates.learnPrefill("restarted", 6_000, 300);
+    expect(estimates.prefillRate("restarted")).toBeLessThan(median / 2);
+    replicas.noteWeights("restarted", "m", 2);
+    expect(estimates.prefillRate("restarted")).toEqual(median);
+  });
+
+  it("change by less than a third with one answer that takes a hundred times as long", () => {
+    const { clock, estimates } = create(true);
+    for (let count = 0; count < 40; count += 1) {
+      clock.advanceTo(clock.monotonic() + 20);
+      for (const id of ids) estimates.learnServiceTime(id, 50);
+    }
+    estimates.learnServiceTime(ids[0], 5_000);
+    expect(estimates.serviceTime(ids[0])).toBeLessThan(50 * 1.33);
+  });
+
   it("are the moving averages of all samples without ageing, so that deployments without it decide as before", () => {
     const { clock, estimates } = create(false);
     let expected = assumedServiceTime;
