--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -85,6 +85,8 @@
   readonly events?: { readonly count: number; readonly pause: number };
   /** Duration of a plain request, milliseconds. */
   readonly serviceTime?: number;
+  /** Time until the head of a stream, milliseconds. */
+  readonly firstEventDelay?: number;
   /** Time to load weights, milliseconds. */
   readonly loadTime?: number;
   /** Every order is refused as if another one were in progress. */
@@ -260,7 +262,7 @@
 /** Starts a replica on a free loopback port. */
 export const startReplicaStandIn = async (settings: ReplicaSettings): Promise<ReplicaStandIn> => {
   const { id, model, events = { count: 5, pause: 5 }, loadTime = 30, refusesOrders = false } = settings;
-  const { crashesOn = () => "never", serviceTime = 0 } = settings;
+  const { crashesOn = () => "never", serviceTime = 0, firstEventDelay = 0 } = settings;
   const runs: ExecutedRequest[] = [];
   const arrivals: Arrival[] = [];
   const orders: ReceivedOrder[] = [];
@@ -341,6 +343,7 @@
       return;
     }
     if (serviceTime > 0 && !isStream(executed)) await sleep(serviceTime);
+    if (firstEventDelay > 0 && isStream(executed)) await sleep(firstEventDelay);
     if (behaviour === "fail") refuse(response, 500, headersOf(executed));
     else if (isStream(executed) && behaviour === "cut") await sendEvents(executed, response, 2);
     else if (behaviour !== "well") sendMalformedAnswer(id, events.pause, executed, response, behaviour);
