Extend the lab with organisations, floods, uneven engines and changing routers

Cause: the lab could not replay loads in which organisations compete, engines differ in speed or demand moves between data centres, and routers neither started nor stopped during a run.

Change: experiments list organisations, engine speeds, demand waves, windows with figures of their own and the faults flood, speed, routersStart, routersStop and partition; a policy names the load features of its routers. Figures by window, request class, organisation and engine.

--- a/bench/lab/batchEngine.ts
+++ b/bench/lab/batchEngine.ts
@@ -29,6 +29,8 @@
    */
   readonly crash: (isUnreachable: boolean) => void;
   readonly restart: () => void;
+  /** Sets the speed as a factor of the specified one, from the next step on. */
+  readonly setSpeed: (speed: number) => void;
   /** Evicts the cached parts that no running request uses; running requests continue. */
   readonly dropCache: () => void;
 }
@@ -78,6 +80,7 @@
   let sequence = 0;
   let isUp = true;
   let cancelStep: (() => void) | undefined;
+  let speed = 1;
 
   const isRunning = (task: Task): boolean => state.running.includes(task);
 
@@ -114,7 +117,7 @@
     const chunks = planPrefillChunks(active, specification.chunkTokens);
     const computed = chunks.reduce((sum, { tokens }) => sum + tokens, 0);
     const { step, stepPerRequest, prefillRate } = specification;
-    const duration = step + stepPerRequest * active.length + computed / prefillRate;
+    const duration = (step + stepPerRequest * active.length + computed / prefillRate) / speed;
     cancelStep = clock.after(duration, () => endStep(chunks, decoding));
   };
 
@@ -151,6 +154,9 @@
     restart: () => {
       isUp = true;
     },
+    setSpeed: (factor) => {
+      speed = factor;
+    },
     dropCache: cache.dropUnpinned,
   };
 };
--- a/bench/lab/caller.ts
+++ b/bench/lab/caller.ts
@@ -1,10 +1,11 @@
 /** A simulated caller: it retries refused requests as asked, never resumes streams, and cancels by its deadline. */
 import type { Clock } from "../../src/coordination/clock.ts";
 import { pause } from "../../src/coordination/clock.ts";
-import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
 import { RequestError } from "../../src/protocol/errors.ts";
 import type { CallerRequest } from "../../src/protocol/forwarding/types.ts";
 import type { LabFleet } from "./fleet.ts";
+import type { LabRouter } from "./labRouter.ts";
+import { keyOf } from "./labRouter.ts";
 import type { LabArrival } from "./workload.ts";
 
 /** Result of a request. */
@@ -15,13 +16,24 @@
   /** From the first attempt to the first token, milliseconds. */
   firstTokenAfter: number | undefined;
   tries: number;
+  /** The longest pause between two events of its stream, milliseconds. */
+  longestPause: number;
+  readonly refusals: LabRefusedTry[];
+}
+
+/** A refused attempt. */
+export interface LabRefusedTry {
+  /** From the attempt to its refusal, milliseconds. */
+  readonly after: number;
+  /** Whether the refusal states when to retry. */
+  readonly statesRetry: boolean;
 }
 
 export interface CallerDependencies {
   readonly clock: Clock;
   readonly fleet: LabFleet;
   /** @returns The router that the next attempt is sent to. */
-  readonly pickRouter: () => Forwarder;
+  readonly pickRouter: (dataCentre: number | undefined) => Pick<LabRouter, "forwarder" | "connections">;
 }
 
 /** Callers wait at most this share of their remaining time before they retry. */
@@ -30,11 +42,11 @@
 const millisecondsPerSecond = 1_000;
 
 const requestOf = (
-  { kind, prompt }: LabArrival,
+  { kind, prompt, organisation, expectedAnswerTokens }: LabArrival,
   id: string,
   arrivedAt: number,
   remaining: number,
-): CallerRequest => ({
+): CallerRequest & { readonly expectedAnswerTokens: number } => ({
   id,
   method: "POST",
   host: "lab.example",
@@ -43,10 +55,11 @@
   body: Buffer.alloc(0),
   arrivedAt,
   timeout: remaining,
-  key: undefined,
+  key: organisation === undefined ? undefined : keyOf(organisation),
   prompt,
   countedTokens: undefined,
   lastEventId: undefined,
+  expectedAnswerTokens,
 });
 
 /** Runs a caller until its request is served, fails or is cancelled, and fills in its record. */
@@ -55,28 +68,43 @@
   const { arrival } = record;
   const deadline = arrival.at + arrival.kind.deadline;
   const abandonment = new AbortController();
-  const cancelTimer = clock.after(arrival.leavesAfter ?? arrival.kind.deadline, () => abandonment.abort());
+  const abandon = (): void => abandonment.abort();
+  const cancelTimer = clock.after(arrival.leavesAfter ?? arrival.kind.deadline, abandon);
+  let sentAt = arrival.at;
 
   const sendOnce = async (): Promise<void> => {
     record.tries += 1;
     const id = `${arrival.id}.${record.tries}`;
     fleet.setAnswerTokens(id, arrival.answerTokens);
-    const now = clock.monotonic();
-    const { body } = await pickRouter().forward(
-      requestOf(arrival, id, now, deadline - now),
-      abandonment.signal,
-    );
-    if (Buffer.isBuffer(body)) throw new TypeError("expected an event stream as the body of the answer");
-    for await (const chunk of body) {
-      if (chunk.length > 0) record.firstTokenAfter ??= clock.monotonic() - arrival.at;
+    sentAt = clock.monotonic();
+    const { forwarder, connections } = pickRouter(arrival.dataCentre);
+    connections.add(abandon);
+    try {
+      const request = requestOf(arrival, id, sentAt, deadline - sentAt);
+      const { body } = await forwarder.forward(request, abandonment.signal);
+      if (Buffer.isBuffer(body)) throw new TypeError("expected an event stream as the body of the answer");
+      let lastEventAt: number | undefined;
+      for await (const chunk of body) {
+        if (chunk.length === 0) continue;
+        const now = clock.monotonic();
+        record.firstTokenAfter ??= now - arrival.at;
+        record.longestPause = Math.max(record.longestPause, now - (lastEventAt ?? now));
+        lastEventAt = now;
+      }
+      record.outcome = "served";
+    } finally {
+      connections.delete(abandon);
     }
-    record.outcome = "served";
   };
 
   /** Waits as the refusal asks. @returns Whether the caller then tries again. */
   const waitForRetry = async (error: RequestError): Promise<boolean> => {
     record.outcome = error.failure.status === 503 ? "refused" : "failed";
     const { retryAfterSeconds } = error.failure;
+    if (record.outcome === "refused") {
+      const statesRetry = retryAfterSeconds !== undefined;
+      record.refusals.push({ after: clock.monotonic() - sentAt, statesRetry });
+    }
     if (record.outcome !== "refused" || record.tries >= arrival.kind.callerTries) return false;
     const remaining = deadline - clock.monotonic();
     const requestedWait = (retryAfterSeconds ?? 0) * millisecondsPerSecond;
--- a/bench/lab/figures.ts
+++ b/bench/lab/figures.ts
@@ -1,5 +1,8 @@
 /** Computes the figures of experiment runs: shares of requests, worth, latency, tokens and limits. */
 import type { LabRecord } from "./caller.ts";
+import { isDuring } from "./demand.ts";
+import type { Experiment } from "./experiment.ts";
+import { windowsOf } from "./experiment.ts";
 import type { LimitPeriod } from "./fleet.ts";
 import { allowedInWindow, mostInAnyWindow } from "../../tests/support/limitAllowance.ts";
 import type { LabResult } from "./simulation.ts";
@@ -41,6 +44,19 @@
   readonly recovered: number;
   /** Datagrams between routers per request. */
   readonly messages: number;
+  /** Datagrams, and their bytes, that a router sends per second. */
+  readonly datagramRate: number;
+  readonly byteRate: number;
+  /** 95th percentile of the time from an attempt to its refusal, milliseconds. */
+  readonly refusalP95: number;
+  /** Share of the refusals that do not state when to retry. */
+  readonly withoutRetryAfter: number;
+  /** Share of the requests that were refused more than once. */
+  readonly refusedAgain: number;
+  /** Share of the served streams with a pause above 400 ms between two events. */
+  readonly paused: number;
+  /** Prompt tokens that engines computed in all windows, as a ratio to what they could have computed. */
+  readonly usedCapacity: number;
 }
 
 /** Mean and standard deviation over seeds. */
@@ -52,6 +68,14 @@
 const worthWindow = 2_000;
 const thousand = 1_000;
 const tailQuantile = 0.99;
+const refusalQuantile = 0.95;
+
+/** A stream with a longer pause between two events is late, milliseconds. */
+const longestGoodPause = 400;
+
+/** @returns The quantile of values; 0 without values. */
+const quantileOf = (values: readonly number[], quantile: number): number =>
+  [...values].sort((left, right) => left - right)[Math.floor(values.length * quantile)] ?? 0;
 
 const isInTime = ({ outcome, firstTokenAfter, arrival }: LabRecord): boolean =>
   outcome === "served" && (firstTokenAfter ?? Number.POSITIVE_INFINITY) <= arrival.kind.objective;
@@ -109,17 +133,40 @@
   return Math.min(1, ...shares);
 };
 
-/** @param warmUp - Requests that arrived earlier are left out, seconds. */
-export const figuresOf = (result: LabResult, warmUp: number): LabFigures => {
-  const { records, totals, limits } = result;
-  const counted = records.filter(
-    ({ outcome, arrival }) => outcome !== "left" && arrival.at >= warmUp * thousand,
-  );
+/**
+ * Computes the prompt tokens per second of an experiment's engines: in each step they compute a full chunk and one token
+ * of each answer. Engines that are down are not deducted.
+ */
+const capacityOf = ({ engines, faults }: Experiment, at: number): number => {
+  const { count, speeds, step, prefillRate, chunkTokens } = engines;
+  const rate = (thousand * chunkTokens) / (step + chunkTokens / prefillRate);
+  return Array.from({ length: count }, (_, index) =>
+    faults.reduce(
+      (speed, fault) =>
+        fault.kind === "speed" && index < fault.engines && isDuring(fault, at * thousand)
+          ? speed * fault.factor
+          : speed,
+      speeds[index % speeds.length] ?? 1,
+    ),
+  ).reduce((sum, speed) => sum + rate * speed, 0);
+};
+
+/** @returns For each window, the prompt tokens that engines computed as a ratio to what they could have computed. */
+export const usedCapacityOf = (experiment: Experiment, { windowTokens }: LabResult): readonly number[] =>
+  windowsOf(experiment).map(({ from, to }, index) => {
+    const tokens = windowTokens[index] ?? { from: 0, to: 0 };
+    return (tokens.to - tokens.from) / ((to - from) * capacityOf(experiment, (from + to) / 2));
+  });
+
+const meanOfValues = (values: readonly number[]): number =>
+  values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length);
+
+/** @returns The shares and percentiles of some requests. */
+const requestFiguresOf = (counted: readonly LabRecord[]) => {
   const shareOf = (matches: (record: LabRecord) => boolean): number =>
     counted.filter(matches).length / Math.max(1, counted.length);
-  const firstTokens = counted
-    .flatMap(({ outcome, firstTokenAfter }) => (outcome === "served" ? [firstTokenAfter ?? 0] : []))
-    .sort((left, right) => left - right);
+  const answered = counted.filter(({ outcome }) => outcome === "served");
+  const refusals = counted.flatMap((record) => record.refusals);
   const served = shareOf(({ outcome }) => outcome === "served");
   const inTime = shareOf(isInTime);
   return {
@@ -129,8 +176,76 @@
     refused: shareOf(({ outcome }) => outcome === "refused"),
     failed: shareOf(({ outcome }) => outcome === "failed"),
     worth: worthOf(counted),
+    firstTokenP99: quantileOf(
+      answered.map(({ firstTokenAfter }) => firstTokenAfter ?? 0),
+      tailQuantile,
+    ),
+    refusalP95: quantileOf(
+      refusals.map(({ after }) => after),
+      refusalQuantile,
+    ),
+    withoutRetryAfter: meanOfValues(refusals.map(({ statesRetry }) => (statesRetry ? 0 : 1))),
+    refusedAgain: shareOf((record) => record.refusals.length > 1),
+    paused: meanOfValues(answered.map(({ longestPause }) => (longestPause > longestGoodPause ? 1 : 0))),
+  };
+};
+
+/** The figures of the requests of one organisation or request class that arrived in one window. */
+export interface GroupFigures extends ReturnType<typeof requestFiguresOf> {
+  readonly window: string;
+  /** `all`, `organisation NAME` or `class NAME`. */
+  readonly group: string;
+  readonly requests: number;
+}
+
+const isCounted = ({ outcome }: LabRecord): boolean => outcome !== "left";
+
+/** @returns The figures of all requests, of each request class and of each organisation, for each window. */
+export const groupFiguresOf = (experiment: Experiment, { records }: LabResult): readonly GroupFigures[] =>
+  windowsOf(experiment).flatMap(({ name, from, to }) => {
+    const groups = new Map<string, LabRecord[]>();
+    const counted = records
+      .filter(isCounted)
+      .filter(({ arrival: { at } }) => at >= from * thousand && at < to * thousand);
+    for (const record of counted) {
+      const { kind, organisation } = record.arrival;
+      const names = ["all", `class ${kind.name}`];
+      if (organisation !== undefined) names.push(`organisation ${organisation}`);
+      for (const group of names) groups.set(group, [...(groups.get(group) ?? []), record]);
+    }
+    return [...groups].map(([group, members]) => ({
+      window: name,
+      group,
+      requests: members.length,
+      ...requestFiguresOf(members),
+    }));
+  });
+
+/** Requests that an engine received in each window. */
+export interface EngineFigures {
+  readonly engine: string;
+  readonly speed: number;
+  readonly requests: readonly number[];
+}
+
+/** @returns For each engine, the requests that it received in each window. */
+export const engineFiguresOf = (experiment: Experiment, { fleet }: LabResult): readonly EngineFigures[] =>
+  fleet.replicas.map(({ entry, speed, arrivals }) => ({
+    engine: entry.id,
+    speed,
+    requests: windowsOf(experiment).map(
+      ({ from, to }) => arrivals.filter((at) => at >= from * thousand && at < to * thousand).length,
+    ),
+  }));
+
+/** @returns The figures of a run; requests that arrived during the warm-up are left out. */
+export const figuresOf = (result: LabResult, experiment: Experiment): LabFigures => {
+  const { records, totals, limits, messages } = result;
+  const { warmUp, routers, seconds } = experiment;
+  const counted = records.filter((record) => isCounted(record) && record.arrival.at >= warmUp * thousand);
+  return {
+    ...requestFiguresOf(counted),
     worstWindow: worstWindowOf(counted),
-    firstTokenP99: firstTokens[Math.floor(firstTokens.length * tailQuantile)] ?? 0,
     computed: totals.computed / thousand,
     again: totals.recomputed / thousand,
     copied: totals.copied / thousand,
@@ -140,7 +255,10 @@
     afterDraining: result.fleet.reports.afterDraining(),
     worstInBackoff: result.fleet.reports.worstInBackoff(),
     recovered: recoveredOf(result.fleet),
-    messages: result.messages / Math.max(1, records.length),
+    messages: messages / Math.max(1, records.length),
+    datagramRate: messages / routers / seconds,
+    byteRate: result.messageBytes / routers / seconds,
+    usedCapacity: meanOfValues(usedCapacityOf(experiment, result)),
   };
 };
 
--- a/bench/lab/fleet.ts
+++ b/bench/lab/fleet.ts
@@ -30,6 +30,8 @@
   refusal: LabRefusal | undefined;
   /** Times of the requests that arrived, milliseconds. */
   readonly arrivals: number[];
+  /** Its usual speed as a factor of the specified one. */
+  readonly speed: number;
 }
 
 /** The rate limit of an engine, for all routers together. */
@@ -81,6 +83,8 @@
   readonly takeEnginesDown: (count: number, isDark: boolean, seconds: number) => void;
   /** Limits engines for a time. */
   readonly limit: (count: number, limit: Omit<LabLimit, "since">, seconds: number) => void;
+  /** Multiplies the speed of engines for a time. */
+  readonly changeSpeed: (count: number, factor: number, seconds: number) => void;
   /** All limits so far. */
   readonly limits: readonly LimitPeriod[];
   /** Makes engines report that they drain, and stops them after a time. */
@@ -167,7 +171,10 @@
   const replicas = Array.from({ length: engines.count }, (_, index): LabReplica => {
     const dataCentre = `centre-${index % dataCentres}`;
     const engine = createBatchEngine(engines, dataCentre, environment);
+    const speed = engines.speeds[index % engines.speeds.length] ?? 1;
+    engine.setSpeed(speed);
     return {
+      speed,
       entry: entryOf(index, dataCentre, engines.slots),
       engine,
       state: "up",
@@ -248,6 +255,12 @@
     refusals,
     reports: createReportLog(clock),
     limit: limitEngines,
+    changeSpeed: (count, factor, seconds) => {
+      for (const { engine, speed } of replicas.slice(0, count)) {
+        engine.setSpeed(speed * factor);
+        clock.after(seconds * millisecondsPerSecond, () => engine.setSpeed(speed));
+      }
+    },
     limits,
     loadWeights: async (version, onChanging, onLoaded) => {
       for (let first = 0; first < replicas.length; first += concurrentLoads) {
--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -7,7 +7,7 @@
 import { cachedMemoryShare } from "../../src/coordination/forwarding/constants.ts";
 import { createDecisions } from "../../src/coordination/forwarding/decisions.ts";
 import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
-import { noLoadFeatures } from "../../src/coordination/forwarding/loadFeatures.ts";
+import type { LoadFeatures } from "../../src/coordination/forwarding/loadFeatures.ts";
 import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
 import { createRouterPeers } from "../../src/coordination/forwarding/routerPeers.ts";
 import {
@@ -31,6 +31,7 @@
 import { MemoryMetrics } from "../../src/state/MemoryMetrics.ts";
 import type { ReplicaTable } from "../../src/state/forwarding/replicaTable.ts";
 import { createReplicaTable } from "../../src/state/forwarding/replicaTable.ts";
+import { organisationsOf } from "./demand.ts";
 import type { Experiment } from "./experiment.ts";
 import type { LabFleet } from "./fleet.ts";
 import { labNames } from "./fleet.ts";
@@ -45,15 +46,21 @@
   readonly configuration: ConfigurationState;
   /** Applies a record as if an operator had published it. */
   readonly publish: (record: OperatorRecord) => void;
+  readonly self: RouterEntry;
+  /** Makes routers that start later known to it. */
+  readonly addPeers: (routers: readonly RouterEntry[]) => void;
+  /** Closes the connection of each caller whose request is in progress. */
+  readonly connections: Set<() => void>;
 }
 
 export interface LabRouterDependencies {
   readonly experiment: Experiment;
   readonly policy: LoadPolicy;
+  readonly features: LoadFeatures;
   readonly clock: ManualClock;
   readonly fleet: LabFleet;
   readonly self: RouterEntry;
-  /** All routers of the run, `self` included. */
+  /** All routers that run, `self` included. */
   readonly allRouters: readonly RouterEntry[];
   readonly link: DatagramLink;
   readonly random: () => number;
@@ -77,10 +84,24 @@
 /** Time between two confirmations that the configuration is current, milliseconds. */
 const confirmationInterval = 500;
 
+/** @returns The API key of an organisation. */
+export const keyOf = (organisation: string): string => `key-${organisation}`;
+
+const createOrganisations = (experiment: Experiment): ForwardingConfiguration["organisations"] => {
+  const organisations = organisationsOf(experiment).map(({ name, priority }) => ({
+    name,
+    keys: [keyOf(name)],
+    priority,
+    isIsolated: false,
+    limit: undefined,
+  }));
+  return organisations.length === 0 ? undefined : organisations;
+};
+
 /** @returns The routers' configuration for an experiment. */
-export const labConfiguration = ({ kinds, engines, store }: Experiment): ForwardingConfiguration => ({
+export const labConfiguration = (experiment: Experiment): ForwardingConfiguration => ({
   version: 1,
-  routes: kinds.map((kind) => ({
+  routes: experiment.kinds.map((kind) => ({
     name: kind.name,
     host: "lab.example",
     pathPrefix: `/${kind.name}/`,
@@ -90,33 +111,33 @@
     priority: kind.priority,
     targets: [{ service: labNames.service, weight: 1 }],
     maximumAttempts: kind.maximumAttempts,
-    isAnonymous: true,
+    isAnonymous: experiment.organisations.length === 0,
   })),
   services: [
     {
       name: labNames.service,
       maximumConnections: undefined,
-      engine: { ...engines, models: [labNames.model] },
+      engine: { ...experiment.engines, models: [labNames.model] },
       cacheStore: undefined,
     },
     {
       name: "store",
       maximumConnections: undefined,
       engine: undefined,
-      cacheStore: store && {
+      cacheStore: experiment.store && {
         address: labNames.store,
         dataCentre: "centre-0",
-        linkMegabits: store.linkMegabits,
+        linkMegabits: experiment.store.linkMegabits,
       },
     },
   ],
-  organisations: undefined,
+  organisations: createOrganisations(experiment),
   limits: { headerBytes: 16_384, bodyBytes: 1_000_000, headerTimeout: 3_000, idleTimeout: 15_000 },
 });
 
 /** Creates and starts a router. */
 export const createLabRouter = (dependencies: LabRouterDependencies): LabRouter => {
-  const { experiment, policy, clock, fleet, self, allRouters, link, random } = dependencies;
+  const { experiment, policy, features, clock, fleet, self, allRouters, link, random } = dependencies;
   const client = new LabReplicaClient(fleet, clock, self.name);
   const replicas = createReplicaTable();
   for (const { entry } of fleet.replicas) replicas.put(entry);
@@ -206,10 +227,11 @@
     shutdown: createShutdown(clock, bounds),
     bounds,
     policy,
-    features: noLoadFeatures,
+    features,
     clock,
     metrics: new MemoryMetrics(),
     random,
   });
-  return { forwarder, replicas, configuration, publish };
+  const connections: LabRouter["connections"] = new Set();
+  return { forwarder, replicas, configuration, publish, self, addPeers: peers.add, connections };
 };
--- a/bench/lab/workload.ts
+++ b/bench/lab/workload.ts
@@ -2,17 +2,21 @@
 import type { Prompt } from "../../src/protocol/forwarding/types.ts";
 import type { Random } from "../model/random.ts";
 import { createRandom, createWeightedIndex, zipfWeights } from "../model/random.ts";
+import type { DemandSource } from "./demand.ts";
+import { createDemand, isDuring } from "./demand.ts";
 import type { Experiment, KindSpecification } from "./experiment.ts";
 import { labNames } from "./fleet.ts";
 
 /** A generated request. */
-export interface LabArrival {
+export interface LabArrival extends DemandSource {
   readonly id: string;
   /** Simulated milliseconds. */
   readonly at: number;
   readonly kind: KindSpecification;
   readonly prompt: Prompt;
   readonly answerTokens: number;
+  /** The caller's estimate of the answer's length, tokens. */
+  readonly expectedAnswerTokens: number;
   /** Time after which the caller cancels, milliseconds; `undefined` if it waits until its deadline. */
   readonly leavesAfter: number | undefined;
 }
@@ -22,14 +26,12 @@
 
 const millisecondsPerSecond = 1_000;
 
-const isDuring = ({ at, seconds }: { readonly at: number; readonly seconds: number }, now: number): boolean =>
-  now >= at * millisecondsPerSecond && now < (at + seconds) * millisecondsPerSecond;
+/** Estimates of an answer's length are right at the median and off by up to this factor. */
+const hintError = 4;
 
-const rateFactorAt = ({ faults }: Experiment, now: number): number =>
-  faults.reduce(
-    (factor, fault) => (fault.kind === "burst" && isDuring(fault, now) ? factor * fault.factor : factor),
-    1,
-  );
+/** @returns An estimate of an answer's length, evenly distributed on a logarithmic scale. */
+const drawHint = (answerTokens: number, random: Random): number =>
+  Math.max(1, Math.round(answerTokens * hintError ** (2 * random.uniform() - 1)));
 
 const subjectAt = (
   { faults }: Experiment,
@@ -66,7 +68,12 @@
     { id: `own-${id}`, tokens: ownTokens },
   ];
   const tokens = openings.tokens + subjects.tokens + ownTokens;
-  return { model: labNames.model, tokens, answerTokens: kind.answerTokens, parts };
+  return {
+    model: labNames.model,
+    tokens,
+    answerTokens: kind.maximumAnswerTokens ?? kind.answerTokens,
+    parts,
+  };
 };
 
 const createArrivalsOf = (
@@ -75,22 +82,30 @@
   seed: number,
 ): readonly LabArrival[] => {
   const random = createRandom(seed, kind.name);
+  // Draws of their own, so that an experiment's arrivals do not depend on whether it has organisations or waves.
+  const sources = createRandom(seed, `${kind.name} sources`);
+  const hints = createRandom(seed, `${kind.name} hints`);
+  const demand = createDemand(experiment);
   const pickSubject = createWeightedIndex(zipfWeights(kind.subjects.count, kind.subjects.skew));
   const end = experiment.seconds * millisecondsPerSecond;
   const arrivals: LabArrival[] = [];
   let at = 0;
   for (;;) {
-    at += random.exponential(millisecondsPerSecond / (kind.perSecond * rateFactorAt(experiment, at)));
+    at += random.exponential(millisecondsPerSecond / (kind.perSecond * demand.rateFactor(kind, at)));
     if (at >= end) return arrivals;
     const id = `${kind.name}-${arrivals.length}`;
     const subject = subjectAt(experiment, kind, at, pickSubject(random), random);
     const ownTokens = 1 + Math.round(random.exponential(kind.ownTokens));
+    const drawnTokens = 1 + Math.round(random.exponential(kind.answerTokens));
+    const answerTokens = Math.min(drawnTokens, kind.maximumAnswerTokens ?? drawnTokens);
     arrivals.push({
+      ...demand.pickSource(at, sources),
       id,
       at,
       kind,
       prompt: createPrompt(kind, subject, ownTokens, id),
-      answerTokens: 1 + Math.round(random.exponential(kind.answerTokens)),
+      answerTokens,
+      expectedAnswerTokens: drawHint(answerTokens, hints),
       leavesAfter: leaveDelayAt(experiment, kind, at, random),
     });
   }
--- a/tests/support/MemoryNetwork.ts
+++ b/tests/support/MemoryNetwork.ts
@@ -18,6 +18,8 @@
   isolatedPorts: ReadonlySet<number> = new Set();
   /** Datagrams sent so far, lost ones included. */
   sent = 0;
+  /** Bytes of these datagrams. */
+  sentBytes = 0;
   /** Ports of paused processes, with the deliveries that wait for them. They send nothing. */
   private readonly frozen = new Map<number, (() => void)[]>();
   private readonly clock: ManualClock;
@@ -48,6 +50,7 @@
     this.listeners.delete(port);
     const send = (to: DatagramAddress, datagram: Buffer): void => {
       this.sent += 1;
+      this.sentBytes += datagram.length;
       if (this.isDown || this.frozen.has(port)) return;
       if (this.isNth(this.loseEveryNth) || this.isolatedPorts.has(port) !== this.isolatedPorts.has(to.port))
         return;
