--- a/soak/platform/callers.ts
+++ b/soak/platform/callers.ts
@@ -5,11 +5,13 @@
 import type { Random } from "../../bench/model/random.ts";
 import {
   callHeaders,
+  createPromptHeaders,
   drainingReplicaOf,
   hosts,
   keys,
   defaultPromptHeaders,
 } from "../../standIns/platform/platformSystem.ts";
+import { paddingHeader } from "../../standIns/platform/replica.ts";
 import { routerHeader } from "../../tests/support/limitedReplicas.ts";
 import type { RouterSlot } from "./soakSystem.ts";
 import type { CallerRecord, RequestName } from "./types.ts";
@@ -17,6 +19,8 @@
 /** Running callers and their records. */
 export interface SoakCallers extends AsyncDisposable {
   readonly records: readonly CallerRecord[];
+  /** Runs additional callers for a time, milliseconds; resolves when their requests have ended. */
+  readonly runLoad: (kind: LoadKind, duration: number) => Promise<void>;
   /** Stops the callers; resolves when every request has ended. */
   readonly stop: () => Promise<void>;
 }
@@ -34,6 +38,48 @@
 
 const names: readonly RequestName[] = ["read", "post", "ask", "tag"];
 
+/** The organisation that floods, and its key. */
+export const floodingOrganisation = { name: "three", key: "key-three" } as const;
+
+/** What the additional callers of a step of the plan send. */
+interface LoadSettings {
+  readonly callers: number;
+  /** Milliseconds. */
+  readonly betweenRequests: number;
+  readonly fields: Partial<Ask>;
+}
+
+const loads = {
+  organisationFloods: {
+    callers: 48,
+    betweenRequests: 10,
+    // Together more prompt tokens than four engines compute.
+    fields: {
+      key: floodingOrganisation.key,
+      organisation: floodingOrganisation.name,
+      prompt: createPromptHeaders([{ id: "77a1c3e4", tokens: 4_000 }], 80),
+    },
+  },
+  // Three such requests fill the memory of an engine.
+  memoryFills: {
+    callers: 24,
+    betweenRequests: times.betweenRequests,
+    fields: { prompt: createPromptHeaders([{ id: "4be0917c", tokens: 4_000 }], 60_000) },
+  },
+  // Each answer is larger than what the connection's socket buffers hold.
+  callersStopReading: {
+    callers: 6,
+    betweenRequests: times.betweenRequests,
+    fields: { padding: 1_000_000, reading: "slow" },
+  },
+} as const satisfies Readonly<Record<string, LoadSettings>>;
+
+/** A kind of additional load. */
+export type LoadKind = keyof typeof loads;
+
+/** Pause of a slow reader after each chunk, milliseconds, and share of the slow readers that stop reading. */
+const slowReading = { pause: 10, stopShare: 0.5 } as const;
+
 interface Ask {
   readonly id: string;
   readonly name: RequestName;
@@ -41,13 +87,22 @@
   readonly organisation: string;
   readonly sentBody: string;
   readonly disconnects: boolean;
+  /** Headers of a prompt other than the usual one. */
+  readonly prompt: Readonly<Record<string, string>> | undefined;
+  readonly padding: number;
+  /** `slow`: pauses after each chunk; `stopped`: reads no body and disconnects at the end of its time. */
+  readonly reading: "usual" | "slow" | "stopped";
 }
 
-const headersOf = ({ id, name, key }: Ask, { name: router }: RouterSlot): Record<string, string> => ({
+const headersOf = (
+  { id, name, key, prompt, padding }: Ask,
+  { name: router }: RouterSlot,
+): Record<string, string> => ({
   [routerHeader]: router,
   host: name === "read" || name === "post" ? hosts.desk : hosts.model,
   ...callHeaders(id, key, times.timeout),
-  ...(name === "ask" || name === "tag" ? defaultPromptHeaders() : {}),
+  ...(name === "ask" || name === "tag" ? (prompt ?? defaultPromptHeaders()) : {}),
+  ...(padding === 0 ? {} : { [paddingHeader]: String(padding) }),
 });
 
 /** Sends one request. @returns Its outcome; status 0 if there was no answer. */
@@ -62,11 +117,19 @@
     let drainingReplica: string | undefined;
     const end = (status: number, isCut: boolean): void => {
       clearTimeout(timer);
-      resolve({ status, body: Buffer.concat(chunks).toString(), isCut, hasDisconnected, drainingReplica });
+      const whole = Buffer.concat(chunks).toString();
+      const body = planned.padding === 0 ? whole : whole.replaceAll("x".repeat(planned.padding), "");
+      resolve({ status, body, isCut, hasDisconnected, drainingReplica });
     };
     const read = (response: IncomingMessage): void => {
       drainingReplica = drainingReplicaOf(response.headers);
-      response.on("data", (chunk: Buffer) => chunks.push(chunk));
+      if (planned.reading === "stopped") return;
+      response.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        if (planned.reading === "usual") return;
+        response.pause();
+        setTimeout(() => response.resume(), slowReading.pause);
+      });
       response.on("end", () => end(response.statusCode ?? 0, !response.complete));
       response.on("error", () => end(response.statusCode ?? 0, true));
     };
@@ -78,6 +141,7 @@
     const disconnect = (): void => {
       hasDisconnected = true;
       request.destroy();
+      if (planned.reading === "stopped") end(0, true);
     };
     const timer = setTimeout(
       disconnect,
@@ -137,15 +201,21 @@
       organisation: spare === undefined && isOther ? "two" : "one",
       sentBody: name === "read" ? "" : `body of ${count}`,
       disconnects: random.uniform() < disconnectShare,
+      prompt: undefined,
+      padding: 0,
+      reading: "usual",
     };
   };
 
-  const sendNext = async (agent: Agent, slot: RouterSlot): Promise<boolean> => {
-    const planned = createRequest();
+  const sendNext = async (
+    agent: Agent,
+    slot: RouterSlot,
+    planned: Ask = createRequest(),
+  ): Promise<boolean> => {
     const sentAt = performance.now();
     const result = await send(agent, slot, planned);
-    const { id, name, key, organisation, sentBody } = planned;
-    const asked = { id, name, key, organisation, sentBody, router: slot.name };
+    const { id, name, key, organisation, sentBody, padding } = planned;
+    const asked = { id, name, key, organisation, sentBody, padding, router: slot.name };
     records.push({ ...asked, ...result, sentAt, endedAt: performance.now() });
     return result.status !== 0;
   };
@@ -167,10 +237,30 @@
   };
   const running = Promise.all(Array.from({ length: callerCount }, runCaller));
 
+  const runLoad: SoakCallers["runLoad"] = async (kind, duration) => {
+    const { callers, betweenRequests, fields }: LoadSettings = loads[kind];
+    const endsAt = performance.now() + duration;
+    const runOne = async (index: number): Promise<void> => {
+      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      while (performance.now() < endsAt) {
+        const ready = readiness.inRotation();
+        const slot = ready[random.index(ready.length)];
+        const name = random.uniform() < 0.5 ? "ask" : "tag";
+        const usual = { ...createRequest(), key: keys.known, organisation: "one", disconnects: false };
+        const stops = fields.reading === "slow" && index < callers * slowReading.stopShare;
+        const planned: Ask = { ...usual, name, ...fields, ...(stops ? { reading: "stopped" } : {}) };
+        if (slot !== undefined) await sendNext(agent, slot, planned);
+        await sleep(betweenRequests);
+      }
+      agent.destroy();
+    };
+    await Promise.all(Array.from({ length: callers }, (_, index) => runOne(index)));
+  };
+
   const stop = async (): Promise<void> => {
     isRunning = false;
     await running;
     await readiness.done;
   };
-  return { records, stop, [Symbol.asyncDispose]: stop };
+  return { records, runLoad, stop, [Symbol.asyncDispose]: stop };
 };
--- a/soak/platform/checks.test.ts
+++ b/soak/platform/checks.test.ts
@@ -24,6 +24,7 @@
   status: 200,
   body: plainBody(id),
   sentBody: "sent",
+  padding: 0,
   isCut: false,
   hasDisconnected: false,
   drainingReplica: undefined,
@@ -115,6 +116,21 @@
     expect(violatedPromises({ callers: [caller("a", { name: "ask", body, isCut: true })] })).toEqual([]);
   });
 
+  it("find other organisations that are not served again 3 s after a flood, unless another fault explains it", () => {
+    const flood = { kind: "organisationFloods", from: 1_000, until: 4_000, router: undefined } as const;
+    const refused = Array.from({ length: 25 }, (_, index) =>
+      caller(`r-${index}`, { status: 503, body: "", sentAt: 7_500, endedAt: 7_550 }),
+    );
+    const promise = "other organisations are served again after a flood";
+    expect(violatedPromises({ callers: refused, steps: [flood] })).toEqual([promise]);
+    const early = refused.map((record) => ({ ...record, sentAt: 6_900 }));
+    expect(violatedPromises({ callers: early, steps: [flood] })).toEqual([]);
+    const flooding = refused.map((record) => ({ ...record, organisation: "three" }));
+    expect(violatedPromises({ callers: flooding, steps: [flood] })).toEqual([]);
+    const cut = { kind: "replicaReset", from: 4_000, until: 5_000, router: undefined } as const;
+    expect(violatedPromises({ callers: refused, steps: [flood, cut] })).toEqual([]);
+  });
+
   it("find requests that were executed twice or although they were refused", () => {
     const runs = [run("a"), run("a"), run("b")];
     const callers = [caller("a"), caller("b", { status: 503, body: "" })];
--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -2,6 +2,7 @@
 import type { Arrival, ReceivedOrder } from "../../standIns/platform/replica.ts";
 import { cacheSaltOf } from "../../standIns/platform/platformSystem.ts";
 import { routerHeader } from "../../tests/support/limitedReplicas.ts";
+import { floodingOrganisation } from "./callers.ts";
 import type { Violation } from "../types.ts";
 import type { CallerRecord, SoakHistory, ReplicaRecord, RequestName, StepRecord } from "./types.ts";
 
@@ -329,6 +330,40 @@
   ];
 };
 
+/**
+ * Share of the requests of other organisations that must be served from this long after a flood, and for which time they
+ * are counted, milliseconds.
+ */
+const afterFlood = { share: 0.95, from: 3_000, time: 2_000 } as const;
+
+const findUnservedAfterFlood = ({ callers, operator, steps }: SoakHistory): readonly Violation[] => {
+  const revoked = new Set(operator.revokedKeys.map(({ key }) => key));
+  return steps
+    .filter(({ kind }) => kind === "organisationFloods")
+    .flatMap((flood) => {
+      const from = flood.until + afterFlood.from;
+      const others = callers.filter(
+        ({ organisation, key, sentAt, endedAt, hasDisconnected }) =>
+          organisation !== floodingOrganisation.name &&
+          !revoked.has(key) &&
+          !hasDisconnected &&
+          sentAt > from &&
+          sentAt < from + afterFlood.time &&
+          !isDisturbed(
+            steps.filter((step) => step !== flood),
+            sentAt,
+            endedAt,
+          ),
+      );
+      const served = others.filter(({ status, isCut }) => status === successStatus && !isCut).length;
+      if (others.length < minRequestsForShare || served >= others.length * afterFlood.share) return [];
+      return {
+        promise: "other organisations are served again after a flood",
+        detail: `${served} of ${others.length} were`,
+      };
+    });
+};
+
 const findNegativeProofAges = ({ proofAges }: SoakHistory): readonly Violation[] =>
   proofAges
     .filter((age) => age < 0)
@@ -355,4 +390,5 @@
   ...findRequestsCutByShutdown(history),
   ...findNegativeProofAges(history),
   ...findMissingRecovery(history),
+  ...findUnservedAfterFlood(history),
 ];
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -2,6 +2,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Behaviour, ReportHeaders } from "../../standIns/platform/replica.ts";
 import { drainingReport, keys } from "../../standIns/platform/platformSystem.ts";
+import type { SoakCallers } from "./callers.ts";
+import { floodingOrganisation } from "./callers.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
 import type { Step, StepKind } from "./plan.ts";
 import { bounds } from "./soakSystem.ts";
@@ -24,6 +26,9 @@
 const restartDelay = 300;
 const rollingRestartGap = 700;
 
+/** Factor of the speed of an engine that slows down. */
+const engineSlowness = 0.3;
+
 /** Other active replicas that a service must have before one of its replicas is drained or asks for backoff. */
 const minOtherReplicas = 2;
 
@@ -71,6 +76,12 @@
   slot.store.faults[fault] = false;
 };
 
+const slowDown = async (slot: ReplicaSlot | undefined, duration: number): Promise<void> => {
+  slot?.replica.load?.slowDown(engineSlowness);
+  await sleep(duration);
+  slot?.replica.load?.slowDown(1);
+};
+
 const misbehave = (slot: ReplicaSlot | undefined, target: number): void => {
   const first = Math.floor(target * 1_000);
   const available = slot?.service === "desk" ? misbehaviours.desk : misbehaviours.engines;
@@ -238,8 +249,13 @@
  * Creates a fault injector for a system.
  *
  * @param spareKeys - API keys that the operator may revoke, in this order.
+ * @param callers - Run the load of a step.
  */
-export const createFaultInjector = (system: SoakSystem, spareKeys: readonly string[]): FaultInjector => {
+export const createFaultInjector = (
+  system: SoakSystem,
+  spareKeys: readonly string[],
+  { runLoad }: Pick<SoakCallers, "runLoad">,
+): FaultInjector => {
   const steps: StepRecord[] = [];
   const shutdowns: ShutdownRecord[] = [];
   const keysTaken: { readonly key: string; readonly at: number }[] = [];
@@ -317,6 +333,10 @@
     entryLapses: ({ target, duration }) => lapse(pickReplica(target), duration),
     takeKey,
     nameWeights,
+    organisationFloods: ({ duration }) => runLoad("organisationFloods", duration),
+    memoryFills: ({ duration }) => runLoad("memoryFills", duration),
+    callersStopReading: ({ duration }) => runLoad("callersStopReading", duration),
+    engineSlows: ({ target, duration }) => slowDown(pickReplica(target), duration),
     storeReturns: restoreStore,
     changeConfiguration: () => publish(),
     changeSettings: ({ target }, router) => changeSettings(router, target),
@@ -339,4 +359,5 @@
 export const createTenants = (spareKeys: readonly string[]) => [
   { name: "one", apiKeys: [keys.known, ...spareKeys], priority: 1, isolated: false },
   { name: "two", apiKeys: [keys.isolated], priority: 1, isolated: true },
+  { name: floodingOrganisation.name, apiKeys: [floodingOrganisation.key], priority: 1, isolated: false },
 ];
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --suspend --shrink --logs DIR]`:
  * runs routers as processes with the platform's stand-in, under the faults of a seeded plan. Exit code 1 if an
  * invariant was violated; the plan and the routers' logs of such a run are written to the directory of `--logs`.
  */
@@ -10,6 +10,7 @@
 import {
   replicaReportStepKinds,
   createPlan,
+  loadStepKinds,
   registryStepKinds,
   storeRestoreStepKinds,
   describePlan,
@@ -34,6 +35,7 @@
     reports: { type: "boolean", default: false },
     returns: { type: "boolean", default: false },
     registry: { type: "boolean", default: false },
+    load: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -45,12 +47,14 @@
   engines: Number(values.engines),
   desks: Number(values.desks),
 };
+const options = { isSuspending: values.suspend, isLoaded: values.load };
 const firstSeed = Number(values.seed ?? Date.now() % 1_000_000);
 
 const createSeedPlan = (seed: number): readonly Step[] => {
   const reportKinds = values.reports ? replicaReportStepKinds : defaultStepKinds;
   const restoreKinds = values.returns ? storeRestoreStepKinds : reportKinds;
-  const kinds = values.registry ? registryStepKinds : restoreKinds;
+  const registryKinds = values.registry ? registryStepKinds : restoreKinds;
+  const kinds = values.load ? loadStepKinds : registryKinds;
   const plan = createPlan(seed, Number(values.seconds), kinds);
   const only = values.only?.split(",").map(Number);
   return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
@@ -91,7 +95,7 @@
 
 const shrink = async (seed: number, plan: readonly Step[]): Promise<void> => {
   const fails = async (part: readonly Step[]): Promise<boolean> => {
-    const { violations } = await runSoak({ seed, plan: part, size, isSuspending: values.suspend });
+    const { violations } = await runSoak({ seed, plan: part, size, ...options });
     console.log(`${part.length} steps: ${violations.length === 0 ? "holds" : "fails"}`);
     return violations.length > 0;
   };
@@ -101,7 +105,7 @@
 let failed = 0;
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed += 1) {
   const plan = createSeedPlan(seed);
-  const outcome = await runSoak({ seed, plan, size, isSuspending: values.suspend });
+  const outcome = await runSoak({ seed, plan, size, ...options });
   report(seed, plan, outcome);
   if (outcome.violations.length === 0) continue;
   failed += 1;
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -44,8 +44,20 @@
   "entryLapses",
 ] as const;
 
+/**
+ * All kinds, and load that competes for engines: floods of one organisation, engines that slow down, prompts that fill
+ * their memory, and callers that read slowly or stop reading. Half of the steps are load.
+ */
+export const loadStepKinds = [
+  ...registryStepKinds,
+  ...Array.from(
+    { length: 8 },
+    () => ["organisationFloods", "engineSlows", "memoryFills", "callersStopReading"] as const,
+  ).flat(),
+] as const;
+
 /** The kind of a step. */
-export type StepKind = (typeof registryStepKinds)[number];
+export type StepKind = (typeof loadStepKinds)[number];
 
 /** One fault or change during a run. */
 export interface Step {
@@ -83,6 +95,9 @@
     const duration = Math.round(durations.shortest + span * random.uniform());
     steps.push({ kind, at: Math.round(at), duration, target: random.uniform() });
   }
+  // Ends with a flood, so that the time after it is free of other faults.
+  if (kinds.includes("organisationFloods"))
+    steps.push({ kind: "organisationFloods", at: end, duration: durations.longest, target: 0 });
   return steps;
 };
 
--- a/soak/platform/runSoak.ts
+++ b/soak/platform/runSoak.ts
@@ -18,6 +18,8 @@
   readonly size: SystemSize;
   /** True simulates suspended VMs instead of frozen processes: the routers' monotonic clocks stop meanwhile. */
   readonly isSuspending?: boolean;
+  /** True gives the engines uneven speeds and bounded memory, and enables the routers' features under load. */
+  readonly isLoaded?: boolean;
 }
 
 /** Result of a run. */
@@ -41,18 +43,25 @@
     .filter((age) => age !== undefined);
 
 /** Carries out a run and checks it. */
-export const runSoak = async ({ seed, plan, size, isSuspending = false }: SoakRun): Promise<SoakOutcome> => {
+export const runSoak = async ({
+  seed,
+  plan,
+  size,
+  isSuspending = false,
+  isLoaded = false,
+}: SoakRun): Promise<SoakOutcome> => {
   const spareKeys = Array.from({ length: spareKeyCount }, (_, index) => `key-spare-${index}`);
   // The process id gives concurrent runs different addresses; the seed alone decides the faults and requests.
   await using system = await startSoakSystem(
     size,
     process.pid + seed,
     isSuspending ? suspendableProgram : compiledProgram,
+    isLoaded,
   );
   system.publish(firstVersion, { tenants: createTenants(spareKeys) });
   await sleep(warmUp);
-  const faultInjector = createFaultInjector(system, spareKeys);
   const callers = startSoakCallers(system.routers, createRandom(seed, "callers"), spareKeys);
+  const faultInjector = createFaultInjector(system, spareKeys, callers);
   const startedAt = performance.now();
   await Promise.all(
     plan.map(async (step) => {
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -4,6 +4,7 @@
 import {
   replicaReportStepKinds,
   createPlan,
+  loadStepKinds,
   registryStepKinds,
   storeRestoreStepKinds,
   defaultStepKinds,
@@ -22,6 +23,7 @@
   readonly isReporting?: boolean;
   readonly isReturning?: boolean;
   readonly isRegistryStruck?: boolean;
+  readonly isLoaded?: boolean;
 }[] = [
   { seed: 3, seconds: 5, cause: "a short run with several kinds of faults" },
   { seed: 1027, seconds: 12, cause: "replicas that never registered again after loading new weights" },
@@ -39,6 +41,13 @@
     isRegistryStruck: true,
   },
   { seed: 2, seconds: 8, cause: "routers on VMs that are suspended", isSuspending: true },
+  {
+    seed: 31,
+    seconds: 5,
+    cause:
+      "floods, uneven engines, full memory and slow readers, with routers that have the features under load",
+    isLoaded: true,
+  },
 ];
 
 describe("router processes under injected faults", () => {
@@ -50,16 +59,19 @@
     isReporting = false,
     isReturning = false,
     isRegistryStruck = false,
+    isLoaded = false,
   } of seeds) {
     const reportKinds = isReporting ? replicaReportStepKinds : defaultStepKinds;
     const restoreKinds = isReturning ? storeRestoreStepKinds : reportKinds;
-    const kinds = isRegistryStruck ? registryStepKinds : restoreKinds;
+    const registryKinds = isRegistryStruck ? registryStepKinds : restoreKinds;
+    const kinds = isLoaded ? loadStepKinds : registryKinds;
     it(`keep all invariants with seed ${seed}: ${cause}`, async () => {
       const { violations } = await runSoak({
         seed,
         plan: createPlan(seed, seconds, kinds),
         size,
         isSuspending,
+        isLoaded,
       });
       expect(violations).toEqual([]);
     });
--- a/soak/platform/soakSystem.ts
+++ b/soak/platform/soakSystem.ts
@@ -128,8 +128,26 @@
 const createRouterAddress = (network: number, index: number): string =>
   `127.${100 + (network % 100)}.${Math.floor(network / 100) % 250}.${10 + index}`;
 
-const createSettings = (name: string, address: string, store: string, retryReserve: number): string =>
+/** Settings that enable the features under load; the least memory for slow readers that a few of them exceed. */
+const loadSettings = {
+  guarantees: ["pressure"],
+  replicaSpeeds: { minSpread: 1.5 },
+  batchMemory: true,
+  callerBufferBytes: 8_000_000,
+} as const;
+
+/** Load of the engines; their speeds are repeated in this order, and the memory is the configured one. */
+const engineLoad = { prefillRate: 100, memoryTokens: 200_000, speeds: [0.7, 0.7, 1.7] } as const;
+
+const createSettings = (
+  name: string,
+  address: string,
+  store: string,
+  retryReserve: number,
+  isLoaded: boolean,
+): string =>
   JSON.stringify({
+    ...(isLoaded ? loadSettings : {}),
     name,
     dataCentre: "here",
     callers: `${address}:${ports.callers}`,
@@ -140,7 +158,11 @@
     bounds: { ...bounds, retryReserve },
   });
 
-const startReplicas = async (size: SystemSize, resources: ResourceStack): Promise<readonly ReplicaSlot[]> => {
+const startReplicas = async (
+  size: SystemSize,
+  resources: ResourceStack,
+  isLoaded: boolean,
+): Promise<readonly ReplicaSlot[]> => {
   const slots: ReplicaSlot[] = [];
   const add = async (service: string, replica: ReplicaStandIn): Promise<void> => {
     resources.use(replica);
@@ -150,7 +172,10 @@
   const events = { count: eventsPerStream, pause: 20 };
   for (let index = 0; index < size.engines; index += 1) {
     const model = { name: "m", version: 1 };
-    await add("engines", await startReplicaStandIn({ id: `engine-${index}`, model, events, loadTime: 250 }));
+    const speed = engineLoad.speeds[index % engineLoad.speeds.length] ?? 1;
+    const load = isLoaded ? { load: { ...engineLoad, speed } } : {};
+    const settings = { id: `engine-${index}`, model, events, loadTime: 250, ...load };
+    await add("engines", await startReplicaStandIn(settings));
   }
   for (let index = 0; index < size.desks; index += 1) {
     await add("desk", await startReplicaStandIn({ id: `desk-${index}` }));
@@ -163,17 +188,20 @@
  *
  * @param network - Selects the loopback addresses of the routers.
  * @param program - The program of the routers.
+ * @param isLoaded - Whether engines compute prompts at uneven speeds in bounded memory and routers have the features
+ *   under load.
  */
 export const startSoakSystem = async (
   size: SystemSize,
   network: number,
   program: RouterProgram = compiledProgram,
+  isLoaded = false,
 ): Promise<SoakSystem> => {
   const resources = createResourceStack();
   const directory = await mkdtemp(join(tmpdir(), "pomelocleat-soak-"));
   const store = resources.use(await startStoreStandIn());
   const writers = createStoreWriters(store);
-  const replicas = await startReplicas(size, resources);
+  const replicas = await startReplicas(size, resources, isLoaded);
   const log: string[] = [];
 
   const registered = new Map<ReplicaSlot, "ready" | "draining" | undefined>();
@@ -208,7 +236,10 @@
     const routerStore = resources.use(await startStoreStandIn(store.topics));
     const storeProxy = resources.use(await startLoopbackProxy(routerStore.address));
     const settingsFile = join(directory, `${name}.json`);
-    await writeFile(settingsFile, createSettings(name, address, storeProxy.address, bounds.retryReserve));
+    await writeFile(
+      settingsFile,
+      createSettings(name, address, storeProxy.address, bounds.retryReserve, isLoaded),
+    );
     routers.push({
       name,
       url: `http://${address}:${ports.callers}`,
@@ -276,7 +307,7 @@
       const address = new URL(slot.url).hostname;
       return writeFile(
         slot.settingsFile,
-        createSettings(slot.name, address, slot.storeProxy.address, retryReserve),
+        createSettings(slot.name, address, slot.storeProxy.address, retryReserve, isLoaded),
       );
     },
     [Symbol.asyncDispose]: async () => {
--- a/soak/platform/types.ts
+++ b/soak/platform/types.ts
@@ -18,6 +18,8 @@
   readonly status: number;
   readonly body: string;
   readonly sentBody: string;
+  /** Bytes that each event of the answer carries in addition; `body` is recorded without them. */
+  readonly padding: number;
   readonly isCut: boolean;
   /** The replica that sent the answer, if the answer reports that the replica is draining. */
   readonly drainingReplica: string | undefined;
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -8,6 +8,8 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { AdmittedStream, EngineLoad, EngineLoadSettings } from "./engineLoad.ts";
+import { createEngineLoad } from "./engineLoad.ts";
 
 /**
  * How the next request is answered.
@@ -87,6 +89,8 @@
   readonly serviceTime?: number;
   /** Time to load weights, milliseconds. */
   readonly loadTime?: number;
+  /** How an engine computes prompts and uses memory; without it, all streams begin at once. */
+  readonly load?: EngineLoadSettings;
   /** Every order is refused as if another one were in progress. */
   readonly refusesOrders?: boolean;
   /** Decides which requests crash the process: shortly after their execution began, or in the middle of their stream. */
@@ -108,6 +112,8 @@
   readonly setReportedLimit: (text: string | (() => string | undefined) | undefined) => void;
   /** Sets the headers of all following answers, whatever their status. */
   readonly setReportHeaders: (headers: ReportHeaders | ((behaviour: Behaviour) => ReportHeaders)) => void;
+  /** The load of an engine that has one. */
+  readonly load: EngineLoad | undefined;
   /** Simulates a killed process: resets all connections and closes the port. */
   readonly crash: () => void;
   readonly hasCrashed: () => boolean;
@@ -116,6 +122,9 @@
 /** Time from the start of an execution to the crash that it causes, as a number of event pauses. */
 const eventPausesBeforeCrash = 2;
 
+/** The header of a request whose events each carry this number of additional bytes. */
+export const paddingHeader = "x-event-padding";
+
 const sealOf = (id: string, run: ExecutedRequest): string => `${id}.${run.id}`;
 
 const readBody = async (request: IncomingMessage): Promise<string> => {
@@ -143,6 +152,35 @@
 
 const bodyOf = (run: ExecutedRequest): string => JSON.stringify({ id: run.id, body: run.body });
 
+/**
+ * Writes the events of a stream.
+ *
+ * @param limit - Number of complete events after which the connection is cut.
+ */
+const writeEvents = async (
+  run: ExecutedRequest,
+  response: ServerResponse,
+  events: Required<ReplicaSettings>["events"],
+  limit: number,
+  stream: AdmittedStream | undefined,
+): Promise<void> => {
+  const first = Number(run.headers["last-event-id"] ?? 0) + 1;
+  const padding = "x".repeat(Number(run.headers[paddingHeader] ?? 0));
+  for (let number = first; number <= events.count; number += 1) {
+    if (response.destroyed) return;
+    if (number - first >= limit) {
+      response.write(`id: ${number}\ndata: ha`);
+      await sleep(events.pause);
+      response.destroy();
+      return;
+    }
+    await stream?.waitForMemory(() => response.destroyed);
+    response.write(`id: ${number}\ndata: ${run.id} ${number}${padding}\n\n`);
+    await sleep(events.pause);
+  }
+  response.end();
+};
+
 /** Answers a request whose body has not been read. */
 const answerEarly = (replica: string, attempt: string, response: ServerResponse): void => {
   const body = "early";
@@ -267,6 +305,7 @@
   let behaviours: Behaviour[] = [];
   let version = model?.version ?? 0;
   const reports = createReportedHeaders();
+  const load = settings.load === undefined ? undefined : createEngineLoad(settings.load);
   let isLoading = false;
   let hasCrashed = false;
 
@@ -283,20 +322,14 @@
 
   /** @param limit - Number of complete events after which the connection is cut. */
   const sendEvents = async (run: ExecutedRequest, response: ServerResponse, limit: number): Promise<void> => {
-    response.writeHead(200, { ...headersOf(run), "content-type": "text/event-stream" });
-    const first = Number(run.headers["last-event-id"] ?? 0) + 1;
-    for (let number = first; number <= events.count; number += 1) {
-      if (response.destroyed) return;
-      if (number - first >= limit) {
-        response.write(`id: ${number}\ndata: ha`);
-        await sleep(events.pause);
-        response.destroy();
-        return;
-      }
-      response.write(`id: ${number}\ndata: ${run.id} ${number}\n\n`);
-      await sleep(events.pause);
+    const tokenCount = run.headers["x-token-count"];
+    const stream = await load?.admit(typeof tokenCount === "string" ? tokenCount : undefined);
+    try {
+      response.writeHead(200, { ...headersOf(run), "content-type": "text/event-stream" });
+      await writeEvents(run, response, events, limit, stream);
+    } finally {
+      stream?.release();
     }
-    response.end();
   };
 
   const answerPlain = (run: ExecutedRequest, response: ServerResponse): void => {
@@ -382,6 +415,7 @@
     arrivals,
     orders,
     version: () => version,
+    load,
     setReportedLimit: reports.setReportedLimit,
     setReportHeaders: reports.setReportHeaders,
     setBehaviours: (...next) => {
