Count the memory of running requests in placement

Cause: placement predicted the first token from prefill alone, so long prompts were packed onto replicas whose memory they filled, and the engines preempted streams in mid-answer. Change: with the batchMemory setting, a request reserves its prompt and its expected answer (hint X-Length-Hint), and a replica without room costs the pause of a preempted stream plus the time until memory is free. Measured: unit tests of the decision; without the setting the same choices as before.

--- a/bench/owners/owners.ts
+++ b/bench/owners/owners.ts
@@ -146,6 +146,7 @@
     findStore: () => undefined,
     saving: { lossShare: () => 0 },
     policy: defaultLoadPolicy,
+    memory: undefined,
     random: Math.random,
   });
   const routerOf = (index: number) => ({
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -23,6 +23,7 @@
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { CacheStoreFollower } from "./cacheStoreFollower.ts";
 import type { ConfigurationState } from "./configurationState.ts";
+import { createBatchMemory } from "../placement/batchMemory.ts";
 import { createEnginePlacement } from "../placement/enginePlacement.ts";
 import { finiteAge } from "./finiteAge.ts";
 import { createForwardAttempt } from "./forwardAttempt.ts";
@@ -145,6 +146,7 @@
 
   const saving = createPartSaving({ clock, policy, routerCount: peers.countServing });
   const placementDependencies = { replicas, estimates, clock, random };
+  const memory = features.batchMemory ? createBatchMemory() : undefined;
   const engines = createEnginePlacement({
     ...placementDependencies,
     configuration,
@@ -153,6 +155,7 @@
     policy,
     findStore: cacheStore.findStore,
     saving,
+    memory,
   });
   const attempt = createForwardAttempt({
     client,
@@ -174,6 +177,7 @@
     crashes: createCrashMonitor({ replicas, client, clock, onCrash: quarantine.noteCrash }),
     quarantine,
     saving,
+    memory,
     organisationKey,
     metrics,
     clock,
--- a/src/coordination/placement/enginePlacement.test.ts
+++ b/src/coordination/placement/enginePlacement.test.ts
@@ -14,6 +14,8 @@
 import { createManualClock } from "../manualClock.ts";
 import { createCacheHolders } from "../forwarding/cacheHolders.ts";
 import { createConfigurationState } from "../forwarding/configurationState.ts";
+import type { BatchMemory } from "./batchMemory.ts";
+import { createBatchMemory } from "./batchMemory.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
@@ -32,12 +34,18 @@
 /**
  * @param isShortlisted - Whether only the shortlist is compared instead of all engines.
  * @param lossShare - Share of parts that were lost before they were used again.
+ * @param memory - Counts the memory of running requests, if it is counted.
  * @param store - The cache store, if there is one.
  */
 const create = (
   ids: readonly string[],
   isShortlisted = false,
-  { lossShare = 0, store = undefined as CacheStore | undefined } = {},
+  {
+    lossShare = 0,
+    store = undefined as CacheStore | undefined,
+    memory = undefined as BatchMemory | undefined,
+    random = Math.random,
+  } = {},
 ) => {
   const clock = createManualClock();
   const replicas = createReplicaTable();
@@ -56,7 +64,8 @@
     findStore: () => store,
     saving: { lossShare: () => lossShare },
     policy: defaultLoadPolicy,
-    random: Math.random,
+    memory,
+    random,
   });
   const table = createRouteTable(configurationOf(1));
   const admission = { table, route: streamRoute, service: engineService, organisation: undefined };
@@ -264,3 +273,56 @@
     expect(placement.choose(prompt(2_000), admission, onFirst, () => 0, [])).toEqual("old_weights");
   });
 });
+
+describe("placement that counts the memory of running requests", () => {
+  const ids = ["a", "b", "c"];
+
+  it("prefers a replica with room, and the one that lacks least if none has room", () => {
+    const { choose, state } = create(ids, false, { memory: createBatchMemory() });
+    const first = choose(prompt(12_000)).replica.entry.id;
+    const [second = "", third = ""] = ids.filter((id) => id !== first);
+    state(first).reservedTokens = 195_000;
+    state(second).peerTotals.reservedTokens = 195_000;
+    expect(choose(prompt(12_000)).replica.entry.id).toEqual(third);
+    state(third).reservedTokens = 250_000;
+    state(first).reservedTokens = 220_000;
+    expect(choose(prompt(12_000)).replica.entry.id).toEqual(second);
+  });
+
+  it("sees what this router has sent in the same moment", () => {
+    const { choose, state } = create(["a", "b"], false, { memory: createBatchMemory() });
+    for (const id of ["a", "b"]) state(id).reservedTokens = 180_000;
+    const first = choose(prompt(12_000));
+    expect(first.reservedTokens).toEqual(12_040);
+    // As the attempt counts it when it sends the request.
+    first.replica.reservedTokens += first.reservedTokens;
+    expect(choose(prompt(12_000)).replica === first.replica).toEqual(false);
+  });
+
+  it("doesn't send a prompt to a replica whose queue would have it refused instead of one that lacks memory", () => {
+    const { choose, state } = create(["a", "b"], false, { memory: createBatchMemory() });
+    state("a").reservedTokens = 195_000;
+    // 800 ms of work ahead, more than 0.7 of the objective of 1,000 ms.
+    state("b").promptTokens[0] = 32_000;
+    const { replica, queueWait } = choose(prompt(12_000));
+    expect([replica.entry.id, queueWait < 100]).toEqual(["a", true]);
+  });
+
+  it("decides without it as if no memory were reserved, and reserves nothing", () => {
+    const random = (): number => 0.5;
+    const full = create(ids, false, { random });
+    const empty = create(ids, false, { random });
+    full.state("a").reservedTokens = 500_000;
+    for (let index = 0; index < 100; index += 1) {
+      const wanted = prompt(2_000 + index * 500, `course-${index}`);
+      const [found, expected] = [full.choose(wanted), empty.choose(wanted)];
+      expect(found.reservedTokens).toEqual(0);
+      expect([found.replica.entry.id, found.predictedWait]).toEqual([
+        expected.replica.entry.id,
+        expected.predictedWait,
+      ]);
+      for (const { replica, promptTokens } of [found, expected])
+        replica.promptTokens[3] = (replica.promptTokens[3] ?? 0) + promptTokens;
+    }
+  });
+});
--- a/src/coordination/placement/enginePlacement.ts
+++ b/src/coordination/placement/enginePlacement.ts
@@ -8,13 +8,11 @@
   delayPerRunningRequest,
   copySetupTime,
   longPromptShare,
-  oldWeightsCutoffShare,
-  oldWeightsPenaltyShare,
   lessUrgentShare,
   packingShortfallWeight,
   packingTargetShare,
   peerMessageIntervals,
-  oldWeightsGracePeriod,
+  toleratedQueueShare,
 } from "../forwarding/constants.ts";
 import type { LoadPolicy } from "../forwarding/loadPolicy.ts";
 import type { PartSaving } from "./partSaving.ts";
@@ -23,8 +21,11 @@
 import { topRendezvousReplicas } from "./rendezvousReplica.ts";
 import type { PlacementChoice, PlacementFailure, Shortlist } from "./placementTypes.ts";
 import type { PromptView, PromptViewDependencies } from "./promptView.ts";
+import { createVersionViews } from "./versionViews.ts";
 import { createPromptViews } from "./promptView.ts";
 import { cheapestReplica } from "./cheapestReplica.ts";
+import type { BatchMemory } from "./batchMemory.ts";
+import { createVersionPenalty } from "./versionPenalty.ts";
 import type { ReplicaEstimates } from "../estimates/replicaEstimates.ts";
 import { describeSharedParts, findAwaitedPart, transferTime } from "./sharedParts.ts";
 import type { Admission, ForwardingBounds } from "../forwarding/types.ts";
@@ -34,8 +35,10 @@
   readonly estimates: ReplicaEstimates;
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
-  readonly policy: Pick<LoadPolicy, "homePreference" | "evictionRisk">;
+  readonly policy: Pick<LoadPolicy, "homePreference" | "evictionRisk" | "latenessTurnedAway">;
   readonly saving: Pick<PartSaving, "lossShare">;
+  /** `undefined` if the memory of running requests is not counted. */
+  readonly memory: BatchMemory | undefined;
   /** @returns A random number from 0 to 1. */
   readonly random: () => number;
 }
@@ -66,9 +69,6 @@
   ) => PlacementChoice | PlacementFailure;
 }
 
-const saltFor = ({ organisation }: Admission, model: string, version: number): string =>
-  `${model}/${version}/${organisation?.isIsolated === true ? organisation.name : ""}`;
-
 const copyTime = ({ service: { engine } }: Admission, tokens: number): number => {
   if (tokens <= 0) return 0;
   return copySetupTime + (engine === undefined ? 0 : transferTime(engine, tokens, engine.linkMegabits));
@@ -109,34 +109,13 @@
 };
 
 export const createEnginePlacement = (dependencies: EnginePlacementDependencies): EnginePlacement => {
-  const { replicas, configuration, estimates, clock, bounds, policy, random } = dependencies;
+  const { replicas, configuration, estimates, policy, memory, random } = dependencies;
   const { viewPrompt, findFetchSource } = createPromptViews(dependencies);
 
-  const versionPenalty = (model: string, version: number, objective: number, wait: number): number => {
-    const wanted = configuration.supersededBy(model, version);
-    if (wanted === undefined) return 0;
-    const age = clock.monotonic() - wanted.learnedAt;
-    // The request starts when the engine admits it, not when it is sent.
-    if (age + wait >= bounds.weights * oldWeightsCutoffShare) return Number.POSITIVE_INFINITY;
-    return age < oldWeightsGracePeriod ? 0 : objective * oldWeightsPenaltyShare;
-  };
+  const versionPenalty = createVersionPenalty(dependencies);
 
-  const createViews = (prompt: Prompt, admission: Admission) => {
-    const views = new Map<number, PromptView>();
-    const versionOf = ({ weights }: ReplicaState): number => weights.get(prompt.model) ?? 0;
-    const viewOf = (version: number): PromptView => {
-      const existing = views.get(version);
-      if (existing !== undefined) return existing;
-      // Includes replicas that get no new work at the moment: others can still copy parts from them.
-      const sameVersion = replicas
-        .serving(admission.service.name)
-        .filter((each) => versionOf(each) === version);
-      const created = viewPrompt(prompt, saltFor(admission, prompt.model, version), sameVersion);
-      views.set(version, created);
-      return created;
-    };
-    return { versionOf, viewOf };
-  };
+  const createViews = (prompt: Prompt, admission: Admission) =>
+    createVersionViews(replicas, viewPrompt, prompt, admission);
 
   const shortlist: EnginePlacement["shortlist"] = (prompt, admission, candidates, isWide = false) => {
     const { versionOf, viewOf } = createViews(prompt, admission);
@@ -215,8 +194,26 @@
       );
     };
 
-    let { replica, cost } = cheapestReplica(among.length > 0 ? among : candidates, costOf, random);
-    if (cost === Number.POSITIVE_INFINITY) ({ replica, cost } = cheapestReplica(candidates, costOf, random));
+    const reservationAt = (replica: ReplicaState): number =>
+      memory?.reservationOf(prompt, viewOf(versionOf(replica)).cached.get(replica.entry.id)?.tokens ?? 0) ??
+      0;
+
+    const costWithMemory = (replica: ReplicaState): number => {
+      const cost = costOf(replica);
+      if (memory === undefined || engine === undefined) return cost;
+      return cost + memory.costAt(replica, reservationAt(replica), engine.memoryTokens);
+    };
+
+    const compared = among.length > 0 ? among : candidates;
+    let { replica, cost } = cheapestReplica(compared, costWithMemory, random);
+    const isShed = (at: ReplicaState): boolean =>
+      predictFirstToken(at) > objective * policy.latenessTurnedAway &&
+      predictQueue(at) > objective * toleratedQueueShare;
+    // Lack of memory alone must not lead to a replica whose queue is so long that the request is refused.
+    if (memory !== undefined && isShed(replica))
+      ({ replica, cost } = cheapestReplica(compared, costOf, random));
+    if (cost === Number.POSITIVE_INFINITY)
+      ({ replica, cost } = cheapestReplica(candidates, costWithMemory, random));
     if (cost === Number.POSITIVE_INFINITY) return "old_weights";
     const { id } = replica.entry;
     const version = versionOf(replica);
@@ -248,7 +245,7 @@
         tokensToCompute(replica) / estimates.prefillRate(id) > peerMessageIntervals.shortest,
       awaitedPart: findAwaitedPart(view, (holder) => replicas.get(holder) !== undefined, rate),
       promptTokens: Math.max(0, tokensToCompute(replica)),
-      reservedTokens: 0,
+      reservedTokens: reservationAt(replica),
       predictedWait,
       queueWait: predictQueue(replica),
     };
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -193,6 +193,8 @@
   readonly tokens: number;
   /** The maximum number of tokens in the answer. */
   readonly answerTokens: number;
+  /** The caller's estimate of the number of tokens in the answer; absent if not stated. */
+  readonly expectedAnswerTokens?: number | undefined;
   /** In order of computation. The last one belongs to this request or session alone. */
   readonly parts: readonly PromptPart[];
 }
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import { PlatformHeaders } from "../../platform/wireHeaders.ts";
 import type { Behaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { PlatformSystem } from "../../standIns/platform/platformSystem.ts";
 import {
@@ -72,6 +73,26 @@
   });
 });
 
+describe("the hint of the answer's length", () => {
+  const expectedWith = (hint: string) => {
+    const headers = [
+      ["host", hosts.model],
+      ["x-attempt-id", "1"],
+      ["x-length-hint", hint],
+    ].flat();
+    for (const [name, value] of Object.entries(defaultPromptHeaders())) headers.push(name, value);
+    const raw = { method: "POST", target: "/", headers, body: Buffer.alloc(0), arrivedAt: 0 };
+    return new PlatformHeaders().decodeRequest(raw);
+  };
+
+  it("is decoded, counts as absent if it can't be read, and goes on to the replica", () => {
+    expect(expectedWith(" 120 ").prompt?.expectedAnswerTokens).toEqual(120);
+    for (const hint of ["many", "", "-5", "1.5"])
+      expect(expectedWith(hint).prompt?.expectedAnswerTokens).toEqual(undefined);
+    expect(expectedWith("many").headers).toInclude("x-length-hint", "many");
+  });
+});
+
 describe("a request that is passed on", () => {
   it("reaches a replica unchanged, with the system's headers and without the caller's key", async () => {
     await using system = await startPlatformSystem();
