--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -7,6 +7,7 @@
 import { cachedMemoryShare } from "../../src/coordination/forwarding/constants.ts";
 import { createDecisions } from "../../src/coordination/forwarding/decisions.ts";
 import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
+import type { LoadFeatures } from "../../src/coordination/forwarding/loadFeatures.ts";
 import { noLoadFeatures } from "../../src/coordination/forwarding/loadFeatures.ts";
 import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
 import { createRouterPeers } from "../../src/coordination/forwarding/routerPeers.ts";
@@ -50,6 +51,8 @@
 export interface LabRouterDependencies {
   readonly experiment: Experiment;
   readonly policy: LoadPolicy;
+  /** None if absent. */
+  readonly features?: LoadFeatures;
   readonly clock: ManualClock;
   readonly fleet: LabFleet;
   readonly self: RouterEntry;
@@ -206,7 +209,7 @@
     shutdown: createShutdown(clock, bounds),
     bounds,
     policy,
-    features: noLoadFeatures,
+    features: dependencies.features ?? noLoadFeatures,
     clock,
     metrics: new MemoryMetrics(),
     random,
--- a/src/coordination/placement/enginePlacement.ts
+++ b/src/coordination/placement/enginePlacement.ts
@@ -198,11 +198,10 @@
       memory?.reservationOf(prompt, viewOf(versionOf(replica)).cached.get(replica.entry.id)?.tokens ?? 0) ??
       0;
 
-    const costWithMemory = (replica: ReplicaState): number => {
-      const cost = costOf(replica);
-      if (memory === undefined || engine === undefined) return cost;
-      return cost + memory.costAt(replica, reservationAt(replica), engine.memoryTokens);
-    };
+    const memoryCost = (replica: ReplicaState): number =>
+      memory?.costAt(replica, reservationAt(replica), engine?.memoryTokens ?? Number.POSITIVE_INFINITY) ?? 0;
+
+    const costWithMemory = (replica: ReplicaState): number => costOf(replica) + memoryCost(replica);
 
     const compared = among.length > 0 ? among : candidates;
     let { replica, cost } = cheapestReplica(compared, costWithMemory, random);
@@ -246,6 +245,7 @@
       awaitedPart: findAwaitedPart(view, (holder) => replicas.get(holder) !== undefined, rate),
       promptTokens: Math.max(0, tokensToCompute(replica)),
       reservedTokens: reservationAt(replica),
+      lacksMemory: memoryCost(replica) > 0,
       predictedWait,
       queueWait: predictQueue(replica),
     };
