--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -35,6 +35,8 @@
 import type { LoadPolicy } from "./loadPolicy.ts";
 import { noOrganisation, organisationKeyOf } from "./organisationKey.ts";
 import { createPartSaving } from "../placement/partSaving.ts";
+import { countOtherDataCentres } from "../placement/dataCentreCounter.ts";
+import { startMemoryGauge } from "../placement/memoryGauge.ts";
 import { createPartWait } from "../placement/partWait.ts";
 import { createPlacement } from "../placement/placement.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
@@ -157,6 +159,7 @@
     saving,
     memory,
   });
+  if (features.batchMemory) resources.use(startMemoryGauge({ replicas, owners, metrics, clock }));
   const attempt = createForwardAttempt({
     client,
     check: createAnswerCheck({ replicas, client, clock, onLeaving: peers.announceLeaving }),
@@ -188,7 +191,7 @@
     availability,
     owners,
     organisationKey,
-    attempt,
+    attempt: countOtherDataCentres(attempt, dataCentre, metrics),
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
     quarantine,
     grants: createLimitGrants({ limits: view.replicaLimits, metrics, clock }),
--- a/src/coordination/placement/batchMemory.ts
+++ b/src/coordination/placement/batchMemory.ts
@@ -17,6 +17,7 @@
   preemptionCost,
   smoothingFactor,
   unhintedAnswerShare,
+  usableMemoryShare,
 } from "./memoryConstants.ts";
 
 export interface BatchMemory {
@@ -52,7 +53,7 @@
     reservationOf: (prompt, cachedTokens) =>
       prompt.tokens - cachedTokens * (1 - cachedPartShare) + expectedAnswer(prompt),
     costAt: (replica, needed, memoryTokens) => {
-      const excess = reservedTokensAt(replica) + needed - memoryTokens;
+      const excess = reservedTokensAt(replica) + needed - memoryTokens * usableMemoryShare;
       // Running requests end evenly over their hold time, so a full memory is released at memory / hold time.
       return excess <= 0 ? 0 : preemptionCost + (holdTimeOf(replica.entry.service) * excess) / memoryTokens;
     },
--- a/src/state/MemoryMetrics.ts
+++ b/src/state/MemoryMetrics.ts
@@ -23,6 +23,10 @@
     this.count(name, 1, tags);
   }
 
+  override gauge(name: MetricName, value: number, tags: MetricTags = {}): void {
+    this.totals.set(seriesKey(name, tags), value);
+  }
+
   override snapshot(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.totals].sort());
   }
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -1,4 +1,4 @@
-/** Names of the counters and timings that a router emits; docs/OPERATORS.md describes them. */
+/** Names of the counters, timings and gauges that a router emits; docs/OPERATORS.md describes them. */
 export const metricNames = {
   requests: "requests",
   requestTime: "request_ms",
@@ -15,6 +15,8 @@
   sentUnderLimit: "sent_under_limit",
   rejectedByLimits: "turned_away_by_limits",
   attempts: "attempts",
+  sentToDataCentre: "sent_to_data_centre",
+  reservedMemory: "reserved_memory_tokens",
   retries: "retries",
   retriesDenied: "retries_denied",
   hedges: "hedges",
--- a/src/transport/PrometheusMetrics.ts
+++ b/src/transport/PrometheusMetrics.ts
@@ -1,5 +1,5 @@
-/** Metrics for Prometheus: counters and histograms that a collector scrapes as text. */
-import { Counter, Histogram, Registry } from "prom-client";
+/** Metrics for Prometheus: counters, gauges and histograms that a collector scrapes as text. */
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { MetricName } from "../state/constants.ts";
 import type { MetricTags } from "../state/Metrics.ts";
 import { Metrics } from "../state/Metrics.ts";
@@ -13,6 +13,7 @@
 export class PrometheusMetrics extends Metrics {
   private readonly registry = new Registry();
   private readonly counters = new Map<MetricName, Counter>();
+  private readonly gauges = new Map<MetricName, Gauge>();
   private readonly histograms = new Map<MetricName, Histogram>();
   private readonly totals = new Map<string, number>();
 
@@ -34,6 +35,14 @@
     histogram.observe(tags, milliseconds);
   }
 
+  override gauge(name: MetricName, value: number, tags: MetricTags = {}): void {
+    const existing = this.gauges.get(name);
+    const gauge = existing ?? new Gauge({ ...this.metricOptions(name, tags), name: `${prefix}${name}` });
+    if (existing === undefined) this.gauges.set(name, gauge);
+    gauge.set(tags, value);
+    this.totals.set([name, ...Object.values(tags)].join(" "), value);
+  }
+
   override snapshot(): Readonly<Record<string, number>> {
     return Object.fromEntries([...this.totals].sort());
   }
--- a/src/transport/StatsdMetrics.ts
+++ b/src/transport/StatsdMetrics.ts
@@ -23,4 +23,9 @@
     super.count(name, 1, tags);
     this.client.timing(name, milliseconds, tags);
   }
+
+  override gauge(name: MetricName, value: number, tags: MetricTags = {}): void {
+    super.gauge(name, value, tags);
+    this.client.gauge(name, value, tags);
+  }
 }
