--- a/tests/support/placementTrial.ts
+++ b/tests/support/placementTrial.ts
@@ -54,6 +54,8 @@
   readonly fleet: LabFleet;
   readonly routers: readonly LabRouter[];
   readonly portOf: (router: number) => number;
+  /** Cuts a router off from the others, and sends no more callers to it. Its running streams continue. */
+  readonly lose: (router: number) => void;
   /** Creates a router anew, without any state. */
   readonly restart: (router: number) => void;
 }
@@ -189,12 +191,17 @@
     });
   };
   const routers = entries.map(({ incarnation }, index) => start(index, incarnation));
+  const lost = new Set<number>();
   options.disturb?.({
     clock,
     network,
     fleet,
     routers,
     portOf,
+    lose: (index) => {
+      lost.add(index);
+      network.isolatedPorts = new Set([...lost].map(portOf));
+    },
     restart: (index) => {
       routers[index] = start(index, `restarted-${index}`);
     },
@@ -214,7 +221,7 @@
     const hint = Math.round(answerTokens * (hintFactors[random.index(hintFactors.length)] ?? 1));
     const prompt = promptOf(kind, id, subject, random, hint);
     fleet.setAnswerTokens(id, answerTokens);
-    const local = routers.filter((_, index) => index % dataCentres === dataCentre);
+    const local = routers.filter((_, index) => index % dataCentres === dataCentre && !lost.has(index));
     const router = local[random.index(local.length)];
     const record: TrialRecord = {
       kind,
