--- a/src/coordination/estimates/replicaEstimates.test.ts
+++ b/src/coordination/estimates/replicaEstimates.test.ts
@@ -56,6 +56,7 @@
     bounds,
     findStore: () => undefined,
     saving: { lossShare: () => 0 },
+    memory: undefined,
     policy: defaultLoadPolicy,
   });
   const availability = createAvailability({ replicas, clock, random });
--- a/src/coordination/estimates/speedPlacement.test.ts
+++ b/src/coordination/estimates/speedPlacement.test.ts
@@ -61,6 +61,7 @@
         bounds,
         findStore: () => undefined,
         saving: { lossShare: () => 0 },
+        memory: undefined,
         policy: defaultLoadPolicy,
       });
       return [router, { placement, estimates }] as const;
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -23,6 +23,7 @@
 import type { CacheHolders } from "./cacheHolders.ts";
 import type { CacheStoreFollower } from "./cacheStoreFollower.ts";
 import type { ConfigurationState } from "./configurationState.ts";
+import { createBatchMemory } from "../placement/batchMemory.ts";
 import { createEnginePlacement } from "../placement/enginePlacement.ts";
 import { finiteAge } from "./finiteAge.ts";
 import { createForwardAttempt } from "./forwardAttempt.ts";
@@ -34,6 +35,8 @@
 import type { LoadPolicy } from "./loadPolicy.ts";
 import { noOrganisation, organisationKeyOf } from "./organisationKey.ts";
 import { createPartSaving } from "../placement/partSaving.ts";
+import { countOtherDataCentres } from "../placement/dataCentreCounter.ts";
+import { registerMemoryGauge } from "../placement/memoryGauge.ts";
 import { createPartWait } from "../placement/partWait.ts";
 import { createPlacement } from "../placement/placement.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
@@ -154,6 +157,7 @@
     storeCount: () => (features.batchMemory ? (configuration.table()?.cacheStores.length ?? 1) : 1),
   });
   const placementDependencies = { replicas, estimates, clock, random };
+  const memory = features.batchMemory ? createBatchMemory() : undefined;
   const engines = createEnginePlacement({
     ...placementDependencies,
     configuration,
@@ -162,7 +166,9 @@
     policy,
     findStore: cacheStore.findStore,
     saving,
+    memory,
   });
+  if (features.batchMemory) registerMemoryGauge({ replicas, owners, metrics });
   const attempt = createForwardAttempt({
     client,
     check: createAnswerCheck({ replicas, client, clock, onLeaving: peers.announceLeaving }),
@@ -184,6 +190,7 @@
     crashes: createCrashMonitor({ replicas, client, clock, onCrash: quarantine.noteCrash }),
     quarantine,
     saving,
+    memory,
     organisationKey,
     metrics,
     clock,
@@ -194,7 +201,7 @@
     availability,
     owners,
     organisationKey,
-    attempt,
+    attempt: countOtherDataCentres(attempt, dataCentre, metrics),
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
     quarantine,
     grants: createLimitGrants({ limits: view.replicaLimits, metrics, clock }),
