Decide admission by fair shares, urgency and promised returns where they are enabled

Cause: load shedding knows neither organisation nor request class, so an organisation that floods fills every queue, and callers that are refused together are told to return together. Change: with fairShares, an organisation may queue at a contended replica what is still free there; less urgent prompts are bounded by the objectives of more urgent classes with recent requests; refused callers are promised one time after the other. Without it the decisions and the priority formula are unchanged. turned_away names organisation, route, reason and queue; a counter by reason.

--- a/bench/owners/owners.ts
+++ b/bench/owners/owners.ts
@@ -13,6 +13,7 @@
 import { createCacheHolders } from "../../src/coordination/forwarding/cacheHolders.ts";
 import { createConfigurationState } from "../../src/coordination/forwarding/configurationState.ts";
 import { createEnginePlacement } from "../../src/coordination/placement/enginePlacement.ts";
+import { weightedPriorityOf } from "../../src/coordination/admission/urgency.ts";
 import { defaultLoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
 import { createReplicaEstimates } from "../../src/coordination/estimates/replicaEstimates.ts";
 import { createManualClock } from "../../src/coordination/manualClock.ts";
@@ -146,6 +147,9 @@
     findStore: () => undefined,
     saving: { lossShare: () => 0 },
     policy: defaultLoadPolicy,
+    priorityOf: weightedPriorityOf,
+    packingLimit: () => Number.POSITIVE_INFINITY,
+    organisationKey: () => 0,
     random: Math.random,
   });
   const routerOf = (index: number) => ({
--- a/src/commandLine/requestTimeline.ts
+++ b/src/commandLine/requestTimeline.ts
@@ -43,7 +43,7 @@
   "requests attempt_failed": (line) =>
     `attempt at replica ${fieldOf(line, "replica")} failed: ${fieldOf(line, "fault")}, ${fieldOf(line, "progress")}, status ${fieldOf(line, "status")}`,
   "requests turned_away": (line) =>
-    `turned away: replica ${fieldOf(line, "replica")} would answer after ${fieldOf(line, "predictedWait")} ms, ${fieldOf(line, "queueWait")} ms of it behind others; told to retry after ${fieldOf(line, "comeBackAfter")} ms`,
+    `turned away (${fieldOf(line, "reason")}): replica ${fieldOf(line, "replica")} would answer after ${fieldOf(line, "predictedWait")} ms, ${fieldOf(line, "queueWait")} ms of it behind others; ${fieldOf(line, "queued")} ms were queued there, ${fieldOf(line, "organisationQueued")} ms of it by ${fieldOf(line, "organisation")}, with room for ${fieldOf(line, "capacity")} ms; told to retry after ${fieldOf(line, "comeBackAfter")} ms`,
   "requests limited": (line) =>
     `counts ${fieldOf(line, "amount")} beyond the limit of ${fieldOf(line, "organisation")}; told to retry after ${fieldOf(line, "comeBackAfter")} ms`,
   "requests no_replica": (line) =>
@@ -144,6 +144,11 @@
     .slice(-maxContextLines);
 };
 
+const wasTurnedAwayFor = (requestLines: readonly LogLine[], reason: string): boolean =>
+  requestLines.some(
+    (line) => eventNameOf(line) === "requests turned_away" && fieldOf(line, "reason") === reason,
+  );
+
 const causes: readonly {
   readonly applies: (end: LogLine, requestLines: readonly LogLine[]) => boolean;
   readonly text: string;
@@ -157,6 +162,18 @@
     applies: (_, requestLines) => requestLines.some((line) => eventNameOf(line) === "requests limited"),
     text: "its organisation had used what its limit allows; see whether the router could ask the coordinator of the limit",
   },
+  {
+    applies: (_, requestLines) => wasTurnedAwayFor(requestLines, "share"),
+    text: "its organisation had queued its share of the contended replicas; count the lines turned_away by organisation",
+  },
+  {
+    applies: (_, requestLines) => wasTurnedAwayFor(requestLines, "urgent_work"),
+    text: "more urgent requests would have been late behind it; see which route bursts",
+  },
+  {
+    applies: (_, requestLines) => wasTurnedAwayFor(requestLines, "reserved"),
+    text: "the room left was reserved for requests of its organisation that were refused before it",
+  },
   {
     applies: (end) => fieldOf(end, "reason").startsWith("Replicas crashed"),
     text: "what it asks was in flight at three replicas that crashed; see held, trial and released of the quarantine",
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -190,18 +190,18 @@
         noteNoReplica(run, choice);
         break;
       }
-      if (choice.awaitedPart !== undefined && !hasWaited) {
+      if (choice.awaitedPart !== undefined && !hasWaited && load.mayWait(run, choice)) {
         hasWaited = true;
         await waitForPart(run, choice.awaitedPart);
         continue;
       }
-      const comeBackAfter = load.comeBackAfter(run, choice);
-      if (comeBackAfter !== undefined && owners.isEnabled() && !isWide) {
+      const refusal = load.decide(run, choice);
+      if (refusal !== undefined && owners.isEnabled() && !isWide) {
         isWide = true;
         continue;
       }
       // Throws.
-      if (comeBackAfter !== undefined) load.refuse(run, choice, comeBackAfter);
+      if (refusal !== undefined) load.refuse(run, choice, refusal);
       const isLimited = choice.replica.limit !== undefined;
       const grant = isLimited ? await grants.acquire(run, choice, search) : undefined;
       if (isLimited && grant === undefined) continue;
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -29,6 +29,7 @@
 import type { Forwarder } from "./forwarder.ts";
 import { createForwarder } from "./forwarder.ts";
 import { createLimitGrants } from "../admission/limitGrants.ts";
+import { createFairAdmission } from "../admission/fairAdmission.ts";
 import { createLoadAdmission } from "../admission/loadAdmission.ts";
 import type { LoadFeatures } from "./loadFeatures.ts";
 import type { LoadPolicy } from "./loadPolicy.ts";
@@ -44,6 +45,7 @@
 import type { RouterPeers } from "./routerPeers.ts";
 import type { Shutdown } from "./shutdown.ts";
 import type { ForwardingBounds } from "./types.ts";
+import { createPrecedenceRule, weightedPriorityOf } from "../admission/urgency.ts";
 import { createUsageAdmission } from "../admission/usageAdmission.ts";
 
 /** The parts of a router's view of the system that decisions use. */
@@ -145,6 +147,18 @@
 
   const saving = createPartSaving({ clock, policy, routerCount: peers.countServing });
   const placementDependencies = { replicas, estimates, clock, random };
+  const priorityOf = features.fairShares ? createPrecedenceRule() : weightedPriorityOf;
+  const sheddingThreshold = policy.latenessTurnedAway;
+  const fair = features.fairShares
+    ? createFairAdmission({
+        sheddingThreshold,
+        priorityOf,
+        organisationKey,
+        replicasPerRouter: (service) => replicas.serving(service).length / peers.countServing(),
+        clock,
+        random,
+      })
+    : undefined;
   const engines = createEnginePlacement({
     ...placementDependencies,
     configuration,
@@ -153,6 +167,9 @@
     policy,
     findStore: cacheStore.findStore,
     saving,
+    priorityOf,
+    packingLimit: (admission) => fair?.packingLimit(admission) ?? Number.POSITIVE_INFINITY,
+    organisationKey,
   });
   const attempt = createForwardAttempt({
     client,
@@ -190,7 +207,7 @@
     grants: createLimitGrants({ limits: view.replicaLimits, metrics, clock }),
     registryAge: view.registryAge,
     retryShare: createRetryShare({ clock, bounds, routerCount: peers.countServing }),
-    load: createLoadAdmission({ sheddingThreshold: policy.latenessTurnedAway, metrics, clock, random }),
+    load: createLoadAdmission({ sheddingThreshold, fair, metrics, clock, random }),
     metrics,
     clock,
     random,
--- a/src/coordination/placement/enginePlacement.test.ts
+++ b/src/coordination/placement/enginePlacement.test.ts
@@ -15,6 +15,7 @@
 import { createCacheHolders } from "../forwarding/cacheHolders.ts";
 import { createConfigurationState } from "../forwarding/configurationState.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
+import { weightedPriorityOf } from "../admission/urgency.ts";
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
 
@@ -56,6 +57,9 @@
     findStore: () => store,
     saving: { lossShare: () => lossShare },
     policy: defaultLoadPolicy,
+    priorityOf: weightedPriorityOf,
+    packingLimit: () => Number.POSITIVE_INFINITY,
+    organisationKey: () => 0,
     random: Math.random,
   });
   const table = createRouteTable(configurationOf(1));
--- a/src/coordination/placement/enginePlacement.ts
+++ b/src/coordination/placement/enginePlacement.ts
@@ -24,9 +24,11 @@
 import type { PlacementChoice, PlacementFailure, Shortlist } from "./placementTypes.ts";
 import type { PromptView, PromptViewDependencies } from "./promptView.ts";
 import { createPromptViews } from "./promptView.ts";
+import { describeQueue } from "./queuedWork.ts";
 import { cheapestReplica } from "./cheapestReplica.ts";
 import type { ReplicaEstimates } from "../estimates/replicaEstimates.ts";
 import { describeSharedParts, findAwaitedPart, transferTime } from "./sharedParts.ts";
+import type { PriorityRule } from "../admission/urgency.ts";
 import type { Admission, ForwardingBounds } from "../forwarding/types.ts";
 
 export interface EnginePlacementDependencies extends PromptViewDependencies {
@@ -36,6 +38,11 @@
   readonly bounds: ForwardingBounds;
   readonly policy: Pick<LoadPolicy, "homePreference" | "evictionRisk">;
   readonly saving: Pick<PartSaving, "lossShare">;
+  readonly priorityOf: PriorityRule;
+  /** @returns The longest wait up to which long prompts are packed, milliseconds; infinity if there is no limit. */
+  readonly packingLimit: (admission: Admission) => number;
+  /** @returns The key under which a request's organisation is counted; 0 if organisations are not counted. */
+  readonly organisationKey: (admission: Admission) => number;
   /** @returns A random number from 0 to 1. */
   readonly random: () => number;
 }
@@ -77,18 +84,6 @@
 /** Priority of requests that will be late anyway: they must not make others late too. */
 const leastUrgent = priorities - 1;
 
-/** Weight of a route's priority relative to an organisation's. */
-const routeWeight = 3;
-
-/**
- * Combines both priorities; a lower number is more urgent. The route's counts more, since routes differ in urgency more
- * than organisations do.
- */
-const priorityOf = ({ route, organisation }: Admission): number => {
-  const combined = route.priority * routeWeight + (organisation?.priority ?? 0);
-  return Math.min(leastUrgent - 1, Math.max(0, combined));
-};
-
 /**
  * Engines admit queued prompts by priority, but compute admitted prompts one after another regardless of priority. How
  * many are admitted is not known, so less urgent prompts count up to a limit.
@@ -102,11 +97,11 @@
 /**
  * The cost of a wait for a long prompt. Long prompts are packed onto replicas with other long ones as long as they
  * are answered in time, since every short prompt that follows a long one has to wait for it.
+ *
+ * @param target - The longest wait up to which they are packed, milliseconds.
  */
-const packingCost = (wait: number, objective: number): number => {
-  const target = objective * packingTargetShare;
-  return wait > target ? wait : (target - wait) * packingShortfallWeight;
-};
+const packingCost = (wait: number, target: number): number =>
+  wait > target ? wait : (target - wait) * packingShortfallWeight;
 
 export const createEnginePlacement = (dependencies: EnginePlacementDependencies): EnginePlacement => {
   const { replicas, configuration, estimates, clock, bounds, policy, random } = dependencies;
@@ -164,7 +159,8 @@
     const { latencyObjective: objective } = admission.route;
     const { engine } = admission.service;
     const { versionOf, viewOf } = createViews(prompt, admission);
-    const priority = priorityOf(admission);
+    const priority = dependencies.priorityOf(admission);
+    const packingTarget = Math.min(objective * packingTargetShare, dependencies.packingLimit(admission));
 
     const tokensToCompute = (replica: ReplicaState): number => {
       const view = viewOf(versionOf(replica));
@@ -208,7 +204,7 @@
       const isHome = cachedTokens >= view.reusableTokens || view.home === id;
       const wait = predictFirstToken(replica);
       return (
-        (isLongAt(replica) ? packingCost(wait, objective) : wait) +
+        (isLongAt(replica) ? packingCost(wait, packingTarget) : wait) +
         (isHome ? 0 : policy.homePreference + evictionCost(view, id)) +
         penalty(replica) +
         versionPenalty(prompt.model, version, objective, wait)
@@ -225,8 +221,7 @@
     const predictedWait = predictFirstToken(replica);
     const rate = estimates.prefillRate(id);
     const isNewest = configuration.supersededBy(prompt.model, version) === undefined;
-    const isLate =
-      (tokensAhead(replica, priority) + tokensToCompute(replica)) / estimates.prefillRate(id) > objective;
+    const isLate = (tokensAhead(replica, priority) + tokensToCompute(replica)) / rate > objective;
     return {
       replica,
       home: view.home === id ? undefined : replicas.get(view.home ?? ""),
@@ -251,6 +246,7 @@
       reservedTokens: 0,
       predictedWait,
       queueWait: predictQueue(replica),
+      queued: describeQueue(replica, dependencies.organisationKey(admission), tokensToCompute(replica), rate),
     };
   };
 
--- a/src/coordination/placement/placement.ts
+++ b/src/coordination/placement/placement.ts
@@ -14,6 +14,7 @@
 import type { EnginePlacement } from "./enginePlacement.ts";
 import { limitPenalty } from "../replicaLimits/constants.ts";
 import type { LimitedCandidates, PlacementChoice, PlacementFailure, Shortlist } from "./placementTypes.ts";
+import { noQueuedWork } from "./queuedWork.ts";
 import { pickRandom } from "./pickRandom.ts";
 import { cheapestReplica } from "./cheapestReplica.ts";
 import type { ReplicaEstimates } from "../estimates/replicaEstimates.ts";
@@ -140,6 +141,7 @@
       reservedTokens: 0,
       predictedWait: best.cost,
       queueWait: 0,
+      queued: noQueuedWork,
     };
   };
 
--- a/src/coordination/placement/placementTypes.ts
+++ b/src/coordination/placement/placementTypes.ts
@@ -1,5 +1,6 @@
 /** Results of placement, for plain replicas and model engines alike. */
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import type { QueuedWork } from "./queuedWork.ts";
 import type { SaveCandidate } from "./partSaving.ts";
 
 /** The replica chosen for a request, with what is sent along and what was predicted. Durations are milliseconds. */
@@ -30,6 +31,8 @@
   readonly predictedWait: number;
   /** The part of `predictedWait` that passes before the replica starts on the request. */
   readonly queueWait: number;
+  /** What is queued at the replica, over all priorities. */
+  readonly queued: QueuedWork;
 }
 
 /** Why no replica was chosen. */
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -3,6 +3,7 @@
   requests: "requests",
   requestTime: "request_ms",
   refusals: "refusals",
+  turnedAway: "turned_away",
   limited: "limited",
   quarantined: "held_back",
   limitsReported: "limits_named",
