--- a/src/commandLine/requestTimeline.test.ts
+++ b/src/commandLine/requestTimeline.test.ts
@@ -73,6 +73,33 @@
     ]);
   });
 
+  // Without the reason, an organisation's own flood looks like a lack of capacity.
+  it("says why a request was refused for load, and what its organisation had queued", () => {
+    const timeline = timelineOf(
+      line(20, "requests", "turned_away", {
+        request: "wanted",
+        organisation: "one",
+        kind: "ask",
+        reason: "share",
+        replica: "i-1",
+        predictedWait: 210,
+        queueWait: 190,
+        queued: 200,
+        organisationQueued: 170,
+        capacity: 350,
+        comeBackAfter: 400,
+      }),
+      line(20, "requests", "failed", {
+        request: "wanted",
+        replica: null,
+        reason: "Too much work is waiting",
+      }),
+    );
+    expect(timeline.steps[0]?.text.includes("turned away (share)")).toEqual(true);
+    expect(timeline.steps[0]?.text.includes("200 ms were queued there, 170 ms of it by one")).toEqual(true);
+    expect(timeline.cause.includes("its organisation had queued its share")).toEqual(true);
+  });
+
   it("names a stale configuration as the cause of a refusal, with its age and the loss of the store", () => {
     const timeline = timelineOf(
       line(9, "feeds", "lost", { feed: "operator" }),
--- a/src/coordination/admission/constants.ts
+++ b/src/coordination/admission/constants.ts
@@ -10,7 +10,7 @@
  * Less urgent prompts are admitted up to a queue of this share of the latency objective of more urgent ones. Below the
  * shedding threshold, so that urgent prompts still find room behind the less urgent ones.
  */
-export const lessUrgentQueueShare = 0.4;
+export const lessUrgentQueueShare = 0.5;
 
 /**
  * Weight of an organisation's share of the queue. With 1, an organisation that floods fills at most half of the queue,
--- a/src/coordination/admission/fairAdmission.ts
+++ b/src/coordination/admission/fairAdmission.ts
@@ -53,7 +53,7 @@
   const schedule = createReturnSchedule(clock);
 
   const urgentObjectiveOf = (admission: Admission): number =>
-    classes.tightestObjective(admission.service.name, priorityOf(admission));
+    classes.urgentObjective(admission.service.name, priorityOf(admission));
 
   const limitsOf = (admission: Admission) =>
     queueLimitsOf(admission.route.latencyObjective, sheddingThreshold, urgentObjectiveOf(admission));
@@ -64,18 +64,20 @@
       const priority = priorityOf(admission);
       const organisation = organisationKey(admission);
       classes.note(service, priority, admission.route.latencyObjective);
-      const { timeout } = request;
+      const prompt = request.prompt?.parts.at(-1)?.id ?? request.id;
       const view: QueueView = {
         prediction,
         queued,
-        urgentObjective: classes.tightestObjective(service, priority),
+        urgentObjective: classes.urgentObjective(service, priority),
         isReserveClosed: schedule.isReserveClosed({
           service,
+          prompt,
           route: admission.route.name,
           organisation,
           priority,
-          timeout,
+          timeout: request.timeout,
         }),
+        isEarly: schedule.timeToPromise(prompt) > 0,
       };
       const reason = decideAdmission(view, sheddingThreshold);
       if (reason === undefined) return undefined;
@@ -83,6 +85,7 @@
         schedule.promise(
           {
             service,
+            prompt,
             organisation,
             priority,
             isForShare: reason === "share",
--- a/src/coordination/admission/fairShares.ts
+++ b/src/coordination/admission/fairShares.ts
@@ -31,6 +31,8 @@
   readonly urgentObjective: number;
   /** Whether the capacity reserved for returning requests is closed to this one. */
   readonly isReserveClosed: boolean;
+  /** Whether its caller was refused and promised a later time than now. */
+  readonly isEarly: boolean;
 }
 
 /** The limits of one request class at a replica, milliseconds. */
@@ -54,9 +56,24 @@
   tolerated: Math.min(objective, urgentObjective) * toleratedQueueShare,
 });
 
-/** @returns The time that an organisation's prompts may queue at a replica, milliseconds. */
-export const organisationShare = (capacity: number, queued: number): number =>
-  Math.max(0, organisationWeight * (capacity - queued));
+/**
+ * The time that an organisation's prompts may queue at a replica.
+ *
+ * @param threshold - Multiple of the latency objective within which the answer must start.
+ * @returns Milliseconds.
+ */
+const organisationShare = ({ prediction, queued, urgentObjective }: QueueView, threshold: number): number => {
+  const { capacity } = queueLimitsOf(prediction.objective, threshold, urgentObjective);
+  return Math.max(0, organisationWeight * (capacity - queued.total));
+};
+
+/**
+ * The time that an organisation would queue with one more prompt. The prompt itself doesn't count where the organisation
+ * has less queued than that: counting it, a long prompt after one short one exceeds any share, and of five organisations
+ * those that don't flood had 0.77 to 0.81 of their long prompts answered in time instead of 0.92 to 0.96.
+ */
+const organisationWaitWith = ({ organisation, own }: QueuedWork): number =>
+  organisation < own ? organisation : organisation + own;
 
 /**
  * @param usable - The share of the capacity that the request may use.
@@ -65,15 +82,13 @@
 const decideWithin = (view: QueueView, threshold: number, usable: number): RefusalReason | undefined => {
   const { prediction, queued, urgentObjective } = view;
   const { wait, queueWait, objective } = prediction;
-  const limits = queueLimitsOf(objective, threshold, urgentObjective);
   const isLate = wait > objective * threshold * usable && queueWait > objective * toleratedQueueShare;
   if (isLate) return "late";
   // What the prompt itself takes doesn't count: it takes that at any replica.
   if (queued.total > urgentObjective * lessUrgentQueueShare * usable) return "urgent_work";
-  const isContended = queued.total > limits.tolerated;
-  if (!isContended || queued.organisation <= 0) return undefined;
-  const share = organisationShare(limits.capacity, queued.total) * usable;
-  return queued.organisation + queued.own > share ? "share" : undefined;
+  const { tolerated } = queueLimitsOf(objective, threshold, urgentObjective);
+  if (queued.total <= tolerated) return undefined;
+  return organisationWaitWith(queued) > organisationShare(view, threshold) * usable ? "share" : undefined;
 };
 
 /**
@@ -86,6 +101,8 @@
   const { prediction, queued } = view;
   if (queued.hasFreeSlots && queued.total <= 0) return undefined;
   if (prediction.wait > prediction.remaining * usefulAnswerShare) return "late";
+  const { tolerated } = queueLimitsOf(prediction.objective, threshold, view.urgentObjective);
+  if (view.isEarly && queued.total > tolerated) return "reserved";
   const reason = decideWithin(view, threshold, 1);
   if (reason !== undefined || !view.isReserveClosed) return reason;
   return decideWithin(view, threshold, 1 - returnReserve) === undefined ? undefined : "reserved";
@@ -95,8 +112,7 @@
 export const timeToDrain = (view: QueueView, threshold: number, reason: RefusalReason): number => {
   const { prediction, queued, urgentObjective } = view;
   const { capacity } = queueLimitsOf(prediction.objective, threshold, urgentObjective);
-  if (reason === "share")
-    return queued.organisation + queued.own - organisationShare(capacity, queued.total) / 2;
+  if (reason === "share") return queued.organisation + queued.own - organisationShare(view, threshold) / 2;
   if (reason === "urgent_work") return queued.total - capacity / 2;
   return prediction.queueWait - (prediction.objective * threshold) / 2;
 };
--- a/src/coordination/admission/requestClasses.ts
+++ b/src/coordination/admission/requestClasses.ts
@@ -14,8 +14,8 @@
 export interface RequestClasses {
   /** Records a request of a class. */
   readonly note: (service: string, priority: number, objective: number) => void;
-  /** @returns The shortest latency objective of the more urgent classes; infinity if there are none. */
-  readonly tightestObjective: (service: string, priority: number) => number;
+  /** @returns The shortest latency objective of the classes more urgent than this; infinity if there are none. */
+  readonly urgentObjective: (service: string, priority: number) => number;
 }
 
 /** The shortest objective among the recent requests of one priority. */
@@ -46,7 +46,7 @@
       state.objective = objective;
       state.seenAt = now;
     },
-    tightestObjective: (service, priority) => {
+    urgentObjective: (service, priority) => {
       const states = services.get(service);
       const since = clock.monotonic() - recentClassTime;
       let tightest = Number.POSITIVE_INFINITY;
--- a/src/coordination/admission/returnSchedule.ts
+++ b/src/coordination/admission/returnSchedule.ts
@@ -20,6 +20,8 @@
 /** A refused request. Durations are milliseconds. */
 export interface RefusedRequest {
   readonly service: string;
+  /** Identifies the prompt: the id of its last part, which it shares with no other request. */
+  readonly prompt: string;
   /** Key of its organisation. */
   readonly organisation: number;
   readonly priority: number;
@@ -36,6 +38,7 @@
 /** A request that asks for admission. */
 export interface ArrivingRequest {
   readonly service: string;
+  readonly prompt: string;
   readonly route: string;
   readonly organisation: number;
   readonly priority: number;
@@ -54,6 +57,8 @@
   readonly promise: (request: RefusedRequest, random: number) => number;
   /** Whether returns of the request's organisation and urgency are due, and the request is not one of them. */
   readonly isReserveClosed: (request: ArrivingRequest) => boolean;
+  /** @returns Milliseconds until the time that this router promised to the prompt; 0 if it promised none. */
+  readonly timeToPromise: (prompt: string) => number;
 }
 
 /** The returns that are due, of one organisation and urgency at one service. */
@@ -64,6 +69,12 @@
   shortestUntil: number;
 }
 
+/** A promise to one prompt, milliseconds on the monotonic clock. */
+interface Promised {
+  readonly at: number;
+  readonly until: number;
+}
+
 /** The longest times that callers of a route stated in this period and in the one before, milliseconds. */
 interface StatedTimes {
   periodEndsAt: number;
@@ -79,6 +90,8 @@
   /** By service and organisation: the time up to which capacity is promised. */
   const promisedUntil = createBoundedMap<number>(maxTrackedReturns);
   const dueReturns = createBoundedMap<DueReturns>(maxTrackedReturns);
+  /** By prompt: callers that retry before their time would otherwise get another chance with every attempt. */
+  const promises = createBoundedMap<Promised>(maxTrackedReturns);
   const statedTimes = createBoundedMap<StatedTimes>(maxTrackedRoutes);
 
   const noteStatedTime = (route: string, timeout: number): StatedTimes => {
@@ -123,10 +136,17 @@
     due.shortestUntil = until;
   };
 
+  const timeToPromise = (prompt: string): number =>
+    Math.max(0, (promises.get(prompt)?.at ?? 0) - clock.monotonic());
+
   return {
+    timeToPromise,
     promise: (request, random) => {
       const { service, organisation, isForShare, remaining } = request;
       const now = clock.monotonic();
+      const before = timeToPromise(request.prompt);
+      // A second promise would take capacity from other callers.
+      if (before > 0) return Math.max(minRetryAfter, before);
       const longest = Math.max(minRetryAfter, remaining * maxRetryAfterShare);
       const key = `${service} ${isForShare ? organisation : allOrganisations}`;
       const free = Math.max(now + request.timeToDrain, promisedUntil.get(key) ?? 0);
@@ -135,11 +155,18 @@
       const jitter = 1 + (random - 0.5) * retryAfterJitter;
       const wait = Math.max(minRetryAfter, Math.min((free - now) * jitter, longest));
       noteDue(request, wait);
+      promises.set(request.prompt, {
+        at: now + wait * earlyReturnShare,
+        until: now + wait + returnGrace,
+      });
       return wait;
     },
     isReserveClosed: (request) => {
       const waited = waitedTime(request);
       const due = dueReturns.get(dueKey(request.service, request.organisation, request.priority));
+      const promised = promises.get(request.prompt);
+      if (promised !== undefined && clock.monotonic() < promised.until)
+        return clock.monotonic() < promised.at;
       if (due === undefined || clock.monotonic() >= due.until) return false;
       return waited < Math.max(minRetryAfter, due.shortest) * earlyReturnShare;
     },
