Keep the promises to prompts of different organisations apart

Cause: a promise was kept by the id of a prompt's last part, which callers choose; an organisation could have made another one's requests count as early. The new test failed before the change. Change: the organisation is part of the key.

--- a/src/coordination/admission/fairAdmission.ts
+++ b/src/coordination/admission/fairAdmission.ts
@@ -64,7 +64,8 @@
       const priority = priorityOf(admission);
       const organisation = organisationKey(admission);
       classes.note(service, priority, admission.route.latencyObjective);
-      const prompt = request.prompt?.parts.at(-1)?.id ?? request.id;
+      // Ids of parts are the callers' own, so they identify a prompt only within its organisation.
+      const prompt = `${organisation} ${request.prompt?.parts.at(-1)?.id ?? request.id}`;
       const view: QueueView = {
         prediction,
         queued,
--- a/src/coordination/admission/loadAdmission.test.ts
+++ b/src/coordination/admission/loadAdmission.test.ts
@@ -5,6 +5,7 @@
 import { MemoryMetrics } from "../../state/MemoryMetrics.ts";
 import { sheddingThreshold } from "../forwarding/constants.ts";
 import type { ForwardRun } from "../forwarding/forwardRun.ts";
+import { organisationKeyOf } from "../forwarding/organisationKey.ts";
 import { createManualClock } from "../manualClock.ts";
 import type { PlacementChoice } from "../placement/placementTypes.ts";
 import { createFairAdmission } from "./fairAdmission.ts";
@@ -14,13 +15,13 @@
 const objective = 500;
 const clock = createManualClock();
 
-const runOf = (remaining: number, isSent = false): ForwardRun => {
+const runOf = (remaining: number, isSent = false, organisation = "one"): ForwardRun => {
   const run = {
-    request: { id: "1", prompt: { parts: [] }, timeout: remaining },
+    request: { id: "1", prompt: { parts: [{ id: "session", tokens: 100 }] }, timeout: remaining },
     admission: {
       route: { name: "ask", latencyObjective: objective },
       service: { name: "engines" },
-      organisation: { name: "one" },
+      organisation: { name: organisation },
     },
     deadline: remaining,
     sentTo: new Set(isSent ? ["engine"] : []),
@@ -48,7 +49,7 @@
     ? createFairAdmission({
         ...shared,
         priorityOf: () => 0,
-        organisationKey: () => 1,
+        organisationKey: organisationKeyOf,
         replicasPerRouter: () => 1,
       })
     : undefined;
@@ -99,4 +100,13 @@
     expect(JSON.stringify(metrics.snapshot()).includes("share")).toEqual(true);
     expect(load.mayWait(run, choiceOf(120, 100, 100))).toEqual(true);
   });
+
+  // Ids of prompt parts are the callers' own: one organisation must not be able to make another's requests early.
+  it("keeps the promises to prompts of different organisations apart", () => {
+    const { load } = create(true);
+    const [mine, theirs] = [runOf(6_000), runOf(6_000, false, "two")];
+    load.decide(mine, choiceOf(220, 200, 190))?.promise();
+    expect(load.decide(mine, choiceOf(220, 200, 20))?.reason).toEqual("reserved");
+    expect(load.decide(theirs, choiceOf(220, 200, 20))).toEqual(undefined);
+  });
 });
--- a/src/coordination/admission/returnSchedule.ts
+++ b/src/coordination/admission/returnSchedule.ts
@@ -21,7 +21,7 @@
 /** A refused request. Durations are milliseconds. */
 export interface RefusedRequest {
   readonly service: string;
-  /** Identifies the prompt: the id of its last part, which it shares with no other request. */
+  /** Identifies the prompt: its organisation and the id of its last part, which no other request or session has. */
   readonly prompt: string;
   /** Key of its organisation. */
   readonly organisation: number;
