Merge fair shares, one rule of urgency and promised returns

Cause: load shedding knew neither organisation nor request class, and every refused caller got its Retry-After from one prediction. Change: a dynamic threshold for each organisation at a replica, a bound for less urgent prompts, one rule of urgency, and promised returns; only where the guarantee fairShares is set. The lab's routers learn speeds where an experiment asks for them.

--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -7,6 +7,7 @@
 import { cachedMemoryShare } from "../../src/coordination/forwarding/constants.ts";
 import { createDecisions } from "../../src/coordination/forwarding/decisions.ts";
 import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
+import { createReplicaSpeeds } from "../../src/coordination/estimates/replicaSpeeds.ts";
 import type { LoadFeatures } from "../../src/coordination/forwarding/loadFeatures.ts";
 import type { LoadPolicy } from "../../src/coordination/forwarding/loadPolicy.ts";
 import { createRouterPeers } from "../../src/coordination/forwarding/routerPeers.ts";
@@ -165,6 +166,17 @@
         ? Number.POSITIVE_INFINITY
         : experiment.engines.memoryTokens * cachedMemoryShare,
   });
+  const { minSpeedSpread: minSpread } = features;
+  const speeds =
+    minSpread === undefined
+      ? undefined
+      : createReplicaSpeeds({
+          replicas,
+          clock,
+          minSpread,
+          isMeasured: (replica) => !owners.isEnabled() || owners.isOwnerOf(replica),
+          isOwnerOf: (replica) => owners.isOwnerOf(replica),
+        });
   const peers = createRouterPeers({
     self,
     link,
@@ -176,6 +188,7 @@
     onNewerConfiguration: () => undefined,
     ...noEpochs,
     quarantine: noQuarantine,
+    speeds,
   });
   peers.add(allRouters);
   const owners = createReplicaOwners({
@@ -186,6 +199,8 @@
     holders,
     peers,
     cacheStores: () => configuration.table()?.cacheStores ?? [],
+    reportsUsedParts: features.batchMemory,
+    speeds,
   });
   const coordination = createKeyCoordination({
     self,
@@ -212,6 +227,7 @@
       peers,
       owners,
       cacheStore,
+      speeds,
       limits: noUsageLimits,
       registryAge: () => 0,
       replicaLimits: createReplicaLimits({
--- a/src/coordination/estimates/replicaEstimates.test.ts
+++ b/src/coordination/estimates/replicaEstimates.test.ts
@@ -18,6 +18,7 @@
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import type { Admission } from "../forwarding/types.ts";
 import { createManualClock } from "../manualClock.ts";
+import { weightedPriorityOf } from "../admission/urgency.ts";
 import { createEnginePlacement } from "../placement/enginePlacement.ts";
 import { createPlacement } from "../placement/placement.ts";
 import { createAvailability } from "../replicaReports/availability.ts";
@@ -57,6 +58,9 @@
     findStore: () => undefined,
     saving: { lossShare: () => 0 },
     memory: undefined,
+    priorityOf: weightedPriorityOf,
+    packingLimit: () => Number.POSITIVE_INFINITY,
+    organisationKey: () => 0,
     policy: defaultLoadPolicy,
   });
   const availability = createAvailability({ replicas, clock, random });
--- a/src/coordination/estimates/speedPlacement.test.ts
+++ b/src/coordination/estimates/speedPlacement.test.ts
@@ -12,6 +12,7 @@
 import { createCacheHolders } from "../forwarding/cacheHolders.ts";
 import { createConfigurationState } from "../forwarding/configurationState.ts";
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
+import { weightedPriorityOf } from "../admission/urgency.ts";
 import { createEnginePlacement } from "../placement/enginePlacement.ts";
 import { createReplicaEstimates } from "./replicaEstimates.ts";
 import type { ReplicaEstimates } from "./replicaEstimates.ts";
@@ -62,6 +63,9 @@
         findStore: () => undefined,
         saving: { lossShare: () => 0 },
         memory: undefined,
+        priorityOf: weightedPriorityOf,
+        packingLimit: () => Number.POSITIVE_INFINITY,
+        organisationKey: () => 0,
         policy: defaultLoadPolicy,
       });
       return [router, { placement, estimates }] as const;
--- a/src/coordination/placement/enginePlacement.test.ts
+++ b/src/coordination/placement/enginePlacement.test.ts
@@ -17,6 +17,7 @@
 import type { BatchMemory } from "./batchMemory.ts";
 import { createBatchMemory } from "./batchMemory.ts";
 import { createEnginePlacement } from "./enginePlacement.ts";
+import { weightedPriorityOf } from "../admission/urgency.ts";
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
 
@@ -45,6 +46,7 @@
     store = undefined as CacheStore | undefined,
     memory = undefined as BatchMemory | undefined,
     random = Math.random,
+    packingLimit = Number.POSITIVE_INFINITY,
   } = {},
 ) => {
   const clock = createManualClock();
@@ -65,6 +67,9 @@
     saving: { lossShare: () => lossShare },
     policy: defaultLoadPolicy,
     memory,
+    priorityOf: weightedPriorityOf,
+    packingLimit: () => packingLimit,
+    organisationKey: () => 0,
     random,
   });
   const table = createRouteTable(configurationOf(1));
@@ -255,6 +260,18 @@
     expect(choose(prompt(2_000)).priority).toEqual(9);
   });
 
+  // Admission would refuse the prompt at a contended engine that it was packed onto, while another one has room.
+  it("packs long prompts onto busy engines only up to the limit", () => {
+    const chosenWith = (packingLimit: number): string => {
+      const { choose, state } = create(["a", "b"], false, { packingLimit });
+      const home = choose(prompt(8_000)).replica.entry.id;
+      state(home).promptTokens[3] = 8_000;
+      return choose(prompt(8_000)).replica.entry.id === home ? "busy" : "idle";
+    };
+    expect(chosenWith(Number.POSITIVE_INFINITY)).toEqual("busy");
+    expect(chosenWith(250)).toEqual("idle");
+  });
+
   it("starts nothing on older weights after their cutoff", () => {
     const { clock, choose, publishWeights, replicas, placement, admission } = create(["a", "b"]);
     publishWeights(2);
--- a/tests/support/placementTrial.ts
+++ b/tests/support/placementTrial.ts
@@ -113,6 +113,8 @@
     lateWorth: 0,
     openings: { count: 1, tokens: 1 },
   })),
+  organisations: [],
+  windows: [],
   faults: [],
   policies: {},
 });
