--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -18,6 +18,7 @@
   "prom-client": `
     module.exports = {
       Counter: require("prom-client/lib/counter.js"),
+      Gauge: require("prom-client/lib/gauge.js"),
       Histogram: require("prom-client/lib/histogram.js"),
       Registry: require("prom-client/lib/registry.js"),
     };`,
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -196,7 +196,7 @@
         continue;
       }
       const refusal = load.decide(run, choice);
-      if ((refusal !== undefined || choice.lacksMemory) && owners.isEnabled() && !isWide) {
+      if (refusal !== undefined && owners.isEnabled() && !isWide) {
         isWide = true;
         continue;
       }
--- a/src/transport/forwarding/answerReader.ts
+++ b/src/transport/forwarding/answerReader.ts
@@ -112,6 +112,8 @@
       settle.resolve({ status, headers, body: readBody() });
     },
     onResponseData: (responseController, chunk) => {
+      // The client may deliver an empty chunk when it is resumed. Queued, it would pause and resume the answer for ever.
+      if (chunk.length === 0) return;
       chunks.push(chunk);
       if (chunks.length >= maxBufferedChunks) responseController.pause();
       wake();
