--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -48,6 +48,12 @@
       "floods, uneven engines, full memory and slow readers, with routers that have the features under load",
     isLoaded: true,
   },
+  {
+    seed: 33,
+    seconds: 5,
+    cause: "routers that resumed an answer for ever after its caller had stopped reading",
+    isLoaded: true,
+  },
 ];
 
 describe("router processes under injected faults", () => {
