--- a/src/coordination/admission/constants.ts
+++ b/src/coordination/admission/constants.ts
@@ -26,9 +26,8 @@
 
 /**
  * Time between two promised returns, as a share of what this router's part of the service takes to compute the request.
- * New requests and other returns compete for the same capacity, and most callers gain nothing from an answer that is
- * late for sure: at 1, 0.104 of the requests of a simulated threefold burst were late and 0.844 in time; at 0.3, 0.014
- * and 0.912.
+ * Below 1, since callers that are told to return after their objective gain nothing: those of a burst should all learn a
+ * time at which their answer can still be useful, and what does not fit then is refused again at once.
  */
 export const returnSpacing = 0.3;
 
--- a/src/coordination/placement/memoryConstants.ts
+++ b/src/coordination/placement/memoryConstants.ts
@@ -1,12 +1,8 @@
-/**
- * Limits and weights of counting the memory of running requests. The figures of simulated engines were measured with a
- * shortlist that was widened where memory was short, which routers no longer do.
- */
+/** Limits and weights of counting the memory of running requests. */
 
 /**
- * Factor on the caller's hint of the answer's length, which is accurate at the median and often a factor of four off.
- * Reserving too much costs little where prompts are long: where all hints are a quarter of the answer, twelve simulated
- * engines preempt 12 requests with a factor of 2 and 3 with a factor of 4, of 27 without reservations.
+ * Factor on the caller's hint of the answer's length, which is accurate at the median and often a factor of four too
+ * low. Reserving too much costs little where prompts are long; reserving too little preempts streams.
  */
 export const answerHintMargin = 4;
 
@@ -15,14 +11,14 @@
 
 /**
  * Share of a prompt's cached shared parts that is reserved. A part occupies memory once for all requests that use it,
- * and the request that computed it has reserved it in full; that one may end before the others. With 0, 0.25 and 1,
- * twelve simulated engines preempt 26.5, 17.3 and 37.5 requests in the mean of four runs (hint margin 2).
+ * and the request that computed it has reserved it in full. That one may end before the others, so that they reserve a
+ * part of it; with all of it, popular parts would be counted many times and engines with room passed over.
  */
 export const cachedPartShare = 0.25;
 
 /**
- * Share of an engine's memory that reservations may fill, since hints of answer lengths are often wrong. With 0.9, 0.95
- * and 1, twelve simulated engines preempt 18.5, 10.8 and 17.3 requests in the mean of four runs (hint margin 2).
+ * Share of an engine's memory that reservations may fill. The rest absorbs hints that were too low; a smaller share
+ * sends requests to engines that have no room either.
  */
 export const usableMemoryShare = 0.95;
 
