--- a/src/coordination/admission/fairShares.ts
+++ b/src/coordination/admission/fairShares.ts
@@ -69,8 +69,7 @@
 
 /**
  * The time that an organisation would queue with one more prompt. The prompt itself doesn't count where the organisation
- * has less queued than that: counting it, a long prompt after one short one exceeds any share, and of five organisations
- * those that don't flood had 0.75 to 0.80 of their long prompts answered in time instead of 0.92 to 0.96.
+ * has less queued than that: counting it, a long prompt after one short one would exceed any share.
  */
 const organisationWaitWith = ({ organisation, own }: QueuedWork): number =>
   organisation < own ? organisation : organisation + own;
