--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -54,14 +54,26 @@
   return numbers.map((number) => `id: ${number}\ndata: ${record.id} ${number}\n\n`).join("");
 };
 
+/** Length of the text that is shown of a wrong body, characters. */
+const shownLength = 120;
+
+/** @returns The lengths of a body and of the expected one, and both from shortly before the first difference on. */
+const describeDifference = (body: string, expected: string): string => {
+  let same = 0;
+  while (same < body.length && body[same] === expected[same]) same += 1;
+  const from = Math.max(0, same - shownLength / 2);
+  const shown = [body, expected].map((text) => JSON.stringify(text.slice(from, from + shownLength)));
+  return `${body.length} characters instead of ${expected.length}, from ${from} on ${shown.join(" instead of ")}`;
+};
+
 const findWrongAnswers = ({ callers }: SoakHistory): readonly Violation[] =>
   callers
     .filter(
       (record) => record.status === successStatus && !record.isCut && record.body !== expectedBody(record),
     )
-    .map(({ id, router, body }) => ({
+    .map((record) => ({
       promise: "each caller gets the whole answer to its own request, in order",
-      detail: `${id} at ${router}: ${body.slice(0, 120)}`,
+      detail: `${record.id} at ${record.router}: ${describeDifference(record.body, expectedBody(record))}`,
     }));
 
 /** The complete events of a stream: a cut may leave an incomplete one at its end. */
