Pause answers in front of the parser, and count no reset as their end

A router that meets this exits, and all its callers lose their answers. On the own interface, an answer without a length that is reset in the middle was passed on as complete (3 MB: 431,461 bytes).

Cause: the client's parser must not be paused when its connection ends, and takes a reset for the end of an answer without a length. The monitor of resets was used by the replica client only.

A guard of connections now pauses an answer in front of the parser, by leaving its bytes in the socket, and replaces the monitor for all clients: replicas, engines and plain services of the own interface, and the store. The tests of plain services have a reset answer without a length, which counted as complete.

--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -1,7 +1,6 @@
 /** Wires up one router: the library's counterpart of the `pomelocleat-router` command. */
 import { randomUUID } from "node:crypto";
 import { StatsD } from "hot-shots";
-import { Agent } from "undici";
 import { createLogClaimLedger } from "../coordination/claims/logClaimLedger.ts";
 import { systemClock } from "../coordination/clock.ts";
 import { createCompletionRunner } from "../coordination/requests/completionRunner.ts";
@@ -18,6 +17,7 @@
 import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import type { Metrics } from "../state/Metrics.ts";
 import { startCallerServer } from "../transport/callerServer.ts";
+import { createGuardedAgent } from "../transport/connectionGuard.ts";
 import { createHttpLogService } from "../transport/httpLogService.ts";
 import { HttpModelEngine } from "../transport/HttpModelEngine.ts";
 import { HttpPlainService } from "../transport/HttpPlainService.ts";
@@ -81,7 +81,7 @@
   const incarnation = randomUUID();
   const clock = systemClock;
   const metrics = createMetrics(settings, resources);
-  const pool = new Agent({ connect: { timeout: connectTimeout }, pipelining: 1 });
+  const pool = createGuardedAgent({ connectTimeout, pipelining: 1 });
   resources.defer(() => pool.destroy());
   const log = createHttpLogService({ url: settings.logService, timeout: settings.platformTimeout });
   const vmList = createHttpVmList({ url: settings.vmList, timeout: settings.platformTimeout });
@@ -130,7 +130,7 @@
     bindWeights: createWeightsBinder({ directory, formerModels: (name) => history.formerModels(name) }),
   });
   // No keep-alive: each call that must run at most once gets its own connection.
-  const singleUse = new Agent({ connect: { timeout: connectTimeout }, pipelining: 0 });
+  const singleUse = createGuardedAgent({ connectTimeout, pipelining: 0 });
   resources.defer(() => singleUse.destroy());
   const services = createServiceRunner({
     directory: serviceDirectory,
--- a/src/transport/HttpPlainService.test.ts
+++ b/src/transport/HttpPlainService.test.ts
@@ -4,9 +4,9 @@
 import type { AddressInfo, Socket } from "node:net";
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import { Agent } from "undici";
 import type { UpstreamError } from "../protocol/errors.ts";
 import type { ServiceCall } from "../protocol/types.ts";
+import { createGuardedAgent } from "./connectionGuard.ts";
 import { HttpPlainService } from "./HttpPlainService.ts";
 
 type Behaviour = (socket: Socket, attempt: string) => void;
@@ -59,6 +59,9 @@
   }
 };
 
+/** Milliseconds. */
+const connectTimeout = 1_000;
+
 const cases: readonly (readonly [string, Behaviour, string])[] = [
   ["is reset after the request was read", (socket) => void socket.resetAndDestroy(), "closed_early sent"],
   ["is ended after the request was read", (socket) => void socket.end(), "closed_early sent"],
@@ -68,6 +71,15 @@
       void socket.end(`HTTP/1.1 200 OK\r\ncontent-length: 9\r\nx-attempt-id: ${attempt}\r\n\r\nok`),
     "closed_early sent",
   ],
+  [
+    // The part that had arrived was passed on as a complete answer.
+    "is reset in the middle of an answer without a length",
+    (socket, attempt) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-attempt-id: ${attempt}\r\n\r\nok`);
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    },
+    "closed_early sent",
+  ],
 ];
 
 describe("HttpPlainService", () => {
@@ -76,7 +88,7 @@
       for (const pipelining of [0, 1]) {
         it(`if the connection ${name}, sends the ${method} once (pipelining ${pipelining})`, async () => {
           await using replica = await startReplica([answer, behaviour, answer]);
-          const pool = new Agent({ pipelining });
+          const pool = createGuardedAgent({ pipelining, connectTimeout });
           const service = new HttpPlainService(replica.url, pool);
           // The second call reuses the first one's connection if that was kept open.
           expect(await outcomeOf(service, call("first", method))).toEqual("answered 200");
@@ -93,7 +105,7 @@
       await replica[Symbol.asyncDispose]();
       return replica;
     });
-    const pool = new Agent();
+    const pool = createGuardedAgent({ connectTimeout });
     expect(await outcomeOf(new HttpPlainService(url, pool), call("first", "POST"))).toEqual(
       "unreachable not_sent",
     );
--- /dev/null
+++ b/src/transport/connectionGuard.ts
@@ -0,0 +1,189 @@
+/**
+ * Guards the connections of undici's clients where undici would take a truncated answer for complete, or fail with an
+ * error that ends the process.
+ *
+ * - An answer without a length ends with its connection, and undici takes a reset for that end as well. In addition, an
+ *   operating system may report a reset that follows data as an ordinary end; the socket then has no remote address any
+ *   more.
+ * - If a connection ends while the parser of its answer is paused, undici throws an assertion error from the socket's
+ *   event. A guarded answer is paused in front of the parser instead, by leaving its bytes in the socket.
+ */
+import type { Socket } from "node:net";
+import type { Dispatcher } from "undici";
+import { Agent, buildConnector, Client, Pool } from "undici";
+
+/** The part of a socket that the guard uses. */
+export type GuardedSocket = Pick<Socket, "emit" | "prependListener" | "read" | "remoteAddress">;
+
+/** Guards the connections of one client, which sends one request at a time over one connection at a time. */
+export interface ConnectionGuard {
+  /** @returns A connector that guards the sockets that `open` connects. */
+  readonly connector: (open: buildConnector.connector) => buildConnector.connector;
+  readonly watch: (socket: GuardedSocket) => void;
+  /** @returns A handler that pauses answers in front of the parser, and gets an error where an answer was reset. */
+  readonly handler: (handler: Dispatcher.DispatchHandler) => Dispatcher.DispatchHandler;
+}
+
+/** A handler as undici's own methods pass it: it pauses by the results of its functions. */
+type LegacyHandler = Required<Dispatcher.DispatchHandler>;
+
+const resetError = (): Error =>
+  Object.assign(new Error("The connection was reset before the end of the answer."), { code: "ECONNRESET" });
+
+/** Creates a guard without sockets. */
+export const createConnectionGuard = (): ConnectionGuard => {
+  let isResetting = false;
+  let isPaused = false;
+  let current: GuardedSocket | undefined;
+
+  const noteReset = (): void => {
+    isResetting = true;
+    queueMicrotask(() => {
+      isResetting = false;
+    });
+  };
+
+  const watch = (socket: GuardedSocket): void => {
+    current = socket;
+    const read = socket.read.bind(socket);
+    // A read of no bytes only fills the socket's own buffer.
+    socket.read = (size) => (isPaused && size !== 0 && socket === current ? null : (read(size) as unknown));
+    // Prepended listeners run in the same event as undici's, before them.
+    socket.prependListener("error", noteReset);
+    socket.prependListener("end", () => {
+      if (socket.remoteAddress === undefined) noteReset();
+    });
+  };
+
+  const pause = (): void => {
+    isPaused = true;
+  };
+
+  const resume = (): void => {
+    if (!isPaused) return;
+    isPaused = false;
+    // Deferred, since the parser may be running at the moment.
+    process.nextTick(() => current?.emit("readable"));
+  };
+
+  const release = (): void => {
+    isPaused = false;
+  };
+
+  const guardController = (controller: Dispatcher.DispatchController): Dispatcher.DispatchController => ({
+    get aborted() {
+      return controller.aborted;
+    },
+    get paused() {
+      return isPaused;
+    },
+    get reason() {
+      return controller.reason;
+    },
+    abort: (reason) => controller.abort(reason),
+    pause,
+    resume,
+  });
+
+  const guardHandler = (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler => {
+    let guarded: Dispatcher.DispatchController | undefined;
+    const guard = (controller: Dispatcher.DispatchController): Dispatcher.DispatchController =>
+      (guarded ??= guardController(controller));
+    return {
+      onRequestStart: (controller, context) => {
+        release();
+        handler.onRequestStart?.(guard(controller), context);
+      },
+      onRequestUpgrade: (controller, ...upgrade) => handler.onRequestUpgrade?.(guard(controller), ...upgrade),
+      onResponseStart: (controller, ...head) => handler.onResponseStart?.(guard(controller), ...head),
+      onResponseData: (controller, chunk) => handler.onResponseData?.(guard(controller), chunk),
+      onResponseEnd: (controller, trailers) => {
+        release();
+        if (isResetting) handler.onResponseError?.(guard(controller), resetError());
+        else handler.onResponseEnd?.(guard(controller), trailers);
+      },
+      onResponseError: (controller, error) => {
+        release();
+        handler.onResponseError?.(guard(controller), error);
+      },
+    };
+  };
+
+  /* eslint-disable @typescript-eslint/no-deprecated -- undici's own methods still pass such handlers. */
+  const guardLegacyHandler = (handler: LegacyHandler): Dispatcher.DispatchHandler => ({
+    onConnect: (abort) => {
+      release();
+      handler.onConnect(abort);
+    },
+    onUpgrade: (...upgrade) => handler.onUpgrade(...upgrade),
+    onHeaders: (status, headers, _resume, text) => {
+      if (!handler.onHeaders(status, headers, resume, text)) pause();
+      return true;
+    },
+    onData: (chunk) => {
+      if (!handler.onData(chunk)) pause();
+      return true;
+    },
+    onComplete: (trailers) => {
+      release();
+      if (isResetting) handler.onError(resetError());
+      else handler.onComplete(trailers);
+    },
+    onError: (error) => {
+      release();
+      handler.onError(error);
+    },
+  });
+  /* eslint-enable @typescript-eslint/no-deprecated */
+
+  return {
+    watch,
+    connector: (open) => (options, done) => {
+      open(options, (...result) => {
+        // If the connection failed, there is no socket to watch.
+        if (result[0] === null) watch(result[1]);
+        done(...result);
+      });
+    },
+    handler: (handler) =>
+      handler.onRequestStart === undefined
+        ? guardLegacyHandler(handler as LegacyHandler)
+        : guardHandler(handler),
+  };
+};
+
+/** A client whose connections are guarded. */
+class GuardedClient extends Client {
+  private readonly guard: ConnectionGuard;
+
+  constructor(origin: URL, options: Client.Options, open: buildConnector.connector) {
+    const guard = createConnectionGuard();
+    super(origin, { ...options, connect: guard.connector(open) });
+    this.guard = guard;
+  }
+
+  override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
+    return super.dispatch(options, this.guard.handler(handler));
+  }
+}
+
+/** Settings of a pool; `connectTimeout` in milliseconds. */
+export interface GuardedPoolOptions extends Omit<Pool.Options, "connect" | "connectTimeout" | "factory"> {
+  readonly connectTimeout: number;
+}
+
+/** Creates a pool of guarded connections to one origin. */
+export const createGuardedPool = (
+  origin: string | URL,
+  { connectTimeout, ...options }: GuardedPoolOptions,
+): Pool => {
+  const open = buildConnector({ timeout: connectTimeout });
+  return new Pool(origin, {
+    ...options,
+    factory: (url, clientOptions) => new GuardedClient(url, clientOptions, open),
+  });
+};
+
+/** Creates an agent: a pool of guarded connections for each origin. */
+export const createGuardedAgent = (options: GuardedPoolOptions): Agent =>
+  new Agent({ factory: (origin) => createGuardedPool(origin, options) });
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -3,7 +3,7 @@
  * the registry gives the time of the start.
  */
 import { connect } from "node:net";
-import { buildConnector, Pool } from "undici";
+import type { Pool } from "undici";
 import { upstreamError } from "../../protocol/errors.ts";
 import { collectBody } from "../../protocol/forwarding/collectBody.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
@@ -11,8 +11,8 @@
 import { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaAnswer, ReplicaCall, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { RawAnswer } from "./answerReader.ts";
+import { createGuardedPool } from "../connectionGuard.ts";
 import { createAnswerReader } from "./answerReader.ts";
-import { createResetMonitor } from "./resetMonitor.ts";
 
 /** Timeout of a connection attempt, milliseconds; short, so that requests soon move on from unreachable replicas. */
 const connectTimeout = 400;
@@ -55,7 +55,6 @@
   private readonly wire: ForwardingWire;
   private readonly pools = new Map<string, Pool>();
   private readonly connectionLimits = new Map<string, number>();
-  private readonly resetMonitor = createResetMonitor();
 
   constructor(wire: ForwardingWire) {
     super();
@@ -64,7 +63,7 @@
 
   protected override async transmit(call: ReplicaCall, signal: AbortSignal): Promise<ReplicaAnswer> {
     const { request, replica, maySend } = call;
-    const reader = createAnswerReader(maySend, signal, this.resetMonitor.isResetting);
+    const reader = createAnswerReader(maySend, signal);
     this.connectionPool(replica).dispatch(
       {
         method: request.method,
@@ -134,11 +133,7 @@
     maySend = (): boolean => true,
     observe: (answer: RawAnswer) => void = () => undefined,
   ): Promise<ControlAnswer> {
-    const reader = createAnswerReader(
-      () => !signal.aborted && maySend(),
-      signal,
-      this.resetMonitor.isResetting,
-    );
+    const reader = createAnswerReader(() => !signal.aborted && maySend(), signal);
     this.connectionPool(host).dispatch({ method, path, headers, body: body ?? null }, reader.handler);
     const answer = await reader.answer;
     observe(answer);
@@ -152,12 +147,12 @@
   private connectionPool(replica: Pick<ReplicaEntry, "id" | "address">): Pool {
     const existing = this.pools.get(replica.id);
     if (existing !== undefined) return existing;
-    const created = new Pool(`http://${replica.address}`, {
+    const created = createGuardedPool(`http://${replica.address}`, {
       connections: this.connectionLimits.get(replica.id) ?? defaultMaxConnections,
       pipelining: 1,
       keepAliveTimeout: defaultIdleTimeout,
       keepAliveTimeoutThreshold: idleMargin,
-      connect: this.resetMonitor.connector(buildConnector({ timeout: connectTimeout })),
+      connectTimeout,
     });
     this.pools.set(replica.id, created);
     return created;
--- a/src/transport/forwarding/answerReader.ts
+++ b/src/transport/forwarding/answerReader.ts
@@ -27,13 +27,8 @@
  * @param maySend - Called right before the first byte of the request is written; if it returns false, the request fails
  * as not sent.
  * @param signal - Cancels the request and closes its connection.
- * @param isResetting - Whether the connection that is ending at this moment was reset.
  */
-export const createAnswerReader = (
-  maySend: () => boolean,
-  signal: AbortSignal,
-  isResetting: () => boolean,
-): AnswerReader => {
+export const createAnswerReader = (maySend: () => boolean, signal: AbortSignal): AnswerReader => {
   const chunks: Buffer[] = [];
   let controller: Dispatcher.DispatchController | undefined;
   let isSent = false;
@@ -119,10 +114,6 @@
       wake();
     },
     onResponseEnd: () => {
-      if (isResetting()) {
-        fail(upstreamError("the connection was reset", "closed_early", "streaming"));
-        return;
-      }
       hasEnded = true;
       signal.removeEventListener("abort", cancel);
       wake();
--- a/src/transport/platformHttpClient.ts
+++ b/src/transport/platformHttpClient.ts
@@ -1,8 +1,8 @@
 /** HTTP client for the platform's services and the routers' operator routes, with typed failures. */
-import { Agent } from "undici";
 import type { z } from "zod";
 import { platformError } from "../protocol/errors.ts";
 import type { PlatformError } from "../protocol/errors.ts";
+import { createGuardedAgent } from "./connectionGuard.ts";
 
 /** Milliseconds. */
 const connectTimeout = 1_000;
@@ -141,10 +141,10 @@
   const base = url.replace(/\/+$/, "");
   const { origin, pathname } = new URL(base);
   const prefix = pathname.replace(/\/$/, "");
-  const agent = new Agent({
+  const agent = createGuardedAgent({
     connections: maximumConnections,
     pipelining: 1,
-    connect: { timeout: Math.min(connectTimeout, timeout) },
+    connectTimeout: Math.min(connectTimeout, timeout),
     maxResponseSize: maximumAnswerBytes,
   });
 
