--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -12,6 +12,7 @@
     Dispatcher.prototype.request = require("undici/lib/api/api-request.js");
     module.exports = {
       Agent: require("undici/lib/dispatcher/agent.js"),
+      Client: require("undici/lib/dispatcher/client.js"),
       Pool: require("undici/lib/dispatcher/pool.js"),
       buildConnector: require("undici/lib/core/connect.js"),
     };`,
