Check the registry's age right before an attempt, so that refusals don't wait

Callers saw: nothing yet. Cause, suspected only: the check of the registry came first in each round of the attempt loop, so that a request that could only be refused waited for it, up to 250 ms. It now comes after all decisions to refuse; a replica that the read shows to have left is withheld from the attempt, which costs no retry.

The test of guarded connections could hang in Node's own exit, which waits for ever for a write of a socket that was reset meanwhile (stack of four runs: Environment::CleanupHandles). It also checks that a reset is forgotten after its event, as the test of the monitor before it did.

--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -185,7 +185,6 @@
     // Checked before each attempt, also one that resumes a stream: the previous one may have shown that the request
     // crashes replicas.
     while (!quarantine.isQuarantined(run.request) && !search.isExhausted()) {
-      if (!registryFreshness.isUsable()) await registryFreshness.refresh();
       const excluded = search.excluded(weightsExclusion.excludedFor(run));
       const known = owners.isEnabled() ? await queryOwners(run, excluded, isWide, search) : undefined;
       const choice = choose(run, excluded, known, search);
@@ -210,6 +209,8 @@
       const isLimited = choice.replica.limit !== undefined;
       const grant = isLimited ? await grants.acquire(run, choice, search) : undefined;
       if (isLimited && grant === undefined) continue;
+      // Refusals don't wait for it. A replica that turns out to have left is withheld from the attempt.
+      if (!registryFreshness.isUsable()) await registryFreshness.refresh();
       try {
         const answer = await attemptOnce(run, choice, lastEventId, grant);
         if (isSuccess(answer.head) || !mayRetryAnswer(run, answer)) return answer;
--- a/src/transport/connectionGuard.test.ts
+++ b/src/transport/connectionGuard.test.ts
@@ -83,6 +83,12 @@
   if (!isEarly(plan) && plan.framing === "chunked") socket.write("0\r\n\r\n");
 };
 
+/** Resets a connection between two writes: Node's own exit hangs if a socket is reset while one is under way. */
+const reset = async (socket: Socket): Promise<void> => {
+  while (socket.writableLength > 0 && !socket.destroyed) await sleep(1);
+  if (!socket.writableEnded) socket.resetAndDestroy();
+};
+
 /** @param isReused - Whether another request has arrived on the connection since. */
 const sendAnswer = async (socket: Socket, id: number, plan: Plan, isReused: () => boolean): Promise<void> => {
   socket.write(headOf(plan));
@@ -90,7 +96,7 @@
   const { ending } = plan;
   const isLast = plan.closes || plan.framing === "unframed";
   if (ending !== "whole") await sleep(plan.endDelay);
-  if (ending === "resetEarly" || ending === "wholeThenReset") socket.resetAndDestroy();
+  if (ending === "resetEarly" || ending === "wholeThenReset") await reset(socket);
   // Ended, a connection that is in use again would cut an answer without a length, which nobody could notice.
   else if ((ending !== "whole" || isLast) && !isReused()) socket.end();
 };
@@ -172,12 +178,15 @@
   return wrong;
 };
 
-/** @returns Which callback a handler gets if an answer ends in an event of its socket. */
-const endIn = async (event: "end" | "error", remoteAddress: string | undefined): Promise<string> => {
+/** @returns Which callback a handler gets if an answer ends in an event of its socket, and if one ends afterwards. */
+const endIn = async (
+  event: "end" | "error",
+  remoteAddress: string | undefined,
+): Promise<{ readonly during: string; readonly after: string }> => {
   const guard = createConnectionGuard();
   const socket = Object.assign(new EventEmitter(), { remoteAddress, read: () => null });
   let called = "none";
-  const handler = guard.handler({
+  const handler = guard.guard({
     onRequestStart: () => undefined,
     onResponseEnd: () => (called = "end"),
     onResponseError: () => (called = "error"),
@@ -186,8 +195,10 @@
   socket.on(event, () => handler.onResponseEnd?.(controller, {}));
   guard.watch(socket as unknown as GuardedSocket);
   socket.emit(event, new Error("reset"));
+  const during = called;
   await nextLoopIteration();
-  return called;
+  handler.onResponseEnd?.(controller, {});
+  return { during, after: called };
 };
 
 describe("a guarded connection", () => {
@@ -199,8 +210,8 @@
   }
 
   it("detects a reset by an error, or by an end without a remote address", async () => {
-    expect(await endIn("error", "10.0.0.1")).toEqual("error");
-    expect(await endIn("end", undefined)).toEqual("error");
-    expect(await endIn("end", "10.0.0.1")).toEqual("end");
+    expect(await endIn("error", "10.0.0.1")).toEqual({ during: "error", after: "end" });
+    expect(await endIn("end", undefined)).toEqual({ during: "error", after: "end" });
+    expect(await endIn("end", "10.0.0.1")).toEqual({ during: "end", after: "end" });
   });
 });
--- a/src/transport/connectionGuard.ts
+++ b/src/transport/connectionGuard.ts
@@ -21,7 +21,7 @@
   readonly connector: (open: buildConnector.connector) => buildConnector.connector;
   readonly watch: (socket: GuardedSocket) => void;
   /** @returns A handler that pauses answers in front of the parser, and gets an error where an answer was reset. */
-  readonly handler: (handler: Dispatcher.DispatchHandler) => Dispatcher.DispatchHandler;
+  readonly guard: (handler: Dispatcher.DispatchHandler) => Dispatcher.DispatchHandler;
 }
 
 /** A handler as undici's own methods pass it: it pauses by the results of its functions. */
@@ -87,24 +87,25 @@
 
   const guardHandler = (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler => {
     let guarded: Dispatcher.DispatchController | undefined;
-    const guard = (controller: Dispatcher.DispatchController): Dispatcher.DispatchController =>
+    const guardOnce = (controller: Dispatcher.DispatchController): Dispatcher.DispatchController =>
       (guarded ??= guardController(controller));
     return {
       onRequestStart: (controller, context) => {
         release();
-        handler.onRequestStart?.(guard(controller), context);
+        handler.onRequestStart?.(guardOnce(controller), context);
       },
-      onRequestUpgrade: (controller, ...upgrade) => handler.onRequestUpgrade?.(guard(controller), ...upgrade),
-      onResponseStart: (controller, ...head) => handler.onResponseStart?.(guard(controller), ...head),
-      onResponseData: (controller, chunk) => handler.onResponseData?.(guard(controller), chunk),
+      onRequestUpgrade: (controller, ...upgrade) =>
+        handler.onRequestUpgrade?.(guardOnce(controller), ...upgrade),
+      onResponseStart: (controller, ...head) => handler.onResponseStart?.(guardOnce(controller), ...head),
+      onResponseData: (controller, chunk) => handler.onResponseData?.(guardOnce(controller), chunk),
       onResponseEnd: (controller, trailers) => {
         release();
-        if (isResetting) handler.onResponseError?.(guard(controller), resetError());
-        else handler.onResponseEnd?.(guard(controller), trailers);
+        if (isResetting) handler.onResponseError?.(guardOnce(controller), resetError());
+        else handler.onResponseEnd?.(guardOnce(controller), trailers);
       },
       onResponseError: (controller, error) => {
         release();
-        handler.onResponseError?.(guard(controller), error);
+        handler.onResponseError?.(guardOnce(controller), error);
       },
     };
   };
@@ -145,7 +146,7 @@
         done(...result);
       });
     },
-    handler: (handler) =>
+    guard: (handler) =>
       handler.onRequestStart === undefined
         ? guardLegacyHandler(handler as LegacyHandler)
         : guardHandler(handler),
@@ -154,16 +155,16 @@
 
 /** A client whose connections are guarded. */
 class GuardedClient extends Client {
-  private readonly guard: ConnectionGuard;
+  private readonly connection: ConnectionGuard;
 
   constructor(origin: URL, options: Client.Options, open: buildConnector.connector) {
-    const guard = createConnectionGuard();
-    super(origin, { ...options, connect: guard.connector(open) });
-    this.guard = guard;
+    const connection = createConnectionGuard();
+    super(origin, { ...options, connect: connection.connector(open) });
+    this.connection = connection;
   }
 
   override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-    return super.dispatch(options, this.guard.handler(handler));
+    return super.dispatch(options, this.connection.guard(handler));
   }
 }
 
