End the soak's process although Node would wait for a reset socket's write

Its stack is Environment::CleanupHandles, as in the test of guarded connections: Node's ordinary exit waits for writes of sockets that were reset meanwhile, and the soak's proxies reset connections.

--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -113,4 +113,5 @@
   if (values.shrink) await shrink(seed, plan);
 }
 console.log(`${failed} of ${values.seeds} seeds failed`);
-process.exitCode = failed === 0 ? 0 : 1;
+// Node's ordinary exit may wait for ever for a write of a socket that a proxy has reset meanwhile.
+process.exit(failed === 0 ? 0 : 1);
