Don't pause answers at heads for which undici's handler returns nothing

Found by reading the diff: the guard of connections took every result of a handler that is not true for a pause, undici only false. After an informational head, for which undici's own handler returns nothing, nobody resumed the answer, and a call of the own interface or of the store waited until its time limit. The new test failed before (the answer did not come within 3 s); with it 31 of 31 tests of the guard, of plain services and of engines pass.

--- a/src/transport/connectionGuard.test.ts
+++ b/src/transport/connectionGuard.test.ts
@@ -209,6 +209,25 @@
     });
   }
 
+  // Undici's handler returns nothing for it, which is no pause: nobody would resume the answer.
+  it("delivers an answer after an informational head", async () => {
+    const server = createServer((socket) => {
+      socket.once("data", () => {
+        socket.write("HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n");
+        setTimeout(() => socket.write("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"), 20);
+      });
+    });
+    server.listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const pool = createGuardedPool(`http://127.0.0.1:${(server.address() as AddressInfo).port}`, {
+      connectTimeout: 1_000,
+    });
+    const answer = await pool.request({ method: "GET", path: "/", signal: AbortSignal.timeout(3_000) });
+    expect([answer.statusCode, await answer.body.text()]).toEqual([200, "ok"]);
+    await pool.destroy();
+    server.close();
+  });
+
   it("detects a reset by an error, or by an end without a remote address", async () => {
     expect(await endIn("error", "10.0.0.1")).toEqual({ during: "error", after: "end" });
     expect(await endIn("end", undefined)).toEqual({ during: "error", after: "end" });
--- a/src/transport/connectionGuard.ts
+++ b/src/transport/connectionGuard.ts
@@ -27,6 +27,9 @@
 /** A handler as undici's own methods pass it: it pauses by the results of its functions. */
 type LegacyHandler = Required<Dispatcher.DispatchHandler>;
 
+/** Undici's own handlers return nothing where they don't pause, for example for an informational head. */
+const isPause = (result: unknown): boolean => result === false;
+
 const resetError = (): Error =>
   Object.assign(new Error("The connection was reset before the end of the answer."), { code: "ECONNRESET" });
 
@@ -118,11 +121,11 @@
     },
     onUpgrade: (...upgrade) => handler.onUpgrade(...upgrade),
     onHeaders: (status, headers, _resume, text) => {
-      if (!handler.onHeaders(status, headers, resume, text)) pause();
+      if (isPause(handler.onHeaders(status, headers, resume, text))) pause();
       return true;
     },
     onData: (chunk) => {
-      if (!handler.onData(chunk)) pause();
+      if (isPause(handler.onData(chunk))) pause();
       return true;
     },
     onComplete: (trailers) => {
