Describe wrong bodies in one place, and correct two comments on held reads

Found by reading the whole change once more: two checks of the soak built the same line, and a comment on the checks after the recovery window still said that a long poll sent before its end never confirms anything, which stopped being so when proofs began to count from the end of a held read.

--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -70,6 +70,9 @@
 const describeCaller = ({ sentAt, endedAt, hasDisconnected }: CallerRecord): string =>
   `${hasDisconnected ? "left" : "ended"} after ${Math.round(endedAt - sentAt)} ms`;
 
+const describeWrongBody = (record: CallerRecord): string =>
+  `${record.id} at ${record.router}, ${describeCaller(record)}: ${describeDifference(record.body, expectedBody(record))}`;
+
 const findWrongAnswers = ({ callers }: SoakHistory): readonly Violation[] =>
   callers
     .filter(
@@ -77,7 +80,7 @@
     )
     .map((record) => ({
       promise: "each caller gets the whole answer to its own request, in order",
-      detail: `${record.id} at ${record.router}, ${describeCaller(record)}: ${describeDifference(record.body, expectedBody(record))}`,
+      detail: describeWrongBody(record),
     }));
 
 /** The incomplete event that the stand-in of an engine sends before it cuts a stream. */
@@ -100,7 +103,7 @@
     .filter((record) => record.status === successStatus && record.isCut && !isBeginning(record))
     .map((record) => ({
       promise: "what a caller has of an answer is its beginning",
-      detail: `${record.id} at ${record.router}, ${describeCaller(record)}: ${describeDifference(record.body, expectedBody(record))}`,
+      detail: describeWrongBody(record),
     }));
 
 const findRepeatedExecutions = ({ callers, replicas }: SoakHistory): readonly Violation[] => {
--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -2,9 +2,8 @@
  * The operator's current configuration and wanted weights, and how fresh this router's copy of them is.
  *
  * A read of the store that finds nothing newer proves that the copy was current when the read was sent, or until the
- * store stopped holding it open. The read may be
- * one of this router, or one of a peer that has the same version. Times are milliseconds on this process's monotonic
- * clock.
+ * store stopped holding it open. The read may be one of this router, or one of a peer that has the same version. Times
+ * are milliseconds on this process's monotonic clock.
  */
 import type { AnnouncedTarget } from "../../protocol/forwarding/peerMessage.ts";
 import type { OperatorRecord, FeedPage } from "../../protocol/forwarding/types.ts";
--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -77,7 +77,7 @@
   readonly readEpoch: () => void;
 }
 
-/** A long poll sent before the recovery window ends confirms nothing, so the records are read again after it. */
+/** A long poll that is open when the recovery window ends confirms nothing yet, so the records are read again then. */
 const scheduleRecoveryChecks = (
   { platform, recovery, clock }: StoreFollowingDependencies,
   delegatesReads: () => boolean,
