Log streams that end inside an event, and how the end of an answer was marked

The log could not tell an answer that ended with its connection from one whose end its replica had stated, nor a whole last event from a part of one, so that the two hypotheses on broken streams taken for whole looked alike. No decision changes.

--- a/bench/lab/LabReplicaClient.ts
+++ b/bench/lab/LabReplicaClient.ts
@@ -183,7 +183,7 @@
       isNotExecuted: true,
       isMisdirected: status === 421,
     };
-    return { head, body: createEmptyBody() };
+    return { head, framing: "length", body: createEmptyBody() };
   }
 
   private refuseWithBackoff(
@@ -205,7 +205,11 @@
         hasStarted = true;
         const body = events.read(() => cancel?.());
         if (replica?.isDraining === true) this.fleet.reports.recordDraining(replica.entry.id, this.router);
-        resolve({ head: headOf(call, replica?.version ?? 1, replica ?? nothingReported), body });
+        resolve({
+          head: headOf(call, replica?.version ?? 1, replica ?? nothingReported),
+          framing: "chunks",
+          body,
+        });
       };
       const cancel = replica?.engine.submit({
         priority: call.priority ?? 5,
--- a/src/commandLine/requestTimeline.ts
+++ b/src/commandLine/requestTimeline.ts
@@ -48,6 +48,8 @@
     `counts ${fieldOf(line, "amount")} beyond the limit of ${fieldOf(line, "organisation")}; told to retry after ${fieldOf(line, "comeBackAfter")} ms`,
   "requests no_replica": (line) =>
     `no replica of ${fieldOf(line, "service")} could be chosen: ${fieldOf(line, "reason")}`,
+  "requests unfinished_event": (line) =>
+    `the stream of replica ${fieldOf(line, "replica")} ended inside an event, after ${fieldOf(line, "events")} whole events (end marked by ${fieldOf(line, "framing")})`,
   "requests resuming": (line) =>
     `the stream goes on at another replica after event ${fieldOf(line, "after")}`,
 };
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -279,9 +279,16 @@
   readonly closesConnection: boolean;
 }
 
+/**
+ * What marks the end of a response's body: its length, its last chunk, or nothing but the end of the connection. The
+ * first two state the end of the content; the last one is all that is left of a replica that stopped in the middle.
+ */
+export type AnswerFraming = "length" | "chunks" | "connection";
+
 /** A replica's response, of which the head has arrived. */
 export interface ReplicaAnswer {
   readonly head: AnswerHead;
+  readonly framing: AnswerFraming;
   /** Throws `UpstreamError` if the response breaks off. */
   readonly body: AsyncIterable<Buffer>;
 }
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -44,6 +44,7 @@
   peerChanges: "peer_changes",
   replicaPrefillRate: "replica_prefill_rate",
   replicaPrefillRateAge: "replica_prefill_rate_age_ms",
+  unfinishedStreams: "unfinished_streams",
   callersCutOff: "callers_cut_off",
   callerReadsStopped: "caller_reads_stopped",
   callerMemoryRefusals: "caller_memory_refusals",
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -75,8 +75,8 @@
       },
       reader.handler,
     );
-    const { status, headers, body } = await reader.answer;
-    return { head: this.wire.decodeAnswer(status, headers), body };
+    const { status, headers, framing, body } = await reader.answer;
+    return { head: this.wire.decodeAnswer(status, headers), framing, body };
   }
 
   override probeConnection({ address }: ReplicaEntry, timeout: number): Promise<ConnectionProbeResult> {
