Show streams that break off without a length or chunks and reach callers as whole

Callers got 200, a proper end and a part of an event where a replica that sends a stream with neither a length nor chunks ended its connection inside the event. The stand-in knew answers without a length for plain requests only; it now sends streams framed by a length, chunks or their connection, stopping at six places, in three line ends, written at once, by event or byte by byte, with an ordinary end or a reset.

--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -10,6 +10,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { AdmittedStream, EngineLoad, EngineLoadSettings } from "./engineLoad.ts";
 import { createEngineLoad } from "./engineLoad.ts";
+import type { RawStream } from "./rawStreams.ts";
+import { brokenStreams, createRawStream, writeRawStream } from "./rawStreams.ts";
 
 /**
  * How the next request is answered.
@@ -27,8 +29,10 @@
  * - `unsealed`: the answer has neither the request's id nor the replica's seal.
  * - `hang`: executed, and never answered.
  * - `deny`: refused with status 421.
+ * - A name of {@link brokenStreams}: a stream that is written as described there.
  */
-export type Behaviour =
+export type NamedBehaviour =
+  | keyof typeof brokenStreams
   | "well"
   | "shed"
   | "fail"
@@ -43,6 +47,9 @@
   | "hang"
   | "deny";
 
+/** How the next request is answered; a {@link RawStream} only answers requests to engines. */
+export type Behaviour = NamedBehaviour | RawStream;
+
 /** A request that was executed. */
 export interface ExecutedRequest {
   readonly id: string;
@@ -141,6 +148,16 @@
   return Buffer.concat(chunks).toString();
 };
 
+/** @returns The stream that a behaviour describes; `undefined` if it describes none. */
+const rawStreamOf = (behaviour: Behaviour): RawStream | undefined => {
+  if (typeof behaviour === "object") return behaviour;
+  if (behaviour === "unframed") return createRawStream();
+  return behaviour in brokenStreams ? brokenStreams[behaviour as keyof typeof brokenStreams] : undefined;
+};
+
+/** @returns The number of the first event that a request is due. */
+const firstEventOf = ({ headers }: ExecutedRequest): number => Number(headers["last-event-id"] ?? 0) + 1;
+
 const isStream = ({ headers }: ExecutedRequest): boolean => headers["x-model"] !== undefined;
 
 const writeRaw = (response: ServerResponse, headers: readonly string[], body: string): void => {
@@ -172,7 +189,7 @@
   limit: number,
   stream: AdmittedStream | undefined,
 ): Promise<void> => {
-  const first = Number(run.headers["last-event-id"] ?? 0) + 1;
+  const first = firstEventOf(run);
   const padding = "x".repeat(Number(run.headers[paddingHeader] ?? 0));
   for (let number = first; number <= events.count; number += 1) {
     if (response.destroyed) return;
@@ -189,6 +206,40 @@
   response.end();
 };
 
+const answerPlain = (
+  run: ExecutedRequest,
+  response: ServerResponse,
+  headers: Readonly<Record<string, string>>,
+): void => {
+  const body = bodyOf(run);
+  response.writeHead(200, { ...headers, "content-length": Buffer.byteLength(body) });
+  response.end(body);
+};
+
+/** Answers with a stream that is written as raw text. */
+const sendRawStream = async (
+  run: ExecutedRequest,
+  response: ServerResponse,
+  stream: RawStream,
+  headers: Readonly<Record<string, string>>,
+  events: Required<ReplicaSettings>["events"],
+): Promise<void> => {
+  const due = {
+    first: firstEventOf(run),
+    last: events.count,
+    dataOf: (number: number): string => `${run.id} ${number}`,
+  };
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
+  if (response.socket === null) return;
+  await writeRawStream(
+    response.socket,
+    [...lines, "content-type: text/event-stream"],
+    stream,
+    due,
+    events.pause,
+  );
+};
+
 /** Answers a request whose body has not been read. */
 const answerEarly = (replica: string, attempt: string, response: ServerResponse): void => {
   const body = "early";
@@ -361,12 +412,6 @@
     }
   };
 
-  const answerPlain = (run: ExecutedRequest, response: ServerResponse): void => {
-    const body = bodyOf(run);
-    response.writeHead(200, { ...headersOf(run), "content-length": Buffer.byteLength(body) });
-    response.end(body);
-  };
-
   const handleRequest = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     const { headers, method = "", url: target = "" } = request;
     const behaviour = behaviours.shift() ?? "well";
@@ -381,8 +426,8 @@
       return;
     }
     const body = await readBody(request);
-    const own = { id, version: weights.version(), isDenying: behaviour === "deny" };
-    if (refuseMisdirected(headers, own, response)) return;
+    const isDenying = behaviour === "deny";
+    if (refuseMisdirected(headers, { id, version: weights.version(), isDenying }, response)) return;
     if (behaviour === "shed" || isLoading) {
       shed(arrival, response);
       return;
@@ -403,11 +448,14 @@
     }
     if (serviceTime > 0 && !isStream(executed)) await sleep(serviceTime);
     if (firstEventDelay > 0 && isStream(executed)) await sleep(firstEventDelay);
-    if (behaviour === "fail") refuse(response, 500, headersOf(executed));
+    const rawStream = isStream(executed) ? rawStreamOf(behaviour) : undefined;
+    if (rawStream !== undefined)
+      await sendRawStream(executed, response, rawStream, headersOf(executed), events);
+    else if (behaviour === "fail") refuse(response, 500, headersOf(executed));
     else if (isStream(executed) && behaviour === "cut") await sendEvents(executed, response, 2);
     else if (behaviour !== "well") sendMalformedAnswer(id, events.pause, executed, response, behaviour);
     else if (isStream(executed)) await sendEvents(executed, response, Number.POSITIVE_INFINITY);
-    else answerPlain(executed, response);
+    else answerPlain(executed, response, headersOf(executed));
   };
 
   const handleOrder = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
 import { PlatformHeaders } from "../../platform/wireHeaders.ts";
-import type { Behaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import type { Behaviour, NamedBehaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { PlatformSystem } from "../../standIns/platform/platformSystem.ts";
 import {
   sendRequest,
@@ -200,7 +200,7 @@
 });
 
 describe("an answer that is not what it should be", () => {
-  const cases: readonly (readonly [Behaviour, number, number])[] = [
+  const cases: readonly (readonly [NamedBehaviour, number, number])[] = [
     ["reset", 200, 2],
     ["cut", 200, 2],
     ["crossed", 200, 2],
