Treat streams whose connection ends inside an event as broken off

Callers got 200, a proper end and a part of an event. Cause: a replica's stream without a length or chunks ends with its connection, and the router took every ordinary end of it for the end of the stream. The guard of connections watches for resets only.

A stream that only its connection ends is whole if it ends between two events, by the line ends and comments of the HTML standard, and has an event at all unless it was resumed. Otherwise the attempt has failed as closed early: a route that may be resumed goes on at another replica, any other answer is broken off. A length, a last chunk, a HEAD request or a status without a body state the end themselves, and bodies of another type are passed on as they are.

--- a/src/coordination/estimates/promptsComputed.test.ts
+++ b/src/coordination/estimates/promptsComputed.test.ts
@@ -42,7 +42,7 @@
   const send = (): Promise<unknown> =>
     answer === undefined
       ? Promise.reject(upstreamError("unreachable", "unreachable", "not_sent"))
-      : Promise.resolve({ head: { status }, framing: "chunks", body: body() });
+      : Promise.resolve({ head: { status, headers: [] }, framing: "chunks", body: body() });
   const fakes = {
     client: { send },
     check: () => Promise.resolve(),
--- a/src/coordination/forwarding/streamEnd.ts
+++ b/src/coordination/forwarding/streamEnd.ts
@@ -1,5 +1,9 @@
-/** Checks where a stream ends: its last event may be incomplete although its connection has ended without an error. */
-import type { ReplicaAnswer } from "../../protocol/forwarding/types.ts";
+/**
+ * Checks where a stream ends. Without a length or chunks, a replica that stops in the middle looks like one that has
+ * finished, unless it stops inside an event.
+ */
+import { upstreamError } from "../../protocol/errors.ts";
+import type { AnswerHead, ReplicaAnswer } from "../../protocol/forwarding/types.ts";
 import { createLogger } from "../../state/log.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
@@ -8,23 +12,38 @@
 
 const writeLog = createLogger("requests");
 
+const eventStreamType = "text/event-stream";
+
+/** Whether the body consists of events; so it does on a streaming route unless the replica names another type. */
+const isEventStream = ({ headers }: AnswerHead): boolean => {
+  const name = headers.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === "content-type");
+  return name === -1 || headers[name + 1]?.toLowerCase().startsWith(eventStreamType) === true;
+};
+
 /**
- * Passes on the chunks of an event stream, and notes if it ends inside an event.
+ * Passes on the chunks of an answer on a streaming route.
  *
  * @returns The same chunks.
+ * @throws `UpstreamError` if only the end of the connection marks the end of the stream, and it comes inside an event or
+ * before the first one. A stream that is resumed may have no event left.
  */
 export const checkStreamEnd = async function* (
   answer: ReplicaAnswer,
-  { request, choice }: Pick<AttemptPlan, "request" | "choice">,
+  { request, choice, lastEventId }: Pick<AttemptPlan, "request" | "choice" | "lastEventId">,
   metrics: Metrics,
 ): AsyncGenerator<Buffer, void> {
+  if (!isEventStream(answer.head)) {
+    yield* answer.body;
+    return;
+  }
   const scanner = createEventScanner();
   for await (const chunk of answer.body) {
     scanner.scan(chunk);
     yield chunk;
   }
   const unfinishedBytes = scanner.unfinishedBytes();
-  if (unfinishedBytes === 0) return;
+  const lacksEvents = scanner.eventCount() === 0 && lastEventId === undefined;
+  if (unfinishedBytes === 0 && !lacksEvents) return;
   const { framing } = answer;
   metrics.count(metricNames.unfinishedStreams, 1, { framing });
   writeLog("unfinished_event", {
@@ -34,4 +53,7 @@
     events: scanner.eventCount(),
     unfinishedBytes,
   });
+  // A length or a last chunk is the replica's own word that the stream is whole.
+  if (framing === "connection")
+    throw upstreamError("the connection ended inside an event", "closed_early", "streaming");
 };
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -12,6 +12,7 @@
 import type { ReplicaAnswer, ReplicaCall, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { RawAnswer } from "./answerReader.ts";
 import { createGuardedPool } from "../connectionGuard.ts";
+import { framingOf } from "./answerFraming.ts";
 import { createAnswerReader } from "./answerReader.ts";
 
 /** Timeout of a connection attempt, milliseconds; short, so that requests soon move on from unreachable replicas. */
@@ -75,8 +76,12 @@
       },
       reader.handler,
     );
-    const { status, headers, framing, body } = await reader.answer;
-    return { head: this.wire.decodeAnswer(status, headers), framing, body };
+    const answer = await reader.answer;
+    return {
+      head: this.wire.decodeAnswer(answer.status, answer.headers),
+      framing: framingOf(request.method, answer),
+      body: answer.body,
+    };
   }
 
   override probeConnection({ address }: ReplicaEntry, timeout: number): Promise<ConnectionProbeResult> {
--- a/src/transport/forwarding/answerReader.ts
+++ b/src/transport/forwarding/answerReader.ts
@@ -2,25 +2,15 @@
 import type { Dispatcher } from "undici";
 import { upstreamError } from "../../protocol/errors.ts";
 import type { UpstreamError } from "../../protocol/errors.ts";
-import type { AnswerFraming } from "../../protocol/forwarding/types.ts";
 import { connectionFailure } from "../httpFailures.ts";
 
 /** An answer as it was received: status, undecoded headers, and the body as a stream. */
 export interface RawAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly framing: AnswerFraming;
   readonly body: AsyncIterable<Buffer>;
 }
 
-/** Source: RFC 9112, section 6.3. */
-const framingOf = (headers: RawAnswer["headers"]): AnswerFraming => {
-  const encoding = headers["transfer-encoding"];
-  if (encoding !== undefined)
-    return String(encoding).toLowerCase().endsWith("chunked") ? "chunks" : "connection";
-  return headers["content-length"] === undefined ? "connection" : "length";
-};
-
 /** Unread chunks at which reading from the connection is paused. */
 const maxBufferedChunks = 16;
 
@@ -114,7 +104,7 @@
     onResponseStart: (_, status, headers) => {
       if (status < 200 || hasEnded) return;
       hasReceivedHead = true;
-      settle.resolve({ status, headers, framing: framingOf(headers), body: readBody() });
+      settle.resolve({ status, headers, body: readBody() });
     },
     onResponseData: (responseController, chunk) => {
       // The client may deliver an empty chunk when it is resumed. Queued, it would pause and resume the answer for ever.
--- a/standIns/platform/rawStreams.ts
+++ b/standIns/platform/rawStreams.ts
@@ -27,6 +27,8 @@
 
 /** How a stream is written. */
 export interface RawStream {
+  readonly status: 200 | 204;
+  readonly contentType: string;
   /** What marks its end. */
   readonly framing: "length" | "chunks" | "connection";
   readonly stop: StreamStop;
@@ -43,6 +45,8 @@
 
 /** @param fields - Replace fields of a whole stream that ends with its connection. */
 export const createRawStream = (fields: Partial<RawStream> = {}): RawStream => ({
+  status: 200,
+  contentType: "text/event-stream",
   framing: "connection",
   stop: "afterLastEvent",
   closing: "ordinary",
@@ -89,7 +93,7 @@
 /**
  * Writes an answer and ends its connection.
  *
- * @param headers - Its header lines, without those of its framing.
+ * @param headers - Its header lines, without those of its type and framing.
  * @param pause - Between two writes and before the connection ends, milliseconds.
  */
 export const writeRawStream = async (
@@ -105,8 +109,9 @@
     chunks: ["transfer-encoding: chunked"],
     connection: [],
   }[stream.framing];
-  const lines = ["HTTP/1.1 200 OK", ...headers, ...framingLines, "connection: close", "", ""];
-  const head = lines.join("\r\n");
+  const type = stream.status === 204 ? [] : [`content-type: ${stream.contentType}`];
+  const lines = [...headers, ...type, ...framingLines, "connection: close", "", ""];
+  const head = [`HTTP/1.1 ${stream.status} OK`, ...lines].join("\r\n");
   const body = stream.framing === "chunks" ? [...parts.map(chunkOf), "0\r\n\r\n"] : parts;
   const writes = {
     once: () => [head + body.join("")],
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -230,14 +230,7 @@
     dataOf: (number: number): string => `${run.id} ${number}`,
   };
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}`);
-  if (response.socket === null) return;
-  await writeRawStream(
-    response.socket,
-    [...lines, "content-type: text/event-stream"],
-    stream,
-    due,
-    events.pause,
-  );
+  if (response.socket !== null) await writeRawStream(response.socket, lines, stream, due, events.pause);
 };
 
 /** Answers a request whose body has not been read. */
--- a/tests/platform/brokenStreams.test.ts
+++ b/tests/platform/brokenStreams.test.ts
@@ -1,5 +1,4 @@
 /** Streams whose end only their connection marks, in each way of ending, and how they reach their callers. */
-import { once } from "node:events";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { expect } from "earl";
@@ -69,7 +68,7 @@
   socket.setEncoding("latin1");
   socket.on("data", (chunk: string) => (text += chunk));
   socket.on("error", () => (isReset = true));
-  await once(socket, "close");
+  await new Promise((resolve) => socket.once("close", resolve));
   return { text, isReset };
 };
 
@@ -206,6 +205,19 @@
     }
   });
 
+  it("may be a body of another type, or none", async () => {
+    await using system = await startPlatformSystem();
+    const json = createRawStream({ contentType: "application/json", formatEvent: () => "", suffix: "{}" });
+    for (const request of [ask, tag]) {
+      behaveAll(system, json);
+      const answer = await sendRequest(system.router, request);
+      expect([answer.status, answer.isCut, answer.body]).toEqual([200, false, "{}"]);
+      behaveAll(system, createRawStream({ status: 204, stop: "afterHead" }));
+      const empty = await sendRequest(system.router, request);
+      expect([empty.status, empty.isCut, empty.body]).toEqual([204, false, ""]);
+    }
+  });
+
   it("is passed on although it may have stopped between two events, which looks the same", async () => {
     await using system = await startPlatformSystem();
     for (const request of [ask, tag]) {
