Resume streams only where it is known which event comes next

After an event without an id of its own, or an id that is empty, repeated or lower, a resumed stream repeats or skips events, and a replica that ignores the id of the last event starts again from the first: callers got events twice under a proper end. Ends of events were found with LF and CR LF only, so that a stream with CR was held back to its end, and comments until the next event.

The buffer of a resumable stream follows the line ends of the HTML standard and notes whether each event has an id that is higher than the one before. Where it hasn't, the answer is broken off instead of resumed; a resumed stream that goes back, or has nothing left of an event that was begun, has failed as well.

--- a/src/coordination/forwarding/eventScanner.ts
+++ b/src/coordination/forwarding/eventScanner.ts
@@ -17,10 +17,11 @@
   /**
    * Reads the next chunk of the stream.
    *
-   * @returns The offset in the chunk after the last byte that is followed by no part of an event; 0 if there is none.
+   * @returns The offset in the chunk after the last byte before which the stream can be divided: all events and lines
+   * before it are complete; 0 if there is none.
    */
   readonly scan: (chunk: Buffer) => number;
-  /** @returns The number of bytes after the last event or comment that is complete. */
+  /** @returns The number of bytes after the last event or comment that is complete; 0 if all are. */
   readonly unfinishedBytes: () => number;
   /** @returns The number of events that are complete. */
   readonly eventCount: () => number;
@@ -33,8 +34,10 @@
   let isComment = false;
   let isInsideEvent = false;
   let endsWithCarriageReturn = false;
+  /** Whether the last line end that is known to be complete was CR LF. */
+  let usesPairs = false;
   let eventCount = 0;
-  let unfinishedBytes = 0;
+  let heldBytes = 0;
 
   const isByteOrderMark = (byte: number): boolean =>
     position < byteOrderMark.length && byte === byteOrderMark[position];
@@ -56,24 +59,30 @@
 
   const scanByte = (byte: number): void => {
     const endsPair = byte === lineFeed && endsWithCarriageReturn;
+    if (byte === lineFeed || endsWithCarriageReturn) usesPairs = endsPair;
     endsWithCarriageReturn = byte === carriageReturn;
     if (endsPair) return;
     if (byte === lineFeed || byte === carriageReturn) endLine();
     else if (!isByteOrderMark(byte)) addToLine(byte);
   };
 
+  const isBetweenEvents = (): boolean => lineLength === 0 && !isInsideEvent;
+
+  /** The line feed that completes a pair arrives next, unless the stream mixes its line ends. */
+  const awaitsLineFeed = (): boolean => endsWithCarriageReturn && usesPairs;
+
   return {
     scan: (chunk) => {
       let end = 0;
       for (let offset = 0; offset < chunk.length; offset += 1) {
         scanByte(chunk[offset] ?? 0);
         position += 1;
-        if (lineLength === 0 && !isInsideEvent) end = offset + 1;
+        if (isBetweenEvents() && !awaitsLineFeed()) end = offset + 1;
       }
-      unfinishedBytes = end > 0 ? chunk.length - end : unfinishedBytes + chunk.length;
+      heldBytes = end > 0 ? chunk.length - end : heldBytes + chunk.length;
       return end;
     },
-    unfinishedBytes: () => unfinishedBytes,
+    unfinishedBytes: () => (isBetweenEvents() ? 0 : heldBytes),
     eventCount: () => eventCount,
   };
 };
--- a/src/coordination/forwarding/streamRelay.ts
+++ b/src/coordination/forwarding/streamRelay.ts
@@ -1,5 +1,5 @@
 /** Relays an event stream; a resumable one continues at another replica where it is cut off. */
-import { UpstreamError } from "../../protocol/errors.ts";
+import { UpstreamError, upstreamError } from "../../protocol/errors.ts";
 import { createLogger } from "../../state/log.ts";
 import type { AttemptLoop } from "./attemptLoop.ts";
 import type { EventBuffer } from "./eventBuffer.ts";
@@ -35,23 +35,47 @@
   if (remainder.length > 0) yield remainder;
 };
 
+/**
+ * Yields the complete events of a stream that goes on where another one broke off.
+ *
+ * @param hasBegunEvent - Whether the other one broke off inside an event, so that there is an event left.
+ * @throws `UpstreamError` if it goes back to an event that the caller has, or lacks the one that was begun.
+ */
+const followingEvents = async function* (
+  answer: StartedAnswer,
+  buffer: EventBuffer,
+  hasBegunEvent: boolean,
+): AsyncGenerator<Buffer, void> {
+  for await (const events of completeEvents(answer, buffer)) {
+    if (!buffer.isInOrder()) throw upstreamError("the resumed stream goes back", "malformed", "streaming");
+    yield events;
+  }
+  if (hasBegunEvent && buffer.eventCount() === 0)
+    throw upstreamError("the resumed stream lacks an event that was begun", "malformed", "streaming");
+};
+
 const resumable = async function* (
   loop: AttemptLoop,
   run: ForwardRun,
   first: StartedAnswer,
 ): AsyncGenerator<Buffer, void> {
   const buffer = createEventBuffer(run.request.lastEventId);
-  let answer = first;
+  let events = completeEvents(first, buffer);
+  let hasBegunEvent = false;
   for (;;) {
     try {
-      yield* completeEvents(answer, buffer);
+      yield* events;
       return;
     } catch (error) {
-      if (!(error instanceof UpstreamError) || !loop.mayRetry(run, error)) throw error;
-      buffer.dropRemainder();
+      if (!(error instanceof UpstreamError)) throw error;
+      // After any other event, a resumed stream would repeat or skip some.
+      if (!buffer.hasKnownPosition() || !loop.mayRetry(run, error)) throw error;
+      hasBegunEvent = buffer.remainder().length > 0 || (hasBegunEvent && buffer.eventCount() === 0);
+      buffer.beginStream();
       writeLog("resuming", { request: run.request.id, after: buffer.lastId() ?? null });
-      answer = await loop.begin(run, buffer.lastId());
+      const answer = await loop.begin(run, buffer.lastId());
       if (!isSuccess(answer.head)) throw failures.outcomeUnknown(error);
+      events = followingEvents(answer, buffer, hasBegunEvent);
     }
   }
 };
