Reset the connections of broken answers that have no chunks

Callers of HTTP/1.0 get answers that end with their connection. A stream that broke off was ended by an ordinary end of it, as was the answer of a caller that stopped reading, and looked complete. Such connections are reset now. Answers with chunks lack their last one, as before.

--- a/src/transport/forwarding/callerBuffers.ts
+++ b/src/transport/forwarding/callerBuffers.ts
@@ -6,6 +6,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { steadyNow } from "../../state/steadyTime.ts";
+import { breakOff } from "./breakOff.ts";
 
 /** Between two checks of the bound, milliseconds. In between, a stream adds at most what one write buffers. */
 const checkInterval = 250;
@@ -81,7 +82,7 @@
   const cutOff = ({ response, bufferedBytes, lastReadAt }: TrackedAnswer, now: number): void => {
     writeLog("cut_off", { bufferedBytes, milliseconds: Math.round(now - lastReadAt) });
     metrics.count(metricNames.callersCutOff);
-    response.destroy();
+    breakOff(response);
   };
 
   const resumeAll = (): void => {
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -12,6 +12,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { CallerBuffer } from "./callerBuffers.ts";
+import { breakOff } from "./breakOff.ts";
 import { createCallerBuffers } from "./callerBuffers.ts";
 
 export interface ForwardingServerDependencies {
@@ -161,7 +162,7 @@
       const answer = await forward(await decode(message), disconnected.signal);
       await writeAnswer(response, answer);
     } catch (error) {
-      if (response.headersSent || response.destroyed) response.destroy();
+      if (response.headersSent || response.destroyed) breakOff(response);
       else writeError(response, error);
     }
   };
