Let the engine stand-in and the soak of the emulator send streams without a frame

Streams of the own interface had no case without a length or chunks either. The fault unframed leaves both out, and a stream that closes early then ends in the ordinary way, inside an event. Engines of the own interface end with [DONE], so that the router needs no change: such streams go on at another engine.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -106,6 +106,13 @@
     serviceRefuses: () => injectStandInFaults("service", { refuse: true }, { refuse: false }),
     engineCloses: () =>
       injectStandInFaults("engine", { closeEarlyAfterTokens: 7 }, { closeEarlyAfterTokens: null }),
+    engineEndsInsideEvent: () =>
+      injectStandInFaults(
+        "engine",
+        { unframed: true, closeEarlyAfterTokens: 7 },
+        { unframed: false, closeEarlyAfterTokens: null },
+      ),
+    engineUnframed: () => injectStandInFaults("engine", { unframed: true }, { unframed: false }),
     engineStalls: () => injectStandInFaults("engine", { stallAfterTokens: 9 }, { stallAfterTokens: null }),
     engineCrossesAnswers: () => injectStandInFaults("engine", { crossAnswers: 2 }, { crossAnswers: 0 }),
     engineOutage: () => injectStandInFaults("engine", { outage: true }, { outage: false }),
--- a/standIns/engine/answers.ts
+++ b/standIns/engine/answers.ts
@@ -71,6 +71,9 @@
   await pollUntil(() => !isReached(faults.stallAfterTokens) || response.destroyed, closed);
 };
 
+/** Bytes that an event lacks inside which an unframed stream ends. */
+const missingBytes = 9;
+
 const streamChunks = async function* (
   generation: Generation,
   from: number,
@@ -81,6 +84,11 @@
   const { formatText, formatEnd } = createChunkFormatter(generation, id);
   let sent = 0;
   for (;;) {
+    const { unframed, closeEarlyAfterTokens } = context.faults;
+    if (unframed && closeEarlyAfterTokens !== null && sent >= closeEarlyAfterTokens) {
+      yield formatText("half", null).slice(0, -missingBytes);
+      return;
+    }
     await applyStreamFaults(context, sent, response);
     const start = from + sent;
     const ready = generation.tokens.slice(start, start + tokensUntilFault(context.faults, sent));
@@ -135,6 +143,7 @@
     ? garbageChunks()
     : streamChunks(generation, from, id, context, response);
   const headers = { "content-type": "text/event-stream", ...answerHeaders(generation, id) };
+  if (context.faults.unframed) response.useChunkedEncodingByDefault = false;
   return { status: 200, headers, body };
 };
 
--- a/standIns/engine/types.ts
+++ b/standIns/engine/types.ts
@@ -54,6 +54,8 @@
   garbage: nextAnswers,
   /** Each stream's connection is cut after this number of tokens. */
   closeEarlyAfterTokens: afterTokens,
+  /** Streams have neither a length nor chunks; one that closes early ends in the ordinary way, inside an event. */
+  unframed: z.boolean().default(false),
   /** Each stream stalls after this number of tokens. */
   stallAfterTokens: afterTokens,
   /** The engine crashes once a stream has sent this number of tokens; the switch is then reset. */
--- a/tests/streams.test.ts
+++ b/tests/streams.test.ts
@@ -70,6 +70,18 @@
     }
   });
 
+  // The end of a connection is no end marker.
+  it("continues at other engines that end their connections inside an event, without a length or chunks", async () => {
+    const undisturbed = await askUndisturbed();
+    await using system = await startWith({});
+    for (const engine of system.engines) engine.faults.unframed = true;
+    expectSame(await ask(system), undisturbed);
+    expect(system.engines.flatMap((engine) => engine.executions()).length).toEqual(1);
+    for (const engine of system.engines) engine.faults.closeEarlyAfterTokens = 3;
+    expectSame(await ask(system), undisturbed);
+    expect(system.engines.flatMap((engine) => engine.executions()).length).toEqual(1 + tokens / 3 + 1);
+  });
+
   it("is complete also as a response without streaming", async () => {
     const undisturbed = await askUndisturbed();
     await using system = await startWith({});
