Let a resumed stream be empty after a part of a comment

A stream that broke off inside a comment after its last event was taken to have begun another event, so that a whole resumed stream without one failed. Only a part of an event counts as begun now, and an event without its empty line in a stream whose end is marked counts as one. A stream with chunks and no event is not logged as unfinished any more.

--- a/src/coordination/forwarding/eventBuffer.ts
+++ b/src/coordination/forwarding/eventBuffer.ts
@@ -13,7 +13,9 @@
   readonly remainder: () => Buffer;
   /** Discards the bytes after the last complete event; the bytes that follow are those of another stream. */
   readonly beginStream: () => void;
-  /** @returns The number of complete events of the current stream. */
+  /** @returns Whether the bytes after the last complete event are those of another one. */
+  readonly hasBegunEvent: () => boolean;
+  /** @returns The number of complete events that were returned of the current stream. */
   readonly eventCount: () => number;
   /** @returns The id of the last complete event that had one. */
   readonly lastId: () => string | undefined;
@@ -69,6 +71,7 @@
 export const createEventBuffer = (firstPosition?: string): EventBuffer => {
   let scanner = createEventScanner();
   let rest: Buffer[] = [];
+  let returnedEvents = 0;
   let isAtBeginning = true;
   let isFirstStream = true;
   let lastId = firstPosition;
@@ -107,16 +110,19 @@
       }
       const events = Buffer.concat([...rest, chunk.subarray(0, end)]);
       rest = [chunk.subarray(end)];
+      returnedEvents = scanner.eventCount();
       return take(events);
     },
     remainder: () => Buffer.concat(rest),
     beginStream: () => {
       scanner = createEventScanner();
       rest = [];
+      returnedEvents = 0;
       isAtBeginning = true;
       isFirstStream = false;
     },
-    eventCount: () => scanner.eventCount(),
+    hasBegunEvent: () => scanner.hasBegunEvent() || scanner.eventCount() > returnedEvents,
+    eventCount: () => returnedEvents,
     lastId: () => lastId,
     isInOrder: () => isInOrder,
     hasKnownPosition: () => isInOrder && hasOwnId,
--- a/src/coordination/forwarding/eventScanner.ts
+++ b/src/coordination/forwarding/eventScanner.ts
@@ -23,6 +23,8 @@
   readonly scan: (chunk: Buffer) => number;
   /** @returns The number of bytes after the last event or comment that is complete; 0 if all are. */
   readonly unfinishedBytes: () => number;
+  /** @returns Whether a part of an event has been read, not only of a comment. */
+  readonly hasBegunEvent: () => boolean;
   /** @returns The number of events that are complete. */
   readonly eventCount: () => number;
 }
@@ -83,6 +85,7 @@
       return end;
     },
     unfinishedBytes: () => (isBetweenEvents() ? 0 : heldBytes),
+    hasBegunEvent: () => isInsideEvent || (lineLength > 0 && !isComment),
     eventCount: () => eventCount,
   };
 };
--- a/src/coordination/forwarding/streamEnd.ts
+++ b/src/coordination/forwarding/streamEnd.ts
@@ -42,9 +42,9 @@
     yield chunk;
   }
   const unfinishedBytes = scanner.unfinishedBytes();
-  const lacksEvents = scanner.eventCount() === 0 && lastEventId === undefined;
-  if (unfinishedBytes === 0 && !lacksEvents) return;
   const { framing } = answer;
+  const lacksEvents = framing === "connection" && scanner.eventCount() === 0 && lastEventId === undefined;
+  if (unfinishedBytes === 0 && !lacksEvents) return;
   metrics.count(metricNames.unfinishedStreams, 1, { framing });
   writeLog("unfinished_event", {
     request: request.id,
--- a/src/coordination/forwarding/streamRelay.ts
+++ b/src/coordination/forwarding/streamRelay.ts
@@ -50,7 +50,7 @@
     if (!buffer.isInOrder()) throw upstreamError("the resumed stream goes back", "malformed", "streaming");
     yield events;
   }
-  if (hasBegunEvent && buffer.eventCount() === 0)
+  if (hasBegunEvent && buffer.eventCount() === 0 && buffer.remainder().length === 0)
     throw upstreamError("the resumed stream lacks an event that was begun", "malformed", "streaming");
 };
 
@@ -70,7 +70,7 @@
       if (!(error instanceof UpstreamError)) throw error;
       // After any other event, a resumed stream would repeat or skip some.
       if (!buffer.hasKnownPosition() || !loop.mayRetry(run, error)) throw error;
-      hasBegunEvent = buffer.remainder().length > 0 || (hasBegunEvent && buffer.eventCount() === 0);
+      hasBegunEvent = buffer.hasBegunEvent() || (hasBegunEvent && buffer.eventCount() === 0);
       buffer.beginStream();
       writeLog("resuming", { request: run.request.id, after: buffer.lastId() ?? null });
       const answer = await loop.begin(run, buffer.lastId());
--- a/tests/platform/brokenStreams.test.ts
+++ b/tests/platform/brokenStreams.test.ts
@@ -153,6 +153,27 @@
     expect([answer.isCut, idsOf(answer.body)]).toEqual([true, [1, 2]]);
   });
 
+  it("may end with an event without an empty line if its end is marked", async () => {
+    await using system = await startPlatformSystem({ engine: { events: { count: 3, pause: 5 } } });
+    const last = createRawStream({
+      framing: "chunks",
+      formatEvent: ({ id, data }) => `id: ${id}\ndata: ${data}\n`,
+    });
+    const begun = createRawStream({
+      stop: "insideData",
+      formatEvent: ({ id, data }) => `id: ${id}\ndata: ${data}\n\n`,
+    });
+    await sendRequest(system.router, tag);
+    const home = system.engines.find(({ runs }) => runs.length > 0);
+    for (const engine of system.engines) engine.setBehaviours(engine === home ? begun : last);
+    const answer = await sendRequest(system.router, { ...tag, id: "marked" });
+    expect([answer.isCut, answer.body.startsWith("id: 1\n"), runCount(system, "marked")]).toEqual([
+      false,
+      true,
+      2,
+    ]);
+  });
+
   it("is broken off if the other replica has nothing left of an event that was begun", async () => {
     await using system = await startPlatformSystem();
     const answer = await sendToBroken(system, createRawStream({ stop: "insideData" }), {
