Check the retry budget of all routers in the soak

Callers of other requests pay for repeats beyond the budget, and the soak did not look at them (open since the incident of repeats beyond the budget). Each window of the bound counts the arrivals beyond the first of each request at the replicas of a service, against a fifth of its requests and the reserve, with what changes of settings may add.

--- a/soak/platform/checks.test.ts
+++ b/soak/platform/checks.test.ts
@@ -81,7 +81,14 @@
   shutdowns: [],
   operator: { revokedKeys: [], weights: [] },
   proofAges: [0, 300],
-  bounds: { keyRevocation: 2_000, drain: 800, weights: 6_000 },
+  bounds: {
+    keyRevocation: 2_000,
+    drain: 800,
+    weights: 6_000,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    retryReserve: 3,
+  },
   lastStepEndedAt: 20_000,
   ...fields,
   callers: [...(fields.callers ?? []), ...recovered],
@@ -116,6 +123,24 @@
     expect(violatedPromises({ callers: [caller("a", { name: "ask", body, isCut: true })] })).toEqual([]);
   });
 
+  it("find repeated arrivals beyond the retry budget, over all replicas of a service", () => {
+    const arrivals = (count: number): readonly Arrival[] =>
+      Array.from({ length: count }, (_, index) =>
+        arrival("router-0", 1_000 + index, { headers: { "x-attempt-id": "a" } }),
+      );
+    const violations = (count: number) =>
+      violatedPromises({
+        callers: [caller("a")],
+        replicas: [
+          replica({ id: "first", arrivals: arrivals(1) }),
+          replica({ id: "second", arrivals: arrivals(count) }),
+        ],
+      });
+    // The reserve of three and a fifth of one request.
+    expect(violations(3)).toEqual([]);
+    expect(violations(4)).toEqual(["repeated arrivals stay within the retry budget of all routers"]);
+  });
+
   it("find an answer that is not the beginning of the right one although its caller has left", () => {
     const padding = 1_000;
     const whole = streamBody("a", 2);
--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -4,6 +4,7 @@
 import { routerHeader } from "../../tests/support/limitedReplicas.ts";
 import { floodingOrganisation } from "./callers.ts";
 import type { Violation } from "../types.ts";
+import { findRetryBudgetOverruns } from "./retryBudgetCheck.ts";
 import type { CallerRecord, SoakHistory, ReplicaRecord, RequestName, StepRecord } from "./types.ts";
 
 /** Number of events in every stream of the stand-in's engines. */
@@ -411,6 +412,7 @@
   ...findRequestsAfterDrain(history),
   ...findRequestsAfterDrainingReport(history),
   ...findRequestsInBackoff(history),
+  ...findRetryBudgetOverruns(history),
   ...history.replicas.flatMap(({ id, orders }) => findOrderConflicts(id, orders)),
   ...findOutdatedWeights(history),
   ...findSharedCacheSalts(history),
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -7,6 +7,7 @@
 import { floodingOrganisation } from "./callers.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
 import type { Step, StepKind } from "./plan.ts";
+import { maxAddedReserve } from "./retryBudgetCheck.ts";
 import { bounds } from "./soakSystem.ts";
 import type { ReplicaSlot, RouterSlot, SoakSystem } from "./soakSystem.ts";
 import type { ShutdownRecord, OperatorActions, StepRecord } from "./types.ts";
@@ -325,7 +326,7 @@
 
   const changeSettings = async (slot: RouterSlot | undefined, target: number): Promise<void> => {
     if (slot === undefined) return;
-    await system.writeSettings(slot, bounds.retryReserve + Math.floor(target * 10));
+    await system.writeSettings(slot, bounds.retryReserve + Math.floor(target * maxAddedReserve));
     slot.process?.kill("SIGHUP");
   };
 
--- a/soak/platform/types.ts
+++ b/soak/platform/types.ts
@@ -69,7 +69,14 @@
   readonly steps: readonly StepRecord[];
   readonly shutdowns: readonly ShutdownRecord[];
   readonly operator: OperatorActions;
-  readonly bounds: { readonly keyRevocation: number; readonly drain: number; readonly weights: number };
+  readonly bounds: {
+    readonly keyRevocation: number;
+    readonly drain: number;
+    readonly weights: number;
+    readonly retryRatio: number;
+    readonly retryWindowSeconds: number;
+    readonly retryReserve: number;
+  };
   /** Ages of the proofs of the configuration, from the routers' logs, milliseconds. */
   readonly proofAges: readonly number[];
   /** When the last step had ended. */
