Word the failure of streams without events like that of unfinished ones

The reason in stream_broken and attempt_failed said that a connection ended inside an event also where there was none at all. It says now that the stream was not whole. No decision changes.

--- a/src/coordination/forwarding/streamEnd.ts
+++ b/src/coordination/forwarding/streamEnd.ts
@@ -55,5 +55,5 @@
   });
   // A length or a last chunk is the replica's own word that the stream is whole.
   if (framing === "connection")
-    throw upstreamError("the connection ended inside an event", "closed_early", "streaming");
+    throw upstreamError("the connection ended before the stream was whole", "closed_early", "streaming");
 };
