Name what the buffer of events does with them

A newcomer could not tell from take that it also notes where a stream stands. Names and comments only; the tests of the buffer and the relay pass.

--- a/src/coordination/forwarding/eventBuffer.ts
+++ b/src/coordination/forwarding/eventBuffer.ts
@@ -93,7 +93,8 @@
       ? events.subarray(byteOrderMark.length)
       : events;
 
-  const take = (events: Buffer): Buffer => {
+  /** @returns The bytes of the events as they are passed on. */
+  const noteEvents = (events: Buffer): Buffer => {
     const lines = isAtBeginning ? withoutByteOrderMark(events) : events;
     isAtBeginning = false;
     for (const event of readEvents(lines.toString("latin1"))) noteEvent(event);
@@ -111,7 +112,7 @@
       const events = Buffer.concat([...rest, chunk.subarray(0, end)]);
       rest = [chunk.subarray(end)];
       returnedEvents = scanner.eventCount();
-      return take(events);
+      return noteEvents(events);
     },
     remainder: () => Buffer.concat(rest),
     beginStream: () => {
--- a/src/coordination/forwarding/streamEnd.ts
+++ b/src/coordination/forwarding/streamEnd.ts
@@ -14,7 +14,7 @@
 
 const eventStreamType = "text/event-stream";
 
-/** Whether the body consists of events; so it does on a streaming route unless the replica names another type. */
+/** Whether the body consists of events: on a streaming route it does unless the replica names another type. */
 const isEventStream = ({ headers }: AnswerHead): boolean => {
   const name = headers.findIndex((each, index) => index % 2 === 0 && each.toLowerCase() === "content-type");
   return name === -1 || headers[name + 1]?.toLowerCase().startsWith(eventStreamType) === true;
