Log how many replicas of a service a router can't reach

Change: the final line of a request has unreachable, as 4/4, where its router can't reach replicas of the service. No decision changes.

--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -79,6 +79,7 @@
     open -= 1;
     const milliseconds = Math.round(clock.monotonic() - request.arrivedAt);
     const { kind } = admission.route;
+    const reach = dependencies.availability.countReachable(admission.service.name);
     const sizeFifth = run.sizeFifth ?? null;
     metrics.count(metricNames.requests, 1, { kind, outcome });
     if (sizeFifth !== null) {
@@ -105,6 +106,7 @@
       waitedForPart: Math.round(run.waited()),
       ...describeOwnerQuery(run.ownerQuery()),
       ...(skipped === undefined ? {} : { skipped }),
+      ...(reach.unreachable === 0 ? {} : { unreachable: `${reach.unreachable}/${reach.serving}` }),
       ...(reason === undefined ? {} : { reason }),
     });
   };
--- a/src/coordination/replicaReports/availability.ts
+++ b/src/coordination/replicaReports/availability.ts
@@ -23,6 +23,14 @@
   readonly retryAfter: (service: string) => number | undefined;
   /** @returns The replicas that are not available, with the reasons, for the log; `undefined` if all are. */
   readonly describeSkipped: (service: string) => string | undefined;
+  /** @returns How many replicas of a service serve, and how many of them this router can't reach. */
+  readonly countReachable: (service: string) => ReachableCount;
+}
+
+/** How many replicas of a service there are, as this router sees them. */
+export interface ReachableCount {
+  readonly serving: number;
+  readonly unreachable: number;
 }
 
 /** Creates the view of which replicas in a table are available. */
@@ -61,5 +69,11 @@
     return shortest + random() * (longest - shortest);
   };
 
-  return { available, retryAfter, describeSkipped };
+  const countReachable = (service: string): ReachableCount => {
+    const serving = replicas.serving(service);
+    const unreachable = serving.filter(({ isUnreachable }) => isUnreachable);
+    return { serving: serving.length, unreachable: unreachable.length };
+  };
+
+  return { available, retryAfter, describeSkipped, countReachable };
 };
