--- a/standIns/platform/platformSystem.ts
+++ b/standIns/platform/platformSystem.ts
@@ -8,6 +8,8 @@
 import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
 import type { ReplicaSettings, ReplicaStandIn, ReportHeaders, ExecutedRequest } from "./replica.ts";
 import { startReplicaStandIn } from "./replica.ts";
+import type { PartitionMode, RouterNetwork } from "./routerNetwork.ts";
+import { createRouterNetwork } from "./routerNetwork.ts";
 import type { StoreStandIn } from "./store.ts";
 import { startStoreStandIn } from "./store.ts";
 
@@ -239,10 +241,18 @@
   readonly register: (replica: ReplicaStandIn, fields: Readonly<Record<string, unknown>> | undefined) => void;
   /** @param routerStore - The store that the router connects to, if not {@link PlatformSystem.store} itself. */
   readonly startRouter: (routerStore?: StoreStandIn) => Promise<ForwardingRouter>;
+  /** @param partition - Begins before the router starts; `undefined` for none. */
+  readonly startPartitionable: (partition?: PartitionMode) => Promise<PartitionableRouter>;
   /** Stops all routers. */
   readonly stopRouters: () => Promise<void>;
 }
 
+/** A router whose network can be partitioned from the replicas. */
+export interface PartitionableRouter {
+  readonly router: ForwardingRouter;
+  readonly network: RouterNetwork;
+}
+
 /** @returns The names under which routers are registered. */
 export const registeredRouters = ({ store }: Pick<PlatformSystem, "store">): readonly string[] => [
   ...store.topics.newest("keyed.routers").keys(),
@@ -339,6 +349,17 @@
     return router;
   };
 
+  const isReplicaPort = (port: number): boolean =>
+    [...desks, ...engines].some(({ address }) => address.endsWith(`:${port}`));
+  const networks: RouterNetwork[] = [];
+
+  const startPartitionable = async (partition?: PartitionMode): Promise<PartitionableRouter> => {
+    const network = createRouterNetwork(isReplicaPort);
+    networks.push(network);
+    if (partition !== undefined) network.partition(partition);
+    return { router: await network.run(() => startRouter()), network };
+  };
+
   const stopRouters = async (): Promise<void> => {
     routersStarted = 0;
     await Promise.all(routers.splice(0).map((each) => each[Symbol.asyncDispose]()));
@@ -361,9 +382,11 @@
     publishWeightsVersion: writers.publishWeightsVersion,
     register,
     startRouter,
+    startPartitionable,
     stopRouters,
     [Symbol.asyncDispose]: async () => {
       await stopRouters();
+      await Promise.all(networks.map((each) => each[Symbol.asyncDispose]()));
       await Promise.all([...desks, ...engines].map((each) => each[Symbol.asyncDispose]()));
       await store[Symbol.asyncDispose]();
     },
