Take a refused connection for a crash only beside a path to another replica

Cause: refused connections counted as proof that a process had ended. A network that resets connections refuses new ones as well, so that each cut router reported a crash of every replica it had requests at, and all routers quarantined the requests.

Change: a crash is reported only if another replica accepts a connection, one of the same data centre if there is one. What is not proven is logged as crash_unproven.

Not covered: a router that is cut off from three replicas or more of a data centre, and not from the others there.

--- a/src/coordination/crashes/crashMonitor.test.ts
+++ b/src/coordination/crashes/crashMonitor.test.ts
@@ -12,7 +12,7 @@
 const first: Suspect = { fingerprint: "1", hasBegun: false };
 const second: Suspect = { fingerprint: "2", hasBegun: true };
 
-const create = () => {
+const create = (hasOtherPath = true) => {
   const clock = createManualClock(1_000);
   const replicas = createReplicaTable();
   replicas.put(engineEntry("a"));
@@ -28,6 +28,7 @@
         return Promise.resolve(state.trial);
       },
     },
+    paths: { hasOtherPath: () => Promise.resolve(hasOtherPath) },
     clock,
     onCrash: (crash) => crashes.push(crash),
   });
@@ -57,6 +58,13 @@
     }
   });
 
+  it("reports no crash where no other replica accepts a connection either", async () => {
+    const { replica, crashes, monitor, advance } = create(false);
+    monitor.noteBrokenConnection(replica, first);
+    await advance();
+    expect(crashes).toEqual([]);
+  });
+
   it("reports no crash of a replica that drains or has left", async () => {
     const { replicas, replica, crashes, monitor, advance } = create();
     monitor.noteBrokenConnection(replica, first);
--- a/src/coordination/crashes/crashMonitor.ts
+++ b/src/coordination/crashes/crashMonitor.ts
@@ -1,6 +1,9 @@
 /**
  * Distinguishes replicas whose process has ended from those that only broke a connection: the former refuse new
  * connections. A crash is reported with the requests that were in flight there, since one of them may be the cause.
+ *
+ * The network can refuse connections as well. A refusal proves a crash only if this router reaches other replicas:
+ * otherwise routers that are cut off would have requests quarantined that other routers serve.
  */
 import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
@@ -9,12 +12,14 @@
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
+import type { PathProbes } from "../replicaPaths/pathProbes.ts";
 import { connectionProbeTimeout } from "../forwarding/constants.ts";
 import { crashProbeDelay } from "./constants.ts";
 
 export interface CrashMonitorDependencies {
   readonly replicas: Pick<ReplicaTable, "get">;
   readonly client: Pick<ReplicaClient, "probeConnection">;
+  readonly paths: Pick<PathProbes, "hasOtherPath">;
   readonly clock: Clock;
   /** Called again if more broken requests of the same replica are found later. */
   readonly onCrash: (crash: ReplicaCrash) => void;
@@ -31,6 +36,7 @@
 export const createCrashMonitor = ({
   replicas,
   client,
+  paths,
   clock,
   onCrash,
 }: CrashMonitorDependencies): CrashMonitor => {
@@ -41,14 +47,24 @@
   const mayCrash = (replica: ReplicaState): boolean =>
     replicas.get(replica.entry.id) === replica && !replica.entry.isDraining;
 
+  const refusesConnections = async ({ entry }: ReplicaState): Promise<boolean> =>
+    (await client.probeConnection(entry, connectionProbeTimeout)) === "refused";
+
+  const hasCrashed = async (replica: ReplicaState): Promise<boolean> => {
+    // A router that is cut off from the network gets no response from any replica.
+    if (!(await refusesConnections(replica))) return false;
+    if (await paths.hasOtherPath(replica)) return true;
+    writeLog("crash_unproven", { replica: replica.entry.id, service: replica.entry.service });
+    return false;
+  };
+
   const probe = async (replica: ReplicaState): Promise<void> => {
     const { entry } = replica;
     await pause(clock, crashProbeDelay);
-    const result = await client.probeConnection(entry, connectionProbeTimeout);
+    const isCrash = await hasCrashed(replica);
     const suspects = pending.get(entry.id) ?? [];
     pending.delete(entry.id);
-    // A router that is cut off from the network gets no response from any replica: only a refusal proves a crash.
-    if (result !== "refused" || !mayCrash(replica)) return;
+    if (!isCrash || !mayCrash(replica)) return;
     const requests = suspects.map(({ fingerprint }) => fingerprint).join(" ");
     writeLog("crashed", { replica: entry.id, service: entry.service, requests });
     onCrash({ replica: entry.id, suspects });
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -37,6 +37,7 @@
 import type { LoadFeatures } from "./loadFeatures.ts";
 import type { LoadPolicy } from "./loadPolicy.ts";
 import { noOrganisation, organisationKeyOf } from "./organisationKey.ts";
+import { createPathProbes } from "../replicaPaths/pathProbes.ts";
 import { createPartSaving } from "../placement/partSaving.ts";
 import { countOtherDataCentres } from "../placement/dataCentreCounter.ts";
 import { registerMemoryGauge } from "../placement/memoryGauge.ts";
@@ -138,6 +139,7 @@
   const { speeds } = view;
   const estimates = createReplicaEstimates(speeds && { replicas, clock, speeds });
   const health = createReplicaHealth(replicas, clock);
+  const probes = createPathProbes({ replicas, client, clock, random });
   resources.use(
     startReplicaMonitor({
       replicas,
@@ -223,7 +225,7 @@
     estimates,
     speeds,
     health,
-    crashes: createCrashMonitor({ replicas, client, clock, onCrash: quarantine.noteCrash }),
+    crashes: createCrashMonitor({ replicas, client, paths: probes, clock, onCrash: quarantine.noteCrash }),
     quarantine,
     saving,
     memory,
--- /dev/null
+++ b/src/coordination/replicaPaths/constants.ts
@@ -0,0 +1,32 @@
+/** Limits of the checks whether this router has paths to replicas. Durations are milliseconds. */
+
+/** Timeout of a connection that is opened to check a path: many times the round trip within a region. */
+export const pathProbeTimeout = 100;
+
+/** A probe that ends later than this after its timeout shows that this process did not run meanwhile. */
+export const maxProbeDelay = 50;
+
+/** Number of replicas of a service that are probed at once, and how many times with other replicas before it is lost. */
+export const probesPerRound = 4;
+export const roundsPerCheck = 2;
+
+/** With responses pending, silence of all replicas for this long leads to a check. */
+export const silenceBeforeCheck = 80;
+
+/** Between two checks because of silence: a lone long prompt is silent until its first token. */
+export const silenceCheckInterval = 1_000;
+
+/** After a check that found a path, failures lead to no other one for this long. */
+export const failureCheckInterval = 200;
+
+/** Interval between two checks of a service without a path; doubles up to the longest. */
+export const lostCheckIntervals = { shortest: 150, longest: 300 } as const;
+
+/** Intervals of the poll that looks for silence, with and without responses pending. */
+export const pollIntervals = { busy: 40, idle: 100 } as const;
+
+/**
+ * A service that no router has a path to is refused at once only after this time: replicas that fall silent for a second
+ * may go on.
+ */
+export const toleratedSilence = 1_500;
--- /dev/null
+++ b/src/coordination/replicaPaths/pathProbes.ts
@@ -0,0 +1,68 @@
+/** Opens connections to replicas only to learn whether this router has paths to them. */
+import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { Clock } from "../clock.ts";
+import { maxProbeDelay, pathProbeTimeout, probesPerRound } from "./constants.ts";
+
+export interface PathProbesDependencies {
+  readonly replicas: Pick<ReplicaTable, "all">;
+  readonly client: Pick<ReplicaClient, "probeConnection">;
+  readonly clock: Clock;
+  /** @returns A number from 0 to 1. */
+  readonly random: () => number;
+}
+
+export interface PathProbes {
+  /** @returns Whether one of the replicas accepts a connection; resolves with the first one that does. */
+  readonly anyAccepts: (replicas: readonly ReplicaState[]) => Promise<boolean>;
+  /**
+   * Whether another replica accepts a connection, so that failures at this one say something about it. Replicas of its
+   * data centre are asked first, since this router may be cut off from a data centre only.
+   *
+   * @returns `true` also if there is no other replica.
+   */
+  readonly hasOtherPath: (replica: ReplicaState) => Promise<boolean>;
+  /** @returns At most a number of replicas in random order, those first that were not found unreachable. */
+  readonly sample: (replicas: readonly ReplicaState[], count: number) => readonly ReplicaState[];
+}
+
+/** @returns Resolves with `true` once one of the promises does, with `false` when none has. */
+const anyTrue = (promises: readonly Promise<boolean>[]): Promise<boolean> =>
+  new Promise((resolve, reject) => {
+    const resolveIfTrue = (value: boolean): void => {
+      if (value) resolve(true);
+    };
+    Promise.all(promises.map((each) => each.then(resolveIfTrue))).then(() => resolve(false), reject);
+  });
+
+/** Creates the probes of the replicas in a table. */
+export const createPathProbes = ({ replicas, client, clock, random }: PathProbesDependencies): PathProbes => {
+  const accepts = async ({ entry }: ReplicaState): Promise<boolean> => {
+    const startedAt = clock.monotonic();
+    if ((await client.probeConnection(entry, pathProbeTimeout)) === "made") return true;
+    // Where this process did not run, the timeout passed without a chance for an answer.
+    const wasDelayed = clock.monotonic() - startedAt > pathProbeTimeout + maxProbeDelay;
+    return wasDelayed && (await client.probeConnection(entry, pathProbeTimeout)) === "made";
+  };
+
+  const anyAccepts = (probed: readonly ReplicaState[]): Promise<boolean> => anyTrue(probed.map(accepts));
+
+  const sample = (candidates: readonly ReplicaState[], count: number): readonly ReplicaState[] =>
+    candidates
+      .map((replica) => ({ replica, rank: random() + (replica.isUnreachable ? 1 : 0) }))
+      .sort((left, right) => left.rank - right.rank)
+      .slice(0, count)
+      .map(({ replica }) => replica);
+
+  return {
+    anyAccepts,
+    hasOtherPath: async (accused) => {
+      const others = replicas.all().filter((replica) => replica !== accused);
+      const near = others.filter(({ entry }) => entry.dataCentre === accused.entry.dataCentre);
+      const probed = near.length > 0 ? near : others;
+      return probed.length === 0 || (await anyAccepts(sample(probed, probesPerRound)));
+    },
+    sample,
+  };
+};
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -93,7 +93,8 @@
         resolve(trial);
       };
       socket.once("connect", () => finish("made"));
-      socket.once("timeout", () => finish("silent"));
+      // The timer of a process that did not run for a while fires before a connection that was established meanwhile.
+      socket.once("timeout", () => setImmediate(finish, "silent"));
       socket.once("error", ({ code = "" }: NodeJS.ErrnoException) =>
         finish(networkErrorCodes.has(code) ? "silent" : "refused"),
       );
