Pass requests on to a router with paths while this one has none

Cause: a router knew no other way to a replica than its own paths. It took what it saw of them for the state of the replicas, and refused what any other router would serve.

Change: failed connections, or silence of all replicas that owe responses, lead to a check by new connections. A service without a path is lost to this router, and its requests go to a router that reports paths: once at a time and never further, with the time that is left, the replicas that were tried, the caller's own key. The other router admits them as its own callers' requests.

--- a/src/coordination/admission/usageAdmission.ts
+++ b/src/coordination/admission/usageAdmission.ts
@@ -14,7 +14,8 @@
 
 export interface UsageAdmission {
   /**
-   * Charges a request to the limit before it is sent anywhere.
+   * Charges a request to the limit before it is sent to a replica, once. A request that another router takes on is
+   * charged there.
    *
    * @throws `RequestError` where the limit is exceeded.
    */
@@ -41,7 +42,7 @@
   return {
     admit: async (run) => {
       const { organisation } = run.admission;
-      if (organisation?.limit === undefined) return;
+      if (organisation?.limit === undefined || charged.has(run)) return;
       const amount = usageOf(run.request, organisation.limit);
       const wait = await limits.acquire(organisation.name, amount);
       if (wait === undefined) {
--- a/src/coordination/estimates/promptsComputed.test.ts
+++ b/src/coordination/estimates/promptsComputed.test.ts
@@ -48,7 +48,7 @@
     check: () => Promise.resolve(),
     holders: { notePrompt: () => [] },
     reports: { noteRequestSent: nothing, noteWorkChanged: nothing },
-    health: { noteSuccess: nothing, noteFailure: nothing },
+    health: { noteSuccess: nothing, noteFailure: nothing, noteBrokenConnection: nothing },
     crashes: { noteBrokenConnection: nothing },
     quarantine: { noteAnswered: nothing },
     announcesSaves: () => false,
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -1,5 +1,6 @@
 /** Sends a request to one replica after another, as far as it may be retried, until a response has started. */
 import { UpstreamError } from "../../protocol/errors.ts";
+import type { CallerRequest } from "../../protocol/forwarding/types.ts";
 import type { RequestError } from "../../protocol/errors.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
@@ -13,6 +14,10 @@
 import type { RegistryFreshness } from "../storeReading/registryFreshness.ts";
 import { createGrantSearch } from "../replicaLimits/grantSearch.ts";
 import type { Availability } from "../replicaReports/availability.ts";
+import type { ReplicaPaths } from "../replicaPaths/replicaPaths.ts";
+import { createPassOn } from "../relaying/passOn.ts";
+import type { Relay } from "../relaying/relay.ts";
+import type { UsageAdmission } from "../admission/usageAdmission.ts";
 import type { ReplicaOwners } from "../replicaOwners/replicaOwners.ts";
 import type { RequestAdmission } from "../admission/requestAdmission.ts";
 import { attemptTimeoutShare } from "./constants.ts";
@@ -38,6 +43,9 @@
   /** @returns The key under which a request's organisation is counted; 0 if organisations are not counted. */
   readonly organisationKey: (admission: Admission) => number;
   readonly attempt: ForwardAttempt;
+  readonly paths: Pick<ReplicaPaths, "lostFor" | "whenChecked">;
+  readonly relay: Relay;
+  readonly usage: Pick<UsageAdmission, "admit">;
   readonly grants: LimitGrants;
   readonly retryShare: RetryShare;
   readonly weightsExclusion: WeightsExclusion;
@@ -84,12 +92,47 @@
 const attemptTimeout = (run: ForwardRun, now: number): number | undefined =>
   run.mayRepeat && run.hasAttemptsLeft() ? (run.deadline - now) * attemptTimeoutShare : undefined;
 
+/** @returns The error for the caller after the last attempt. */
+type FinalFailure = (
+  run: ForwardRun,
+  failure: UpstreamError | undefined,
+  search: GrantSearch,
+) => RequestError;
+
+const createFinalFailure = ({
+  quarantine,
+  grants,
+  availability,
+  metrics,
+  clock,
+}: AttemptLoopDependencies): FinalFailure => {
+  return (run, failure, search) => {
+    if (run.stopper.reason() === "deadline") return failures.deadlineExceeded(run.mayHaveRun(), failure);
+    if (run.mayHaveRun()) return failures.outcomeUnknown(failure);
+    if (quarantine.isQuarantined(run.request))
+      return failures.quarantined(quarantine.comeBackAfter(run.request));
+    if (search.wasLimited()) return grants.refuse(run);
+    const retryAfter = availability.retryAfter(run.admission.service.name);
+    if (retryAfter !== undefined) {
+      metrics.count(metricNames.rejectedUnavailable);
+      return failures.unavailable(retryAfter, failure);
+    }
+    return failures.notRun(run.deadline - clock.monotonic(), failure);
+  };
+};
+
 /** Creates the loop of attempts. */
 export const createAttemptLoop = (dependencies: AttemptLoopDependencies): AttemptLoop => {
   const { requestAdmission, placement, availability, owners, load, quarantine, grants, weightsExclusion } =
     dependencies;
   const { metrics, clock, registryFreshness } = dependencies;
   const { mayRetry, mayRetryAnswer } = createRetryPolicy(dependencies);
+  const finalFailure = createFinalFailure(dependencies);
+
+  const mayBeSent = (request: CallerRequest, before: number): boolean =>
+    requestAdmission.isKeyValid(request) && clock.monotonic() < before && !quarantine.isQuarantined(request);
+
+  const { hasPath, whenChecked, passOn } = createPassOn({ ...dependencies, maySend: mayBeSent });
 
   const attemptOnce = async (
     run: ForwardRun,
@@ -105,11 +148,15 @@
     metrics.count(metricNames.attempts);
     // A grant expires: if this process was paused since, the capacity may be granted to another request by now.
     const sendBefore = Math.min(deadline, grant?.until ?? deadline);
-    const maySend = (): boolean =>
-      requestAdmission.isKeyValid(request) &&
-      clock.monotonic() < sendBefore &&
-      !quarantine.isQuarantined(request);
-    const abandon = run.mayRepeat && run.hasAttemptsLeft() ? () => stopper.stop("silent") : undefined;
+    let isSent = false;
+    const maySend = (): boolean => {
+      isSent ||= mayBeSent(request, sendBefore);
+      return isSent;
+    };
+    const mayRepeat = run.mayRepeat && run.hasAttemptsLeft();
+    const abandon = (): void => {
+      if (mayRepeat || !isSent) stopper.stop("silent");
+    };
     try {
       const plan = { request, admission, choice, deadline, lastEventId, maySend, abandon };
       return await dependencies.attempt(plan, stopper.signal);
@@ -143,32 +190,6 @@
     return known.length > 0 ? known : replicas;
   };
 
-  const choose = (
-    { request, admission }: ForwardRun,
-    excluded: ReadonlySet<string>,
-    among: readonly ReplicaState[] | undefined,
-    search: GrantSearch,
-  ): PlacementChoice | PlacementFailure =>
-    placement.choose(request, admission, excluded, among, search.limitedChoice());
-
-  const finalFailure = (
-    run: ForwardRun,
-    failure: UpstreamError | undefined,
-    search: GrantSearch,
-  ): RequestError => {
-    if (run.stopper.reason() === "deadline") return failures.deadlineExceeded(run.mayHaveRun(), failure);
-    if (run.mayHaveRun()) return failures.outcomeUnknown(failure);
-    if (quarantine.isQuarantined(run.request))
-      return failures.quarantined(quarantine.comeBackAfter(run.request));
-    if (search.wasLimited()) return grants.refuse(run);
-    const retryAfter = availability.retryAfter(run.admission.service.name);
-    if (retryAfter !== undefined) {
-      metrics.count(metricNames.rejectedUnavailable);
-      return failures.unavailable(retryAfter, failure);
-    }
-    return failures.notRun(run.deadline - clock.monotonic(), failure);
-  };
-
   const waitForPart = async (run: ForwardRun, part: number): Promise<void> => {
     const startedAt = clock.monotonic();
     await dependencies.partWait(part, run.admission.route.latencyObjective, run.stopper.signal);
@@ -177,6 +198,7 @@
 
   const begin = async (run: ForwardRun, lastEventId: string | undefined): Promise<StartedAnswer> => {
     let failure: UpstreamError | undefined;
+    let wasPassedOn = false;
     let errorAnswer: StartedAnswer | undefined;
     let hasWaited = false;
     let isWide = false;
@@ -185,9 +207,26 @@
     // Checked before each attempt, also one that resumes a stream: the previous one may have shown that the request
     // crashes replicas.
     while (!quarantine.isQuarantined(run.request) && !search.isExhausted()) {
+      // A failed attempt may be the first sign of a partition.
+      if (failure !== undefined) await whenChecked(run);
+      if (!hasPath(run) && !wasPassedOn && (run.sentTo.size === 0 || run.hasAttemptsLeft())) {
+        wasPassedOn = true;
+        try {
+          const answer = await passOn(run, { lastEventId, timeout: attemptTimeout(run, clock.monotonic()) });
+          if (answer !== undefined) return answer;
+        } catch (error) {
+          if (!(error instanceof UpstreamError)) throw error;
+          failure = error;
+          if (!mayRetry(run, error)) break;
+          wasPassedOn = false;
+          continue;
+        }
+      }
+      await dependencies.usage.admit(run);
       const excluded = search.excluded(weightsExclusion.excludedFor(run));
       const known = owners.isEnabled() ? await queryOwners(run, excluded, isWide, search) : undefined;
-      const choice = choose(run, excluded, known, search);
+      const limited = search.limitedChoice();
+      const choice = placement.choose(run.request, run.admission, excluded, known, limited);
       run.noteSkipped(availability.describeSkipped(run.admission.service.name));
       if (typeof choice === "string") {
         if (search.widen(choice) || (await waitForWeights())) continue;
@@ -220,7 +259,9 @@
         if (!(error instanceof UpstreamError)) throw error;
         failure = error;
         run.noteFailure(choice, error);
-        if (!mayRetry(run, error)) break;
+        if (mayRetry(run, error)) continue;
+        await whenChecked(run);
+        if (error.progress !== "not_sent" || hasPath(run) || wasPassedOn) break;
       }
     }
     // A server error that a replica has sent is passed on.
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -3,6 +3,7 @@
  * for prompt parts, placement and attempts. Replicas and peers are only reached through the given dependencies, so that
  * simulations can replace them.
  */
+import type { RelayClient } from "../../protocol/forwarding/RelayClient.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import { createResourceStack } from "../../protocol/resourceStack.ts";
 import type { RegistryFreshness } from "../storeReading/registryFreshness.ts";
@@ -38,6 +39,11 @@
 import type { LoadPolicy } from "./loadPolicy.ts";
 import { noOrganisation, organisationKeyOf } from "./organisationKey.ts";
 import { createPathProbes } from "../replicaPaths/pathProbes.ts";
+import type { ReplicaPaths } from "../replicaPaths/replicaPaths.ts";
+import { startReplicaPaths } from "../replicaPaths/replicaPaths.ts";
+import type { Relay } from "../relaying/relay.ts";
+import { createRelay, noRelay } from "../relaying/relay.ts";
+import { createRelayTargets } from "../relaying/relayTargets.ts";
 import { createPartSaving } from "../placement/partSaving.ts";
 import { countOtherDataCentres } from "../placement/dataCentreCounter.ts";
 import { registerMemoryGauge } from "../placement/memoryGauge.ts";
@@ -71,6 +77,7 @@
     | "announceWork"
     | "announceLeaving"
     | "broadcastBackoff"
+    | "relayCandidates"
   >;
   readonly owners: Pick<ReplicaOwners, "isEnabled" | "isOwnerOf" | "query" | "reports">;
   readonly cacheStore: Pick<CacheStoreFollower, "findStore">;
@@ -88,6 +95,8 @@
   /** This router's data centre. */
   readonly dataCentre: string;
   readonly client: ReplicaClient;
+  /** Without it, requests are not passed on to other routers. */
+  readonly relayClient?: RelayClient;
   readonly view: DecisionView;
   readonly retryShare: RetryShare;
   readonly admit: RequestAdmission;
@@ -104,6 +113,7 @@
 /** The assembled forwarder; monitors replicas until it is disposed of. */
 export interface Decisions extends AsyncDisposable {
   readonly forwarder: Forwarder;
+  readonly paths: Pick<ReplicaPaths, "isPartitioned">;
 }
 
 const writeLog = createLogger("router");
@@ -130,6 +140,32 @@
   });
 };
 
+const createRelayOf = ({ relayClient, view, clock, metrics, random }: DecisionDependencies): Relay => {
+  if (relayClient === undefined) return noRelay;
+  const targets = createRelayTargets({ candidates: view.peers.relayCandidates, clock, random });
+  return createRelay({ client: relayClient, targets, clock, metrics });
+};
+
+/** Observes what replicas report of themselves in their answers. */
+const observeReports = (dependencies: DecisionDependencies): void => {
+  const { client, view, clock, metrics, random } = dependencies;
+  const { replicas, owners, peers } = view;
+  const observe = createReportObserver({
+    limits: view.replicaLimits,
+    replicas,
+    // With many routers, a broadcast costs more than the one request after which each router learns it itself.
+    onDraining: (id) => {
+      if (!owners.isEnabled()) peers.announceLeaving(id);
+    },
+    // With many routers, the work report to the replica's owner carries it instead.
+    onBackoff: peers.broadcastBackoff,
+    metrics,
+    clock,
+    random,
+  });
+  client.useGate(createReplicaGate({ replicas, observe, metrics, clock }));
+};
+
 /** Creates the forwarder and starts to monitor replicas. */
 export const createDecisions = (dependencies: DecisionDependencies): Decisions => {
   const { dataCentre, client, view, bounds, policy, features, clock, metrics, random } = dependencies;
@@ -138,8 +174,9 @@
   const resources = createResourceStack();
   const { speeds } = view;
   const estimates = createReplicaEstimates(speeds && { replicas, clock, speeds });
-  const health = createReplicaHealth(replicas, clock);
-  const probes = createPathProbes({ replicas, client, clock, random });
+  const health = createReplicaHealth(replicas, clock, (service) => paths.noteFailure(service));
+  const probes = createPathProbes({ replicas, client, clock });
+  const paths = resources.use(startReplicaPaths({ replicas, probes, health, clock, metrics }));
   resources.use(
     startReplicaMonitor({
       replicas,
@@ -150,20 +187,7 @@
     }),
   );
   forgetDepartedReplicas(view, client, estimates);
-  const observe = createReportObserver({
-    limits: view.replicaLimits,
-    replicas,
-    // With many routers, a broadcast costs more than the one request after which each router learns it itself.
-    onDraining: (id) => {
-      if (!owners.isEnabled()) peers.announceLeaving(id);
-    },
-    // With many routers, the work report to the replica's owner carries it instead.
-    onBackoff: peers.broadcastBackoff,
-    metrics,
-    clock,
-    random,
-  });
-  client.useGate(createReplicaGate({ replicas, observe, metrics, clock }));
+  observeReports(dependencies);
   const availability = createAvailability({ replicas, clock, random });
 
   const saving = createPartSaving({
@@ -233,6 +257,7 @@
     metrics,
     clock,
   });
+  const usage = createUsageAdmission({ limits: view.limits, metrics });
   const loopDependencies: AttemptLoopDependencies = {
     requestAdmission: dependencies.admit,
     placement: createPlacement({ ...placementDependencies, availability, dataCentre, engines }),
@@ -240,6 +265,9 @@
     owners,
     organisationKey,
     attempt: countOtherDataCentres(attempt, dataCentre, metrics),
+    paths,
+    relay: createRelayOf(dependencies),
+    usage,
     partWait: createPartWait({ holders, clock, share: policy.partWaitShare }),
     quarantine,
     grants: createLimitGrants({ limits: view.replicaLimits, metrics, clock }),
@@ -257,9 +285,10 @@
       ...loopDependencies,
       configuration,
       shutdown: dependencies.shutdown,
-      usage: createUsageAdmission({ limits: view.limits, metrics }),
+      usage,
       promptSizes: createPromptSizes(),
     }),
+    paths,
     [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose](),
   };
 };
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -78,6 +78,18 @@
       },
       cause,
     ),
+  /**
+   * This router has no path to the service's replicas, and no other router serves the request.
+   *
+   * @param left - Milliseconds that the caller still has.
+   */
+  noPath: (left: number): RequestError =>
+    requestError("This router reaches no replica of the service; the request has not run.", {
+      status: 503,
+      code: "no_path",
+      outcome: outcomes.notRun,
+      retryAfterSeconds: comeBackAfter(left),
+    }),
   /** This router shuts down before the request would end. */
   shuttingDown: (): RequestError =>
     requestError("This router is shutting down; the request has not run.", {
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -48,6 +48,10 @@
   /** @returns The age of the registry at the last choice, milliseconds; `undefined` before the first one. */
   readonly registryAge: () => number | undefined;
   readonly noteFailure: (choice: PlacementChoice, failure: UpstreamError) => void;
+  /** Records the replicas that another router has sent the request to. */
+  readonly noteSentTo: (ids: readonly string[]) => void;
+  /** Records that the answer of another router was lost: it may have run at replicas that nobody names any more. */
+  readonly noteRelayLost: (failure: UpstreamError) => void;
   /** Records a wait for a prompt part. */
   readonly noteWait: (milliseconds: number) => void;
   /** @returns Milliseconds that it has waited for prompt parts. */
@@ -92,13 +96,14 @@
   const { route } = admission;
   const deadline = request.arrivedAt + Math.min(request.timeout ?? noTimeout, route.timeout);
   const stopper = createStopper();
-  const sentTo = new Set<string>();
-  const excluded = new Set<string>();
+  const sentTo = new Set<string>(request.relayed?.sentTo);
+  const excluded = new Set<string>(sentTo);
   /** By id of the replica: how often the request arrived there. */
   const arrivals = new Map<string, number>();
   let weightsRefusals = 0;
   let unsent = 0;
   let mayHaveRun = false;
+  let areAttemptsKnown = true;
   let executions = 0;
   let waited = 0;
   let ownerQuery: OwnerQueryStats | undefined;
@@ -159,6 +164,17 @@
       lastChoice = choice;
     },
     noteFailure,
+    noteSentTo: (ids) => {
+      for (const id of ids) {
+        sentTo.add(id);
+        excluded.add(id);
+      }
+    },
+    noteRelayLost: ({ progress }) => {
+      mayHaveRun = true;
+      // The head of an answer names the replicas.
+      if (progress !== "streaming") areAttemptsKnown = false;
+    },
     noteWait: (milliseconds) => {
       waited += milliseconds;
     },
@@ -172,7 +188,7 @@
     },
     skipped: () => skipped,
     mayRepeat: route.kind === "repeatable" || route.kind === "resumableEventStream",
-    hasAttemptsLeft: () => sentTo.size < route.maximumAttempts,
+    hasAttemptsLeft: () => areAttemptsKnown && sentTo.size < route.maximumAttempts,
     isOutOfWeightsRefusals: () => weightsRefusals >= maxWeightsRefusals,
     isOutOfConnectionAttempts: () => unsent >= maxUnsentAttempts,
     close: () => {
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -81,12 +81,14 @@
     const { kind } = admission.route;
     const reach = dependencies.availability.countReachable(admission.service.name);
     const sizeFifth = run.sizeFifth ?? null;
-    metrics.count(metricNames.requests, 1, { kind, outcome });
-    if (sizeFifth !== null) {
-      const tags = { route: admission.route.name, size: String(sizeFifth), outcome };
-      metrics.count(metricNames.requestsBySize, 1, tags);
-    }
-    metrics.time(metricNames.requestTime, milliseconds, { kind, outcome });
+    if (request.relayed === undefined) {
+      metrics.count(metricNames.requests, 1, { kind, outcome });
+      if (sizeFifth !== null) {
+        const tags = { route: admission.route.name, size: String(sizeFifth), outcome };
+        metrics.count(metricNames.requestsBySize, 1, tags);
+      }
+      metrics.time(metricNames.requestTime, milliseconds, { kind, outcome });
+    } else metrics.count(metricNames.relayedRequests, 1, { kind, outcome });
     writeLog(outcome, {
       request: request.id,
       route: admission.route.name,
@@ -106,6 +108,7 @@
       waitedForPart: Math.round(run.waited()),
       ...describeOwnerQuery(run.ownerQuery()),
       ...(skipped === undefined ? {} : { skipped }),
+      ...(request.relayed === undefined ? {} : { relayedBy: request.relayed.source }),
       ...(reach.unreachable === 0 ? {} : { unreachable: `${reach.unreachable}/${reach.serving}` }),
       ...(reason === undefined ? {} : { reason }),
     });
@@ -153,21 +156,26 @@
     const started = await loop.begin(run, run.request.lastEventId);
     const { status, headers } = started.head;
     if (started.rest !== undefined)
-      return { status, headers, body: trackBody(run, relayStream(loop, run, started)) };
+      return {
+        status,
+        headers,
+        body: trackBody(run, relayStream(loop, run, started)),
+        sentTo: [...run.sentTo],
+      };
     end(run, isSuccess(started.head) ? "served" : "failed_there");
-    return { status, headers, body: Buffer.concat(started.firstChunks) };
+    return { status, headers, body: Buffer.concat(started.firstChunks), sentTo: [...run.sentTo] };
   };
 
   return {
     forward: async (request, signal) => {
       const admission = admitOrLog(request);
-      retryShare.noteRequest(admission.service.name);
+      // The router that got it from the caller has counted it.
+      if (request.relayed === undefined) retryShare.noteRequest(admission.service.name);
       const run = beginRun({ request, admission, sizeFifth: rankBySize(request, admission) }, clock, signal);
       open += 1;
       try {
         if (!dependencies.shutdown.mayAccept(run.deadline)) throw failures.shuttingDown();
         await checkQuarantine(run);
-        await dependencies.usage.admit(run);
         return await answer(run);
       } catch (error) {
         end(run, "failed", reasonOf(error));
--- a/src/coordination/forwarding/peerTable.ts
+++ b/src/coordination/forwarding/peerTable.ts
@@ -37,6 +37,8 @@
   isLoggedLive: boolean;
   /** Whether its last message says that it takes no duties at the moment. */
   hasSteppedDown: boolean;
+  /** Whether its last message says that it has no path to any replica. */
+  isPartitioned: boolean;
   /** Whether it has announced that it shuts down. */
   isShuttingDown: boolean;
 }
@@ -142,6 +144,7 @@
       proofAge: Number.POSITIVE_INFINITY,
       isLoggedLive: false,
       hasSteppedDown: false,
+      isPartitioned: false,
       isShuttingDown: false,
     };
     peers.set(name, peer);
@@ -192,6 +195,7 @@
       peer.lastMessageAt = clock.monotonic();
       peer.proofAge = message.configuration?.age ?? Number.POSITIVE_INFINITY;
       peer.hasSteppedDown = message.hasSteppedDown;
+      peer.isPartitioned = message.isPartitioned;
       peer.isShuttingDown = message.isShuttingDown;
       return peer;
     },
--- a/src/coordination/forwarding/replicaHealth.ts
+++ b/src/coordination/forwarding/replicaHealth.ts
@@ -11,12 +11,24 @@
   readonly noteSuccess: (replica: ReplicaState) => void;
   /** A connection to a replica that was unreachable has succeeded. */
   readonly noteReachable: (replica: ReplicaState) => void;
+  /** Forgets failures that don't come from the replica. */
+  readonly forgetFailures: (replica: ReplicaState) => void;
+  /** A replica has broken the connection of a request. */
+  readonly noteBrokenConnection: (replica: ReplicaState) => void;
   /** @param isCertain - The replica can't be reached at all, so that it is ejected at the first failure. */
   readonly noteFailure: (replica: ReplicaState, isCertain: boolean) => void;
 }
 
-/** Creates the outlier detection for the replicas of a table. */
-export const createReplicaHealth = (replicas: ReplicaTable, clock: Clock): ReplicaHealth => {
+/**
+ * Creates the outlier detection for the replicas of a table.
+ *
+ * @param onBrokenConnection - Called when a replica can't be connected to, or broke a connection.
+ */
+export const createReplicaHealth = (
+  replicas: ReplicaTable,
+  clock: Clock,
+  onBrokenConnection: (service: string) => void = () => undefined,
+): ReplicaHealth => {
   const isEjected = ({ ejectedUntil }: ReplicaState): boolean => clock.monotonic() < ejectedUntil;
 
   /** Limits the share of ejected replicas: where all of a service fail, trying them is better than refusing. */
@@ -45,12 +57,21 @@
       replica.ejectedUntil = clock.monotonic();
       writeLog("reachable_again", { replica: replica.entry.id });
     },
+    forgetFailures: (replica) => {
+      replica.isUnreachable = false;
+      replica.isSuspected = false;
+      replica.failures = 0;
+      replica.ejectedUntil = Math.min(replica.ejectedUntil, clock.monotonic());
+    },
+    noteBrokenConnection: ({ entry }) => onBrokenConnection(entry.service),
     noteFailure: (replica, isCertain) => {
       replica.failures += 1;
       replica.failureShare += (1 - replica.failureShare) * smoothingFactor;
       const isOutlier = isCertain || replica.failures >= failuresBeforeEjection;
       if (isOutlier && mayEject(replica)) eject(replica, isCertain);
-      if (isCertain) for (const abandon of [...replica.abandon]) abandon();
+      if (!isCertain) return;
+      onBrokenConnection(replica.entry.service);
+      for (const abandon of [...replica.abandon]) abandon();
     },
   };
 };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -32,6 +32,8 @@
   readonly epochs: EpochSource;
   readonly self: RouterEntry;
   readonly link: DatagramLink;
+  /** Whether this router has no path to any replica; by default it has one. */
+  readonly isPartitioned?: () => boolean;
   /** A router whose last own read of the store is older takes no duties that need the store; milliseconds. */
   readonly maxReadAge: () => number;
 }
@@ -53,6 +55,8 @@
    * and messages from other data centres come too rarely.
    */
   readonly dutyCandidates: (longestAge: number) => readonly string[];
+  /** @returns The live routers that report a path to replicas. */
+  readonly relayCandidates: () => readonly Peer[];
   /** Whether there are so many routers that duties are divided between them. */
   readonly isLarge: () => boolean;
   /** Whether this router reads the store for others of its data centre. */
@@ -186,6 +190,16 @@
     .filter((peer) => peers.isLive(peer) && peer.proofAge < longestAge && !peer.hasSteppedDown)
     .map(({ name }) => name);
 
+const intersect = (names: readonly string[], others: readonly string[]): readonly string[] =>
+  names.filter((name) => others.includes(name));
+
+/** A router whose reads of the store are too old is a candidate only where there is no other: it may soon refuse. */
+const relayCandidatesOf = (peers: PeerTable): readonly Peer[] => {
+  const candidates = peers.all().filter((peer) => peers.isLive(peer) && !peer.isPartitioned);
+  const fresh = candidates.filter(({ hasSteppedDown }) => !hasSteppedDown);
+  return fresh.length > 0 ? fresh : candidates;
+};
+
 /**
  * Where there are many routers, one encoded message serves all peers: encoding one for each of 194 peers took most of
  * the processor time of the router that gives orders in a roll-out. No echo is needed then, since proofs of the
@@ -225,7 +239,7 @@
 
 /** Starts to exchange messages with the other routers until it is disposed of. */
 export const createRouterPeers = (dependencies: RouterPeersDependencies): RouterPeers => {
-  const { self, link, clock, replicas, configuration } = dependencies;
+  const { self, link, clock, replicas, configuration, isPartitioned = () => false } = dependencies;
   const peers = createPeerTable(self, clock);
   const startedAt = clock.monotonic();
   const stampOrigin = Math.floor(Math.random() * stampOrigins);
@@ -250,11 +264,10 @@
     peers.dutyHolders(readingDuty, storeReaderCount, !takesDuties());
 
   const compose = (work: RouterMessage["work"], audience: Audience): Omit<RouterMessage, "echo"> => {
+    const { name, incarnation, dataCentre } = self;
     const now = clock.monotonic();
     return {
-      name: self.name,
-      incarnation: self.incarnation,
-      dataCentre: self.dataCentre,
+      ...{ name, incarnation, dataCentre },
       sentAt: stampOrigin + Math.round(now * stampPrecision) / stampPrecision,
       configuration: proofOf(configuration),
       work,
@@ -262,6 +275,7 @@
       weightsTargets: configuration.wantedAges(),
       ...describeState(dependencies),
       hasSteppedDown: !takesDuties(),
+      isPartitioned: isPartitioned(),
       isShuttingDown,
     };
   };
@@ -306,6 +320,10 @@
   /** Cached, since every estimate of a cached prompt part uses it. */
   let liveCount = 1;
   const contactLost = createLostPeerContact(peers, clock, sendState);
+  const announceSoon = (add: () => void): void => {
+    add();
+    sendSoon();
+  };
 
   const tick = (): void => {
     cancelTick = clock.after(peers.noteTick(), tick);
@@ -315,11 +333,6 @@
     groups.filter(isDue).forEach(sendTo);
   };
 
-  const announceSoon = (add: () => void): void => {
-    add();
-    sendSoon();
-  };
-
   const recipients = (): readonly Peer[] => (peers.isLarge() ? [] : serving());
   const broadcastBackoff = createBackoffExchange({ ...dependencies, recipients });
 
@@ -344,11 +357,11 @@
     countLive: () => liveCount,
     serving,
     dutyCandidates: (longestAge) => {
-      const own = configuration.age() < longestAge && takesDuties() ? [self.name] : [];
-      const names = [...own, ...freshNames(peers, longestAge)];
-      const readers = peers.isLarge() ? readerNames() : names;
-      return names.filter((name) => readers.includes(name));
+      const isCandidate = configuration.age() < longestAge && takesDuties();
+      const names = [...(isCandidate ? [self.name] : []), ...freshNames(peers, longestAge)];
+      return peers.isLarge() ? intersect(names, readerNames()) : names;
     },
+    relayCandidates: () => relayCandidatesOf(peers),
     isLarge: peers.isLarge,
     isStoreReader: () => peers.isDutyHolder(readingDuty, storeReaderCount, !takesDuties()),
     isFirstStoreReader: () => readerNames()[0] === self.name,
--- a/src/coordination/replicaPaths/constants.ts
+++ b/src/coordination/replicaPaths/constants.ts
@@ -1,14 +1,19 @@
 /** Limits of the checks whether this router has paths to replicas. Durations are milliseconds. */
 
 /** Timeout of a connection that is opened to check a path: many times the round trip within a region. */
-export const pathProbeTimeout = 100;
+export const pathProbeTimeout = 80;
 
 /** A probe that ends later than this after its timeout shows that this process did not run meanwhile. */
 export const maxProbeDelay = 50;
 
-/** Number of replicas of a service that are probed at once, and how many times with other replicas before it is lost. */
-export const probesPerRound = 4;
-export const roundsPerCheck = 2;
+/** Number of replicas that are probed at once to prove a path. */
+export const probesPerProof = 4;
+
+/**
+ * Number of replicas of a service that are probed at once, one round after another until one accepts: after a failed
+ * connection, where usually a single replica is at fault; after silence of all; and while the service is lost.
+ */
+export const probeRounds = { failure: [1, 8], silence: [8], lost: [1] } as const;
 
 /** With responses pending, silence of all replicas for this long leads to a check. */
 export const silenceBeforeCheck = 80;
--- a/src/coordination/replicaPaths/pathProbes.ts
+++ b/src/coordination/replicaPaths/pathProbes.ts
@@ -3,14 +3,12 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
-import { maxProbeDelay, pathProbeTimeout, probesPerRound } from "./constants.ts";
+import { maxProbeDelay, pathProbeTimeout, probesPerProof } from "./constants.ts";
 
 export interface PathProbesDependencies {
   readonly replicas: Pick<ReplicaTable, "all">;
   readonly client: Pick<ReplicaClient, "probeConnection">;
   readonly clock: Clock;
-  /** @returns A number from 0 to 1. */
-  readonly random: () => number;
 }
 
 export interface PathProbes {
@@ -23,7 +21,7 @@
    * @returns `true` also if there is no other replica.
    */
   readonly hasOtherPath: (replica: ReplicaState) => Promise<boolean>;
-  /** @returns At most a number of replicas in random order, those first that were not found unreachable. */
+  /** @returns At most a number of replicas, other ones each time, those first that were not found unreachable. */
   readonly sample: (replicas: readonly ReplicaState[], count: number) => readonly ReplicaState[];
 }
 
@@ -37,7 +35,7 @@
   });
 
 /** Creates the probes of the replicas in a table. */
-export const createPathProbes = ({ replicas, client, clock, random }: PathProbesDependencies): PathProbes => {
+export const createPathProbes = ({ replicas, client, clock }: PathProbesDependencies): PathProbes => {
   const accepts = async ({ entry }: ReplicaState): Promise<boolean> => {
     const startedAt = clock.monotonic();
     if ((await client.probeConnection(entry, pathProbeTimeout)) === "made") return true;
@@ -48,12 +46,17 @@
 
   const anyAccepts = (probed: readonly ReplicaState[]): Promise<boolean> => anyTrue(probed.map(accepts));
 
-  const sample = (candidates: readonly ReplicaState[], count: number): readonly ReplicaState[] =>
-    candidates
-      .map((replica) => ({ replica, rank: random() + (replica.isUnreachable ? 1 : 0) }))
-      .sort((left, right) => left.rank - right.rank)
-      .slice(0, count)
-      .map(({ replica }) => replica);
+  // Routers that start at different times begin with different replicas.
+  let nextIndex = Math.floor(clock.monotonic());
+
+  const sample = (candidates: readonly ReplicaState[], count: number): readonly ReplicaState[] => {
+    const start = nextIndex % Math.max(1, candidates.length);
+    nextIndex += count;
+    const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
+    const reached = rotated.filter(({ isUnreachable }) => !isUnreachable);
+    const unreached = rotated.filter(({ isUnreachable }) => isUnreachable);
+    return [...reached, ...unreached].slice(0, count);
+  };
 
   return {
     anyAccepts,
@@ -61,7 +64,7 @@
       const others = replicas.all().filter((replica) => replica !== accused);
       const near = others.filter(({ entry }) => entry.dataCentre === accused.entry.dataCentre);
       const probed = near.length > 0 ? near : others;
-      return probed.length === 0 || (await anyAccepts(sample(probed, probesPerRound)));
+      return probed.length === 0 || (await anyAccepts(sample(probed, probesPerProof)));
     },
     sample,
   };
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -9,12 +9,16 @@
   shutdownPollInterval,
   storeTimeoutShare,
 } from "../coordination/forwarding/constants.ts";
+import type { Decisions } from "../coordination/forwarding/decisions.ts";
 import { createDecisions } from "../coordination/forwarding/decisions.ts";
 import { registerRetryGauge } from "../coordination/forwarding/retryGauge.ts";
 import { createReserveShare } from "../coordination/forwarding/reserveShare.ts";
 import { createRetryShare } from "../coordination/forwarding/retryShare.ts";
 import type { LoadFeatures } from "../coordination/forwarding/loadFeatures.ts";
 import { defaultLoadPolicy } from "../coordination/forwarding/loadPolicy.ts";
+import type { Forwarder } from "../coordination/forwarding/forwarder.ts";
+import type { RouterPeers } from "../coordination/forwarding/routerPeers.ts";
+import type { Shutdown } from "../coordination/forwarding/shutdown.ts";
 import { createShutdown } from "../coordination/forwarding/shutdown.ts";
 import type { ForwardingBounds } from "../coordination/forwarding/types.ts";
 import { createHolderName, startWeightsOrders } from "../coordination/forwarding/weightsOrders.ts";
@@ -26,9 +30,12 @@
 import { createLogger } from "../state/log.ts";
 import type { Metrics } from "../state/Metrics.ts";
 import { PrometheusMetrics } from "../transport/PrometheusMetrics.ts";
+import type { ForwardingServer } from "../transport/forwarding/forwardingServer.ts";
 import { startForwardingServer } from "../transport/forwarding/forwardingServer.ts";
 import { startStatusServer } from "../transport/forwarding/statusServer.ts";
-import { openUdpLink } from "../transport/forwarding/udpLink.ts";
+import { createHttpRelayClient } from "../transport/forwarding/HttpRelayClient.ts";
+import { openPeerLink } from "../transport/forwarding/peerPort.ts";
+import { startRelayServer } from "../transport/forwarding/relayServer.ts";
 import type { ForwardingView } from "./forwardingView.ts";
 import { startForwardingView } from "./forwardingView.ts";
 import type { ForwardingSettings } from "./forwardingSettings.ts";
@@ -113,6 +120,40 @@
   return { reserveShare, retryShare };
 };
 
+interface DrainDependencies {
+  readonly shutdown: Shutdown;
+  readonly peers: Pick<RouterPeers, "stepDown" | "leave">;
+  readonly orders: AsyncDisposable;
+  readonly forwarder: Pick<Forwarder, "openRequests">;
+  readonly server: Pick<ForwardingServer, "closeIdle">;
+}
+
+const createDrain = ({
+  shutdown,
+  peers,
+  orders,
+  forwarder,
+  server,
+}: DrainDependencies): ForwardingRouter["drain"] => {
+  return async () => {
+    shutdown.begin();
+    peers.stepDown();
+    const ordersHandedOver = orders[Symbol.asyncDispose]();
+    await sleep(Math.max(0, shutdown.untilBalancerNotices()));
+    await Promise.race([ordersHandedOver, sleep(Math.max(0, shutdown.untilDeadline()))]);
+    peers.leave();
+    const waitForOpenRequests = async (): Promise<void> => {
+      while (forwarder.openRequests() > 0 && shutdown.untilDeadline() > 0) await sleep(shutdownPollInterval);
+    };
+    await waitForOpenRequests();
+    server.closeIdle();
+    // Waits for requests that were in transit when the idle connections were closed.
+    await sleep(shutdownPollInterval);
+    await waitForOpenRequests();
+    writeLog("drained", { openRequests: forwarder.openRequests() });
+  };
+};
+
 /**
  * Starts a router. It is ready while it knows the replicas and the quarantine, its configuration is proven fresh, and
  * it is not shutting down.
@@ -129,7 +170,7 @@
   const registryTimeout = Math.min(storeTimeout, bounds.drain * registryTimeoutShare);
   const platform = resources.use(connect({ store: settings.store, storeTimeout, registryTimeout }));
   platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
-  const link = resources.use(await openUdpLink(settings.peers));
+  const link = resources.use(await openPeerLink(settings.peers));
   const self = describeSelf(settings, link.port);
   const features = toLoadFeatures(settings, platform);
   const shutdown = createShutdown(clock, bounds);
@@ -146,6 +187,7 @@
       features,
       metrics,
       onRouterListing: reserveShare.noteListing,
+      isPartitioned: () => decisions.paths.isPartitioned(),
       onConfiguration: () => {
         server.applyLimits();
         divideConnectionLimits(platform, forwardingView);
@@ -157,10 +199,11 @@
     if (departure === undefined) divideConnectionLimits(platform, forwardingView);
   });
   const admit = createRequestAdmission(configuration, bounds, clock);
-  const { forwarder } = resources.use(
+  const decisions: Decisions = resources.use(
     createDecisions({
       dataCentre: self.dataCentre,
       client: platform.replicaClient,
+      relayClient: resources.use(createHttpRelayClient(platform.wire, self.name)),
       view: forwardingView,
       retryShare,
       admit,
@@ -174,6 +217,8 @@
     }),
   );
 
+  const { forwarder } = decisions;
+
   const orders = resources.use(
     startWeightsOrders({
       replicas,
@@ -213,6 +258,19 @@
       metrics,
     }),
   );
+  resources.use(
+    await startRelayServer({
+      address: self.address,
+      port: self.port,
+      incarnation: self.incarnation,
+      isRouterAddress: (address) => peers.serving().some(({ at }) => at.address === address),
+      wire: platform.wire,
+      forward: forwarder.forward,
+      limits: () => configuration.table()?.configuration.limits,
+      callerBufferBytes: settings.callerBufferBytes ?? 0,
+      metrics,
+    }),
+  );
   const status = resources.use(
     await startStatusServer({
       readiness: settings.readiness,
@@ -226,24 +284,7 @@
   writeLog("listening", { incarnation: self.incarnation, url });
   writeLog("features", { ...features, minSpeedSpread: features.minSpeedSpread ?? null });
 
-  const drain = async (): Promise<void> => {
-    shutdown.begin();
-    peers.stepDown();
-    const ordersHandedOver = orders[Symbol.asyncDispose]();
-    await sleep(Math.max(0, shutdown.untilBalancerNotices()));
-    await Promise.race([ordersHandedOver, sleep(Math.max(0, shutdown.untilDeadline()))]);
-    peers.leave();
-    const waitForOpenRequests = async (): Promise<void> => {
-      while (forwarder.openRequests() > 0 && shutdown.untilDeadline() > 0) await sleep(shutdownPollInterval);
-    };
-    await waitForOpenRequests();
-    server.closeIdle();
-    // Waits for requests that were in transit when the idle connections were closed.
-    await sleep(shutdownPollInterval);
-    await waitForOpenRequests();
-    writeLog("drained", { openRequests: forwarder.openRequests() });
-  };
-
+  const drain = createDrain({ shutdown, peers, orders, forwarder, server });
   const owned = resources.move();
   return {
     port: server.port,
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -55,6 +55,8 @@
   readonly onConfiguration: () => void;
   /** Called whenever the store has listed the routers. */
   readonly onRouterListing: (hasPredecessor: boolean) => void;
+  /** Whether this router has no path to any replica. */
+  readonly isPartitioned: () => boolean;
 }
 
 /** Kept current until it is disposed of. */
@@ -172,6 +174,7 @@
         notePeerDigest: (digest) => quarantine.notePeerDigest(digest),
       },
       speeds,
+      isPartitioned: dependencies.isPartitioned,
     }),
   );
 
--- a/src/protocol/forwarding/ForwardingWire.ts
+++ b/src/protocol/forwarding/ForwardingWire.ts
@@ -16,6 +16,15 @@
   /** Decodes a caller's request. Throws `RequestError` if it is malformed. */
   abstract decodeRequest(raw: RawRequest): CallerRequest;
 
+  /**
+   * Encodes the headers of a caller's request as the caller sent them, without those of the connection.
+   *
+   * @param deadline - When the caller must have its answer, milliseconds on the monotonic clock.
+   * @param lastEventId - The event after which a stream continues.
+   * @returns Alternating names and values.
+   */
+  abstract encodeRequest(request: CallerRequest, deadline: number, lastEventId: string | undefined): string[];
+
   /**
    * Encodes the headers of a request to a replica, without the connection headers.
    *
--- a/src/protocol/forwarding/peerMessage.test.ts
+++ b/src/protocol/forwarding/peerMessage.test.ts
@@ -47,6 +47,7 @@
   storeEpoch: fc.nat({ max: 2 ** 32 - 1 }),
   recoveryRemaining: fc.nat({ max: 2 ** 32 - 1 }),
   hasSteppedDown: fc.boolean(),
+  isPartitioned: fc.boolean(),
   isShuttingDown: fc.boolean(),
 });
 
@@ -101,6 +102,7 @@
       storeEpoch: 0,
       recoveryRemaining: 0,
       hasSteppedDown: false,
+      isPartitioned: false,
       isShuttingDown: false,
     };
     const workAtReplica = {
--- a/src/protocol/forwarding/peerMessage.ts
+++ b/src/protocol/forwarding/peerMessage.ts
@@ -135,22 +135,38 @@
   readonly recoveryRemaining: number;
   /** The sender takes on no duties for other routers at present: it is shutting down, or its reads are too old. */
   readonly hasSteppedDown: boolean;
+  /** The sender has no path to any replica. */
+  readonly isPartitioned: boolean;
   readonly isShuttingDown: boolean;
 }
 
 /** The first byte of the datagram; datagrams that begin with another one are ignored. */
 const messageType = 6;
 
-const flags = { echo: 1, configuration: 2, hasSteppedDown: 4, isShuttingDown: 8, prefilled: 16 } as const;
+const flags = {
+  echo: 1,
+  configuration: 2,
+  hasSteppedDown: 4,
+  isShuttingDown: 8,
+  prefilled: 16,
+  isPartitioned: 32,
+} as const;
 
 /** Whether the work at replicas includes prefilled tokens: where none does, no entry takes a byte for them. */
 const hasPrefilled = ({ work }: RouterMessage): boolean =>
   work.some(({ prefilledTokens }) => prefilledTokens > 0);
 
-const encodeStateFlags = ({ echo, configuration, hasSteppedDown, isShuttingDown }: RouterMessage): number =>
+const encodeStateFlags = ({
+  echo,
+  configuration,
+  hasSteppedDown,
+  isPartitioned,
+  isShuttingDown,
+}: RouterMessage): number =>
   (echo === undefined ? 0 : flags.echo) |
   (configuration === undefined ? 0 : flags.configuration) |
   (hasSteppedDown ? flags.hasSteppedDown : 0) |
+  (isPartitioned ? flags.isPartitioned : 0) |
   (isShuttingDown ? flags.isShuttingDown : 0);
 
 const encodeFlags = (message: RouterMessage): number =>
@@ -284,6 +300,7 @@
     storeEpoch: reader.varint(),
     recoveryRemaining: reader.varint(),
     hasSteppedDown: isSet(flags.hasSteppedDown),
+    isPartitioned: isSet(flags.isPartitioned),
     isShuttingDown: isSet(flags.isShuttingDown),
   };
 };
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -221,6 +221,15 @@
   readonly countedTokens: number | undefined;
   /** The last event that the caller has received, if it resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Set if another router passes the request on; it is not passed on again. */
+  readonly relayed?: RelayedFrom | undefined;
+}
+
+/** The router that passes a request on. */
+export interface RelayedFrom {
+  readonly source: string;
+  /** Ids of the replicas that it has sent the request to itself. */
+  readonly sentTo: readonly string[];
 }
 
 /** A request to be sent to one replica. */
@@ -300,6 +309,8 @@
   readonly headers: readonly string[];
   /** The whole body, or the chunks of a stream, which throws if it can't be completed. */
   readonly body: Buffer | AsyncIterable<Buffer>;
+  /** Ids of the replicas that the request was sent to so far. */
+  readonly sentTo: readonly string[];
 }
 
 /** An order to an engine to change its weights. */
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -28,6 +28,10 @@
   /** Bytes that answers to slow callers may hold together; 0 for no bound. */
   readonly callerBufferBytes: number;
   readonly metrics: Metrics;
+  /** Whether a caller at an IP address may connect; by default any may. */
+  readonly mayConnect?: (address: string) => boolean;
+  /** Headers of all answers, alternating names and values; by default none. */
+  readonly commonHeaders?: readonly string[];
 }
 
 /** A listening server; disposal closes its connections at once. */
@@ -86,7 +90,7 @@
 export const startForwardingServer = async (
   dependencies: ForwardingServerDependencies,
 ): Promise<ForwardingServer> => {
-  const { wire, forward, limits, shouldCloseConnections } = dependencies;
+  const { wire, forward, limits, shouldCloseConnections, mayConnect, commonHeaders = [] } = dependencies;
   const buffers = createCallerBuffers({
     bound: dependencies.callerBufferBytes,
     metrics: dependencies.metrics,
@@ -111,13 +115,13 @@
     if (!(error instanceof RequestError)) writeLog("internal_error", { reason: String(error) });
     const body = Buffer.from(JSON.stringify({ error: { ...failure, message: (error as Error).message } }));
     const { retryAfterSeconds } = failure as { readonly retryAfterSeconds?: number };
-    response.writeHead(failure.status, {
-      "content-type": "application/json",
-      "content-length": body.length,
-      ...(retryAfterSeconds === undefined ? {} : { "retry-after": retryAfterSeconds.toFixed(2) }),
+    response.writeHead(failure.status, [
+      ...["content-type", "application/json", "content-length", String(body.length)],
+      ...(retryAfterSeconds === undefined ? [] : ["retry-after", retryAfterSeconds.toFixed(2)]),
       // The unread rest of a refused body must not be parsed as the next request.
-      ...(response.req.complete && !shouldCloseConnections() ? {} : { connection: "close" }),
-    });
+      ...(response.req.complete && !shouldCloseConnections() ? [] : ["connection", "close"]),
+      ...commonHeaders,
+    ]);
     response.end(body);
   };
 
@@ -138,7 +142,7 @@
 
   const writeAnswer = async (response: ServerResponse, answer: ForwardedAnswer): Promise<void> => {
     const { body } = answer;
-    const headers = withoutContentLength(answer.headers);
+    const headers = [...withoutContentLength(answer.headers), ...commonHeaders];
     if (Buffer.isBuffer(body)) headers.push("content-length", String(body.length));
     if (shouldCloseConnections()) headers.push("connection", "close");
     response.writeHead(answer.status, headers);
@@ -176,6 +180,9 @@
     },
     (message, response) => void serve(message, response),
   );
+  server.on("connection", (socket) => {
+    if (mayConnect?.(socket.remoteAddress ?? "") === false) socket.resetAndDestroy();
+  });
   server.on("clientError", (_error, socket) => {
     if (socket.writable)
       socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
--- a/standIns/platform/platformSystem.ts
+++ b/standIns/platform/platformSystem.ts
@@ -243,6 +243,8 @@
   readonly startRouter: (routerStore?: StoreStandIn) => Promise<ForwardingRouter>;
   /** @param partition - Begins before the router starts; `undefined` for none. */
   readonly startPartitionable: (partition?: PartitionMode) => Promise<PartitionableRouter>;
+  /** Ends one router at once, as if its process was killed. */
+  readonly endRouter: (router: ForwardingRouter) => Promise<void>;
   /** Stops all routers. */
   readonly stopRouters: () => Promise<void>;
 }
@@ -365,6 +367,11 @@
     await Promise.all(routers.splice(0).map((each) => each[Symbol.asyncDispose]()));
   };
 
+  const endRouter = async (ended: ForwardingRouter): Promise<void> => {
+    routers.splice(routers.indexOf(ended), 1);
+    await ended[Symbol.asyncDispose]();
+  };
+
   if (settings.isPublished !== false) {
     writers.publish(createConfiguration());
     for (const replica of [...desks, ...engines]) register(replica, {});
@@ -383,6 +390,7 @@
     register,
     startRouter,
     startPartitionable,
+    endRouter,
     stopRouters,
     [Symbol.asyncDispose]: async () => {
       await stopRouters();
--- a/tests/platform/partitionedRouters.test.ts
+++ b/tests/platform/partitionedRouters.test.ts
@@ -79,9 +79,12 @@
     it(`serve first tries as others do while their connections ${mode}`, async () => {
       await using system = await startPlatformSystem();
       const partitioned = await startRouters(system, 2);
-      for (const { router } of partitioned) expectServedAll(await sendMany(router, 8, "before"));
+      for (const [index, { router }] of partitioned.entries())
+        expectServedAll(await sendMany(router, 8, `before-${index}`));
       for (const { network } of partitioned) network.partition(mode);
-      const meanwhile = Promise.all(partitioned.map(({ router }) => sendMany(router, 16, "meanwhile")));
+      const meanwhile = Promise.all(
+        partitioned.map(({ router }, index) => sendMany(router, 16, `meanwhile-${index}`)),
+      );
       await sleep(settlingTime);
       const sound = sendMany(system.router, 40, "sound");
       const answers = await Promise.all(
@@ -92,7 +95,8 @@
       for (const { network } of partitioned) network.heal();
       await meanwhile;
       await sleep(settlingTime);
-      for (const { router } of partitioned) expectServedAll(await sendMany(router, 8, "after"));
+      for (const [index, { router }] of partitioned.entries())
+        expectServedAll(await sendMany(router, 8, `after-${index}`));
       expect(mostRunsOfOne([...system.desks, ...system.engines])).toEqual(1);
     });
   }
