Leave the lease for orders, and a replica's condition, to routers with paths

What callers saw: weights that were published 1 s into a cut of three of four routers were on 0 of 2 engines 5 s later, so that requests went on on old weights.

Cause: the lease's holder keeps it while it reaches the store, whatever it reaches besides. A cut router also reported replicas as unreachable to their owners, and as an owner had all routers avoid replicas that only it could not reach.

Change: routers report in their regular messages that they have no path. Such a router is no candidate, and a holder releases the lease once its last order is a lease duration old. A holder or candidate that has seen no answer for 1 s proves a path by a connection first. Reports to owners, and answers of owners, leave out what only says that this router has no path; one connection at a time looks for it.

--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -113,7 +113,7 @@
 /** The assembled forwarder; monitors replicas until it is disposed of. */
 export interface Decisions extends AsyncDisposable {
   readonly forwarder: Forwarder;
-  readonly paths: Pick<ReplicaPaths, "isPartitioned">;
+  readonly paths: Pick<ReplicaPaths, "isPartitioned" | "isProven">;
 }
 
 const writeLog = createLogger("router");
@@ -174,16 +174,22 @@
   const resources = createResourceStack();
   const { speeds } = view;
   const estimates = createReplicaEstimates(speeds && { replicas, clock, speeds });
-  const health = createReplicaHealth(replicas, clock, (service) => paths.noteFailure(service));
+  const health = createReplicaHealth(replicas, clock, {
+    noteFailure: (service) => paths.noteFailure(service),
+    noteAnswer: () => paths.noteAnswer(),
+  });
   const probes = createPathProbes({ replicas, client, clock });
-  const paths = resources.use(startReplicaPaths({ replicas, probes, health, clock, metrics }));
+  const paths: ReplicaPaths = resources.use(startReplicaPaths({ replicas, probes, health, clock, metrics }));
   resources.use(
     startReplicaMonitor({
       replicas,
       client,
       health,
       clock,
-      isResponsibleFor: (replica) => !owners.isEnabled() || owners.isOwnerOf(replica),
+      // While paths are lost, one connection at a time looks for them.
+      isResponsibleFor: (replica) =>
+        paths.lostFor(replica.entry.service) === undefined &&
+        (!owners.isEnabled() || owners.isOwnerOf(replica)),
     }),
   );
   forgetDepartedReplicas(view, client, estimates);
--- a/src/coordination/forwarding/replicaHealth.ts
+++ b/src/coordination/forwarding/replicaHealth.ts
@@ -19,15 +19,25 @@
   readonly noteFailure: (replica: ReplicaState, isCertain: boolean) => void;
 }
 
+/** What learns of connections to replicas. */
+export interface PathEvidence {
+  /** A replica of the service can't be connected to, or broke a connection. */
+  readonly noteFailure: (service: string) => void;
+  /** A replica has answered. */
+  readonly noteAnswer: () => void;
+}
+
+const noPathEvidence: PathEvidence = { noteFailure: () => undefined, noteAnswer: () => undefined };
+
 /**
  * Creates the outlier detection for the replicas of a table.
  *
- * @param onBrokenConnection - Called when a replica can't be connected to, or broke a connection.
+ * @param paths - Learns what answers and broken connections show about the paths to the replicas.
  */
 export const createReplicaHealth = (
   replicas: ReplicaTable,
   clock: Clock,
-  onBrokenConnection: (service: string) => void = () => undefined,
+  paths: PathEvidence = noPathEvidence,
 ): ReplicaHealth => {
   const isEjected = ({ ejectedUntil }: ReplicaState): boolean => clock.monotonic() < ejectedUntil;
 
@@ -48,6 +58,7 @@
 
   return {
     noteSuccess: (replica) => {
+      paths.noteAnswer();
       replica.failures = 0;
       replica.failureShare -= replica.failureShare * smoothingFactor;
     },
@@ -63,14 +74,14 @@
       replica.failures = 0;
       replica.ejectedUntil = Math.min(replica.ejectedUntil, clock.monotonic());
     },
-    noteBrokenConnection: ({ entry }) => onBrokenConnection(entry.service),
+    noteBrokenConnection: ({ entry }) => paths.noteFailure(entry.service),
     noteFailure: (replica, isCertain) => {
       replica.failures += 1;
       replica.failureShare += (1 - replica.failureShare) * smoothingFactor;
       const isOutlier = isCertain || replica.failures >= failuresBeforeEjection;
       if (isOutlier && mayEject(replica)) eject(replica, isCertain);
       if (!isCertain) return;
-      onBrokenConnection(replica.entry.service);
+      paths.noteFailure(replica.entry.service);
       for (const abandon of [...replica.abandon]) abandon();
     },
   };
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -50,7 +50,7 @@
   readonly serving: () => readonly Peer[];
   /**
    * @param longestAge - How old the proof of a router's configuration may be, milliseconds.
-   * @returns Names of live routers that take duties and whose configuration is fresh. Where there are many routers,
+   * @returns Names of live routers that take duties, reach replicas and have a fresh configuration. Where there are many routers,
    * only those of this data centre that read the store for others: the others do not know whether they reach the store,
    * and messages from other data centres come too rarely.
    */
@@ -183,11 +183,12 @@
     .filter(peers.isLive)
     .map(({ name }) => name);
 
-/** @returns Names of live peers that take duties and whose configuration is fresh. */
+/** @returns Names of live peers that take duties, reach replicas and have a fresh configuration. */
 const freshNames = (peers: PeerTable, longestAge: number): readonly string[] =>
   peers
     .all()
-    .filter((peer) => peers.isLive(peer) && peer.proofAge < longestAge && !peer.hasSteppedDown)
+    .filter((peer) => peers.isLive(peer) && peer.proofAge < longestAge)
+    .filter(({ hasSteppedDown, isPartitioned }) => !hasSteppedDown && !isPartitioned)
     .map(({ name }) => name);
 
 const intersect = (names: readonly string[], others: readonly string[]): readonly string[] =>
@@ -357,7 +358,7 @@
     countLive: () => liveCount,
     serving,
     dutyCandidates: (longestAge) => {
-      const isCandidate = configuration.age() < longestAge && takesDuties();
+      const isCandidate = configuration.age() < longestAge && takesDuties() && !isPartitioned();
       const names = [...(isCandidate ? [self.name] : []), ...freshNames(peers, longestAge)];
       return peers.isLarge() ? intersect(names, readerNames()) : names;
     },
--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -11,6 +11,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import { pause } from "../clock.ts";
+import type { ReplicaPaths } from "../replicaPaths/replicaPaths.ts";
 import { isBackingOff } from "../replicaReports/backoff.ts";
 import { startLease } from "../leases/lease.ts";
 import { createLeaseHistory } from "../leases/leaseHistory.ts";
@@ -26,6 +27,8 @@
   readonly bounds: ForwardingBounds;
   /** @returns Whether this router may acquire the lease. */
   readonly isCandidate: () => boolean;
+  /** A router without paths leaves the lease to another one, and one that doesn't know of any sends no orders. */
+  readonly paths: Pick<ReplicaPaths, "isPartitioned" | "isProven">;
 }
 
 /** Runs until it is disposed of; releases the lease then. */
@@ -47,6 +50,8 @@
     history: createLeaseHistory(clock),
     duration: () => bounds.lease,
     epoch: dependencies.epochs.current,
+    mustRelease: () =>
+      dependencies.paths.isPartitioned() && clock.monotonic() >= lastOrderAt() + bounds.lease,
   });
 
   /**
@@ -55,7 +60,7 @@
    * holder that released the lease, since that one waited itself.
    */
   const mayOrder = (tenure: Tenure): boolean => {
-    if (stopping.signal.aborted || !tenure.isValid()) return false;
+    if (stopping.signal.aborted || dependencies.paths.isPartitioned() || !tenure.isValid()) return false;
     const hasNoPredecessor = tenure.fencingNumber === 0 || tenure.followsRelease;
     return hasNoPredecessor || clock.monotonic() >= tenure.beganAt + bounds.lease;
   };
@@ -96,6 +101,7 @@
       .filter((replica) => !replica.isUnreachable && !isBackingOff(replica, clock.monotonic()))
       .filter((replica) => missingWeights(replica) !== undefined)
       .sort((left, right) => totalRequests(left) - totalRequests(right));
+    if (outdated.length > 0 && !dependencies.paths.isProven()) return true;
     for (const replica of outdated) {
       const { id, service } = replica.entry;
       if (tasks.size >= maxChanging() || tasks.has(id) || !mayStartIn(service)) continue;
--- a/src/coordination/leases/lease.ts
+++ b/src/coordination/leases/lease.ts
@@ -20,6 +20,8 @@
   readonly duration: () => number;
   /** Whether this router should contend for the lease; a holder keeps it regardless. */
   readonly isCandidate: () => boolean;
+  /** Whether this router must release the lease, since it can't do what the lease is for; by default never. */
+  readonly mustRelease?: () => boolean;
   /** @returns The newest epoch of the store; absent if the store has no epochs. */
   readonly epoch?: () => StoreEpoch;
 }
@@ -141,7 +143,8 @@
     if (!isHeld()) endTenure("expired");
     if (held === undefined) {
       if (dependencies.isCandidate()) await contend();
-    } else if (clock.monotonic() >= held.renewAt) await renew(held);
+    } else if (dependencies.mustRelease?.() === true) await release();
+    else if (clock.monotonic() >= held.renewAt) await renew(held);
   };
 
   const nextDelay = (): number => {
@@ -162,6 +165,7 @@
   const release = async (): Promise<void> => {
     if (held === undefined || !isHeld()) return;
     const grant = held.fencingNumber;
+    writeLog("released", { lease: name, fencingNumber: grant });
     held = undefined;
     await log.append({ kind: "release", ...log.base(), grant });
   };
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -32,6 +32,8 @@
   /** Where speeds are learned: measures the prefill rates of replicas. */
   readonly speeds: Pick<ReplicaSpeeds, "noteReport" | "reportedRate"> | undefined;
   readonly clock: Clock;
+  /** Whether this router has no path to any replica: what it knows of connections says nothing about replicas then. */
+  readonly isPartitioned: () => boolean;
 }
 
 export interface OwnedReplicas extends AsyncDisposable {
@@ -109,6 +111,9 @@
     // Answers of an earlier owner would otherwise be passed on forever, and keep all routers away from the replica.
     replicas.noteWorkAt(ownerAnswersSource, replicaKeyOf(state.entry.id), noWork);
     const work = workExcluding(state, reportSourceOf(asker), organisation);
+    const avoidedUntil = dependencies.isPartitioned()
+      ? (state.backoff?.avoidedUntil ?? Number.NEGATIVE_INFINITY)
+      : avoidReplicaUntil(state);
     return {
       replica: replicaKeyOf(state.entry.id),
       requests: work.requests,
@@ -116,7 +121,7 @@
       organisations: work.organisations ?? [],
       reservedTokens: work.reservedTokens ?? 0,
       prefillRate: dependencies.speeds?.reportedRate(state) ?? 0,
-      ejectedFor: Math.max(0, Math.round(avoidReplicaUntil(state) - clock.monotonic())),
+      ejectedFor: Math.max(0, Math.round(avoidedUntil - clock.monotonic())),
       limit: recentLimitOf(state, clock.monotonic()),
     };
   };
--- a/src/coordination/replicaOwners/replicaOwners.ts
+++ b/src/coordination/replicaOwners/replicaOwners.ts
@@ -36,6 +36,8 @@
   readonly cacheStores: () => readonly CacheStore[];
   /** Whether this router's answers as an owner name the parts that were used before. */
   readonly reportsUsedParts?: boolean;
+  /** Whether this router has no path to any replica; by default it has one. */
+  readonly isPartitioned?: () => boolean;
   /** Measures the prefill rates that this router reports as the owner, and notes those of other owners. */
   readonly speeds?: ReplicaSpeeds | undefined;
 }
@@ -75,7 +77,7 @@
 
 /** Creates the queries, answers and work reports of one router; they are active until disposed of. */
 export const createReplicaOwners = (dependencies: ReplicaOwnersDependencies): ReplicaOwners => {
-  const { self, link, clock, replicas, holders, peers } = dependencies;
+  const { self, link, clock, replicas, holders, peers, isPartitioned = () => false } = dependencies;
   const { name, dataCentre, incarnation, address, port } = self;
   const resources = createResourceStack();
   const owners = createOwners({
@@ -91,10 +93,14 @@
       reportsUsedParts: dependencies.reportsUsedParts ?? false,
       speeds: dependencies.speeds,
       clock,
+      isPartitioned,
     }),
   );
   const reports = resources.use(
-    createWorkReports({ name, incarnation, link, owners, replicas, clock, isEnabled: peers.isLarge }),
+    createWorkReports({
+      ...{ name, incarnation, link, owners, replicas, clock, isPartitioned },
+      isEnabled: peers.isLarge,
+    }),
   );
 
   const applyAnswer = (answer: AnswerMessage): readonly ReplicaState[] => {
--- a/src/coordination/replicaOwners/workReports.ts
+++ b/src/coordination/replicaOwners/workReports.ts
@@ -25,6 +25,8 @@
   readonly clock: Clock;
   /** @returns Whether there are enough routers for work to be reported to owners instead of all peers. */
   readonly isEnabled: () => boolean;
+  /** Whether this router has no path to any replica: it then reports none as unreachable. */
+  readonly isPartitioned: () => boolean;
 }
 
 export interface WorkReports extends AsyncDisposable {
@@ -46,7 +48,7 @@
   readonly holders: AnnouncedHolder[];
 }
 
-const createReport = (replica: ReplicaState, now: number): WorkReport => ({
+const createReport = (replica: ReplicaState, now: number, isPartitioned: boolean): WorkReport => ({
   replica: replicaKeyOf(replica.entry.id),
   requests: replica.requests,
   promptTokens: wholeTokens(replica.promptTokens),
@@ -54,14 +56,14 @@
   reservedTokens: Math.round(replica.reservedTokens),
   computedTokens: Math.max(0, Math.round(replica.computedTokens)),
   prefilledTokens: Math.round(replica.prefilledTokens),
-  isUnreachable: replica.isUnreachable,
+  isUnreachable: replica.isUnreachable && !isPartitioned,
   isBackingOff: isBackingOff(replica, now),
   limit: replica.limit && toReportedLimitMessage(replica.limit, now),
 });
 
 /** Starts to report to owners until it is disposed of. */
 export const createWorkReports = (dependencies: WorkReportsDependencies): WorkReports => {
-  const { name, incarnation, link, owners, replicas, clock, isEnabled } = dependencies;
+  const { name, incarnation, link, owners, replicas, clock, isEnabled, isPartitioned } = dependencies;
   const pending = new Map<string, Pending>();
   let sequence = 0;
   let cancelFlush: (() => void) | undefined;
@@ -73,7 +75,7 @@
       name,
       incarnation,
       sequence,
-      reports: reported.map(({ replica }) => createReport(replica, clock.monotonic())),
+      reports: reported.map(({ replica }) => createReport(replica, clock.monotonic(), isPartitioned())),
       holders: reported.flatMap(({ holders }) => holders).slice(-maxReportedHolders),
     };
     link.send(owner.at, encodeOwnerMessage(message));
--- a/src/coordination/replicaPaths/constants.ts
+++ b/src/coordination/replicaPaths/constants.ts
@@ -24,6 +24,9 @@
 /** After a check that found a path, failures lead to no other one for this long. */
 export const failureCheckInterval = 200;
 
+/** Age up to which an answer or an accepted connection proves that this router has a path to replicas. */
+export const maxProofAge = 1_000;
+
 /** Interval between two checks of a service without a path; doubles up to the longest. */
 export const lostCheckIntervals = { shortest: 150, longest: 300 } as const;
 
--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -17,10 +17,11 @@
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
-import type { ReplicaHealth } from "../forwarding/replicaHealth.ts";
+import type { PathEvidence, ReplicaHealth } from "../forwarding/replicaHealth.ts";
 import {
   failureCheckInterval,
   lostCheckIntervals,
+  maxProofAge,
   pollIntervals,
   probeRounds,
   silenceBeforeCheck,
@@ -37,13 +38,13 @@
 }
 
 /** Which services this router has paths to; monitored until disposed of. */
-export interface ReplicaPaths extends AsyncDisposable {
+export interface ReplicaPaths extends PathEvidence, AsyncDisposable {
   /** @returns For how long this router has had no path to a service, milliseconds; `undefined` if it has one. */
   readonly lostFor: (service: string) => number | undefined;
   /** Whether this router has no path to any service that has replicas. */
   readonly isPartitioned: () => boolean;
-  /** Checks a service, since a connection to one of its replicas failed. */
-  readonly noteFailure: (service: string) => void;
+  /** Whether this router had a path to any replica a moment ago. If that is not known, a check begins. */
+  readonly isProven: () => boolean;
   /** @returns Resolves when a check of the service that is in progress has ended, at once if there is none. */
   readonly whenChecked: (service: string) => Promise<void>;
 }
@@ -61,11 +62,23 @@
 
 const writeLog = createLogger("paths");
 
+/** @returns Whether responses are pending, and whether nothing has arrived for a while from where they are. */
+const observePending = (
+  replicas: readonly ReplicaState[],
+  now: number,
+): { readonly isPending: boolean; readonly isSilent: boolean } => {
+  const pending = replicas.filter(({ requests }) => requests > 0);
+  const isPending = pending.length > 0;
+  const isSilent = pending.every(({ quietSince }) => now - quietSince > silenceBeforeCheck);
+  return { isPending, isSilent: isPending && isSilent };
+};
+
 /** Starts to monitor the paths. */
 export const startReplicaPaths = (dependencies: ReplicaPathsDependencies): ReplicaPaths => {
   const { replicas, probes, health, clock, metrics } = dependencies;
   const services = new Map<string, ServicePaths>();
   let silenceCheckedAt = Number.NEGATIVE_INFINITY;
+  let provenAt = Number.NEGATIVE_INFINITY;
   let isDisposed = false;
 
   const stateOf = (service: string): ServicePaths => {
@@ -129,6 +142,7 @@
     state.checkedAt = clock.monotonic();
     state.check = undefined;
     if (isDisposed) return;
+    if (hasPath === true) provenAt = state.checkedAt;
     if (hasPath === false) noteLost(service, state);
     else noteFound(service, state);
   };
@@ -142,20 +156,12 @@
   const checkSilence = async (): Promise<void> => {
     silenceCheckedAt = clock.monotonic();
     const serving = replicas.all().filter(({ entry }) => !entry.isDraining);
-    if (await probes.anyAccepts(probes.sample(serving, 1))) return;
-    for (const service of listServices()) check(service, "silence");
+    if (await probes.anyAccepts(probes.sample(serving, 1))) provenAt = clock.monotonic();
+    else if (!isDisposed) checkAll();
   };
 
-  /** @returns Whether responses are pending; `true` for silent if nothing arrived from where they are. */
-  const observePending = (now: number): { readonly isPending: boolean; readonly isSilent: boolean } => {
-    let isPending = false;
-    let isSilent = true;
-    for (const { requests, quietSince } of replicas.all()) {
-      if (requests === 0) continue;
-      isPending = true;
-      isSilent &&= now - quietSince > silenceBeforeCheck;
-    }
-    return { isPending, isSilent: isPending && isSilent };
+  const checkAll = (): void => {
+    for (const service of listServices()) check(service, "silence");
   };
 
   const checkLost = (now: number): void => {
@@ -173,7 +179,7 @@
 
   const poll = (): void => {
     const now = clock.monotonic();
-    const { isPending, isSilent } = observePending(now);
+    const { isPending, isSilent } = observePending(replicas.all(), now);
     const isDue = now - silenceCheckedAt > silenceCheckInterval;
     if (isSilent && isDue && !isPartitioned()) void checkSilence();
     checkLost(now);
@@ -191,6 +197,15 @@
       return lostAt === undefined ? undefined : clock.monotonic() - lostAt;
     },
     isPartitioned,
+    isProven: () => {
+      const now = clock.monotonic();
+      if (now - provenAt < maxProofAge) return true;
+      if (!isPartitioned() && now - silenceCheckedAt > failureCheckInterval) void checkSilence();
+      return false;
+    },
+    noteAnswer: () => {
+      provenAt = clock.monotonic();
+    },
     noteFailure: (service) => {
       const { lostAt, checkedAt } = stateOf(service);
       if (lostAt === undefined && clock.monotonic() - checkedAt > failureCheckInterval)
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -120,6 +120,16 @@
   return { reserveShare, retryShare };
 };
 
+const logStart = (
+  { incarnation }: RouterEntry,
+  { callers }: ForwardingSettings,
+  port: number,
+  features: LoadFeatures,
+): void => {
+  writeLog("listening", { incarnation, url: `http://${callers.address}:${port}` });
+  writeLog("features", { ...features, minSpeedSpread: features.minSpeedSpread ?? null });
+};
+
 interface DrainDependencies {
   readonly shutdown: Shutdown;
   readonly peers: Pick<RouterPeers, "stepDown" | "leave">;
@@ -231,11 +241,12 @@
       metrics,
       bounds,
       holder: createHolderName(settings.name),
+      paths: decisions.paths,
       // The first in rendezvous order among routers that reach the store; one that has lost it soon drops out.
-      isCandidate: () => {
-        const candidates = peers.dutyCandidates(bounds.keyRevocation / 2);
-        return !shutdown.isInProgress() && rendezvousFirst("weights", candidates) === self.name;
-      },
+      isCandidate: () =>
+        !shutdown.isInProgress() &&
+        rendezvousFirst("weights", peers.dutyCandidates(bounds.keyRevocation / 2)) === self.name &&
+        decisions.paths.isProven(),
     }),
   );
 
@@ -280,9 +291,7 @@
       metricsText: () => metrics.text(),
     }),
   );
-  const url = `http://${settings.callers.address}:${server.port}`;
-  writeLog("listening", { incarnation: self.incarnation, url });
-  writeLog("features", { ...features, minSpeedSpread: features.minSpeedSpread ?? null });
+  logStart(self, settings, server.port, features);
 
   const drain = createDrain({ shutdown, peers, orders, forwarder, server });
   const owned = resources.move();
--- a/src/daemons/forwardingView.ts
+++ b/src/daemons/forwardingView.ts
@@ -198,6 +198,7 @@
       peers,
       cacheStores: () => configuration.table()?.cacheStores ?? [],
       reportsUsedParts: dependencies.features.batchMemory,
+      isPartitioned: dependencies.isPartitioned,
       speeds,
     }),
   );
