Keep brittle replicas from falling over under load

Routers learned of full replicas from their rejections, and each one on its own.

A brittle replica gets no more than its places, all routers counted, and from half of them on no more from one router than its part; work there is announced at once. A rejection starts a backoff at all routers that is shorter the more rejections the replica bears.

--- a/src/coordination/estimates/replicaEstimates.test.ts
+++ b/src/coordination/estimates/replicaEstimates.test.ts
@@ -63,7 +63,7 @@
     organisationKey: () => 0,
     policy: defaultLoadPolicy,
   });
-  const availability = createAvailability({ replicas, clock, random });
+  const availability = createAvailability({ replicas, clock, countRouters: () => 1, random });
   return { ...created, placement: createPlacement({ ...shared, availability, dataCentre: "here", engines }) };
 };
 
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -194,7 +194,7 @@
   );
   forgetDepartedReplicas(view, client, estimates);
   observeReports(dependencies);
-  const availability = createAvailability({ replicas, clock, random });
+  const availability = createAvailability({ replicas, clock, countRouters: peers.countServing, random });
 
   const saving = createPartSaving({
     clock,
--- a/src/coordination/forwarding/routerPeers.ts
+++ b/src/coordination/forwarding/routerPeers.ts
@@ -335,7 +335,7 @@
   };
 
   const recipients = (): readonly Peer[] => (peers.isLarge() ? [] : serving());
-  const broadcastBackoff = createBackoffExchange({ ...dependencies, recipients });
+  const broadcastBackoff = createBackoffExchange({ ...dependencies, random: Math.random, recipients });
 
   link.receive((datagram, from) => {
     const message = decodeRouterMessage(datagram);
--- a/src/coordination/replicaReports/availability.ts
+++ b/src/coordination/replicaReports/availability.ts
@@ -1,5 +1,6 @@
 /** Which replicas of a service may be sent a request now, and when callers should retry where there are none. */
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { totalRequests } from "../../state/forwarding/replicaState.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import { isBackingOff, reopensAt } from "./backoff.ts";
@@ -8,11 +9,13 @@
 export interface AvailabilityDependencies {
   readonly replicas: Pick<ReplicaTable, "serving" | "draining">;
   readonly clock: Clock;
+  /** @returns How many routers may be serving, this one included. */
+  readonly countRouters: () => number;
   /** A number from 0 to 1. */
   readonly random: () => number;
 }
 
-/** The replicas that neither drain nor back off. A draining replica gets no new work. */
+/** The replicas that neither drain nor back off, nor are brittle and full. A draining replica gets no new work. */
 export interface Availability {
   /** @returns The available replicas of a service. */
   readonly available: (service: string) => readonly ReplicaState[];
@@ -33,13 +36,32 @@
   readonly unreachable: number;
 }
 
+/**
+ * Whether a request may find no room at a brittle replica: all places are taken, or half of them while this router has
+ * its part of them, since other routers may send there at the same moment.
+ */
+const isFull = (replica: ReplicaState, routers: number): boolean => {
+  const { brittleRejections, requests, entry } = replica;
+  if (brittleRejections === undefined) return false;
+  const total = totalRequests(replica);
+  return total >= entry.slots || (total >= entry.slots / 2 && requests >= entry.slots / routers);
+};
+
 /** Creates the view of which replicas in a table are available. */
-export const createAvailability = ({ replicas, clock, random }: AvailabilityDependencies): Availability => {
+export const createAvailability = ({
+  replicas,
+  clock,
+  countRouters,
+  random,
+}: AvailabilityDependencies): Availability => {
+  const isClosed = (replica: ReplicaState, now: number): boolean =>
+    isBackingOff(replica, now) || isFull(replica, countRouters());
+
   const available = (service: string): readonly ReplicaState[] => {
     const now = clock.monotonic();
     const serving = replicas.serving(service);
-    return serving.some((replica) => isBackingOff(replica, now))
-      ? serving.filter((replica) => !isBackingOff(replica, now))
+    return serving.some((replica) => isClosed(replica, now))
+      ? serving.filter((replica) => !isClosed(replica, now))
       : serving;
   };
 
--- a/src/coordination/replicaReports/backoff.test.ts
+++ b/src/coordination/replicaReports/backoff.test.ts
@@ -128,7 +128,12 @@
     const clock = createManualClock(0);
     const system = start(["a", "b"]);
     let random = 0;
-    const availability = createAvailability({ replicas: system.replicas, clock, random: () => random });
+    const availability = createAvailability({
+      replicas: system.replicas,
+      clock,
+      countRouters: () => 1,
+      random: () => random,
+    });
     return { ...system, clock, availability, setRandom: (value: number) => (random = value) };
   };
 
--- a/src/coordination/replicaReports/backoff.ts
+++ b/src/coordination/replicaReports/backoff.ts
@@ -4,7 +4,13 @@
  * makes other replicas preferred, for a time that doubles with each refusal.
  */
 import type { ReplicaBackoff, ReplicaState } from "../../state/forwarding/replicaState.ts";
-import { avoidanceTimes, recoveryIntervals, reopeningJitter } from "./constants.ts";
+import {
+  avoidanceTimes,
+  brittleBackoff,
+  rejectionsPerBackoff,
+  recoveryIntervals,
+  reopeningJitter,
+} from "./constants.ts";
 
 /** @returns Whether nothing may be sent to the replica now. */
 export const isBackingOff = ({ backoff }: ReplicaState, now: number): boolean =>
@@ -70,6 +76,19 @@
   if (backoff.interval > 0) backoff.interval = recoveryIntervals.first;
 };
 
+/**
+ * Sends nothing for a while to a brittle replica that turned a request away, so that it turns away few in a second.
+ *
+ * @param random - From 0 to 1.
+ * @returns Whether this starts a backoff; `false` also if the replica is not brittle.
+ */
+export const spareBrittle = (replica: ReplicaState, now: number, random: number): boolean => {
+  const { brittleRejections } = replica;
+  if (brittleRejections === undefined) return false;
+  const duration = brittleBackoff / Math.max(1, brittleRejections / rejectionsPerBackoff);
+  return startBackoff(replica, duration, now, random);
+};
+
 /** Prefers other replicas after this one asked another router for backoff; it may have room for this router. */
 export const avoidReplica = (replica: ReplicaState, now: number): void => {
   const backoff = ensureBackoff(replica);
--- a/src/coordination/replicaReports/backoffExchange.ts
+++ b/src/coordination/replicaReports/backoffExchange.ts
@@ -5,12 +5,14 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
-import { avoidReplica } from "./backoff.ts";
+import { avoidReplica, spareBrittle } from "./backoff.ts";
 
 export interface BackoffExchangeDependencies {
   readonly link: DatagramLink;
   readonly replicas: Pick<ReplicaTable, "getByKey">;
   readonly clock: Clock;
+  /** @returns A number from 0 to 1. */
+  readonly random: () => number;
   /** @returns Peers to notify. */
   readonly recipients: () => readonly { readonly at: DatagramAddress }[];
 }
@@ -20,12 +22,15 @@
   link,
   replicas,
   clock,
+  random,
   recipients,
 }: BackoffExchangeDependencies): ((replica: ReplicaState) => void) => {
   link.receive((datagram) => {
     for (const key of decodeBackoffMessage(datagram) ?? []) {
       const replica = replicas.getByKey(key);
-      if (replica !== undefined) avoidReplica(replica, clock.monotonic());
+      if (replica === undefined) continue;
+      avoidReplica(replica, clock.monotonic());
+      spareBrittle(replica, clock.monotonic(), random());
     }
   });
   return ({ entry }) => {
--- a/src/coordination/replicaReports/constants.ts
+++ b/src/coordination/replicaReports/constants.ts
@@ -12,6 +12,13 @@
 /** How long other replicas are preferred after a refusal that doesn't say for how long; doubles with each refusal. */
 export const avoidanceTimes = { first: 50, longest: 1_000 } as const;
 
+/**
+ * Backoff from a brittle replica that turned a request away, milliseconds, and how many requests routers may have sent
+ * it by the time all of them know: the more it can turn away in a second, the shorter the backoff.
+ */
+export const brittleBackoff = 1_000;
+export const rejectionsPerBackoff = 2;
+
 /** Callers for which no replica is available retry spread over this time after the backoff, or a share of it if more. */
 export const retryJitter = { least: 500, share: 0.5 } as const;
 
--- a/src/coordination/replicaReports/reportObserver.ts
+++ b/src/coordination/replicaReports/reportObserver.ts
@@ -11,7 +11,7 @@
 import type { Clock } from "../clock.ts";
 import { unlimitedRate } from "../replicaLimits/constants.ts";
 import type { ReplicaLimits } from "../replicaLimits/replicaLimits.ts";
-import { noteAccepted, noteRefusal, startBackoff } from "./backoff.ts";
+import { noteAccepted, noteRefusal, spareBrittle, startBackoff } from "./backoff.ts";
 import { unavailableStatuses } from "./constants.ts";
 
 export interface ReportObserverDependencies {
@@ -103,11 +103,21 @@
     dependencies.onDraining(id);
   };
 
+  const observeBrittleness = (
+    request: AnsweredRequest,
+    state: ReplicaState,
+    { brittleRejections }: ReplicaReport,
+  ): void => {
+    if (brittleRejections === "unreadable") noteUnreadable(request, "brittle");
+    else state.brittleRejections = brittleRejections;
+  };
+
   const observeRefusal = (request: AnsweredRequest, state: ReplicaState, report: ReplicaReport): void => {
     const { retryAfter, status } = report;
     if (retryAfter === "unreadable") noteUnreadable(request, "retryAfter");
     if (typeof retryAfter !== "number" || retryAfter === 0) {
       noteRefusal(state, clock.monotonic(), random());
+      if (spareBrittle(state, clock.monotonic(), random())) dependencies.onBackoff(state);
       return;
     }
     metrics.count(metricNames.backoffsReported);
@@ -129,6 +139,7 @@
   return (request, report) => {
     if (isFromOther(request, report)) return;
     const state = replicas.get(request.replica.id);
+    if (state !== undefined && isMarkedByReplica(report)) observeBrittleness(request, state, report);
     if (state !== undefined) observeBackoff(request, state, report);
     if (request.id !== undefined && !isMarkedByReplica(report)) return;
     observeDraining(request, report);
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -275,6 +275,8 @@
   readonly isDraining: boolean | Unreadable;
   /** How long it asks the receiver to send nothing, milliseconds. */
   readonly retryAfter: number | Unreadable | undefined;
+  /** If it is brittle: how many requests it can turn away in a second without falling over. */
+  readonly brittleRejections?: number | Unreadable | undefined;
 }
 
 /** The decoded head of a replica's response. */
--- a/src/state/forwarding/replicaState.ts
+++ b/src/state/forwarding/replicaState.ts
@@ -119,6 +119,8 @@
   limitedUntil: number;
   /** Set from the first refusal until requests are sent at the normal rate again. */
   backoff: ReplicaBackoff | undefined;
+  /** How many requests it can turn away in a second without falling over; `undefined` if it is not brittle. */
+  brittleRejections: number | undefined;
   /** This router cannot connect to it. */
   isUnreachable: boolean;
   /** Another router cannot reach it; this router must check with a connection of its own. */
@@ -232,6 +234,7 @@
   limitEndedAt: Number.NEGATIVE_INFINITY,
   limitedUntil: Number.NEGATIVE_INFINITY,
   backoff: undefined,
+  brittleRejections: undefined,
   isUnreachable: false,
   isSuspected: false,
   quietSince: Number.NEGATIVE_INFINITY,
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -10,6 +10,8 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { AdmittedStream, EngineLoad, EngineLoadSettings } from "./engineLoad.ts";
 import { createEngineLoad } from "./engineLoad.ts";
+import type { ReplicaRoom, RoomSettings } from "./replicaRoom.ts";
+import { createReplicaRoom } from "./replicaRoom.ts";
 import type { RawStream } from "./rawStreams.ts";
 import { brokenStreams, createRawStream, writeRawStream } from "./rawStreams.ts";
 
@@ -104,6 +106,8 @@
   readonly reportLag?: number;
   /** How an engine computes prompts and uses memory; without it, all streams begin at once. */
   readonly load?: EngineLoadSettings;
+  /** Places for requests; without it, there is no limit. */
+  readonly room?: RoomSettings;
   /** Every order is refused as if another one were in progress. */
   readonly refusesOrders?: boolean;
   /** Decides which requests crash the process: shortly after their execution began, or in the middle of their stream. */
@@ -127,6 +131,8 @@
   readonly setReportedLimit: (text: string | (() => string | undefined) | undefined) => void;
   /** Sets the headers of all following answers, whatever their status. */
   readonly setReportHeaders: (headers: ReportHeaders | ((behaviour: Behaviour) => ReportHeaders)) => void;
+  /** Its places, and whether it is brittle. */
+  readonly room: Pick<ReplicaRoom, "setBrittle" | "falls">;
   /** The load of an engine that has one. */
   readonly load: EngineLoad | undefined;
   /** Simulates a killed process: resets all connections and closes the port. */
@@ -134,6 +140,9 @@
   readonly hasCrashed: () => boolean;
 }
 
+/** Time to load weights, milliseconds. */
+const defaultLoadTime = 30;
+
 /** Time from the start of an execution to the crash that it causes, as a number of event pauses. */
 const eventPausesBeforeCrash = 2;
 
@@ -368,18 +377,44 @@
   };
 };
 
+/** Accepts orders to load weights, one at a time. */
+const createOrders = (
+  { refusesOrders = false, loadTime = defaultLoadTime }: ReplicaSettings,
+  loadWeights: (version: number) => void,
+) => {
+  const accepted: ReceivedOrder[] = [];
+  let isLoading = false;
+  return {
+    accepted: accepted as readonly ReceivedOrder[],
+    isLoading: () => isLoading,
+    handle: async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+      const order = JSON.parse(await readBody(request)) as Omit<ReceivedOrder, "at">;
+      if (refusesOrders || isLoading || isConflict(order, accepted.length)) {
+        refuse(response, 409);
+        return;
+      }
+      accepted.push({ ...order, at: performance.now() });
+      isLoading = true;
+      refuse(response, 202);
+      await sleep(loadTime);
+      loadWeights(order.version);
+      isLoading = false;
+    },
+  };
+};
+
 /** Starts a replica on a free loopback port. */
 export const startReplicaStandIn = async (settings: ReplicaSettings): Promise<ReplicaStandIn> => {
-  const { id, model, events = { count: 5, pause: 5 }, loadTime = 30 } = settings;
+  const { id, model, events = { count: 5, pause: 5 } } = settings;
   const { crashesOn = () => "never", serviceTime = 0, firstEventDelay = 0 } = settings;
   const runs: ExecutedRequest[] = [];
   const arrivals: Arrival[] = [];
-  const orders: ReceivedOrder[] = [];
   let behaviours: Behaviour[] = [];
   const weights = createLoadedWeights(model?.version ?? 0, settings.reportLag ?? 0);
   const reports = createReportedHeaders();
   const load = settings.load === undefined ? undefined : createEngineLoad(settings.load);
-  let isLoading = false;
+  const room = createReplicaRoom(settings.room, () => server.closeAllConnections());
+  const orders = createOrders(settings, weights.load);
   let hasCrashed = false;
 
   const crash = (): void => {
@@ -412,6 +447,8 @@
     arrivals.push(arrival);
     reports.addLimit(response);
     reports.addHeaders(response, behaviour);
+    const brittleness = room.brittleness();
+    if (brittleness !== undefined) response.setHeader("server-brittle", String(brittleness.rejections));
     const received = { id: String(headers["x-attempt-id"]), method, target, headers };
     if (behaviour === "early") {
       answerEarly(id, received.id, response);
@@ -421,10 +458,13 @@
     const body = await readBody(request);
     const isDenying = behaviour === "deny";
     if (refuseMisdirected(headers, { id, version: weights.version(), isDenying }, response)) return;
-    if (behaviour === "shed" || isLoading) {
+    if (behaviour === "shed" || orders.isLoading()) {
       shed(arrival, response);
       return;
     }
+    const entry = await room.enter(response);
+    if (entry === "full") shed(arrival, response);
+    if (entry !== "entered") return;
     const begun = { at: performance.now(), weightsVersion: weights.version() };
     const executed: ExecutedRequest = { ...received, ...begun, body, wasCut: false };
     runs.push(executed);
@@ -451,31 +491,24 @@
     else answerPlain(executed, response, headersOf(executed));
   };
 
-  const handleOrder = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
-    const order = JSON.parse(await readBody(request)) as Omit<ReceivedOrder, "at">;
-    if (settings.refusesOrders === true || isLoading || isConflict(order, orders.length)) {
-      refuse(response, 409);
-      return;
-    }
-    orders.push({ ...order, at: performance.now() });
-    isLoading = true;
-    refuse(response, 202);
-    await sleep(loadTime);
-    weights.load(order.version);
-    isLoading = false;
-  };
-
   const sendStatus = (response: ServerResponse): void => {
-    const status = { version: weights.reported(), busy: isLoading, sequence: orders.length };
+    const status = {
+      version: weights.reported(),
+      busy: orders.isLoading(),
+      sequence: orders.accepted.length,
+    };
     sendJson(response, createReport({ model, ...status }));
   };
 
   const server = createServer((request, response) => {
     if (request.url === "/-/report" || request.url === "/-/order") reports.addHeaders(response, "well");
     if (request.url === "/-/report") sendStatus(response);
-    else if (request.url === "/-/order") void handleOrder(request, response);
+    else if (request.url === "/-/order") void orders.handle(request, response);
     else void handleRequest(request, response);
   });
+  server.on("connection", (socket) => {
+    if (room.isFallen()) socket.resetAndDestroy();
+  });
   const resetAll = createConnectionReset(server);
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
@@ -487,9 +520,10 @@
     address: `127.0.0.1:${port}`,
     runs,
     arrivals,
-    orders,
+    orders: orders.accepted,
     version: weights.version,
     loadWeights: weights.load,
+    room,
     load,
     setReportedLimit: reports.setReportedLimit,
     setReportHeaders: reports.setReportHeaders,
