--- a/tests/platform/partitionedRouters.test.ts
+++ b/tests/platform/partitionedRouters.test.ts
@@ -142,6 +142,23 @@
     await Promise.all(before);
   });
 
+  it("are told from routers whose replicas all fall silent for a second and go on", async () => {
+    const silence = 1_000;
+    await using system = await startPlatformSystem({
+      desk: { serviceTime: silence },
+      engine: { firstEventDelay: silence },
+    });
+    const [other] = await startRouters(system, 1);
+    if (other === undefined) throw new Error("A second router is needed.");
+    const answers = await Promise.all([
+      sendMany(system.router, 12, "silent"),
+      sendMany(other.router, 12, "silent-too"),
+    ]);
+    answers.forEach(expectServedAll);
+    const ran = [...system.desks, ...system.engines].flatMap(({ runs }) => runs);
+    expect(ran.length).toEqual(24);
+  });
+
   it("don't keep the duty of ordering weights", async () => {
     await using system = await startPlatformSystem();
     const partitioned = await startRouters(system, 3);
