Say of a repeated request that no router serves that it may have run

What callers saw, by reading the code: a repeatable request whose first attempt was lost, and which no router then took on, was refused with not_run by this router, or with the other router's not_run, though the first attempt may have run it.

Cause: the refusals of passing on only knew of their own attempts.

Change: if an earlier attempt may have run the request, its outcome is unknown. Unit tests of the paths and of the choice of routers.

Result: the new test of outcomes fails without the change (not_run for outcome_unknown) and passes; 26 tests of partitions, passing on and brittle replicas pass.

--- a/src/coordination/relaying/passOn.ts
+++ b/src/coordination/relaying/passOn.ts
@@ -1,4 +1,5 @@
 /** Decides for each request whether another router has to serve it, because this one has no path to its service. */
+import type { RequestError } from "../../protocol/errors.ts";
 import type { CallerRequest } from "../../protocol/forwarding/types.ts";
 import type { Clock } from "../clock.ts";
 import { failures } from "../forwarding/failures.ts";
@@ -36,18 +37,20 @@
 
 /** Creates the decision. */
 export const createPassOn = ({ paths, relay, maySend, clock }: PassOnDependencies): PassOn => {
+  /** An earlier attempt may have run a request that may be repeated. */
+  const refusal = (run: ForwardRun): RequestError =>
+    run.mayHaveRun() ? failures.outcomeUnknown(undefined) : failures.noPath(run.deadline - clock.monotonic());
   const serviceOf = ({ admission }: ForwardRun): string => admission.service.name;
   return {
     hasPath: (run) => paths.lostFor(serviceOf(run)) === undefined,
     whenChecked: (run) => paths.whenChecked(serviceOf(run)),
     passOn: async (run, options) => {
       const { request, deadline } = run;
-      if (request.relayed !== undefined) throw failures.noPath(deadline - clock.monotonic());
+      if (request.relayed !== undefined) throw refusal(run);
       const answer = await relay.send(run, { ...options, maySend: () => maySend(request, deadline) });
       if (answer !== undefined) return answer;
       const lostFor = paths.lostFor(serviceOf(run)) ?? 0;
-      if (lostFor > toleratedSilence && !run.mayHaveRun())
-        throw failures.noPath(deadline - clock.monotonic());
+      if (lostFor > toleratedSilence) throw refusal(run);
       return undefined;
     },
   };
--- a/src/coordination/relaying/relay.ts
+++ b/src/coordination/relaying/relay.ts
@@ -12,6 +12,7 @@
  * Way back: each request is passed on only while the paths are lost when it is sent.
  */
 import { outcomes } from "../../protocol/constants.ts";
+import type { RequestError } from "../../protocol/errors.ts";
 import { requestError, UpstreamError } from "../../protocol/errors.ts";
 import { collectBody } from "../../protocol/forwarding/collectBody.ts";
 import type { RelayClient, RelayedAnswer, RelayRefusal } from "../../protocol/forwarding/RelayClient.ts";
@@ -20,6 +21,7 @@
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
+import { failures } from "../forwarding/failures.ts";
 import type { StartedAnswer } from "../forwarding/forwardAttempt.ts";
 import { isStream, isSuccess } from "../forwarding/forwardAttempt.ts";
 import type { ForwardRun } from "../forwarding/forwardRun.ts";
@@ -65,6 +67,10 @@
 const isFinal = ({ failure }: RelayRefusal): boolean =>
   failure.outcome !== outcomes.notRun || finalCodes.has(failure.code);
 
+/** The other router doesn't know whether this one's earlier attempts have run the request. */
+const toError = (run: ForwardRun, { message, failure }: RelayRefusal): RequestError =>
+  run.mayHaveRun() ? failures.outcomeUnknown(undefined) : requestError(message, failure);
+
 const writeLog = createLogger("relay");
 
 /** Creates the passing on of requests. */
@@ -125,7 +131,7 @@
       }
       end();
       note(run, target, answer.failure.code);
-      if (isFinal(answer)) throw requestError(answer.message, answer.failure);
+      if (isFinal(answer)) throw toError(run, answer);
       if (answer.failure.code !== relayCodes.busy) targets.avoid(target);
       return answer;
     } catch (error) {
@@ -162,8 +168,8 @@
       } finally {
         stopTimer?.();
       }
-      if (busy !== undefined) throw requestError(busy.message, busy.failure);
-      if (run.stopper.reason() === undefined)
+      if (busy !== undefined) throw toError(run, busy);
+      if (run.stopper.reason() === undefined && options.maySend())
         unavailableUntil.set(service, clock.monotonic() + noTargetMemory);
       return undefined;
     },
