--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -3,6 +3,7 @@
 import { brokenStreams } from "../../standIns/platform/rawStreams.ts";
 import type { Behaviour, ReportHeaders } from "../../standIns/platform/replica.ts";
 import { drainingReport, keys } from "../../standIns/platform/platformSystem.ts";
+import type { PartitionMode } from "../../standIns/platform/routerNetwork.ts";
 import type { SoakCallers } from "./callers.ts";
 import { floodingOrganisation } from "./callers.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
@@ -114,6 +115,20 @@
   slot?.replica.setBehaviours();
 };
 
+const partitionModes: readonly PartitionMode[] = ["hang", "reset", "refuse"];
+
+/** Partitions routers from all replicas. Their processes may end and start again meanwhile. */
+const partitionRouters = async (
+  slots: readonly RouterSlot[],
+  target: number,
+  duration: number,
+): Promise<void> => {
+  const mode = partitionModes[Math.floor(target * 1_000) % partitionModes.length] ?? "hang";
+  await Promise.all(slots.map(({ partition }) => partition(mode)));
+  await sleep(duration);
+  await Promise.all(slots.map(({ partition }) => partition(null)));
+};
+
 /** Creates the faults of routers' processes. */
 const createRouterFaults = (system: SoakSystem, shutdowns: ShutdownRecord[]) => {
   const restart = async (slot: RouterSlot): Promise<void> => {
@@ -360,6 +375,14 @@
     replicaLeaves: ({ target }) => drain(pickReplica(target)),
     replicaRestarts: ({ target, duration }) => restart(pickReplica(target), duration, target),
     entryLapses: ({ target, duration }) => lapse(pickReplica(target), duration),
+    routerPartitioned: ({ target, duration }, router) =>
+      partitionRouters(router === undefined ? [] : [router], target, duration),
+    routersPartitioned: ({ target, duration }, router) =>
+      partitionRouters(
+        system.routers.filter((slot) => slot !== router),
+        target,
+        duration,
+      ),
     takeKey,
     nameWeights,
     organisationFloods: ({ duration }) => runLoad("organisationFloods", duration),
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -62,8 +62,18 @@
   ...Array.from({ length: registryStepKinds.length }, () => "streamsBreakOff" as const),
 ] as const;
 
+/** All kinds, and partitions between routers and all replicas: of one router, and of all but one. Half of the steps. */
+export const partitionStepKinds = [
+  ...registryStepKinds,
+  ...Array.from(
+    { length: registryStepKinds.length / 2 },
+    () => ["routerPartitioned", "routersPartitioned"] as const,
+  ).flat(),
+] as const;
+
 /** The kind of a step. */
-export type StepKind = (typeof loadStepKinds)[number] | (typeof streamStepKinds)[number];
+export type StepKind =
+  (typeof loadStepKinds)[number] | (typeof streamStepKinds)[number] | (typeof partitionStepKinds)[number];
 
 /** One fault or change during a run. */
 export interface Step {
--- a/soak/platform/runSoak.ts
+++ b/soak/platform/runSoak.ts
@@ -20,6 +20,8 @@
   readonly isSuspending?: boolean;
   /** True gives the engines uneven speeds and bounded memory, and enables the routers' features under load. */
   readonly isLoaded?: boolean;
+  /** True lets routers be partitioned from the replicas. */
+  readonly isPartitionable?: boolean;
 }
 
 /** Result of a run. */
@@ -49,6 +51,7 @@
   size,
   isSuspending = false,
   isLoaded = false,
+  isPartitionable = false,
 }: SoakRun): Promise<SoakOutcome> => {
   const spareKeys = Array.from({ length: spareKeyCount }, (_, index) => `key-spare-${index}`);
   // The process id gives concurrent runs different addresses; the seed alone decides the faults and requests.
@@ -57,6 +60,7 @@
     process.pid + seed,
     isSuspending ? suspendableProgram : compiledProgram,
     isLoaded,
+    isPartitionable,
   );
   system.publish(firstVersion, { tenants: createTenants(spareKeys) });
   await sleep(warmUp);
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -7,6 +7,7 @@
   loadStepKinds,
   registryStepKinds,
   storeRestoreStepKinds,
+  partitionStepKinds,
   streamStepKinds,
   defaultStepKinds,
 } from "./plan.ts";
@@ -26,6 +27,7 @@
   readonly isRegistryStruck?: boolean;
   readonly isLoaded?: boolean;
   readonly breaksStreams?: boolean;
+  readonly isPartitionable?: boolean;
 }[] = [
   { seed: 3, seconds: 5, cause: "a short run with several kinds of faults" },
   { seed: 1027, seconds: 12, cause: "replicas that never registered again after loading new weights" },
@@ -62,6 +64,7 @@
     cause: "streams without a length or chunks that break off inside an event",
     breaksStreams: true,
   },
+  { seed: 76, seconds: 8, cause: "routers that are partitioned from all replicas", isPartitionable: true },
 ];
 
 describe("router processes under injected faults", () => {
@@ -75,12 +78,14 @@
     isRegistryStruck = false,
     isLoaded = false,
     breaksStreams = false,
+    isPartitionable = false,
   } of seeds) {
     const reportKinds = isReporting ? replicaReportStepKinds : defaultStepKinds;
     const restoreKinds = isReturning ? storeRestoreStepKinds : reportKinds;
     const registryKinds = isRegistryStruck ? registryStepKinds : restoreKinds;
     const loadKinds = isLoaded ? loadStepKinds : registryKinds;
-    const kinds = breaksStreams ? streamStepKinds : loadKinds;
+    const streamKinds = breaksStreams ? streamStepKinds : loadKinds;
+    const kinds = isPartitionable ? partitionStepKinds : streamKinds;
     it(`keep all invariants with seed ${seed}: ${cause}`, async () => {
       const { violations } = await runSoak({
         seed,
@@ -88,6 +93,7 @@
         size,
         isSuspending,
         isLoaded,
+        isPartitionable,
       });
       expect(violations).toEqual([]);
     });
--- a/soak/platform/soakSystem.ts
+++ b/soak/platform/soakSystem.ts
@@ -1,10 +1,13 @@
 /** A system with routers as processes and the platform's stand-in, with a proxy before each store and replica. */
-import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, rename, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ResourceStack } from "../../src/protocol/resourceStack.ts";
 import { createResourceStack } from "../../src/protocol/resourceStack.ts";
+import type { PartitionFile } from "../../standIns/platform/partitionedProcess.ts";
+import { partitionFileVariable } from "../../standIns/platform/partitionedProcess.ts";
+import type { PartitionMode } from "../../standIns/platform/routerNetwork.ts";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { StoreStandIn } from "../../standIns/platform/store.ts";
@@ -51,6 +54,9 @@
   readonly store: StoreStandIn;
   readonly storeProxy: LoopbackProxy;
   readonly settingsFile: string;
+  readonly partitionFile: string;
+  /** Partitions its processes from all replicas, `null` ends it; does nothing in runs without partitions. */
+  readonly partition: (mode: PartitionMode | null) => Promise<void>;
   process: StartedProcess | undefined;
   /** True while the process is stopped, frozen or replaced: no other step affects it meanwhile. */
   isBusy: boolean;
@@ -113,6 +119,12 @@
   ],
 };
 
+/** Options of Node.js that let a process be partitioned from the replicas. */
+const partitionOptions: readonly string[] = [
+  "--import",
+  new URL("../../standIns/platform/partitionedProcess.js", import.meta.url).href,
+];
+
 const ports = { callers: 8_080, readiness: 8_081, peers: 7_000 } as const;
 
 /** How often replicas register again, milliseconds. */
@@ -158,6 +170,18 @@
     bounds: { ...bounds, retryReserve },
   });
 
+const noPartition: RouterSlot["partition"] = () => Promise.resolve();
+
+/** @returns Writes the file that partitions a router's processes from the replicas at these ports. */
+const writePartition =
+  (file: string, ports: readonly number[]): RouterSlot["partition"] =>
+  async (mode) => {
+    const content: PartitionFile = { ports, mode };
+    // Replaced at once, so that no process reads a part of it.
+    await writeFile(`${file}.new`, JSON.stringify(content));
+    await rename(`${file}.new`, file);
+  };
+
 const startReplicas = async (
   size: SystemSize,
   resources: ResourceStack,
@@ -190,12 +214,14 @@
  * @param program - The program of the routers.
  * @param isLoaded - Whether engines compute prompts at uneven speeds in bounded memory and routers have the features
  *   under load.
+ * @param isPartitionable - Whether routers can be partitioned from the replicas.
  */
 export const startSoakSystem = async (
   size: SystemSize,
   network: number,
   program: RouterProgram = compiledProgram,
   isLoaded = false,
+  isPartitionable = false,
 ): Promise<SoakSystem> => {
   const resources = createResourceStack();
   const directory = await mkdtemp(join(tmpdir(), "pomelocleat-soak-"));
@@ -229,6 +255,7 @@
     return undefined;
   });
 
+  const replicaPorts = replicas.map(({ proxy }) => Number(proxy.address.split(":")[1]));
   const routers: RouterSlot[] = [];
   for (let index = 0; index < size.routers; index += 1) {
     const name = `router-${index}`;
@@ -236,6 +263,9 @@
     const routerStore = resources.use(await startStoreStandIn(store.topics));
     const storeProxy = resources.use(await startLoopbackProxy(routerStore.address));
     const settingsFile = join(directory, `${name}.json`);
+    const partitionFile = join(directory, `${name}-partition.json`);
+    const partition = isPartitionable ? writePartition(partitionFile, replicaPorts) : noPartition;
+    await partition(null);
     await writeFile(
       settingsFile,
       createSettings(name, address, storeProxy.address, bounds.retryReserve, isLoaded),
@@ -247,6 +277,8 @@
       store: routerStore,
       storeProxy,
       settingsFile,
+      partition,
+      partitionFile,
       process: undefined,
       isBusy: false,
     });
@@ -284,9 +316,11 @@
   };
 
   const startRouter = async (slot: RouterSlot): Promise<void> => {
-    const environment = { [settingsVariable]: slot.settingsFile };
-    const { module, runtimeOptions } = program;
-    slot.process = await startProcess(module, [], { environment, onLine: appendLogLine, runtimeOptions });
+    const environment: Record<string, string> = { [settingsVariable]: slot.settingsFile };
+    if (isPartitionable) environment[partitionFileVariable] = slot.partitionFile;
+    const runtimeOptions = [...program.runtimeOptions, ...(isPartitionable ? partitionOptions : [])];
+    const options = { environment, onLine: appendLogLine, runtimeOptions };
+    slot.process = await startProcess(program.module, [], options);
   };
   const stopRouter = async ({ process }: RouterSlot): Promise<void> => {
     await process?.[Symbol.asyncDispose]();
--- a/standIns/platform/routerNetwork.ts
+++ b/standIns/platform/routerNetwork.ts
@@ -20,6 +20,8 @@
 export interface RouterNetwork extends AsyncDisposable {
   /** Runs a function whose connections, and those of everything that it starts, belong to this network. */
   readonly run: <T>(start: () => T) => T;
+  /** Makes all connections of this process belong to this network. */
+  readonly useForProcess: () => void;
   /** Partitions the router from the replicas until {@link RouterNetwork.heal}. */
   readonly partition: (mode: PartitionMode) => void;
   readonly heal: () => void;
@@ -33,7 +35,9 @@
 /** Opens a connection of a network in place of the original `connect`. */
 type Open = (socket: Socket, args: unknown[], port: number) => boolean;
 
-const currentNetwork = new AsyncLocalStorage<Open | undefined>();
+/** `direct` for the connections of proxies themselves. */
+const currentNetwork = new AsyncLocalStorage<Open | "direct">();
+let processNetwork: Open | undefined;
 
 // eslint-disable-next-line @typescript-eslint/unbound-method -- called with the socket as `this`.
 const originalConnect = Socket.prototype.connect as (this: Socket, ...args: unknown[]) => Socket;
@@ -53,9 +57,9 @@
   if (isInstalled) return;
   isInstalled = true;
   Socket.prototype.connect = function (this: Socket, ...args: unknown[]): Socket {
-    const open = currentNetwork.getStore();
+    const open = currentNetwork.getStore() ?? processNetwork;
     const port = portOf(args);
-    if (open === undefined || port === undefined || !open(this, args, port))
+    if (open === undefined || open === "direct" || port === undefined || !open(this, args, port))
       return originalConnect.apply(this, args);
     return this;
   };
@@ -108,7 +112,7 @@
   };
 
   const proxyFor = (port: number): Promise<Server> => {
-    const known = proxies.get(port) ?? currentNetwork.run(undefined, () => startProxy(port));
+    const known = proxies.get(port) ?? currentNetwork.run("direct", () => startProxy(port));
     proxies.set(port, known);
     return known;
   };
@@ -132,6 +136,9 @@
 
   return {
     run: (start) => currentNetwork.run(open, start),
+    useForProcess: () => {
+      processNetwork = open;
+    },
     partition: (mode) => {
       partition = mode;
       for (const { near, far } of connections) {
