Let steps of the soak that overlap partition the same router

Its own fault: two steps wrote one router's file at the same time. The file is now written and replaced in one go.

--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -124,9 +124,9 @@
   duration: number,
 ): Promise<void> => {
   const mode = partitionModes[Math.floor(target * 1_000) % partitionModes.length] ?? "hang";
-  await Promise.all(slots.map(({ partition }) => partition(mode)));
+  for (const { partition } of slots) partition(mode);
   await sleep(duration);
-  await Promise.all(slots.map(({ partition }) => partition(null)));
+  for (const { partition } of slots) partition(null);
 };
 
 /** Creates the faults of routers' processes. */
--- a/soak/platform/soakSystem.ts
+++ b/soak/platform/soakSystem.ts
@@ -1,5 +1,6 @@
 /** A system with routers as processes and the platform's stand-in, with a proxy before each store and replica. */
-import { mkdtemp, rename, rm, writeFile } from "node:fs/promises";
+import { renameSync, writeFileSync } from "node:fs";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
@@ -56,7 +57,7 @@
   readonly settingsFile: string;
   readonly partitionFile: string;
   /** Partitions its processes from all replicas, `null` ends it; does nothing in runs without partitions. */
-  readonly partition: (mode: PartitionMode | null) => Promise<void>;
+  readonly partition: (mode: PartitionMode | null) => void;
   process: StartedProcess | undefined;
   /** True while the process is stopped, frozen or replaced: no other step affects it meanwhile. */
   isBusy: boolean;
@@ -170,16 +171,16 @@
     bounds: { ...bounds, retryReserve },
   });
 
-const noPartition: RouterSlot["partition"] = () => Promise.resolve();
+const noPartition: RouterSlot["partition"] = () => undefined;
 
 /** @returns Writes the file that partitions a router's processes from the replicas at these ports. */
 const writePartition =
   (file: string, ports: readonly number[]): RouterSlot["partition"] =>
-  async (mode) => {
+  (mode) => {
     const content: PartitionFile = { ports, mode };
-    // Replaced at once, so that no process reads a part of it.
-    await writeFile(`${file}.new`, JSON.stringify(content));
-    await rename(`${file}.new`, file);
+    // Replaced at once, so that no process reads a part of it; steps that overlap must not share the other file.
+    writeFileSync(`${file}.new`, JSON.stringify(content));
+    renameSync(`${file}.new`, file);
   };
 
 const startReplicas = async (
@@ -265,7 +266,7 @@
     const settingsFile = join(directory, `${name}.json`);
     const partitionFile = join(directory, `${name}-partition.json`);
     const partition = isPartitionable ? writePartition(partitionFile, replicaPorts) : noPartition;
-    await partition(null);
+    partition(null);
     await writeFile(
       settingsFile,
       createSettings(name, address, storeProxy.address, bounds.retryReserve, isLoaded),
