Name full replicas where callers are told that none is available

A brittle replica whose places are taken was refused as if it had asked for backoff, and the request's line didn't list it. The message and the field skipped name it now; comments of the paths' state. No decision changes.

--- a/src/commandLine/requestTimeline.test.ts
+++ b/src/commandLine/requestTimeline.test.ts
@@ -49,7 +49,7 @@
         replica: "i-1",
         milliseconds: 4,
         skipped: "i-2:backoff:1200 i-3:draining",
-        reason: "All replicas are shutting down or asked for backoff; the request has not run.",
+        reason: "All replicas are shutting down, asked for backoff or are full; the request has not run.",
       }),
     );
     expect(timeline.steps[0]?.text.includes("i-2:backoff:1200 i-3:draining")).toEqual(true);
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -63,13 +63,13 @@
       retryAfterSeconds: milliseconds / 1_000,
     }),
   /**
-   * All replicas drain or asked for backoff.
+   * All replicas drain, asked for backoff, or are brittle and full.
    *
    * @param milliseconds - Until one accepts requests again.
    */
   unavailable: (milliseconds: number, cause: UpstreamError | undefined): RequestError =>
     requestError(
-      "All replicas are shutting down or asked for backoff; the request has not run.",
+      "All replicas are shutting down, asked for backoff or are full; the request has not run.",
       {
         status: 503,
         code: "replicas_unavailable",
--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -52,11 +52,15 @@
 /** Why a service is checked. */
 type CheckReason = keyof typeof probeRounds;
 
+/** The paths to one service. Times are milliseconds on the monotonic clock. */
 interface ServicePaths {
-  /** When the paths were found lost, milliseconds on the monotonic clock. */
+  /** When the paths were found lost; `undefined` while there is one. */
   lostAt: number | undefined;
+  /** When the last check ended. */
   checkedAt: number;
+  /** Checks since the paths were lost; the interval between them grows with it. */
   checks: number;
+  /** The check in progress. */
   check: Promise<void> | undefined;
 }
 
@@ -78,6 +82,7 @@
   const { replicas, probes, health, clock, metrics } = dependencies;
   const services = new Map<string, ServicePaths>();
   let silenceCheckedAt = Number.NEGATIVE_INFINITY;
+  /** When an answer, or a connection that was accepted, last showed a path to any replica. */
   let provenAt = Number.NEGATIVE_INFINITY;
   let isDisposed = false;
 
--- a/src/coordination/replicaReports/availability.ts
+++ b/src/coordination/replicaReports/availability.ts
@@ -69,9 +69,11 @@
     const now = clock.monotonic();
     const backingOff = replicas.serving(service).filter((replica) => isBackingOff(replica, now));
     const draining = replicas.draining(service);
-    if (backingOff.length + draining.length === 0) return undefined;
+    const full = replicas.serving(service).filter((replica) => isFull(replica, countRouters()));
+    if (backingOff.length + draining.length + full.length === 0) return undefined;
     const reasons = [
       ...backingOff.map((replica) => `${replica.entry.id}:backoff:${Math.ceil(reopensAt(replica) - now)}`),
+      ...full.map(({ entry }) => `${entry.id}:full`),
       ...draining.map(({ entry }) => `${entry.id}:draining`),
     ];
     return reasons.slice(0, maxSkippedLogged).join(" ");
