--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -29,7 +29,9 @@
   callers: endpoint.describe("Where callers connect"),
   readiness: endpoint.describe("Where the load balancer checks whether this router accepts requests"),
   metricsPort: z.number().int().min(0).max(maxPort).describe("Where metrics are served; 0: nowhere"),
-  peers: endpoint.describe("Where other routers' datagrams are received"),
+  peers: endpoint.describe(
+    "Where other routers reach this one: datagrams, and over TCP requests that they pass on",
+  ),
   store: endpoint.describe("The platform's store"),
   guarantees: z
     .array(z.string())
