Pass a reset on as a reset in the stand-in of a router's network

Cause, inferred: the proxy in the routers' processes passed a reset that follows data on as an ordinary end. The proxies in front of replicas tell the two apart.

--- a/standIns/platform/routerNetwork.ts
+++ b/standIns/platform/routerNetwork.ts
@@ -92,7 +92,11 @@
       to.on("drain", () => {
         if (partition !== "hang") from.resume();
       });
-      from.on("end", () => to.end());
+      from.on("end", () => {
+        // The operating system reports a reset after data as an end; the socket then has no remote address any more.
+        if (from.remoteAddress === undefined) to.resetAndDestroy();
+        else to.end();
+      });
       from.on("error", () => to.resetAndDestroy());
       from.on("close", () => to.destroySoon());
     }
