Close the proxies of a router's network that open while it is disposed of

Cause: a router that opens a connection while its network is disposed of starts a proxy that nobody closes. In the stand-in only.

Result: the files that use it pass and end, three runs of three; that the race is gone was not shown by a run that has it.

--- a/standIns/platform/routerNetwork.ts
+++ b/standIns/platform/routerNetwork.ts
@@ -80,6 +80,7 @@
   const connections = new Set<Relayed>();
   const proxies = new Map<number, Promise<Server>>();
   let partition: PartitionMode | undefined;
+  let isDisposed = false;
 
   const relay = ({ near, far }: Relayed): void => {
     for (const [from, to] of [
@@ -112,6 +113,8 @@
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
+    // A router may open a connection while the network is disposed of.
+    if (isDisposed) server.close();
     return server;
   };
 
@@ -124,6 +127,10 @@
   const openThroughProxy = async (socket: Socket, args: unknown[], port: number): Promise<void> => {
     const server = await proxyFor(port);
     if (socket.destroyed) return;
+    if (!server.listening) {
+      refuse(socket);
+      return;
+    }
     const [first, ...rest] = args;
     const options = (Array.isArray(first) ? first[0] : first) as object;
     const listener = Array.isArray(first) ? (first[1] as unknown) : rest[0];
@@ -155,6 +162,7 @@
       for (const { near, far } of connections) for (const side of [near, far]) side.resume();
     },
     [Symbol.asyncDispose]: async () => {
+      isDisposed = true;
       for (const { near, far } of connections) {
         near.destroy();
         far.destroy();
