--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 import { registryBench } from "./registry/registry.ts";
 import { relayBench } from "./relay/relay.ts";
 import { restartBench } from "./restart.ts";
+import { retryBudgetBench } from "./retryBudget/retryBudget.ts";
 import { retriesBench } from "./retries/retries.ts";
 import { routerBench } from "./router/router.ts";
 import { slopesBench } from "./slopes/slopes.ts";
@@ -23,6 +24,7 @@
   relayBench,
   claimsBench,
   retriesBench,
+  retryBudgetBench,
   membershipBench,
   restartBench,
   ownersBench,
--- /dev/null
+++ b/bench/retryBudget/fleetModel.ts
@@ -0,0 +1,251 @@
+/**
+ * A model of routers that share a retry budget while their callers move between them and their processes die, restart,
+ * join and are replaced. Every router takes each retry that it is granted, and the whole is measured as its users do: in
+ * every window, over all routers.
+ */
+import type { Random } from "../model/random.ts";
+import type { Clock } from "../../src/coordination/clock.ts";
+import { createReserveShare } from "../../src/coordination/forwarding/reserveShare.ts";
+import type { ReserveShare } from "../../src/coordination/forwarding/reserveShare.ts";
+import type { RetryShare } from "../../src/coordination/forwarding/retryShare.ts";
+
+/** The budget that all routers have together. */
+export interface Budget {
+  readonly retryRatio: number;
+  readonly retryReserve: number;
+  /** Milliseconds. */
+  readonly retryWindow: number;
+}
+
+/** What decides on the retries of one process. */
+export type Allowance = Pick<RetryShare, "noteRequest" | "tryTake">;
+
+/** Creates the allowance of a process that starts now. */
+export type AllowanceFactory = (clock: Clock, budget: Budget, reserveShare: ReserveShare) => Allowance;
+
+/** Something that happens to some of the routers. */
+export interface FleetEvent {
+  /**
+   * - `leave`: their callers move to the other routers, and return after the duration
+   * - `drain`: the same; the process ends after a part of the duration, and its successor starts at the end
+   * - `kill`: the processes die, and start again under their names after the duration
+   * - `replace`: the processes die, and others start under new names after the duration
+   * - `join`: as many routers start under new names
+   * - `surge`: all requests are more by half for the duration
+   */
+  readonly kind: "leave" | "drain" | "kill" | "replace" | "join" | "surge";
+  /** Milliseconds from the start. */
+  readonly at: number;
+  /** Milliseconds. */
+  readonly duration: number;
+  /** The first of the routers that it affects, 0 to 1. */
+  readonly first: number;
+  /** Share of the routers that it affects, 0 to 1. */
+  readonly share: number;
+}
+
+/** Routers, load and events of one play. */
+export interface FleetHistory {
+  readonly routers: number;
+  readonly requestsPerSecond: number;
+  /** When every request begins to fail, milliseconds from the start. */
+  readonly failsFrom: number;
+  /** Milliseconds. */
+  readonly duration: number;
+  readonly events: readonly FleetEvent[];
+}
+
+/** What a play has shown. */
+export interface FleetOutcome {
+  /** Retries in the window that uses most of its budget, as a share of what is allowed there. */
+  readonly worstWindow: number;
+  /** Retries granted in the first second of failures, as a share of what a window allows. */
+  readonly firstSecond: number;
+  /** Retries granted while requests failed, as a share of what the windows allow. */
+  readonly sustained: number;
+}
+
+/** Length of a step, milliseconds. */
+const step = 100;
+
+/** How long it takes until routers know of a router that has started, milliseconds. */
+const listingDelay = 1_000;
+
+/** Part of its duration after which a draining process ends. */
+const drainedAfter = 0.5;
+
+/** How much more requests there are in a surge. */
+const surgeFactor = 1.5;
+
+const service = "desk";
+
+/** Attempts that a router makes for a retry in each step; more than any step is granted. */
+const maxTakenPerStep = 10_000;
+
+interface RouterProcess {
+  readonly allowance: Allowance;
+  readonly reserveShare: ReserveShare;
+  readonly hasPredecessor: boolean;
+  readonly startedAt: number;
+  isListed: boolean;
+}
+
+/** A router's name; its processes come and go. */
+interface RouterName {
+  process: RouterProcess | undefined;
+  /** Until when the balancer sends it no callers, milliseconds. */
+  outUntil: number;
+}
+
+interface ScheduledChange {
+  readonly at: number;
+  readonly change: () => void;
+}
+
+/** Requests and retries of each step. */
+interface Records {
+  readonly requests: number[];
+  readonly retries: number[];
+}
+
+const sumsOf = (counts: readonly number[]): readonly number[] => {
+  const sums = [0];
+  for (const count of counts) sums.push((sums.at(-1) ?? 0) + count);
+  return sums;
+};
+
+const measure = ({ requests, retries }: Records, budget: Budget, failsFrom: number): FleetOutcome => {
+  const window = Math.round(budget.retryWindow / step);
+  const requestSums = sumsOf(requests);
+  const retrySums = sumsOf(retries);
+  const between = (sums: readonly number[], from: number, until: number): number =>
+    (sums[Math.max(0, Math.min(until, sums.length - 1))] ?? 0) - (sums[Math.max(0, from)] ?? 0);
+  /** The requests are those of the window, of the one before it or of the one half a window before it. */
+  const allowedFrom = (start: number): number => {
+    const counts = [start, start - window / 2, start - window].map((from) =>
+      between(requestSums, from, from + window),
+    );
+    return budget.retryRatio * Math.max(...counts) + budget.retryReserve;
+  };
+  const starts = requests.map((_, index) => index);
+  const worstWindow = Math.max(
+    ...starts.map((start) => between(retrySums, start, start + window) / allowedFrom(start)),
+  );
+  const first = Math.round(failsFrom / step);
+  const firstSecond = between(retrySums, first, first + 1_000 / step) / allowedFrom(first - window);
+  const failing = requests.length - first;
+  const sustained =
+    between(retrySums, first, requests.length) / (allowedFrom(first - window) * (failing / window));
+  return { worstWindow, firstSecond, sustained };
+};
+
+/** Plays a history with one design. */
+export const playFleet = (
+  history: FleetHistory,
+  budget: Budget,
+  createAllowance: AllowanceFactory,
+  random: Random,
+): FleetOutcome => {
+  let now = 0;
+  const clock: Clock = { monotonic: () => now, wall: () => now, after: () => () => undefined };
+  const names: RouterName[] = [];
+  const scheduled: ScheduledChange[] = [];
+  const records: Records = { requests: [], retries: [] };
+  let surgeUntil = 0;
+
+  /** Routers that are dead or unreachable count as well: they may return. */
+  const countKnown = (isListed: () => boolean): number => {
+    if (!isListed()) return 1;
+    return names.filter(({ process }) => process === undefined || process.isListed).length;
+  };
+
+  const start = (name: RouterName, hasPredecessor: boolean, startedAt: number): void => {
+    const reserveShare = createReserveShare({
+      clock,
+      window: budget.retryWindow,
+      countRouters: () => countKnown(() => process.isListed),
+    });
+    const allowance = createAllowance(clock, budget, reserveShare);
+    const process: RouterProcess = { allowance, reserveShare, hasPredecessor, startedAt, isListed: false };
+    name.process = process;
+  };
+
+  const addRouter = (startedAt: number): void => {
+    const name: RouterName = { process: undefined, outUntil: 0 };
+    names.push(name);
+    start(name, false, startedAt);
+  };
+
+  const schedule = (delay: number, change: () => void): void => {
+    scheduled.push({ at: now + delay, change });
+  };
+
+  const apply = ({ kind, duration, first, share }: FleetEvent): void => {
+    if (kind === "surge") {
+      surgeUntil = now + duration;
+      return;
+    }
+    const count = Math.round(share * history.routers);
+    if (kind === "join") {
+      for (let index = 0; index < count; index += 1) addRouter(now);
+      return;
+    }
+    const begin = Math.floor(first * names.length);
+    const affected = Array.from({ length: Math.min(count, names.length) }, (_, index) =>
+      names.at((begin + index) % names.length),
+    ).filter((name) => name !== undefined);
+    for (const name of affected) {
+      if (kind === "leave" || kind === "drain") name.outUntil = now + duration;
+      if (kind === "leave") continue;
+      const died = name.process;
+      const end = (): void => {
+        if (name.process === died) name.process = undefined;
+      };
+      if (kind === "drain") schedule(duration * drainedAfter, end);
+      else end();
+      schedule(duration, () => {
+        if (kind === "replace") addRouter(now);
+        else if (name.process === undefined) start(name, true, now);
+      });
+    }
+  };
+
+  const runDue = (): void => {
+    for (const due of scheduled.filter(({ at }) => at <= now)) {
+      scheduled.splice(scheduled.indexOf(due), 1);
+      due.change();
+    }
+    for (const { process } of names) {
+      if (process === undefined || process.isListed || now - process.startedAt < listingDelay) continue;
+      process.isListed = true;
+      process.reserveShare.noteListing(process.hasPredecessor);
+    }
+  };
+
+  for (let index = 0; index < history.routers; index += 1) addRouter(-listingDelay);
+  for (const event of history.events) schedule(event.at, () => apply(event));
+
+  let carry = 0;
+  for (; now < history.duration; now += step) {
+    runDue();
+    carry += (history.requestsPerSecond * (now < surgeUntil ? surgeFactor : 1) * step) / 1_000;
+    const requests = Math.floor(carry);
+    carry -= requests;
+    const alive = names.filter(({ process }) => process !== undefined);
+    const inRotation = alive.filter(({ outUntil }) => outUntil <= now);
+    const targets = inRotation.length > 0 ? inRotation : alive;
+    if (targets.length > 0)
+      for (let index = 0; index < requests; index += 1)
+        targets[random.index(targets.length)]?.process?.allowance.noteRequest(service);
+    let retries = 0;
+    if (now >= history.failsFrom)
+      for (const { process } of alive) {
+        let taken = 0;
+        while (taken < maxTakenPerStep && process?.allowance.tryTake(service) === true) taken += 1;
+        retries += taken;
+      }
+    records.requests.push(requests);
+    records.retries.push(retries);
+  }
+  return measure(records, budget, history.failsFrom);
+};
--- /dev/null
+++ b/bench/retryBudget/retryBudget.ts
@@ -0,0 +1,77 @@
+/**
+ * `npm run bench -- retryBudget`: designs of the retry budget, by their worst window over histories in which callers move
+ * and routers come and go, and by the retries that they grant when failures begin.
+ */
+import { createRandom } from "../model/random.ts";
+import { formatTable } from "../report/table.ts";
+import type { Bench, BenchOptions } from "../types.ts";
+import { designs } from "./designs.ts";
+import type { AllowanceFactory, Budget } from "./fleetModel.ts";
+import { playFleet } from "./fleetModel.ts";
+import { createHistory, namedHistories } from "./histories.ts";
+
+/** A number of routers, with their requests per second and the budget that they share. */
+interface Fleet {
+  readonly routers: number;
+  readonly requestsPerSecond: number;
+  readonly budget: Budget;
+}
+
+const ratioAndWindow = { retryRatio: 0.2, retryWindow: 10_000 } as const;
+
+const fleets: readonly Fleet[] = [
+  { routers: 6, requestsPerSecond: 80, budget: { ...ratioAndWindow, retryReserve: 56 } },
+  { routers: 58, requestsPerSecond: 300, budget: { ...ratioAndWindow, retryReserve: 156 } },
+  { routers: 460, requestsPerSecond: 4_600, budget: { ...ratioAndWindow, retryReserve: 460 } },
+];
+
+const format = (share: number): string => share.toFixed(2);
+
+const playAll = (fleet: Fleet, design: AllowanceFactory, seeds: readonly number[]) => {
+  const rows = namedHistories.map(({ name, events }) => {
+    const outcomes = seeds.map((seed) =>
+      playFleet(
+        createHistory(fleet.routers, fleet.requestsPerSecond, events),
+        fleet.budget,
+        design,
+        createRandom(seed, name),
+      ),
+    );
+    return { name, worst: Math.max(...outcomes.map(({ worstWindow }) => worstWindow)), outcomes };
+  });
+  const calm = rows[0]?.outcomes ?? [];
+  return {
+    rows,
+    firstSecond: Math.min(...calm.map(({ firstSecond }) => firstSecond)),
+    sustained: Math.min(...calm.map(({ sustained }) => sustained)),
+  };
+};
+
+const run = ({ seeds, quick, only, json }: BenchOptions): Promise<void> => {
+  const chosen = Object.entries(designs).filter(([name]) => only.length === 0 || only.includes(name));
+  for (const fleet of quick ? fleets.slice(0, 2) : fleets) {
+    const results = chosen.map(([name, design]) => ({ name, ...playAll(fleet, design, seeds) }));
+    if (json) {
+      console.log(JSON.stringify({ fleet, results }));
+      continue;
+    }
+    console.log(`${fleet.routers} routers, ${fleet.requestsPerSecond} requests/s, shares of what is allowed`);
+    const header = ["history", ...chosen.map(([name]) => name)];
+    const worst = namedHistories.map(({ name }, index) => [
+      name,
+      ...results.map(({ rows }) => format(rows[index]?.worst ?? 0)),
+    ]);
+    const granted = [
+      ["granted in the first second", ...results.map(({ firstSecond }) => format(firstSecond))],
+      ["granted in 30 s", ...results.map(({ sustained }) => format(sustained))],
+    ];
+    console.log(formatTable([header, ...worst, ...granted]));
+  }
+  return Promise.resolve();
+};
+
+export const retryBudgetBench: Bench = {
+  name: "retryBudget",
+  summary: "the retry budget over all routers while callers move and routers come and go",
+  run,
+};
--- /dev/null
+++ b/tests/model/retryBudget.test.ts
@@ -0,0 +1,76 @@
+import { describe, it } from "node:test";
+import { expect } from "earl";
+import fc from "fast-check";
+import { createRandom } from "../../bench/model/random.ts";
+import { createServingAllowance } from "../../bench/retryBudget/designs.ts";
+import type { Budget, FleetEvent } from "../../bench/retryBudget/fleetModel.ts";
+import { playFleet } from "../../bench/retryBudget/fleetModel.ts";
+import { createHistory, namedHistories } from "../../bench/retryBudget/histories.ts";
+
+interface Fleet {
+  readonly routers: number;
+  readonly requestsPerSecond: number;
+  readonly budget: Budget;
+  /** Number of drawn histories. */
+  readonly runs: number;
+}
+
+const ratioAndWindow = { retryRatio: 0.2, retryWindow: 10_000 } as const;
+
+const small: Fleet = {
+  routers: 6,
+  requestsPerSecond: 80,
+  budget: { ...ratioAndWindow, retryReserve: 56 },
+  runs: 120,
+};
+
+const large: Fleet = {
+  routers: 460,
+  requestsPerSecond: 4_600,
+  budget: { ...ratioAndWindow, retryReserve: 460 },
+  runs: 8,
+};
+
+/** Share of what a window allows that routers grant together in the first second of failures. */
+const firstSecondTarget = 0.6;
+
+const play = ({ routers, requestsPerSecond, budget }: Fleet, events: readonly FleetEvent[]) => {
+  const history = createHistory(routers, requestsPerSecond, events);
+  return playFleet(history, budget, createServingAllowance, createRandom(1, "retryBudget"));
+};
+
+const worstWindow = (fleet: Fleet, events: readonly FleetEvent[]): number => play(fleet, events).worstWindow;
+
+const drawnEvent: fc.Arbitrary<FleetEvent> = fc.record({
+  kind: fc.constantFrom("leave", "leave", "drain", "kill", "kill", "replace", "join", "surge"),
+  at: fc.integer({ min: 6_000, max: 30_000 }),
+  duration: fc.integer({ min: 300, max: 12_000 }),
+  first: fc.float({ min: 0, max: Math.fround(0.99), noNaN: true }),
+  share: fc.float({ min: Math.fround(0.1), max: 1, noNaN: true }),
+});
+
+describe("the retry budget of all routers", () => {
+  for (const fleet of [small, large]) {
+    // The budget was exceeded where callers moved to routers that had not spent it.
+    it(`holds in every window while callers move between ${fleet.routers} routers`, (context) => {
+      const worst = namedHistories.map(({ name, events }) => ({ name, share: worstWindow(fleet, events) }));
+      for (const { name, share } of worst) context.diagnostic(`${name}: ${share.toFixed(2)}`);
+      for (const { share } of worst) expect(share <= 1).toEqual(true);
+    });
+
+    it(`holds in every window of drawn histories of ${fleet.routers} routers`, () => {
+      fc.assert(
+        fc.property(fc.array(drawnEvent, { minLength: 1, maxLength: 7 }), (events) => {
+          expect(worstWindow(fleet, events) <= 1).toEqual(true);
+        }),
+        { seed: 79, numRuns: fleet.runs, endOnFailure: true },
+      );
+    });
+
+    it(`grants most retries at once when failures begin, at ${fleet.routers} routers`, (context) => {
+      const { firstSecond } = play(fleet, []);
+      context.diagnostic(`${firstSecond.toFixed(2)} of the budget`);
+      expect(firstSecond >= firstSecondTarget).toEqual(true);
+    });
+  }
+});
--- a/tests/platform/retryBudget.test.ts
+++ b/tests/platform/retryBudget.test.ts
@@ -1,7 +1,7 @@
 import type { TestContext } from "node:test";
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import type { Behaviour } from "../../standIns/platform/replica.ts";
+import type { Behaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { PlatformSystem } from "../../standIns/platform/platformSystem.ts";
 import { hosts, isReady, startPlatformSystem, waitUntil } from "../../standIns/platform/platformSystem.ts";
 import { sendSteadily } from "../support/limitedReplicas.ts";
@@ -46,6 +46,49 @@
   expect(repeats <= allowed).toEqual(true);
 };
 
+/** A budget whose window is short enough for several to pass in a test. */
+const shortBudget = { ratio: 0.2, reserve: 6, window: 4_000 } as const;
+
+const load = { perSecond: 150 } as const;
+
+/** Two of three requests fail at each replica. */
+const oftenFailing: readonly Behaviour[] = Array.from({ length: 3_000 }, (_, index) =>
+  index % 3 === 0 ? "well" : "fail",
+);
+
+/** @returns The times of arrivals beyond the first of their request, milliseconds, in order. */
+const repeatTimesAt = (replicas: readonly ReplicaStandIn[]): readonly number[] => {
+  const arrivals = replicas
+    .flatMap((replica) => replica.arrivals)
+    .toSorted((left, right) => left.at - right.at);
+  const seen = new Set<unknown>();
+  return arrivals.flatMap(({ headers, at }) => {
+    const id = headers["x-attempt-id"];
+    if (seen.has(id)) return [at];
+    seen.add(id);
+    return [];
+  });
+};
+
+const countFrom = (times: readonly number[], start: number, length: number): number =>
+  times.filter((time) => time >= start && time < start + length).length;
+
+/** @returns The window that uses most of its budget: its repeats, and how many are allowed. */
+const worstWindowOf = (repeats: readonly number[], requests: readonly number[]) => {
+  const { ratio, reserve, window } = shortBudget;
+  return repeats
+    .map((start) => {
+      const counts = [start, start - window / 2, start - window].map((from) =>
+        countFrom(requests, from, window),
+      );
+      return { count: countFrom(repeats, start, window), allowed: ratio * Math.max(...counts) + reserve };
+    })
+    .reduce((worst, each) => (each.count / each.allowed > worst.count / worst.allowed ? each : worst), {
+      count: 0,
+      allowed: 1,
+    });
+};
+
 describe("the retries of all routers", () => {
   // A new process does not know what the previous one has spent.
   it("stay within the budget while the routers restart", async (context) => {
@@ -57,4 +100,31 @@
     }
     expectWithinBudget(context, system, requests);
   });
+
+  // What a router has spent stayed with it, and its callers' next routers spent as much again.
+  it("stay within the budget while callers move from router to router", async (context) => {
+    const { ratio, reserve, window } = shortBudget;
+    await using system = await startPlatformSystem({
+      desks: 8,
+      engines: 0,
+      bounds: { retryRatio: ratio, retryReserve: reserve, retryWindowSeconds: window / 1_000 },
+    });
+    while (system.routers.length < routerCount) await system.startRouter();
+    await waitUntil(() => areReady(system));
+    const { routers } = system;
+    const send = (through: PlatformSystem["routers"], seconds: number) =>
+      sendSteadily({ routers: through }, readRequest, { ...load, seconds });
+    const calm = await send(routers, 1.2 * (window / 1_000));
+    for (const desk of system.desks) desk.setBehaviours(...oftenFailing);
+    const failing = [
+      ...(await send(routers, 0.25 * (window / 1_000))),
+      ...(await send(routers.slice(0, 2), 0.6 * (window / 1_000))),
+      ...(await send(routers.slice(2, 4), 0.6 * (window / 1_000))),
+    ];
+    const requests = [...calm, ...failing].map(({ askedAt }) => askedAt);
+    const worst = worstWindowOf(repeatTimesAt(system.desks), requests);
+    context.diagnostic(`${worst.count} repeats in the worst window, ${worst.allowed.toFixed(1)} allowed`);
+    expect(worst.count > 0).toEqual(true);
+    expect(worst.count <= worst.allowed).toEqual(true);
+  });
 });
