Sum the retries that routers grant from their logs

Nothing summed the granted retries over routers, and no line said how often a request was sent, so that repeats that no router counts could not be told from a budget that adds up to too much. `pomelocleat logs retries` names the fullest window of each service, what each router spent of it, and requests that were sent more often than retries were granted; lines of requests have `sends`. Decisions are unchanged.

--- a/src/commandLine/cli.ts
+++ b/src/commandLine/cli.ts
@@ -7,6 +7,7 @@
 import { DumpCommand } from "./commands/dump.ts";
 import { EnginesCommand } from "./commands/engines.ts";
 import { ExplainCommand } from "./commands/explain.ts";
+import { LogsRetriesCommand } from "./commands/logsRetries.ts";
 import { LogsSummaryCommand } from "./commands/logsSummary.ts";
 import { VersionsCommand } from "./commands/versions.ts";
 
@@ -32,6 +33,7 @@
   cli.register(DumpCommand);
   cli.register(EnginesCommand);
   cli.register(ExplainCommand);
+  cli.register(LogsRetriesCommand);
   cli.register(LogsSummaryCommand);
   cli.register(Builtins.HelpCommand);
   cli.register(Builtins.VersionCommand);
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -37,6 +37,8 @@
   readonly mayHaveRun: () => boolean;
   /** @returns How many times it has run, may have run or is running. */
   readonly executions: () => number;
+  /** @returns How often this router has sent it to a replica where it may have arrived, refusals included. */
+  readonly sends: () => number;
   /** @returns The last choice of a replica, with the weights that it was expected to run. */
   readonly lastChoice: () => PlacementChoice | undefined;
   /**
@@ -152,6 +154,7 @@
     excluded,
     mayHaveRun: () => mayHaveRun,
     executions: () => executions,
+    sends: () => [...arrivals.values()].reduce((sum, count) => sum + count, 0),
     lastChoice: () => lastChoice,
     registryAge: () => registryAge,
     noteChoice: (choice, age) => {
--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -95,6 +95,7 @@
       organisation: admission.organisation?.name ?? null,
       replica: choice?.replica.entry.id ?? null,
       attempts: sentTo.size,
+      sends: run.sends(),
       milliseconds,
       configurationVersion: admission.table.configuration.version,
       configurationAge: finiteAge(configuration.age()),
