Bound the retries of a router in every interval, so that all routers add up wherever callers go

Callers of a service whose callers had moved between routers were repeated more often than all routers together may: each router spent what the requests of its own window earn, so that the requests of one window paid twice where callers moved, once at the router that they left and once where they went on. Now the retries of any interval up to a window are at most 0.4 of the ratio of the interval's requests and 0.6 of the ratio of those of the window before. That is linear in a router's own requests, so the sum over routers, dead ones included, is at most what the ratio allows.

The safety factor is gone: the margin is that retries of a window and 0.4 s of it count.

--- a/src/coordination/forwarding/retryShare.ts
+++ b/src/coordination/forwarding/retryShare.ts
@@ -1,28 +1,19 @@
 /**
- * This router's share of the retry budget that all routers have together for a service: a ratio of its own requests in
- * the sliding window, and a part of the shared reserve.
+ * This router's share of the retry budget that all routers have together for a service: what its own requests pay, and a
+ * part of the shared reserve.
  */
 import type { Clock } from "../clock.ts";
-import type { SlidingWindowCounter } from "../slidingWindowCounter.ts";
-import { createSlidingWindowCounter } from "../slidingWindowCounter.ts";
 import type { ReserveShare } from "./reserveShare.ts";
+import type { RetryLedger } from "./retryLedger.ts";
+import { createRetryLedger } from "./retryLedger.ts";
 import type { ForwardingBounds } from "./types.ts";
 
-/** Resolution of the sliding window. */
-const bucketsPerWindow = 20;
-
-/**
- * Share of the budget that is used. The rest covers that the window slides in whole buckets, that users count requests
- * when they are sent, and that routers may disagree for a moment on how many they are.
- */
-const safetyFactor = 0.8;
-
 /** This router's part of a service's retry budget in the present window. */
 export interface RetryShareState {
   /** Requests of callers and retries that this router counted. */
   readonly requests: number;
   readonly retries: number;
-  /** Retries that it may make in the window. */
+  /** Retries that it has made and may make now. */
   readonly allowed: number;
   /** How many routers the reserve is divided by. */
   readonly routers: number;
@@ -38,12 +29,6 @@
   readonly states: () => ReadonlyMap<string, RetryShareState>;
 }
 
-/** Requests and retries of one service in the window. */
-interface Counts {
-  readonly requests: SlidingWindowCounter;
-  readonly retries: SlidingWindowCounter;
-}
-
 export interface RetryShareDependencies {
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
@@ -52,30 +37,26 @@
 
 /** Creates a share with empty windows. */
 export const createRetryShare = ({ clock, bounds, reserveShare }: RetryShareDependencies): RetryShare => {
-  const services = new Map<string, Counts>();
+  const ledgers = new Map<string, RetryLedger>();
 
-  const countsOf = (service: string): Counts => {
-    const known = services.get(service);
+  const ledgerOf = (service: string): RetryLedger => {
+    const known = ledgers.get(service);
     if (known !== undefined) return known;
-    const count = (): SlidingWindowCounter =>
-      createSlidingWindowCounter(clock, bounds.retryWindow, bucketsPerWindow);
-    const made = { requests: count(), retries: count() };
-    services.set(service, made);
-    return made;
+    const created = createRetryLedger(clock, bounds.retryWindow, bounds.retryRatio);
+    ledgers.set(service, created);
+    return created;
   };
 
-  const allowed = (requests: number): number => {
-    const { retryRatio, retryReserve } = bounds;
-    return safetyFactor * (retryRatio * requests + retryReserve * reserveShare.share());
-  };
+  const available = (ledger: RetryLedger): number =>
+    ledger.available(bounds.retryReserve * reserveShare.share());
 
   const stateOf = (service: string): RetryShareState => {
-    const { requests, retries } = countsOf(service);
-    const sum = requests.sum();
+    const ledger = ledgerOf(service);
+    const retries = ledger.retries();
     return {
-      requests: sum,
-      retries: retries.sum(),
-      allowed: Math.floor(allowed(sum)),
+      requests: ledger.requests(),
+      retries,
+      allowed: retries + Math.max(0, Math.floor(available(ledger))),
       routers: reserveShare.routers(),
     };
   };
@@ -83,15 +64,15 @@
   return {
     noteRequest: (service) => {
       reserveShare.sample();
-      countsOf(service).requests.add(1);
+      ledgerOf(service).noteRequest();
     },
     tryTake: (service) => {
-      const { requests, retries } = countsOf(service);
-      if (retries.sum() + 1 > allowed(requests.sum())) return false;
-      retries.add(1);
+      const ledger = ledgerOf(service);
+      if (available(ledger) < 1) return false;
+      ledger.noteRetry();
       return true;
     },
     stateOf,
-    states: () => new Map([...services.keys()].map((service) => [service, stateOf(service)])),
+    states: () => new Map([...ledgers.keys()].map((service) => [service, stateOf(service)])),
   };
 };
