Don't pass a request on again after replicas have refused it

A router without paths passes requests on. Where the other router sent one to a replica that refused it, and had no budget for a retry, its refusal looked like that of a router that knows no replica, and the next one sent the request once more: an arrival that no router's budget had paid for. Such a refusal has a code of its own now (`replicas_refused`) and is final.

--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -117,7 +117,8 @@
       metrics.count(metricNames.rejectedUnavailable);
       return failures.unavailable(retryAfter, failure);
     }
-    return failures.notRun(run.deadline - clock.monotonic(), failure);
+    const left = run.deadline - clock.monotonic();
+    return run.sends() > 0 ? failures.refusedByReplicas(left, failure) : failures.notRun(left, failure);
   };
 };
 
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -14,6 +14,9 @@
 const comeBackAfter = (left: number): number =>
   Math.max(0.05, Math.min(refusalRetryAfter.soon, (Math.max(0, left) / 1_000) * maxRetryAfterShare));
 
+/** Another router must not try a request that was refused so: that would be a retry. */
+export const refusedByReplicasCode = "replicas_refused";
+
 /** Factories of the errors, one for each reason. */
 export const failures = {
   /**
@@ -32,6 +35,18 @@
       },
       cause,
     ),
+  /** Replicas have refused the request, and it may not be sent to another one. See {@link failures.notRun}. */
+  refusedByReplicas: (left: number, cause: UpstreamError | undefined): RequestError =>
+    requestError(
+      "The replicas refused the request; it has not run.",
+      {
+        status: 503,
+        code: refusedByReplicasCode,
+        outcome: outcomes.notRun,
+        retryAfterSeconds: comeBackAfter(left),
+      },
+      cause,
+    ),
   /**
    * Load shedding: the response would start too late.
    *
--- a/src/coordination/relaying/passOn.test.ts
+++ b/src/coordination/relaying/passOn.test.ts
@@ -20,6 +20,7 @@
     deadline: clock.monotonic() + 1_000,
     sentTo: new Set(),
     mayHaveRun: () => mayHaveRun,
+    sends: () => 0,
     stopper: createStopper(),
   }) as unknown as ForwardRun;
 
--- a/src/coordination/relaying/passOn.ts
+++ b/src/coordination/relaying/passOn.ts
@@ -37,9 +37,12 @@
 
 /** Creates the decision. */
 export const createPassOn = ({ paths, relay, maySend, clock }: PassOnDependencies): PassOn => {
-  /** An earlier attempt may have run a request that may be repeated. */
-  const refusal = (run: ForwardRun): RequestError =>
-    run.mayHaveRun() ? failures.outcomeUnknown(undefined) : failures.noPath(run.deadline - clock.monotonic());
+  /** An earlier attempt may have run a request that may be repeated, or have been refused. */
+  const refusal = (run: ForwardRun): RequestError => {
+    if (run.mayHaveRun()) return failures.outcomeUnknown(undefined);
+    const left = run.deadline - clock.monotonic();
+    return run.sends() > 0 ? failures.refusedByReplicas(left, undefined) : failures.noPath(left);
+  };
   const serviceOf = ({ admission }: ForwardRun): string => admission.service.name;
   return {
     hasPath: (run) => paths.lostFor(serviceOf(run)) === undefined,
--- a/src/coordination/relaying/relay.ts
+++ b/src/coordination/relaying/relay.ts
@@ -21,7 +21,7 @@
 import { metricNames } from "../../state/constants.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
-import { failures } from "../forwarding/failures.ts";
+import { failures, refusedByReplicasCode } from "../forwarding/failures.ts";
 import type { StartedAnswer } from "../forwarding/forwardAttempt.ts";
 import { isStream, isSuccess } from "../forwarding/forwardAttempt.ts";
 import type { ForwardRun } from "../forwarding/forwardRun.ts";
@@ -62,6 +62,7 @@
   "held_back",
   "organisation_limit",
   "not_started",
+  refusedByReplicasCode,
 ]);
 
 const isFinal = ({ failure }: RelayRefusal): boolean =>
--- a/tests/platform/relayedRequests.test.ts
+++ b/tests/platform/relayedRequests.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import type { Behaviour } from "../../standIns/platform/replica.ts";
 import type {
   CallerAnswer,
   PartitionableRouter,
@@ -101,6 +102,22 @@
 const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
 
 describe("a request that is passed on to another router", () => {
+  // Each router that it was passed on to sent it once more, and none counted that as a retry.
+  it("isn't passed on again after replicas have refused it", async () => {
+    await using started = await startSystem({ desks: 4, bounds: { retryRatio: 0, retryReserve: 0 } });
+    const { system, router } = started;
+    while (system.routers.length < 3) await system.startRouter();
+    await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
+    await sleep(settlingTime);
+    for (const desk of system.desks) desk.setBehaviours(...new Array<Behaviour>(40).fill("deny"));
+    const answer = await sendRequest(router, { ...read, id: "refused" });
+    expect(answer.status).toEqual(503);
+    const arrivals = system.desks
+      .flatMap((desk) => desk.arrivals)
+      .filter(({ headers }) => headers["x-attempt-id"] === "refused");
+    expect(arrivals.length).toEqual(1);
+  });
+
   it("reaches the replica as its caller sent it, with the time that is left", async () => {
     await using started = await startSystem();
     const { system, router } = started;
