--- a/soak/platform/callers.ts
+++ b/soak/platform/callers.ts
@@ -21,6 +21,8 @@
   readonly records: readonly CallerRecord[];
   /** Runs additional callers for a time, milliseconds; resolves when their requests have ended. */
   readonly runLoad: (kind: LoadKind, duration: number) => Promise<void>;
+  /** Takes routers out of rotation for a time, milliseconds: callers go elsewhere once their connections end. */
+  readonly moveAway: (names: readonly string[], duration: number) => Promise<void>;
   /** Stops the callers; resolves when every request has ended. */
   readonly stop: () => Promise<void>;
 }
@@ -165,6 +167,11 @@
 /** Polls the readiness of routers and keeps the ready ones in rotation. */
 const pollReadiness = (routers: readonly RouterSlot[], isRunning: () => boolean) => {
   const misses = new Map<string, number>();
+  /** By name: how many steps keep the router out of rotation. */
+  const takenOut = new Map<string, number>();
+  const addTakenOut = (names: readonly string[], change: number): void => {
+    for (const name of names) takenOut.set(name, (takenOut.get(name) ?? 0) + change);
+  };
   const poll = async (slot: RouterSlot): Promise<void> => {
     while (isRunning()) {
       misses.set(slot.name, (await isReady(slot)) ? 0 : (misses.get(slot.name) ?? 0) + 1);
@@ -174,9 +181,16 @@
   const done = Promise.all(routers.map(poll));
   const inRotation = (): readonly RouterSlot[] => {
     const ready = routers.filter(({ name }) => (misses.get(name) ?? missedProbesLimit) < missedProbesLimit);
+    const chosen = ready.filter(({ name }) => (takenOut.get(name) ?? 0) === 0);
+    if (chosen.length > 0) return chosen;
     return ready.length > 0 ? ready : routers;
   };
-  return { done, inRotation };
+  const moveAway: SoakCallers["moveAway"] = async (names, duration) => {
+    addTakenOut(names, 1);
+    await sleep(duration);
+    addTakenOut(names, -1);
+  };
+  return { done, inRotation, moveAway };
 };
 
 /** Starts callers. @param spareKeys - Additional API keys, which the operator may revoke during the run. */
@@ -269,5 +283,5 @@
     await running;
     await readiness.done;
   };
-  return { records, runLoad, stop, [Symbol.asyncDispose]: stop };
+  return { records, runLoad, moveAway: readiness.moveAway, stop, [Symbol.asyncDispose]: stop };
 };
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -58,6 +58,11 @@
 } as const satisfies Readonly<Record<string, readonly Behaviour[]>>;
 const misbehaviourCount = 12;
 
+/** Two of three requests fail, so that retries are pressed to their budget. */
+const frequentFailures: readonly Behaviour[] = Array.from({ length: 3_000 }, (_, index) =>
+  index % 3 === 0 ? "well" : "fail",
+);
+
 /** Streams without a length or chunks, in each way of ending, and one that is framed. */
 const streamEndings: readonly Behaviour[] = [
   ...(Object.keys(brokenStreams) as (keyof typeof brokenStreams)[]),
@@ -115,6 +120,15 @@
   slot?.replica.setBehaviours();
 };
 
+/** The replicas of one service fail; which one is decided by the target. */
+const failOften = async (slots: readonly ReplicaSlot[], target: number, duration: number): Promise<void> => {
+  const service = target < 0.5 ? "desk" : "engines";
+  const failing = slots.filter((slot) => slot.service === service && !slot.isReporting);
+  for (const { replica } of failing) replica.setBehaviours(...frequentFailures);
+  await sleep(duration);
+  for (const { replica, isReporting } of failing) if (!isReporting) replica.setBehaviours();
+};
+
 const partitionModes: readonly PartitionMode[] = ["hang", "reset", "refuse"];
 
 /** Partitions routers from all replicas. Their processes may end and start again meanwhile. */
@@ -296,7 +310,7 @@
 export const createFaultInjector = (
   system: SoakSystem,
   spareKeys: readonly string[],
-  { runLoad }: Pick<SoakCallers, "runLoad">,
+  { runLoad, moveAway }: Pick<SoakCallers, "runLoad" | "moveAway">,
 ): FaultInjector => {
   const steps: StepRecord[] = [];
   const shutdowns: ShutdownRecord[] = [];
@@ -383,6 +397,12 @@
         target,
         duration,
       ),
+    callersMove: ({ target, duration }) =>
+      moveAway(
+        system.routers.filter((_, index) => index % 2 === (target < 0.5 ? 0 : 1)).map(({ name }) => name),
+        duration,
+      ),
+    replicasFailOften: ({ target, duration }) => failOften(system.replicas, target, duration),
     takeKey,
     nameWeights,
     organisationFloods: ({ duration }) => runLoad("organisationFloods", duration),
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --streams --partitions --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --streams --partitions --moves --suspend --shrink --logs DIR]`:
  * runs routers as processes with the platform's stand-in, under the faults of a seeded plan. Exit code 1 if an
  * invariant was violated; the plan and the routers' logs of such a run are written to the directory of `--logs`.
  */
@@ -13,6 +13,7 @@
   loadStepKinds,
   registryStepKinds,
   storeRestoreStepKinds,
+  moveStepKinds,
   partitionStepKinds,
   streamStepKinds,
   describePlan,
@@ -40,6 +41,7 @@
     load: { type: "boolean", default: false },
     streams: { type: "boolean", default: false },
     partitions: { type: "boolean", default: false },
+    moves: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -64,7 +66,8 @@
   const registryKinds = values.registry ? registryStepKinds : restoreKinds;
   const loadKinds = values.load ? loadStepKinds : registryKinds;
   const streamKinds = values.streams ? streamStepKinds : loadKinds;
-  const kinds = values.partitions ? partitionStepKinds : streamKinds;
+  const partitionKinds = values.partitions ? partitionStepKinds : streamKinds;
+  const kinds = values.moves ? moveStepKinds : partitionKinds;
   const plan = createPlan(seed, Number(values.seconds), kinds);
   const only = values.only?.split(",").map(Number);
   return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -71,9 +71,21 @@
   ).flat(),
 ] as const;
 
+/** All kinds, and callers that move between routers while replicas fail most requests. Half of the steps. */
+export const moveStepKinds = [
+  ...registryStepKinds,
+  ...Array.from(
+    { length: registryStepKinds.length / 2 },
+    () => ["callersMove", "replicasFailOften"] as const,
+  ).flat(),
+] as const;
+
 /** The kind of a step. */
 export type StepKind =
-  (typeof loadStepKinds)[number] | (typeof streamStepKinds)[number] | (typeof partitionStepKinds)[number];
+  | (typeof loadStepKinds)[number]
+  | (typeof streamStepKinds)[number]
+  | (typeof partitionStepKinds)[number]
+  | (typeof moveStepKinds)[number];
 
 /** One fault or change during a run. */
 export interface Step {
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -7,6 +7,7 @@
   loadStepKinds,
   registryStepKinds,
   storeRestoreStepKinds,
+  moveStepKinds,
   partitionStepKinds,
   streamStepKinds,
   defaultStepKinds,
@@ -28,6 +29,7 @@
   readonly isLoaded?: boolean;
   readonly breaksStreams?: boolean;
   readonly isPartitionable?: boolean;
+  readonly movesCallers?: boolean;
 }[] = [
   { seed: 3, seconds: 5, cause: "a short run with several kinds of faults" },
   { seed: 1027, seconds: 12, cause: "replicas that never registered again after loading new weights" },
@@ -65,6 +67,12 @@
     breaksStreams: true,
   },
   { seed: 76, seconds: 8, cause: "routers that are partitioned from all replicas", isPartitionable: true },
+  {
+    seed: 79,
+    seconds: 12,
+    cause: "callers that move while retries are pressed to their budget",
+    movesCallers: true,
+  },
 ];
 
 describe("router processes under injected faults", () => {
@@ -79,13 +87,15 @@
     isLoaded = false,
     breaksStreams = false,
     isPartitionable = false,
+    movesCallers = false,
   } of seeds) {
     const reportKinds = isReporting ? replicaReportStepKinds : defaultStepKinds;
     const restoreKinds = isReturning ? storeRestoreStepKinds : reportKinds;
     const registryKinds = isRegistryStruck ? registryStepKinds : restoreKinds;
     const loadKinds = isLoaded ? loadStepKinds : registryKinds;
     const streamKinds = breaksStreams ? streamStepKinds : loadKinds;
-    const kinds = isPartitionable ? partitionStepKinds : streamKinds;
+    const partitionKinds = isPartitionable ? partitionStepKinds : streamKinds;
+    const kinds = movesCallers ? moveStepKinds : partitionKinds;
     it(`keep all invariants with seed ${seed}: ${cause}`, async () => {
       const { violations } = await runSoak({
         seed,
