Let a router's expected use of an organisation's limit end after a window

Where no coordinator answers, a router goes on with a part of what it forwarded when one answered last, however long ago that was. Callers that had moved from router to router before the network was lost could then use that part at each of them: the same class as the retry budget, a bound that holds while each router's share stays with it.

--- a/src/coordination/usageLimits/usageAccount.ts
+++ b/src/coordination/usageLimits/usageAccount.ts
@@ -31,6 +31,8 @@
   optimisticUntil: number;
   /** Usage in a window that this router may go on with, as of the coordinator's last answer. */
   expectedUse: number;
+  /** Until when that holds, milliseconds: callers may have moved to other routers, which expect as much again. */
+  expectedUntil: number;
   /** Whether no coordinator answered the last query. */
   isWithoutCoordinator: boolean;
   /** The lower bound of the expected use: after a start little has been forwarded yet. */
@@ -54,19 +56,25 @@
   inFlight: 0,
   optimisticUntil: Number.NEGATIVE_INFINITY,
   expectedUse: evenShare * nearLimitShare,
+  expectedUntil: Number.NEGATIVE_INFINITY,
   minExpectedUse: evenShare * nearLimitShare,
   isWithoutCoordinator: false,
 });
 
 /** @returns What one of several routers may forward in a window without a grant. */
 export const ungrantedAllowance = (
-  { expectedUse }: UsageAccount,
+  { expectedUse, expectedUntil, minExpectedUse }: UsageAccount,
   limit: OrganisationLimit,
   bounds: ForwardingBounds,
   routers: number,
-): number =>
-  (overshootOf(limit, bounds) * overshootShares.ungranted) / routers +
-  (expectedUse * fallbackDuration) / bounds.limitWindow;
+  clock: Clock,
+): number => {
+  const expected = clock.monotonic() < expectedUntil ? expectedUse : minExpectedUse;
+  return (
+    (overshootOf(limit, bounds) * overshootShares.ungranted) / routers +
+    (expected * fallbackDuration) / bounds.limitWindow
+  );
+};
 
 /** Counts usage that no coordinator has granted. */
 export const spendUngranted = (account: UsageAccount, amount: number): void => {
@@ -81,12 +89,14 @@
 export const noteAnswer = (
   account: UsageAccount,
   { verdict, remainingPercent }: Pick<LimitAnswer, "verdict" | "remainingPercent">,
+  { limitWindow }: ForwardingBounds,
   clock: Clock,
 ): void => {
   const isFarFromLimit = verdict === "granted" && remainingPercent >= optimisticThreshold;
   account.optimisticUntil = isFarFromLimit
     ? clock.monotonic() + optimisticDuration
     : Number.NEGATIVE_INFINITY;
+  account.expectedUntil = clock.monotonic() + limitWindow;
   account.expectedUse = Math.max(
     account.minExpectedUse,
     account.used.sum() * (isFarFromLimit ? 1 : nearLimitShare),
--- a/src/coordination/usageLimits/usageLimits.test.ts
+++ b/src/coordination/usageLimits/usageLimits.test.ts
@@ -299,6 +299,25 @@
     expect(system.forwarded.length > before).toEqual(true);
   });
 
+  // A router expected what it had forwarded when its callers were last there, however long ago that was.
+  it("hold where callers move from router to router and no router reaches another", async (context) => {
+    const system = createRouters(16, smallLimit, strictBounds);
+    await system.advance(6_000);
+    const visited = Array.from({ length: 6 }, (_, index) => index);
+    const sendThrough = async (router: number, perSecond: number, seconds: number): Promise<void> => {
+      for (let count = 0; count < perSecond * seconds; count += 1) {
+        system.send(router, 2_400);
+        await system.advance(1_000 / perSecond);
+      }
+    };
+    for (const router of visited) await sendThrough(router, 14, 8);
+    system.network.isDown = true;
+    for (const router of visited) await sendThrough(router, 60, 1);
+    const most = mostInWindow(system.forwarded);
+    context.diagnostic(`${most} tokens in the worst window, ${allowed(smallLimit, strictBounds)} allowed`);
+    expect(most <= allowed(smallLimit, strictBounds)).toEqual(true);
+  });
+
   it("admit the usual rate for a short time where the network is lost far from the limit", async () => {
     const large = { ...smallLimit, ratePerSecond: 1_000_000, burst: 1_000_000 };
     const system = createRouters(16, large);
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -99,7 +99,7 @@
   /** Writes one log line when the coordinator becomes unreachable, and one when it answers again. */
   const applyAnswer = (organisation: string, answer: LimitAnswer | undefined): void => {
     const account = accountOf(organisation);
-    if (answer !== undefined) noteAnswer(account, answer, clock);
+    if (answer !== undefined) noteAnswer(account, answer, bounds, clock);
     const isWithoutCoordinator = answer === undefined;
     if (isWithoutCoordinator !== account.isWithoutCoordinator)
       writeLog(isWithoutCoordinator ? "unasked" : "asked", { organisation });
@@ -108,7 +108,7 @@
 
   const isWithinAllowance = (account: UsageAccount, amount: number, limit: OrganisationLimit): boolean => {
     const ungranted = account.inFlight + account.ungranted.sum();
-    return ungranted + amount <= ungrantedAllowance(account, limit, bounds, countRouters());
+    return ungranted + amount <= ungrantedAllowance(account, limit, bounds, countRouters(), clock);
   };
 
   const addJitter = (wait: number): number => Math.max(minRetryAfter, wait) * (1 + random() * retryJitter);
