--- a/standIns/platform/routerNetwork.ts
+++ b/standIns/platform/routerNetwork.ts
@@ -13,8 +13,9 @@
  * - `hang`: open ones pass no data, new ones are never established.
  * - `reset`: open ones are reset, new ones are refused.
  * - `refuse`: open ones live on, new ones are refused.
+ * - `accept`: open ones pass no data, new ones are established and pass none either.
  */
-export type PartitionMode = "hang" | "reset" | "refuse";
+export type PartitionMode = "hang" | "reset" | "refuse" | "accept";
 
 /** The network of one router; disposing of it closes its proxies. */
 export interface RouterNetwork extends AsyncDisposable {
@@ -82,6 +83,8 @@
   let partition: PartitionMode | undefined;
   let isDisposed = false;
 
+  const isHanging = (): boolean => partition === "hang" || partition === "accept";
+
   const relay = ({ near, far }: Relayed): void => {
     for (const [from, to] of [
       [near, far],
@@ -91,7 +94,7 @@
         if (!to.write(chunk)) from.pause();
       });
       to.on("drain", () => {
-        if (partition !== "hang") from.resume();
+        if (!isHanging()) from.resume();
       });
       from.on("end", () => {
         // The operating system reports a reset after data as an end; the socket then has no remote address any more.
@@ -110,6 +113,7 @@
       connections.add(relayed);
       near.once("close", () => connections.delete(relayed));
       relay(relayed);
+      if (isHanging()) for (const side of [near, far]) side.pause();
     });
     server.listen(0, "127.0.0.1");
     await once(server, "listening");
@@ -139,7 +143,7 @@
 
   const open: Open = (socket, args, port) => {
     if (!isReplicaPort(port)) return false;
-    if (partition === undefined) void openThroughProxy(socket, args, port);
+    if (partition === undefined || partition === "accept") void openThroughProxy(socket, args, port);
     // A socket that hangs stays unconnected until its user gives up.
     else if (partition !== "hang") refuse(socket);
     return true;
@@ -153,7 +157,7 @@
     partition: (mode) => {
       partition = mode;
       for (const { near, far } of connections) {
-        if (mode === "hang") for (const side of [near, far]) side.pause();
+        if (isHanging()) for (const side of [near, far]) side.pause();
         if (mode === "reset") for (const side of [near, far]) side.resetAndDestroy();
       }
     },
--- a/tests/platform/partitionedRouters.test.ts
+++ b/tests/platform/partitionedRouters.test.ts
@@ -72,7 +72,7 @@
   expect(failed).toEqual([]);
 };
 
-const modes: readonly PartitionMode[] = ["hang", "reset", "refuse"];
+const modes: readonly PartitionMode[] = ["hang", "reset", "refuse", "accept"];
 
 describe("routers that are partitioned from all replicas", () => {
   for (const mode of modes) {
