--- a/src/coordination/forwarding/reserveShare.ts
+++ b/src/coordination/forwarding/reserveShare.ts
@@ -1,16 +1,17 @@
 /**
  * This router's part of the reserve for retries that all routers share.
  *
- * Handles routers that restart or lose sight of each other. A new process knows neither how many others there are nor
- * what its predecessor has spent of the reserve, and a router that is cut off forgets others that still serve. If each of
- * them took what it believes to be its part, the parts would add up to more than the reserve. The parts of the others were larger before a router that is new to the system
- * came, and what it replaces under another name may have spent a part. A small part of the reserve is set aside for them.
+ * Handles routers that start or lose sight of each other. A new process knows neither how many others there are nor what
+ * its predecessor has spent of the reserve, and a router that is cut off forgets others that still serve. If each of them
+ * took what it believes to be its part, the parts would add up to more than the reserve. The parts of the others were
+ * larger before a router that is new to the system came, and what it replaces under another name may have spent one. A
+ * small part of the reserve is set aside for such routers.
  */
 import type { Clock } from "../clock.ts";
 import { routerCountMemory, routerCountSampleInterval } from "./constants.ts";
 
 /** Part of the reserve that is set aside for routers whose predecessors and peers may have spent the rest. */
-const newcomersPart = 0.1;
+const unsettledPart = 0.1;
 
 /** How long it takes until all others count a router that is new to the system, in windows. */
 const newcomerDelay = 0.5;
@@ -81,7 +82,7 @@
     routers,
     share: () => {
       if (settledAt === Number.POSITIVE_INFINITY) return 0;
-      const part = clock.monotonic() >= settledAt ? 1 - newcomersPart : newcomersPart;
+      const part = clock.monotonic() >= settledAt ? 1 - unsettledPart : unsettledPart;
       return part / routers();
     },
   };
--- a/src/coordination/replicaPaths/constants.ts
+++ b/src/coordination/replicaPaths/constants.ts
@@ -15,9 +15,6 @@
  */
 export const probeRounds = { failure: [1, 8], silence: [8], lost: [1] } as const;
 
-/** Number of engines that are asked for their status at once, after one has accepted a connection and not answered. */
-export const enginesPerAnswer = 8;
-
 /** With responses pending, silence of all replicas for this long leads to a check. */
 export const silenceBeforeCheck = 80;
 
--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -8,9 +8,6 @@
  * to several replicas of the service. If none accepts one, the service is lost to this router. That says nothing about
  * its replicas: requests go through other routers, and only where those have no path either is the service down.
  *
- * A connection that is accepted shows no path if something in between accepts it and hands nothing on. After silence an
- * engine must answer; where none does, engines and the services that are silent are lost until one has answered.
- *
  * Way back: a lost service is checked a few times a second, with one connection. Once it is accepted, all marks that
  * replicas of the service got meanwhile are dropped.
  */
@@ -18,10 +15,10 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
+import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { Clock } from "../clock.ts";
 import type { PathEvidence, ReplicaHealth } from "../forwarding/replicaHealth.ts";
 import {
-  enginesPerAnswer,
   failureCheckInterval,
   lostCheckIntervals,
   maxProofAge,
@@ -31,13 +28,10 @@
   silenceCheckInterval,
 } from "./constants.ts";
 import type { PathProbes } from "./pathProbes.ts";
-import type { ServicePaths } from "./servicePaths.ts";
-import { createServiceTable, observePending } from "./servicePaths.ts";
-import { createPathSearch, isEngine } from "./pathSearch.ts";
 
 export interface ReplicaPathsDependencies {
   readonly replicas: Pick<ReplicaTable, "all" | "serving" | "subscribe">;
-  readonly probes: Pick<PathProbes, "anyAccepts" | "askAny" | "sample">;
+  readonly probes: Pick<PathProbes, "anyAccepts" | "sample">;
   readonly health: Pick<ReplicaHealth, "forgetFailures">;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -58,20 +52,56 @@
 /** Why a service is checked. */
 type CheckReason = keyof typeof probeRounds;
 
+/** The paths to one service. Times are milliseconds on the monotonic clock. */
+interface ServicePaths {
+  /** When the paths were found lost; `undefined` while there is one. */
+  lostAt: number | undefined;
+  /** When the last check ended. */
+  checkedAt: number;
+  /** Checks since the paths were lost; the interval between them grows with it. */
+  checks: number;
+  /** The check in progress. */
+  check: Promise<void> | undefined;
+}
+
 const writeLog = createLogger("paths");
 
+/** @returns Whether responses are pending, and whether nothing has arrived for a while from where they are. */
+const observePending = (
+  replicas: readonly ReplicaState[],
+  now: number,
+): { readonly isPending: boolean; readonly isSilent: boolean } => {
+  const pending = replicas.filter(({ requests }) => requests > 0);
+  const isPending = pending.length > 0;
+  const isSilent = pending.every(({ quietSince }) => now - quietSince > silenceBeforeCheck);
+  return { isPending, isSilent: isPending && isSilent };
+};
+
 /** Starts to monitor the paths. */
 export const startReplicaPaths = (dependencies: ReplicaPathsDependencies): ReplicaPaths => {
   const { replicas, probes, health, clock, metrics } = dependencies;
-  const { stateOf, listServices, services } = createServiceTable(replicas);
-  const search = createPathSearch({ replicas, probes });
+  const services = new Map<string, ServicePaths>();
   let silenceCheckedAt = Number.NEGATIVE_INFINITY;
   /** When an answer, or a connection that was accepted, last showed a path to any replica. */
   let provenAt = Number.NEGATIVE_INFINITY;
-  /** Whether engines accepted connections and none answered: an accepted connection shows no path then. */
-  let isUnanswered = false;
   let isDisposed = false;
 
+  const stateOf = (service: string): ServicePaths => {
+    const known = services.get(service);
+    if (known !== undefined) return known;
+    const created = {
+      lostAt: undefined,
+      checkedAt: Number.NEGATIVE_INFINITY,
+      checks: 0,
+      check: undefined,
+    };
+    services.set(service, created);
+    return created;
+  };
+
+  const listServices = (): ReadonlySet<string> =>
+    new Set(replicas.all().flatMap(({ entry }) => (entry.isDraining ? [] : [entry.service])));
+
   /** Requests on connections that live on go on. */
   const abandonSilentRequests = (service: string): void => {
     const now = clock.monotonic();
@@ -98,19 +128,17 @@
     for (const replica of replicas.serving(service)) health.forgetFailures(replica);
   };
 
-  /** Plain replicas can't be asked without running something: their silence tells, as long as no engine answers. */
-  const needsAnswer = (service: string): boolean => {
-    if (!isUnanswered) return false;
-    const serving = replicas.serving(service);
-    const isLost = stateOf(service).lostAt !== undefined;
-    return isLost || serving.some(isEngine) || observePending(serving, clock.monotonic()).isSilent;
-  };
-
+  /** @returns Whether a replica of the service accepts a connection; `undefined` if it has none. */
   const findPath = async (service: string, reason: CheckReason): Promise<boolean | undefined> => {
-    if (!needsAnswer(service)) return search.findAccepting(service, probeRounds[reason]);
-    const isAnswered = (await search.askEngines(1)) === "answered";
-    if (isAnswered) isUnanswered = false;
-    return isAnswered;
+    const tried = new Set<ReplicaState>();
+    for (const count of probeRounds[reason]) {
+      const untried = replicas.serving(service).filter((replica) => !tried.has(replica));
+      const sample = probes.sample(untried, count);
+      if (sample.length === 0) break;
+      if (await probes.anyAccepts(sample)) return true;
+      for (const replica of sample) tried.add(replica);
+    }
+    return tried.size === 0 ? undefined : false;
   };
 
   const runCheck = async (service: string, state: ServicePaths, reason: CheckReason): Promise<void> => {
@@ -129,27 +157,12 @@
     state.check ??= runCheck(service, state, reason);
   };
 
-  const noteUnanswered = (): void => {
-    isUnanswered = true;
-    for (const service of listServices()) if (needsAnswer(service)) noteLost(service, stateOf(service));
-  };
-
-  /** Asks one engine first: a lone long prompt is silent until its first token, and no reason to doubt all paths. */
+  /** Probes one replica first: a lone long prompt is silent until its first token, and no reason to doubt all paths. */
   const checkSilence = async (): Promise<void> => {
     silenceCheckedAt = clock.monotonic();
-    let result = await search.askEngines(1);
-    if (result === "accepted") result = await search.askEngines(enginesPerAnswer);
-    if (isDisposed) return;
-    if (result === "accepted") {
-      noteUnanswered();
-      return;
-    }
-    isUnanswered = false;
     const serving = replicas.all().filter(({ entry }) => !entry.isDraining);
-    const hasPath =
-      result === undefined ? await probes.anyAccepts(probes.sample(serving, 1)) : result === "answered";
-    if (hasPath) provenAt = clock.monotonic();
-    else checkAll();
+    if (await probes.anyAccepts(probes.sample(serving, 1))) provenAt = clock.monotonic();
+    else if (!isDisposed) checkAll();
   };
 
   const checkAll = (): void => {
@@ -197,7 +210,6 @@
     },
     noteAnswer: () => {
       provenAt = clock.monotonic();
-      isUnanswered = false;
     },
     noteFailure: (service) => {
       const { lostAt, checkedAt } = stateOf(service);
