--- a/tests/platform/relayedRequests.test.ts
+++ b/tests/platform/relayedRequests.test.ts
@@ -165,11 +165,7 @@
   });
 
   it("is broken off as a stream, or resumed, where the other router is lost with it", async () => {
-    // A router that has just started may use a tenth of its part of the reserve: enough for every stream.
-    await using started = await startSystem({
-      engine: { events: { count: 30, pause: 20 } },
-      bounds: { retryReserve: 200 },
-    });
+    await using started = await startSystem({ engine: { events: { count: 30, pause: 20 } } });
     const { system, router } = started;
     await system.startRouter();
     await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
