State the rule of the retry budget's windows once for its tests, the soak and the model

Each has one place now. A guard in the ledger that never applied is gone, and the line on unreadable log lines, which three commands had, stands beside the reader.

--- a/bench/retryBudget/fleetModel.ts
+++ b/bench/retryBudget/fleetModel.ts
@@ -7,21 +7,15 @@
 import type { Clock } from "../../src/coordination/clock.ts";
 import { createReserveShare } from "../../src/coordination/forwarding/reserveShare.ts";
 import type { ReserveShare } from "../../src/coordination/forwarding/reserveShare.ts";
+import type { RetryBudget } from "../../tests/support/retryWindows.ts";
+import { allowedRepeats } from "../../tests/support/retryWindows.ts";
 import type { RetryShare } from "../../src/coordination/forwarding/retryShare.ts";
 
-/** The budget that all routers have together. */
-export interface Budget {
-  readonly retryRatio: number;
-  readonly retryReserve: number;
-  /** Milliseconds. */
-  readonly retryWindow: number;
-}
-
 /** What decides on the retries of one process. */
 export type Allowance = Pick<RetryShare, "noteRequest" | "tryTake">;
 
 /** Creates the allowance of a process that starts now. */
-export type AllowanceFactory = (clock: Clock, budget: Budget, reserveShare: ReserveShare) => Allowance;
+export type AllowanceFactory = (clock: Clock, budget: RetryBudget, reserveShare: ReserveShare) => Allowance;
 
 /** Something that happens to some of the routers. */
 export interface FleetEvent {
@@ -123,19 +117,14 @@
   return sums;
 };
 
-const measure = ({ requests, retries }: Records, budget: Budget, failsFrom: number): FleetOutcome => {
+const measure = ({ requests, retries }: Records, budget: RetryBudget, failsFrom: number): FleetOutcome => {
   const window = Math.round(budget.retryWindow / step);
   const requestSums = sumsOf(requests);
   const retrySums = sumsOf(retries);
   const between = (sums: readonly number[], from: number, until: number): number =>
     (sums[Math.max(0, Math.min(until, sums.length - 1))] ?? 0) - (sums[Math.max(0, from)] ?? 0);
-  /** The requests are those of the window, of the one before it or of the one half a window before it. */
-  const allowedFrom = (start: number): number => {
-    const counts = [start, start - window / 2, start - window].map((from) =>
-      between(requestSums, from, from + window),
-    );
-    return budget.retryRatio * Math.max(...counts) + budget.retryReserve;
-  };
+  const allowedFrom = (start: number): number =>
+    allowedRepeats(start * step, (from) => between(requestSums, from / step, from / step + window), budget);
   const starts = requests.map((_, index) => index);
   const worstWindow = Math.max(
     ...starts.map((start) => between(retrySums, start, start + window) / allowedFrom(start)),
@@ -151,7 +140,7 @@
 /** Plays a history with one design. */
 export const playFleet = (
   history: FleetHistory,
-  budget: Budget,
+  budget: RetryBudget,
   createAllowance: AllowanceFactory,
   random: Random,
 ): FleetOutcome => {
@@ -163,17 +152,14 @@
   let surgeUntil = 0;
 
   /** Dead routers count as well: they may return. */
-  const countKnown = (isListed: () => boolean): number => {
-    if (!isListed()) return 1;
-    const countsAt = now - countingDelay;
-    return names.filter(({ firstListedAt }) => firstListedAt <= countsAt).length;
-  };
+  const countListed = (): number =>
+    names.filter(({ firstListedAt }) => firstListedAt <= now - countingDelay).length;
 
   const start = (name: RouterName, hasPredecessor: boolean): void => {
     const reserveShare = createReserveShare({
       clock,
       window: budget.retryWindow,
-      countRouters: () => countKnown(() => process.isListed),
+      countRouters: () => (process.isListed ? countListed() : 1),
     });
     const allowance = createAllowance(clock, budget, reserveShare);
     const process: RouterProcess = {
--- a/bench/retryBudget/retryBudget.ts
+++ b/bench/retryBudget/retryBudget.ts
@@ -6,25 +6,12 @@
 import { formatTable } from "../report/table.ts";
 import type { Bench, BenchOptions } from "../types.ts";
 import { designs } from "./designs.ts";
-import type { AllowanceFactory, Budget } from "./fleetModel.ts";
+import type { AllowanceFactory } from "./fleetModel.ts";
+import type { Fleet } from "./fleets.ts";
+import { fleets, largeFleet } from "./fleets.ts";
 import { playFleet } from "./fleetModel.ts";
 import { createHistory, namedHistories } from "./histories.ts";
 
-/** A number of routers, with their requests per second and the budget that they share. */
-interface Fleet {
-  readonly routers: number;
-  readonly requestsPerSecond: number;
-  readonly budget: Budget;
-}
-
-const ratioAndWindow = { retryRatio: 0.2, retryWindow: 10_000 } as const;
-
-const fleets: readonly Fleet[] = [
-  { routers: 6, requestsPerSecond: 80, budget: { ...ratioAndWindow, retryReserve: 56 } },
-  { routers: 58, requestsPerSecond: 300, budget: { ...ratioAndWindow, retryReserve: 156 } },
-  { routers: 460, requestsPerSecond: 4_600, budget: { ...ratioAndWindow, retryReserve: 460 } },
-];
-
 const format = (share: number): string => share.toFixed(2);
 
 const playAll = (fleet: Fleet, design: AllowanceFactory, seeds: readonly number[]) => {
@@ -49,7 +36,7 @@
 
 const run = ({ seeds, quick, only, json }: BenchOptions): Promise<void> => {
   const chosen = Object.entries(designs).filter(([name]) => only.length === 0 || only.includes(name));
-  for (const fleet of quick ? fleets.slice(0, 2) : fleets) {
+  for (const fleet of quick ? fleets.filter((each) => each !== largeFleet) : fleets) {
     const results = chosen.map(([name, design]) => ({ name, ...playAll(fleet, design, seeds) }));
     if (json) {
       console.log(JSON.stringify({ fleet, results }));
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -4,6 +4,7 @@
 import type { Behaviour, ReportHeaders } from "../../standIns/platform/replica.ts";
 import { drainingReport, keys } from "../../standIns/platform/platformSystem.ts";
 import type { PartitionMode } from "../../standIns/platform/routerNetwork.ts";
+import { frequentFailures } from "../../tests/support/retryWindows.ts";
 import type { SoakCallers } from "./callers.ts";
 import { floodingOrganisation } from "./callers.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
@@ -58,11 +59,6 @@
 } as const satisfies Readonly<Record<string, readonly Behaviour[]>>;
 const misbehaviourCount = 12;
 
-/** Two of three requests fail, so that retries are pressed to their budget. */
-const frequentFailures: readonly Behaviour[] = Array.from({ length: 3_000 }, (_, index) =>
-  index % 3 === 0 ? "well" : "fail",
-);
-
 /** Streams without a length or chunks, in each way of ending, and one that is framed. */
 const streamEndings: readonly Behaviour[] = [
   ...(Object.keys(brokenStreams) as (keyof typeof brokenStreams)[]),
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -44,6 +44,10 @@
   "entryLapses",
 ] as const;
 
+/** @returns The kinds, repeated until there are about as many as {@link registryStepKinds}. */
+const asMany = <Kind extends string>(...kinds: readonly Kind[]): readonly Kind[] =>
+  Array.from({ length: registryStepKinds.length / kinds.length }, () => kinds).flat();
+
 /**
  * All kinds, and load that competes for engines: floods of one organisation, engines that slow down, prompts that fill
  * their memory, and callers that read slowly or stop reading. Half of the steps are load.
@@ -57,28 +61,16 @@
 ] as const;
 
 /** All kinds, and engines whose streams have neither a length nor chunks, and break off. They are half of the steps. */
-export const streamStepKinds = [
-  ...registryStepKinds,
-  ...Array.from({ length: registryStepKinds.length }, () => "streamsBreakOff" as const),
-] as const;
+export const streamStepKinds = [...registryStepKinds, ...asMany("streamsBreakOff")] as const;
 
 /** All kinds, and partitions between routers and all replicas: of one router, and of all but one. Half of the steps. */
 export const partitionStepKinds = [
   ...registryStepKinds,
-  ...Array.from(
-    { length: registryStepKinds.length / 2 },
-    () => ["routerPartitioned", "routersPartitioned"] as const,
-  ).flat(),
+  ...asMany("routerPartitioned", "routersPartitioned"),
 ] as const;
 
 /** All kinds, and callers that move between routers while replicas fail most requests. Half of the steps. */
-export const moveStepKinds = [
-  ...registryStepKinds,
-  ...Array.from(
-    { length: registryStepKinds.length / 2 },
-    () => ["callersMove", "replicasFailOften"] as const,
-  ).flat(),
-] as const;
+export const moveStepKinds = [...registryStepKinds, ...asMany("callersMove", "replicasFailOften")] as const;
 
 /** The kind of a step. */
 export type StepKind =
--- a/soak/platform/retryBudgetCheck.ts
+++ b/soak/platform/retryBudgetCheck.ts
@@ -26,9 +26,9 @@
 }: SoakHistory): readonly Violation[] => {
   const added = steps.some(({ kind }) => kind === "changeSettings") ? maxAddedReserve : 0;
   const budget = {
-    ratio: bounds.retryRatio,
-    reserve: bounds.retryReserve + added,
-    window: bounds.retryWindowSeconds * 1_000,
+    retryRatio: bounds.retryRatio,
+    retryReserve: bounds.retryReserve + added,
+    retryWindow: bounds.retryWindowSeconds * 1_000,
   };
   const isForEngines = ({ name }: { readonly name: string }): boolean => name === "ask" || name === "tag";
   return ["engines", "desk"].flatMap((service) => {
--- a/src/commandLine/commands/explain.ts
+++ b/src/commandLine/commands/explain.ts
@@ -1,7 +1,7 @@
 import { Command, Option } from "clipanion";
 import { OperatorCommand } from "../OperatorCommand.ts";
 import type { CommandResult } from "../OperatorCommand.ts";
-import { readLogs } from "../readLogs.ts";
+import { describeUnreadable, readLogs } from "../readLogs.ts";
 import type { RequestTimeline, TimelineStep } from "../requestTimeline.ts";
 import { buildTimeline } from "../requestTimeline.ts";
 
@@ -34,7 +34,7 @@
   protected async run(): Promise<CommandResult> {
     const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
     const timeline = buildTimeline(this.request, lines);
-    const note = unreadable === 0 ? "" : `${unreadable} lines were not a router's\n`;
+    const note = describeUnreadable(unreadable);
     return {
       exit: timeline.steps.length === 0 ? "notFound" : "success",
       text: formatTimeline(timeline) + note,
--- a/src/commandLine/commands/logsRetries.ts
+++ b/src/commandLine/commands/logsRetries.ts
@@ -2,7 +2,7 @@
 import { commandError } from "../errors.ts";
 import { OperatorCommand } from "../OperatorCommand.ts";
 import type { CommandResult } from "../OperatorCommand.ts";
-import { readLogs } from "../readLogs.ts";
+import { describeUnreadable, readLogs } from "../readLogs.ts";
 import type { RetrySummary, RetryWindow } from "../retryWindows.ts";
 import { summariseRetries } from "../retryWindows.ts";
 import { formatTable } from "../table.ts";
@@ -48,7 +48,7 @@
       throw commandError(`--window must be a number of seconds, not ${this.window}.`, "usage");
     const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
     const summary = summariseRetries(lines, window);
-    const note = unreadable === 0 ? "" : `${unreadable} lines were not a router's\n`;
+    const note = describeUnreadable(unreadable);
     return { exit: "success", text: formatSummary(summary) + note, value: { ...summary, unreadable } };
   }
 }
--- a/src/commandLine/commands/logsSummary.ts
+++ b/src/commandLine/commands/logsSummary.ts
@@ -4,7 +4,7 @@
 import type { LogSummary } from "../logSummary.ts";
 import { OperatorCommand } from "../OperatorCommand.ts";
 import type { CommandResult } from "../OperatorCommand.ts";
-import { readLogs } from "../readLogs.ts";
+import { describeUnreadable, readLogs } from "../readLogs.ts";
 import { formatTable } from "../table.ts";
 
 const formatSummary = ({ from, spanSeconds, causes }: LogSummary): string => {
@@ -33,7 +33,7 @@
     if (!(span > 0)) throw commandError(`--span must be a number of seconds, not ${this.span}.`, "usage");
     const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
     const summary = summarise(lines, span);
-    const note = unreadable === 0 ? "" : `${unreadable} lines were not a router's\n`;
+    const note = describeUnreadable(unreadable);
     return { exit: "success", text: formatSummary(summary) + note, value: { ...summary, unreadable } };
   }
 }
--- a/src/commandLine/readLogs.ts
+++ b/src/commandLine/readLogs.ts
@@ -4,6 +4,10 @@
 import type { ReadLines } from "./logLines.ts";
 import { readLogLines } from "./logLines.ts";
 
+/** @returns A line about the lines that could not be parsed; empty if all could. */
+export const describeUnreadable = (unreadable: number): string =>
+  unreadable === 0 ? "" : `${unreadable} lines were not a router's\n`;
+
 /**
  * Reads logs from files, or from standard input if no files are given.
  *
--- a/src/coordination/forwarding/reserveShare.test.ts
+++ b/src/coordination/forwarding/reserveShare.test.ts
@@ -8,7 +8,7 @@
 import { createReserveShare } from "./reserveShare.ts";
 import { createRetryShare } from "./retryShare.ts";
 
-const { retryRatio, retryReserve, retryWindow } = bounds;
+const { retryWindow } = bounds;
 const service = "desk";
 const routerCount = 6;
 
@@ -75,8 +75,7 @@
 };
 
 const isWithinBudget = (requests: readonly number[], retries: readonly number[]): boolean => {
-  const budget = { ratio: retryRatio, reserve: retryReserve, window: retryWindow };
-  const { count, allowed } = findWorstRetryWindow(requests, retries, budget);
+  const { count, allowed } = findWorstRetryWindow(requests, retries, bounds);
   return count <= allowed;
 };
 
--- a/src/coordination/forwarding/retryLedger.ts
+++ b/src/coordination/forwarding/retryLedger.ts
@@ -54,9 +54,9 @@
   const buckets: Bucket[] = Array.from({ length: keptBuckets }, () => ({ requests: 0, retries: 0 }));
   let newest = Math.floor(clock.monotonic() / bucketLength);
 
-  /** @param age - 0 for the present bucket. */
+  /** @param age - 0 for the present bucket; less than the number of buckets that are kept. */
   const bucketAt = (age: number): Bucket | undefined =>
-    age < keptBuckets ? buckets[(((newest - age) % keptBuckets) + keptBuckets) % keptBuckets] : undefined;
+    buckets[(((newest - age) % keptBuckets) + keptBuckets) % keptBuckets];
 
   const requestsAt = (age: number): number => bucketAt(age)?.requests ?? 0;
 
--- a/src/coordination/forwarding/retryShare.test.ts
+++ b/src/coordination/forwarding/retryShare.test.ts
@@ -6,8 +6,6 @@
 import { createManualClock } from "../manualClock.ts";
 import { createRetryShare } from "./retryShare.ts";
 
-const budget = { ratio: bounds.retryRatio, reserve: bounds.retryReserve, window: bounds.retryWindow };
-
 /** The part of a router that has run for longer than a window and knows all others. */
 const evenShare = (routers: number) => ({
   routers: () => routers,
@@ -40,7 +38,7 @@
           }
           if (share?.tryTake("desk") === true) retries.push(clock.monotonic());
         }
-        const { count, allowed } = findWorstRetryWindow(requests, retries, budget);
+        const { count, allowed } = findWorstRetryWindow(requests, retries, bounds);
         expect(count <= allowed).toEqual(true);
       }),
       { seed: 4_711, numRuns: 60 },
--- a/tests/model/retryBudget.test.ts
+++ b/tests/model/retryBudget.test.ts
@@ -3,33 +3,17 @@
 import fc from "fast-check";
 import { createRandom } from "../../bench/model/random.ts";
 import { createServingAllowance } from "../../bench/retryBudget/designs.ts";
-import type { Budget, FleetEvent } from "../../bench/retryBudget/fleetModel.ts";
+import type { FleetEvent } from "../../bench/retryBudget/fleetModel.ts";
 import { playFleet } from "../../bench/retryBudget/fleetModel.ts";
+import type { Fleet } from "../../bench/retryBudget/fleets.ts";
+import { largeFleet, smallFleet } from "../../bench/retryBudget/fleets.ts";
 import { createHistory, namedHistories } from "../../bench/retryBudget/histories.ts";
 
-interface Fleet {
-  readonly routers: number;
-  readonly requestsPerSecond: number;
-  readonly budget: Budget;
-  /** Number of drawn histories. */
-  readonly runs: number;
-}
-
-const ratioAndWindow = { retryRatio: 0.2, retryWindow: 10_000 } as const;
-
-const small: Fleet = {
-  routers: 6,
-  requestsPerSecond: 80,
-  budget: { ...ratioAndWindow, retryReserve: 56 },
-  runs: 120,
-};
-
-const large: Fleet = {
-  routers: 460,
-  requestsPerSecond: 4_600,
-  budget: { ...ratioAndWindow, retryReserve: 460 },
-  runs: 8,
-};
+/** Each with a number of drawn histories. */
+const tested = [
+  { fleet: smallFleet, runs: 120 },
+  { fleet: largeFleet, runs: 8 },
+] as const;
 
 /** Share of what a window allows that routers grant together in the first second of failures. */
 const firstSecondTarget = 0.6;
@@ -50,7 +34,7 @@
 });
 
 describe("the retry budget of all routers", () => {
-  for (const fleet of [small, large]) {
+  for (const { fleet, runs } of tested) {
     // The budget was exceeded where callers moved to routers that had not spent it.
     it(`holds in every window while callers move between ${fleet.routers} routers`, (context) => {
       const worst = namedHistories.map(({ name, events }) => ({ name, share: worstWindow(fleet, events) }));
@@ -63,7 +47,7 @@
         fc.property(fc.array(drawnEvent, { minLength: 1, maxLength: 7 }), (events) => {
           expect(worstWindow(fleet, events) <= 1).toEqual(true);
         }),
-        { seed: 79, numRuns: fleet.runs, endOnFailure: true },
+        { seed: 79, numRuns: runs, endOnFailure: true },
       );
     });
 
--- a/tests/platform/retryBudget.test.ts
+++ b/tests/platform/retryBudget.test.ts
@@ -5,7 +5,7 @@
 import type { PlatformSystem } from "../../standIns/platform/platformSystem.ts";
 import { hosts, isReady, startPlatformSystem, waitUntil } from "../../standIns/platform/platformSystem.ts";
 import { sendSteadily } from "../support/limitedReplicas.ts";
-import { findRepeats, findWorstRetryWindow } from "../support/retryWindows.ts";
+import { findRepeats, findWorstRetryWindow, frequentFailures } from "../support/retryWindows.ts";
 
 const routerCount = 6;
 
@@ -48,15 +48,10 @@
 };
 
 /** A budget whose window is short enough for several to pass in a test. */
-const shortBudget = { ratio: 0.2, reserve: 6, window: 4_000 } as const;
+const shortBudget = { retryRatio: 0.2, retryReserve: 6, retryWindow: 4_000 } as const;
 
 const load = { perSecond: 150 } as const;
 
-/** Two of three requests fail at each replica. */
-const oftenFailing: readonly Behaviour[] = Array.from({ length: 3_000 }, (_, index) =>
-  index % 3 === 0 ? "well" : "fail",
-);
-
 describe("the retries of all routers", () => {
   // A new process does not know what the previous one has spent.
   it("stay within the budget while the routers restart", async (context) => {
@@ -71,23 +66,24 @@
 
   // What a router has spent stayed with it, and its callers' next routers spent as much again.
   it("stay within the budget while callers move from router to router", async (context) => {
-    const { ratio, reserve, window } = shortBudget;
+    const { retryRatio, retryReserve, retryWindow } = shortBudget;
+    const windowSeconds = retryWindow / 1_000;
     await using system = await startPlatformSystem({
       desks: 8,
       engines: 0,
-      bounds: { retryRatio: ratio, retryReserve: reserve, retryWindowSeconds: window / 1_000 },
+      bounds: { retryRatio, retryReserve, retryWindowSeconds: windowSeconds },
     });
     while (system.routers.length < routerCount) await system.startRouter();
     await waitUntil(() => areReady(system));
     const { routers } = system;
     const send = (through: PlatformSystem["routers"], seconds: number) =>
       sendSteadily({ routers: through }, readRequest, { ...load, seconds });
-    const calm = await send(routers, 1.2 * (window / 1_000));
-    for (const desk of system.desks) desk.setBehaviours(...oftenFailing);
+    const calm = await send(routers, 1.2 * windowSeconds);
+    for (const desk of system.desks) desk.setBehaviours(...frequentFailures);
     const failing = [
-      ...(await send(routers, 0.25 * (window / 1_000))),
-      ...(await send(routers.slice(0, 2), 0.6 * (window / 1_000))),
-      ...(await send(routers.slice(2, 4), 0.6 * (window / 1_000))),
+      ...(await send(routers, 0.25 * windowSeconds)),
+      ...(await send(routers.slice(0, 2), 0.6 * windowSeconds)),
+      ...(await send(routers.slice(2, 4), 0.6 * windowSeconds)),
     ];
     const requests = [...calm, ...failing].map(({ askedAt }) => askedAt);
     const arrivals = system.desks.flatMap((desk) =>
--- a/tests/support/retryWindows.ts
+++ b/tests/support/retryWindows.ts
@@ -1,12 +1,10 @@
 /** Repeats in the windows of a retry budget, counted as the budget's users do. */
 
+import type { Behaviour } from "../../standIns/platform/replica.ts";
+import type { ForwardingBounds } from "../../src/coordination/forwarding/types.ts";
+
 /** The budget of all routers together. */
-export interface RetryBudget {
-  readonly ratio: number;
-  readonly reserve: number;
-  /** Milliseconds. */
-  readonly window: number;
-}
+export type RetryBudget = Pick<ForwardingBounds, "retryRatio" | "retryReserve" | "retryWindow">;
 
 /** A window: its repeats, and how many are allowed. */
 export interface RetryWindow {
@@ -30,8 +28,23 @@
 };
 
 /**
- * Finds the window that uses most of its budget. The requests that count are those of the window, of the one before it or
- * of the one half a window before it.
+ * The requests that count are those of the window, of the one before it or of the one half a window before it.
+ *
+ * @param start - When the window begins, milliseconds.
+ * @param countRequests - Counts the requests of the window that begins at a time.
+ * @returns How many repeats all routers together may make in the window.
+ */
+export const allowedRepeats = (
+  start: number,
+  countRequests: (from: number) => number,
+  { retryRatio, retryReserve, retryWindow }: RetryBudget,
+): number => {
+  const counts = [start, start - retryWindow / 2, start - retryWindow].map(countRequests);
+  return retryRatio * Math.max(...counts) + retryReserve;
+};
+
+/**
+ * Finds the window that uses most of its budget, among those that begin with a repeat.
  *
  * @param requests - When requests were sent, milliseconds, in order.
  * @param repeats - When they arrived again, milliseconds, in order.
@@ -40,22 +53,18 @@
 export const findWorstRetryWindow = (
   requests: readonly number[],
   repeats: readonly number[],
-  { ratio, reserve, window }: RetryBudget,
-): RetryWindow =>
-  repeats
-    .map((start): RetryWindow => {
-      const counts = [start, start - window / 2, start - window].map((from) =>
-        countBetween(requests, from, from + window),
-      );
-      return {
-        count: countBetween(repeats, start, start + window),
-        allowed: ratio * Math.max(...counts) + reserve,
-      };
-    })
-    .reduce((worst, each) => (each.count * worst.allowed > worst.count * each.allowed ? each : worst), {
-      count: 0,
-      allowed: reserve,
-    });
+  budget: RetryBudget,
+): RetryWindow => {
+  const countIn = (times: readonly number[], from: number): number =>
+    countBetween(times, from, from + budget.retryWindow);
+  const windows = repeats.map((start): RetryWindow => ({
+    count: countIn(repeats, start),
+    allowed: allowedRepeats(start, (from) => countIn(requests, from), budget),
+  }));
+  const none: RetryWindow = { count: 0, allowed: budget.retryReserve };
+  const shareOf = ({ count, allowed }: RetryWindow): number => (count === 0 ? 0 : count / allowed);
+  return windows.reduce((worst, each) => (shareOf(each) > shareOf(worst) ? each : worst), none);
+};
 
 /** @returns The times of arrivals beyond the first of their request, milliseconds, in order. */
 export const findRepeats = (
@@ -70,3 +79,8 @@
       return [];
     });
 };
+
+/** Replicas that behave so fail two of three requests, so that retries are pressed to their budget. */
+export const frequentFailures: readonly Behaviour[] = Array.from({ length: 3_000 }, (_, index) =>
+  index % 3 === 0 ? "well" : "fail",
+);
