Take engines that accept connections and don't answer for lost

Cause: a path was shown by an accepted connection. Behind a middlebox that accepts every connection and hands nothing on, a router served nothing.

After silence an engine is asked for its status on a new connection, and eight more if it accepts and doesn't answer; they are asked again every 0.15 s, and are lost after 1.5 s without an answer. Replicas may fall silent for a second and go on.

--- a/bench/lab/LabReplicaClient.ts
+++ b/bench/lab/LabReplicaClient.ts
@@ -2,7 +2,10 @@
 import type { Clock } from "../../src/coordination/clock.ts";
 import { pause } from "../../src/coordination/clock.ts";
 import { upstreamError } from "../../src/protocol/errors.ts";
-import type { ConnectionProbeResult } from "../../src/protocol/forwarding/ReplicaClient.ts";
+import type {
+  AnswerProbeResult,
+  ConnectionProbeResult,
+} from "../../src/protocol/forwarding/ReplicaClient.ts";
 import { ReplicaClient } from "../../src/protocol/forwarding/ReplicaClient.ts";
 import type {
   AnswerHead,
@@ -136,6 +139,10 @@
     return state === "down" ? "refused" : "made";
   }
 
+  override async probeAnswer(engine: ReplicaEntry, timeout: number): Promise<AnswerProbeResult> {
+    return (await this.probeConnection(engine, timeout)) === "made" ? "answered" : "none";
+  }
+
   override readStatus({ id }: ReplicaEntry): Promise<EngineStatus> {
     const replica = this.fleet.find(id);
     const weights = new Map([[this.fleet.model, replica?.version ?? 1]]);
--- a/src/coordination/replicaPaths/constants.ts
+++ b/src/coordination/replicaPaths/constants.ts
@@ -15,12 +15,18 @@
  */
 export const probeRounds = { failure: [1, 8], silence: [8], lost: [1] } as const;
 
+/** Number of engines that are asked for their status at once, after one has accepted a connection and not answered. */
+export const enginesPerAnswer = 8;
+
 /** With responses pending, silence of all replicas for this long leads to a check. */
 export const silenceBeforeCheck = 80;
 
 /** Between two checks because of silence: a lone long prompt is silent until its first token. */
 export const silenceCheckInterval = 1_000;
 
+/** The same, after engines have accepted connections and not answered. */
+export const unansweredCheckInterval = 150;
+
 /** After a check that found a path, failures lead to no other one for this long. */
 export const failureCheckInterval = 200;
 
@@ -34,7 +40,7 @@
 export const pollIntervals = { busy: 40, idle: 100 } as const;
 
 /**
- * A service that no router has a path to is refused at once only after this time: replicas that fall silent for a second
- * may go on.
+ * Replicas that fall silent for a second may go on. Only after this time is a service that no router has a path to
+ * refused at once, and are engines taken for lost that accept connections and don't answer.
  */
 export const toleratedSilence = 1_500;
--- a/src/coordination/replicaPaths/pathProbes.ts
+++ b/src/coordination/replicaPaths/pathProbes.ts
@@ -1,5 +1,5 @@
 /** Opens connections to replicas only to learn whether this router has paths to them. */
-import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
+import type { AnswerProbeResult, ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
@@ -7,13 +7,15 @@
 
 export interface PathProbesDependencies {
   readonly replicas: Pick<ReplicaTable, "all">;
-  readonly client: Pick<ReplicaClient, "probeConnection">;
+  readonly client: Pick<ReplicaClient, "probeConnection" | "probeAnswer">;
   readonly clock: Clock;
 }
 
 export interface PathProbes {
   /** @returns Whether one of the replicas accepts a connection; resolves with the first one that does. */
   readonly anyAccepts: (replicas: readonly ReplicaState[]) => Promise<boolean>;
+  /** @returns The best that one of the engines gives; resolves with the first answer. */
+  readonly askAny: (engines: readonly ReplicaState[]) => Promise<AnswerProbeResult>;
   /**
    * Whether another replica accepts a connection, so that failures at this one say something about it. Replicas of its
    * data centre are asked first, since this router may be cut off from a data centre only.
@@ -36,15 +38,31 @@
 
 /** Creates the probes of the replicas in a table. */
 export const createPathProbes = ({ replicas, client, clock }: PathProbesDependencies): PathProbes => {
-  const accepts = async ({ entry }: ReplicaState): Promise<boolean> => {
+  const probeOnceMoreIfDelayed = async (probe: () => Promise<boolean>): Promise<boolean> => {
     const startedAt = clock.monotonic();
-    if ((await client.probeConnection(entry, pathProbeTimeout)) === "made") return true;
+    if (await probe()) return true;
     // Where this process did not run, the timeout passed without a chance for an answer.
     const wasDelayed = clock.monotonic() - startedAt > pathProbeTimeout + maxProbeDelay;
-    return wasDelayed && (await client.probeConnection(entry, pathProbeTimeout)) === "made";
+    return wasDelayed && (await probe());
   };
 
-  const anyAccepts = (probed: readonly ReplicaState[]): Promise<boolean> => anyTrue(probed.map(accepts));
+  const accepts = async ({ entry }: ReplicaState): Promise<boolean> =>
+    (await client.probeConnection(entry, pathProbeTimeout)) === "made";
+
+  const anyAccepts = (probed: readonly ReplicaState[]): Promise<boolean> =>
+    anyTrue(probed.map((replica) => probeOnceMoreIfDelayed(() => accepts(replica))));
+
+  const askAny = async (engines: readonly ReplicaState[]): Promise<AnswerProbeResult> => {
+    const results = new Set<AnswerProbeResult>();
+    const ask = async ({ entry }: ReplicaState): Promise<boolean> => {
+      const result = await client.probeAnswer(entry, pathProbeTimeout);
+      results.add(result);
+      return result === "answered";
+    };
+    const isAnswered = await anyTrue(engines.map((engine) => probeOnceMoreIfDelayed(() => ask(engine))));
+    if (isAnswered) return "answered";
+    return results.has("accepted") ? "accepted" : "none";
+  };
 
   // Routers that start at different times begin with different replicas.
   let nextIndex = Math.floor(clock.monotonic());
@@ -60,6 +78,7 @@
 
   return {
     anyAccepts,
+    askAny,
     hasOtherPath: async (accused) => {
       const others = replicas.all().filter((replica) => replica !== accused);
       const near = others.filter(({ entry }) => entry.dataCentre === accused.entry.dataCentre);
--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -8,17 +8,22 @@
  * to several replicas of the service. If none accepts one, the service is lost to this router. That says nothing about
  * its replicas: requests go through other routers, and only where those have no path either is the service down.
  *
+ * A connection that is accepted shows no path if something in between accepts it and hands nothing on. After silence an
+ * engine must answer; where none does for a while, engines and the services that are silent are lost until one has
+ * answered.
+ *
  * Way back: a lost service is checked a few times a second, with one connection. Once it is accepted, all marks that
  * replicas of the service got meanwhile are dropped.
  */
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { metricNames } from "../../state/constants.ts";
-import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { Clock } from "../clock.ts";
 import type { PathEvidence, ReplicaHealth } from "../forwarding/replicaHealth.ts";
 import {
+  enginesPerAnswer,
   failureCheckInterval,
   lostCheckIntervals,
   maxProofAge,
@@ -26,12 +31,17 @@
   probeRounds,
   silenceBeforeCheck,
   silenceCheckInterval,
+  unansweredCheckInterval,
 } from "./constants.ts";
 import type { PathProbes } from "./pathProbes.ts";
+import type { ServicePaths } from "./servicePaths.ts";
+import { createServiceTable, observePending } from "./servicePaths.ts";
+import { createPathSearch, isEngine } from "./pathSearch.ts";
+import { createUnansweredTime } from "./unansweredTime.ts";
 
 export interface ReplicaPathsDependencies {
   readonly replicas: Pick<ReplicaTable, "all" | "serving" | "subscribe">;
-  readonly probes: Pick<PathProbes, "anyAccepts" | "sample">;
+  readonly probes: Pick<PathProbes, "anyAccepts" | "askAny" | "sample">;
   readonly health: Pick<ReplicaHealth, "forgetFailures">;
   readonly clock: Clock;
   readonly metrics: Metrics;
@@ -52,71 +62,33 @@
 /** Why a service is checked. */
 type CheckReason = keyof typeof probeRounds;
 
-/** The paths to one service. Times are milliseconds on the monotonic clock. */
-interface ServicePaths {
-  /** When the paths were found lost; `undefined` while there is one. */
-  lostAt: number | undefined;
-  /** When the last check ended. */
-  checkedAt: number;
-  /** Checks since the paths were lost; the interval between them grows with it. */
-  checks: number;
-  /** The check in progress. */
-  check: Promise<void> | undefined;
-}
-
 const writeLog = createLogger("paths");
 
-/** @returns Whether responses are pending, and whether nothing has arrived for a while from where they are. */
-const observePending = (
-  replicas: readonly ReplicaState[],
-  now: number,
-): { readonly isPending: boolean; readonly isSilent: boolean } => {
-  const pending = replicas.filter(({ requests }) => requests > 0);
-  const isPending = pending.length > 0;
-  const isSilent = pending.every(({ quietSince }) => now - quietSince > silenceBeforeCheck);
-  return { isPending, isSilent: isPending && isSilent };
+/** Requests on connections that live on go on. */
+const abandonSilentRequests = (replicas: readonly ReplicaState[], now: number): void => {
+  for (const { abandon, quietSince } of replicas) {
+    if (now - quietSince > silenceBeforeCheck) for (const each of [...abandon]) each();
+  }
 };
 
 /** Starts to monitor the paths. */
 export const startReplicaPaths = (dependencies: ReplicaPathsDependencies): ReplicaPaths => {
   const { replicas, probes, health, clock, metrics } = dependencies;
-  const services = new Map<string, ServicePaths>();
+  const { stateOf, listServices, services } = createServiceTable(replicas);
+  const search = createPathSearch({ replicas, probes });
   let silenceCheckedAt = Number.NEGATIVE_INFINITY;
   /** When an answer, or a connection that was accepted, last showed a path to any replica. */
   let provenAt = Number.NEGATIVE_INFINITY;
+  const unanswered = createUnansweredTime(clock);
   let isDisposed = false;
 
-  const stateOf = (service: string): ServicePaths => {
-    const known = services.get(service);
-    if (known !== undefined) return known;
-    const created = {
-      lostAt: undefined,
-      checkedAt: Number.NEGATIVE_INFINITY,
-      checks: 0,
-      check: undefined,
-    };
-    services.set(service, created);
-    return created;
-  };
-
-  const listServices = (): ReadonlySet<string> =>
-    new Set(replicas.all().flatMap(({ entry }) => (entry.isDraining ? [] : [entry.service])));
-
-  /** Requests on connections that live on go on. */
-  const abandonSilentRequests = (service: string): void => {
-    const now = clock.monotonic();
-    for (const { abandon, quietSince } of replicas.serving(service)) {
-      if (now - quietSince > silenceBeforeCheck) for (const each of [...abandon]) each();
-    }
-  };
-
   const noteLost = (service: string, state: ServicePaths): void => {
     if (state.lostAt !== undefined) return;
     state.lostAt = clock.monotonic();
     state.checks = 0;
     metrics.count(metricNames.pathLosses, 1, { service });
     writeLog("lost", { service, replicas: replicas.serving(service).length });
-    abandonSilentRequests(service);
+    abandonSilentRequests(replicas.serving(service), clock.monotonic());
     // A partition from one service is usually one from all.
     for (const other of listServices()) if (stateOf(other).lostAt === undefined) check(other, "failure");
   };
@@ -128,17 +100,19 @@
     for (const replica of replicas.serving(service)) health.forgetFailures(replica);
   };
 
-  /** @returns Whether a replica of the service accepts a connection; `undefined` if it has none. */
+  /** Plain replicas can't be asked without running something: their silence tells, as long as no engine answers. */
+  const needsAnswer = (service: string): boolean => {
+    if (!unanswered.isTooLong()) return false;
+    const serving = replicas.serving(service);
+    const isLost = stateOf(service).lostAt !== undefined;
+    return isLost || serving.some(isEngine) || observePending(serving, clock.monotonic()).isSilent;
+  };
+
   const findPath = async (service: string, reason: CheckReason): Promise<boolean | undefined> => {
-    const tried = new Set<ReplicaState>();
-    for (const count of probeRounds[reason]) {
-      const untried = replicas.serving(service).filter((replica) => !tried.has(replica));
-      const sample = probes.sample(untried, count);
-      if (sample.length === 0) break;
-      if (await probes.anyAccepts(sample)) return true;
-      for (const replica of sample) tried.add(replica);
-    }
-    return tried.size === 0 ? undefined : false;
+    if (!needsAnswer(service)) return search.findAccepting(service, probeRounds[reason]);
+    const isAnswered = (await search.askEngines(1)) === "answered";
+    if (isAnswered) unanswered.noteAnswer();
+    return isAnswered;
   };
 
   const runCheck = async (service: string, state: ServicePaths, reason: CheckReason): Promise<void> => {
@@ -157,12 +131,29 @@
     state.check ??= runCheck(service, state, reason);
   };
 
-  /** Probes one replica first: a lone long prompt is silent until its first token, and no reason to doubt all paths. */
+  const noteUnanswered = (since: number): void => {
+    unanswered.noteSilence(since);
+    if (!unanswered.isTooLong()) return;
+    for (const service of listServices()) if (needsAnswer(service)) noteLost(service, stateOf(service));
+  };
+
+  /** Asks one engine first: a lone long prompt is silent until its first token, and no reason to doubt all paths. */
   const checkSilence = async (): Promise<void> => {
-    silenceCheckedAt = clock.monotonic();
+    const startedAt = clock.monotonic();
+    silenceCheckedAt = startedAt;
+    let result = await search.askEngines(1);
+    if (result === "accepted") result = await search.askEngines(enginesPerAnswer);
+    if (isDisposed) return;
+    if (result === "accepted") {
+      noteUnanswered(startedAt);
+      return;
+    }
+    unanswered.noteAnswer();
     const serving = replicas.all().filter(({ entry }) => !entry.isDraining);
-    if (await probes.anyAccepts(probes.sample(serving, 1))) provenAt = clock.monotonic();
-    else if (!isDisposed) checkAll();
+    const hasPath =
+      result === undefined ? await probes.anyAccepts(probes.sample(serving, 1)) : result === "answered";
+    if (hasPath) provenAt = clock.monotonic();
+    else checkAll();
   };
 
   const checkAll = (): void => {
@@ -185,8 +176,9 @@
   const poll = (): void => {
     const now = clock.monotonic();
     const { isPending, isSilent } = observePending(replicas.all(), now);
-    const isDue = now - silenceCheckedAt > silenceCheckInterval;
-    if (isSilent && isDue && !isPartitioned()) void checkSilence();
+    const interval = unanswered.isSilent() ? unansweredCheckInterval : silenceCheckInterval;
+    if ((isSilent || unanswered.isSilent()) && now - silenceCheckedAt > interval && !isPartitioned())
+      void checkSilence();
     checkLost(now);
     cancelPoll = clock.after(isPending ? pollIntervals.busy : pollIntervals.idle, poll);
   };
@@ -210,6 +202,7 @@
     },
     noteAnswer: () => {
       provenAt = clock.monotonic();
+      unanswered.noteAnswer();
     },
     noteFailure: (service) => {
       const { lostAt, checkedAt } = stateOf(service);
--- a/src/protocol/forwarding/ReplicaClient.ts
+++ b/src/protocol/forwarding/ReplicaClient.ts
@@ -32,6 +32,15 @@
  */
 export type ConnectionProbeResult = "made" | "refused" | "silent";
 
+/**
+ * The result of a request for an engine's status on a new connection.
+ *
+ * - `answered`: something came back.
+ * - `accepted`: the connection was established, and nothing came back.
+ * - `none`: no connection was established.
+ */
+export type AnswerProbeResult = "answered" | "accepted" | "none";
+
 /** Sends requests to replicas, all of which pass one gate. Methods throw `UpstreamError`. */
 export abstract class ReplicaClient implements AsyncDisposable {
   private gate: ReplicaGate = openGate;
@@ -88,6 +97,14 @@
    */
   abstract probeConnection(replica: ReplicaEntry, timeout: number): Promise<ConnectionProbeResult>;
 
+  /**
+   * Requests the status of an engine on a new connection. What accepts connections may be something between this router
+   * and the engine, which hands nothing on.
+   *
+   * @param timeout - Milliseconds.
+   */
+  abstract probeAnswer(engine: ReplicaEntry, timeout: number): Promise<AnswerProbeResult>;
+
   /** Reads the status of an engine. */
   abstract readStatus(replica: ReplicaEntry, signal: AbortSignal): Promise<EngineStatus>;
 
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -7,7 +7,7 @@
 import { upstreamError } from "../../protocol/errors.ts";
 import { collectBody } from "../../protocol/forwarding/collectBody.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
-import type { ConnectionProbeResult } from "../../protocol/forwarding/ReplicaClient.ts";
+import type { AnswerProbeResult, ConnectionProbeResult } from "../../protocol/forwarding/ReplicaClient.ts";
 import { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaAnswer, ReplicaCall, ReplicaEntry } from "../../protocol/forwarding/types.ts";
 import type { RawAnswer } from "./answerReader.ts";
@@ -53,6 +53,8 @@
  * cache stores.
  */
 export abstract class HttpReplicaClient extends ReplicaClient {
+  /** The path of an engine's status. */
+  protected abstract readonly statusPath: string;
   private readonly wire: ForwardingWire;
   private readonly pools = new Map<string, Pool>();
   private readonly connectionLimits = new Map<string, number>();
@@ -101,6 +103,32 @@
     });
   }
 
+  override probeAnswer({ address }: ReplicaEntry, timeout: number): Promise<AnswerProbeResult> {
+    const [host, port] = address.split(":");
+    const lines = [`GET ${this.statusPath} HTTP/1.1`, `host: ${address}`, "connection: close", "", ""];
+    return new Promise((resolve) => {
+      const socket = connect({ host, port: Number(port) });
+      let result: AnswerProbeResult = "none";
+      const finish = (): void => {
+        clearTimeout(timer);
+        socket.destroy();
+        resolve(result);
+      };
+      // The timer of a process that did not run for a while fires before an answer that has arrived meanwhile.
+      const timer = setTimeout(() => setImmediate(finish), timeout);
+      socket.once("connect", () => {
+        result = "accepted";
+        socket.write(lines.join("\r\n"));
+      });
+      socket.once("data", () => {
+        result = "answered";
+        finish();
+      });
+      socket.once("error", finish);
+      socket.once("close", finish);
+    });
+  }
+
   /** Applies only to connection pools created afterwards. */
   override limitConnections(replica: ReplicaEntry, limit: number): void {
     this.connectionLimits.set(replica.id, Math.max(1, limit));
