Let the soak partition routers behind connections that are accepted

The soak drew partitions that hang, reset or refuse connections; connections that are accepted and hand nothing on were tested by one test only.

--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -125,7 +125,7 @@
   for (const { replica, isReporting } of failing) if (!isReporting) replica.setBehaviours();
 };
 
-const partitionModes: readonly PartitionMode[] = ["hang", "reset", "refuse"];
+const partitionModes: readonly PartitionMode[] = ["hang", "reset", "refuse", "accept"];
 
 /** Partitions routers from all replicas. Their processes may end and start again meanwhile. */
 const partitionRouters = async (
