Ask one silent engine again instead of nine, and join after a new epoch

Cause: while all engines paused, a router asked nine of them every 0.15 s for their status. And a router that was waiting for others when the store was restored could take a list that lacks them for the whole.

Change: after the first nine, one engine is asked again, and nine before the verdict. A router whose registration is of an earlier epoch registers again, and joins.

--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -79,7 +79,7 @@
   let silenceCheckedAt = Number.NEGATIVE_INFINITY;
   /** When an answer, or a connection that was accepted, last showed a path to any replica. */
   let provenAt = Number.NEGATIVE_INFINITY;
-  const unanswered = createUnansweredTime(clock);
+  const unanswered = createUnansweredTime();
   let isDisposed = false;
 
   const noteLost = (service: string, state: ServicePaths): void => {
@@ -142,7 +142,8 @@
     const startedAt = clock.monotonic();
     silenceCheckedAt = startedAt;
     let result = await search.askEngines(1);
-    if (result === "accepted") result = await search.askEngines(enginesPerAnswer);
+    if (result === "accepted" && unanswered.needsConfirmation(startedAt))
+      result = await search.askEngines(enginesPerAnswer);
     if (isDisposed) return;
     if (result === "accepted") {
       noteUnanswered(startedAt);
--- a/src/coordination/replicaPaths/unansweredTime.ts
+++ b/src/coordination/replicaPaths/unansweredTime.ts
@@ -1,19 +1,21 @@
 /** For how long engines have accepted connections and not answered, as something in between does that hands nothing on. */
-import type { Clock } from "../clock.ts";
 import { toleratedSilence } from "./constants.ts";
 
+/** Times are milliseconds on the monotonic clock. */
 export interface UnansweredTime {
   readonly noteAnswer: () => void;
-  /** @param since - When the engines that have not answered were asked, milliseconds on the monotonic clock. */
-  readonly noteSilence: (since: number) => void;
+  /** @param askedAt - When the engines that have not answered were asked. */
+  readonly noteSilence: (askedAt: number) => void;
   /** Whether engines were silent when they were last asked. */
   readonly isSilent: () => boolean;
-  /** Whether they have been for so long that an accepted connection shows no path. */
+  /** Whether one engine that was silent is to be confirmed by others: at first, and before the verdict. */
+  readonly needsConfirmation: (askedAt: number) => boolean;
+  /** Whether engines have been silent for so long that an accepted connection shows no path. */
   readonly isTooLong: () => boolean;
 }
 
 /** Creates the time of a router that has not asked an engine yet. */
-export const createUnansweredTime = (clock: Clock): UnansweredTime => {
+export const createUnansweredTime = (): UnansweredTime => {
   let silentSince: number | undefined;
   let isTooLong = false;
 
@@ -22,11 +24,12 @@
       silentSince = undefined;
       isTooLong = false;
     },
-    noteSilence: (since) => {
-      silentSince ??= since;
-      if (clock.monotonic() - silentSince >= toleratedSilence) isTooLong = true;
+    noteSilence: (askedAt) => {
+      silentSince ??= askedAt;
+      isTooLong ||= askedAt - silentSince >= toleratedSilence;
     },
     isSilent: () => silentSince !== undefined,
+    needsConfirmation: (askedAt) => silentSince === undefined || askedAt - silentSince >= toleratedSilence,
     isTooLong: () => isTooLong,
   };
 };
--- a/src/coordination/storeEpochs/routerRegistration.ts
+++ b/src/coordination/storeEpochs/routerRegistration.ts
@@ -72,7 +72,6 @@
 
   const attempt = async (): Promise<void> => {
     if (!hasWritten) origin = findOrigin(await list(), self);
-    // Other routers' records of the epoch before may be lost.
     if (registeredIn !== undefined) origin ??= "join";
     const epoch = await put(origin !== undefined);
     // Read after writing: of two routers that register at once, one finds the other.
@@ -103,10 +102,11 @@
   const bootstrap = async (): Promise<void> => {
     let entries = await list();
     if (!entries.some(({ isBootstrapped }) => isBootstrapped)) {
-      const epoch = await put(true);
-      if (epoch !== registeredIn) return;
+      await put(true);
       entries = await list();
     }
+    // Other routers' records may be lost; this one registers again, and joins.
+    if (registeredIn !== epochs.current()) return;
     origin = "bootstrap";
     dependencies.onListed(entries, origin);
   };
