Ask one engine only once the paths are lost

Cause: after the verdict nine engines were asked every 0.15 s for as long as a service without pending requests was not found lost as well.

Change: after the verdict one engine is asked.

--- a/src/coordination/replicaPaths/unansweredTime.ts
+++ b/src/coordination/replicaPaths/unansweredTime.ts
@@ -19,6 +19,9 @@
   let silentSince: number | undefined;
   let isTooLong = false;
 
+  const isOverdue = (askedAt: number): boolean =>
+    silentSince !== undefined && askedAt - silentSince >= toleratedSilence;
+
   return {
     noteAnswer: () => {
       silentSince = undefined;
@@ -26,10 +29,10 @@
     },
     noteSilence: (askedAt) => {
       silentSince ??= askedAt;
-      isTooLong ||= askedAt - silentSince >= toleratedSilence;
+      isTooLong ||= isOverdue(askedAt);
     },
     isSilent: () => silentSince !== undefined,
-    needsConfirmation: (askedAt) => silentSince === undefined || askedAt - silentSince >= toleratedSilence,
+    needsConfirmation: (askedAt) => silentSince === undefined || (!isTooLong && isOverdue(askedAt)),
     isTooLong: () => isTooLong,
   };
 };
