Keep the kinds of the soak's steps by topic

The choice of kinds stood in the soak's program and in its seeds' test, each with a chain of conditions over seven flags. One comment of the registration is worded anew.

--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -7,18 +7,7 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import type { Step } from "./plan.ts";
-import {
-  replicaReportStepKinds,
-  createPlan,
-  loadStepKinds,
-  registryStepKinds,
-  storeRestoreStepKinds,
-  moveStepKinds,
-  partitionStepKinds,
-  streamStepKinds,
-  describePlan,
-  defaultStepKinds,
-} from "./plan.ts";
+import { createPlan, describePlan, stepKinds } from "./plan.ts";
 import type { SoakOutcome } from "./runSoak.ts";
 import { runSoak } from "./runSoak.ts";
 import { shrinkPlan } from "./shrink.ts";
@@ -60,15 +49,12 @@
 };
 const firstSeed = Number(values.seed ?? Date.now() % 1_000_000);
 
+/** Of several, the last one decides on the kinds of steps. */
+const optionalTopics = ["reports", "returns", "registry", "load", "streams", "partitions", "moves"] as const;
+
 const createSeedPlan = (seed: number): readonly Step[] => {
-  const reportKinds = values.reports ? replicaReportStepKinds : defaultStepKinds;
-  const restoreKinds = values.returns ? storeRestoreStepKinds : reportKinds;
-  const registryKinds = values.registry ? registryStepKinds : restoreKinds;
-  const loadKinds = values.load ? loadStepKinds : registryKinds;
-  const streamKinds = values.streams ? streamStepKinds : loadKinds;
-  const partitionKinds = values.partitions ? partitionStepKinds : streamKinds;
-  const kinds = values.moves ? moveStepKinds : partitionKinds;
-  const plan = createPlan(seed, Number(values.seconds), kinds);
+  const topic = optionalTopics.findLast((each) => values[each]) ?? "default";
+  const plan = createPlan(seed, Number(values.seconds), stepKinds[topic]);
   const only = values.only?.split(",").map(Number);
   return only === undefined ? plan : plan.filter((_, index) => only.includes(index));
 };
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -1,7 +1,7 @@
 /** The plan of a run: its steps and their times, determined by the seed. */
 import { createRandom } from "../../bench/model/random.ts";
 
-export const defaultStepKinds = [
+const defaultStepKinds = [
   "killRouter",
   "endRouter",
   "endRoutersInTurn",
@@ -27,17 +27,17 @@
 ] as const;
 
 /** The default kinds, and replicas that report draining or backoff in their answers. */
-export const replicaReportStepKinds = [
+const replicaReportStepKinds = [
   ...defaultStepKinds,
   "replicaReportsDraining",
   "replicaAsksForBackoff",
 ] as const;
 
 /** All kinds; a store that is restored from an older backup is listed twice, so that it is twice as likely. */
-export const storeRestoreStepKinds = [...replicaReportStepKinds, "storeReturns", "storeReturns"] as const;
+const storeRestoreStepKinds = [...replicaReportStepKinds, "storeReturns", "storeReturns"] as const;
 
 /** All kinds, and replicas that drain after a restart with a clock that has stepped, or after a lapse of their entry. */
-export const registryStepKinds = [
+const registryStepKinds = [
   ...storeRestoreStepKinds,
   "replicaRestarts",
   "replicaRestarts",
@@ -52,7 +52,7 @@
  * All kinds, and load that competes for engines: floods of one organisation, engines that slow down, prompts that fill
  * their memory, and callers that read slowly or stop reading. Half of the steps are load.
  */
-export const loadStepKinds = [
+const loadStepKinds = [
   ...registryStepKinds,
   ...Array.from(
     { length: 8 },
@@ -61,23 +61,33 @@
 ] as const;
 
 /** All kinds, and engines whose streams have neither a length nor chunks, and break off. They are half of the steps. */
-export const streamStepKinds = [...registryStepKinds, ...asMany("streamsBreakOff")] as const;
+const streamStepKinds = [...registryStepKinds, ...asMany("streamsBreakOff")] as const;
 
 /** All kinds, and partitions between routers and all replicas: of one router, and of all but one. Half of the steps. */
-export const partitionStepKinds = [
+const partitionStepKinds = [
   ...registryStepKinds,
   ...asMany("routerPartitioned", "routersPartitioned"),
 ] as const;
 
 /** All kinds, and callers that move between routers while replicas fail most requests. Half of the steps. */
-export const moveStepKinds = [...registryStepKinds, ...asMany("callersMove", "replicasFailOften")] as const;
+const moveStepKinds = [...registryStepKinds, ...asMany("callersMove", "replicasFailOften")] as const;
+
+/** The kinds of steps, by what a run is about. */
+export const stepKinds = {
+  default: defaultStepKinds,
+  reports: replicaReportStepKinds,
+  returns: storeRestoreStepKinds,
+  registry: registryStepKinds,
+  load: loadStepKinds,
+  streams: streamStepKinds,
+  partitions: partitionStepKinds,
+  moves: moveStepKinds,
+} as const;
+
+export type StepTopic = keyof typeof stepKinds;
 
 /** The kind of a step. */
-export type StepKind =
-  | (typeof loadStepKinds)[number]
-  | (typeof streamStepKinds)[number]
-  | (typeof partitionStepKinds)[number]
-  | (typeof moveStepKinds)[number];
+export type StepKind = (typeof stepKinds)[StepTopic][number];
 
 /** One fault or change during a run. */
 export interface Step {
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -1,17 +1,8 @@
 /** A short run of the soak, runs of its other kinds of steps, and the seeds that failed, each with the cause. */
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import {
-  replicaReportStepKinds,
-  createPlan,
-  loadStepKinds,
-  registryStepKinds,
-  storeRestoreStepKinds,
-  moveStepKinds,
-  partitionStepKinds,
-  streamStepKinds,
-  defaultStepKinds,
-} from "./plan.ts";
+import type { StepTopic } from "./plan.ts";
+import { createPlan, stepKinds } from "./plan.ts";
 import { runSoak } from "./runSoak.ts";
 
 /** The size at which the seeds failed: the number of replicas decides which one a step affects. */
@@ -23,13 +14,7 @@
   readonly seconds: number;
   readonly cause: string;
   readonly isSuspending?: boolean;
-  readonly isReporting?: boolean;
-  readonly isReturning?: boolean;
-  readonly isRegistryStruck?: boolean;
-  readonly isLoaded?: boolean;
-  readonly breaksStreams?: boolean;
-  readonly isPartitionable?: boolean;
-  readonly movesCallers?: boolean;
+  readonly topic?: StepTopic;
 }[] = [
   { seed: 3, seconds: 5, cause: "a short run with several kinds of faults" },
   { seed: 1027, seconds: 12, cause: "replicas that never registered again after loading new weights" },
@@ -38,13 +23,13 @@
     seconds: 12,
     cause: "a proof of the configuration that a peer gave to the previous process before a restart",
   },
-  { seed: 5, seconds: 10, cause: "replicas that report draining and backoff", isReporting: true },
-  { seed: 11, seconds: 10, cause: "a store that is restored from older backups", isReturning: true },
+  { seed: 5, seconds: 10, cause: "replicas that report draining and backoff", topic: "reports" },
+  { seed: 11, seconds: 10, cause: "a store that is restored from older backups", topic: "returns" },
   {
     seed: 8007,
     seconds: 8,
     cause: "replicas that restart with clocks behind, and entries that lapse",
-    isRegistryStruck: true,
+    topic: "registry",
   },
   { seed: 2, seconds: 8, cause: "routers on VMs that are suspended", isSuspending: true },
   {
@@ -52,58 +37,39 @@
     seconds: 5,
     cause:
       "floods, uneven engines, full memory and slow readers, with routers that have the features under load",
-    isLoaded: true,
+    topic: "load",
   },
   {
     seed: 33,
     seconds: 5,
     cause: "routers that resumed an answer for ever after its caller had stopped reading",
-    isLoaded: true,
+    topic: "load",
   },
   {
     seed: 73,
     seconds: 8,
     cause: "streams without a length or chunks that break off inside an event",
-    breaksStreams: true,
+    topic: "streams",
   },
-  { seed: 76, seconds: 8, cause: "routers that are partitioned from all replicas", isPartitionable: true },
+  { seed: 76, seconds: 8, cause: "routers that are partitioned from all replicas", topic: "partitions" },
   {
     seed: 79,
     seconds: 12,
     cause: "callers that move while retries are pressed to their budget",
-    movesCallers: true,
+    topic: "moves",
   },
 ];
 
 describe("router processes under injected faults", () => {
-  for (const {
-    seed,
-    seconds,
-    cause,
-    isSuspending = false,
-    isReporting = false,
-    isReturning = false,
-    isRegistryStruck = false,
-    isLoaded = false,
-    breaksStreams = false,
-    isPartitionable = false,
-    movesCallers = false,
-  } of seeds) {
-    const reportKinds = isReporting ? replicaReportStepKinds : defaultStepKinds;
-    const restoreKinds = isReturning ? storeRestoreStepKinds : reportKinds;
-    const registryKinds = isRegistryStruck ? registryStepKinds : restoreKinds;
-    const loadKinds = isLoaded ? loadStepKinds : registryKinds;
-    const streamKinds = breaksStreams ? streamStepKinds : loadKinds;
-    const partitionKinds = isPartitionable ? partitionStepKinds : streamKinds;
-    const kinds = movesCallers ? moveStepKinds : partitionKinds;
+  for (const { seed, seconds, cause, isSuspending = false, topic = "default" } of seeds) {
     it(`keep all invariants with seed ${seed}: ${cause}`, async () => {
       const { violations } = await runSoak({
         seed,
-        plan: createPlan(seed, seconds, kinds),
+        plan: createPlan(seed, seconds, stepKinds[topic]),
         size,
         isSuspending,
-        isLoaded,
-        isPartitionable,
+        isLoaded: topic === "load",
+        isPartitionable: topic === "partitions",
       });
       expect(violations).toEqual([]);
     });
--- a/src/coordination/storeEpochs/routerRegistration.ts
+++ b/src/coordination/storeEpochs/routerRegistration.ts
@@ -47,7 +47,7 @@
 
 const writeLog = createLogger("router");
 
-/** @returns What the store lists of a router that registers for the first time. */
+/** @returns The origin that a list shows; `undefined` for a router that may start together with all others. */
 const findOrigin = (entries: readonly RegisteredRouter[], self: RouterEntry): RouterOrigin | undefined => {
   if (entries.some(({ name }) => name === self.name)) return "restart";
   return entries.some(({ isBootstrapped }) => isBootstrapped) ? "join" : undefined;
