--- a/bench/retryBudget/fleetModel.ts
+++ b/bench/retryBudget/fleetModel.ts
@@ -8,6 +8,8 @@
 import { createReserveShare } from "../../src/coordination/forwarding/reserveShare.ts";
 import type { ReserveShare } from "../../src/coordination/forwarding/reserveShare.ts";
 import { bootstrapPause } from "../../src/coordination/storeEpochs/constants.ts";
+import type { StableCount } from "../../src/coordination/storeEpochs/stableCount.ts";
+import { createStableCount } from "../../src/coordination/storeEpochs/stableCount.ts";
 import type { RouterOrigin } from "../../src/coordination/storeEpochs/routerRegistration.ts";
 import type { RetryBudget } from "../../tests/support/retryWindows.ts";
 import { allowedRepeats } from "../../tests/support/retryWindows.ts";
@@ -93,9 +95,8 @@
   isListed: boolean;
   /** Routers in the list that it has read last. */
   knownRouters: number;
-  /** The most routers that it has counted while its origin wasn't known, and since when. */
-  mostRouters: number;
-  mostRoutersSince: number;
+  /** The routers that it counts while its origin isn't known. */
+  readonly routerCount: StableCount;
 }
 
 /** A router's name; its processes come and go. */
@@ -144,12 +145,6 @@
   return { worstWindow, firstSecond, sustained };
 };
 
-const noteRouterCount = (process: RouterProcess, routers: number, now: number): void => {
-  if (routers <= process.mostRouters) return;
-  process.mostRouters = routers;
-  process.mostRoutersSince = now;
-};
-
 /** Plays a history with one design. */
 export const playFleet = (
   history: FleetHistory,
@@ -185,8 +180,7 @@
       listedAt: now + listingDelay,
       isListed: false,
       knownRouters: 1,
-      mostRouters: 0,
-      mostRoutersSince: now,
+      routerCount: createStableCount(clock, bootstrapPause),
     };
     name.process = process;
   };
@@ -204,8 +198,8 @@
   };
 
   const bootstrap = (process: RouterProcess): void => {
-    noteRouterCount(process, countRouters(process), now);
-    if (!process.reserveShare.wasShort() && now - process.mostRoutersSince < bootstrapPause) return;
+    process.routerCount.note(countRouters(process));
+    if (!process.reserveShare.wasShort() && !process.routerCount.isStable()) return;
     process.origin = "bootstrap";
     readList(process);
   };
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -3,7 +3,7 @@
 import { brokenStreams } from "../../standIns/platform/rawStreams.ts";
 import type { Behaviour, ReportHeaders } from "../../standIns/platform/replica.ts";
 import { drainingReport, keys } from "../../standIns/platform/platformSystem.ts";
-import type { PartitionMode } from "../../standIns/platform/routerNetwork.ts";
+import { partitionModes } from "../../standIns/platform/routerNetwork.ts";
 import { frequentFailures } from "../../tests/support/retryWindows.ts";
 import type { SoakCallers } from "./callers.ts";
 import { floodingOrganisation } from "./callers.ts";
@@ -125,8 +125,6 @@
   for (const { replica, isReporting } of failing) if (!isReporting) replica.setBehaviours();
 };
 
-const partitionModes: readonly PartitionMode[] = ["hang", "reset", "refuse", "accept"];
-
 /** Partitions routers from all replicas. Their processes may end and start again meanwhile. */
 const partitionRouters = async (
   slots: readonly RouterSlot[],
--- a/src/commandLine/commands/logsRetries.ts
+++ b/src/commandLine/commands/logsRetries.ts
@@ -1,10 +1,10 @@
 import { Command, Option } from "clipanion";
-import { commandError } from "../errors.ts";
 import { OperatorCommand } from "../OperatorCommand.ts";
 import type { CommandResult } from "../OperatorCommand.ts";
 import { describeUnreadable, readLogs } from "../readLogs.ts";
 import type { RetrySummary, RetryWindow } from "../retryWindows.ts";
 import { summariseRetries } from "../retryWindows.ts";
+import { readSeconds } from "../secondsOption.ts";
 import { formatTable } from "../table.ts";
 
 /** Routers that a row of the table names. */
@@ -43,9 +43,7 @@
   files = Option.Rest({ name: "FILE" });
 
   protected async run(): Promise<CommandResult> {
-    const window = Number(this.window);
-    if (!(window > 0))
-      throw commandError(`--window must be a number of seconds, not ${this.window}.`, "usage");
+    const window = readSeconds("--window", this.window);
     const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
     const summary = summariseRetries(lines, window);
     const note = describeUnreadable(unreadable);
--- a/src/commandLine/commands/logsSummary.ts
+++ b/src/commandLine/commands/logsSummary.ts
@@ -1,10 +1,10 @@
 import { Command, Option } from "clipanion";
-import { commandError } from "../errors.ts";
 import { summarise } from "../logSummary.ts";
 import type { LogSummary } from "../logSummary.ts";
 import { OperatorCommand } from "../OperatorCommand.ts";
 import type { CommandResult } from "../OperatorCommand.ts";
 import { describeUnreadable, readLogs } from "../readLogs.ts";
+import { readSeconds } from "../secondsOption.ts";
 import { formatTable } from "../table.ts";
 
 const formatSummary = ({ from, spanSeconds, causes }: LogSummary): string => {
@@ -29,8 +29,7 @@
   files = Option.Rest({ name: "FILE" });
 
   protected async run(): Promise<CommandResult> {
-    const span = Number(this.span);
-    if (!(span > 0)) throw commandError(`--span must be a number of seconds, not ${this.span}.`, "usage");
+    const span = readSeconds("--span", this.span);
     const { lines, unreadable } = await readLogs(this.files, this.context.stdin);
     const summary = summarise(lines, span);
     const note = describeUnreadable(unreadable);
--- a/src/commandLine/retryWindows.ts
+++ b/src/commandLine/retryWindows.ts
@@ -1,4 +1,5 @@
 /** Sums the retries that routers grant, over all routers and for each window, from their log lines. */
+import { groupBy } from "../state/groupBy.ts";
 import type { LogLine } from "./logLines.ts";
 import { fieldOf, numberOf } from "./logLines.ts";
 
@@ -33,16 +34,8 @@
 
 const timeOf = ({ at }: LogLine): number => Date.parse(at);
 
-const groupBy = (lines: readonly LogLine[], field: string): ReadonlyMap<string, readonly LogLine[]> => {
-  const groups = new Map<string, LogLine[]>();
-  for (const line of lines) {
-    const key = fieldOf(line, field);
-    const group = groups.get(key);
-    if (group === undefined) groups.set(key, [line]);
-    else group.push(line);
-  }
-  return groups;
-};
+const groupByField = (lines: readonly LogLine[], field: string): ReadonlyMap<string, readonly LogLine[]> =>
+  groupBy(lines, (line) => fieldOf(line, field));
 
 /** @param lines - Sorted by time. @returns The lines of the window with the most. */
 const findFullestWindow = (lines: readonly LogLine[], window: number): readonly LogLine[] => {
@@ -66,7 +59,7 @@
 };
 
 const describeWindow = (service: string, lines: readonly LogLine[]): RetryWindow => {
-  const byRouter = [...groupBy(lines, "router")];
+  const byRouter = [...groupByField(lines, "router")];
   return {
     service,
     from: lines[0]?.at ?? "",
@@ -79,11 +72,11 @@
 };
 
 const findUncounted = (lines: readonly LogLine[]): readonly string[] => {
-  const granted = groupBy(
+  const granted = groupByField(
     lines.filter(({ event }) => event === "retry_granted"),
     "request",
   );
-  const sent = groupBy(
+  const sent = groupByField(
     lines.filter((line) => numberOf(line, "sends") !== undefined),
     "request",
   );
@@ -106,7 +99,7 @@
   const granted = own
     .filter(({ event }) => event === "retry_granted")
     .sort((left, right) => timeOf(left) - timeOf(right));
-  const windows = [...groupBy(granted, "service")].map(([service, retries]) =>
+  const windows = [...groupByField(granted, "service")].map(([service, retries]) =>
     describeWindow(service, findFullestWindow(retries, windowSeconds * millisecondsPerSecond)),
   );
   return {
--- a/src/coordination/forwarding/failures.ts
+++ b/src/coordination/forwarding/failures.ts
@@ -17,6 +17,14 @@
 /** Another router must not try a request that was refused so: that would be a retry. */
 export const refusedByReplicasCode = "replicas_refused";
 
+/** @param left - Milliseconds that the caller still has. */
+const unserved = (message: string, code: string, left: number, cause?: UpstreamError): RequestError =>
+  requestError(
+    message,
+    { status: 503, code, outcome: outcomes.notRun, retryAfterSeconds: comeBackAfter(left) },
+    cause,
+  );
+
 /** Factories of the errors, one for each reason. */
 export const failures = {
   /**
@@ -25,28 +33,10 @@
    * @param left - Milliseconds that the caller still has.
    */
   notRun: (left: number, cause: UpstreamError | undefined): RequestError =>
-    requestError(
-      "No replica could take the request; it has not run.",
-      {
-        status: 503,
-        code: "no_replica",
-        outcome: outcomes.notRun,
-        retryAfterSeconds: comeBackAfter(left),
-      },
-      cause,
-    ),
+    unserved("No replica could take the request; it has not run.", "no_replica", left, cause),
   /** Replicas have refused the request, and it may not be sent to another one. See {@link failures.notRun}. */
   refusedByReplicas: (left: number, cause: UpstreamError | undefined): RequestError =>
-    requestError(
-      "The replicas refused the request; it has not run.",
-      {
-        status: 503,
-        code: refusedByReplicasCode,
-        outcome: outcomes.notRun,
-        retryAfterSeconds: comeBackAfter(left),
-      },
-      cause,
-    ),
+    unserved("The replicas refused the request; it has not run.", refusedByReplicasCode, left, cause),
   /**
    * Load shedding: the response would start too late.
    *
@@ -99,12 +89,7 @@
    * @param left - Milliseconds that the caller still has.
    */
   noPath: (left: number): RequestError =>
-    requestError("This router reaches no replica of the service; the request has not run.", {
-      status: 503,
-      code: "no_path",
-      outcome: outcomes.notRun,
-      retryAfterSeconds: comeBackAfter(left),
-    }),
+    unserved("This router reaches no replica of the service; the request has not run.", "no_path", left),
   /** This router shuts down before the request would end. */
   shuttingDown: (): RequestError =>
     requestError("This router is shutting down; the request has not run.", {
--- a/src/coordination/membership/summaryExchange.ts
+++ b/src/coordination/membership/summaryExchange.ts
@@ -17,6 +17,7 @@
 import { encodeEngine, hasReported, decodeLoad, encodeReport } from "./engineReports.ts";
 import type { Membership } from "./Membership.ts";
 import { PeerMessageExtension } from "./PeerMessageExtension.ts";
+import { groupBy } from "../../state/groupBy.ts";
 
 export interface SummaryExchangeDependencies {
   readonly engines: EngineDirectory;
@@ -32,16 +33,6 @@
 const byRequestCount = (left: ReportedEngine, right: ReportedEngine): number =>
   requestCount(left) - requestCount(right) || (left.id < right.id ? -1 : 1);
 
-const groupByPool = (engines: readonly ReportedEngine[]): ReadonlyMap<string, readonly ReportedEngine[]> => {
-  const pools = new Map<string, ReportedEngine[]>();
-  for (const engine of engines) {
-    const pool = pools.get(engine.pool) ?? [];
-    pool.push(engine);
-    pools.set(engine.pool, pool);
-  }
-  return pools;
-};
-
 /** Sends this data centre's summaries, and applies and forwards those of others. */
 export class SummaryExchange extends PeerMessageExtension {
   private readonly dependencies: SummaryExchangeDependencies;
@@ -71,7 +62,7 @@
     const here = engines
       .all()
       .filter((engine) => engine.dataCentre === dataCentre && engine.state === "live");
-    for (const [pool, members] of groupByPool(here.filter(hasReported))) {
+    for (const [pool, members] of groupBy(here.filter(hasReported), ({ pool }) => pool)) {
       message.summaries.push(this.summarise(pool, members, clock.monotonic()));
     }
   };
--- a/src/coordination/replicaOwners/owners.ts
+++ b/src/coordination/replicaOwners/owners.ts
@@ -7,6 +7,7 @@
 import { hash32 } from "../../protocol/prefixLevels.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import { createLogger } from "../../state/log.ts";
+import { groupBy } from "../../state/groupBy.ts";
 import type { Clock } from "../clock.ts";
 import { mixHashes } from "../placement/rendezvousReplica.ts";
 import { membersRefreshInterval, maxOwnerCandidates, unreachableOwnerTimes } from "./constants.ts";
@@ -49,7 +50,7 @@
 /** Creates one router's view of the owners. */
 export const createOwners = ({ self, others, clock }: OwnersDependencies): Owners => {
   const unreachable = new Map<string, Unreachability>();
-  let byDataCentre = new Map<string, readonly Member[]>();
+  let byDataCentre: ReadonlyMap<string, readonly Member[]> = new Map();
   let allMembers: readonly Member[] = [];
   /**
    * Cached candidates by a replica's hash. They are needed several times for each decision and once for every update
@@ -63,14 +64,7 @@
     if (now - readAt < membersRefreshInterval) return;
     readAt = now;
     allMembers = [self, ...others()].map((router) => ({ router, hash: hash32(router.name) }));
-    const grouped = new Map<string, Member[]>();
-    for (const member of allMembers) {
-      const { dataCentre } = member.router;
-      const known = grouped.get(dataCentre);
-      if (known === undefined) grouped.set(dataCentre, [member]);
-      else known.push(member);
-    }
-    byDataCentre = grouped;
+    byDataCentre = groupBy(allMembers, ({ router }) => router.dataCentre);
     candidatesByHash = new Map();
   };
 
--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -111,7 +111,7 @@
   const findPath = async (service: string, reason: CheckReason): Promise<boolean | undefined> => {
     if (!needsAnswer(service)) return search.findAccepting(service, probeRounds[reason]);
     const isAnswered = (await search.askEngines(1)) === "answered";
-    if (isAnswered) unanswered.noteAnswer();
+    if (isAnswered) unanswered.end();
     return isAnswered;
   };
 
@@ -149,7 +149,7 @@
       noteUnanswered(startedAt);
       return;
     }
-    unanswered.noteAnswer();
+    unanswered.end();
     const serving = replicas.all().filter(({ entry }) => !entry.isDraining);
     const hasPath =
       result === undefined ? await probes.anyAccepts(probes.sample(serving, 1)) : result === "answered";
@@ -203,7 +203,7 @@
     },
     noteAnswer: () => {
       provenAt = clock.monotonic();
-      unanswered.noteAnswer();
+      unanswered.end();
     },
     noteFailure: (service) => {
       const { lostAt, checkedAt } = stateOf(service);
--- a/src/coordination/replicaPaths/unansweredTime.ts
+++ b/src/coordination/replicaPaths/unansweredTime.ts
@@ -3,7 +3,8 @@
 
 /** Times are milliseconds on the monotonic clock. */
 export interface UnansweredTime {
-  readonly noteAnswer: () => void;
+  /** Called when an engine has answered, or none accepts connections any more. */
+  readonly end: () => void;
   /** @param askedAt - When the engines that have not answered were asked. */
   readonly noteSilence: (askedAt: number) => void;
   /** Whether engines were silent when they were last asked. */
@@ -23,7 +24,7 @@
     silentSince !== undefined && askedAt - silentSince >= toleratedSilence;
 
   return {
-    noteAnswer: () => {
+    end: () => {
       silentSince = undefined;
       isTooLong = false;
     },
--- a/src/coordination/storeEpochs/routerRegistration.ts
+++ b/src/coordination/storeEpochs/routerRegistration.ts
@@ -3,8 +3,8 @@
  * with all others.
  *
  * A router that has found no record of a bootstrapped system waits until no more routers appear or it is short of its
- * part of the reserve for retries, writes such a record and then reads the list. Of the routers that registered before the first of these records, each finds all others; who
- * registers later finds the record.
+ * part of the reserve for retries, writes such a record and then reads the list. Of the routers that registered before
+ * the first of these records, each finds all others; who registers later finds the record.
  */
 import type { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import { presentValues } from "../../protocol/forwarding/RecordFeed.ts";
@@ -14,6 +14,7 @@
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import { bootstrapCheckInterval, bootstrapPause, registrationSpreadPerRouter } from "./constants.ts";
+import { createStableCount } from "./stableCount.ts";
 
 /**
  * How a router came into the system:
@@ -47,10 +48,13 @@
 
 const writeLog = createLogger("router");
 
+const isSystemBootstrapped = (entries: readonly RegisteredRouter[]): boolean =>
+  entries.some(({ isBootstrapped }) => isBootstrapped);
+
 /** @returns The origin that a list shows; `undefined` for a router that may start together with all others. */
 const findOrigin = (entries: readonly RegisteredRouter[], self: RouterEntry): RouterOrigin | undefined => {
   if (entries.some(({ name }) => name === self.name)) return "restart";
-  return entries.some(({ isBootstrapped }) => isBootstrapped) ? "join" : undefined;
+  return isSystemBootstrapped(entries) ? "join" : undefined;
 };
 
 /** Starts to register in each epoch until it is disposed of. */
@@ -76,32 +80,23 @@
     const epoch = await put(origin !== undefined);
     // Read after writing: of two routers that register at once, one finds the other.
     const entries = await list();
-    if (entries.some(({ isBootstrapped }) => isBootstrapped)) origin ??= "join";
+    if (isSystemBootstrapped(entries)) origin ??= "join";
     dependencies.onListed(entries, origin);
     registeredIn = epoch;
   };
 
   /** Waits until no router has appeared for a while, or this one is short of its part. */
   const waitForOthers = async (): Promise<void> => {
-    let largest = 0;
-    let largestSince = clock.monotonic();
-    while (
-      !stop.signal.aborted &&
-      !dependencies.isBootstrapUrgent() &&
-      clock.monotonic() - largestSince < bootstrapPause
-    ) {
-      const counted = dependencies.countRouters();
-      if (counted > largest) {
-        largest = counted;
-        largestSince = clock.monotonic();
-      }
+    const routers = createStableCount(clock, bootstrapPause);
+    while (!stop.signal.aborted && !dependencies.isBootstrapUrgent() && !routers.isStable()) {
+      routers.note(dependencies.countRouters());
       await pause(clock, bootstrapCheckInterval, stop.signal);
     }
   };
 
   const bootstrap = async (): Promise<void> => {
     let entries = await list();
-    if (!entries.some(({ isBootstrapped }) => isBootstrapped)) {
+    if (!isSystemBootstrapped(entries)) {
       await put(true);
       entries = await list();
     }
--- a/standIns/platform/routerNetwork.ts
+++ b/standIns/platform/routerNetwork.ts
@@ -15,7 +15,8 @@
  * - `refuse`: open ones live on, new ones are refused.
  * - `accept`: open ones pass no data, new ones are established and pass none either.
  */
-export type PartitionMode = "hang" | "reset" | "refuse" | "accept";
+export const partitionModes = ["hang", "reset", "refuse", "accept"] as const;
+export type PartitionMode = (typeof partitionModes)[number];
 
 /** The network of one router; disposing of it closes its proxies. */
 export interface RouterNetwork extends AsyncDisposable {
--- a/tests/platform/partitionedRouters.test.ts
+++ b/tests/platform/partitionedRouters.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "earl";
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
-import type { PartitionMode } from "../../standIns/platform/routerNetwork.ts";
+import { partitionModes } from "../../standIns/platform/routerNetwork.ts";
 import type {
   CallerAnswer,
   PartitionableRouter,
@@ -78,10 +78,8 @@
   expect(failed).toEqual([]);
 };
 
-const modes: readonly PartitionMode[] = ["hang", "reset", "refuse", "accept"];
-
 describe("routers that are partitioned from all replicas", () => {
-  for (const mode of modes) {
+  for (const mode of partitionModes) {
     it(`serve first tries as others do while their connections ${mode}`, async () => {
       await using system = await startPlatformSystem();
       const partitioned = await startRouters(system, 2);
