Keep the port for other routers from other processes until it is served

Cause: with port 0, openPeerLink looked for a port that is free for TCP, closed it again, and the server for passed-on requests listened only after the rest of the router had started. Another process, or a connection that it opened, could take the port in between: the router did not start (EADDRINUSE). Tests saw it, deployments have fixed ports.

Change: the port is opened once, on both sides, and its listening socket is handed to the HTTP server. Connections before that are reset.

--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -34,7 +34,7 @@
 import { startForwardingServer } from "../transport/forwarding/forwardingServer.ts";
 import { startStatusServer } from "../transport/forwarding/statusServer.ts";
 import { createHttpRelayClient } from "../transport/forwarding/HttpRelayClient.ts";
-import { openPeerLink } from "../transport/forwarding/peerPort.ts";
+import { openPeerPort } from "../transport/forwarding/peerPort.ts";
 import { startRelayServer } from "../transport/forwarding/relayServer.ts";
 import type { ForwardingView } from "./forwardingView.ts";
 import { startForwardingView } from "./forwardingView.ts";
@@ -180,7 +180,7 @@
   const registryTimeout = Math.min(storeTimeout, bounds.drain * registryTimeoutShare);
   const platform = resources.use(connect({ store: settings.store, storeTimeout, registryTimeout }));
   platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
-  const link = resources.use(await openPeerLink(settings.peers));
+  const { link, listener } = resources.use(await openPeerPort(settings.peers));
   const self = describeSelf(settings, link.port);
   const features = toLoadFeatures(settings, platform);
   const shutdown = createShutdown(clock, bounds);
@@ -273,6 +273,7 @@
     await startRelayServer({
       address: self.address,
       port: self.port,
+      listener,
       incarnation: self.incarnation,
       isRouterAddress: (address) => peers.serving().some(({ at }) => at.address === address),
       wire: platform.wire,
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -2,7 +2,7 @@
 import { steadyNow } from "../../state/steadyTime.ts";
 import { once } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server as NetServer } from "node:net";
 import { createServer } from "node:http";
 import { outcomes } from "../../protocol/constants.ts";
 import { requestError, RequestError } from "../../protocol/errors.ts";
@@ -18,6 +18,8 @@
 export interface ForwardingServerDependencies {
   readonly address: string;
   readonly port: number;
+  /** A listening socket that the server takes over, instead of opening one at the address. */
+  readonly listener?: NetServer;
   readonly wire: ForwardingWire;
   /** Forwards a request and resolves with the answer for the caller; throws `RequestError`. */
   readonly forward: (request: CallerRequest, signal: AbortSignal) => Promise<ForwardedAnswer>;
@@ -187,7 +189,8 @@
     if (socket.writable)
       socket.end("HTTP/1.1 400 Bad Request\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
   });
-  server.listen(dependencies.port, dependencies.address);
+  if (dependencies.listener === undefined) server.listen(dependencies.port, dependencies.address);
+  else server.listen(dependencies.listener);
   await once(server, "listening");
 
   return {
--- a/src/transport/forwarding/peerPort.ts
+++ b/src/transport/forwarding/peerPort.ts
@@ -1,6 +1,6 @@
 /** The port of a router that others reach: datagrams over UDP, and requests that are passed on over TCP. */
 import { once } from "node:events";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Server } from "node:net";
 import { createServer } from "node:net";
 import type { DatagramAddress, DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
 import { openUdpLink } from "./udpLink.ts";
@@ -8,24 +8,51 @@
 /** How many free ports are tried. */
 const maxTries = 5;
 
-const findFreeTcpPort = async (address: string): Promise<number> => {
-  const server = createServer();
-  server.listen(0, address);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
+/** Both sides of the port; disposing of it closes them. */
+export interface PeerPort extends AsyncDisposable {
+  readonly link: DatagramLink;
+  /** Resets connections until an HTTP server takes it over. */
+  readonly listener: Server;
+}
+
+const listen = async ({ address, port }: DatagramAddress): Promise<Server> => {
+  const listener = createServer((socket) => socket.resetAndDestroy());
+  listener.listen(port, address);
+  await once(listener, "listening");
+  return listener;
+};
+
+const open = async (at: DatagramAddress): Promise<PeerPort> => {
+  const listener = await listen(at);
+  const { port } = listener.address() as AddressInfo;
+  try {
+    const link = await openUdpLink({ address: at.address, port });
+    return {
+      link,
+      listener,
+      [Symbol.asyncDispose]: async () => {
+        listener.close();
+        await link[Symbol.asyncDispose]();
+      },
+    };
+  } catch (error) {
+    listener.close();
+    throw error;
+  }
 };
 
-/** @returns A link at the given port; for port 0, at one that is free for TCP as well. */
-export const openPeerLink = async ({ address, port }: DatagramAddress): Promise<DatagramLink> => {
-  if (port !== 0) return openUdpLink({ address, port });
+/**
+ * Opens a port for both, and keeps it from other processes until it is disposed of.
+ *
+ * @param at - Port 0 takes one that is free on both sides.
+ */
+export const openPeerPort = async (at: DatagramAddress): Promise<PeerPort> => {
   for (let tries = 1; ; tries += 1) {
     try {
-      return await openUdpLink({ address, port: await findFreeTcpPort(address) });
+      return await open(at);
     } catch (error) {
-      if (tries === maxTries || (error as NodeJS.ErrnoException).code !== "EADDRINUSE") throw error;
+      const mayRetry = at.port === 0 && tries < maxTries;
+      if (!mayRetry || (error as NodeJS.ErrnoException).code !== "EADDRINUSE") throw error;
     }
   }
 };
--- a/src/transport/forwarding/relayServer.ts
+++ b/src/transport/forwarding/relayServer.ts
@@ -17,7 +17,7 @@
 
 export interface RelayServerDependencies extends Pick<
   ForwardingServerDependencies,
-  "address" | "port" | "wire" | "forward" | "limits" | "callerBufferBytes" | "metrics"
+  "address" | "port" | "listener" | "wire" | "forward" | "limits" | "callerBufferBytes" | "metrics"
 > {
   /** Identifies this process; a request that names another one is refused. */
   readonly incarnation: string;
