Leave nothing running where the fixture of a test can't be prepared

Cause: five fixtures start a system and then its routers.

Change: startReadySystem disposes of the system if it can't be prepared, and waits with a timeout, also where tests waited without one. All five use it.

--- a/tests/platform/crashingRequests.test.ts
+++ b/tests/platform/crashingRequests.test.ts
@@ -8,6 +8,7 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import { createResourceStack } from "../../src/protocol/resourceStack.ts";
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { CallerAnswer, RequestOptions, PlatformSystem } from "../../standIns/platform/platformSystem.ts";
 import {
@@ -15,11 +16,11 @@
   hosts,
   isReady,
   defaultPromptHeaders,
-  startPlatformSystem,
   waitUntil,
 } from "../../standIns/platform/platformSystem.ts";
 import type { CrashingReplicas } from "../support/crashingReplicas.ts";
 import { bodies, startCrashingReplicas } from "../support/crashingReplicas.ts";
+import { startReadySystem } from "../support/readySystem.ts";
 
 /** Crashes after which a request must be quarantined, and runs that may still follow. */
 const allowed = { crashes: 3, further: 3 } as const;
@@ -36,24 +37,16 @@
 };
 
 const startSystem = async (routers = 3) => {
-  const system = await startPlatformSystem({ desks: 0, engines: 0 });
-  while (system.routers.length < routers) await system.startRouter();
-  const replicas = await startCrashingReplicas(system, { desks: 4, engines: 4 });
-  await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
+  await using resources = createResourceStack();
+  const system = resources.use(await startReadySystem({ desks: 0, engines: 0 }, routers));
+  const replicas = resources.use(await startCrashingReplicas(system, { desks: 4, engines: 4 }));
   await waitUntil(async () =>
     (await Promise.all(system.routers.map((each) => sendRequest(each, tag)))).every(isServed),
   );
   await waitUntil(async () =>
     (await Promise.all(system.routers.map((each) => sendRequest(each, read)))).every(isServed),
   );
-  return {
-    system,
-    replicas,
-    [Symbol.asyncDispose]: async () => {
-      await replicas[Symbol.asyncDispose]();
-      await system[Symbol.asyncDispose]();
-    },
-  };
+  return { system, replicas, ...resources.move() };
 };
 
 const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
--- a/tests/platform/deniedWeights.test.ts
+++ b/tests/platform/deniedWeights.test.ts
@@ -4,15 +4,10 @@
 import { expect } from "earl";
 import type { Behaviour, ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { PlatformSystem } from "../../standIns/platform/platformSystem.ts";
-import {
-  defaultPromptHeaders,
-  hosts,
-  isReady,
-  startPlatformSystem,
-  waitUntil,
-} from "../../standIns/platform/platformSystem.ts";
+import { defaultPromptHeaders, hosts } from "../../standIns/platform/platformSystem.ts";
 import { readRequest } from "../support/drainingReplicas.ts";
 import { sendSteadily } from "../support/limitedReplicas.ts";
+import { startReadySystem } from "../support/readySystem.ts";
 
 /** A request may reach one incarnation of a replica this many times, whatever it answers. */
 const maxArrivals = 2;
@@ -27,12 +22,8 @@
   headers: defaultPromptHeaders(),
 };
 
-const startSystem = async (reportLag: number): Promise<PlatformSystem> => {
-  const system = await startPlatformSystem({ desks: 8, engines: 8, engine: { reportLag } });
-  while (system.routers.length < 6) await system.startRouter();
-  await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
-  return system;
-};
+const startSystem = (reportLag: number): Promise<PlatformSystem> =>
+  startReadySystem({ desks: 8, engines: 8, engine: { reportLag } }, 6);
 
 /** @returns How often the request that arrived most often at one replica arrived there. */
 const mostArrivalsOfOne = (engines: readonly ReplicaStandIn[]): number =>
--- a/tests/platform/replicaLimits.test.ts
+++ b/tests/platform/replicaLimits.test.ts
@@ -20,11 +20,11 @@
   hosts,
   isReady,
   defaultPromptHeaders,
-  startPlatformSystem,
   waitUntil,
 } from "../../standIns/platform/platformSystem.ts";
 import type { ReceivedAnswer } from "../support/limitedReplicas.ts";
 import { allowedIntake, sendSteadily, worstIntake } from "../support/limitedReplicas.ts";
+import { startReadySystem } from "../support/readySystem.ts";
 
 const read: RequestOptions = { host: hosts.desk, path: "/read/2f", body: "look up" };
 
@@ -35,20 +35,18 @@
   headers: defaultPromptHeaders(),
 };
 
-const startSystem = async (
+const startSystem = (
   replicas: Pick<PlatformSystemSettings, "desks" | "engines">,
   routers = 6,
 ): Promise<PlatformSystem> => {
-  const system = await startPlatformSystem({ ...replicas, desk: { serviceTime: 30 } });
-  while (system.routers.length < routers) await system.startRouter();
-  await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
   const first = replicas.desks === 0 ? tag : read;
-  await waitUntil(async () =>
-    (await Promise.all(system.routers.map((each) => sendRequest(each, first)))).every(
-      ({ status }) => status === 200,
+  return startReadySystem({ ...replicas, desk: { serviceTime: 30 } }, routers, (system) =>
+    waitUntil(async () =>
+      (await Promise.all(system.routers.map((each) => sendRequest(each, first)))).every(
+        ({ status }) => status === 200,
+      ),
     ),
   );
-  return system;
 };
 
 /** Whether a replica that reports a limit received no more requests than allowed. */
--- a/tests/platform/replicaReports.test.ts
+++ b/tests/platform/replicaReports.test.ts
@@ -10,13 +10,12 @@
 import {
   drainingReport,
   hosts,
-  isReady,
   defaultPromptHeaders,
-  startPlatformSystem,
   waitUntil,
 } from "../../standIns/platform/platformSystem.ts";
 import type { ReceivedAnswer } from "../support/limitedReplicas.ts";
 import { allowedIntake, sendSteadily, worstIntake } from "../support/limitedReplicas.ts";
+import { startReadySystem } from "../support/readySystem.ts";
 import { arrivalsAfterDraining, arrivalsAfterFirst, worstInBackoff } from "../support/replicaReports.ts";
 
 const read: RequestOptions = { host: hosts.desk, path: "/read/2f", body: "look up" };
@@ -31,20 +30,19 @@
 /** Time within which a router must stop sending to a replica after an answer that reports draining, milliseconds. */
 const drainBound = 600;
 
-const startSystem = async (
+const startSystem = (
   replicas: Pick<PlatformSystemSettings, "desks" | "engines">,
   routers = 6,
-): Promise<PlatformSystem> => {
-  const system = await startPlatformSystem({
-    ...replicas,
-    desk: { serviceTime: 30 },
-    // Keys stay valid while the store is unavailable.
-    bounds: { drain: drainBound, keyRevocation: 60_000 },
-  });
-  while (system.routers.length < routers) await system.startRouter();
-  await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
-  return system;
-};
+): Promise<PlatformSystem> =>
+  startReadySystem(
+    {
+      ...replicas,
+      desk: { serviceTime: 30 },
+      // Keys stay valid while the store is unavailable.
+      bounds: { drain: drainBound, keyRevocation: 60_000 },
+    },
+    routers,
+  );
 
 const isServed = ({ status, isCut }: ReceivedAnswer): boolean => status === 200 && !isCut;
 
--- a/tests/platform/storeEpochs.test.ts
+++ b/tests/platform/storeEpochs.test.ts
@@ -13,17 +13,16 @@
 import {
   addedRouteCall,
   waitForStatus,
-  waitUntil,
   storeOutage,
   countStatus,
   readCall,
   revocableKey,
   startRestorableSystem,
-  timeUntil,
   timeUntilAll,
   withAddedRoute,
   withRevocableKey,
 } from "../support/restoredStore.ts";
+import { timeUntil, waitUntil } from "../support/conditions.ts";
 
 /** Time within which a change must be in force, milliseconds. */
 const applyBound = 2_000;
--- a/tests/support/drainingReplicas.ts
+++ b/tests/support/drainingReplicas.ts
@@ -2,7 +2,7 @@
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { PlatformSystem, RequestOptions } from "../../standIns/platform/platformSystem.ts";
 import { hosts, isReady, startPlatformSystem } from "../../standIns/platform/platformSystem.ts";
-import { waitUntil } from "./restoredStore.ts";
+import { waitUntil } from "./conditions.ts";
 
 /** Time within which requests must stop after the store has accepted that a replica leaves, milliseconds. */
 export const drainBound = 600;
--- a/tests/support/restoredStore.ts
+++ b/tests/support/restoredStore.ts
@@ -1,18 +1,13 @@
 /** A system whose store is restored from older copies, and what operator and replicas then write again. */
-import { setTimeout as sleep } from "node:timers/promises";
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type {
   RequestOptions,
   PlatformSystem,
   PlatformSystemSettings,
 } from "../../standIns/platform/platformSystem.ts";
-import {
-  sendRequest,
-  createConfiguration,
-  hosts,
-  isReady,
-  startPlatformSystem,
-} from "../../standIns/platform/platformSystem.ts";
+import { sendRequest, createConfiguration, hosts } from "../../standIns/platform/platformSystem.ts";
+import { timeUntil, waitUntil } from "./conditions.ts";
+import { startReadySystem } from "./readySystem.ts";
 
 /** Time for which the store is unavailable before it is restored, milliseconds. */
 export const storeOutage = 400;
@@ -42,15 +37,10 @@
   });
 
 /** Starts a system whose routers are all ready. */
-export const startRestorableSystem = async (
+export const startRestorableSystem = (
   settings: PlatformSystemSettings = {},
   routers = 6,
-): Promise<PlatformSystem> => {
-  const system = await startPlatformSystem({ desks: 4, engines: 5, ...settings });
-  while (system.routers.length < routers) await system.startRouter();
-  await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
-  return system;
-};
+): Promise<PlatformSystem> => startReadySystem({ desks: 4, engines: 5, ...settings }, routers);
 
 /** @returns The number of routers that answer a request with a status. */
 export const countStatus = async (
@@ -62,19 +52,6 @@
   return answers.filter((answer) => answer.status === status).length;
 };
 
-/** @returns Milliseconds until a condition held; infinity if it did not within the timeout, milliseconds. */
-export const timeUntil = async (
-  timeout: number,
-  condition: () => boolean | Promise<boolean>,
-): Promise<number> => {
-  const since = performance.now();
-  while (performance.now() - since < timeout) {
-    if (await condition()) return performance.now() - since;
-    await sleep(20);
-  }
-  return Number.POSITIVE_INFINITY;
-};
-
 /** @returns Milliseconds until all routers answered a request with a status; infinity after the timeout. */
 export const timeUntilAll = (
   { routers }: Pick<PlatformSystem, "routers">,
@@ -84,16 +61,6 @@
 ): Promise<number> =>
   timeUntil(timeout, async () => (await countStatus(routers, status, request)) === routers.length);
 
-/** Timeout of the conditions that a test begins with, milliseconds. */
-const setUpTimeout = 10_000;
-
-/** Waits until a condition holds; throws after a timeout. */
-export const waitUntil = async (condition: () => boolean | Promise<boolean>): Promise<void> => {
-  const time = await timeUntil(setUpTimeout, condition);
-  if (!Number.isFinite(time))
-    throw new Error(`A condition of the test did not hold within ${setUpTimeout} ms.`);
-};
-
 /** Waits until all routers answer a request with a status. */
 export const waitForStatus = (
   { routers }: Pick<PlatformSystem, "routers">,
