Let the first retries of a new router wait for its part of the reserve

Cause: a router that has just started doesn't know for some tens of milliseconds whether it started together with all others, and has a tenth of its part of the reserve meanwhile. Being short makes it find out at once, but the retry that showed it was refused. Callers saw the first failure at each router of a new system: 6 of 720 requests, and streams that broke off then were not resumed.

Change: a retry that is refused while the origin is not known waits for it, 0.25 s at most, and no longer than its request. The budget itself is taken as before, so that its bound is unchanged.

--- a/bench/lab/labRouter.ts
+++ b/bench/lab/labRouter.ts
@@ -6,6 +6,7 @@
 import type { ConfigurationState } from "../../src/coordination/forwarding/configurationState.ts";
 import { cachedMemoryShare } from "../../src/coordination/forwarding/constants.ts";
 import { createDecisions } from "../../src/coordination/forwarding/decisions.ts";
+import { createSettledShare } from "../../src/coordination/forwarding/reserveShare.ts";
 import { createRetryShare } from "../../src/coordination/forwarding/retryShare.ts";
 import type { Forwarder } from "../../src/coordination/forwarding/forwarder.ts";
 import { createReplicaSpeeds } from "../../src/coordination/estimates/replicaSpeeds.ts";
@@ -246,12 +247,7 @@
       clock,
       bounds,
       // The routers of an experiment have run for long.
-      reserveShare: {
-        routers: peers.countServing,
-        noteShortage: () => undefined,
-        sample: () => undefined,
-        share: () => 1 / peers.countServing(),
-      },
+      reserveShare: createSettledShare(peers.countServing),
     }),
     admit: createRequestAdmission(configuration, bounds, clock),
     shutdown: createShutdown(clock, bounds),
--- a/src/coordination/forwarding/attemptLoop.ts
+++ b/src/coordination/forwarding/attemptLoop.ts
@@ -75,7 +75,7 @@
    * Whether another attempt may follow a failure. If so, it is taken from the retry budget, unless the request was not
    * sent. A failure that reached a replica ends the request's quarantine trial.
    */
-  readonly mayRetry: (run: ForwardRun, failure: UpstreamError) => boolean;
+  readonly mayRetry: (run: ForwardRun, failure: UpstreamError) => Promise<boolean>;
 }
 
 const writeLog = createLogger("requests");
@@ -218,7 +218,7 @@
         } catch (error) {
           if (!(error instanceof UpstreamError)) throw error;
           failure = error;
-          if (!mayRetry(run, error)) break;
+          if (!(await mayRetry(run, error))) break;
           wasPassedOn = false;
           continue;
         }
@@ -253,14 +253,14 @@
       if (!registryFreshness.isUsable()) await registryFreshness.refresh();
       try {
         const answer = await attemptOnce(run, choice, lastEventId, grant);
-        if (isSuccess(answer.head) || !mayRetryAnswer(run, answer)) return answer;
+        if (isSuccess(answer.head) || !(await mayRetryAnswer(run, answer))) return answer;
         errorAnswer = answer;
         failure = undefined;
       } catch (error) {
         if (!(error instanceof UpstreamError)) throw error;
         failure = error;
         run.noteFailure(choice, error);
-        if (mayRetry(run, error)) continue;
+        if (await mayRetry(run, error)) continue;
         await whenChecked(run);
         if (error.progress !== "not_sent" || hasPath(run) || wasPassedOn) break;
       }
--- a/src/coordination/forwarding/constants.ts
+++ b/src/coordination/forwarding/constants.ts
@@ -314,6 +314,12 @@
 /** Interval between two counts of the routers for it. */
 export const routerCountSampleInterval = 500;
 
+/**
+ * How long a retry waits at most, milliseconds, at a router that doesn't know yet whether it has started together with
+ * all others. Longer than a few calls of the store take.
+ */
+export const originTimeout = 250;
+
 /** How often a request may arrive at the same incarnation of a replica. */
 export const maxArrivalsAtReplica = 2;
 
--- a/src/coordination/forwarding/reserveShare.ts
+++ b/src/coordination/forwarding/reserveShare.ts
@@ -8,8 +8,9 @@
  * small part of the reserve is set aside for such routers.
  */
 import type { Clock } from "../clock.ts";
+import { pause } from "../clock.ts";
 import type { RouterOrigin } from "../storeEpochs/routerRegistration.ts";
-import { routerCountMemory, routerCountSampleInterval } from "./constants.ts";
+import { originTimeout, routerCountMemory, routerCountSampleInterval } from "./constants.ts";
 
 /** Part of the reserve that is set aside for routers whose predecessors and peers may have spent the rest. */
 const unsettledPart = 0.1;
@@ -24,6 +25,12 @@
    * @param origin - `undefined` while it is not known.
    */
   readonly noteListing: (origin: RouterOrigin | undefined) => void;
+  readonly isOriginKnown: () => boolean;
+  /**
+   * @param signal - When aborted, there is no need to wait.
+   * @returns Resolves when the origin is known, after a timeout at most.
+   */
+  readonly whenOriginKnown: (signal: AbortSignal) => Promise<void>;
   /** Called when a retry was refused for want of budget. */
   readonly noteShortage: () => void;
   /** Whether that has happened. */
@@ -44,6 +51,19 @@
   readonly countRouters: () => number;
 }
 
+/** What a router's retry budget needs of its share. */
+export type RetryReserve = Omit<ReserveShare, "noteListing" | "wasShort">;
+
+/** @returns The share of a router that has run for long and counts all others. */
+export const createSettledShare = (countRouters: () => number): RetryReserve => ({
+  isOriginKnown: () => true,
+  whenOriginKnown: () => Promise.resolve(),
+  noteShortage: () => undefined,
+  sample: () => undefined,
+  routers: countRouters,
+  share: () => 1 / countRouters(),
+});
+
 /** Creates the share of a process that starts now. */
 export const createReserveShare = ({
   clock,
@@ -55,6 +75,10 @@
   let wasShort = false;
   /** When retries made without regard to this process are outside the window; never while its origin isn't known. */
   let settledAt = Number.POSITIVE_INFINITY;
+  let announceOrigin = (): void => undefined;
+  const originKnown = new Promise<void>((resolve) => {
+    announceOrigin = resolve;
+  });
   let periodStartedAt = startedAt;
   let sampledAt = Number.NEGATIVE_INFINITY;
   let largest = 1;
@@ -76,6 +100,8 @@
     return Math.max(largest, largestBefore);
   };
 
+  const isOriginKnown = (): boolean => settledAt !== Number.POSITIVE_INFINITY;
+
   const settlingTimes: Readonly<Record<RouterOrigin, () => number>> = {
     bootstrap: () => clock.monotonic(),
     join: () => clock.monotonic() + window * (1 + newcomerDelay),
@@ -87,9 +113,12 @@
     noteListing: (origin) => {
       count();
       isListed = true;
-      if (origin === undefined || settledAt !== Number.POSITIVE_INFINITY) return;
+      if (origin === undefined || isOriginKnown()) return;
       settledAt = settlingTimes[origin]();
+      announceOrigin();
     },
+    isOriginKnown,
+    whenOriginKnown: (signal) => Promise.race([originKnown, pause(clock, originTimeout, signal)]),
     noteShortage: () => {
       wasShort = true;
     },
--- a/src/coordination/forwarding/retryPolicy.ts
+++ b/src/coordination/forwarding/retryPolicy.ts
@@ -26,12 +26,12 @@
    * Whether another attempt may follow a failure. If so, it is taken from the retry budget, unless the request was not
    * sent. A failure that reached a replica ends the request's quarantine trial.
    */
-  readonly mayRetry: (run: ForwardRun, failure: UpstreamError) => boolean;
+  readonly mayRetry: (run: ForwardRun, failure: UpstreamError) => Promise<boolean>;
   /**
    * Whether another attempt may follow a server error that a replica has sent: another replica may not fail. If so, it
    * is taken from the retry budget.
    */
-  readonly mayRetryAnswer: (run: ForwardRun, answer: StartedAnswer) => boolean;
+  readonly mayRetryAnswer: (run: ForwardRun, answer: StartedAnswer) => Promise<boolean>;
 }
 
 const firstServerError = 500;
@@ -46,9 +46,9 @@
 export const createRetryPolicy = (dependencies: RetryPolicyDependencies): RetryPolicy => {
   const { availability, quarantine, retryShare, weightsExclusion, metrics } = dependencies;
 
-  const takeRetry = ({ request, admission }: ForwardRun): boolean => {
+  const takeRetry = async ({ request, admission, stopper }: ForwardRun): Promise<boolean> => {
     const service = admission.service.name;
-    const isGranted = retryShare.tryTake(service);
+    const isGranted = await retryShare.take(service, stopper.signal);
     metrics.count(isGranted ? metricNames.retries : metricNames.retriesDenied, 1, { service });
     writeLog(isGranted ? "retry_granted" : "retry_denied", {
       request: request.id,
@@ -63,7 +63,7 @@
     availability.available(admission.service.name).some(({ entry }) => !excluded.has(entry.id));
 
   return {
-    mayRetry: (run, failure) => {
+    mayRetry: async (run, failure) => {
       if (hasReached(failure)) quarantine.noteFailed(run.request);
       if (run.stopper.reason() !== undefined) return false;
       if (failure.progress === "not_sent") return !run.isOutOfConnectionAttempts();
@@ -73,7 +73,7 @@
         return !run.isOutOfWeightsRefusals() && weightsExclusion.hasCandidate(run) && takeRetry(run);
       return run.hasAttemptsLeft() && hasAnother(run) && takeRetry(run);
     },
-    mayRetryAnswer: (run, { head }) => {
+    mayRetryAnswer: async (run, { head }) => {
       if (head.status < firstServerError || !run.mayRepeat) return false;
       if (run.stopper.reason() !== undefined || !run.hasAttemptsLeft()) return false;
       return hasAnother(run) && takeRetry(run);
--- a/src/coordination/forwarding/retryShare.test.ts
+++ b/src/coordination/forwarding/retryShare.test.ts
@@ -4,15 +4,13 @@
 import { bounds } from "../../../tests/support/forwardingFixture.ts";
 import { findWorstRetryWindow } from "../../../tests/support/retryWindows.ts";
 import { createManualClock } from "../manualClock.ts";
+import { originTimeout } from "./constants.ts";
+import { createReserveShare, createSettledShare } from "./reserveShare.ts";
 import { createRetryShare } from "./retryShare.ts";
 
-/** The part of a router that has run for longer than a window and knows all others. */
-const evenShare = (routers: number) => ({
-  routers: () => routers,
-  noteShortage: () => undefined,
-  sample: () => undefined,
-  share: () => 1 / routers,
-});
+const evenShare = (routers: number) => createSettledShare(() => routers);
+
+const { retryReserve } = bounds;
 
 describe("a router's share of the retry budget", () => {
   it("keeps the retries of all routers together within the budget in every window", () => {
@@ -56,4 +54,43 @@
     };
     expect([taken(1), taken(4), taken(80)]).toEqual([52, 13, 0]);
   });
+
+  /** A router of a system in which each has a few retries of the reserve once it is known to be new. */
+  const startNewRouter = () => {
+    const clock = createManualClock();
+    const countRouters = () => retryReserve / 2;
+    const reserveShare = createReserveShare({ clock, window: bounds.retryWindow, countRouters });
+    const share = createRetryShare({ clock, bounds, reserveShare });
+    reserveShare.noteListing(undefined);
+    const stop = new AbortController();
+    return { clock, reserveShare, share, take: () => share.take("desk", stop.signal), stop };
+  };
+
+  // The first retry of each router of a new system was refused, a few milliseconds before it had its part.
+  it("waits at a new router until its part of the reserve is known", async () => {
+    const { reserveShare, take } = startNewRouter();
+    const taken = take();
+    reserveShare.noteListing("bootstrap");
+    expect(await taken).toEqual(true);
+  });
+
+  it("is refused at a new router that joins others, and one that learns nothing in time", async () => {
+    const joining = startNewRouter();
+    const taken = joining.take();
+    joining.reserveShare.noteListing("join");
+    expect(await taken).toEqual(false);
+    const isolated = startNewRouter();
+    const untold = isolated.take();
+    isolated.clock.advanceTo(originTimeout);
+    expect(await untold).toEqual(false);
+  });
+
+  it("takes nothing for a request that has ended meanwhile", async () => {
+    const { reserveShare, share, take, stop } = startNewRouter();
+    const taken = take();
+    stop.abort();
+    reserveShare.noteListing("bootstrap");
+    expect(await taken).toEqual(false);
+    expect(share.stateOf("desk").retries).toEqual(0);
+  });
 });
--- a/src/coordination/forwarding/retryShare.ts
+++ b/src/coordination/forwarding/retryShare.ts
@@ -3,7 +3,7 @@
  * part of the shared reserve.
  */
 import type { Clock } from "../clock.ts";
-import type { ReserveShare } from "./reserveShare.ts";
+import type { RetryReserve } from "./reserveShare.ts";
 import type { RetryLedger } from "./retryLedger.ts";
 import { createRetryLedger } from "./retryLedger.ts";
 import type { ForwardingBounds } from "./types.ts";
@@ -24,6 +24,12 @@
   readonly noteRequest: (service: string) => void;
   /** @returns Whether a retry may be made now; if so, it is counted. */
   readonly tryTake: (service: string) => boolean;
+  /**
+   * Like {@link RetryShare.tryTake}, but a process whose part of the reserve is not known yet waits for it first.
+   *
+   * @param signal - Aborted when the retry is not needed any more.
+   */
+  readonly take: (service: string, signal: AbortSignal) => Promise<boolean>;
   readonly stateOf: (service: string) => RetryShareState;
   /** @returns The state of each service that had requests. */
   readonly states: () => ReadonlyMap<string, RetryShareState>;
@@ -32,7 +38,7 @@
 export interface RetryShareDependencies {
   readonly clock: Clock;
   readonly bounds: ForwardingBounds;
-  readonly reserveShare: Pick<ReserveShare, "noteShortage" | "routers" | "sample" | "share">;
+  readonly reserveShare: RetryReserve;
 }
 
 /** Creates a share with empty windows. */
@@ -61,19 +67,27 @@
     };
   };
 
+  const tryTake = (service: string): boolean => {
+    const ledger = ledgerOf(service);
+    if (available(ledger) < 1) {
+      reserveShare.noteShortage();
+      return false;
+    }
+    ledger.noteRetry();
+    return true;
+  };
+
   return {
     noteRequest: (service) => {
       reserveShare.sample();
       ledgerOf(service).noteRequest();
     },
-    tryTake: (service) => {
-      const ledger = ledgerOf(service);
-      if (available(ledger) < 1) {
-        reserveShare.noteShortage();
-        return false;
-      }
-      ledger.noteRetry();
-      return true;
+    tryTake,
+    take: async (service, signal) => {
+      if (tryTake(service)) return true;
+      if (reserveShare.isOriginKnown()) return false;
+      await reserveShare.whenOriginKnown(signal);
+      return !signal.aborted && tryTake(service);
     },
     stateOf,
     states: () => new Map([...ledgers.keys()].map((service) => [service, stateOf(service)])),
--- a/src/coordination/forwarding/streamRelay.test.ts
+++ b/src/coordination/forwarding/streamRelay.test.ts
@@ -51,7 +51,7 @@
       if (writing === undefined) throw new Error("no other replica");
       return Promise.resolve(answerOf(writing, Number(lastEventId ?? 0)));
     },
-    mayRetry: () => true,
+    mayRetry: () => Promise.resolve(true),
   };
   const run = {
     request: { id: "request", lastEventId: undefined },
--- a/src/coordination/forwarding/streamRelay.ts
+++ b/src/coordination/forwarding/streamRelay.ts
@@ -69,7 +69,7 @@
     } catch (error) {
       if (!(error instanceof UpstreamError)) throw error;
       // After any other event, a resumed stream would repeat or skip some.
-      if (!buffer.hasKnownPosition() || !loop.mayRetry(run, error)) throw error;
+      if (!buffer.hasKnownPosition() || !(await loop.mayRetry(run, error))) throw error;
       hasBegunEvent = buffer.hasBegunEvent() || (hasBegunEvent && buffer.eventCount() === 0);
       buffer.beginStream();
       writeLog("resuming", { request: run.request.id, after: buffer.lastId() ?? null });
