Leave nothing running where the system of the tests of leaving replicas fails

Cause: the sixth fixture that started a system and then its routers, and left what it had started if one of them failed.

Change: it uses startReadySystem.

--- a/tests/support/drainingReplicas.ts
+++ b/tests/support/drainingReplicas.ts
@@ -1,8 +1,8 @@
 /** Replicas that leave, and the requests that still arrive there. */
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { PlatformSystem, RequestOptions } from "../../standIns/platform/platformSystem.ts";
-import { hosts, isReady, startPlatformSystem } from "../../standIns/platform/platformSystem.ts";
-import { waitUntil } from "./conditions.ts";
+import { hosts } from "../../standIns/platform/platformSystem.ts";
+import { startReadySystem } from "./readySystem.ts";
 
 /** Time within which requests must stop after the store has accepted that a replica leaves, milliseconds. */
 export const drainBound = 600;
@@ -11,18 +11,17 @@
 export const readRequest: RequestOptions = { host: hosts.desk, path: "/read/2f", body: "look up" };
 
 /** Starts six routers before eight plain replicas, and waits until all routers are ready. */
-export const startDrainingSystem = async (): Promise<PlatformSystem> => {
-  const system = await startPlatformSystem({
-    desks: 8,
-    engines: 0,
-    desk: { serviceTime: 30 },
-    // Keys stay valid while the store is unavailable.
-    bounds: { drain: drainBound, keyRevocation: 60_000 },
-  });
-  while (system.routers.length < 6) await system.startRouter();
-  await waitUntil(async () => (await Promise.all(system.routers.map(isReady))).every(Boolean));
-  return system;
-};
+export const startDrainingSystem = (): Promise<PlatformSystem> =>
+  startReadySystem(
+    {
+      desks: 8,
+      engines: 0,
+      desk: { serviceTime: 30 },
+      // Keys stay valid while the store is unavailable.
+      bounds: { drain: drainBound, keyRevocation: 60_000 },
+    },
+    6,
+  );
 
 /** The requests that arrived at a replica after it should have received none, milliseconds after its report. */
 export const lateArrivals = (
