Start the callers of the soak only when the configuration is in force

Cause: callers started 0.8 s after the run's first configuration was published, while routers may serve by the one before it for 2 s, which doesn't have the spare keys. The router's line says configurationVersion 1, configurationAge 1,777 ms: allowed.

Change: callers start 2.5 s after it. The check is as it was.

--- a/soak/platform/runSoak.ts
+++ b/soak/platform/runSoak.ts
@@ -37,7 +37,12 @@
 const observationTime = 2_500;
 
 const spareKeyCount = 12;
-const warmUp = 800;
+
+/**
+ * From the run's first configuration until callers start, milliseconds: routers may serve by the one before it as long as
+ * a revoked key may be served, and it doesn't have the spare keys.
+ */
+const warmUp = bounds.keyRevocation + 500;
 
 const readProofAges = (log: readonly string[]): readonly number[] =>
   readLogLines(log.join("\n"))
