Log which prompt parts were in flight at a crash, and sum them over routers

Change: crashed lines have the traits of the requests in flight (prompt parts of a caller and of all, size, model) and how many had begun to be answered; the counter replica_crashes; pomelocleat logs crashes counts the replicas of each trait over all routers. No decision changes.

--- a/src/commandLine/cli.ts
+++ b/src/commandLine/cli.ts
@@ -7,6 +7,7 @@
 import { DumpCommand } from "./commands/dump.ts";
 import { EnginesCommand } from "./commands/engines.ts";
 import { ExplainCommand } from "./commands/explain.ts";
+import { LogsCrashesCommand } from "./commands/logsCrashes.ts";
 import { LogsRetriesCommand } from "./commands/logsRetries.ts";
 import { LogsSummaryCommand } from "./commands/logsSummary.ts";
 import { VersionsCommand } from "./commands/versions.ts";
@@ -33,6 +34,7 @@
   cli.register(DumpCommand);
   cli.register(EnginesCommand);
   cli.register(ExplainCommand);
+  cli.register(LogsCrashesCommand);
   cli.register(LogsRetriesCommand);
   cli.register(LogsSummaryCommand);
   cli.register(Builtins.HelpCommand);
--- a/src/coordination/crashes/crashMonitor.test.ts
+++ b/src/coordination/crashes/crashMonitor.test.ts
@@ -7,10 +7,13 @@
 import { createManualClock } from "../manualClock.ts";
 import { crashProbeDelay } from "./constants.ts";
 import { createCrashMonitor } from "./crashMonitor.ts";
-import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
+import type { ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
+import { MemoryMetrics } from "../../state/MemoryMetrics.ts";
+import type { BrokenRequest } from "./brokenRequests.ts";
+import { contentTrait } from "./requestTraits.ts";
 
-const first: Suspect = { fingerprint: "1", hasBegun: false };
-const second: Suspect = { fingerprint: "2", hasBegun: true };
+const first: BrokenRequest = { traits: [contentTrait("1")], hasBegun: false };
+const second: BrokenRequest = { traits: [contentTrait("2")], hasBegun: true };
 
 const create = (hasOtherPath = true) => {
   const clock = createManualClock(1_000);
@@ -29,6 +32,7 @@
       },
     },
     paths: { hasOtherPath: () => Promise.resolve(hasOtherPath) },
+    metrics: new MemoryMetrics(),
     clock,
     onCrash: (crash) => crashes.push(crash),
   });
@@ -45,7 +49,18 @@
     monitor.noteBrokenConnection(replica, first);
     monitor.noteBrokenConnection(replica, second);
     await advance();
-    expect([crashes, state.tries]).toEqual([[{ replica: "a", suspects: [first, second] }], 1]);
+    expect([crashes, state.tries]).toEqual([
+      [
+        {
+          replica: "a",
+          suspects: [
+            { fingerprint: "1", hasBegun: false },
+            { fingerprint: "2", hasBegun: true },
+          ],
+        },
+      ],
+      1,
+    ]);
   });
 
   it("reports no crash of a replica that only broke a connection, nor of one that was cut off", async () => {
--- a/src/coordination/crashes/crashMonitor.ts
+++ b/src/coordination/crashes/crashMonitor.ts
@@ -5,21 +5,26 @@
  * The network can refuse connections as well. A refusal proves a crash only if this router reaches other replicas:
  * otherwise routers that are cut off would have requests quarantined that other routers serve.
  */
-import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
+import type { ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
+import { metricNames } from "../../state/constants.ts";
 import { createLogger } from "../../state/log.ts";
+import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import type { PathProbes } from "../replicaPaths/pathProbes.ts";
 import { connectionProbeTimeout } from "../forwarding/constants.ts";
+import type { BrokenRequest } from "./brokenRequests.ts";
+import { describeBroken, suspectsOf } from "./brokenRequests.ts";
 import { crashProbeDelay } from "./constants.ts";
 
 export interface CrashMonitorDependencies {
   readonly replicas: Pick<ReplicaTable, "get">;
   readonly client: Pick<ReplicaClient, "probeConnection">;
   readonly paths: Pick<PathProbes, "hasOtherPath">;
+  readonly metrics: Metrics;
   readonly clock: Clock;
   /** Called again if more broken requests of the same replica are found later. */
   readonly onCrash: (crash: ReplicaCrash) => void;
@@ -27,7 +32,7 @@
 
 export interface CrashMonitor {
   /** Records that the connection of a request in flight at a replica broke. */
-  readonly noteBrokenConnection: (replica: ReplicaState, suspect: Suspect) => void;
+  readonly noteBrokenConnection: (replica: ReplicaState, request: BrokenRequest) => void;
 }
 
 const writeLog = createLogger("replicas");
@@ -37,11 +42,12 @@
   replicas,
   client,
   paths,
+  metrics,
   clock,
   onCrash,
 }: CrashMonitorDependencies): CrashMonitor => {
   /** By id of a replica that is being probed: its broken requests. */
-  const pending = new Map<string, Suspect[]>();
+  const pending = new Map<string, BrokenRequest[]>();
 
   /** A draining replica also ends its process, and breaks its connections on purpose. */
   const mayCrash = (replica: ReplicaState): boolean =>
@@ -62,21 +68,21 @@
     const { entry } = replica;
     await pause(clock, crashProbeDelay);
     const isCrash = await hasCrashed(replica);
-    const suspects = pending.get(entry.id) ?? [];
+    const broken = pending.get(entry.id) ?? [];
     pending.delete(entry.id);
     if (!isCrash || !mayCrash(replica)) return;
-    const requests = suspects.map(({ fingerprint }) => fingerprint).join(" ");
-    writeLog("crashed", { replica: entry.id, service: entry.service, requests });
-    onCrash({ replica: entry.id, suspects });
+    writeLog("crashed", { replica: entry.id, service: entry.service, ...describeBroken(broken) });
+    metrics.count(metricNames.replicaCrashes, 1, { service: entry.service });
+    onCrash({ replica: entry.id, suspects: suspectsOf(broken) });
   };
 
   return {
-    noteBrokenConnection: (replica, suspect) => {
+    noteBrokenConnection: (replica, request) => {
       if (!mayCrash(replica)) return;
       const known = pending.get(replica.entry.id);
-      known?.push(suspect);
+      known?.push(request);
       if (known !== undefined) return;
-      pending.set(replica.entry.id, [suspect]);
+      pending.set(replica.entry.id, [request]);
       void probe(replica);
     },
   };
--- a/src/coordination/crashes/engineCrashMonitor.ts
+++ b/src/coordination/crashes/engineCrashMonitor.ts
@@ -3,17 +3,22 @@
  * another incarnation. A crash is reported with the requests that were in flight there, since one of them may be the
  * cause.
  */
-import type { ReplicaCrash, Suspect } from "../../protocol/forwarding/crashMessage.ts";
+import type { ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import type { ModelEngine } from "../../protocol/ModelEngine.ts";
 import type { EngineReplica } from "../../state/engineDirectory.ts";
+import { metricNames } from "../../state/constants.ts";
 import { createLogger } from "../../state/log.ts";
+import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import { withTimeLimit } from "../timeLimit.ts";
+import type { BrokenRequest } from "./brokenRequests.ts";
+import { describeBroken, suspectsOf } from "./brokenRequests.ts";
 import { crashProbeDelay, incarnationReadRetryDelays, incarnationReadTimeout } from "./constants.ts";
 
 export interface EngineCrashMonitorDependencies {
   readonly connect: (engine: EngineReplica) => Pick<ModelEngine, "readLoad">;
+  readonly metrics: Metrics;
   readonly clock: Clock;
   readonly onCrash: (crash: ReplicaCrash) => void;
 }
@@ -29,7 +34,7 @@
   readonly noteBrokenConnection: (
     engine: EngineReplica,
     incarnation: string | undefined,
-    suspect: Suspect,
+    request: BrokenRequest,
   ) => Promise<void>;
 }
 
@@ -41,11 +46,12 @@
 /** Creates a monitor that reads an engine's incarnation after a broken connection. */
 export const createEngineCrashMonitor = ({
   connect,
+  metrics,
   clock,
   onCrash,
 }: EngineCrashMonitorDependencies): EngineCrashMonitor => {
   /** By engine and incarnation that is being checked: its broken requests, and the end of the check. */
-  const pending = new Map<string, { readonly suspects: Suspect[]; readonly checked: Promise<void> }>();
+  const pending = new Map<string, { readonly broken: BrokenRequest[]; readonly checked: Promise<void> }>();
 
   const readIncarnation = async (engine: EngineReplica): Promise<string | undefined> => {
     try {
@@ -70,29 +76,33 @@
     return false;
   };
 
-  const check = async (engine: EngineReplica, incarnation: string, suspects: Suspect[]): Promise<void> => {
+  const check = async (
+    engine: EngineReplica,
+    incarnation: string,
+    broken: BrokenRequest[],
+  ): Promise<void> => {
     await pause(clock, crashProbeDelay);
     const replica = `${engine.id} ${incarnation}`;
     const hasCrashed = await isReplaced(engine, incarnation);
     pending.delete(replica);
     if (!hasCrashed) return;
-    const requests = suspects.map(({ fingerprint }) => fingerprint).join(" ");
-    writeLog("crashed", { engine: engine.id, incarnation, requests });
-    onCrash({ replica, suspects });
+    writeLog("crashed", { engine: engine.id, incarnation, ...describeBroken(broken) });
+    metrics.count(metricNames.replicaCrashes, 1, { service: engine.pool });
+    onCrash({ replica, suspects: suspectsOf(broken) });
   };
 
   return {
-    noteBrokenConnection: (engine, incarnation, suspect) => {
+    noteBrokenConnection: (engine, incarnation, request) => {
       if (incarnation === undefined || engine.state === "leaving") return Promise.resolve();
       const key = `${engine.id} ${incarnation}`;
       const known = pending.get(key);
       if (known !== undefined) {
-        known.suspects.push(suspect);
+        known.broken.push(request);
         return known.checked;
       }
-      const suspects = [suspect];
-      const checked = check(engine, incarnation, suspects);
-      pending.set(key, { suspects, checked });
+      const broken = [request];
+      const checked = check(engine, incarnation, broken);
+      pending.set(key, { broken, checked });
       return checked;
     },
   };
--- a/src/coordination/forwarding/decisions.ts
+++ b/src/coordination/forwarding/decisions.ts
@@ -11,6 +11,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import type { Clock } from "../clock.ts";
+import type { CrashMonitor } from "../crashes/crashMonitor.ts";
 import { createCrashMonitor } from "../crashes/crashMonitor.ts";
 import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import type { ReplicaLimits } from "../replicaLimits/replicaLimits.ts";
@@ -38,6 +39,7 @@
 import type { LoadFeatures } from "./loadFeatures.ts";
 import type { LoadPolicy } from "./loadPolicy.ts";
 import { noOrganisation, organisationKeyOf } from "./organisationKey.ts";
+import type { PathProbes } from "../replicaPaths/pathProbes.ts";
 import { createPathProbes } from "../replicaPaths/pathProbes.ts";
 import type { ReplicaPaths } from "../replicaPaths/replicaPaths.ts";
 import { startReplicaPaths } from "../replicaPaths/replicaPaths.ts";
@@ -166,6 +168,14 @@
   client.useGate(createReplicaGate({ replicas, observe, metrics, clock }));
 };
 
+const monitorCrashes = (
+  { client, view, metrics, clock }: DecisionDependencies,
+  paths: PathProbes,
+): CrashMonitor => {
+  const { replicas, quarantine } = view;
+  return createCrashMonitor({ replicas, client, paths, metrics, clock, onCrash: quarantine.noteCrash });
+};
+
 /** Creates the forwarder and starts to monitor replicas. */
 export const createDecisions = (dependencies: DecisionDependencies): Decisions => {
   const { dataCentre, client, view, bounds, policy, features, clock, metrics, random } = dependencies;
@@ -255,7 +265,7 @@
     estimates,
     speeds,
     health,
-    crashes: createCrashMonitor({ replicas, client, paths: probes, clock, onCrash: quarantine.noteCrash }),
+    crashes: monitorCrashes(dependencies, probes),
     quarantine,
     saving,
     memory,
--- a/src/coordination/requests/attempt.ts
+++ b/src/coordination/requests/attempt.ts
@@ -1,7 +1,7 @@
 /** One attempt to run a request on an engine: from the choice of the engine to the last piece of the answer. */
 import { randomBytes } from "node:crypto";
 import { UpstreamError, upstreamError } from "../../protocol/errors.ts";
-import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
+import type { RequestTrait } from "../../protocol/forwarding/requestTrait.ts";
 import type { ModelEngine } from "../../protocol/ModelEngine.ts";
 import { cacheSalt } from "../../protocol/prefixLevels.ts";
 import type {
@@ -44,7 +44,8 @@
 
 /** The request to send, and the limits of the attempt. */
 export interface AttemptPlan {
-  readonly fingerprint: Fingerprint;
+  /** Evaluated where the attempt breaks off. */
+  readonly traits: () => readonly RequestTrait[];
   readonly context: RequestContext;
   readonly request: CompletionRequest;
   readonly work: Work;
@@ -160,7 +161,7 @@
     const incarnation = state.report.incarnation ?? incarnationBefore;
     const hasBegun = state.report.firstTokenAfter !== undefined;
     await dependencies.crashes.noteBrokenConnection(engine, incarnation, {
-      fingerprint: plan.fingerprint,
+      traits: plan.traits(),
       hasBegun,
     });
   };
--- a/src/coordination/requests/attemptOpener.ts
+++ b/src/coordination/requests/attemptOpener.ts
@@ -54,7 +54,7 @@
   const openOne = async (attemptStopper: Stopper, tried: Set<string>): Promise<OpenAttempt> => {
     let engineId: string | undefined;
     const plan = {
-      fingerprint: dependencies.fingerprintOf(job),
+      traits: () => dependencies.traitsOf(job),
       context,
       request,
       work: currentWork(tried),
--- a/src/coordination/requests/completionRunner.ts
+++ b/src/coordination/requests/completionRunner.ts
@@ -9,7 +9,7 @@
 import { noEngineCrashMonitor } from "../crashes/engineCrashMonitor.ts";
 import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import { noQuarantine } from "../crashes/quarantine.ts";
-import { fingerprintOfJob } from "./fingerprint.ts";
+import { traitsOfJob } from "./fingerprint.ts";
 import { createAttemptCanceller } from "./attemptCanceller.ts";
 import { finalFailure } from "./attemptFailures.ts";
 import { freshStart, runCompletion } from "./completionRun.ts";
@@ -25,7 +25,7 @@
 
 export interface CompletionRunnerDependencies extends Omit<
   CompletionRunDependencies,
-  "canceller" | "retryBudget" | "random" | "crashes" | "quarantine" | "fingerprintOf"
+  "canceller" | "retryBudget" | "random" | "crashes" | "quarantine" | "traitsOf"
 > {
   /** Optional; without it, crashes of engines are not tracked. */
   readonly crashes?: EngineCrashMonitor;
@@ -85,7 +85,7 @@
     ...options,
     crashes: options.crashes ?? noEngineCrashMonitor,
     quarantine: options.quarantine ?? noQuarantine,
-    fingerprintOf: fingerprintOfJob,
+    traitsOf: traitsOfJob,
     canceller: createAttemptCanceller(clock, options.connect),
     retryBudget: options.retryBudget ?? new RatioRetryBudget(clock),
     random: options.random ?? Math.random,
--- a/src/coordination/requests/runScope.ts
+++ b/src/coordination/requests/runScope.ts
@@ -1,5 +1,5 @@
 /** State and dependencies that the modules running one request share. */
-import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
+import type { RequestTrait } from "../../protocol/forwarding/requestTrait.ts";
 import type { Claim, ClaimLedger } from "../claims/ClaimLedger.ts";
 import type { QuarantineChecks } from "../crashes/quarantine.ts";
 import type { BindWeights } from "../weightsBinder.ts";
@@ -12,7 +12,7 @@
 
 export interface CompletionRunDependencies extends AttemptDependencies {
   readonly quarantine: QuarantineChecks<CompletionJob>;
-  readonly fingerprintOf: (job: CompletionJob) => Fingerprint;
+  readonly traitsOf: (job: CompletionJob) => readonly RequestTrait[];
   readonly claims: ClaimLedger;
   /** Chooses between versions of weights during a roll-out. Without it, the configured version is used. */
   readonly bindWeights?: BindWeights;
--- a/src/daemons/completionQuarantine.ts
+++ b/src/daemons/completionQuarantine.ts
@@ -13,12 +13,14 @@
 import type { CompletionJob } from "../coordination/requests/types.ts";
 import { logStreams } from "../protocol/constants.ts";
 import { noEpochChanges } from "../protocol/storeEpoch.ts";
+import type { Metrics } from "../state/Metrics.ts";
 import type { LogService } from "../protocol/LogService.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 
 export interface CompletionQuarantineDependencies {
   readonly log: LogService;
   readonly connect: EngineCrashMonitorDependencies["connect"];
+  readonly metrics: Metrics;
   readonly clock: Clock;
   /** Timeout of one long poll of the log, milliseconds. */
   readonly longPoll: number;
@@ -37,6 +39,7 @@
 export const createCompletionQuarantine = ({
   log,
   connect,
+  metrics,
   clock,
   longPoll,
 }: CompletionQuarantineDependencies): CompletionQuarantine => {
@@ -57,6 +60,6 @@
       { fingerprintOf: fingerprintOfJob, idOf: ({ context }) => context.requestId },
     ),
   );
-  const crashes = createEngineCrashMonitor({ connect, clock, onCrash: quarantine.noteCrash });
+  const crashes = createEngineCrashMonitor({ connect, metrics, clock, onCrash: quarantine.noteCrash });
   return { quarantine, crashes, [Symbol.asyncDispose]: () => resources[Symbol.asyncDispose]() };
 };
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -91,7 +91,7 @@
   const { history, follower, directory, serviceDirectory, peers } = view;
 
   const completionQuarantine = resources.use(
-    createCompletionQuarantine({ log, connect, clock, longPoll: settings.configurationLongPoll }),
+    createCompletionQuarantine({ log, connect, metrics, clock, longPoll: settings.configurationLongPoll }),
   );
 
   // Registered after the view, so disposed of before it: this aborts the calls that its followers wait for.
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -7,6 +7,7 @@
   turnedAway: "turned_away",
   limited: "limited",
   quarantined: "held_back",
+  replicaCrashes: "replica_crashes",
   limitsReported: "limits_named",
   limitsUnreadable: "limits_unreadable",
   drainingReported: "draining_reported",
