Reproduce the crashes of requests that share one prompt part, on both interfaces

Cause: the quarantine knows a request by its whole content; requests that share one crashing prompt part have a clean record each.

--- a/tests/support/crashingReplicas.ts
+++ b/tests/support/crashingReplicas.ts
@@ -7,6 +7,9 @@
 /** Request bodies that crash the replica that runs them: at the start, or in the middle of the answer. */
 export const bodies = { deadly: "deadly", deadlyToo: "deadly too", deadlyMidway: "deadly midway" } as const;
 
+/** Prompt parts that crash the engine that begins to answer on them, unless they are the last part of the prompt. */
+export const deadlyParts = ["dead0001", "dead0002"] as const;
+
 /** Time from a crash until the registry entry is removed, and until the replica is restarted, milliseconds. */
 const restartTimes = { deregistered: 500, restarted: 1_000 } as const;
 
@@ -16,12 +19,27 @@
 export interface CrashingReplicas extends AsyncDisposable {
   /** Runs of requests with a body, by incarnation in the order in which they started. */
   readonly runsOf: (body: string) => readonly ExecutedRequest[];
+  /** All runs, by incarnation in the order in which they started. */
+  readonly allRuns: () => readonly ExecutedRequest[];
   readonly crashes: () => number;
   /** The incarnations that have not crashed. */
   readonly running: () => readonly ReplicaStandIn[];
 }
 
-const crashesOn = ({ body }: ExecutedRequest): "never" | "begin" | "midway" => {
+/** @returns The ids of the shared parts of a request's prompt. */
+const sharedPartsOf = ({ headers }: ExecutedRequest): readonly string[] =>
+  String(headers["x-prefix-hash"] ?? "")
+    .split(",")
+    .slice(0, -1)
+    .map((part) => part.split(":", 1).join());
+
+/** @returns Whether a request has a shared prompt part that crashes engines. */
+export const hasDeadlyPart = (run: ExecutedRequest): boolean =>
+  sharedPartsOf(run).some((part) => deadlyParts.some((deadly) => deadly === part));
+
+const crashesOn = (run: ExecutedRequest): "never" | "begin" | "midway" => {
+  const { body } = run;
+  if (hasDeadlyPart(run)) return "begin";
   if (body === bodies.deadlyMidway) return "midway";
   return body === bodies.deadly || body === bodies.deadlyToo ? "begin" : "never";
 };
@@ -73,6 +91,7 @@
   }
 
   return {
+    allRuns: () => all.flatMap(({ runs }) => runs),
     runsOf: (body) => all.flatMap(({ runs }) => runs.filter((run) => run.body === body)),
     crashes: () => all.filter((replica) => replica.hasCrashed()).length,
     running: () => all.filter((replica) => !replica.hasCrashed()),
