Quarantine what crashing requests share, not only requests that are the same

Cause: the quarantine knew a request by its whole content, a name one level too fine: each of these requests had a clean record. Change: requests have traits (content, each shared prompt part for one caller and for all, size, model), and one mechanism judges all of them on both interfaces. Crash reports carry the traits in flight and whether they were answered not long before; a complete answer clears all traits of its request; the likeliest cause is quarantined and explains its crashes; a trait whose crashes another one explains is released. Crashes at once count as one for shared traits. A part's trials count together with those of one caller's part; a request that may crash for another reason is no trial. Without the store, a router asks three peers for their quarantine; records are read again every 15 s, so that an operator's release arrives. An answer without a mark of its end counts once its replica is known to run. The tests failed before.

--- a/src/coordination/crashes/LogRecordFeed.test.ts
+++ b/src/coordination/crashes/LogRecordFeed.test.ts
@@ -11,10 +11,10 @@
   it("are the newest of each key that was not dropped, and skip unreadable records", async () => {
     const log = new FakeLogService(createManualClock(0));
     const feed = new LogRecordFeed(log, stream);
-    await feed.put("first", { trials: 0, trial: "" });
-    await feed.put("second", { trials: 0, trial: "" });
+    await feed.put("first", { kind: "content", name: "", trials: 0, trial: "" });
+    await feed.put("second", { kind: "content", name: "", trials: 0, trial: "" });
     await log.append(stream, ["no record", JSON.stringify({ key: 7 })]);
-    await feed.put("first", { trials: 1, trial: "a" });
+    await feed.put("first", { kind: "content", name: "", trials: 1, trial: "a" });
     await feed.drop("second");
     const { records, next } = await feed.newest();
     expect(records.map(({ key, value }) => [key, value?.trials])).toEqual([["first", 1]]);
--- a/src/coordination/crashes/LogRecordFeed.ts
+++ b/src/coordination/crashes/LogRecordFeed.ts
@@ -3,6 +3,7 @@
 import type { LogService } from "../../protocol/LogService.ts";
 import { RecordFeed } from "../../protocol/forwarding/RecordFeed.ts";
 import type { FeedPage, FeedRecord, QuarantineRecord } from "../../protocol/forwarding/types.ts";
+import { traitKinds } from "../../protocol/forwarding/requestTrait.ts";
 import type { StoreEpoch } from "../../protocol/storeEpoch.ts";
 import { defaultEpoch } from "../../protocol/storeEpoch.ts";
 import { StorePosition } from "../../protocol/StorePosition.ts";
@@ -13,7 +14,15 @@
 
 const recordSchema = z.object({
   key: z.string(),
-  value: z.object({ trials: z.int().nonnegative(), trial: z.string() }).nullable(),
+  value: z
+    .object({
+      // Routers of earlier versions quarantine contents only, and name no kind.
+      kind: z.enum(traitKinds).default("content"),
+      name: z.string().default(""),
+      trials: z.int().nonnegative(),
+      trial: z.string(),
+    })
+    .nullable(),
 });
 
 const writeLog = createLogger("quarantine");
--- a/src/coordination/crashes/brokenRequests.ts
+++ b/src/coordination/crashes/brokenRequests.ts
@@ -1,4 +1,5 @@
 /** Requests whose connection a replica broke as it crashed. */
+import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import type { Suspect } from "../../protocol/forwarding/crashMessage.ts";
 import type { RequestTrait } from "../../protocol/forwarding/requestTrait.ts";
 
@@ -8,14 +9,39 @@
   readonly hasBegun: boolean;
 }
 
+/** A crash with requests of this router in flight. */
+export interface OwnCrash {
+  /** The id of the replica's incarnation. */
+  readonly replica: string;
+  readonly broken: readonly BrokenRequest[];
+}
+
 const contentOf = ({ traits }: BrokenRequest): readonly RequestTrait[] =>
   traits.filter(({ kind }) => kind === "content");
 
-/** @returns The suspects among the traits of broken requests. */
-export const suspectsOf = (broken: readonly BrokenRequest[]): readonly Suspect[] =>
-  broken.flatMap((request) =>
-    contentOf(request).map(({ fingerprint }) => ({ fingerprint, hasBegun: request.hasBegun })),
-  );
+/**
+ * @param isProven - Whether a trait was answered not long before.
+ * @returns The traits of broken requests, each once.
+ */
+export const suspectsOf = (
+  broken: readonly BrokenRequest[],
+  isProven: (fingerprint: Fingerprint) => boolean,
+): readonly Suspect[] => {
+  const suspects = new Map<Fingerprint, Suspect>();
+  for (const { traits, hasBegun } of broken) {
+    for (const { kind, fingerprint } of traits) {
+      const known = suspects.get(fingerprint);
+      suspects.set(fingerprint, {
+        kind,
+        fingerprint,
+        // A cause crashes the replica whenever it begins: one request that had not begun makes the trait suspect.
+        hasBegun: hasBegun && known?.hasBegun !== false,
+        isProven: isProven(fingerprint),
+      });
+    }
+  }
+  return [...suspects.values()];
+};
 
 /** Longest list of traits in a log line; a batch holds 64 requests with several traits each. */
 const maxLoggedTraits = 100;
--- a/src/coordination/crashes/constants.ts
+++ b/src/coordination/crashes/constants.ts
@@ -1,4 +1,5 @@
 /** Limits of crash detection and of the quarantine of requests that crash replicas. Durations are milliseconds. */
+import type { TraitKind } from "../../protocol/forwarding/requestTrait.ts";
 
 /**
  * Delay from the first broken connection to a replica until a new connection is tried. The resets of a process that
@@ -13,11 +14,29 @@
 export const incarnationReadTimeout = 300;
 
 /**
- * Number of replicas that crash with a request in flight, with no answer in between, before the request is quarantined.
- * A lower threshold would quarantine requests that were in flight beside a crash by chance; each further crash costs a
- * replica and everything that runs there.
+ * Number of replicas that crash with a trait in flight, with no answer in between, before its requests are quarantined.
+ * A lower threshold would quarantine traits that were in flight beside a crash by chance; each further crash costs a
+ * replica and everything that runs there. Broad traits are in flight almost always, and many callers lose by them.
  */
-export const crashThreshold = 3;
+export const crashThresholds = {
+  content: 3,
+  callerPart: 3,
+  part: 3,
+  size: 8,
+  model: 8,
+} as const satisfies Readonly<Record<TraitKind, number>>;
+
+/** Further crashes that it takes where a request with the trait was answered not long before. */
+export const provenThresholdIncrease = 3;
+
+/** Crashes within this time count as one for traits that requests share, milliseconds. */
+export const simultaneousCrashes = 100;
+
+/** How long an answer makes a trait less suspect. */
+export const recentAnswerDuration = 60_000;
+
+/** Number of traits whose last answer is remembered; about 100 bytes each. */
+export const maxRecentAnswers = 8_192;
 
 /**
  * Delay from the moment at which a request reaches the threshold until the cause is chosen among the suspects:
@@ -47,17 +66,33 @@
 /** Delay before the next trial where this one could not be claimed, for example because the store is unreachable. */
 export const claimRetryDelay = 5_000;
 
-/** Time after which a request is released: engines and weights are replaced within a day, and may survive it then. */
-export const quarantineDuration = 86_400_000;
+/**
+ * Time after which a trait is released. Engines and weights are replaced within a day, and may survive it then; sizes
+ * and models are too many callers' to be refused that long.
+ */
+export const quarantineDurations = {
+  content: 86_400_000,
+  callerPart: 86_400_000,
+  part: 86_400_000,
+  size: 60_000,
+  model: 60_000,
+} as const satisfies Readonly<Record<TraitKind, number>>;
 
 /** Number of remembered suspects, those of the newest crashes; a few hundred bytes each. */
 export const maxSuspects = 4_096;
 
-/** Number of requests quarantined at once, the newest; a few hundred bytes each. */
+/** Number of traits quarantined at once, the newest; a few hundred bytes each. */
 export const maxQuarantined = 1_024;
 
-/** Keeps a datagram small enough to be sent without IP fragmentation. */
+/** Keep a datagram small enough to be sent without IP fragmentation. */
 export const maxFingerprintsPerMessage = 50;
+export const maxTraitsPerMessage = 20;
+
+/** Number of peers that a router asks for their quarantine where the store does not answer. */
+export const queriedPeers = 3;
+
+/** Interval at which the records are read while something is quarantined: an operator may have released it. */
+export const recordsReadInterval = 15_000;
 
 /**
  * Crashes within this interval share a message: when 20 replicas of a deployment of 195 routers crash at once, each
@@ -92,5 +127,8 @@
 /** Longest time for which a starting router waits for its first read of the quarantine before it serves. */
 export const firstReadTimeout = 1_000;
 
+/** Part of that time which is left for peers to answer where the store has not. */
+export const peerAnswerTime = 300;
+
 /** Retry-after given to callers while the cause of crashes is undecided, and at least to all that are quarantined. */
 export const undecidedRetryAfter = 250;
--- a/src/coordination/crashes/crashMonitor.test.ts
+++ b/src/coordination/crashes/crashMonitor.test.ts
@@ -7,9 +7,8 @@
 import { createManualClock } from "../manualClock.ts";
 import { crashProbeDelay } from "./constants.ts";
 import { createCrashMonitor } from "./crashMonitor.ts";
-import type { ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import { MemoryMetrics } from "../../state/MemoryMetrics.ts";
-import type { BrokenRequest } from "./brokenRequests.ts";
+import type { BrokenRequest, OwnCrash } from "./brokenRequests.ts";
 import { contentTrait } from "./requestTraits.ts";
 
 const first: BrokenRequest = { traits: [contentTrait("1")], hasBegun: false };
@@ -22,7 +21,7 @@
   const replica = replicas.get("a");
   if (replica === undefined) throw new Error("a replica is missing");
   const state: { trial: ConnectionProbeResult; tries: number } = { trial: "refused", tries: 0 };
-  const crashes: ReplicaCrash[] = [];
+  const crashes: OwnCrash[] = [];
   const monitor = createCrashMonitor({
     replicas,
     client: {
@@ -49,18 +48,7 @@
     monitor.noteBrokenConnection(replica, first);
     monitor.noteBrokenConnection(replica, second);
     await advance();
-    expect([crashes, state.tries]).toEqual([
-      [
-        {
-          replica: "a",
-          suspects: [
-            { fingerprint: "1", hasBegun: false },
-            { fingerprint: "2", hasBegun: true },
-          ],
-        },
-      ],
-      1,
-    ]);
+    expect([crashes, state.tries]).toEqual([[{ replica: "a", broken: [first, second] }], 1]);
   });
 
   it("reports no crash of a replica that only broke a connection, nor of one that was cut off", async () => {
--- a/src/coordination/crashes/crashMonitor.ts
+++ b/src/coordination/crashes/crashMonitor.ts
@@ -5,7 +5,6 @@
  * The network can refuse connections as well. A refusal proves a crash only if this router reaches other replicas:
  * otherwise routers that are cut off would have requests quarantined that other routers serve.
  */
-import type { ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import type { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaTable } from "../../state/forwarding/replicaTable.ts";
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
@@ -16,8 +15,8 @@
 import { pause } from "../clock.ts";
 import type { PathProbes } from "../replicaPaths/pathProbes.ts";
 import { connectionProbeTimeout } from "../forwarding/constants.ts";
-import type { BrokenRequest } from "./brokenRequests.ts";
-import { describeBroken, suspectsOf } from "./brokenRequests.ts";
+import type { BrokenRequest, OwnCrash } from "./brokenRequests.ts";
+import { describeBroken } from "./brokenRequests.ts";
 import { crashProbeDelay } from "./constants.ts";
 
 export interface CrashMonitorDependencies {
@@ -27,12 +26,18 @@
   readonly metrics: Metrics;
   readonly clock: Clock;
   /** Called again if more broken requests of the same replica are found later. */
-  readonly onCrash: (crash: ReplicaCrash) => void;
+  readonly onCrash: (crash: OwnCrash) => void;
 }
 
 export interface CrashMonitor {
   /** Records that the connection of a request in flight at a replica broke. */
   readonly noteBrokenConnection: (replica: ReplicaState, request: BrokenRequest) => void;
+  /**
+   * Records that the connection of a request ended in a way that a crash may have caused.
+   *
+   * @returns Whether the replica has crashed.
+   */
+  readonly checkAfterEnd: (replica: ReplicaState, request: BrokenRequest) => Promise<boolean>;
 }
 
 const writeLog = createLogger("replicas");
@@ -46,8 +51,11 @@
   clock,
   onCrash,
 }: CrashMonitorDependencies): CrashMonitor => {
-  /** By id of a replica that is being probed: its broken requests. */
-  const pending = new Map<string, BrokenRequest[]>();
+  /** By id of a replica that is being probed: its broken requests, and whether it has crashed. */
+  const pending = new Map<
+    string,
+    { readonly broken: BrokenRequest[]; readonly hasCrashed: Promise<boolean> }
+  >();
 
   /** A draining replica also ends its process, and breaks its connections on purpose. */
   const mayCrash = (replica: ReplicaState): boolean =>
@@ -64,26 +72,35 @@
     return false;
   };
 
-  const probe = async (replica: ReplicaState): Promise<void> => {
+  const probe = async (replica: ReplicaState, broken: readonly BrokenRequest[]): Promise<boolean> => {
     const { entry } = replica;
     await pause(clock, crashProbeDelay);
     const isCrash = await hasCrashed(replica);
-    const broken = pending.get(entry.id) ?? [];
     pending.delete(entry.id);
-    if (!isCrash || !mayCrash(replica)) return;
+    if (!isCrash || !mayCrash(replica)) return false;
     writeLog("crashed", { replica: entry.id, service: entry.service, ...describeBroken(broken) });
     metrics.count(metricNames.replicaCrashes, 1, { service: entry.service });
-    onCrash({ replica: entry.id, suspects: suspectsOf(broken) });
+    onCrash({ replica: entry.id, broken });
+    return true;
+  };
+
+  const checkAfterEnd = async (replica: ReplicaState, request: BrokenRequest): Promise<boolean> => {
+    if (!mayCrash(replica)) return false;
+    const known = pending.get(replica.entry.id);
+    if (known !== undefined) {
+      known.broken.push(request);
+      return known.hasCrashed;
+    }
+    const broken = [request];
+    const probing = probe(replica, broken);
+    pending.set(replica.entry.id, { broken, hasCrashed: probing });
+    return probing;
   };
 
   return {
     noteBrokenConnection: (replica, request) => {
-      if (!mayCrash(replica)) return;
-      const known = pending.get(replica.entry.id);
-      known?.push(request);
-      if (known !== undefined) return;
-      pending.set(replica.entry.id, [request]);
-      void probe(replica);
+      void checkAfterEnd(replica, request);
     },
+    checkAfterEnd,
   };
 };
--- a/src/coordination/crashes/crashUpdates.ts
+++ b/src/coordination/crashes/crashUpdates.ts
@@ -3,12 +3,15 @@
 import type { CrashMessage, ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import { decodeCrashMessage, encodeCrashMessage } from "../../protocol/forwarding/crashMessage.ts";
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
+import type { RequestTrait } from "../../protocol/forwarding/requestTrait.ts";
 import type { Clock } from "../clock.ts";
 import {
   answerAnnouncementDelays,
   crashBatchInterval,
   maxKnownMessages,
   maxFingerprintsPerMessage,
+  maxTraitsPerMessage,
+  queriedPeers,
   retransmissionDelay,
 } from "./constants.ts";
 
@@ -18,7 +21,7 @@
   /** @returns The other routers that may be serving, unreachable ones included. */
   readonly others: () => readonly { readonly at: DatagramAddress }[];
   /** Called once for each message: a duplicate must not report a crash again that an answer has cleared since. */
-  readonly onMessage: (message: CrashMessage) => void;
+  readonly onMessage: (message: CrashMessage, from: DatagramAddress) => void;
   /** @returns A number from 0 to 1. */
   readonly random: () => number;
 }
@@ -26,7 +29,11 @@
 export interface CrashUpdates extends AsyncDisposable {
   /** Announces a crash, in one message with others that follow shortly. */
   readonly announceCrash: (crash: ReplicaCrash) => void;
-  readonly announceQuarantined: (fingerprint: Fingerprint) => void;
+  readonly announceQuarantined: (trait: RequestTrait) => void;
+  /** Asks a few other routers for all that they have quarantined. */
+  readonly query: () => void;
+  /** Answers a query. */
+  readonly sendQuarantined: (to: DatagramAddress, traits: readonly RequestTrait[]) => void;
   /** Announces an answer after a short delay, unless another router does so first. */
   readonly announceAnswered: (fingerprint: Fingerprint) => void;
 }
@@ -35,9 +42,12 @@
 const firstNumberBound = 2 ** 48;
 
 /** @returns The items in chunks that fit into a datagram. */
-const splitIntoChunks = <T>(items: readonly T[]): readonly (readonly T[])[] =>
-  Array.from({ length: Math.ceil(items.length / maxFingerprintsPerMessage) }, (_, index) =>
-    items.slice(index * maxFingerprintsPerMessage, (index + 1) * maxFingerprintsPerMessage),
+const splitIntoChunks = <T>(
+  items: readonly T[],
+  size: number = maxFingerprintsPerMessage,
+): readonly (readonly T[])[] =>
+  Array.from({ length: Math.ceil(items.length / size) }, (_, index) =>
+    items.slice(index * size, (index + 1) * size),
   );
 
 /** @returns Crashes in batches that fit into a datagram; a crash with too many suspects is split. */
@@ -117,11 +127,11 @@
     return false;
   };
 
-  link.receive((datagram) => {
+  link.receive((datagram, from) => {
     const message = decodeCrashMessage(datagram);
     if (message === undefined || isDuplicate(message)) return;
     if (message.kind === "answered") message.fingerprints.forEach((each) => answered.delete(each));
-    onMessage(message);
+    onMessage(message, from);
   });
 
   return {
@@ -129,8 +139,19 @@
       if (crashes.length === 0) schedule(crashBatchInterval, sendCrashes);
       crashes.push(crash);
     },
-    announceQuarantined: (fingerprint) =>
-      send({ kind: "held", number: nextNumber(), fingerprints: [fingerprint] }),
+    announceQuarantined: (trait) => send({ kind: "held", number: nextNumber(), traits: [trait] }),
+    query: () => {
+      const datagram = encodeCrashMessage({ kind: "query", number: nextNumber() });
+      const peers = [...others()];
+      for (let count = 0; count < queriedPeers && peers.length > 0; count += 1) {
+        const [peer] = peers.splice(Math.floor(random() * peers.length), 1);
+        if (peer !== undefined) link.send(peer.at, datagram);
+      }
+    },
+    sendQuarantined: (to, traits) => {
+      for (const chunk of splitIntoChunks(traits, maxTraitsPerMessage))
+        link.send(to, encodeCrashMessage({ kind: "held", number: nextNumber(), traits: chunk }));
+    },
     announceAnswered: (fingerprint) => {
       const { shortest, longest } = answerAnnouncementDelays;
       if (answered.size === 0) schedule(shortest + random() * (longest - shortest), sendAnswered);
--- a/src/coordination/crashes/digestCheck.ts
+++ b/src/coordination/crashes/digestCheck.ts
@@ -11,8 +11,10 @@
   readonly random: () => number;
   /** @returns The digest of this router's quarantined requests. */
   readonly digest: () => number;
-  /** Applies all records that the store has. */
+  /** Applies all records that the store has; resolves with whether the store could be reached. */
   readonly read: () => Promise<boolean>;
+  /** Asks peers instead, where the store can't be reached. */
+  readonly queryPeers: () => void;
 }
 
 export interface DigestCheck {
@@ -21,7 +23,13 @@
 }
 
 /** Creates a check that has seen no difference. */
-export const createDigestCheck = ({ clock, random, digest, read }: DigestCheckDependencies): DigestCheck => {
+export const createDigestCheck = ({
+  clock,
+  random,
+  digest,
+  read,
+  queryPeers,
+}: DigestCheckDependencies): DigestCheck => {
   /** By digest of a peer that differs from this router's: the time since which it has been received. */
   const mismatches = new Map<number, number>();
   let mayReadAt = Number.NEGATIVE_INFINITY;
@@ -31,7 +39,7 @@
   const readNow = async (): Promise<void> => {
     isReading = true;
     const before = digest();
-    await read();
+    if (!(await read())) queryPeers();
     isReading = false;
     const isChanged = digest() !== before;
     delay = isChanged
--- a/src/coordination/crashes/engineCrashMonitor.ts
+++ b/src/coordination/crashes/engineCrashMonitor.ts
@@ -3,7 +3,6 @@
  * another incarnation. A crash is reported with the requests that were in flight there, since one of them may be the
  * cause.
  */
-import type { ReplicaCrash } from "../../protocol/forwarding/crashMessage.ts";
 import type { ModelEngine } from "../../protocol/ModelEngine.ts";
 import type { EngineReplica } from "../../state/engineDirectory.ts";
 import { metricNames } from "../../state/constants.ts";
@@ -12,15 +11,15 @@
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import { withTimeLimit } from "../timeLimit.ts";
-import type { BrokenRequest } from "./brokenRequests.ts";
-import { describeBroken, suspectsOf } from "./brokenRequests.ts";
+import type { BrokenRequest, OwnCrash } from "./brokenRequests.ts";
+import { describeBroken } from "./brokenRequests.ts";
 import { crashProbeDelay, incarnationReadRetryDelays, incarnationReadTimeout } from "./constants.ts";
 
 export interface EngineCrashMonitorDependencies {
   readonly connect: (engine: EngineReplica) => Pick<ModelEngine, "readLoad">;
   readonly metrics: Metrics;
   readonly clock: Clock;
-  readonly onCrash: (crash: ReplicaCrash) => void;
+  readonly onCrash: (crash: OwnCrash) => void;
 }
 
 export interface EngineCrashMonitor {
@@ -88,7 +87,7 @@
     if (!hasCrashed) return;
     writeLog("crashed", { engine: engine.id, incarnation, ...describeBroken(broken) });
     metrics.count(metricNames.replicaCrashes, 1, { service: engine.pool });
-    onCrash({ replica, suspects: suspectsOf(broken) });
+    onCrash({ replica, broken });
   };
 
   return {
--- a/src/coordination/crashes/quarantine.test.ts
+++ b/src/coordination/crashes/quarantine.test.ts
@@ -7,9 +7,9 @@
   crashBatchInterval,
   digestMismatchReadDelays,
   digestMismatchGrace,
-  crashThreshold,
+  crashThresholds,
   maxTrials,
-  quarantineDuration,
+  quarantineDurations,
   decisionDelay,
   trialDelays,
 } from "./constants.ts";
@@ -37,7 +37,7 @@
   bodies: readonly string[] = [deadly],
   begun: readonly string[] = [],
 ): Promise<void> => {
-  for (let crash = 0; crash < crashThreshold; crash += 1) {
+  for (let crash = 0; crash < crashThresholds.content; crash += 1) {
     routers.crash(crash % routers.routers.length, `replica-${crash}`, bodies, begun);
     await routers.advance(20);
   }
@@ -97,7 +97,7 @@
   it("is sent again after the quarantine duration", async () => {
     const routers = createQuarantineRouters(1);
     await crashThree(routers);
-    routers.clock.advanceTo(routers.clock.monotonic() + quarantineDuration);
+    routers.clock.advanceTo(routers.clock.monotonic() + quarantineDurations.content);
     await routers.advance(2_500);
     expect(routers.quarantinedAt(deadly)).toEqual([]);
     expect(routers.records.log.at(-1)?.value).toEqual(undefined);
@@ -110,7 +110,7 @@
     for (let crash = 0; crash < 20; crash += 1) {
       routers.crash(crash % 4, `replica-${crash}`, ["popular"]);
       await routers.advance(30);
-      if (crash % 2 === 1) routers.at((crash + 1) % 4).quarantine.noteAnswered(requestOf("popular"));
+      if (crash % 2 === 1) routers.at((crash + 1) % 4).quarantine.noteAnswered(requestOf("popular"), true);
       await routers.advance(30);
     }
     expect(routers.quarantinedAt("popular")).toEqual([]);
@@ -132,7 +132,7 @@
     expect(wait).toEqual(undefined);
     expect(routers.at(3).quarantine.isQuarantined(request)).toEqual(false);
     expect(routers.quarantinedAt("popular")).toEqual([1, 2, 3, 4]);
-    routers.at(3).quarantine.noteAnswered(request);
+    routers.at(3).quarantine.noteAnswered(request, true);
     await routers.advance(propagationTime);
     expect(routers.quarantinedAt("popular")).toEqual([]);
     routers.crash(0, "next", [deadly]);
@@ -154,7 +154,7 @@
 
   it("are both quarantined at their third crash if each crashes other replicas", async () => {
     const routers = createQuarantineRouters(3);
-    for (let crash = 0; crash < crashThreshold; crash += 1) {
+    for (let crash = 0; crash < crashThresholds.content; crash += 1) {
       routers.crash(0, `a-${crash}`, [deadly]);
       routers.crash(1, `b-${crash}`, ["deadly too"]);
     }
@@ -278,7 +278,7 @@
   it("read the store at a limited rate while a digest mismatch lasts", async () => {
     const routers = createQuarantineRouters(3);
     routers.records.cutOffPorts.add(1);
-    for (const replica of ["a", "b", "c"]) routers.at(0).quarantine.noteCrash({ replica, suspects: [] });
+    for (const replica of ["a", "b", "c"]) routers.at(0).quarantine.noteCrash({ replica, broken: [] });
     await routers.advance(digestMismatchGrace);
     const before = routers.records.reads;
     routers.at(1).quarantine.notePeerDigest(7);
@@ -314,7 +314,7 @@
       }
     }
     await routers.advance(10);
-    for (const { quarantine } of routers.routers) quarantine.noteAnswered(requestOf("popular"));
+    for (const { quarantine } of routers.routers) quarantine.noteAnswered(requestOf("popular"), true);
     await routers.advance(1_000);
     const each = (routers.network.sent - before) / 20 / 19;
     context.diagnostic(
@@ -352,7 +352,7 @@
     const routers = createQuarantineRouters(4);
     await crashThree(routers);
     await routers.advance(requiredKnownWithin);
-    routers.at(3).quarantine.noteAnswered(requestOf(deadly));
+    routers.at(3).quarantine.noteAnswered(requestOf(deadly), true);
     await routers.advance(requiredKnownWithin);
     expect(recordsOf(routers)).toEqual([]);
     for (const replica of ["d", "e", "f"]) {
@@ -375,7 +375,7 @@
     await crashThree(routers);
     await routers.advance(requiredKnownWithin);
     const length = routers.records.log.length;
-    routers.at(1).quarantine.noteAnswered(requestOf(deadly));
+    routers.at(1).quarantine.noteAnswered(requestOf(deadly), true);
     await routers.advance(requiredKnownWithin);
     expect(recordsOf(routers)).toEqual([]);
     routers.restoreStore(length);
--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -148,9 +148,9 @@
       const trial = randomBytes(trialIdBytes).toString("base64url");
       const isDone = await enqueue(async () => {
         await write(fingerprint);
-        if (!requests.isTrialDue(fingerprint)) return;
-        const { trials } = requests.get(fingerprint)?.record ?? { trials: 0 };
-        await feed.put(fingerprint, { trials: trials + 1, trial });
+        const known = requests.get(fingerprint);
+        if (known === undefined || !requests.isTrialDue(fingerprint)) return;
+        await feed.put(fingerprint, { ...known.record, trials: known.record.trials + 1, trial });
         // Of several trials recorded at once, the first one in the store's order counts.
         await readAll();
       });
--- a/src/coordination/crashes/recordsMaintenance.ts
+++ b/src/coordination/crashes/recordsMaintenance.ts
@@ -7,8 +7,9 @@
 import { pause } from "../clock.ts";
 import {
   firstReadTimeout,
+  peerAnswerTime,
   fallbackWriterDelay,
-  quarantineDuration,
+  recordsReadInterval,
   maintenanceInterval,
 } from "./constants.ts";
 import type { Quarantined, QuarantinedRequests } from "./quarantinedRequests.ts";
@@ -19,6 +20,8 @@
   readonly records: QuarantineRecords;
   readonly clock: Clock;
   readonly epochs: EpochSource;
+  /** Called where the store does not answer the first read in time. */
+  readonly queryPeers: () => void;
   /** Called for a request whose quarantine has lasted its full duration. */
   readonly onExpired: (fingerprint: Fingerprint) => void;
 }
@@ -38,10 +41,11 @@
 
 /** Starts to read and write records until it is disposed of. */
 export const startRecordsMaintenance = (dependencies: RecordsMaintenanceDependencies): RecordsMaintenance => {
-  const { requests, records, clock, epochs, onExpired } = dependencies;
+  const { requests, records, clock, epochs, queryPeers, onExpired } = dependencies;
   const stop = new AbortController();
   const dropping = new Set<Fingerprint>();
   let isReady = false;
+  let readAt = clock.monotonic();
   let epochSince = Number.NEGATIVE_INFINITY;
   epochs.subscribe(() => {
     epochSince = clock.monotonic();
@@ -60,8 +64,12 @@
 
   const maintain = async (): Promise<void> => {
     await dropAll();
+    if (clock.monotonic() - readAt > recordsReadInterval) {
+      readAt = clock.monotonic();
+      await records.read();
+    }
     for (const [fingerprint, known] of requests.entries()) {
-      if (clock.monotonic() - known.since > quarantineDuration) onExpired(fingerprint);
+      if (requests.hasExpired(fingerprint)) onExpired(fingerprint);
       else if (needsWrite(known)) await records.write(fingerprint);
     }
   };
@@ -79,7 +87,17 @@
   };
 
   const waitForFirst = async (): Promise<void> => {
-    await Promise.race([readFirst(), pause(clock, firstReadTimeout, stop.signal)]);
+    let hasRead = false;
+    const read = async (): Promise<void> => {
+      await readFirst();
+      hasRead = true;
+    };
+    const askPeers = async (): Promise<void> => {
+      await pause(clock, firstReadTimeout - peerAnswerTime, stop.signal);
+      if (!hasRead && !stop.signal.aborted) queryPeers();
+    };
+    void askPeers();
+    await Promise.race([read(), pause(clock, firstReadTimeout, stop.signal)]);
     isReady = true;
   };
   const ready = waitForFirst();
--- a/src/coordination/crashes/trials.ts
+++ b/src/coordination/crashes/trials.ts
@@ -1,4 +1,4 @@
-/** The few quarantined requests that may be sent all the same, to release those that were quarantined by chance. */
+/** The few requests with quarantined traits that may be sent all the same, to release those that were quarantined by chance. */
 import type { Fingerprint } from "../../protocol/forwarding/fingerprint.ts";
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
@@ -18,8 +18,11 @@
 export interface Trials<Request extends object> {
   /** @returns Whether a request is a trial under way. */
   readonly has: (request: Request) => boolean;
-  /** @returns Whether a request is the next trial of its fingerprint; the trial is recorded in the store then. */
-  readonly claim: (request: Request, fingerprint: Fingerprint) => Promise<boolean>;
+  /**
+   * @param fingerprints - The quarantined traits of the request.
+   * @returns Whether the request is the next trial of all of them; the trials are recorded in the store then.
+   */
+  readonly claim: (request: Request, fingerprints: readonly Fingerprint[]) => Promise<boolean>;
   /** Ends a trial: a trial that failed at one replica is not sent to another. */
   readonly end: (request: Request) => void;
 }
@@ -39,22 +42,33 @@
   const claimWithTimeout = (fingerprint: Fingerprint): Promise<boolean> =>
     Promise.race([records.claimTrial(fingerprint), pause(clock, claimTimeout).then(() => false)]);
 
+  const claimOne = async (request: Request, fingerprint: Fingerprint): Promise<boolean> => {
+    const known = requests.get(fingerprint);
+    if (known === undefined) return true;
+    claiming.add(fingerprint);
+    const isClaimed = await claimWithTimeout(fingerprint);
+    claiming.delete(fingerprint);
+    if (isClaimed) {
+      writeLog("trial", { held: fingerprint, request: idOf(request), trials: known.record.trials });
+      return true;
+    }
+    known.trialFrom = Math.max(known.trialFrom, clock.monotonic() + claimRetryDelay);
+    return false;
+  };
+
+  const mayClaim = (fingerprint: Fingerprint): boolean =>
+    !claiming.has(fingerprint) && requests.isTrialDue(fingerprint);
+
   return {
     has: (request) => underWay.has(request),
     end: (request) => {
       underWay.delete(request);
     },
-    claim: async (request, fingerprint) => {
-      const known = requests.get(fingerprint);
-      if (known === undefined || claiming.has(fingerprint) || !requests.isTrialDue(fingerprint)) return false;
-      claiming.add(fingerprint);
-      const isClaimed = await claimWithTimeout(fingerprint);
-      claiming.delete(fingerprint);
-      if (!isClaimed) {
-        known.trialFrom = Math.max(known.trialFrom, clock.monotonic() + claimRetryDelay);
-        return false;
+    claim: async (request, fingerprints) => {
+      if (fingerprints.length === 0 || !fingerprints.every(mayClaim)) return false;
+      for (const fingerprint of fingerprints) {
+        if (!(await claimOne(request, fingerprint))) return false;
       }
-      writeLog("trial", { held: fingerprint, request: idOf(request), trials: known.record.trials });
       underWay.add(request);
       return true;
     },
--- a/src/coordination/estimates/promptsComputed.test.ts
+++ b/src/coordination/estimates/promptsComputed.test.ts
@@ -49,7 +49,7 @@
     holders: { notePrompt: () => [] },
     reports: { noteRequestSent: nothing, noteWorkChanged: nothing },
     health: { noteSuccess: nothing, noteFailure: nothing, noteBrokenConnection: nothing },
-    crashes: { noteBrokenConnection: nothing },
+    crashes: { noteBrokenConnection: nothing, checkAfterEnd: () => Promise.resolve(false) },
     quarantine: { noteAnswered: nothing },
     announcesSaves: () => false,
     organisationKey: () => 0,
--- a/src/coordination/requests/completionRun.ts
+++ b/src/coordination/requests/completionRun.ts
@@ -149,7 +149,7 @@
       }
     }
     dependencies.retryBudget.deposit(job.context.requestClass);
-    dependencies.quarantine.noteAnswered(job);
+    dependencies.quarantine.noteAnswered(job, true);
   } finally {
     detachStopper();
     await settleClaim(state);
--- a/src/daemons/completionQuarantine.ts
+++ b/src/daemons/completionQuarantine.ts
@@ -9,7 +9,7 @@
 import { LogRecordFeed } from "../coordination/crashes/LogRecordFeed.ts";
 import type { Quarantine } from "../coordination/crashes/quarantine.ts";
 import { createQuarantineFor } from "../coordination/crashes/quarantine.ts";
-import { fingerprintOfJob } from "../coordination/requests/fingerprint.ts";
+import { sharedTraitsOfJob, traitsOfJob } from "../coordination/requests/fingerprint.ts";
 import type { CompletionJob } from "../coordination/requests/types.ts";
 import { logStreams } from "../protocol/constants.ts";
 import { noEpochChanges } from "../protocol/storeEpoch.ts";
@@ -57,7 +57,11 @@
         others: () => [allRouters],
         random: Math.random,
       },
-      { fingerprintOf: fingerprintOfJob, idOf: ({ context }) => context.requestId },
+      {
+        traitsOf: traitsOfJob,
+        sharedTraitsOf: sharedTraitsOfJob,
+        idOf: ({ context }) => context.requestId,
+      },
     ),
   );
   const crashes = createEngineCrashMonitor({ connect, metrics, clock, onCrash: quarantine.noteCrash });
--- a/src/protocol/forwarding/crashMessage.test.ts
+++ b/src/protocol/forwarding/crashMessage.test.ts
@@ -2,11 +2,17 @@
 import { expect } from "earl";
 import fc from "fast-check";
 import type { CrashMessage } from "./crashMessage.ts";
+import { traitKinds } from "./requestTrait.ts";
 import { decodeCrashMessage, encodeCrashMessage } from "./crashMessage.ts";
 
 const number = fc.nat({ max: Number.MAX_SAFE_INTEGER });
 const text = fc.string({ maxLength: 40 });
-const suspect = fc.record({ fingerprint: text, hasBegun: fc.boolean() }, { noNullPrototype: true });
+const kind = fc.constantFrom(...traitKinds);
+const suspect = fc.record(
+  { kind, fingerprint: text, hasBegun: fc.boolean(), isProven: fc.boolean() },
+  { noNullPrototype: true },
+);
+const trait = fc.record({ kind, name: text, fingerprint: text }, { noNullPrototype: true });
 
 const crash = fc.record({ replica: text, suspects: fc.array(suspect) }, { noNullPrototype: true });
 
@@ -16,9 +22,14 @@
     { noNullPrototype: true },
   ),
   fc.record(
-    { kind: fc.constantFrom("held" as const, "answered" as const), number, fingerprints: fc.array(text) },
+    { kind: fc.constant("held" as const), number, traits: fc.array(trait) },
+    { noNullPrototype: true },
+  ),
+  fc.record(
+    { kind: fc.constant("answered" as const), number, fingerprints: fc.array(text) },
     { noNullPrototype: true },
   ),
+  fc.record({ kind: fc.constant("query" as const), number }, { noNullPrototype: true }),
 );
 
 describe("crashMessage", () => {
@@ -38,7 +49,7 @@
     fc.assert(
       fc.property(
         fc.uint8Array({ maxLength: 200 }),
-        fc.constantFrom(0x51, 0x52, 0x53),
+        fc.constantFrom(0x53, 0x54, 0x55, 0x56),
         (bytes, messageType) => {
           decodeCrashMessage(Buffer.from([messageType, ...bytes]));
         },
--- a/src/protocol/forwarding/crashMessage.ts
+++ b/src/protocol/forwarding/crashMessage.ts
@@ -4,24 +4,29 @@
 import type { ByteWriter } from "./byteWriter.ts";
 import { createByteWriter } from "./byteWriter.ts";
 import type { Fingerprint } from "./fingerprint.ts";
+import type { RequestTrait, TraitKind } from "./requestTrait.ts";
+import { traitKinds } from "./requestTrait.ts";
 
 interface NumberedMessage {
   /** Identifies the message among those of all routers; a repeated message keeps its number. */
   readonly number: number;
 }
 
-/** A request that was in flight at a replica when it crashed. */
+/** A trait of requests that were in flight at a replica when it crashed. */
 export interface Suspect {
+  readonly kind: TraitKind;
   readonly fingerprint: Fingerprint;
-  /** Whether part of its response had arrived. Such a request is less suspect: most crashes happen at the start. */
+  /** Whether part of a response had arrived. Such a request is less suspect: most crashes happen at the start. */
   readonly hasBegun: boolean;
+  /** Whether a request with this trait was answered completely not long before. */
+  readonly isProven: boolean;
 }
 
 /** The crash of a replica's process. */
 export interface ReplicaCrash {
   /** The id of the replica's incarnation. */
   readonly replica: string;
-  /** The requests in flight at the time. */
+  /** The traits of the requests in flight at the time. */
   readonly suspects: readonly Suspect[];
 }
 
@@ -31,26 +36,50 @@
   readonly crashes: readonly ReplicaCrash[];
 }
 
-/**
- * Announces requests that are quarantined from now on (`held`), or that a replica has answered completely and that are
- * therefore released (`answered`).
- */
-export interface QuarantineUpdates extends NumberedMessage {
-  readonly kind: "held" | "answered";
+/** Announces traits whose requests are quarantined from now on. */
+export interface QuarantinedUpdates extends NumberedMessage {
+  readonly kind: "held";
+  readonly traits: readonly RequestTrait[];
+}
+
+/** Announces traits that a replica has answered completely, so that they are released. */
+export interface AnsweredUpdates extends NumberedMessage {
+  readonly kind: "answered";
   readonly fingerprints: readonly Fingerprint[];
 }
 
-export type CrashMessage = CrashUpdates | QuarantineUpdates;
+/** Asks the receiver for all that it has quarantined; it answers with `held`. */
+export interface QuarantineQuery extends NumberedMessage {
+  readonly kind: "query";
+}
+
+export type CrashMessage = CrashUpdates | QuarantinedUpdates | AnsweredUpdates | QuarantineQuery;
 
 /** The first byte of each datagram, which distinguishes it from the other datagrams between routers. */
-const messageTypes = { crash: 0x51, held: 0x52, answered: 0x53 } as const;
+const messageTypes = { crash: 0x54, held: 0x55, answered: 0x53, query: 0x56 } as const;
+
+const kindsByType = new Map(
+  (Object.keys(messageTypes) as CrashMessage["kind"][]).map((kind) => [messageTypes[kind] as number, kind]),
+);
+
+/** Bits of the byte that describes a suspect; the bits above them hold the kind of the trait. */
+const suspectBits = { hasBegun: 1, isProven: 2, kindShift: 2 } as const;
+
+const writeSuspect = (writer: ByteWriter, { kind, fingerprint, hasBegun, isProven }: Suspect): void => {
+  writer.shortText(fingerprint);
+  const flags = (hasBegun ? suspectBits.hasBegun : 0) | (isProven ? suspectBits.isProven : 0);
+  writer.uint8(flags | (traitKinds.indexOf(kind) << suspectBits.kindShift));
+};
 
 const writeCrash = (writer: ByteWriter, { replica, suspects }: ReplicaCrash): void => {
   writer.shortText(replica);
-  writer.list(suspects, ({ fingerprint, hasBegun }) => {
-    writer.shortText(fingerprint);
-    writer.uint8(hasBegun ? 1 : 0);
-  });
+  writer.list(suspects, (suspect) => writeSuspect(writer, suspect));
+};
+
+const writeTrait = (writer: ByteWriter, { kind, name, fingerprint }: RequestTrait): void => {
+  writer.uint8(traitKinds.indexOf(kind));
+  writer.shortText(name);
+  writer.shortText(fingerprint);
 };
 
 /** Encodes a crash message as a datagram. */
@@ -59,36 +88,57 @@
   writer.uint8(messageTypes[message.kind]);
   writer.varint(message.number);
   if (message.kind === "crash") writer.list(message.crashes, (crash) => writeCrash(writer, crash));
-  else writer.list(message.fingerprints, writer.shortText);
+  else if (message.kind === "held") writer.list(message.traits, (trait) => writeTrait(writer, trait));
+  else if (message.kind === "answered") writer.list(message.fingerprints, writer.shortText);
   return writer.finish();
 };
 
+/** @throws `RangeError` for a kind of a later version. */
+const kindAt = (index: number): TraitKind => {
+  const kind = traitKinds[index];
+  if (kind === undefined) throw new RangeError(`unknown kind of trait ${index}`);
+  return kind;
+};
+
+const readSuspect = (reader: ByteReader): Suspect => {
+  const fingerprint = reader.shortText();
+  const flags = reader.uint8();
+  return {
+    kind: kindAt(flags >> suspectBits.kindShift),
+    fingerprint,
+    hasBegun: (flags & suspectBits.hasBegun) !== 0,
+    isProven: (flags & suspectBits.isProven) !== 0,
+  };
+};
+
 /** The fields are evaluated in source order, which must be the order of the bytes. */
 const readCrash = (reader: ByteReader): ReplicaCrash => ({
   replica: reader.shortText(),
-  suspects: reader.list(() => ({ fingerprint: reader.shortText(), hasBegun: reader.uint8() === 1 })),
+  suspects: reader.list(() => readSuspect(reader)),
+});
+
+const readTrait = (reader: ByteReader): RequestTrait => ({
+  kind: kindAt(reader.uint8()),
+  name: reader.shortText(),
+  fingerprint: reader.shortText(),
 });
 
-const readMessage = (reader: ByteReader, messageType: number): CrashMessage => {
+const readMessage = (reader: ByteReader, kind: CrashMessage["kind"]): CrashMessage => {
   const number = reader.varint();
-  if (messageType === messageTypes.crash)
-    return { kind: "crash", number, crashes: reader.list(() => readCrash(reader)) };
-  const kind = messageType === messageTypes.held ? "held" : "answered";
-  return { kind, number, fingerprints: reader.list(reader.shortText) };
+  if (kind === "crash") return { kind, number, crashes: reader.list(() => readCrash(reader)) };
+  if (kind === "held") return { kind, number, traits: reader.list(() => readTrait(reader)) };
+  if (kind === "answered") return { kind, number, fingerprints: reader.list(reader.shortText) };
+  return { kind, number };
 };
 
 /** @returns The decoded message, or `undefined` if the datagram is not a crash message. */
 export const decodeCrashMessage = (datagram: Buffer): CrashMessage | undefined => {
-  const messageType = datagram[0];
-  if (
-    messageType !== messageTypes.crash &&
-    messageType !== messageTypes.held &&
-    messageType !== messageTypes.answered
-  )
-    return undefined;
+  const kind = kindsByType.get(datagram[0] ?? 0);
+  if (kind === undefined) return undefined;
   const reader = createByteReader(datagram);
   try {
-    const message = readMessage(reader, reader.uint8());
+    reader.uint8();
+    const message = readMessage(reader, kind);
     return reader.isAtEnd() ? message : undefined;
   } catch (error) {
     // Truncated, or not from a router: dropped without a reply, since messages are repeated.
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -3,6 +3,7 @@
  * responses themselves. Durations are in milliseconds.
  */
 
+import type { TraitKind } from "./requestTrait.ts";
 import type { StorePosition } from "../StorePosition.ts";
 
 /**
@@ -179,8 +180,11 @@
   readonly isBootstrapped: boolean;
 }
 
-/** A quarantined request: it is sent to no replica, since it crashes those that run it. */
+/** A quarantined trait: requests that have it are sent to no replica, since it crashes those that run them. */
 export interface QuarantineRecord {
+  readonly kind: TraitKind;
+  /** See `RequestTrait`. */
+  readonly name: string;
   /** The number of trials since it was quarantined. */
   readonly trials: number;
   /** The id of the newest trial; empty before the first one. */
--- a/tests/support/quarantineRouters.ts
+++ b/tests/support/quarantineRouters.ts
@@ -1,10 +1,11 @@
 /** Routers that quarantine requests together, on the clock of a test. Datagrams and the store's records are in memory. */
 import { setImmediate as nextLoopTurn } from "node:timers/promises";
+import type { BrokenRequest } from "../../src/coordination/crashes/brokenRequests.ts";
+import { traitsOfRequest } from "../../src/coordination/crashes/requestTraits.ts";
 import { createQuarantine } from "../../src/coordination/crashes/quarantine.ts";
 import type { Quarantine } from "../../src/coordination/crashes/quarantine.ts";
 import { createManualClock } from "../../src/coordination/manualClock.ts";
 import { platformError } from "../../src/protocol/errors.ts";
-import { fingerprintOf } from "../../src/protocol/forwarding/fingerprint.ts";
 import { RecordFeed } from "../../src/protocol/forwarding/RecordFeed.ts";
 import type {
   CallerRequest,
@@ -102,8 +103,8 @@
   lastEventId: undefined,
 });
 
-const suspectOf = (body: string, hasBegun: boolean) => ({
-  fingerprint: fingerprintOf(requestOf(body)),
+const brokenOf = (body: string, hasBegun: boolean): BrokenRequest => ({
+  traits: traitsOfRequest(requestOf(body)),
   hasBegun,
 });
 
@@ -206,8 +207,8 @@
       bodies: readonly string[],
       begun: readonly string[] = [],
     ): void => {
-      const suspects = bodies.map((body) => suspectOf(body, begun.includes(body)));
-      at(index).quarantine.noteCrash({ replica, suspects });
+      const broken = bodies.map((body) => brokenOf(body, begun.includes(body)));
+      at(index).quarantine.noteCrash({ replica, broken });
     },
     /** @returns Ports of the routers that quarantine a request. */
     quarantinedAt: (body: string): readonly number[] =>
