Release bystanders at every router, and forget the crashes of a lapsed quarantine

Cause: a router that was told of the cause before it decided by itself kept the bystander quarantined; after a model's quarantine had lapsed, the same crashes quarantined the next broad trait at once. Change: what a new quarantine explains is released wherever it is added; with a lapsed quarantine its crashes are forgotten for all traits.

--- a/src/coordination/crashes/crashEvidence.ts
+++ b/src/coordination/crashes/crashEvidence.ts
@@ -34,6 +34,8 @@
   readonly hasUnexplained: (fingerprint: Fingerprint) => boolean;
   /** Forgets a trait, for example once it has been answered. */
   readonly clear: (fingerprint: Fingerprint) => void;
+  /** Forgets the crashes with a trait in flight, also for all other traits that were in flight there. */
+  readonly forgetCrashes: (fingerprint: Fingerprint) => void;
   /** @returns The likeliest cause that is not quarantined yet; `undefined` if there is none. */
   readonly likeliestCause: () => Fingerprint | undefined;
   /**
@@ -108,6 +110,15 @@
     own.delete(fingerprint);
   };
 
+  const forgetCrash = (replica: string): void => {
+    for (const fingerprint of byReplica.get(replica) ?? []) {
+      const record = records.get(fingerprint);
+      record?.crashes.delete(replica);
+      if (record?.crashes.size === 0) clear(fingerprint);
+    }
+    byReplica.delete(replica);
+  };
+
   const dropOldest = (): void => {
     const oldest = records.keys().next();
     if (records.size > maxSuspects && oldest.done !== true) clear(oldest.value);
@@ -162,6 +173,8 @@
     crashesOf,
     hasUnexplained,
     clear,
+    forgetCrashes: (fingerprint) =>
+      [...(records.get(fingerprint)?.crashes.keys() ?? [])].forEach(forgetCrash),
     likeliestCause: () => {
       let likeliest: { readonly fingerprint: Fingerprint; readonly rank: readonly number[] } | undefined;
       for (const [fingerprint, record] of records) {
--- a/src/coordination/crashes/quarantine.ts
+++ b/src/coordination/crashes/quarantine.ts
@@ -163,13 +163,6 @@
   const knownTraits = createBoundedMap<RequestTrait>(maxSuspects);
   let cancelDecision: (() => void) | undefined;
 
-  const add = (trait: RequestTrait, why: QuarantineReason): void => {
-    const { fingerprint, kind, name } = trait;
-    if (!quarantined.add(trait, evidence.isOwn(fingerprint))) return;
-    maintenance.cancelDrop(fingerprint);
-    writeLog("held", { held: fingerprint, kind, name, crashes: evidence.crashesOf(fingerprint), why });
-  };
-
   /** Releases traits that were quarantined since they were in flight beside the cause. */
   const releaseExplained = (cause: Fingerprint): void => {
     for (const fingerprint of evidence.explainedBy(cause)) {
@@ -179,16 +172,22 @@
     }
   };
 
+  const add = (trait: RequestTrait, why: QuarantineReason): void => {
+    const { fingerprint, kind, name } = trait;
+    if (!quarantined.add(trait, evidence.isOwn(fingerprint))) return;
+    maintenance.cancelDrop(fingerprint);
+    writeLog("held", { held: fingerprint, kind, name, crashes: evidence.crashesOf(fingerprint), why });
+    releaseExplained(fingerprint);
+  };
+
   /** Only routers that had the trait in flight know its name; it is decided, announced and recorded by them. */
   const decide = (): void => {
     cancelDecision = undefined;
     for (let cause = evidence.likeliestCause(); cause !== undefined; cause = evidence.likeliestCause()) {
       const trait = knownTraits.get(cause) ?? { fingerprint: cause, kind: evidence.kindOf(cause), name: "" };
-      const isOwn = evidence.isOwn(cause);
       add(trait, "crashes");
-      releaseExplained(cause);
       // If each of 195 routers announced and recorded it, one cause would cost 75,000 messages.
-      if (!isOwn) continue;
+      if (!evidence.isOwn(cause)) continue;
       updates.announceQuarantined(trait);
       void records.write(cause);
     }
@@ -199,7 +198,8 @@
   };
 
   const release = (fingerprint: Fingerprint, why: ReleaseReason): void => {
-    evidence.clear(fingerprint);
+    if (why === "lapsed") evidence.forgetCrashes(fingerprint);
+    else evidence.clear(fingerprint);
     if (!quarantined.has(fingerprint)) return;
     quarantined.remove(fingerprint);
     writeLog("released", { held: fingerprint, why });
