Compare ways to find the crashing part, and count crashes 50 ms apart as separate

Change: the bench attribution plays drawn histories (6 routers: one cause, a part that always comes with it, two causes, most replicas down, replicas killed at once) with a threshold for each part, a likelihood, and the product's evidence; simultaneousCrashes is 50 ms.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,6 @@
 /** `npm run bench -- NAME [--json] [--seeds 1,2,3] [--quick] [--write] [--only A,B]`: runs one bench. */
 import { admissionBench } from "./admission/admission.ts";
+import { attributionBench } from "./attribution/attribution.ts";
 import { claimsBench } from "./claims/claims.ts";
 import { membershipBench } from "./membership.ts";
 import { ownersBench } from "./owners/owners.ts";
@@ -32,6 +33,7 @@
   storeEpochsBench,
   registryBench,
   storeCallsBench,
+  attributionBench,
 ];
 
 const list = (): string =>
--- a/src/coordination/crashes/constants.ts
+++ b/src/coordination/crashes/constants.ts
@@ -30,7 +30,7 @@
 export const provenThresholdIncrease = 3;
 
 /** Crashes within this time count as one for traits that requests share, milliseconds. */
-export const simultaneousCrashes = 100;
+export const simultaneousCrashes = 50;
 
 /** How long an answer makes a trait less suspect. */
 export const recentAnswerDuration = 60_000;
