Play crashing prompt parts, a herd of connections and endless answers in the soak

Cause: the soak had no requests that crash replicas, no rush of new connections to one router and no answers without end.

--- a/soak/platform/callers.ts
+++ b/soak/platform/callers.ts
@@ -11,6 +11,7 @@
   keys,
   defaultPromptHeaders,
 } from "../../standIns/platform/platformSystem.ts";
+import { deadlyParts } from "../../tests/support/crashingReplicas.ts";
 import { paddingHeader } from "../../standIns/platform/replica.ts";
 import { routerHeader } from "../../tests/support/limitedReplicas.ts";
 import type { RouterSlot } from "./soakSystem.ts";
@@ -49,6 +50,10 @@
   /** Milliseconds. */
   readonly betweenRequests: number;
   readonly fields: Partial<PlannedRequest>;
+  /** Shared parts of the prompts, whose last part is each request's own. */
+  readonly sharedParts?: readonly string[];
+  /** Opens a connection for each request, all to one router. */
+  readonly isHerd?: boolean;
 }
 
 const loads = {
@@ -74,6 +79,13 @@
     betweenRequests: times.betweenRequests,
     fields: { padding: 1_000_000, reading: "slow" },
   },
+  crashingParts: {
+    callers: 2,
+    betweenRequests: 100,
+    fields: {},
+    sharedParts: ["5c1e07a2", deadlyParts[0]],
+  },
+  connectionHerd: { callers: 24, betweenRequests: 20, fields: {}, isHerd: true },
 } as const satisfies Readonly<Record<string, LoadSettings>>;
 
 /** A kind of additional load. */
@@ -108,6 +120,15 @@
   ...(padding === 0 ? {} : { [paddingHeader]: String(padding) }),
 });
 
+/** @returns The headers of a prompt whose last part belongs to the request alone. */
+const createOwnPrompt = (sharedParts: readonly string[], id: string) => {
+  const own = Buffer.from(id).toString("hex").slice(-8);
+  return createPromptHeaders(
+    [...sharedParts, own].map((part) => ({ id: part, tokens: 200 })),
+    80,
+  );
+};
+
 /** Sends one request. @returns Its outcome; status 0 if there was no answer. */
 export const sendPlanned = (
   agent: Agent,
@@ -254,13 +275,13 @@
   const running = Promise.all(Array.from({ length: callerCount }, runCaller));
 
   const runLoad: SoakCallers["runLoad"] = async (kind, duration) => {
-    const { callers, betweenRequests, fields }: LoadSettings = loads[kind];
+    const { callers, betweenRequests, fields, sharedParts, isHerd = false }: LoadSettings = loads[kind];
     const endsAt = performance.now() + duration;
     const runOne = async (index: number): Promise<void> => {
-      const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+      const agent = new Agent({ keepAlive: !isHerd, maxSockets: 1 });
       while (performance.now() < endsAt) {
         const ready = readiness.inRotation();
-        const slot = ready[random.index(ready.length)];
+        const slot = isHerd ? ready[0] : ready[random.index(ready.length)];
         const name = random.uniform() < 0.5 ? "ask" : "tag";
         const usual = { ...createRequest(), key: keys.known, organisation: "one", disconnects: false };
         const stops = fields.reading === "slow" && index < callers * slowReading.stopShare;
@@ -268,6 +289,7 @@
           ...usual,
           name,
           ...fields,
+          ...(sharedParts === undefined ? {} : { prompt: createOwnPrompt(sharedParts, usual.id) }),
           ...(stops ? { reading: "stopped" } : {}),
         };
         if (slot !== undefined) await sendNext(agent, slot, planned);
--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -4,6 +4,7 @@
 import { routerHeader } from "../../tests/support/limitedReplicas.ts";
 import { floodingOrganisation } from "./callers.ts";
 import type { Violation } from "../types.ts";
+import { findCrashingPartOverruns } from "./crashingPartCheck.ts";
 import { findRetryBudgetOverruns } from "./retryBudgetCheck.ts";
 import type { CallerRecord, SoakHistory, ReplicaRecord, RequestName, StepRecord } from "./types.ts";
 
@@ -413,6 +414,7 @@
   ...findRequestsAfterDrainingReport(history),
   ...findRequestsInBackoff(history),
   ...findRetryBudgetOverruns(history),
+  ...findCrashingPartOverruns(history),
   ...history.replicas.flatMap(({ id, orders }) => findOrderConflicts(id, orders)),
   ...findOutdatedWeights(history),
   ...findSharedCacheSalts(history),
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -5,6 +5,7 @@
 import { drainingReport, keys } from "../../standIns/platform/platformSystem.ts";
 import { partitionModes } from "../../standIns/platform/routerNetwork.ts";
 import { frequentFailures } from "../../tests/support/retryWindows.ts";
+import { firstReplicaStart } from "./constants.ts";
 import type { SoakCallers } from "./callers.ts";
 import { floodingOrganisation } from "./callers.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
@@ -44,8 +45,7 @@
 const maxStoreOutage = 600;
 const republishDelay = 200;
 
-/** Start time of a replica's first process, time between two starts, and step of its clock, milliseconds. */
-const firstReplicaStart = 1_700_000_000_000;
+/** Time between two starts of a replica, and step of its clock, milliseconds. */
 const replicaUptime = 1_000;
 const replicaClockStep = 5_000;
 
@@ -66,6 +66,9 @@
   "well",
 ];
 
+/** More requests than a replica gets in one step. */
+const maxEndlessAnswers = 1_000;
+
 /** More streams than an engine gets in one step. */
 const maxBrokenStreams = 1_000;
 
@@ -116,6 +119,15 @@
   slot?.replica.setBehaviours();
 };
 
+const answerEndlessly = async (slot: ReplicaSlot | undefined, duration: number): Promise<void> => {
+  if (slot?.isReporting === true) return;
+  slot?.replica.setBehaviours(
+    ...Array.from({ length: maxEndlessAnswers }, (_, index) => (index % 2 === 0 ? "endless" : "well")),
+  );
+  await sleep(duration);
+  if (slot?.isReporting === false) slot.replica.setBehaviours();
+};
+
 /** The replicas of one service fail; which one is decided by the target. */
 const failOften = async (slots: readonly ReplicaSlot[], target: number, duration: number): Promise<void> => {
   const service = target < 0.5 ? "desk" : "engines";
@@ -397,6 +409,9 @@
         duration,
       ),
     replicasFailOften: ({ target, duration }) => failOften(system.replicas, target, duration),
+    crashingParts: ({ duration }) => runLoad("crashingParts", duration),
+    connectionHerd: ({ duration }) => runLoad("connectionHerd", duration),
+    answersDoNotEnd: ({ target, duration }) => answerEndlessly(pickReplica(target), duration),
     takeKey,
     nameWeights,
     organisationFloods: ({ duration }) => runLoad("organisationFloods", duration),
--- a/soak/platform/loopbackProxy.ts
+++ b/soak/platform/loopbackProxy.ts
@@ -9,11 +9,12 @@
  * - `pass`: none.
  * - `delay`: every chunk is delayed, in both directions.
  * - `reset`: open connections are reset, and so are new ones.
+ * - `refuse`: open connections are reset, and the port is closed.
  * - `silent`: new connections are accepted, but no connection passes data until the mode changes.
  * - `oneWay`: data from the target is withheld until the mode changes.
  * - `mute`: open connections never pass data again, new ones work.
  */
-export type ProxyMode = "pass" | "delay" | "reset" | "silent" | "oneWay" | "mute";
+export type ProxyMode = "pass" | "delay" | "reset" | "refuse" | "silent" | "oneWay" | "mute";
 
 /** A running proxy. */
 export interface LoopbackProxy extends AsyncDisposable {
@@ -69,7 +70,7 @@
   };
 
   const server = createServer({ allowHalfOpen: true }, (near) => {
-    if (mode === "reset") {
+    if (mode === "reset" || mode === "refuse") {
       near.resetAndDestroy();
       return;
     }
@@ -82,13 +83,22 @@
   server.listen(0, "127.0.0.1");
   await once(server, "listening");
 
+  const { port: ownPort } = server.address() as AddressInfo;
+  const setListening = (isListening: boolean): void => {
+    if (isListening === server.listening) return;
+    if (isListening) server.listen(ownPort, "127.0.0.1");
+    else server.close();
+  };
+
   return {
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `127.0.0.1:${ownPort}`,
     setMode: (wanted) => {
       mode = wanted;
+      setListening(mode !== "refuse");
+      const isReset = mode === "reset" || mode === "refuse";
       for (const pair of pairs) {
-        if (mode === "reset") pair.near.resetAndDestroy();
-        if (mode === "reset") pair.far.resetAndDestroy();
+        if (isReset) pair.near.resetAndDestroy();
+        if (isReset) pair.far.resetAndDestroy();
         if (mode === "mute") pair.isMuted = true;
       }
     },
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --streams --partitions --moves --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --streams --partitions --moves --crashes --suspend --shrink --logs DIR]`:
  * runs routers as processes with the platform's stand-in, under the faults of a seeded plan. Exit code 1 if an
  * invariant was violated; the plan and the routers' logs of such a run are written to the directory of `--logs`.
  */
@@ -31,6 +31,7 @@
     streams: { type: "boolean", default: false },
     partitions: { type: "boolean", default: false },
     moves: { type: "boolean", default: false },
+    crashes: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -50,7 +51,16 @@
 const firstSeed = Number(values.seed ?? Date.now() % 1_000_000);
 
 /** Of several, the last one decides on the kinds of steps. */
-const optionalTopics = ["reports", "returns", "registry", "load", "streams", "partitions", "moves"] as const;
+const optionalTopics = [
+  "reports",
+  "returns",
+  "registry",
+  "load",
+  "streams",
+  "partitions",
+  "moves",
+  "crashes",
+] as const;
 
 const createSeedPlan = (seed: number): readonly Step[] => {
   const topic = optionalTopics.findLast((each) => values[each]) ?? "default";
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -72,6 +72,15 @@
 /** All kinds, and callers that move between routers while replicas fail most requests. Half of the steps. */
 const moveStepKinds = [...registryStepKinds, ...asMany("callersMove", "replicasFailOften")] as const;
 
+/**
+ * All kinds, and requests with a prompt part that crashes engines, callers whose connections mostly go to one router, and
+ * replicas whose answers do not end. Half of the steps.
+ */
+const crashStepKinds = [
+  ...registryStepKinds,
+  ...asMany("crashingParts", "connectionHerd", "answersDoNotEnd"),
+] as const;
+
 /** The kinds of steps, by what a run is about. */
 export const stepKinds = {
   default: defaultStepKinds,
@@ -82,6 +91,7 @@
   streams: streamStepKinds,
   partitions: partitionStepKinds,
   moves: moveStepKinds,
+  crashes: crashStepKinds,
 } as const;
 
 export type StepTopic = keyof typeof stepKinds;
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -58,6 +58,12 @@
     cause: "callers that move while retries are pressed to their budget",
     topic: "moves",
   },
+  {
+    seed: 82,
+    seconds: 12,
+    cause: "prompt parts that crash engines, a herd of connections, and answers without end",
+    topic: "crashes",
+  },
 ];
 
 describe("router processes under injected faults", () => {
--- a/soak/platform/soakSystem.ts
+++ b/soak/platform/soakSystem.ts
@@ -9,7 +9,7 @@
 import type { PartitionFile } from "../../standIns/platform/partitionedProcess.ts";
 import { partitionFileVariable } from "../../standIns/platform/partitionedProcess.ts";
 import type { PartitionMode } from "../../standIns/platform/routerNetwork.ts";
-import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import type { ExecutedRequest, ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { StoreStandIn } from "../../standIns/platform/store.ts";
 import { startStoreStandIn } from "../../standIns/platform/store.ts";
@@ -23,6 +23,8 @@
 } from "../../standIns/platform/platformSystem.ts";
 import type { StartedProcess } from "../../standIns/startProcess.ts";
 import { startProcess } from "../../standIns/startProcess.ts";
+import { firstReplicaStart } from "./constants.ts";
+import { hasDeadlyPart } from "../../tests/support/crashingReplicas.ts";
 import { eventsPerStream } from "./checks.ts";
 import type { LoopbackProxy } from "./loopbackProxy.ts";
 import { startLoopbackProxy } from "./loopbackProxy.ts";
@@ -73,6 +75,8 @@
   bornAt: number | undefined;
   /** True while its answers report draining or ask for backoff. */
   isReporting: boolean;
+  /** True from a crash until it is back. */
+  isCrashed: boolean;
 }
 
 /** A running system. */
@@ -183,23 +187,55 @@
     renameSync(`${file}.new`, file);
   };
 
+/** Time from a crash until the replica is back, milliseconds. */
+const crashTime = 700;
+
+/** A crash resets the connections and closes the port; the replica comes back as a new incarnation. */
+const crashAndRestart = async (slot: ReplicaSlot, register: SoakSystem["register"]): Promise<void> => {
+  if (slot.isCrashed) return;
+  slot.isCrashed = true;
+  slot.proxy.setMode("refuse");
+  await sleep(crashTime);
+  slot.proxy.setMode("pass");
+  slot.isCrashed = false;
+  slot.bornAt = (slot.bornAt ?? firstReplicaStart) + crashTime;
+  if (slot.drainingSince === undefined) register(slot, "ready");
+};
+
 const startReplicas = async (
   size: SystemSize,
   resources: ResourceStack,
   isLoaded: boolean,
+  register: SoakSystem["register"],
 ): Promise<readonly ReplicaSlot[]> => {
   const slots: ReplicaSlot[] = [];
+  /** The proxy crashes in place of the stand-in, which would not come back. */
+  const crashOnDeadlyPart = (id: string, run: ExecutedRequest): "never" => {
+    const slot = slots.find(({ replica }) => replica.id === id);
+    if (slot !== undefined && hasDeadlyPart(run)) void crashAndRestart(slot, register);
+    return "never";
+  };
   const add = async (service: string, replica: ReplicaStandIn): Promise<void> => {
     resources.use(replica);
     const proxy = resources.use(await startLoopbackProxy(replica.address));
-    slots.push({ replica, service, proxy, drainingSince: undefined, bornAt: undefined, isReporting: false });
+    slots.push({
+      replica,
+      service,
+      proxy,
+      drainingSince: undefined,
+      bornAt: undefined,
+      isReporting: false,
+      isCrashed: false,
+    });
   };
   const events = { count: eventsPerStream, pause: 20 };
   for (let index = 0; index < size.engines; index += 1) {
     const model = { name: "m", version: 1 };
     const speed = engineLoad.speeds[index % engineLoad.speeds.length] ?? 1;
     const load = isLoaded ? { load: { ...engineLoad, speed } } : {};
-    const settings = { id: `engine-${index}`, model, events, loadTime: 250, ...load };
+    const id = `engine-${index}`;
+    const crashesOn = (run: ExecutedRequest): "never" => crashOnDeadlyPart(id, run);
+    const settings = { id, model, events, loadTime: 250, crashesOn, ...load };
     await add("engines", await startReplicaStandIn(settings));
   }
   for (let index = 0; index < size.desks; index += 1) {
@@ -228,7 +264,6 @@
   const directory = await mkdtemp(join(tmpdir(), "pomelocleat-soak-"));
   const store = resources.use(await startStoreStandIn());
   const writers = createStoreWriters(store);
-  const replicas = await startReplicas(size, resources, isLoaded);
   const log: string[] = [];
 
   const registered = new Map<ReplicaSlot, "ready" | "draining" | undefined>();
@@ -244,6 +279,7 @@
     };
     writers.register(replica.id, state === undefined ? undefined : entry);
   };
+  const replicas = await startReplicas(size, resources, isLoaded, register);
   writers.publish(createConfiguration());
   for (const slot of replicas) register(slot, "ready");
 
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -30,6 +30,7 @@
  * - `early`: answered before the request's body has been read; the connection stays open and the body is read.
  * - `unsealed`: the answer has neither the request's id nor the replica's seal.
  * - `hang`: executed, and never answered.
+ * - `endless`: executed, and answered with status 500 and a body without end.
  * - `deny`: refused with status 421.
  * - A name of {@link brokenStreams}: a stream that is written as described there.
  */
@@ -47,6 +48,7 @@
   | "early"
   | "unsealed"
   | "hang"
+  | "endless"
   | "deny";
 
 /** How the next request is answered; a {@link RawStream} only answers requests to engines. */
@@ -253,6 +255,19 @@
   response.end(body);
 };
 
+const endlessChunk = "x".repeat(16_384);
+
+/** Writes a body until the connection closes. */
+const sendEndlessBody = async (response: ServerResponse, headers: readonly string[]): Promise<void> => {
+  const { socket } = response;
+  if (socket === null) return;
+  socket.write(["HTTP/1.1 500 Internal Server Error", ...headers, "", ""].join("\r\n"));
+  while (!socket.destroyed) {
+    if (socket.writableLength < endlessChunk.length) socket.write(endlessChunk);
+    await sleep(1);
+  }
+};
+
 /** Answers a plain request incorrectly, as the behaviour says. */
 const sendMalformedAnswer = (
   replica: string,
@@ -265,6 +280,7 @@
   const mark = [`x-attempt-id: ${run.id}`, `x-replica-seal: ${sealOf(replica, run)}`];
   const length = `content-length: ${Buffer.byteLength(body)}`;
   if (behaviour === "reset") response.destroy();
+  else if (behaviour === "endless") void sendEndlessBody(response, mark);
   else if (behaviour === "cut") {
     writeRaw(response, [...mark, length], body.slice(0, body.length / 2));
     setTimeout(() => response.destroy(), pause);
