Name quarantined traits as such, and share what tests of crashes wrote twice

Cause: the list of quarantined traits was still named after requests; the soak's groups of steps, an engine's call and the count of crashed engines stood in two places each.

--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -6,6 +6,7 @@
 import type { Violation } from "../types.ts";
 import { findCrashingPartOverruns } from "./crashingPartCheck.ts";
 import { findRetryBudgetOverruns } from "./retryBudgetCheck.ts";
+import { updateBlockingSteps } from "./stepGroups.ts";
 import type { CallerRecord, SoakHistory, ReplicaRecord, RequestName, StepRecord } from "./types.ts";
 
 /** Number of events in every stream of the stand-in's engines. */
@@ -24,22 +25,6 @@
 /** Statuses that reject the request itself as invalid. */
 const clientErrorStatuses: ReadonlySet<number> = new Set([401, 403, 404]);
 
-/** Steps that can keep a router from receiving or applying updates. */
-const updateBlockingSteps: ReadonlySet<string> = new Set([
-  "freezeRouter",
-  "storeBusy",
-  "storeSilent",
-  "storeCut",
-  "storeDelayed",
-  "storeMuted",
-  "storeLosesAnswers",
-  "storeReturns",
-  "killRouter",
-  "killAllRouters",
-  "endRouter",
-  "endRoutersInTurn",
-]);
-
 const isStream = ({ name }: CallerRecord): boolean => name === "ask" || name === "tag";
 
 const countRuns = (replicas: readonly ReplicaRecord[]): ReadonlyMap<string, number> => {
--- a/src/coordination/crashes/quarantine.ts
+++ b/src/coordination/crashes/quarantine.ts
@@ -31,7 +31,7 @@
 import type { RecentAnswers } from "./recentAnswers.ts";
 import { createRecentAnswers } from "./recentAnswers.ts";
 import { sharedTraitsOfRequest, traitsOfRequest } from "./requestTraits.ts";
-import { createQuarantinedRequests } from "./quarantinedRequests.ts";
+import { createQuarantinedTraits } from "./quarantinedTraits.ts";
 import { createQuarantineRecords } from "./quarantineRecords.ts";
 import { createDigestCheck } from "./digestCheck.ts";
 import { startRecordsMaintenance } from "./recordsMaintenance.ts";
@@ -156,7 +156,7 @@
   identity: RequestIdentity<Request>,
 ): Quarantine<Request> => {
   const { clock, random } = dependencies;
-  const quarantined = createQuarantinedRequests(clock);
+  const quarantined = createQuarantinedTraits(clock);
   const evidence = createCrashEvidence(quarantined.has);
   const answers = createRecentAnswers(clock);
   /** Traits by fingerprint, of requests that this router had in flight at a crash. */
@@ -217,7 +217,7 @@
   const records = createQuarantineRecords({
     feed: dependencies.feed,
     epochs: dependencies.epochs,
-    requests: quarantined,
+    quarantined,
     onQuarantined: (fingerprint, record, epoch) => {
       // Released here, and the record is still to be dropped from the store.
       if (maintenance.isDropping(fingerprint)) return;
@@ -227,7 +227,7 @@
     onReleased: (fingerprint) => release(fingerprint, "recorded"),
   });
   const maintenance = startRecordsMaintenance({
-    requests: quarantined,
+    quarantined,
     records,
     clock,
     epochs: dependencies.epochs,
@@ -236,7 +236,7 @@
   });
   const { digest } = quarantined;
   const digestCheck = createDigestCheck({ clock, random, digest, read: records.read, queryPeers });
-  const trials = createTrials({ requests: quarantined, records, clock, idOf: identity.idOf });
+  const trials = createTrials({ quarantined, records, clock, idOf: identity.idOf });
 
   const noteEvidence = ({ replica, suspects }: ReplicaCrash, isOwn: boolean): void => {
     const known = suspects.map((suspect) => withOwnAnswers(suspect, answers));
--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -13,11 +13,11 @@
 import { createLogger } from "../../state/log.ts";
 import { createBoundedMap } from "../../state/boundedMap.ts";
 import { maxQuarantined } from "./constants.ts";
-import type { QuarantinedRequests } from "./quarantinedRequests.ts";
+import type { QuarantinedTraits } from "./quarantinedTraits.ts";
 
 export interface QuarantineRecordsDependencies {
   readonly feed: RecordFeed<QuarantineRecord>;
-  readonly requests: QuarantinedRequests;
+  readonly quarantined: QuarantinedTraits;
   readonly epochs: Pick<EpochSource, "current">;
   /** Called for a request that the store lists as quarantined. */
   readonly onQuarantined: (fingerprint: Fingerprint, record: QuarantineRecord, epoch: StoreEpoch) => void;
@@ -42,7 +42,7 @@
 
 /** Creates access to the records; nothing is read yet. */
 export const createQuarantineRecords = (dependencies: QuarantineRecordsDependencies): QuarantineRecords => {
-  const { feed, requests, epochs } = dependencies;
+  const { feed, quarantined, epochs } = dependencies;
   /**
    * Requests whose records this router has dropped: the store may list them again after a return from an older copy.
    */
@@ -58,7 +58,7 @@
 
   /** A removal that is read before the request's own record belongs to an earlier quarantine of the same request. */
   const isOfEarlierQuarantine = ({ key, value }: FeedRecord<QuarantineRecord>): boolean => {
-    const known = requests.get(key);
+    const known = quarantined.get(key);
     return value === undefined && known !== undefined && known.recordedIn === undefined;
   };
 
@@ -79,7 +79,7 @@
     const page = await feed.newest();
     const present = new Set(page.records.map(({ key }) => key));
     // The store may have lost records of an earlier epoch: those requests stay quarantined and are written again.
-    for (const [fingerprint, { recordedIn }] of requests.entries()) {
+    for (const [fingerprint, { recordedIn }] of quarantined.entries()) {
       if (recordedIn === page.next.epoch && !present.has(fingerprint)) dependencies.onReleased(fingerprint);
     }
     await applyCopy(page.records);
@@ -127,7 +127,7 @@
 
   const write = async (fingerprint: Fingerprint): Promise<void> => {
     await readAll();
-    const known = requests.get(fingerprint);
+    const known = quarantined.get(fingerprint);
     if (known === undefined || known.recordedIn === epochs.current()) return;
     known.recordedIn = await feed.put(fingerprint, known.record);
     dropped.delete(fingerprint);
@@ -148,13 +148,13 @@
       const trial = randomBytes(trialIdBytes).toString("base64url");
       const isDone = await enqueue(async () => {
         await write(fingerprint);
-        const known = requests.get(fingerprint);
-        if (known === undefined || !requests.isTrialDue(fingerprint)) return;
+        const known = quarantined.get(fingerprint);
+        if (known === undefined || !quarantined.isTrialDue(fingerprint)) return;
         await feed.put(fingerprint, { ...known.record, trials: known.record.trials + 1, trial });
         // Of several trials recorded at once, the first one in the store's order counts.
         await readAll();
       });
-      return isDone && requests.get(fingerprint)?.record.trial === trial;
+      return isDone && quarantined.get(fingerprint)?.record.trial === trial;
     },
   };
 };
--- a/src/coordination/crashes/quarantinedRequests.ts
+++ b/src/coordination/crashes/quarantinedTraits.ts
@@ -20,7 +20,7 @@
   recordedIn: StoreEpoch | undefined;
 }
 
-export interface QuarantinedRequests {
+export interface QuarantinedTraits {
   readonly size: () => number;
   readonly get: (fingerprint: Fingerprint) => Quarantined | undefined;
   readonly has: (fingerprint: Fingerprint) => boolean;
@@ -48,7 +48,7 @@
 const trialsOf = ({ record }: Quarantined): number => record.trials;
 
 /** Creates an empty list. */
-export const createQuarantinedRequests = (clock: Clock): QuarantinedRequests => {
+export const createQuarantinedTraits = (clock: Clock): QuarantinedTraits => {
   /** Ordered by time of quarantine, oldest first. */
   const quarantined = new Map<Fingerprint, Quarantined>();
 
--- a/src/coordination/crashes/recordsMaintenance.ts
+++ b/src/coordination/crashes/recordsMaintenance.ts
@@ -12,11 +12,11 @@
   recordsReadInterval,
   maintenanceInterval,
 } from "./constants.ts";
-import type { Quarantined, QuarantinedRequests } from "./quarantinedRequests.ts";
+import type { Quarantined, QuarantinedTraits } from "./quarantinedTraits.ts";
 import type { QuarantineRecords } from "./quarantineRecords.ts";
 
 export interface RecordsMaintenanceDependencies {
-  readonly requests: QuarantinedRequests;
+  readonly quarantined: QuarantinedTraits;
   readonly records: QuarantineRecords;
   readonly clock: Clock;
   readonly epochs: EpochSource;
@@ -41,7 +41,7 @@
 
 /** Starts to read and write records until it is disposed of. */
 export const startRecordsMaintenance = (dependencies: RecordsMaintenanceDependencies): RecordsMaintenance => {
-  const { requests, records, clock, epochs, queryPeers, onExpired } = dependencies;
+  const { quarantined, records, clock, epochs, queryPeers, onExpired } = dependencies;
   const stop = new AbortController();
   const dropping = new Set<Fingerprint>();
   let isReady = false;
@@ -68,8 +68,8 @@
       readAt = clock.monotonic();
       await records.read();
     }
-    for (const [fingerprint, known] of requests.entries()) {
-      if (requests.hasExpired(fingerprint)) onExpired(fingerprint);
+    for (const [fingerprint, known] of quarantined.entries()) {
+      if (quarantined.hasExpired(fingerprint)) onExpired(fingerprint);
       else if (needsWrite(known)) await records.write(fingerprint);
     }
   };
@@ -77,7 +77,7 @@
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       await pause(clock, maintenanceInterval, stop.signal);
-      if (dropping.size > 0 || requests.size() > 0) await maintain();
+      if (dropping.size > 0 || quarantined.size() > 0) await maintain();
     }
   };
 
--- a/src/coordination/crashes/requestChecks.ts
+++ b/src/coordination/crashes/requestChecks.ts
@@ -3,12 +3,12 @@
 import { undecidedRetryAfter } from "./constants.ts";
 import type { CrashEvidence } from "./crashEvidence.ts";
 import type { RequestIdentity } from "./quarantine.ts";
-import type { QuarantinedRequests } from "./quarantinedRequests.ts";
+import type { QuarantinedTraits } from "./quarantinedTraits.ts";
 import type { Trials } from "./trials.ts";
 
 export interface RequestChecksDependencies<Request extends object> {
   readonly identity: RequestIdentity<Request>;
-  readonly quarantined: QuarantinedRequests;
+  readonly quarantined: QuarantinedTraits;
   readonly evidence: CrashEvidence;
   readonly trials: Trials<Request>;
   /** @returns Whether a decision is pending. */
--- a/src/coordination/crashes/trials.ts
+++ b/src/coordination/crashes/trials.ts
@@ -4,11 +4,11 @@
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
 import { claimTimeout, claimRetryDelay } from "./constants.ts";
-import type { QuarantinedRequests } from "./quarantinedRequests.ts";
+import type { QuarantinedTraits } from "./quarantinedTraits.ts";
 import type { QuarantineRecords } from "./quarantineRecords.ts";
 
 export interface TrialsDependencies<Request> {
-  readonly requests: QuarantinedRequests;
+  readonly quarantined: QuarantinedTraits;
   readonly records: Pick<QuarantineRecords, "claimTrial">;
   readonly clock: Clock;
   /** @returns The id of a request, for the log. */
@@ -31,7 +31,7 @@
 
 /** Creates trials; none is under way. */
 export const createTrials = <Request extends object>({
-  requests,
+  quarantined,
   records,
   clock,
   idOf,
@@ -43,7 +43,7 @@
     Promise.race([records.claimTrial(fingerprint), pause(clock, claimTimeout).then(() => false)]);
 
   const claimOne = async (request: Request, fingerprint: Fingerprint): Promise<boolean> => {
-    const known = requests.get(fingerprint);
+    const known = quarantined.get(fingerprint);
     if (known === undefined) return true;
     claiming.add(fingerprint);
     const isClaimed = await claimWithTimeout(fingerprint);
@@ -57,7 +57,7 @@
   };
 
   const mayClaim = (fingerprint: Fingerprint): boolean =>
-    !claiming.has(fingerprint) && requests.isTrialDue(fingerprint);
+    !claiming.has(fingerprint) && quarantined.isTrialDue(fingerprint);
 
   return {
     has: (request) => underWay.has(request),
--- a/src/transport/HttpModelEngine.test.ts
+++ b/src/transport/HttpModelEngine.test.ts
@@ -6,7 +6,7 @@
 import fc from "fast-check";
 import { Agent } from "undici";
 import { UpstreamError } from "../protocol/errors.ts";
-import type { EngineCall } from "../protocol/types.ts";
+import { createCall } from "../../tests/support/engineCall.ts";
 import { connectionFailure } from "./httpFailures.ts";
 import { HttpModelEngine } from "./HttpModelEngine.ts";
 
@@ -113,26 +113,6 @@
   };
 };
 
-const createCall = (attempt: string): EngineCall => ({
-  attempt,
-  organisation: "petra-wings",
-  request: {
-    kind: "chat",
-    model: "model",
-    adapter: undefined,
-    stream: true,
-    includeUsage: false,
-    maximumTokens: 10,
-    body: { messages: [{ role: "user", content: "question" }] },
-    segments: [],
-  },
-  idempotencyKey: undefined,
-  priority: 0,
-  cacheSalt: "",
-  delivered: { text: "", tokens: 0 },
-  stallTimeout: 300,
-});
-
 /** @returns The text that was received, and the failure that ended the answer, if any. */
 const readAnswer = async (engine: HttpModelEngine, attempt: string, signal: AbortSignal) => {
   let text = "";
--- a/tests/crashingPromptLevels.test.ts
+++ b/tests/crashingPromptLevels.test.ts
@@ -4,8 +4,8 @@
  */
 import { describe, it } from "node:test";
 import { expect } from "earl";
-import type { EngineStandIn } from "../standIns/engine/types.ts";
 import { streamedRequest } from "./support/eventStream.ts";
+import { countCrashes, setCrashing } from "./support/engineCrashes.ts";
 import type { LocalSystem } from "./support/localSystem.ts";
 import { startLocalSystem } from "./support/localSystem.ts";
 
@@ -22,18 +22,6 @@
   ],
 });
 
-const fetchCrashCount = async ({ url }: EngineStandIn): Promise<number> => {
-  const answer = await fetch(`${url}/stand-in/state`);
-  return ((await answer.json()) as { readonly crashes: number }).crashes;
-};
-
-const countCrashes = async ({ engines }: LocalSystem): Promise<number> =>
-  (await Promise.all(engines.map(fetchCrashCount))).reduce((sum, count) => sum + count, 0);
-
-const setCrashing = ({ engines }: LocalSystem, isCrashing: boolean): void => {
-  for (const { faults } of engines) faults.dieAfterTokens = isCrashing ? 1 : null;
-};
-
 const ask = async (system: LocalSystem, router: number, body: unknown): Promise<number> => {
   const answer = await system.call("/v1/chat/completions", { router, body });
   await answer.text();
--- a/tests/crashingRequests.test.ts
+++ b/tests/crashingRequests.test.ts
@@ -7,8 +7,8 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
-import type { EngineStandIn } from "../standIns/engine/types.ts";
 import { streamedRequest as question } from "./support/eventStream.ts";
+import { countCrashes, setCrashing } from "./support/engineCrashes.ts";
 import type { LocalSystem } from "./support/localSystem.ts";
 import { startLocalSystem } from "./support/localSystem.ts";
 
@@ -17,18 +17,6 @@
 
 const tries = 6;
 
-const fetchCrashCount = async ({ url }: EngineStandIn): Promise<number> => {
-  const answer = await fetch(`${url}/stand-in/state`);
-  return ((await answer.json()) as { readonly crashes: number }).crashes;
-};
-
-const countCrashes = async ({ engines }: LocalSystem): Promise<number> =>
-  (await Promise.all(engines.map(fetchCrashCount))).reduce((sum, count) => sum + count, 0);
-
-const setCrashing = ({ engines }: LocalSystem, isCrashing: boolean): void => {
-  for (const { faults } of engines) faults.dieAfterTokens = isCrashing ? 1 : null;
-};
-
 const ask = async (system: LocalSystem, router: number, body: unknown = question) => {
   const answer = await system.call("/v1/chat/completions", { router, body });
   const text = await answer.text();
--- a/tests/endlessAnswers.test.ts
+++ b/tests/endlessAnswers.test.ts
@@ -6,36 +6,17 @@
 import { expect } from "earl";
 import type { UpstreamError } from "../src/protocol/errors.ts";
 import { createResourceStack } from "../src/protocol/resourceStack.ts";
-import type { EngineCall, ServiceCall } from "../src/protocol/types.ts";
+import type { ServiceCall } from "../src/protocol/types.ts";
 import { createGuardedAgent } from "../src/transport/connectionGuard.ts";
 import { HttpModelEngine } from "../src/transport/HttpModelEngine.ts";
 import { HttpPlainService } from "../src/transport/HttpPlainService.ts";
+import { createCall } from "./support/engineCall.ts";
 import type { EndlessPlace } from "./support/endlessReplica.ts";
 import { endlessAnswers, startEndlessReplica } from "./support/endlessReplica.ts";
 
 /** Until a call must have failed, milliseconds. */
 const timeout = 5_000;
 
-const engineCall: EngineCall = {
-  attempt: "attempt-1",
-  organisation: "petra-wings",
-  request: {
-    kind: "chat",
-    model: "model",
-    adapter: undefined,
-    stream: true,
-    includeUsage: false,
-    maximumTokens: 10,
-    body: { messages: [{ role: "user", content: "question" }] },
-    segments: [],
-  },
-  idempotencyKey: undefined,
-  priority: 0,
-  cacheSalt: "",
-  delivered: { text: "", tokens: 0 },
-  stallTimeout: timeout,
-};
-
 const serviceCall: ServiceCall = {
   attempt: "attempt-1",
   organisation: "petra-wings",
@@ -66,7 +47,10 @@
 };
 
 const complete = async (url: string, pool: ReturnType<typeof createGuardedAgent>): Promise<void> => {
-  const answer = await new HttpModelEngine(url, pool).complete(engineCall, new AbortController().signal);
+  const answer = await new HttpModelEngine(url, pool).complete(
+    createCall("attempt-1"),
+    new AbortController().signal,
+  );
   for await (const frames of answer.frames) expect(frames.length).toEqual(0);
 };
 
