Simplify the first read of the quarantine, and mend two comments

Cause: read as a newcomer: three functions for two waits, one comment that named another result. Change: the same waits written straight down; no change of behaviour. Result: the tests of crashes pass.

--- a/src/coordination/crashes/recordsMaintenance.ts
+++ b/src/coordination/crashes/recordsMaintenance.ts
@@ -88,16 +88,12 @@
 
   const waitForFirst = async (): Promise<void> => {
     let hasRead = false;
-    const read = async (): Promise<void> => {
-      await readFirst();
+    const reading = readFirst().then(() => {
       hasRead = true;
-    };
-    const askPeers = async (): Promise<void> => {
-      await pause(clock, firstReadTimeout - peerAnswerTime, stop.signal);
-      if (!hasRead && !stop.signal.aborted) queryPeers();
-    };
-    void askPeers();
-    await Promise.race([read(), pause(clock, firstReadTimeout, stop.signal)]);
+    });
+    await Promise.race([reading, pause(clock, firstReadTimeout - peerAnswerTime, stop.signal)]);
+    if (!hasRead && !stop.signal.aborted) queryPeers();
+    await Promise.race([reading, pause(clock, peerAnswerTime, stop.signal)]);
     isReady = true;
   };
   const ready = waitForFirst();
--- a/src/coordination/crashes/requestChecks.ts
+++ b/src/coordination/crashes/requestChecks.ts
@@ -24,6 +24,7 @@
   readonly claimTrial: (request: Request) => Promise<boolean>;
 }
 
+/** Creates the checks of requests against one quarantine. */
 export const createRequestChecks = <Request extends object>({
   identity,
   quarantined,
--- a/src/transport/forwarding/sheddingListener.ts
+++ b/src/transport/forwarding/sheddingListener.ts
@@ -81,7 +81,7 @@
   const log = createOverloadLog();
   const listener = createServer();
   let isDisposed = false;
-  /** The turns of the event loop with a connection each, without one between them; `undefined` if there was none. */
+  /** Consecutive turns of the event loop with a connection in each; `undefined` if the last turn had none. */
   let streak: { readonly since: number; connections: number; hadConnection: boolean } | undefined;
 
   const listen = async (onPort: number): Promise<void> => {
--- a/tests/endlessAnswers.test.ts
+++ b/tests/endlessAnswers.test.ts
@@ -28,7 +28,7 @@
   timeout,
 };
 
-/** @returns The fault of a call at an endless upstream, and the most bytes that were taken from it. */
+/** @returns The fault of a call to an endless upstream, and whether a connection to it is still open then. */
 const faultOf = async (
   place: EndlessPlace,
   call: (url: string, pool: ReturnType<typeof createGuardedAgent>) => Promise<unknown>,
