--- a/src/coordination/crashes/recordsMaintenance.ts
+++ b/src/coordination/crashes/recordsMaintenance.ts
@@ -87,12 +87,12 @@
   };
 
   const waitForFirst = async (): Promise<void> => {
-    let hasRead = false;
-    const reading = readFirst().then(() => {
-      hasRead = true;
-    });
-    await Promise.race([reading, pause(clock, firstReadTimeout - peerAnswerTime, stop.signal)]);
-    if (!hasRead && !stop.signal.aborted) queryPeers();
+    const reading = readFirst();
+    const isInTime = await Promise.race([
+      reading.then(() => true),
+      pause(clock, firstReadTimeout - peerAnswerTime, stop.signal).then(() => false),
+    ]);
+    if (!isInTime && !stop.signal.aborted) queryPeers();
     await Promise.race([reading, pause(clock, peerAnswerTime, stop.signal)]);
     isReady = true;
   };
