--- a/soak/platform/loopbackProxy.ts
+++ b/soak/platform/loopbackProxy.ts
@@ -84,8 +84,9 @@
   await once(server, "listening");
 
   const { port: ownPort } = server.address() as AddressInfo;
+  let isDisposed = false;
   const setListening = (isListening: boolean): void => {
-    if (isListening === server.listening) return;
+    if (isDisposed || isListening === server.listening) return;
     if (isListening) server.listen(ownPort, "127.0.0.1");
     else server.close();
   };
@@ -103,6 +104,7 @@
       }
     },
     [Symbol.asyncDispose]: () => {
+      isDisposed = true;
       for (const { near, far } of pairs) {
         near.destroy();
         far.destroy();
