--- a/bench/attribution/histories.ts
+++ b/bench/attribution/histories.ts
@@ -74,6 +74,8 @@
   const upFrom = Array.from({ length: settings.replicas }, () => 0);
   const generations = Array.from({ length: settings.replicas }, () => 0);
   let running: Running[] = [];
+  /** How many of them each replica runs. */
+  const loads = Array.from({ length: settings.replicas }, () => 0);
   let crashes = 0;
   const sound = { sent: 0, blocked: 0 };
   const end = historyTimes.before + historyTimes.storm;
@@ -94,6 +96,7 @@
   const endReplica = (replica: number, at: number): void => {
     const inFlight = running.filter((each) => each.replica === replica);
     running = running.filter((each) => each.replica !== replica);
+    loads[replica] = 0;
     upFrom[replica] = at + settings.restartTime;
     const generation = generations[replica] ?? 0;
     generations[replica] = generation + 1;
@@ -112,7 +115,10 @@
         running.push(next);
         crashes += 1;
         endReplica(next.replica, next.endsAt);
-      } else judge.observe({ kind: "answer", at: next.endsAt, request: next });
+      } else {
+        loads[next.replica] = (loads[next.replica] ?? 0) - 1;
+        judge.observe({ kind: "answer", at: next.endsAt, request: next });
+      }
     }
   };
 
@@ -127,13 +133,11 @@
     if (isBlocked) return;
     const open = upFrom
       .map((from, replica) => ({ replica, from }))
-      .filter(
-        ({ replica, from }) =>
-          from <= at && running.filter((each) => each.replica === replica).length < settings.batch,
-      );
+      .filter(({ replica, from }) => from <= at && (loads[replica] ?? 0) < settings.batch);
     const chosen = open[random.index(Math.max(1, open.length))];
     if (chosen === undefined) return;
     const time = isCrashing ? runTimes.crashing : runTimes.sound * (0.5 + random.uniform());
+    loads[chosen.replica] = (loads[chosen.replica] ?? 0) + 1;
     running.push({ ...request, replica: chosen.replica, endsAt: at + time, isCrashing });
   };
 
