--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -15,6 +15,9 @@
 
 const maxPrintedViolations = 10;
 
+/** Exit codes after signals, as shells report them. */
+const exitCodes = { SIGHUP: 129, SIGINT: 130, SIGTERM: 143 } as const;
+
 const { values } = parseArgs({
   options: {
     seed: { type: "string" },
@@ -111,6 +114,9 @@
   console.log(describePlan(await shrinkPlan(plan, fails)).join("\n"));
 };
 
+// Without a handler a signal ends this process and leaves its routers running.
+for (const [signal, code] of Object.entries(exitCodes)) process.once(signal, () => process.exit(code));
+
 let failed = 0;
 for (let seed = firstSeed; seed < firstSeed + Number(values.seeds); seed += 1) {
   const plan = createSeedPlan(seed);
