Measure what the retry budget denies while only some attempts fail

The comparison of designs counted what routers are granted when everything fails, not what requests lose when a quarter of the attempts do. New rows of the bench: the share of needed retries that is denied, for routers that have run for long, that have all just started, and with half as many that join.

No router code is changed.

--- a/bench/retryBudget/fleetModel.ts
+++ b/bench/retryBudget/fleetModel.ts
@@ -42,14 +42,26 @@
   readonly share: number;
 }
 
+/** Replicas that fail from time to time, while the others serve. */
+export interface FailureEpisodes {
+  /** Time from the start of one episode to the next, milliseconds. */
+  readonly interval: number;
+  /** Milliseconds. */
+  readonly duration: number;
+  /** Share of the attempts that fail during an episode. */
+  readonly share: number;
+}
+
 /** Routers, load and events of one play. */
 export interface FleetHistory {
   readonly routers: number;
   readonly requestsPerSecond: number;
   /** When the first router starts, and within which time the others do; milliseconds. */
   readonly start: { readonly at: number; readonly spread: number };
-  /** When every request begins to fail, milliseconds from the start. */
+  /** When requests begin to fail, milliseconds from the start. */
   readonly failsFrom: number;
+  /** Every request fails, and routers take all that they are granted, unless only some attempts fail. */
+  readonly episodes?: FailureEpisodes;
   /** Milliseconds. */
   readonly duration: number;
   readonly events: readonly FleetEvent[];
@@ -63,6 +75,9 @@
   readonly firstSecond: number;
   /** Retries granted while requests failed, as a share of what the windows allow. */
   readonly sustained: number;
+  /** Retries that routers asked for where only some attempts fail, and how many of them were denied. */
+  readonly asked: number;
+  readonly denied: number;
 }
 
 /** Length of a step, milliseconds. */
@@ -82,6 +97,9 @@
 
 const service = "desk";
 
+/** Retries of a request where only some attempts fail. */
+const maxRetries = 2;
+
 /** Attempts that a router makes for a retry in each step; more than any step is granted. */
 const maxTakenPerStep = 10_000;
 
@@ -125,7 +143,11 @@
   return sums;
 };
 
-const measure = ({ requests, retries }: Records, budget: RetryBudget, failsFrom: number): FleetOutcome => {
+const measure = (
+  { requests, retries }: Records,
+  budget: RetryBudget,
+  failsFrom: number,
+): Omit<FleetOutcome, "asked" | "denied"> => {
   const window = Math.round(budget.retryWindow / step);
   const requestSums = sumsOf(requests);
   const retrySums = sumsOf(retries);
@@ -145,6 +167,39 @@
   return { worstWindow, firstSecond, sustained };
 };
 
+/** @returns The retries of a router that takes all that it is granted. */
+const takeAll = (allowance: Allowance): number => {
+  let taken = 0;
+  while (taken < maxTakenPerStep && allowance.tryTake(service)) taken += 1;
+  return taken;
+};
+
+/** The retries that requests need while some attempts fail. */
+const createDemand = ({ episodes, failsFrom }: FleetHistory, random: Random) => {
+  const outcome = { asked: 0, denied: 0 };
+
+  const isFailing = (now: number): boolean => {
+    if (episodes === undefined || now < failsFrom) return false;
+    return (now - failsFrom) % episodes.interval < episodes.duration && random.uniform() < episodes.share;
+  };
+
+  return {
+    outcome,
+    /** @returns How many retries one request is granted. */
+    countRetries: (allowance: Allowance, now: number): number => {
+      for (let granted = 0; granted < maxRetries; granted += 1) {
+        if (!isFailing(now)) return granted;
+        outcome.asked += 1;
+        if (!allowance.tryTake(service)) {
+          outcome.denied += 1;
+          return granted;
+        }
+      }
+      return maxRetries;
+    },
+  };
+};
+
 /** Plays a history with one design. */
 export const playFleet = (
   history: FleetHistory,
@@ -260,6 +315,8 @@
     schedule(history.start.at + (index * history.start.spread) / history.routers, addRouter);
   for (const event of history.events) schedule(event.at, () => apply(event));
 
+  const demand = createDemand(history, random);
+
   let carry = 0;
   for (now = Math.min(0, history.start.at); now < history.duration; now += step) {
     runDue();
@@ -270,18 +327,17 @@
     const alive = names.filter(({ process }) => process !== undefined);
     const inRotation = alive.filter(({ outUntil }) => outUntil <= now);
     const targets = inRotation.length > 0 ? inRotation : alive;
-    if (targets.length > 0)
-      for (let index = 0; index < requests; index += 1)
-        targets[random.index(targets.length)]?.process?.allowance.noteRequest(service);
     let retries = 0;
-    if (now >= history.failsFrom)
-      for (const { process } of alive) {
-        let taken = 0;
-        while (taken < maxTakenPerStep && process?.allowance.tryTake(service) === true) taken += 1;
-        retries += taken;
-      }
+    for (let index = 0; index < requests; index += 1) {
+      const process = targets[random.index(targets.length)]?.process;
+      if (process === undefined) continue;
+      process.allowance.noteRequest(service);
+      retries += demand.countRetries(process.allowance, now);
+    }
+    if (history.episodes === undefined && now >= history.failsFrom)
+      for (const { process } of alive) if (process !== undefined) retries += takeAll(process.allowance);
     records.requests.push(targets.length > 0 ? requests : 0);
     records.retries.push(retries);
   }
-  return measure(records, budget, history.failsFrom);
+  return { ...measure(records, budget, history.failsFrom), ...demand.outcome };
 };
--- a/bench/retryBudget/histories.ts
+++ b/bench/retryBudget/histories.ts
@@ -1,5 +1,5 @@
 /** Histories of routers whose callers move while retries are pressed to the limit. */
-import type { FleetEvent, FleetHistory } from "./fleetModel.ts";
+import type { FailureEpisodes, FleetEvent, FleetHistory } from "./fleetModel.ts";
 
 /** Milliseconds from the start: two windows of calm traffic and more, then every request fails. */
 export const failsFrom = 22_000;
@@ -66,6 +66,16 @@
   },
 ];
 
+/** Two of eight replicas refuse all requests for a while, and two others later. */
+const episodes: FailureEpisodes = { interval: 1_500, duration: 600, share: 0.25 };
+
+/** Fleets in which some attempts fail: how many of the retries that they need are denied. */
+export const partialFailures: readonly (NamedHistory & Pick<FleetHistory, "start" | "episodes">)[] = [
+  { name: "routers have run for long", start: longAgo, events: [], episodes },
+  { name: "all have just started", start: { at: failsFrom - 3_000, spread: 200 }, events: [], episodes },
+  { name: "half as many join", start: longAgo, events: [event("join", 21_000, 0, 0, 0.5)], episodes },
+];
+
 /** @returns The history of a fleet. */
 export const createHistory = (
   routers: number,
