--- a/src/coordination/crashes/crashEvidence.ts
+++ b/src/coordination/crashes/crashEvidence.ts
@@ -23,7 +23,8 @@
   readonly isOwn: (fingerprint: Fingerprint) => boolean;
   /**
    * @returns Whether a trait that is not quarantined has reached the threshold for it, and at least one of its crashes
-   * is not explained by another quarantined trait. Of two causes at the same replicas, the second is therefore found at its next crash.
+   * is not explained by another quarantined trait. Of two causes at the same replicas, the second is therefore found at
+   * its next crash.
    */
   readonly isUndecided: (fingerprint: Fingerprint) => boolean;
   /** @returns The kind of a suspected trait. */
