Probe the queue of new connections before refusing them

Callers saw: connections reset at a router with nothing to do but slow turns. Connections that come one after another, one in each turn of the event loop, were taken for a queue that is never empty, after 50 of them, and since after 15.

Change: once connections have come in each turn for 50 ms, a connection of the router's own waits in the queue behind the others. The socket is closed when it has waited for 150 ms, whatever the turns take, and not at all if it is accepted sooner.

--- a/src/transport/forwarding/sheddingListener.ts
+++ b/src/transport/forwarding/sheddingListener.ts
@@ -1,10 +1,11 @@
 /**
  * Accepts connections, and refuses new ones while this process is overloaded. Where most new connections come here, they
  * wait in the operating system's queue until their callers have left, and work on them is lost, while other routers
- * idle. Node.js accepts one connection in each turn of its event loop: if every turn of a time had one, the queue was
- * never empty. The listening socket is closed then, which resets the connections in the queue, unread, and refuses
- * others; their callers try another router at once. Readiness stays as it is: without it, the load balancer would send all
- * of these connections to the next router.
+ * idle. Node.js accepts one connection in each turn of its event loop: if consecutive turns had one each, the queue may
+ * never have been empty, and a probe finds out how long a connection waits there. If that is too long, the listening
+ * socket is closed, which resets the connections in the queue, unread, and refuses others; their callers try another
+ * router at once. Readiness stays as it is: without it, the load balancer would send all of these connections to the
+ * next router.
  */
 import { once } from "node:events";
 import type { AddressInfo, Socket } from "node:net";
@@ -13,12 +14,13 @@
 import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
 import { steadyNow } from "../../state/steadyTime.ts";
+import { createQueueProbe } from "./queueProbe.ts";
 
-/** For how long the queue may have connections in every turn, milliseconds: the longest wait in it. */
+/** How long a connection may wait in the queue, milliseconds. */
 const longestQueueTime = 150;
 
-/** After a pause of the event loop without more connections than these, the queue is soon empty. */
-const minConnections = 15;
+/** Time of turns with a connection in each from which on the queue is probed, and between two probes, milliseconds. */
+const probeInterval = 50;
 
 /** How long the listening socket is closed, milliseconds: the requests at work advance meanwhile. */
 const closedTime = 50;
@@ -58,10 +60,10 @@
   };
 
   return {
-    noteClosure: (queuedFor: number, connections: number): void => {
+    noteClosure: (queuedFor: number): void => {
       const now = steadyNow();
       if (overload === undefined) {
-        writeLog("overloaded", { queuedFor: Math.round(queuedFor), connections });
+        writeLog("overloaded", { queuedFor: Math.round(queuedFor) });
         overload = { since: now, lastAt: now, closures: 0 };
         setTimeout(endAfterCalm, calmTime).unref();
       }
@@ -82,7 +84,12 @@
   const listener = createServer();
   let isDisposed = false;
   /** Consecutive turns of the event loop with a connection in each; `undefined` if the last turn had none. */
-  let streak: { readonly since: number; connections: number; hadConnection: boolean } | undefined;
+  let streak: { readonly since: number; hadConnection: boolean } | undefined;
+
+  const probe = createQueueProbe(() => {
+    const { address: host, port: onPort } = listener.address() as AddressInfo;
+    return { host, port: onPort };
+  }, probeInterval);
 
   const listen = async (onPort: number): Promise<void> => {
     listener.listen(onPort, address);
@@ -103,39 +110,43 @@
     }
   };
 
-  const refuseConnections = (queuedFor: number, connections: number): void => {
-    log.noteClosure(queuedFor, connections);
+  const refuseConnections = (): void => {
+    log.noteClosure(probe.waited());
     metrics.count(metricNames.overloadClosures);
     const { port: onPort } = listener.address() as AddressInfo;
     listener.close();
     reopenLater(onPort);
   };
 
+  const endStreak = (): void => {
+    streak = undefined;
+    probe.cancel();
+  };
+
   /** Runs once after the input of each turn while a streak lasts. */
   const endTurn = (): void => {
     if (streak === undefined) return;
     if (!streak.hadConnection || !listener.listening) {
-      streak = undefined;
+      endStreak();
       return;
     }
-    const queuedFor = steadyNow() - streak.since;
-    if (queuedFor >= longestQueueTime && streak.connections >= minConnections) {
-      refuseConnections(queuedFor, streak.connections);
-      streak = undefined;
+    if (probe.waited() >= longestQueueTime) {
+      refuseConnections();
+      endStreak();
       return;
     }
+    if (steadyNow() - streak.since >= probeInterval) probe.start();
     streak.hadConnection = false;
     setImmediate(endTurn);
   };
 
   listener.on("connection", (socket) => {
     if (streak === undefined) {
-      streak = { since: steadyNow(), connections: 0, hadConnection: true };
+      streak = { since: steadyNow(), hadConnection: true };
       setImmediate(endTurn);
     }
-    streak.connections += 1;
     streak.hadConnection = true;
-    onConnection(socket);
+    if (!probe.isOwn(socket)) onConnection(socket);
   });
   await listen(port);
 
@@ -143,6 +154,7 @@
     port: (listener.address() as AddressInfo).port,
     [Symbol.asyncDispose]: () => {
       isDisposed = true;
+      endStreak();
       if (listener.listening) listener.close();
       return Promise.resolve();
     },
