Share what the change wrote again, and name the probe's check for what it does

Read as a newcomer, the change had a sixth copy of whether an answer was served whole, a second one of the mean in the benches and two busy waits; each is one function now. QueueProbe.isOwn also ended the probe: it is endIfOwn. No behaviour, bound or assertion changes.

--- a/bench/attribution/attribution.ts
+++ b/bench/attribution/attribution.ts
@@ -3,6 +3,7 @@
  * it is blocked, and sound requests that are blocked.
  */
 import { createRandom } from "../model/random.ts";
+import { mean } from "../report/mean.ts";
 import { formatTable } from "../report/table.ts";
 import type { Bench, BenchOptions } from "../types.ts";
 import type { HistorySettings } from "./histories.ts";
@@ -48,9 +49,6 @@
   { ...large, name: "460 routers, 150 replicas killed at once", crashingRate: 0, kills: 150 },
 ];
 
-const mean = (values: readonly number[]): number =>
-  values.reduce((sum, value) => sum + value, 0) / values.length;
-
 const run = ({ seeds, quick, only, json }: BenchOptions): Promise<void> => {
   const chosen = Object.entries(rules).filter(([name]) => only.length === 0 || only.includes(name));
   const rows = histories
--- a/bench/retries/retries.ts
+++ b/bench/retries/retries.ts
@@ -8,6 +8,7 @@
 import { hedgePolicies, retryPolicies } from "./policies.ts";
 import { runRetries } from "./simulation.ts";
 import type { RequestRecord, RetryPolicy, RetryResult, RetryScenario } from "./simulation.ts";
+import { mean } from "../report/mean.ts";
 
 /** Figures of one policy under one failure. */
 interface RetryFigures {
@@ -72,9 +73,6 @@
   return start === undefined ? Infinity : start - simulationParameters.failUntil;
 };
 
-const mean = (values: readonly number[]): number =>
-  values.reduce((sum, value) => sum + value, 0) / values.length;
-
 const runSeeds = async (
   policy: RetryPolicy,
   scenario: RetryScenario,
--- a/src/transport/forwarding/queueProbe.ts
+++ b/src/transport/forwarding/queueProbe.ts
@@ -9,8 +9,8 @@
 export interface QueueProbe {
   /** Connects to the listening socket, unless a probe waits already or the last one ended not long ago. */
   readonly start: () => void;
-  /** @returns Whether an accepted connection is the probe's, which ends it. */
-  readonly isOwn: (accepted: Socket) => boolean;
+  /** Ends the probe if an accepted connection is its own. @returns Whether it is. */
+  readonly endIfOwn: (accepted: Socket) => boolean;
   /** @returns For how long the probe has waited, milliseconds; 0 if there is none. */
   readonly waited: () => number;
   /** Ends a probe that waits. */
@@ -43,7 +43,7 @@
       socket.on("error", () => undefined);
       waiting = { socket, since: steadyNow() };
     },
-    isOwn: (accepted) => {
+    endIfOwn: (accepted) => {
       if (waiting === undefined || accepted.remotePort !== waiting.socket.localPort) return false;
       accepted.destroy();
       cancel();
--- a/src/transport/forwarding/sheddingListener.test.ts
+++ b/src/transport/forwarding/sheddingListener.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { setImmediate as nextTurn, setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
+import { busyWait } from "../../../tests/support/busyWait.ts";
 import { metricNames } from "../../state/constants.ts";
 import { MemoryMetrics } from "../../state/MemoryMetrics.ts";
 import { startSheddingListener } from "./sheddingListener.ts";
@@ -14,11 +15,6 @@
 /** Milliseconds within which a connection without others before it is accepted. */
 const acceptTimeout = 2_000;
 
-const workFor = (milliseconds: number): void => {
-  const until = performance.now() + milliseconds;
-  while (performance.now() < until);
-};
-
 const start = async () => {
   const metrics = new MemoryMetrics();
   const accepted: Socket[] = [];
@@ -29,7 +25,7 @@
     onConnection: (socket) => {
       socket.on("error", () => undefined);
       accepted.push(socket);
-      workFor(connectionTime);
+      busyWait(connectionTime);
     },
   });
   const callers: Socket[] = [];
--- a/src/transport/forwarding/sheddingListener.ts
+++ b/src/transport/forwarding/sheddingListener.ts
@@ -146,7 +146,7 @@
       setImmediate(endTurn);
     }
     streak.hadConnection = true;
-    if (!probe.isOwn(socket)) onConnection(socket);
+    if (!probe.endIfOwn(socket)) onConnection(socket);
   });
   await listen(port);
 
--- a/tests/platform/crashingRequests.test.ts
+++ b/tests/platform/crashingRequests.test.ts
@@ -21,6 +21,7 @@
 import type { CrashingReplicas } from "../support/crashingReplicas.ts";
 import { bodies, startCrashingReplicas } from "../support/crashingReplicas.ts";
 import { startReadySystem } from "../support/readySystem.ts";
+import { isServed } from "../support/servedAnswers.ts";
 
 /** Crashes after which a request must be quarantined, and runs that may still follow. */
 const allowed = { crashes: 3, further: 3 } as const;
@@ -49,8 +50,6 @@
   return { system, replicas, ...resources.move() };
 };
 
-const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
-
 const routerForTry = ({ routers }: Pick<PlatformSystem, "routers">, count: number): ForwardingRouter => {
   const router = routers[count % routers.length];
   if (router === undefined) throw new Error("There is no router.");
--- a/tests/platform/partitionedRouters.test.ts
+++ b/tests/platform/partitionedRouters.test.ts
@@ -19,6 +19,7 @@
   startPlatformSystem,
   waitUntil,
 } from "../../standIns/platform/platformSystem.ts";
+import { isServed } from "../support/servedAnswers.ts";
 
 const requests: readonly RequestOptions[] = [
   { host: hosts.desk, path: "/read/2f", body: "look up" },
@@ -39,8 +40,6 @@
 /** Interval between two requests to one router, milliseconds. */
 const requestInterval = 15;
 
-const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
-
 const startRouters = async (system: PlatformSystem, count: number): Promise<PartitionableRouter[]> => {
   const started = await Promise.all(Array.from({ length: count }, () => system.startPartitionable()));
   await waitUntil(async () =>
--- a/tests/platform/relayedRequests.test.ts
+++ b/tests/platform/relayedRequests.test.ts
@@ -21,6 +21,7 @@
   startPlatformSystem,
   waitUntil,
 } from "../../standIns/platform/platformSystem.ts";
+import { isServed } from "../support/servedAnswers.ts";
 
 const post: RequestOptions = { host: hosts.desk, path: "/post/2f?day=1", body: "sign off" };
 const read: RequestOptions = { host: hosts.desk, path: "/read/2f", body: "look up" };
@@ -99,8 +100,6 @@
   "pomelocleat-relay-sent-to: ",
 ];
 
-const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
-
 describe("a request that is passed on to another router", () => {
   // Each router that it was passed on to sent it once more, and none counted that as a retry.
   it("isn't passed on again after replicas have refused it", async () => {
--- a/tests/platform/replicaLimits.test.ts
+++ b/tests/platform/replicaLimits.test.ts
@@ -25,6 +25,7 @@
 import type { ReceivedAnswer } from "../support/limitedReplicas.ts";
 import { allowedIntake, sendSteadily, worstIntake } from "../support/limitedReplicas.ts";
 import { startReadySystem } from "../support/readySystem.ts";
+import { isServed } from "../support/servedAnswers.ts";
 
 const read: RequestOptions = { host: hosts.desk, path: "/read/2f", body: "look up" };
 
@@ -76,8 +77,6 @@
   expect(areBounded).toEqual(limits.map(() => true));
 };
 
-const isServed = ({ status, isCut }: ReceivedAnswer): boolean => status === 200 && !isCut;
-
 /** Longest time for an answer that needs no replica, milliseconds; leaves room for a busy machine. */
 const immediate = 400;
 
--- a/tests/platform/replicaReports.test.ts
+++ b/tests/platform/replicaReports.test.ts
@@ -17,6 +17,7 @@
 import { allowedIntake, sendSteadily, worstIntake } from "../support/limitedReplicas.ts";
 import { startReadySystem } from "../support/readySystem.ts";
 import { arrivalsAfterDraining, arrivalsAfterFirst, worstInBackoff } from "../support/replicaReports.ts";
+import { isServed } from "../support/servedAnswers.ts";
 
 const read: RequestOptions = { host: hosts.desk, path: "/read/2f", body: "look up" };
 
@@ -44,8 +45,6 @@
     routers,
   );
 
-const isServed = ({ status, isCut }: ReceivedAnswer): boolean => status === 200 && !isCut;
-
 const servedShare = (answers: readonly ReceivedAnswer[]): number =>
   answers.filter(isServed).length / answers.length;
 
--- a/tests/support/crashStorm.ts
+++ b/tests/support/crashStorm.ts
@@ -2,12 +2,13 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import { createResourceStack } from "../../src/protocol/resourceStack.ts";
-import type { CallerAnswer, PlatformSystem, SentPromptPart } from "../../standIns/platform/platformSystem.ts";
+import type { PlatformSystem, SentPromptPart } from "../../standIns/platform/platformSystem.ts";
 import { createPromptHeaders, hosts, sendRequest } from "../../standIns/platform/platformSystem.ts";
 import type { CrashingReplicas } from "./crashingReplicas.ts";
 import { hasDeadlyPart, startCrashingReplicas } from "./crashingReplicas.ts";
 import { startReadySystem } from "./readySystem.ts";
 import { waitUntil } from "./conditions.ts";
+import { isServed } from "./servedAnswers.ts";
 
 /** Milliseconds in which routers in contact with one another must have agreed. */
 export const contactTime = 3_000;
@@ -54,8 +55,6 @@
   return { host: hosts.model, path: "/ask/2f", body: `request ${nextRequest}`, headers, ...fields };
 };
 
-const isServed = ({ status, isCut }: CallerAnswer): boolean => status === 200 && !isCut;
-
 /** A system in which storms are played. */
 export interface StormSystem extends AsyncDisposable {
   readonly system: PlatformSystem;
--- a/tests/support/slowConnections.ts
+++ b/tests/support/slowConnections.ts
@@ -4,6 +4,7 @@
  */
 import { subscribe } from "node:diagnostics_channel";
 import type { Socket } from "node:net";
+import { busyWait } from "./busyWait.ts";
 
 /** The routers' port for callers, see `soakSystem.ts`. */
 const callerPort = 8_080;
@@ -14,6 +15,5 @@
 subscribe("net.server.socket", (message) => {
   const { socket } = message as { readonly socket: Socket };
   if (socket.localPort !== callerPort) return;
-  const until = performance.now() + connectionTime;
-  while (performance.now() < until);
+  busyWait(connectionTime);
 });
