--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -165,7 +165,8 @@
     record.note(`${name} starts, process ${started.pid ?? 0}`);
     const onLine = (line: string): void => {
       options.onLine?.(line);
-      if (line.includes('"event":"fault"')) record.note(`${name} logs ${line.slice(0, 600)}`);
+      // Without the stack, which names paths of the machine.
+      if (line.includes('"event":"fault"')) record.note(`${name} logs ${line.split("\\n")[0] ?? ""}`);
     };
     createInterface(started.stdout).on("line", onLine);
     createInterface(started.stderr).on("line", (line) => record.note(`${name} on standard error: ${line}`));
