Count refused records, and name the origin of a fault

Refused records were logged but not counted.

Change: "fault" has the field origin; the counter records_refused, by topic, counts each record that a codec refuses.

No change of behaviour.

--- a/src/daemons/forwardingDaemon.ts
+++ b/src/daemons/forwardingDaemon.ts
@@ -65,8 +65,8 @@
 
 /** Logs an uncaught exception, then ends the process. */
 const reportFaults = (): void => {
-  process.on("uncaughtException", (error) => {
-    writeLog("fault", { reason: error.stack ?? String(error) });
+  process.on("uncaughtException", (error, origin) => {
+    writeLog("fault", { origin, reason: error.stack ?? String(error) });
     process.exit(exitCodes.fault);
   });
 };
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -178,7 +178,14 @@
   const bounds = { ...toForwardingBounds(settings) };
   const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
   const registryTimeout = Math.min(storeTimeout, bounds.drain * registryTimeoutShare);
-  const platform = resources.use(connect({ store: settings.store, storeTimeout, registryTimeout }));
+  const platform = resources.use(
+    connect({
+      store: settings.store,
+      storeTimeout,
+      registryTimeout,
+      onRecordRefused: (topic) => metrics.count(metricNames.recordsRefused, 1, { topic }),
+    }),
+  );
   platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
   const { link, listener } = resources.use(await openPeerPort(settings.peers));
   const self = describeSelf(settings, link.port);
--- a/src/protocol/forwarding/ForwardingPlatform.ts
+++ b/src/protocol/forwarding/ForwardingPlatform.ts
@@ -12,6 +12,8 @@
   readonly storeTimeout: number;
   /** Timeout of a call that reads the registry of replicas, milliseconds. */
   readonly registryTimeout: number;
+  /** Called for each record that was read and can't be used. */
+  readonly onRecordRefused: (topic: string) => void;
 }
 
 /** What an operator promises its callers for a deployment, as settings of a router request it. */
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -38,6 +38,7 @@
   leaseGrants: "lease_grants",
   leaseLosses: "lease_losses",
   orders: "orders",
+  recordsRefused: "records_refused",
   registryChecks: "registry_checks",
   storeEpochChanges: "store_epoch_changes",
   republications: "restatements",
