Decode addresses into a type that connections can be opened to

Under a service that has replicas, requests placed at the entry got a 500 "Invalid URL".

Cause: the codec of registrations took "127.0.0.1:70000" for an address, since it checked its pattern only. net.connect throws for such a port at once, inside the promise of a path check that nobody waits for; the rejection ended the process.

Evidence: the line "fault" of each process has ERR_SOCKET_BAD_PORT with probeConnection under runCheck.

Change: NetworkAddress is an IPv4 address with a port from 1 to 65535, made by one parser. Registrations, cache stores of the configuration and records in datagrams hold nothing else, and only that module splits an address.

A field of a test for too long texts is now dataCentre, as an address can't be too long any more.

--- a/bench/lab/fleet.ts
+++ b/bench/lab/fleet.ts
@@ -11,9 +11,11 @@
 import type { CacheEndpoint, WorkTotals } from "./batchTypes.ts";
 import { createBatchEngine } from "./batchEngine.ts";
 import type { Experiment } from "./experiment.ts";
+import type { NetworkAddress } from "../../src/protocol/networkAddress.ts";
+import { toNetworkAddress } from "../../src/protocol/networkAddress.ts";
 
 /** Names of the service, the model and the cache store in every experiment. */
-export const labNames = { service: "engines", model: "m", store: "10.9.0.1:9000" } as const;
+export const labNames = { service: "engines", model: "m", store: toNetworkAddress("10.9.0.1:9000") } as const;
 
 /** An engine with its registry entry and its present faults. */
 export interface LabReplica {
@@ -70,7 +72,7 @@
   readonly totals: WorkTotals;
   readonly find: (id: string) => LabReplica | undefined;
   /** @returns The cache of the store or a running engine at this address. */
-  readonly cacheAt: (address: string | undefined) => CacheEndpoint | undefined;
+  readonly cacheAt: (address: NetworkAddress | undefined) => CacheEndpoint | undefined;
   /** Tokens of a request's answer, whichever engine runs it. */
   readonly answerTokens: (request: string) => number;
   readonly setAnswerTokens: (request: string, tokens: number) => void;
@@ -120,7 +122,7 @@
   registeredAs: `engine-${index}`,
   bornAt: undefined,
   service: labNames.service,
-  address: `10.0.${index >> 8}.${index & 255}:8000`,
+  address: toNetworkAddress(`10.0.${index >> 8}.${index & 255}:8000`),
   dataCentre,
   isDraining: false,
   slots,
@@ -235,7 +237,7 @@
     find: (id) => byId.get(id),
     cacheAt: (address) => {
       if (address === labNames.store) return store.isUp() ? store.endpoint : undefined;
-      const replica = byAddress.get(address ?? "");
+      const replica = address === undefined ? undefined : byAddress.get(address);
       return replica?.state === "up" ? replica.engine : undefined;
     },
     answerTokens: (request) => answers.get(request) ?? 1,
--- a/src/coordination/forwarding/cacheStoreFollower.test.ts
+++ b/src/coordination/forwarding/cacheStoreFollower.test.ts
@@ -6,8 +6,13 @@
 import { createCacheHolders } from "./cacheHolders.ts";
 import { followCacheStores } from "./cacheStoreFollower.ts";
 import { cacheStorePollInterval } from "./constants.ts";
+import { toNetworkAddress } from "../../protocol/networkAddress.ts";
 
-const store: CacheStore = { address: "10.0.0.9:8000", dataCentre: "here", linkMegabits: 360_000 };
+const store: CacheStore = {
+  address: toNetworkAddress("10.0.0.9:8000"),
+  dataCentre: "here",
+  linkMegabits: 360_000,
+};
 
 const prompt = {
   model: "m",
@@ -85,7 +90,10 @@
 });
 
 describe("following several cache stores", () => {
-  const stores = ["10.0.0.8:8000", "10.0.0.9:8000"].map((address) => ({ ...store, address }));
+  const stores = ["10.0.0.8:8000", "10.0.0.9:8000"].map((address) => ({
+    ...store,
+    address: toNetworkAddress(address),
+  }));
   const parts = Array.from({ length: 1_000 }, (_, index) => Math.imul(index + 1, 0x9e3779b1) >>> 0);
 
   const follow = () => {
--- a/src/coordination/forwarding/cacheStoreFollower.ts
+++ b/src/coordination/forwarding/cacheStoreFollower.ts
@@ -14,6 +14,7 @@
 import type { CacheHolders } from "./cacheHolders.ts";
 import { cacheStorePollInterval, cacheStoreTimeout } from "./constants.ts";
 import { mixHashes } from "../placement/rendezvousReplica.ts";
+import type { NetworkAddress } from "../../protocol/networkAddress.ts";
 
 export interface CacheStoreFollowerDependencies {
   /** @returns The stores in the current configuration. */
@@ -50,7 +51,7 @@
 export const followCacheStores = (dependencies: CacheStoreFollowerDependencies): CacheStoreFollower => {
   const { client, holders, clock } = dependencies;
   const stopping = new AbortController();
-  const followed = new Map<string, FollowedStore>();
+  const followed = new Map<NetworkAddress, FollowedStore>();
 
   const noteAnswering = (current: FollowedStore, isAnswering: boolean): void => {
     if (current.isAnswering !== isAnswering) {
--- a/src/coordination/placement/enginePlacement.test.ts
+++ b/src/coordination/placement/enginePlacement.test.ts
@@ -20,6 +20,7 @@
 import { weightedPriorityOf } from "../admission/urgency.ts";
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import { createReplicaEstimates } from "../estimates/replicaEstimates.ts";
+import { toNetworkAddress } from "../../protocol/networkAddress.ts";
 
 const prompt = (tokens: number, course = "course"): Prompt => ({
   model: "m",
@@ -134,7 +135,9 @@
     const { choose, replicas } = create([], true);
     for (let index = 0; index < 60; index += 1) {
       const dataCentre = index % 4 === 0 ? "here" : `other-${index % 4}`;
-      replicas.put(engineEntry(`engine-${index}`, { dataCentre, address: `10.0.1.${index}:8000` }));
+      replicas.put(
+        engineEntry(`engine-${index}`, { dataCentre, address: toNetworkAddress(`10.0.1.${index}:8000`) }),
+      );
     }
     const dataCentres = new Set<string>();
     for (let index = 0; index < 100; index += 1) {
@@ -190,7 +193,7 @@
   });
 
   it("copies from the store what no engine caches, and names it where the engine may have evicted parts", () => {
-    const store = { address: "10.9.0.1:9000", dataCentre: "here", linkMegabits: 360_000 };
+    const store = { address: toNetworkAddress("10.9.0.1:9000"), dataCentre: "here", linkMegabits: 360_000 };
     const { choose, holders } = create(["a", "b"], false, { store });
     const keys = holders.notePrompt("m/1/", shared(100), "a", true);
     expect(keys.length).toEqual(2);
--- a/src/coordination/placement/partSaving.test.ts
+++ b/src/coordination/placement/partSaving.test.ts
@@ -6,8 +6,13 @@
 import { defaultLoadPolicy } from "../forwarding/loadPolicy.ts";
 import { createPartSaving } from "./partSaving.ts";
 import type { SaveCandidate } from "./partSaving.ts";
+import { toNetworkAddress } from "../../protocol/networkAddress.ts";
 
-const store: CacheStore = { address: "10.0.0.9:8000", dataCentre: "here", linkMegabits: 360_000 };
+const store: CacheStore = {
+  address: toNetworkAddress("10.0.0.9:8000"),
+  dataCentre: "here",
+  linkMegabits: 360_000,
+};
 
 const shared = (fields: Partial<SaveCandidate> = {}): SaveCandidate => ({
   store,
--- a/src/coordination/placement/placementTypes.ts
+++ b/src/coordination/placement/placementTypes.ts
@@ -2,6 +2,7 @@
 import type { ReplicaState } from "../../state/forwarding/replicaState.ts";
 import type { QueuedWork } from "./queuedWork.ts";
 import type { SaveCandidate } from "./partSaving.ts";
+import type { NetworkAddress } from "../../protocol/networkAddress.ts";
 
 /** The replica chosen for a request, with what is sent along and what was predicted. Durations are milliseconds. */
 export interface PlacementChoice {
@@ -14,7 +15,7 @@
   readonly weightsVersion: number | undefined;
   readonly cacheSalt: string | undefined;
   /** `IP:PORT` of a replica or store to copy cached parts from. */
-  readonly fetchFrom: string | undefined;
+  readonly fetchFrom: NetworkAddress | undefined;
   /** What the decision to save the prompt's parts depends on; `undefined` if there are none to save. */
   readonly sharedParts: SaveCandidate | undefined;
   /** For engines only: 0 is the most urgent. */
--- a/src/coordination/placement/promptView.ts
+++ b/src/coordination/placement/promptView.ts
@@ -8,6 +8,7 @@
 import type { CacheHolders, CachedPrompt } from "../forwarding/cacheHolders.ts";
 import { reusableParts } from "../forwarding/cacheHolders.ts";
 import { rendezvousReplica } from "./rendezvousReplica.ts";
+import type { NetworkAddress } from "../../protocol/networkAddress.ts";
 
 export interface PromptViewDependencies {
   readonly replicas: ReplicaTable;
@@ -53,7 +54,7 @@
    * @param own - Tokens that the chosen replica caches itself.
    * @returns `IP:PORT` to copy parts from: a replica or store known to hold more, else where they are expected.
    */
-  readonly findFetchSource: (view: PromptView, chosen: string, own: number) => string | undefined;
+  readonly findFetchSource: (view: PromptView, chosen: string, own: number) => NetworkAddress | undefined;
 }
 
 export const createPromptViews = (dependencies: PromptViewDependencies): PromptViews => {
@@ -103,7 +104,7 @@
   };
 
   /** @returns The store's address, if it is assumed to hold or be receiving all reusable parts. */
-  const savedSource = (view: PromptView): string | undefined => {
+  const savedSource = (view: PromptView): NetworkAddress | undefined => {
     const address = dependencies.findStore(view.partHash)?.address;
     if (address === undefined) return undefined;
     return (view.cached.get(address)?.tokens ?? 0) >= view.reusableTokens ? address : undefined;
@@ -113,7 +114,7 @@
    * Also names the store if the chosen replica is assumed to cache everything: it may have evicted parts, and a source
    * that isn't needed costs nothing.
    */
-  const findFetchSource = (view: PromptView, chosen: string, own: number): string | undefined => {
+  const findFetchSource = (view: PromptView, chosen: string, own: number): NetworkAddress | undefined => {
     if (view.reusableTokens === 0) return undefined;
     const isOwn = own >= view.reusableTokens;
     const known = isOwn ? undefined : knownSource(view, chosen, own)?.id;
--- a/src/protocol/forwarding/proofMessage.test.ts
+++ b/src/protocol/forwarding/proofMessage.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import * as fc from "fast-check";
+import { toNetworkAddress } from "../networkAddress.ts";
 import { decodeOwnerMessage } from "./ownerMessage.ts";
 import { decodeRouterMessage } from "./peerMessage.ts";
 import type { ProofMessage } from "./proofMessage.ts";
@@ -11,6 +12,9 @@
 
 const count = fc.nat({ max: 2 ** 45 });
 const text = fc.string({ maxLength: 40 });
+const networkAddress = fc
+  .tuple(fc.ipV4(), fc.integer({ min: 1, max: 65_535 }))
+  .map(([host, port]) => toNetworkAddress(`${host}:${port}`));
 const position = count.map((offset) => positionAt(offset));
 
 /** Decoded objects have a prototype, and earl compares prototypes. */
@@ -42,7 +46,7 @@
           registeredAs: text,
           bornAt: fc.option(count, { nil: undefined }),
           service: text,
-          address: text,
+          address: networkAddress,
           dataCentre: text,
           isDraining: fc.boolean(),
           slots: count,
@@ -119,7 +123,7 @@
     expect(values.map((value) => isSmallOperatorRecord({ ...common, value }))).toEqual(
       values.map(() => false),
     );
-    const entries = [{ address: "a".repeat(256) }, { bornAt: -1 }, { weights: new Map([["m", 0.5]]) }];
+    const entries = [{ dataCentre: "a".repeat(256) }, { bornAt: -1 }, { weights: new Map([["m", 0.5]]) }];
     const small = entries.map((fields) =>
       isSmallReplicaRecord({ ...common, value: { ...engineEntry("a"), ...fields } }),
     );
--- a/src/protocol/forwarding/recordMessage.ts
+++ b/src/protocol/forwarding/recordMessage.ts
@@ -4,27 +4,26 @@
  */
 import type { ByteReader } from "./byteReader.ts";
 import type { ByteWriter } from "./byteWriter.ts";
+import type { NetworkAddress } from "../networkAddress.ts";
+import { parseNetworkAddress } from "../networkAddress.ts";
+import { fitsMessage, isCount } from "../usableValues.ts";
 import { StorePosition } from "../StorePosition.ts";
 import type { StoreEpoch } from "../storeEpoch.ts";
 import type { FeedRecord, OperatorRecord, ReplicaEntry } from "./types.ts";
 
-/** The longest text in a message, bytes. */
-const maximumTextBytes = 255;
-
-const isShort = (text: string): boolean => Buffer.byteLength(text) <= maximumTextBytes;
-
-const isCount = (value: number): boolean => Number.isSafeInteger(value) && value >= 0;
-
 /** Whether a record of the operator fits into a datagram: weights do, configurations don't. */
 export const isSmallOperatorRecord = ({ key, value }: FeedRecord<OperatorRecord>): boolean =>
-  isShort(key) && value?.kind === "weights" && isShort(value.target.model) && isCount(value.target.version);
+  fitsMessage(key) &&
+  value?.kind === "weights" &&
+  fitsMessage(value.target.model) &&
+  isCount(value.target.version);
 
 /** Whether the registration of a replica, or its removal, can be encoded. */
 export const isSmallReplicaRecord = ({ key, value }: FeedRecord<ReplicaEntry>): boolean => {
-  if (value === undefined) return isShort(key);
+  if (value === undefined) return fitsMessage(key);
   const { id, registeredAs, service, address, dataCentre, slots, bornAt = 0, weights } = value;
   return (
-    [key, id, registeredAs, service, address, dataCentre, ...weights.keys()].every(isShort) &&
+    [key, id, registeredAs, service, address, dataCentre, ...weights.keys()].every(fitsMessage) &&
     [slots, bornAt, ...weights.values()].every(isCount)
   );
 };
@@ -74,12 +73,20 @@
   });
 };
 
+/** @throws `RangeError` for a text that is no address. */
+const readAddress = (reader: ByteReader): NetworkAddress => {
+  const text = reader.shortText();
+  const address = parseNetworkAddress(text);
+  if (address === undefined) throw new RangeError(`${text} is no network address`);
+  return address;
+};
+
 const readEntry = (reader: ByteReader): ReplicaEntry => ({
   id: reader.shortText(),
   registeredAs: reader.shortText(),
   bornAt: reader.list(reader.varint).at(0),
   service: reader.shortText(),
-  address: reader.shortText(),
+  address: readAddress(reader),
   dataCentre: reader.shortText(),
   isDraining: reader.uint8() === 1,
   slots: reader.varint(),
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -3,6 +3,7 @@
  * responses themselves. Durations are in milliseconds.
  */
 
+import type { NetworkAddress } from "../networkAddress.ts";
 import type { TraitKind } from "./requestTrait.ts";
 import type { StorePosition } from "../StorePosition.ts";
 
@@ -56,8 +57,7 @@
 
 /** A store that caches computed prompt parts for engines. */
 export interface CacheStore {
-  /** `IP:PORT`. */
-  readonly address: string;
+  readonly address: NetworkAddress;
   readonly dataCentre: string;
   /** Bandwidth of its link to engines, megabits per second. */
   readonly linkMegabits: number;
@@ -153,8 +153,8 @@
   /** Start time, Unix milliseconds; `undefined` if not reported. */
   readonly bornAt: number | undefined;
   readonly service: string;
-  /** `IP:PORT`; may be reused by another replica later. */
-  readonly address: string;
+  /** May be reused by another replica later. */
+  readonly address: NetworkAddress;
   readonly dataCentre: string;
   readonly isDraining: boolean;
   /** The number of requests that it processes concurrently. */
@@ -253,10 +253,10 @@
   readonly weightsVersion: number | undefined;
   /** Only requests with the same salt share cached parts. */
   readonly cacheSalt: string | undefined;
-  /** `IP:PORT` of a replica or cache store from which to copy cached parts. */
-  readonly fetchFrom: string | undefined;
-  /** `IP:PORT` of a cache store to which the prompt's parts are saved once computed. */
-  readonly saveTo: string | undefined;
+  /** The replica or cache store from which to copy cached parts. */
+  readonly fetchFrom: NetworkAddress | undefined;
+  /** The cache store to which the prompt's parts are saved once computed. */
+  readonly saveTo: NetworkAddress | undefined;
   /** 0 is the most urgent, 9 the least. */
   readonly priority: number | undefined;
   /** The event after which the stream continues; `undefined` for a stream from its start. */
--- /dev/null
+++ b/src/protocol/networkAddress.ts
@@ -0,0 +1,48 @@
+/** Addresses of sockets, as records and settings contain them. */
+import { isIPv4 } from "node:net";
+
+declare const validated: unique symbol;
+
+/** `IP:PORT` that a connection can be opened to: an IPv4 address and a port from 1 to 65,535. */
+export type NetworkAddress = string & { readonly [validated]: true };
+
+/** The parts of a {@link NetworkAddress}. */
+export interface HostAndPort {
+  readonly host: string;
+  readonly port: number;
+}
+
+const maxPort = 65_535;
+const pattern = /^([\d.]+):(\d{1,5})$/;
+
+const split = (text: string): HostAndPort | undefined => {
+  const [, host = "", digits = ""] = pattern.exec(text) ?? [];
+  return isIPv4(host) ? { host, port: Number(digits) } : undefined;
+};
+
+/** Whether a number is a port that a connection can be opened to. */
+export const isPort = (port: number): boolean => Number.isInteger(port) && port >= 1 && port <= maxPort;
+
+/** @returns The address; `undefined` if no connection can be opened to it. */
+export const parseNetworkAddress = (text: string): NetworkAddress | undefined => {
+  const parts = split(text);
+  return parts !== undefined && isPort(parts.port) ? (text as NetworkAddress) : undefined;
+};
+
+/** Splits an address for functions that take host and port apart. */
+export const hostAndPortOf = (address: NetworkAddress): HostAndPort => {
+  const parts = split(address);
+  if (parts === undefined) throw new TypeError(`${address} is no network address`);
+  return parts;
+};
+
+/**
+ * Creates an address from a text that is known to be valid.
+ *
+ * @throws `TypeError` if it is not.
+ */
+export const toNetworkAddress = (text: string): NetworkAddress => {
+  const address = parseNetworkAddress(text);
+  if (address === undefined) throw new TypeError(`${text} is no network address`);
+  return address;
+};
--- /dev/null
+++ b/src/protocol/parseRecord.ts
@@ -0,0 +1,24 @@
+/** Parses records of the platform's store. */
+import { z } from "zod";
+import { platformError } from "./errors.ts";
+import { listSchemaProblems } from "./schemaProblems.ts";
+
+/**
+ * Parses the JSON of a record.
+ *
+ * @param key - The record's key, for the message of an error.
+ * @throws `PlatformError` that names the fields at fault.
+ */
+export const parseRecord = <Schema extends z.ZodType>(
+  schema: Schema,
+  key: string,
+  text: string,
+): z.output<Schema> => {
+  try {
+    return schema.parse(JSON.parse(text));
+  } catch (cause) {
+    const problems = cause instanceof z.ZodError ? listSchemaProblems(cause) : [];
+    const details = problems.map((problem) => `: ${problem.path}: ${problem.cause}`).join("");
+    throw platformError(`the record ${key} can't be read${details}`, "malformed", false, cause);
+  }
+};
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -10,6 +10,7 @@
 import type { AnswerProbeResult, ConnectionProbeResult } from "../../protocol/forwarding/ReplicaClient.ts";
 import { ReplicaClient } from "../../protocol/forwarding/ReplicaClient.ts";
 import type { ReplicaAnswer, ReplicaCall, ReplicaEntry } from "../../protocol/forwarding/types.ts";
+import { hostAndPortOf } from "../../protocol/networkAddress.ts";
 import type { RawAnswer } from "./answerReader.ts";
 import { createGuardedPool } from "../connectionGuard.ts";
 import { framingOf } from "./answerFraming.ts";
@@ -87,9 +88,8 @@
   }
 
   override probeConnection({ address }: ReplicaEntry, timeout: number): Promise<ConnectionProbeResult> {
-    const [host, port] = address.split(":");
     return new Promise((resolve) => {
-      const socket = connect({ host, port: Number(port), timeout });
+      const socket = connect({ ...hostAndPortOf(address), timeout });
       const finish = (trial: ConnectionProbeResult): void => {
         socket.destroy();
         resolve(trial);
@@ -104,10 +104,9 @@
   }
 
   override probeAnswer({ address }: ReplicaEntry, timeout: number): Promise<AnswerProbeResult> {
-    const [host, port] = address.split(":");
     const lines = [`GET ${this.statusPath} HTTP/1.1`, `host: ${address}`, "connection: close", "", ""];
     return new Promise((resolve) => {
-      const socket = connect({ host, port: Number(port) });
+      const socket = connect(hostAndPortOf(address));
       let result: AnswerProbeResult = "none";
       const finish = (): void => {
         clearTimeout(timer);
--- /dev/null
+++ b/tests/platform/foreignRecords.test.ts
@@ -0,0 +1,107 @@
+/** Records of other writers in the store's topics, before router processes. */
+import { describe, it } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { expect } from "earl";
+import { createResourceStack } from "../../src/protocol/resourceStack.ts";
+import {
+  createConfiguration,
+  createRegistryEntry,
+  createStoreWriters,
+} from "../../standIns/platform/platformSystem.ts";
+import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
+import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
+import type { StoreStandIn } from "../../standIns/platform/store.ts";
+import { startStoreStandIn } from "../../standIns/platform/store.ts";
+import type { RouterProcess } from "../support/routerProcess.ts";
+import { startRouterProcess } from "../support/routerProcess.ts";
+
+/** A record that a router's decoder gets. */
+interface ForeignRecord {
+  readonly topic: string;
+  readonly key: string;
+  readonly value: unknown;
+}
+
+/** Longer than routers take to read a record and to use it in all their regular tasks, milliseconds. */
+const useTime = 1_500;
+
+const readsPerRouter = 20;
+
+const waitUntilServing = async (routers: readonly RouterProcess[]): Promise<void> => {
+  for (const router of routers) while (router.isRunning() && (await router.read()) !== 200) await sleep(20);
+};
+
+const readAll = async (routers: readonly RouterProcess[]): Promise<readonly number[]> => {
+  const statuses: number[] = [];
+  for (const router of routers)
+    for (let index = 0; index < readsPerRouter; index += 1) statuses.push(await router.read());
+  return statuses;
+};
+
+const isRefusalOf =
+  ({ topic, key }: ForeignRecord) =>
+  (line: Readonly<Record<string, unknown>>): boolean =>
+    line.event === "record_refused" && line.topic === topic && line.key === key;
+
+/** What a record cost two routers that run, and one that starts while it stands. */
+const writeRecord = async (store: StoreStandIn, record: ForeignRecord) => {
+  await using first = await startRouterProcess("router-0", store.address);
+  await using second = await startRouterProcess("router-1", store.address);
+  await waitUntilServing([first, second]);
+  store.put(record.topic, record.key, record.value);
+  await sleep(useTime);
+  await using third = await startRouterProcess("router-2", store.address);
+  await waitUntilServing([third]);
+  await sleep(useTime);
+  const routers = [first, second, third];
+  const statuses = await readAll(routers);
+  return {
+    ended: routers.filter((router) => !router.isRunning()).map(({ name }) => name),
+    notServed: statuses.filter((status) => status !== 200),
+    refusals: third.lines.filter(isRefusalOf(record)).length,
+  };
+};
+
+interface DeskSystem extends AsyncDisposable {
+  readonly store: StoreStandIn;
+  readonly desk: ReplicaStandIn;
+}
+
+/** Starts a store and two replicas of the plain service. */
+const startDeskSystem = async (): Promise<DeskSystem> => {
+  await using resources = createResourceStack();
+  const store = resources.use(await startStoreStandIn());
+  const desk = resources.use(await startReplicaStandIn({ id: "desk-0" }));
+  const otherDesk = resources.use(await startReplicaStandIn({ id: "desk-1" }));
+  const { publish, register } = createStoreWriters(store);
+  publish(createConfiguration());
+  for (const each of [desk, otherDesk]) register(each.id, createRegistryEntry("desk", each, 1));
+  const owned = resources.move();
+  return { store, desk, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() };
+};
+
+const replicaRecord = (fields: Readonly<Record<string, unknown>>, { desk }: DeskSystem): ForeignRecord => ({
+  topic: "keyed.servers",
+  key: "foreign-0",
+  value: { ...createRegistryEntry("desk", desk, 1), ...fields },
+});
+
+const cases: Readonly<Record<string, (system: DeskSystem) => ForeignRecord>> = {
+  "a replica of an unknown service at a port that is none: its path check ended every router": (system) =>
+    replicaRecord({ service: "another-desk", address: "127.0.0.1:70000" }, system),
+  "a replica of a known service at a port that is none: requests placed there failed": (system) =>
+    replicaRecord({ address: "127.0.0.1:70000" }, system),
+};
+
+describe("a record of another writer ends no router and is refused once:", () => {
+  for (const [name, createRecord] of Object.entries(cases)) {
+    it(name, async () => {
+      await using system = await startDeskSystem();
+      expect(await writeRecord(system.store, createRecord(system))).toEqual({
+        ended: [],
+        notServed: [],
+        refusals: 1,
+      });
+    });
+  }
+});
--- a/tests/support/forwardingFixture.ts
+++ b/tests/support/forwardingFixture.ts
@@ -9,6 +9,7 @@
 } from "../../src/protocol/forwarding/types.ts";
 import type { DrainingReport } from "../../src/state/forwarding/replicaState.ts";
 import { positionAt } from "./positions.ts";
+import { toNetworkAddress } from "../../src/protocol/networkAddress.ts";
 
 export const bounds: ForwardingBounds = {
   keyRevocation: 5_000,
@@ -67,7 +68,7 @@
   registeredAs: id,
   bornAt: undefined,
   service: "engines",
-  address: `10.0.0.${id.length}:${8_000 + id.charCodeAt(id.length - 1)}`,
+  address: toNetworkAddress(`10.0.0.${id.length}:${8_000 + id.charCodeAt(id.length - 1)}`),
   dataCentre: "here",
   isDraining: false,
   slots: 64,
--- /dev/null
+++ b/tests/support/routerProcess.ts
@@ -0,0 +1,75 @@
+/** A router as a process, started as deployments start it. */
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { callHeaders, hosts, keys, settingsVariable } from "../../standIns/platform/platformSystem.ts";
+import type { StartedProcess } from "../../standIns/startProcess.ts";
+import { startProcess } from "../../standIns/startProcess.ts";
+
+/** A router's process; disposing of it ends it. */
+export interface RouterProcess extends AsyncDisposable {
+  readonly name: string;
+  /** @returns Whether it is still running. */
+  readonly isRunning: () => boolean;
+  /** The lines of its log, as objects. */
+  readonly lines: readonly Readonly<Record<string, unknown>>[];
+  /** Sends a request to the plain service. @returns The status; 0 if no answer came. */
+  readonly read: () => Promise<number>;
+}
+
+const bounds = {
+  keyRevocation: 2_000,
+  drain: 600,
+  lease: 600,
+  weights: 5_000,
+  shutdownGraceSeconds: 2,
+  retryRatio: 0.2,
+  retryWindowSeconds: 10,
+  retryReserve: 50,
+} as const;
+
+const deadline = 2_000;
+
+let sent = 0;
+
+const readFrom = ({ url }: StartedProcess): Promise<number> =>
+  new Promise((resolve) => {
+    sent += 1;
+    const headers = { host: hosts.desk, ...callHeaders(`read-${sent}`, keys.known, deadline) };
+    const outgoing = request(`${url}/read/thing`, { agent: false, headers }, (response) => {
+      response.resume();
+      response.on("close", () => resolve(response.complete ? (response.statusCode ?? 0) : 0));
+    });
+    outgoing.on("error", () => resolve(0));
+    outgoing.end();
+  });
+
+/** Starts a router that uses a store. */
+export const startRouterProcess = async (name: string, store: string): Promise<RouterProcess> => {
+  const directory = await mkdtemp(join(tmpdir(), "pomelocleat-router-"));
+  const file = join(directory, "settings.json");
+  const free = "127.0.0.1:0";
+  const endpoints = { callers: free, readiness: free, peers: free, metricsPort: 0, store };
+  await writeFile(file, JSON.stringify({ name, dataCentre: "here", ...endpoints, bounds }));
+  const lines: Readonly<Record<string, unknown>>[] = [];
+  const started = await startProcess(new URL("../../platform/main.js", import.meta.url), [], {
+    environment: { [settingsVariable]: file },
+    onLine: (line) => lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>),
+  });
+  let isRunning = true;
+  const watching = started.ended.then(() => {
+    isRunning = false;
+  });
+  return {
+    name,
+    isRunning: () => isRunning,
+    lines,
+    read: () => readFrom(started),
+    [Symbol.asyncDispose]: async () => {
+      await started[Symbol.asyncDispose]();
+      await watching;
+      await rm(directory, { recursive: true });
+    },
+  };
+};
