--- a/tests/platform/foreignRecords.test.ts
+++ b/tests/platform/foreignRecords.test.ts
@@ -80,6 +80,9 @@
   return { store, desk, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() };
 };
 
+/** More than the bytes of a text in a message between routers. */
+const longText = "x".repeat(300);
+
 const replicaRecord = (fields: Readonly<Record<string, unknown>>, { desk }: DeskSystem): ForeignRecord => ({
   topic: "keyed.servers",
   key: "foreign-0",
@@ -91,6 +94,11 @@
     replicaRecord({ service: "another-desk", address: "127.0.0.1:70000" }, system),
   "a replica of a known service at a port that is none: requests placed there failed": (system) =>
     replicaRecord({ address: "127.0.0.1:70000" }, system),
+  "weights of a model whose name fits into no message: the next message to peers ended every router": () => ({
+    topic: "keyed.op",
+    key: "version/long",
+    value: { model: longText, version: 1 },
+  }),
 };
 
 describe("a record of another writer ends no router and is refused once:", () => {
