--- a/tests/platform/foreignRecords.test.ts
+++ b/tests/platform/foreignRecords.test.ts
@@ -99,6 +99,17 @@
     key: "version/long",
     value: { model: longText, version: 1 },
   }),
+  "a router at a port that is none: the first message to it ended each router that started": () => ({
+    topic: "keyed.routers",
+    key: "foreign-router",
+    value: {
+      name: "foreign-router",
+      incarnation: "a",
+      dataCentre: "here",
+      address: "127.0.0.1",
+      port: 70_000,
+    },
+  }),
 };
 
 describe("a record of another writer ends no router and is refused once:", () => {
