Shorten the names of traits to what messages between routers hold

Callers saw: nothing yet. A caller whose prompt has a part or a model with a name of more than 255 bytes, and whose requests crash engines, would end each router that announces the quarantine, with all that it serves.

Cause: the name of a trait comes from a caller's header and is announced to other routers in a datagram. The encoder throws for a longer text, in the timer that decides on a quarantine or in the handler of a query.

Change: names are shortened when the trait is made; the fingerprint, which decides, is computed from the whole name.

--- a/src/coordination/crashes/requestTraits.ts
+++ b/src/coordination/crashes/requestTraits.ts
@@ -4,6 +4,7 @@
 import type { RequestTrait, TraitKind } from "../../protocol/forwarding/requestTrait.ts";
 import type { CallerRequest } from "../../protocol/forwarding/types.ts";
 import { hashTexts } from "../../protocol/prefixLevels.ts";
+import { shortenText } from "../../protocol/usableValues.ts";
 import { createBoundedMap } from "../../state/boundedMap.ts";
 
 /** The fields of a prompt that its shared traits are computed from. */
@@ -25,9 +26,10 @@
 
 const cachedTraits = createBoundedMap<RequestTrait>(maxCachedTraits);
 
+/** Callers name parts and models as they like; the fingerprint still distinguishes names that are shortened alike. */
 const createTrait = (kind: TraitKind, scope: string, name: string): RequestTrait => ({
   kind,
-  name,
+  name: shortenText(name),
   fingerprint: formatFingerprint(hashTexts([kind, scope, name], noBytes)),
 });
 
--- a/src/protocol/usableValues.ts
+++ b/src/protocol/usableValues.ts
@@ -23,6 +23,16 @@
 export const fitsMessage = (text: string): boolean =>
   Buffer.byteLength(text) <= maxTextBytes && !loneSurrogate.test(text);
 
+/** @returns The longest beginning of a text that fits into messages; lone surrogates are replaced. */
+export const shortenText = (text: string): string => {
+  if (fitsMessage(text)) return text;
+  const characters = Array.from(text.slice(0, maxTextBytes), (each) =>
+    loneSurrogate.test(each) ? "?" : each,
+  );
+  while (Buffer.byteLength(characters.join("")) > maxTextBytes) characters.pop();
+  return characters.join("");
+};
+
 /** Whether a number is a safe integer that is not negative, as messages between routers contain them. */
 export const isCount = (value: number): boolean => Number.isSafeInteger(value) && value >= 0;
 
