--- a/src/protocol/parseRecord.ts
+++ b/src/protocol/parseRecord.ts
@@ -22,3 +22,15 @@
     throw platformError(`the record ${key} can't be read${details}`, "malformed", false, cause);
   }
 };
+
+/**
+ * Parses the key of a record, or a text made from it.
+ *
+ * @throws `PlatformError` if it can't be used.
+ */
+export const parseKey = (schema: z.ZodType<string>, key: string): string => {
+  const { data, error } = schema.safeParse(key);
+  if (data !== undefined) return data;
+  const problems = listSchemaProblems(error).map(({ cause }) => cause);
+  throw platformError(`the key ${key} can't be used: ${problems.join(", ")}`, "malformed", false);
+};
