Encode any number into a message that its receiver takes

Callers saw: nothing yet. A number above 2^53, such as the tokens of a prompt whose parts claim 15 digits each, makes every peer drop all messages of this router while the request runs; an infinite one would be encoded for ever. A limit or a Retry-After of 400 digits was taken for infinite.

Change: the writer takes the nearest number that can be encoded. Decimal numbers in headers are finite, or unreadable as other texts are; Retry-After and the limits share their parser.

--- a/src/protocol/forwarding/byteWriter.ts
+++ b/src/protocol/forwarding/byteWriter.ts
@@ -1,5 +1,7 @@
 /** Encodes numbers, short texts and lists into a growing buffer. */
 
+import { maxTextBytes } from "../usableValues.ts";
+
 /** Enough bytes for most messages between routers. */
 const initialCapacity = 512;
 
@@ -11,7 +13,7 @@
 
 export interface ByteWriter {
   readonly uint8: (value: number) => void;
-  /** An integer from 0 to 2^53 - 1, in as many bytes as it needs. */
+  /** An integer from 0 to 2^53 - 1, in as many bytes as it needs. Other numbers are encoded as the nearest one. */
   readonly varint: (value: number) => void;
   /** An integer of six bytes. */
   readonly uint48: (value: number) => void;
@@ -24,10 +26,17 @@
   readonly finish: () => Buffer;
 }
 
-const maximumTextBytes = 255;
 const uint48Bytes = 6;
+const maximumUint48 = 2 ** (8 * uint48Bytes) - 1;
 const float64Bytes = 8;
 
+/**
+ * @returns The nearest number that can be encoded, rounded down: the receiver drops a whole message for one number that
+ *   can't be, and an infinite one would never be encoded.
+ */
+const toCount = (value: number, maximum: number): number =>
+  Number.isNaN(value) ? 0 : Math.floor(Math.min(maximum, Math.max(0, value)));
+
 export const createByteWriter = (): ByteWriter => {
   let bytes = Buffer.allocUnsafe(initialCapacity);
   let end = 0;
@@ -49,7 +58,7 @@
   };
 
   const varint = (value: number): void => {
-    let remaining = value;
+    let remaining = toCount(value, Number.MAX_SAFE_INTEGER);
     while (remaining >= varintBase) {
       uint8((remaining % varintBase) + varintBase);
       remaining = Math.floor(remaining / varintBase);
@@ -62,15 +71,15 @@
     varint,
     uint48: (value) => {
       const at = reserve(uint48Bytes);
-      bytes.writeUIntBE(value, at, uint48Bytes);
+      bytes.writeUIntBE(toCount(value, maximumUint48), at, uint48Bytes);
     },
     float64: (value) => {
       const at = reserve(float64Bytes);
-      bytes.writeDoubleBE(value, at);
+      bytes.writeDoubleBE(Number.isFinite(value) ? value : 0, at);
     },
     shortText: (value) => {
       const size = Buffer.byteLength(value);
-      if (size > maximumTextBytes) throw new RangeError(`text of ${size} bytes is too long for a message`);
+      if (size > maxTextBytes) throw new RangeError(`text of ${size} bytes is too long for a message`);
       uint8(size);
       const at = reserve(size);
       bytes.write(value, at);
--- a/src/protocol/retryAfter.ts
+++ b/src/protocol/retryAfter.ts
@@ -1,8 +1,8 @@
 /** The `Retry-After` header: a date, or seconds (RFC 9110, section 10.2.3), here also with fractions. */
 
-const millisecondsPerSecond = 1_000;
+import { parseDecimal } from "./headerNumbers.ts";
 
-const secondsPattern = /^\d+(\.\d+)?$/;
+const millisecondsPerSecond = 1_000;
 
 /** `Sun, 06 Nov 1994 08:49:37 GMT`: the only date format that senders may generate. */
 const datePattern = /^[A-Z][a-z]{2}, \d{2} [A-Z][a-z]{2} \d{4} \d{2}:\d{2}:\d{2} GMT$/;
@@ -24,7 +24,8 @@
 ): number | "unreadable" | undefined => {
   if (text === undefined) return undefined;
   const trimmed = text.trim();
-  if (secondsPattern.test(trimmed)) return Number(trimmed) * millisecondsPerSecond;
-  const delay = parseDate(trimmed) - parseDate(sentAt);
-  return Number.isNaN(delay) ? "unreadable" : Math.max(0, delay);
+  const seconds = parseDecimal(trimmed);
+  const delay =
+    seconds === undefined ? parseDate(trimmed) - parseDate(sentAt) : seconds * millisecondsPerSecond;
+  return Number.isFinite(delay) ? Math.max(0, delay) : "unreadable";
 };
