Give settings and quarantine logs the bounds of what uses them

Callers saw: nothing. A router whose settings give it a name of more than 255 bytes would end with its first message to peers, and one whose times are above 24 days would use timers that fire at once.

Change: names fit into messages, IP addresses exist, and times are shortened to what timers can wait for.

Measured: the new test failed before on its first line, and passes.

--- a/src/coordination/crashes/LogRecordFeed.ts
+++ b/src/coordination/crashes/LogRecordFeed.ts
@@ -9,18 +9,19 @@
 import { StorePosition } from "../../protocol/StorePosition.ts";
 import type { LogRecord } from "../../protocol/types.ts";
 import { createLogger } from "../../state/log.ts";
+import { messageText } from "../../protocol/usableValues.ts";
 
 const pageSize = 500;
 
 const recordSchema = z.object({
-  key: z.string(),
+  key: messageText,
   value: z
     .object({
       // Routers of earlier versions quarantine contents only, and name no kind.
       kind: z.enum(traitKinds).default("content"),
-      name: z.string().default(""),
+      name: messageText.default(""),
       trials: z.int().nonnegative(),
-      trial: z.string(),
+      trial: messageText,
     })
     .nullable(),
 });
--- a/src/daemons/forwardingSettings.test.ts
+++ b/src/daemons/forwardingSettings.test.ts
@@ -41,4 +41,12 @@
     expect(() => parse({ store: "10.0.0.1:70000" })).toThrow(/store: must be IP:PORT/);
     expect(() => parseForwardingSettings("{", "settings.json")).toThrow(/settings\.json/);
   });
+
+  it("are refused where a message or a socket can't hold them: the first message ended the router", () => {
+    expect(() => parse({ name: "x".repeat(256) })).toThrow(/name/);
+    expect(() => parse({ dataCentre: "\ud800" })).toThrow(/dataCentre/);
+    expect(() => parse({ peers: "10.0.0.300:1" })).toThrow(/peers/);
+    const { bounds } = parse({ bounds: { ...settings.bounds, weights: 1e12 } });
+    expect(bounds.weights).toEqual(2 ** 31 - 1);
+  });
 });
--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -1,22 +1,23 @@
 /** The settings file of a forwarding router. */
+import { isIPv4 } from "node:net";
 import { z } from "zod";
 
 import { fileError } from "../protocol/errors.ts";
 import { listSchemaProblems } from "../protocol/schemaProblems.ts";
 import { parseSettingsText, readSettingsText } from "./settingsFile.ts";
+import { duration, messageText } from "../protocol/usableValues.ts";
 
-const endpointPattern = /^((?:\d{1,3}\.){3}\d{1,3}):(\d{1,5})$/;
+const endpointPattern = /^([\d.]+):(\d{1,5})$/;
 const maxPort = 65_535;
 
 const endpoint = z.string().transform((text, context) => {
   const [, address, digits] = endpointPattern.exec(text) ?? [];
   const port = Number(digits);
-  if (address !== undefined && port <= maxPort) return { address, port };
+  if (address !== undefined && isIPv4(address) && port <= maxPort) return { address, port };
   context.addIssue({ code: "custom", message: "must be IP:PORT" });
   return z.NEVER;
 });
 
-const duration = z.number().min(0);
 const share = z.number().min(0);
 
 /** How closely organisations' limits are enforced by default: usage exceeds them by at most a tenth. */
@@ -24,8 +25,8 @@
 
 /** Durations are milliseconds unless a name says otherwise. Unknown fields are ignored. */
 export const forwardingSettingsSchema = z.object({
-  name: z.string().min(1).describe("Unique among all routers"),
-  dataCentre: z.string().min(1),
+  name: messageText.min(1).describe("Unique among all routers"),
+  dataCentre: messageText.min(1),
   callers: endpoint.describe("Where callers connect"),
   readiness: endpoint.describe("Where the load balancer checks whether this router accepts requests"),
   metricsPort: z.number().int().min(0).max(maxPort).describe("Where metrics are served; 0: nowhere"),
@@ -51,13 +52,13 @@
   bounds: z.object({
     keyRevocation: duration,
     drain: duration,
-    lease: duration.min(100),
+    lease: duration.pipe(z.number().min(100)),
     weights: duration,
     shutdownGraceSeconds: duration,
     retryRatio: share,
-    retryWindowSeconds: duration.min(1),
+    retryWindowSeconds: duration.pipe(z.number().min(1)),
     retryReserve: share,
-    limitWindowSeconds: duration.min(1).default(defaultLimits.windowSeconds),
+    limitWindowSeconds: duration.pipe(z.number().min(1)).default(defaultLimits.windowSeconds),
     limitOvershoot: share.default(defaultLimits.overshoot),
     limitReserve: share.default(defaultLimits.reserve),
   }),
