Let a failed task in the background cost its own work, not the process

Cause: some thirty tasks were started and left with "void"; a rejection of any of them, or an exception in a timer, a datagram's or a table's listener, ended the process. A task that failed also left its flag set ("is checking"), so that it would never have run again, and a record that couldn't be applied was read again and again and held up all records after it.

All timers of the system clock, the UDP link, the listeners of the replica table, reloads, servers and left promises use it; the linter refuses "void" promises in src/ and platform/. A rejection that nobody handles is reported in the same way. What may still end a router: an exception that nothing caught, with the line "fault". Delays beyond 24 days are shortened, since Node.js fires such timers at once.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -79,6 +79,12 @@
     },
   },
   adapterRule,
+  {
+    // Tasks that nobody waits for go through src/state/backgroundTasks.ts, which reports their failures.
+    files: ["src/**/*.ts", "platform/**/*.ts"],
+    ignores: ["**/*.test.ts"],
+    rules: { "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }] },
+  },
   ...layerRules,
   platformNamesRule,
   {
--- a/src/coordination/clock.ts
+++ b/src/coordination/clock.ts
@@ -1,3 +1,5 @@
+import { maxTimerDelay } from "../protocol/usableValues.ts";
+import { guardCallback } from "../state/backgroundTasks.ts";
 import { steadyNow } from "../state/steadyTime.ts";
 
 /** Source of time and timers, which tests and the bench replace. */
@@ -23,7 +25,8 @@
   monotonic: steadyNow,
   wall: () => Date.now(),
   after: (delay, callback) => {
-    const timer = setTimeout(callback, delay);
+    const guarded = guardCallback(callback.name === "" ? "timer" : callback.name, callback);
+    const timer = setTimeout(guarded, Math.min(delay, maxTimerDelay));
     return () => clearTimeout(timer);
   },
 };
--- a/src/coordination/crashes/LogUpdatesLink.ts
+++ b/src/coordination/crashes/LogUpdatesLink.ts
@@ -10,6 +10,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { pause } from "../clock.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 /** Durations are milliseconds. */
 export interface LogUpdatesLinkDependencies {
@@ -50,7 +51,7 @@
   constructor(dependencies: LogUpdatesLinkDependencies) {
     super();
     this.dependencies = dependencies;
-    void this.follow();
+    runInBackground("followCrashUpdates", () => this.follow());
   }
 
   override send(_to: DatagramAddress, datagram: Buffer): void {
--- a/src/coordination/crashes/crashMonitor.ts
+++ b/src/coordination/crashes/crashMonitor.ts
@@ -18,6 +18,7 @@
 import type { BrokenRequest, OwnCrash } from "./brokenRequests.ts";
 import { describeBroken } from "./brokenRequests.ts";
 import { crashProbeDelay } from "./constants.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface CrashMonitorDependencies {
   readonly replicas: Pick<ReplicaTable, "get">;
@@ -75,8 +76,7 @@
   const probe = async (replica: ReplicaState, broken: readonly BrokenRequest[]): Promise<boolean> => {
     const { entry } = replica;
     await pause(clock, crashProbeDelay);
-    const isCrash = await hasCrashed(replica);
-    pending.delete(entry.id);
+    const isCrash = await hasCrashed(replica).finally(() => pending.delete(entry.id));
     if (!isCrash || !mayCrash(replica)) return false;
     writeLog("crashed", { replica: entry.id, service: entry.service, ...describeBroken(broken) });
     metrics.count(metricNames.replicaCrashes, 1, { service: entry.service });
@@ -99,7 +99,7 @@
 
   return {
     noteBrokenConnection: (replica, request) => {
-      void checkAfterEnd(replica, request);
+      runInBackground("checkForCrash", () => checkAfterEnd(replica, request), replica.entry.id);
     },
     checkAfterEnd,
   };
--- a/src/coordination/crashes/digestCheck.ts
+++ b/src/coordination/crashes/digestCheck.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "../clock.ts";
 import { digestMismatchReadDelays, digestMismatchGrace } from "./constants.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface DigestCheckDependencies {
   readonly clock: Clock;
@@ -39,8 +40,11 @@
   const readNow = async (): Promise<void> => {
     isReading = true;
     const before = digest();
-    if (!(await read())) queryPeers();
-    isReading = false;
+    try {
+      if (!(await read())) queryPeers();
+    } finally {
+      isReading = false;
+    }
     const isChanged = digest() !== before;
     delay = isChanged
       ? digestMismatchReadDelays.first
@@ -59,7 +63,7 @@
       mismatches.set(peerDigest, since);
       // A decision made just now is still on its way to some routers.
       if (now - since < digestMismatchGrace || now < mayReadAt || isReading) return;
-      void readNow();
+      runInBackground("readQuarantine", readNow);
     },
   };
 };
--- a/src/coordination/crashes/quarantine.ts
+++ b/src/coordination/crashes/quarantine.ts
@@ -36,6 +36,7 @@
 import { createDigestCheck } from "./digestCheck.ts";
 import { startRecordsMaintenance } from "./recordsMaintenance.ts";
 import { createTrials } from "./trials.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 /** Identifies the requests of one kind. */
 export interface RequestIdentity<Request> {
@@ -189,7 +190,7 @@
       // If each of 195 routers announced and recorded it, one cause would cost 75,000 messages.
       if (!evidence.isOwn(cause)) continue;
       updates.announceQuarantined(trait);
-      void records.write(cause);
+      runInBackground("recordQuarantine", () => records.write(cause), cause);
     }
   };
 
--- a/src/coordination/crashes/quarantineRecords.ts
+++ b/src/coordination/crashes/quarantineRecords.ts
@@ -14,6 +14,7 @@
 import { createBoundedMap } from "../../state/boundedMap.ts";
 import { maxQuarantined } from "./constants.ts";
 import type { QuarantinedTraits } from "./quarantinedTraits.ts";
+import { applyEach } from "../applyEach.ts";
 
 export interface QuarantineRecordsDependencies {
   readonly feed: RecordFeed<QuarantineRecord>;
@@ -71,7 +72,8 @@
 
   /** Drops again the records that this router has dropped before; they may come from an older copy of the store. */
   const applyCopy = async (records: readonly FeedRecord<QuarantineRecord>[]): Promise<void> => {
-    records.filter(({ key }) => !dropped.has(key)).forEach(apply);
+    const wanted = records.filter(({ key }) => !dropped.has(key));
+    applyEach("applyQuarantineRecord", wanted, apply);
     for (const { key } of records) if (dropped.has(key)) await feed.drop(key);
   };
 
@@ -90,7 +92,7 @@
     next ??= await readNewest();
     for (;;) {
       const page = await feed.changes(next, 0);
-      page.records.forEach(applyChange);
+      applyEach("applyQuarantineRecord", page.records, applyChange);
       next = page.next;
       if (page.isComplete) return;
     }
--- a/src/coordination/crashes/recordsMaintenance.ts
+++ b/src/coordination/crashes/recordsMaintenance.ts
@@ -14,6 +14,7 @@
 } from "./constants.ts";
 import type { Quarantined, QuarantinedTraits } from "./quarantinedTraits.ts";
 import type { QuarantineRecords } from "./quarantineRecords.ts";
+import { runInBackground, runTask } from "../../state/backgroundTasks.ts";
 
 export interface RecordsMaintenanceDependencies {
   readonly quarantined: QuarantinedTraits;
@@ -77,7 +78,7 @@
   const run = async (): Promise<void> => {
     while (!stop.signal.aborted) {
       await pause(clock, maintenanceInterval, stop.signal);
-      if (dropping.size > 0 || quarantined.size() > 0) await maintain();
+      if (dropping.size > 0 || quarantined.size() > 0) await runTask("maintainQuarantine", maintain);
     }
   };
 
@@ -108,7 +109,7 @@
     },
     drop: (fingerprint) => {
       dropping.add(fingerprint);
-      void dropAll();
+      runInBackground("dropQuarantineRecords", dropAll, fingerprint);
     },
     [Symbol.asyncDispose]: async () => {
       stop.abort();
--- a/src/coordination/forwarding/cacheStoreFollower.ts
+++ b/src/coordination/forwarding/cacheStoreFollower.ts
@@ -15,6 +15,7 @@
 import { cacheStorePollInterval, cacheStoreTimeout } from "./constants.ts";
 import { mixHashes } from "../placement/rendezvousReplica.ts";
 import type { NetworkAddress } from "../../protocol/networkAddress.ts";
+import { runInBackground, runTask } from "../../state/backgroundTasks.ts";
 
 export interface CacheStoreFollowerDependencies {
   /** @returns The stores in the current configuration. */
@@ -108,13 +109,19 @@
     }
   };
 
-  const poll = async (): Promise<void> => {
+  const pollAll = async (): Promise<void> => {
     applyConfigured();
     await Promise.all([...followed.values()].map(pollOrNoteFailure));
+  };
+
+  const poll = async (): Promise<void> => {
+    await runTask("pollCacheStores", pollAll);
     if (!stopping.signal.aborted)
-      cancelPoll = clock.after(cacheStorePollInterval * dependencies.intervalFactor(), () => void poll());
+      cancelPoll = clock.after(cacheStorePollInterval * dependencies.intervalFactor(), startPoll);
   };
 
+  const startPoll = (): void => runInBackground("pollCacheStores", poll);
+
   const findStore = (part: number): CacheStore | undefined => {
     let best: FollowedStore | undefined;
     for (const each of followed.values()) {
@@ -124,7 +131,7 @@
     return best?.store;
   };
 
-  let cancelPoll = clock.after(0, () => void poll());
+  let cancelPoll = clock.after(0, startPoll);
 
   return {
     findStore,
--- a/src/coordination/forwarding/configurationState.ts
+++ b/src/coordination/forwarding/configurationState.ts
@@ -15,6 +15,7 @@
 import type { Clock } from "../clock.ts";
 import type { RecoveryWindow } from "../storeEpochs/recoveryWindow.ts";
 import { noRecovery } from "../storeEpochs/recoveryWindow.ts";
+import { applyEach } from "../applyEach.ts";
 
 /** A version of a model's weights that the operator wants engines to run. */
 export interface WantedWeights {
@@ -171,11 +172,11 @@
     provenAt: validProof,
     apply: ({ records, next }) => {
       epoch = next.epoch;
-      for (const { key, value } of records) {
-        if (value === undefined) continue;
+      applyEach("applyOperatorRecord", records, ({ key, value }) => {
+        if (value === undefined) return;
         applyRecord(value);
         keepNewest(key, value);
-      }
+      });
     },
     confirm: (knownUntil, askedAt = knownUntil) => {
       readAt = Math.max(readAt, askedAt);
--- a/src/coordination/forwarding/replicaMonitor.ts
+++ b/src/coordination/forwarding/replicaMonitor.ts
@@ -15,6 +15,8 @@
   replicaMonitorInterval,
 } from "./constants.ts";
 import type { ReplicaHealth } from "./replicaHealth.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
+import { startPeriodicTask } from "../periodicTask.ts";
 
 export interface ReplicaMonitorDependencies {
   readonly replicas: ReplicaTable;
@@ -44,8 +46,8 @@
     const { entry } = replica;
     probing.add(entry.id);
     replica.isSuspected = false;
-    const isReachable = (await client.probeConnection(entry, connectionProbeTimeout)) === "made";
-    probing.delete(entry.id);
+    const probed = client.probeConnection(entry, connectionProbeTimeout);
+    const isReachable = (await probed.finally(() => probing.delete(entry.id))) === "made";
     if (replicas.get(entry.id) !== replica) return;
     replica.quietSince = clock.monotonic();
     if (isReachable) health.noteReachable(replica);
@@ -62,17 +64,18 @@
     return replica.requests > 0 && idleTime > idleTimeBeforeProbe;
   };
 
-  const poll = (): void => {
+  const poll = (): number => {
     const now = clock.monotonic();
     let hasWork = false;
     for (const replica of replicas.all()) {
       hasWork ||= replica.requests > 0 || replica.isUnreachable;
-      if (isDue(replica, now) && !probing.has(replica.entry.id)) void probe(replica);
+      if (isDue(replica, now) && !probing.has(replica.entry.id))
+        runInBackground("probeReplica", () => probe(replica), replica.entry.id);
     }
     // Without work, a request that begins now can't be overdue before the next poll.
-    cancelPoll = clock.after(hasWork ? replicaMonitorInterval : idleTimeBeforeProbe, poll);
+    return hasWork ? replicaMonitorInterval : idleTimeBeforeProbe;
   };
-  let cancelPoll = clock.after(replicaMonitorInterval, poll);
+  const cancelPoll = startPeriodicTask(clock, "monitorReplicas", replicaMonitorInterval, poll);
 
   return {
     [Symbol.asyncDispose]: () => {
--- a/src/coordination/forwarding/weightsChecks.ts
+++ b/src/coordination/forwarding/weightsChecks.ts
@@ -16,6 +16,7 @@
 import { pause } from "../clock.ts";
 import { withTimeLimit } from "../timeLimit.ts";
 import { maxStatusAge, weightsCheckIntervals, weightsCheckTime, weightsCheckTimeout } from "./constants.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 /** A refusal of a request because the engine runs other weights. */
 export interface DeniedWeights {
@@ -97,8 +98,7 @@
   const start = async (replica: ReplicaState, denied: DeniedWeights): Promise<void> => {
     const { id, service } = replica.entry;
     checking.set(id, service);
-    await check(replica, denied);
-    checking.delete(id);
+    await check(replica, denied).finally(() => checking.delete(id));
     // Where the status can't be read, the next request finds out.
     if (deniesKnownWeights(replica, denied.model)) replica.deniedWeights.delete(denied.model);
     wakeWaiting();
@@ -110,7 +110,7 @@
       if (replica === undefined) return;
       writeLog("weights_denied", { replica: id, ...denied });
       replicas.denyWeights(id, denied.model, denied.version, clock.monotonic());
-      if (!checking.has(id)) void start(replica, denied);
+      if (!checking.has(id)) runInBackground("checkWeights", () => start(replica, denied), id);
     },
     isChecking: (service) => [...checking.values()].includes(service),
     nextResult: (signal) =>
--- a/src/coordination/forwarding/weightsOrders.ts
+++ b/src/coordination/forwarding/weightsOrders.ts
@@ -20,6 +20,7 @@
 import type { ForwardingBounds } from "./types.ts";
 import type { WeightsChangeDependencies } from "./weightsChange.ts";
 import { createWeightsChange } from "./weightsChange.ts";
+import { runTask } from "../../state/backgroundTasks.ts";
 
 export interface WeightsOrdersDependencies extends Omit<WeightsChangeDependencies, "signal" | "mayOrder"> {
   readonly log: LogService;
@@ -89,8 +90,9 @@
   };
 
   const start = async (tenure: Tenure, replica: ReplicaState): Promise<void> => {
-    await change(tenure, replica);
-    tasks.delete(replica.entry.id);
+    const { id } = replica.entry;
+    await runTask("changeWeights", () => change(tenure, replica), id);
+    tasks.delete(id);
   };
 
   /** @returns Whether any reachable engine lacks wanted weights. */
@@ -112,14 +114,14 @@
 
   const run = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
-      const tenure = lease.tenure();
-      const isBusy = tenure !== undefined && mayOrder(tenure) && startChanges(tenure);
-      const holderInterval = isBusy ? rollOutPollIntervals.busy : rollOutPollIntervals.idle;
-      await pause(
-        clock,
-        tenure === undefined ? rollOutPollIntervals.withoutLease : holderInterval,
-        stopping.signal,
-      );
+      let interval: number = rollOutPollIntervals.withoutLease;
+      await runTask("orderWeights", () => {
+        const tenure = lease.tenure();
+        if (tenure === undefined) return;
+        interval = rollOutPollIntervals.idle;
+        if (mayOrder(tenure) && startChanges(tenure)) interval = rollOutPollIntervals.busy;
+      });
+      await pause(clock, interval, stopping.signal);
     }
     await Promise.all(tasks.values());
   };
--- a/src/coordination/membership/configurationExchange.ts
+++ b/src/coordination/membership/configurationExchange.ts
@@ -19,6 +19,7 @@
 import { configurationSpread } from "./constants.ts";
 import type { Membership } from "./Membership.ts";
 import { PeerMessageExtension } from "./PeerMessageExtension.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface ConfigurationExchangeDependencies {
   readonly history: ConfigurationHistory;
@@ -251,9 +252,11 @@
     const peer = this.dependencies.directory.get(name);
     if (peer === undefined || this.isAsking) return;
     this.isAsking = true;
-    void this.askPeer(peer).finally(() => {
-      this.isAsking = false;
-    });
+    const ask = (): Promise<void> =>
+      this.askPeer(peer).finally(() => {
+        this.isAsking = false;
+      });
+    runInBackground("askForConfiguration", ask, name);
   }
 
   private async askPeer({ name, url }: Peer): Promise<void> {
--- a/src/coordination/membership/peerLinks.ts
+++ b/src/coordination/membership/peerLinks.ts
@@ -12,6 +12,7 @@
 import { withTimeLimit } from "../timeLimit.ts";
 import { connecting } from "./constants.ts";
 import { rendezvousOrder } from "./rendezvous.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface PeerLinksDependencies {
   readonly network: PeerNetwork;
@@ -157,11 +158,11 @@
     for (const [name, link] of remoteLinks) {
       const peer = directory.get(name);
       const wanted = peer !== undefined && needsLink(peer) && dependencies.isRepresentative(peer.dataCentre);
-      if (!wanted) void link[Symbol.asyncDispose]();
+      if (!wanted) runInBackground("closePeerLink", () => link[Symbol.asyncDispose](), name);
     }
     for (const [name, link] of localLinks) {
       const state = directory.get(name)?.state ?? "dead";
-      if (state === "dead") void link[Symbol.asyncDispose]();
+      if (state === "dead") runInBackground("closePeerLink", () => link[Symbol.asyncDispose](), name);
     }
   };
 
--- a/src/coordination/membership/peerMembership.ts
+++ b/src/coordination/membership/peerMembership.ts
@@ -189,6 +189,7 @@
 
   const tick = (): void => {
     if (stopped) return;
+    cancelTick = clock.after(sender.interval(), tick);
     const now = clock.monotonic();
     guard.detectPause(now);
     guard.noteTick(now, sender.interval());
@@ -197,7 +198,6 @@
     links.reconcile();
     sender.sendToLocalPeers();
     sender.sendToOtherDataCentres(now);
-    cancelTick = clock.after(sender.interval(), tick);
   };
 
   const suspicions = createSuspicions({
--- a/src/coordination/replicaLimits/replicaLimits.ts
+++ b/src/coordination/replicaLimits/replicaLimits.ts
@@ -31,6 +31,7 @@
   unansweredSkipDuration,
 } from "./constants.ts";
 import { createLimitCoordinator } from "./limitCoordinator.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface ReplicaLimitsDependencies {
   readonly coordination: KeyCoordination;
@@ -179,11 +180,12 @@
         writeLog("limit_named", { replica: replica.entry.id, perSecond: reported.perSecond });
         dependencies.announce(replica);
       }
-      void report(replica, reported);
+      runInBackground("reportLimit", () => report(replica, reported), replica.entry.id);
     },
     observeNoLimit: (replica, span) => {
       const known = replica.limit;
-      if (known !== undefined && span.askedAt >= known.receivedAt) void report(replica, known, span);
+      if (known !== undefined && span.askedAt >= known.receivedAt)
+        runInBackground("reportLimit", () => report(replica, known, span), replica.entry.id);
     },
     comeBackAfter: (service) => {
       const limited = replicas.serving(service).filter(({ limit }) => limit !== undefined);
--- a/src/coordination/replicaOwners/ownedReplicas.ts
+++ b/src/coordination/replicaOwners/ownedReplicas.ts
@@ -21,6 +21,7 @@
 import { avoidReplica, avoidReplicaUntil } from "../replicaReports/backoff.ts";
 import { announcedLimitMaxAge } from "../replicaLimits/constants.ts";
 import { maxHoldersPerPart, reportLifetime } from "./constants.ts";
+import { startPeriodicTask } from "../periodicTask.ts";
 
 export interface OwnedReplicasDependencies {
   readonly replicas: ReplicaTable;
@@ -93,7 +94,7 @@
     if (report.limit !== undefined) noteAnnouncedLimit(state, report.limit, clock.monotonic());
   };
 
-  const expireReports = (): void => {
+  const expireReports = (): number => {
     const oldest = clock.monotonic() - reportLifetime;
     for (const [key, ofReplica] of reported) {
       for (const [name, { reportedAt }] of ofReplica) {
@@ -103,9 +104,9 @@
       }
       if (ofReplica.size === 0) reported.delete(key);
     }
-    cancel = clock.after(reportLifetime / 2, expireReports);
+    return reportLifetime / 2;
   };
-  let cancel = clock.after(reportLifetime / 2, expireReports);
+  const cancel = startPeriodicTask(clock, "expireReports", reportLifetime / 2, expireReports);
 
   const reportOn = (state: ReplicaState, asker: string, organisation: number): ReplicaLoadReport => {
     // Answers of an earlier owner would otherwise be passed on forever, and keep all routers away from the replica.
--- a/src/coordination/replicaPaths/replicaPaths.ts
+++ b/src/coordination/replicaPaths/replicaPaths.ts
@@ -38,6 +38,8 @@
 import { createServiceTable, observePending } from "./servicePaths.ts";
 import { createPathSearch, isEngine } from "./pathSearch.ts";
 import { createUnansweredTime } from "./unansweredTime.ts";
+import { runInBackground, runTask } from "../../state/backgroundTasks.ts";
+import { startPeriodicTask } from "../periodicTask.ts";
 
 export interface ReplicaPathsDependencies {
   readonly replicas: Pick<ReplicaTable, "all" | "serving" | "subscribe">;
@@ -119,7 +121,6 @@
     state.checks += 1;
     const hasPath = await findPath(service, reason);
     state.checkedAt = clock.monotonic();
-    state.check = undefined;
     if (isDisposed) return;
     if (hasPath === true) provenAt = state.checkedAt;
     if (hasPath === false) noteLost(service, state);
@@ -128,7 +129,9 @@
 
   const check = (service: string, reason: CheckReason): void => {
     const state = stateOf(service);
-    state.check ??= runCheck(service, state, reason);
+    state.check ??= runTask("checkPath", () => runCheck(service, state, reason), service).finally(() => {
+      state.check = undefined;
+    });
   };
 
   const noteUnanswered = (since: number): void => {
@@ -174,16 +177,16 @@
     return listed.length > 0 && listed.every((service) => services.get(service)?.lostAt !== undefined);
   };
 
-  const poll = (): void => {
+  const poll = (): number => {
     const now = clock.monotonic();
     const { isPending, isSilent } = observePending(replicas.all(), now);
     const interval = unanswered.isSilent() ? unansweredCheckInterval : silenceCheckInterval;
     if ((isSilent || unanswered.isSilent()) && now - silenceCheckedAt > interval && !isPartitioned())
-      void checkSilence();
+      runInBackground("checkSilence", checkSilence);
     checkLost(now);
-    cancelPoll = clock.after(isPending ? pollIntervals.busy : pollIntervals.idle, poll);
+    return isPending ? pollIntervals.busy : pollIntervals.idle;
   };
-  let cancelPoll = clock.after(pollIntervals.idle, poll);
+  const cancelPoll = startPeriodicTask(clock, "monitorPaths", pollIntervals.idle, poll);
   // A router may start without paths. Its first requests must not be what shows it.
   replicas.subscribe(({ service }, departure) => {
     if (departure === undefined && !services.has(service)) check(service, "failure");
@@ -198,7 +201,8 @@
     isProven: () => {
       const now = clock.monotonic();
       if (now - provenAt < maxProofAge) return true;
-      if (!isPartitioned() && now - silenceCheckedAt > failureCheckInterval) void checkSilence();
+      if (!isPartitioned() && now - silenceCheckedAt > failureCheckInterval)
+        runInBackground("checkSilence", checkSilence);
       return false;
     },
     noteAnswer: () => {
--- a/src/coordination/requests/attempt.ts
+++ b/src/coordination/requests/attempt.ts
@@ -21,6 +21,7 @@
 import type { AttemptCanceller } from "./attemptCanceller.ts";
 import { createStopper, untilStopped } from "./stopper.ts";
 import type { Stopper } from "./stopper.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface AttemptDependencies {
   readonly directory: EngineDirectory;
@@ -149,7 +150,7 @@
   const close = (end: AttemptEnd): void => {
     stopper.detach();
     if (end !== "finished") stopper.stop("superseded");
-    void state.frames?.return?.();
+    runInBackground("closeAnswer", () => state.frames?.return?.(), engine.id);
     if (state.mayHaveRun && end !== "finished")
       dependencies.canceller.cancel(engine, attempt, end === "left");
     assignment.release({ ...state.report, ended: end === "left" ? "cancelled" : end });
--- a/src/coordination/requests/hedge.ts
+++ b/src/coordination/requests/hedge.ts
@@ -4,6 +4,7 @@
 import type { OpenAttempt } from "./attempt.ts";
 import { createStopper } from "./stopper.ts";
 import type { Stopper } from "./stopper.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 const toError = (error: unknown): Error =>
   error instanceof Error ? error : upstreamError("the attempt failed", "failed", "sent", error);
@@ -62,7 +63,7 @@
     };
 
     const cancelHedgeTimer = race.clock.after(race.hedgeAfter, () => {
-      if (!settled && race.mayHedge()) void start(race.second);
+      if (!settled && race.mayHedge()) runInBackground("startHedge", () => start(race.second));
     });
-    void start(race.first);
+    runInBackground("startAttempt", () => start(race.first));
   });
--- a/src/coordination/requests/resumption.ts
+++ b/src/coordination/requests/resumption.ts
@@ -13,6 +13,7 @@
 import { createStopper } from "./stopper.ts";
 import type { Stopper } from "./stopper.ts";
 import type { CompletionJob } from "./types.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 /** Timeout for an engine to start resending an answer, milliseconds. Short, since the text is already computed. */
 const resumeTimeout = 2_000;
@@ -150,7 +151,7 @@
   const close = (end: AttemptEnd): void => {
     stopper.detach();
     if (end !== "finished") stopper.stop("superseded");
-    void frames?.return?.();
+    runInBackground("closeAnswer", () => frames?.return?.(), engine.id);
     dependencies.directory.addInFlight(engine.id, -1);
     releaseRetention();
     if (end !== "finished") dependencies.canceller.cancel(engine, point.attempt, end === "left");
--- a/src/coordination/storeEpochs/operatorRecovery.ts
+++ b/src/coordination/storeEpochs/operatorRecovery.ts
@@ -18,6 +18,7 @@
   firstCopyWriters,
   recoveryDuration,
 } from "./constants.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface OperatorRecoveryDependencies {
   readonly self: string;
@@ -133,7 +134,7 @@
       writeLog("operator_read", { epoch, lost });
       if (lost > 0) copying = copying.then(() => copyLost(page.next.epoch));
     },
-    readCopies: () => void readCopies(),
+    readCopies: () => runInBackground("readOperatorCopies", readCopies),
     [Symbol.asyncDispose]: async () => {
       stop.abort();
       await copying;
--- a/src/coordination/storeEpochs/registryRecovery.ts
+++ b/src/coordination/storeEpochs/registryRecovery.ts
@@ -14,6 +14,7 @@
 import { createLogger } from "../../state/log.ts";
 import type { Clock } from "../clock.ts";
 import { recoveryDuration } from "./constants.ts";
+import { applyEach } from "../applyEach.ts";
 
 const writeLog = createLogger("storeEpochs");
 
@@ -119,7 +120,7 @@
     for (const { entry } of replicas.all()) {
       if (!listed.has(entry.registeredAs)) missing.add(entry.registeredAs);
     }
-    page.records.forEach(mergeRecord);
+    applyEach("mergeReplica", page.records, mergeRecord);
     removeFrom = clock.monotonic() + recoveryDuration;
     lastChange = endOf(page);
     writeLog("registry_read", { epoch: page.next.epoch, missing: missing.size });
@@ -135,9 +136,12 @@
   const replaceAll = (page: FeedPage<ReplicaEntry>): void => {
     const removed = records.removeMissing(page);
     removed.forEach(replicas.remove);
-    const changes = page.records.filter(applyRecord);
+    let changes = removed.length;
+    applyEach("applyReplica", page.records, (record) => {
+      if (applyRecord(record)) changes += 1;
+    });
     if (lastChange === undefined) lastChange = endOf(page);
-    else if (removed.length + changes.length > 0) lastChange = laterPosition(lastChange, endOf(page));
+    else if (changes > 0) lastChange = laterPosition(lastChange, endOf(page));
   };
 
   return {
@@ -146,12 +150,12 @@
       else replaceAll(page);
     },
     apply: (page) => {
-      for (const record of page.records) {
+      applyEach("applyReplica", page.records, (record) => {
         const next = record.position.advancedBy(1);
-        if (!applyRecord(record)) continue;
+        if (!applyRecord(record)) return;
         onChange(record);
         if (lastChange?.isBefore(next) === true) lastChange = next;
-      }
+      });
     },
     confirm: (at) => {
       if (at >= removeFrom) removeMissing();
--- a/src/coordination/storeReading/storeReading.ts
+++ b/src/coordination/storeReading/storeReading.ts
@@ -38,6 +38,7 @@
 import { createAnnouncedReads } from "./announcedReads.ts";
 import type { FollowedRecords } from "./proofAnswer.ts";
 import { createProofAnswer, knownPosition } from "./proofAnswer.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface StoreReadingDependencies {
   readonly link: DatagramLink;
@@ -97,8 +98,7 @@
   const check = async (): Promise<void> => {
     if (isChecking || clock.monotonic() < mayCheckAt) return;
     isChecking = true;
-    const isDone = await operator.feed.check();
-    isChecking = false;
+    const isDone = await operator.feed.check().finally(() => (isChecking = false));
     failures = isDone ? 0 : failures + 1;
     if (!isDone) failedAt = clock.monotonic();
     const { first, longest } = ownReadRetryDelays;
@@ -106,6 +106,8 @@
     mayCheckAt = clock.monotonic() + delay;
   };
 
+  const checkInBackground = (): void => runInBackground("readOperatorRecords", check);
+
   const knownPositions = (): KnownPositions | undefined => {
     const known = { operator: knownPosition(operator), replicas: knownPosition(replicas) };
     return known.operator === undefined || known.replicas === undefined
@@ -149,7 +151,7 @@
     const { askedAt: since, known } = pending;
     pending = undefined;
     if (isStale(answer)) readerIndex += 1;
-    if (!applyProof(operator, answer.operator, known?.operator, since)) void check();
+    if (!applyProof(operator, answer.operator, known?.operator, since)) checkInBackground();
     if (!applyProof(replicas, answer.replicas, known?.replicas, since)) replicas.feed.readNow();
   };
 
@@ -196,11 +198,11 @@
     if (isReader) {
       const isFirst = dependencies.isFirstReader?.() ?? true;
       if (!isFirst && replicas.age() > bounds.drain * readerQueryAgeShare) sendQuery();
-      if (dependencies.readAge() > bounds.keyRevocation * readerReadAgeShare) void check();
+      if (dependencies.readAge() > bounds.keyRevocation * readerReadAgeShare) checkInBackground();
       return;
     }
     queryIfDue();
-    if (operator.age() > bounds.keyRevocation * ownReadAgeShare) void check();
+    if (operator.age() > bounds.keyRevocation * ownReadAgeShare) checkInBackground();
   };
   let cancel = clock.after(random() * checkInterval(), checkFreshness);
 
@@ -213,7 +215,7 @@
     },
     onUnresolved: () => {
       dependencies.onUnresolved?.();
-      void check();
+      checkInBackground();
     },
   });
 
--- a/src/coordination/usageLimits/usageLimits.ts
+++ b/src/coordination/usageLimits/usageLimits.ts
@@ -18,6 +18,7 @@
 import type { UsageAccount } from "./usageAccount.ts";
 import { createUsageAccount, noteAnswer, spendUngranted, ungrantedAllowance } from "./usageAccount.ts";
 import { createUsageCoordinator } from "./usageCoordinator.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface UsageLimitsDependencies {
   readonly coordination: KeyCoordination;
@@ -151,7 +152,7 @@
       const isFarFromLimit =
         clock.monotonic() < account.optimisticUntil && isWithinAllowance(account, amount, limit);
       if (!isFarFromLimit) return acquireGrant(organisation, amount, limit);
-      void acquireInBackground(organisation, amount);
+      runInBackground("acquireUsage", () => acquireInBackground(organisation, amount), organisation);
       return undefined;
     },
     charge: (organisation, amount) => {
--- a/src/daemons/forwardingDaemon.ts
+++ b/src/daemons/forwardingDaemon.ts
@@ -8,6 +8,7 @@
 import type { ForwardingRouter } from "./forwardingRouter.ts";
 import type { ForwardingSettings } from "./forwardingSettings.ts";
 import { readForwardingSettings } from "./forwardingSettings.ts";
+import { guardCallback, reportTaskFailure } from "../state/backgroundTasks.ts";
 
 const exitCodes = { ended: 0, fault: 1, badSettings: 2 } as const;
 
@@ -58,15 +59,19 @@
     const now = modificationTime(file);
     if (now !== 0 && now !== lastModified) reload();
   };
-  process.on("SIGHUP", reload);
-  const timer = setInterval(check, settingsCheckInterval);
+  process.on("SIGHUP", guardCallback("reloadSettings", reload));
+  const timer = setInterval(guardCallback("reloadSettings", check), settingsCheckInterval);
   return () => clearInterval(timer);
 };
 
-/** Logs an uncaught exception, then ends the process. */
+/**
+ * Logs an exception that nothing has caught, then ends the process: what it interrupted is unknown. A promise that
+ * rejects while nobody waits for it has interrupted only its own task.
+ */
 const reportFaults = (): void => {
-  process.on("uncaughtException", (error, origin) => {
-    writeLog("fault", { origin, reason: error.stack ?? String(error) });
+  process.on("unhandledRejection", (reason) => reportTaskFailure("unhandledRejection", reason));
+  process.on("uncaughtException", (error) => {
+    writeLog("fault", { reason: error.stack ?? String(error) });
     process.exit(exitCodes.fault);
   });
 };
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -39,6 +39,7 @@
 import type { ForwardingView } from "./forwardingView.ts";
 import { startForwardingView } from "./forwardingView.ts";
 import type { ForwardingSettings } from "./forwardingSettings.ts";
+import { onTaskFailure } from "../state/backgroundTasks.ts";
 
 const writeLog = createLogger("router");
 
@@ -164,6 +165,29 @@
   };
 };
 
+/** Counts failures of tasks in the background until it is disposed of. */
+const countTaskFailures = (metrics: Metrics): AsyncDisposable => {
+  const stop = onTaskFailure((task) => metrics.count(metricNames.taskFailures, 1, { task }));
+  return {
+    [Symbol.asyncDispose]: () => {
+      stop();
+      return Promise.resolve();
+    },
+  };
+};
+
+const connectTo = (
+  { store }: ForwardingSettings,
+  bounds: ForwardingBounds,
+  metrics: Metrics,
+  connect: ConnectPlatform,
+): ForwardingPlatform => {
+  const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
+  const registryTimeout = Math.min(storeTimeout, bounds.drain * registryTimeoutShare);
+  const onRecordRefused = (topic: string): void => metrics.count(metricNames.recordsRefused, 1, { topic });
+  return connect({ store, storeTimeout, registryTimeout, onRecordRefused });
+};
+
 /**
  * Starts a router. It is ready while it knows the replicas and the quarantine, its configuration is proven fresh, and
  * it is not shutting down.
@@ -175,17 +199,9 @@
   await using resources = createResourceStack();
   const clock = systemClock;
   const metrics = new PrometheusMetrics();
+  resources.use(countTaskFailures(metrics));
   const bounds = { ...toForwardingBounds(settings) };
-  const storeTimeout = bounds.keyRevocation * storeTimeoutShare;
-  const registryTimeout = Math.min(storeTimeout, bounds.drain * registryTimeoutShare);
-  const platform = resources.use(
-    connect({
-      store: settings.store,
-      storeTimeout,
-      registryTimeout,
-      onRecordRefused: (topic) => metrics.count(metricNames.recordsRefused, 1, { topic }),
-    }),
-  );
+  const platform = resources.use(connectTo(settings, bounds, metrics, connect));
   platform.epochs.subscribe(() => metrics.count(metricNames.storeEpochChanges));
   const { link, listener } = resources.use(await openPeerPort(settings.peers));
   const self = describeSelf(settings, link.port);
--- a/src/daemons/storeFollowing.ts
+++ b/src/daemons/storeFollowing.ts
@@ -40,6 +40,7 @@
 import type { FeedPage, OperatorRecord, ReplicaEntry } from "../protocol/forwarding/types.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import type { ReplicaTable } from "../state/forwarding/replicaTable.ts";
+import { runInBackground } from "../state/backgroundTasks.ts";
 
 export interface StoreFollowingDependencies {
   readonly platform: Pick<ForwardingPlatform, "epochs" | "operator" | "operatorCopies" | "replicas">;
@@ -87,7 +88,9 @@
   platform.epochs.subscribe(() => {
     cancelCheck();
     if (delegatesReads()) return;
-    cancelCheck = clock.after(recovery.remaining() + timerSlack, () => void operatorFeed.check());
+    cancelCheck = clock.after(recovery.remaining() + timerSlack, () =>
+      runInBackground("readOperatorRecords", operatorFeed.check),
+    );
   });
   return {
     [Symbol.asyncDispose]: () => {
@@ -255,7 +258,7 @@
   const readEpoch = (): void => {
     if (clock.monotonic() - epochReadAt < epochReadInterval) return;
     epochReadAt = clock.monotonic();
-    void operatorFeed.check();
+    runInBackground("readOperatorRecords", operatorFeed.check);
   };
 
   return {
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -47,6 +47,7 @@
   peerChanges: "peer_changes",
   replicaPrefillRate: "replica_prefill_rate",
   replicaPrefillRateAge: "replica_prefill_rate_age_ms",
+  taskFailures: "task_failures",
   unfinishedStreams: "unfinished_streams",
   pathLosses: "path_losses",
   relayed: "relayed",
--- a/src/state/forwarding/replicaTable.ts
+++ b/src/state/forwarding/replicaTable.ts
@@ -10,6 +10,7 @@
 import type { DrainingReport, ReplicaBackoff, ReplicaState, ReplicaWork } from "./replicaState.ts";
 import { createReplicaState } from "./replicaState.ts";
 import { raiseWeights, setReportedWeights } from "./replicaWeights.ts";
+import { guardCallback } from "../backgroundTasks.ts";
 
 /** Removed incarnations whose state is kept; more than are replaced while a registry is unavailable. */
 const maxRememberedIncarnations = 4_096;
@@ -211,7 +212,7 @@
       states.get(id)?.deniedWeights.set(model, { version, at });
     },
     subscribe: (listener) => {
-      listeners.push(listener);
+      listeners.push(guardCallback("noteReplica", listener, ({ id }) => id));
     },
   };
 };
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -20,6 +20,7 @@
   completionBody,
 } from "./callerAnswers.ts";
 import { readRequestBody } from "./requestBody.ts";
+import { runInBackground } from "../state/backgroundTasks.ts";
 
 const jsonType = { "content-type": "application/json" } as const;
 const serviceRoute = /^\/services\/([^/]+)(\/.*)?$/;
@@ -290,7 +291,7 @@
   let lastConnectionAt = 0;
   const server = createServer((request, response) => {
     if (isKeepAliveDisabled) response.shouldKeepAlive = false;
-    void nodeHandler(request, response);
+    runInBackground("serveCaller", () => nodeHandler(request, response));
   });
   server.on("connection", () => (lastConnectionAt = performance.now()));
   // Long prompts and answers take long: requests are limited by the deadlines of their class, not by the server.
--- a/src/transport/forwarding/HttpReplicaClient.ts
+++ b/src/transport/forwarding/HttpReplicaClient.ts
@@ -15,6 +15,7 @@
 import { createGuardedPool } from "../connectionGuard.ts";
 import { framingOf } from "./answerFraming.ts";
 import { createAnswerReader } from "./answerReader.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 /** Timeout of a connection attempt, milliseconds; short, so that requests soon move on from unreachable replicas. */
 const connectTimeout = 400;
@@ -138,7 +139,7 @@
     this.pools.delete(replica.id);
     this.connectionLimits.delete(replica.id);
     // Closes once the requests in progress have ended; nothing waits for that.
-    void pool?.close().catch(() => undefined);
+    runInBackground("closeReplicaPool", () => pool?.close(), replica.id);
   }
 
   override async [Symbol.asyncDispose](): Promise<void> {
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -16,6 +16,7 @@
 import type { SheddingListener } from "./sheddingListener.ts";
 import { startSheddingListener } from "./sheddingListener.ts";
 import { createCallerBuffers } from "./callerBuffers.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface ForwardingServerDependencies {
   readonly address: string;
@@ -182,7 +183,7 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    (message, response) => void serve(message, response),
+    (message, response) => runInBackground("serveCaller", () => serve(message, response)),
   );
   server.on("connection", (socket) => {
     if (mayConnect?.(socket.remoteAddress ?? "") === false) socket.resetAndDestroy();
--- a/src/transport/forwarding/sheddingListener.ts
+++ b/src/transport/forwarding/sheddingListener.ts
@@ -15,6 +15,7 @@
 import type { Metrics } from "../../state/Metrics.ts";
 import { steadyNow } from "../../state/steadyTime.ts";
 import { createQueueProbe } from "./queueProbe.ts";
+import { runInBackground } from "../../state/backgroundTasks.ts";
 
 /** How long a connection may wait in the queue, milliseconds. */
 const longestQueueTime = 150;
@@ -97,7 +98,7 @@
   };
 
   const reopenLater = (onPort: number): void => {
-    setTimeout(() => void reopen(onPort), closedTime).unref();
+    setTimeout(() => runInBackground("reopenListener", () => reopen(onPort)), closedTime).unref();
   };
 
   const reopen = async (onPort: number): Promise<void> => {
--- a/src/transport/forwarding/statusServer.ts
+++ b/src/transport/forwarding/statusServer.ts
@@ -3,6 +3,7 @@
 import { createServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { reportTaskFailure, runInBackground } from "../../state/backgroundTasks.ts";
 
 export interface StatusServerDependencies {
   readonly readiness: { readonly address: string; readonly port: number };
@@ -46,10 +47,15 @@
   if (dependencies.metrics.port !== 0) {
     servers.push(
       await listen(dependencies.metrics.port, dependencies.metrics.address, (_request, response) => {
-        void dependencies.metricsText().then((text) => {
-          response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+        const answer = async (): Promise<void> => {
+          const text = await dependencies.metricsText().catch((error: unknown) => {
+            reportTaskFailure("readMetrics", error);
+            return undefined;
+          });
+          response.writeHead(text === undefined ? 500 : 200, { "content-type": "text/plain; version=0.0.4" });
           response.end(text);
-        });
+        };
+        runInBackground("serveMetrics", answer);
       }),
     );
   }
--- a/src/transport/forwarding/udpLink.ts
+++ b/src/transport/forwarding/udpLink.ts
@@ -3,6 +3,7 @@
 import type { Socket, SocketOptions } from "node:dgram";
 import type { DatagramAddress } from "../../protocol/forwarding/DatagramLink.ts";
 import { DatagramLink } from "../../protocol/forwarding/DatagramLink.ts";
+import { guardCallback, reportTaskFailure } from "../../state/backgroundTasks.ts";
 
 class UdpLink extends DatagramLink {
   private readonly socket: Socket;
@@ -19,12 +20,17 @@
 
   override send({ address, port }: DatagramAddress, datagram: Buffer): void {
     if (this.isClosed) return;
-    // A datagram that can't be sent counts as lost.
-    this.socket.send(datagram, port, address, () => undefined);
+    try {
+      // A datagram that can't be sent counts as lost.
+      this.socket.send(datagram, port, address, () => undefined);
+    } catch (error) {
+      reportTaskFailure("sendDatagram", error, `${address}:${port}`);
+    }
   }
 
   override receive(listener: (datagram: Buffer, from: DatagramAddress) => void): void {
-    this.socket.on("message", (datagram, { address, port }) => listener(datagram, { address, port }));
+    const deliver = guardCallback("receiveDatagram", listener, (_datagram, { address }) => address);
+    this.socket.on("message", (datagram, { address, port }) => deliver(datagram, { address, port }));
   }
 
   override [Symbol.asyncDispose](): Promise<void> {
--- a/tests/platform/foreignRecords.test.ts
+++ b/tests/platform/foreignRecords.test.ts
@@ -124,3 +124,18 @@
     });
   }
 });
+
+describe("a task in the background that fails", () => {
+  it("costs its own work, and is logged with its key: it ended the router", async () => {
+    await using system = await startDeskSystem();
+    const program = new URL("../support/faultyRouter.js", import.meta.url);
+    await using router = await startRouterProcess("router-0", system.store.address, program);
+    await waitUntilServing([router]);
+    await sleep(useTime);
+    const statuses = await readAll([router]);
+    expect([router.isRunning(), statuses.filter((status) => status !== 200)]).toEqual([true, []]);
+    const failed = router.lines.filter(({ part, event }) => part === "tasks" && event === "failed");
+    const tasks = failed.map(({ task, key }) => `${String(task)} ${String(key)}`);
+    expect(tasks.toSorted()).toEqual(["checkPath desk", "checkSilence ", "unhandledRejection "]);
+  });
+});
--- a/tests/support/routerProcess.ts
+++ b/tests/support/routerProcess.ts
@@ -45,15 +45,25 @@
     outgoing.end();
   });
 
-/** Starts a router that uses a store. */
-export const startRouterProcess = async (name: string, store: string): Promise<RouterProcess> => {
+const deployedProgram = new URL("../../platform/main.js", import.meta.url);
+
+/**
+ * Starts a router that uses a store.
+ *
+ * @param program - The module of its entry point.
+ */
+export const startRouterProcess = async (
+  name: string,
+  store: string,
+  program = deployedProgram,
+): Promise<RouterProcess> => {
   const directory = await mkdtemp(join(tmpdir(), "pomelocleat-router-"));
   const file = join(directory, "settings.json");
   const free = "127.0.0.1:0";
   const endpoints = { callers: free, readiness: free, peers: free, metricsPort: 0, store };
   await writeFile(file, JSON.stringify({ name, dataCentre: "here", ...endpoints, bounds }));
   const lines: Readonly<Record<string, unknown>>[] = [];
-  const started = await startProcess(new URL("../../platform/main.js", import.meta.url), [], {
+  const started = await startProcess(program, [], {
     environment: { [settingsVariable]: file },
     onLine: (line) => lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>),
   });
