Write foreign records into each topic in the soak

A new invariant of all runs: no router ends by itself, and none of its tasks in the background fails (lines "fault" and "failed" of the routers' logs).

--- a/soak/platform/checks.test.ts
+++ b/soak/platform/checks.test.ts
@@ -81,6 +81,7 @@
   shutdowns: [],
   operator: { revokedKeys: [], weights: [] },
   proofAges: [0, 300],
+  faults: [],
   bounds: {
     keyRevocation: 2_000,
     drain: 800,
@@ -248,6 +249,7 @@
 
   it("find proofs of the configuration with a negative age", () => {
     expect(violatedPromises({ proofAges: [100, -5_890] }).length).toEqual(1);
+    expect(violatedPromises({ faults: ['{"part":"daemon","event":"fault"}'] }).length).toEqual(1);
   });
 
   it("find shutdowns that fail or cut requests, and missing recovery after the last step", () => {
--- a/soak/platform/checks.ts
+++ b/soak/platform/checks.ts
@@ -387,6 +387,15 @@
       detail: `${age} ms old`,
     }));
 
+const maxShownFault = 400;
+
+/** A fault that costs only one task is one of the router's own code, too. */
+const findFaults = ({ faults }: SoakHistory): readonly Violation[] =>
+  faults.map((line) => ({
+    promise: "no router ends by itself, and no task of it fails",
+    detail: line.slice(0, maxShownFault),
+  }));
+
 /** @returns All violations found in the records of a run. */
 export const findPlatformViolations = (history: SoakHistory): readonly Violation[] => [
   ...findWrongAnswers(history),
@@ -406,6 +415,7 @@
   ...findFailedShutdowns(history),
   ...findRequestsCutByShutdown(history),
   ...findNegativeProofAges(history),
+  ...findFaults(history),
   ...findMissingRecovery(history),
   ...findUnservedAfterFlood(history),
 ];
--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -8,6 +8,7 @@
 import { firstReplicaStart } from "./constants.ts";
 import type { SoakCallers } from "./callers.ts";
 import { floodingOrganisation } from "./callers.ts";
+import { createForeignRecords } from "../../standIns/platform/foreignRecords.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
 import type { Step, StepKind } from "./plan.ts";
 import { maxAddedReserve } from "./retryBudgetCheck.ts";
@@ -137,6 +138,18 @@
   for (const { replica, isReporting } of failing) if (!isReporting) replica.setBehaviours();
 };
 
+/** Other writers write records that can't be used, and later remove them. */
+const writeForeignRecords = async (
+  { put }: SoakSystem["store"],
+  target: number,
+  duration: number,
+): Promise<void> => {
+  const records = createForeignRecords(target);
+  for (const { topic, key, value } of records) put(topic, key, value);
+  await sleep(duration);
+  for (const { topic, key } of records) put(topic, key, undefined);
+};
+
 /** Partitions routers from all replicas. Their processes may end and start again meanwhile. */
 const partitionRouters = async (
   slots: readonly RouterSlot[],
@@ -412,6 +425,7 @@
     crashingParts: ({ duration }) => runLoad("crashingParts", duration),
     connectionHerd: ({ duration }) => runLoad("connectionHerd", duration),
     answersDoNotEnd: ({ target, duration }) => answerEndlessly(pickReplica(target), duration),
+    foreignRecords: ({ target, duration }) => writeForeignRecords(system.store, target, duration),
     takeKey,
     nameWeights,
     organisationFloods: ({ duration }) => runLoad("organisationFloods", duration),
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -81,6 +81,9 @@
   ...asMany("crashingParts", "connectionHerd", "answersDoNotEnd"),
 ] as const;
 
+/** All kinds, and records of other writers in each topic of the store. Half of the steps. */
+const recordStepKinds = [...registryStepKinds, ...asMany("foreignRecords")] as const;
+
 /** The kinds of steps, by what a run is about. */
 export const stepKinds = {
   default: defaultStepKinds,
@@ -92,6 +95,7 @@
   partitions: partitionStepKinds,
   moves: moveStepKinds,
   crashes: crashStepKinds,
+  records: recordStepKinds,
 } as const;
 
 export type StepTopic = keyof typeof stepKinds;
--- a/soak/platform/runSoak.ts
+++ b/soak/platform/runSoak.ts
@@ -49,6 +49,9 @@
     .lines.map((line) => numberOf(line, "configurationAge"))
     .filter((age) => age !== undefined);
 
+const isFault = (line: string): boolean =>
+  line.includes('"part":"daemon","event":"fault"') || line.includes('"part":"tasks","event":"failed"');
+
 /** Carries out a run and checks it. */
 export const runSoak = async ({
   seed,
@@ -95,6 +98,7 @@
     shutdowns: faultInjector.shutdowns,
     operator: faultInjector.operator,
     proofAges: readProofAges(system.log),
+    faults: system.log.filter(isFault),
     bounds,
     lastStepEndedAt,
   };
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -64,6 +64,12 @@
     cause: "prompt parts that crash engines, a herd of connections, and answers without end",
     topic: "crashes",
   },
+  {
+    seed: 88,
+    seconds: 8,
+    cause: "records of other writers, in each topic, whose values can't be used",
+    topic: "records",
+  },
 ];
 
 describe("router processes under injected faults", () => {
--- a/soak/platform/types.ts
+++ b/soak/platform/types.ts
@@ -79,6 +79,8 @@
   };
   /** Ages of the proofs of the configuration, from the routers' logs, milliseconds. */
   readonly proofAges: readonly number[];
+  /** The routers' log lines about exceptions that ended a process, and about failed tasks in the background. */
+  readonly faults: readonly string[];
   /** When the last step had ended. */
   readonly lastStepEndedAt: number;
 }
--- a/tests/platform/foreignRecords.test.ts
+++ b/tests/platform/foreignRecords.test.ts
@@ -8,6 +8,7 @@
   createRegistryEntry,
   createStoreWriters,
 } from "../../standIns/platform/platformSystem.ts";
+import type { ForeignRecord } from "../../standIns/platform/foreignRecords.ts";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
 import type { StoreStandIn } from "../../standIns/platform/store.ts";
@@ -15,13 +16,6 @@
 import type { RouterProcess } from "../support/routerProcess.ts";
 import { startRouterProcess } from "../support/routerProcess.ts";
 
-/** A record that a router's decoder gets. */
-interface ForeignRecord {
-  readonly topic: string;
-  readonly key: string;
-  readonly value: unknown;
-}
-
 /** Longer than routers take to read a record and to use it in all their regular tasks, milliseconds. */
 const useTime = 1_500;
 
