Take an encoded body for no body of the replica

Cause: nothing looked at Content-Encoding. PROTOCOL.md: "A response that has a Content-Encoding is not the replica's body."

Change: such an answer is malformed, as one without the seal is: retried at another replica where the request may run again, else 502 answer_lost.

--- a/bench/lab/LabReplicaClient.ts
+++ b/bench/lab/LabReplicaClient.ts
@@ -41,6 +41,7 @@
   limit: limit?.isNamed === true ? limit.perSecond : undefined,
   isDraining,
   retryAfter: undefined,
+  isEncoded: false,
   closesConnection: false,
 });
 
--- a/src/coordination/forwarding/answerCheck.ts
+++ b/src/coordination/forwarding/answerCheck.ts
@@ -77,6 +77,7 @@
         "sent",
       );
     }
+    if (head.isEncoded) throw upstreamError("the body of the response is encoded", "malformed", "sent");
     const model = request.prompt?.model;
     if (model !== undefined && head.weightsVersion !== undefined) {
       replicas.noteWeights(choice.replica.entry.id, model, head.weightsVersion, sentAt);
--- a/src/protocol/forwarding/types.ts
+++ b/src/protocol/forwarding/types.ts
@@ -293,6 +293,8 @@
 export interface AnswerHead extends ReplicaReport {
   /** Alternating names and values of the headers to forward unchanged. */
   readonly headers: readonly string[];
+  /** Whether the body is encoded: callers ask for bodies without encoding, so that it is not the replica's body. */
+  readonly isEncoded: boolean;
   /** Whether another replica now has the address, or the replica runs other weights. */
   readonly isMisdirected: boolean;
   readonly weightsVersion: number | undefined;
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -8,6 +8,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import { gzipSync } from "node:zlib";
 import type { AdmittedStream, EngineLoad, EngineLoadSettings } from "./engineLoad.ts";
 import { createEngineLoad } from "./engineLoad.ts";
 import type { ReplicaRoom, RoomSettings } from "./replicaRoom.ts";
@@ -29,6 +30,7 @@
  * - `broken`: the answer has no length, and the connection is reset in the middle of it.
  * - `early`: answered before the request's body has been read; the connection stays open and the body is read.
  * - `unsealed`: the answer has neither the request's id nor the replica's seal.
+ * - `encoded`: the answer's body is compressed, though nobody asked for that.
  * - `hang`: executed, and never answered.
  * - `endless`: executed, and answered with status 500 and a body without end.
  * - `deny`: refused with status 421.
@@ -47,6 +49,7 @@
   | "broken"
   | "early"
   | "unsealed"
+  | "encoded"
   | "hang"
   | "endless"
   | "deny";
@@ -171,9 +174,10 @@
 
 const isStream = ({ headers }: ExecutedRequest): boolean => headers["x-model"] !== undefined;
 
-const writeRaw = (response: ServerResponse, headers: readonly string[], body: string): void => {
+const writeRaw = (response: ServerResponse, headers: readonly string[], body: string | Buffer): void => {
   const head = ["HTTP/1.1 200 OK", ...headers, "", ""].join("\r\n");
-  response.socket?.write(head + body);
+  response.socket?.write(head);
+  response.socket?.write(body);
 };
 
 const refuse = (response: ServerResponse, status: number, headers: Record<string, string> = {}): void => {
@@ -268,6 +272,12 @@
   }
 };
 
+const sendEncoded = (response: ServerResponse, mark: readonly string[], body: string): void => {
+  const compressed = gzipSync(body);
+  const length = `content-length: ${compressed.length}`;
+  writeRaw(response, [...mark, "content-encoding: gzip", length], compressed);
+};
+
 /** Answers a plain request incorrectly, as the behaviour says. */
 const sendMalformedAnswer = (
   replica: string,
@@ -296,6 +306,7 @@
     writeRaw(response, [...mark, "connection: close"], body.slice(0, body.length / 2));
     setTimeout(() => response.socket?.resetAndDestroy(), pause);
   } else if (behaviour === "unsealed") writeRaw(response, [length], body);
+  else if (behaviour === "encoded") sendEncoded(response, mark, body);
 };
 
 /** @returns A function that closes a server's port and resets its connections, as the end of its process would. */
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -209,6 +209,7 @@
     ["crossed", 200, 2],
     ["broken", 200, 2],
     ["unsealed", 200, 2],
+    ["encoded", 200, 2],
     ["fail", 200, 2],
   ];
   for (const [behaviour, status, runs] of cases) {
@@ -220,12 +221,13 @@
       // One of two requests begins at the misbehaving replica, whichever replica is chosen first.
       const answers = [await sendRequest(system.router, read), await sendRequest(system.router, read)];
       expect(answers.map((answer) => answer.status)).toEqual([status, status]);
+      expect(answers.map(({ headers }) => headers["content-encoding"])).toEqual([undefined, undefined]);
       expect((first?.runs.length ?? 0) + (second?.runs.length ?? 0) >= runs).toEqual(true);
     });
   }
 
   it("is never retried if the request may run only once", async () => {
-    for (const behaviour of ["reset", "cut", "crossed", "broken", "unsealed"] as const) {
+    for (const behaviour of ["reset", "cut", "crossed", "broken", "unsealed", "encoded"] as const) {
       await using system = await startPlatformSystem();
       behaveAll(system, behaviour);
       const answer = await sendRequest(system.router, post);
