Pass on no status that promises "not run" for a request that has run

A caller reads that as the promise that its request has not run, and sends it again: it runs twice.

Cause: the status of any sealed answer was passed on. PROTOCOL.md: "A response that has X-Not-Executed states that the replica did not run the request. [...] No other response states this", and 429, 503, 408 and 421 "are a promise"; the page names no such failure, and rules out none.

Change: where a request may run only once, an answer with one of these statuses that doesn't state "not run" counts as a failure of unknown outcome: 502 answer_lost, without the seal. Repeatable requests get the replica's status, as running again does no harm there.

--- a/src/coordination/forwarding/answerCheck.ts
+++ b/src/coordination/forwarding/answerCheck.ts
@@ -29,6 +29,7 @@
  * Checks a response, and records what its head reports about the replica (weights version, departure).
  *
  * @param sentAt - When the request was sent, milliseconds on the monotonic clock.
+ * @param mayRepeat - Whether the request may run more than once.
  * @throws `UpstreamError` unless the response may be passed on to the caller.
  */
 export type AnswerCheck = (
@@ -36,8 +37,12 @@
   request: CallerRequest,
   choice: CheckedChoice,
   sentAt: number,
+  mayRepeat: boolean,
 ) => Promise<void>;
 
+/** Statuses by which a caller learns that its request has not run and never will, so that it may be sent again. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** Creates the check of responses. */
 export const createAnswerCheck = (dependencies: AnswerCheckDependencies): AnswerCheck => {
   const { replicas, weightsChecks, onLeaving, onEndless, clock } = dependencies;
@@ -58,7 +63,7 @@
     } else dependencies.onRefused(replica);
   };
 
-  return async ({ head, body }, request, choice, sentAt) => {
+  return async ({ head, body }, request, choice, sentAt, mayRepeat) => {
     if (head.echoedId !== undefined && head.echoedId !== request.id) {
       throw upstreamError("the response echoes the id of another request", "crossed", "sent");
     }
@@ -77,6 +82,11 @@
         "sent",
       );
     }
+    if (!mayRepeat && notRunStatuses.has(head.status)) {
+      // The replica has run it and failed: passed on, the status would promise the opposite.
+      const message = `status ${head.status} of a replica that has run the request`;
+      throw upstreamError(message, "failed", "sent", undefined, head.status);
+    }
     if (head.isEncoded) throw upstreamError("the body of the response is encoded", "malformed", "sent");
     const model = request.prompt?.model;
     if (model !== undefined && head.weightsVersion !== undefined) {
--- a/src/coordination/forwarding/forwardRun.ts
+++ b/src/coordination/forwarding/forwardRun.ts
@@ -9,6 +9,7 @@
 import type { PlacementChoice } from "../placement/placementTypes.ts";
 import type { SizeFifth } from "../admission/promptSizes.ts";
 import type { Admission } from "./types.ts";
+import { isRepeatable } from "./isRepeatable.ts";
 
 /** Result of querying the owners of replicas for their state, for the log. */
 export interface OwnerQueryStats {
@@ -190,7 +191,7 @@
       skipped = description;
     },
     skipped: () => skipped,
-    mayRepeat: route.kind === "repeatable" || route.kind === "resumableEventStream",
+    mayRepeat: isRepeatable(route),
     hasAttemptsLeft: () => areAttemptsKnown && sentTo.size < route.maximumAttempts,
     isOutOfWeightsRefusals: () => weightsRefusals >= maxWeightsRefusals,
     isOutOfConnectionAttempts: () => unsent >= maxUnsentAttempts,
--- a/standIns/platform/replica.ts
+++ b/standIns/platform/replica.ts
@@ -22,6 +22,7 @@
  * - `well`: completely and correctly.
  * - `shed`: refused with status 503 as not executed.
  * - `fail`: executed, and answered with status 500.
+ * - `unavailable`: executed, and answered with status 503.
  * - `reset`: executed, and the connection closed without an answer.
  * - `cut`: executed, and the connection closed in the middle of the answer's body.
  * - `extra`: answered completely, followed by a second answer on the same connection.
@@ -41,6 +42,7 @@
   | "well"
   | "shed"
   | "fail"
+  | "unavailable"
   | "reset"
   | "cut"
   | "extra"
@@ -512,6 +514,7 @@
     if (rawStream !== undefined)
       await sendRawStream(executed, response, rawStream, headersOf(executed), events);
     else if (behaviour === "fail") refuse(response, 500, headersOf(executed));
+    else if (behaviour === "unavailable") refuse(response, 503, headersOf(executed));
     else if (isStream(executed) && behaviour === "cut") await sendEvents(executed, response, 2);
     else if (behaviour !== "well") sendMalformedAnswer(id, events.pause, executed, response, behaviour);
     else if (isStream(executed)) await sendEvents(executed, response, Number.POSITIVE_INFINITY);
--- a/tests/platform/wire.test.ts
+++ b/tests/platform/wire.test.ts
@@ -236,6 +236,19 @@
     }
   });
 
+  it("promises not to have run only if that is true: a 503 of a replica that had run it was passed on", async () => {
+    await using system = await startPlatformSystem();
+    behaveAll(system, "unavailable");
+    const ids = ["post-1", "ask-1"];
+    const answers = [
+      await sendRequest(system.router, { ...post, id: "post-1" }),
+      await sendRequest(system.router, { ...ask, id: "ask-1" }),
+    ];
+    expect(answers.map(({ status }) => status)).toEqual([502, 502]);
+    expect(answers.map(({ headers }) => headers["x-replica-seal"])).toEqual([undefined, undefined]);
+    expect([...runsOf(system.desks), ...runsOf(system.engines)].map(({ id }) => id)).toEqual(ids);
+  });
+
   it("ends with its connection if it has no length", async () => {
     await using system = await startPlatformSystem();
     behaveAll(system, "unframed");
