Go on draining when the signal to end comes again

Cause: the listener was added with process.once, so that Node.js gave the second signal its default action.

Change: the listeners stay, also in the program of the product's own interface; further signals change nothing, since draining is bounded by the grace time.

--- a/src/daemons/forwardingDaemon.ts
+++ b/src/daemons/forwardingDaemon.ts
@@ -76,9 +76,10 @@
   });
 };
 
+/** Without a listener, a second signal would end the process and cut off the requests that are being served. */
 const waitForShutdownSignal = (): Promise<string> =>
   new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"]) process.once(signal, () => resolve(signal));
+    for (const signal of ["SIGTERM", "SIGINT"]) process.on(signal, () => resolve(signal));
   });
 
 /**
--- a/src/daemons/routerMain.ts
+++ b/src/daemons/routerMain.ts
@@ -40,10 +40,10 @@
   }
 };
 
+/** Without a listener, a second signal would end the process and cut off the requests that are being served. */
 const shutdownSignal = (): Promise<void> =>
   new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    for (const signal of ["SIGTERM", "SIGINT"]) process.on(signal, () => resolve());
   });
 
 const serve = async (settings: RouterSettings): Promise<void> => {
--- a/tests/processes/shutdown.test.ts
+++ b/tests/processes/shutdown.test.ts
@@ -33,6 +33,8 @@
     await sleep(pollInterval * 5);
     router?.process.kill("SIGTERM");
     while ((await fetch(`${url}/readyz`)).ok) await sleep(pollInterval);
+    // A second signal changes nothing.
+    router?.process.kill("SIGTERM");
     const refused = await caller.send(url, signOff(newKey()));
     expect([refused.status, refused.outcome, refused.code]).toEqual([503, "not_run", "shutting_down"]);
     expect([refused.headers[headers.retryAfter], refused.headers.connection]).toEqual(["1", "close"]);
--- a/tests/support/routerProcess.ts
+++ b/tests/support/routerProcess.ts
@@ -12,6 +12,8 @@
   readonly name: string;
   /** @returns Whether it is still running. */
   readonly isRunning: () => boolean;
+  readonly kill: StartedProcess["kill"];
+  readonly ended: StartedProcess["ended"];
   /** The lines of its log, as objects. */
   readonly lines: readonly Readonly<Record<string, unknown>>[];
   /** Sends a request to the plain service. @returns The status; 0 if no answer came. */
@@ -74,6 +76,8 @@
   return {
     name,
     isRunning: () => isRunning,
+    kill: started.kill,
+    ended: started.ended,
     lines,
     read: () => readFrom(started),
     [Symbol.asyncDispose]: async () => {
