Leave the shared cache of an organisation behind when it becomes isolated

Cause: organisations that aren't isolated share one salt for each model and version, which stayed the same. PROTOCOL.md: "A tenant whose isolated is true in the configuration shares no part with any other tenant."

Change: the shared salt contains a hash of the names of the isolated organisations, so that it changes with that set. Every router computes it from the configuration alone, also one that has just started. Names in salts are escaped, so that no isolated name can give the shared salt.

Cost: a change of the set costs all others their shared cache once; without isolated organisations nothing changes. Weighed: salts that only change where an organisation was shared before need to be remembered beyond restarts, by a topic of ours that all routers read and prove fresh; left for the rare change.

--- a/src/coordination/placement/versionViews.ts
+++ b/src/coordination/placement/versionViews.ts
@@ -11,8 +11,11 @@
   readonly viewOf: (version: number) => PromptView;
 }
 
-const saltFor = ({ organisation }: Admission, model: string, version: number): string =>
-  `${model}/${version}/${organisation?.isIsolated === true ? organisation.name : ""}`;
+/** An encoded name contains no slash, so that no isolated organisation has the salt that the others share. */
+const saltFor = ({ organisation, table }: Admission, model: string, version: number): string =>
+  organisation?.isIsolated === true
+    ? `${model}/${version}/${organisation.name.replaceAll("%", "%25").replaceAll("/", "%2F")}`
+    : `${model}/${version}/${table.isolationKey === "" ? "" : `/${table.isolationKey}`}`;
 
 /** @returns Views that are created when they are first used. */
 export const createVersionViews = (
--- a/src/state/forwarding/routeTable.ts
+++ b/src/state/forwarding/routeTable.ts
@@ -7,6 +7,7 @@
   ForwardingService,
   OrganisationLimit,
 } from "../../protocol/forwarding/types.ts";
+import { hash64 } from "../../protocol/prefixLevels.ts";
 
 /** The index of one configuration. */
 export interface RouteTable {
@@ -20,8 +21,15 @@
   readonly cacheStores: readonly CacheStore[];
   /** By organisation name; organisations without a limit are missing. */
   readonly limits: ReadonlyMap<string, OrganisationLimit>;
+  /**
+   * Identifies the set of isolated organisations. Those that are not isolated share cached prompt parts only while it
+   * stays the same: an organisation that becomes isolated may have made some of these parts.
+   */
+  readonly isolationKey: string;
 }
 
+const radix = 36;
+
 /** Normalises a host: lower case, without port. */
 const hostOf = (host: string): string => host.toLowerCase().replace(/:\d+$/, "");
 
@@ -33,6 +41,11 @@
 const byLongestPrefix = (left: ForwardingRoute, right: ForwardingRoute): number =>
   right.pathPrefix.length - left.pathPrefix.length;
 
+const isolationKeyOf = ({ organisations = [] }: ForwardingConfiguration): string => {
+  const isolated = organisations.filter(({ isIsolated }) => isIsolated).map(({ name }) => name);
+  return isolated.length === 0 ? "" : hash64(JSON.stringify(isolated.sort())).toString(radix);
+};
+
 export const createRouteTable = (configuration: ForwardingConfiguration): RouteTable => {
   const routes = new Map<string, ForwardingRoute[]>();
   for (const route of configuration.routes) {
@@ -60,6 +73,7 @@
     findOrganisation: (key) => organisations.get(key),
     findService: (name) => services.get(name),
     limits,
+    isolationKey: isolationKeyOf(configuration),
     cacheStores: configuration.services.flatMap(({ cacheStore }) => cacheStore ?? []),
   };
 };
