Count a stream that this router resumes as broken off if nothing follows

Cause: the end of the connection marks the end of a resumed stream without events, since a caller may resume after the last one. Where the router itself resumes, something broke the stream off before, and nothing says that it was whole.

Change: such an end counts as broken off, unless the caller asked for just this event; it is resumed once more or broken off. A caller that sees a broken stream resumes it; one that sees a whole stream never learns what it lacks.

--- a/src/coordination/forwarding/streamEnd.ts
+++ b/src/coordination/forwarding/streamEnd.ts
@@ -26,7 +26,8 @@
  *
  * @returns The same chunks.
  * @throws `UpstreamError` if only the end of the connection marks the end of the stream, and it comes inside an event or
- * before the first one, or if an event does not end. A stream that is resumed may have no event left.
+ * before the first one, or if an event does not end. A stream that its caller resumes may have no event left; one that
+ * this router resumes, after another replica broke it off, is not taken for whole without any.
  */
 export const checkStreamEnd = async function* (
   answer: ReplicaAnswer,
@@ -50,7 +51,8 @@
   }
   const unfinishedBytes = scanner.unfinishedBytes();
   const { framing } = answer;
-  const lacksEvents = framing === "connection" && scanner.eventCount() === 0 && lastEventId === undefined;
+  const mayBeEmpty = lastEventId !== undefined && lastEventId === request.lastEventId;
+  const lacksEvents = framing === "connection" && scanner.eventCount() === 0 && !mayBeEmpty;
   if (unfinishedBytes === 0 && !lacksEvents) return;
   metrics.count(metricNames.unfinishedStreams, 1, { framing });
   writeLog("unfinished_event", {
