--- a/src/coordination/periodicTask.ts
+++ b/src/coordination/periodicTask.ts
@@ -11,7 +11,7 @@
  * @param name - The task's name where a failure is reported.
  * @param firstDelay - Milliseconds until the first run.
  * @param run - Returns the milliseconds until the next run.
- * @returns Ends it.
+ * @returns Stops the task.
  */
 export const startPeriodicTask = (
   clock: Pick<Clock, "after">,
--- a/src/coordination/placement/versionViews.ts
+++ b/src/coordination/placement/versionViews.ts
@@ -11,7 +11,7 @@
   readonly viewOf: (version: number) => PromptView;
 }
 
-/** An encoded name contains no slash, so that no isolated organisation has the salt that the others share. */
+/** Slashes in names are escaped, so that no isolated organisation can have the salt that the others share. */
 const saltFor = ({ organisation, table }: Admission, model: string, version: number): string =>
   organisation?.isIsolated === true
     ? `${model}/${version}/${organisation.name.replaceAll("%", "%25").replaceAll("/", "%2F")}`
--- a/src/state/backgroundTasks.ts
+++ b/src/state/backgroundTasks.ts
@@ -30,7 +30,7 @@
 /**
  * Calls a function for each failure of a task in this process.
  *
- * @returns Ends that.
+ * @returns Removes the listener.
  */
 export const onTaskFailure = (listener: (task: string) => void): (() => void) => {
   listeners.add(listener);
--- a/standIns/platform/platformSystem.ts
+++ b/standIns/platform/platformSystem.ts
@@ -273,7 +273,8 @@
   readonly isPublished?: boolean;
 }
 
-const bounds: ForwardingSettings["bounds"] = {
+/** The limits of routers in tests, short so that they are reached soon. */
+export const defaultBounds: ForwardingSettings["bounds"] = {
   keyRevocation: 2_000,
   drain: 600,
   lease: 600,
@@ -345,7 +346,7 @@
       guarantees: [],
       batchMemory: false,
       ...settings.load,
-      bounds: { ...bounds, ...settings.bounds },
+      bounds: { ...defaultBounds, ...settings.bounds },
     });
     routers.push(router);
     return router;
--- a/tests/support/routerProcess.ts
+++ b/tests/support/routerProcess.ts
@@ -3,7 +3,13 @@
 import { request } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { callHeaders, hosts, keys, settingsVariable } from "../../standIns/platform/platformSystem.ts";
+import {
+  callHeaders,
+  defaultBounds,
+  hosts,
+  keys,
+  settingsVariable,
+} from "../../standIns/platform/platformSystem.ts";
 import type { StartedProcess } from "../../standIns/startProcess.ts";
 import { startProcess } from "../../standIns/startProcess.ts";
 
@@ -20,17 +26,7 @@
   readonly read: () => Promise<number>;
 }
 
-const bounds = {
-  keyRevocation: 2_000,
-  drain: 600,
-  lease: 600,
-  weights: 5_000,
-  shutdownGraceSeconds: 2,
-  retryRatio: 0.2,
-  retryWindowSeconds: 10,
-  retryReserve: 50,
-} as const;
-
+/** Timeout of a request, milliseconds. */
 const deadline = 2_000;
 
 let sent = 0;
@@ -63,7 +59,7 @@
   const file = join(directory, "settings.json");
   const free = "127.0.0.1:0";
   const endpoints = { callers: free, readiness: free, peers: free, metricsPort: 0, store };
-  await writeFile(file, JSON.stringify({ name, dataCentre: "here", ...endpoints, bounds }));
+  await writeFile(file, JSON.stringify({ name, dataCentre: "here", ...endpoints, bounds: defaultBounds }));
   const lines: Readonly<Record<string, unknown>>[] = [];
   const started = await startProcess(program, [], {
     environment: { [settingsVariable]: file },
