--- a/tests/platform/foreignRecords.test.ts
+++ b/tests/platform/foreignRecords.test.ts
@@ -2,17 +2,12 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
-import { createResourceStack } from "../../src/protocol/resourceStack.ts";
-import {
-  createConfiguration,
-  createRegistryEntry,
-  createStoreWriters,
-} from "../../standIns/platform/platformSystem.ts";
 import type { ForeignRecord } from "../../standIns/platform/foreignRecords.ts";
-import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
-import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
+import { createRegistryEntry } from "../../standIns/platform/platformSystem.ts";
 import type { StoreStandIn } from "../../standIns/platform/store.ts";
-import { startStoreStandIn } from "../../standIns/platform/store.ts";
+import { waitUntil } from "../support/conditions.ts";
+import type { DeskSystem } from "../support/deskSystem.ts";
+import { startDeskSystem } from "../support/deskSystem.ts";
 import type { RouterProcess } from "../support/routerProcess.ts";
 import { startRouterProcess } from "../support/routerProcess.ts";
 
@@ -22,7 +17,8 @@
 const readsPerRouter = 20;
 
 const waitUntilServing = async (routers: readonly RouterProcess[]): Promise<void> => {
-  for (const router of routers) while (router.isRunning() && (await router.read()) !== 200) await sleep(20);
+  for (const router of routers)
+    await waitUntil(async () => !router.isRunning() || (await router.read()) === 200);
 };
 
 const readAll = async (routers: readonly RouterProcess[]): Promise<readonly number[]> => {
@@ -56,24 +52,6 @@
   };
 };
 
-interface DeskSystem extends AsyncDisposable {
-  readonly store: StoreStandIn;
-  readonly desk: ReplicaStandIn;
-}
-
-/** Starts a store and two replicas of the plain service. */
-const startDeskSystem = async (): Promise<DeskSystem> => {
-  await using resources = createResourceStack();
-  const store = resources.use(await startStoreStandIn());
-  const desk = resources.use(await startReplicaStandIn({ id: "desk-0" }));
-  const otherDesk = resources.use(await startReplicaStandIn({ id: "desk-1" }));
-  const { publish, register } = createStoreWriters(store);
-  publish(createConfiguration());
-  for (const each of [desk, otherDesk]) register(each.id, createRegistryEntry("desk", each, 1));
-  const owned = resources.move();
-  return { store, desk, [Symbol.asyncDispose]: () => owned[Symbol.asyncDispose]() };
-};
-
 /** More than the bytes of a text in a message between routers. */
 const longText = "x".repeat(300);
 
@@ -109,7 +87,7 @@
 describe("a record of another writer ends no router and is refused once:", () => {
   for (const [name, createRecord] of Object.entries(cases)) {
     it(name, async () => {
-      await using system = await startDeskSystem();
+      await using system = await startDeskSystem(["desk-0", "desk-1"]);
       expect(await writeRecord(system.store, createRecord(system))).toEqual({
         ended: [],
         notServed: [],
@@ -121,15 +99,21 @@
 
 describe("a task in the background that fails", () => {
   it("costs its own work, and is logged with its key: it ended the router", async () => {
-    await using system = await startDeskSystem();
+    await using system = await startDeskSystem(["desk-0"]);
     const program = new URL("../support/faultyRouter.js", import.meta.url);
     await using router = await startRouterProcess("router-0", system.store.address, program);
     await waitUntilServing([router]);
+    // A replica that owes an answer makes the router look for its paths, and probe that replica.
+    system.desk.setBehaviours("hang");
+    const unanswered = router.read();
     await sleep(useTime);
+    await unanswered;
     const statuses = await readAll([router]);
     expect([router.isRunning(), statuses.filter((status) => status !== 200)]).toEqual([true, []]);
     const failed = router.lines.filter(({ part, event }) => part === "tasks" && event === "failed");
     const tasks = failed.map(({ task, key }) => `${String(task)} ${String(key)}`);
-    expect(tasks.toSorted()).toEqual(["checkPath desk", "checkSilence ", "unhandledRejection "]);
+    expect(tasks.toSorted()).toEqual([
+      ...["checkPath desk", "checkSilence ", "probeReplica desk-0", "unhandledRejection "],
+    ]);
   });
 });
--- a/tests/platform/repeatedSignals.test.ts
+++ b/tests/platform/repeatedSignals.test.ts
@@ -2,15 +2,8 @@
 import { describe, it } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { expect } from "earl";
-import { createResourceStack } from "../../src/protocol/resourceStack.ts";
-import {
-  createConfiguration,
-  createRegistryEntry,
-  createStoreWriters,
-} from "../../standIns/platform/platformSystem.ts";
-import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
-import { startStoreStandIn } from "../../standIns/platform/store.ts";
 import { waitUntil } from "../support/conditions.ts";
+import { startDeskSystem } from "../support/deskSystem.ts";
 import { startRouterProcess } from "../support/routerProcess.ts";
 
 /** Shorter than the grace time of the router, milliseconds. */
@@ -18,13 +11,9 @@
 
 describe("a router that is asked to end more than once", () => {
   it("serves a request within the grace time: a second SIGTERM cut it off", async () => {
-    await using resources = createResourceStack();
-    const store = resources.use(await startStoreStandIn());
-    const desk = resources.use(await startReplicaStandIn({ id: "desk-0", serviceTime }));
-    const { publish, register } = createStoreWriters(store);
-    publish(createConfiguration());
-    register(desk.id, createRegistryEntry("desk", desk, 1));
-    await using router = await startRouterProcess("router-0", store.address);
+    await using system = await startDeskSystem(["desk-0"], { serviceTime });
+    const { desk } = system;
+    await using router = await startRouterProcess("router-0", system.store.address);
     await waitUntil(async () => (await router.read()) === 200);
     const before = desk.runs.length;
     const request = router.read();
