--- a/bench/storeCalls/storeCalls.ts
+++ b/bench/storeCalls/storeCalls.ts
@@ -5,6 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
+import { defaultVm } from "../../src/daemons/vmSettings.ts";
 import { createResourceStack } from "../../src/protocol/resourceStack.ts";
 import type { ReplicaStandIn } from "../../standIns/platform/replica.ts";
 import { startReplicaStandIn } from "../../standIns/platform/replica.ts";
@@ -72,6 +73,7 @@
   metricsPort: 0,
   peers: { address: "127.0.0.1", port: firstPeerPort + index },
   store: { address: "127.0.0.1", port: Number(store.address.split(":")[1]) },
+  vm: defaultVm,
   guarantees: [],
   batchMemory: false,
   bounds,
--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -4,6 +4,7 @@
 import { fileError } from "../protocol/errors.ts";
 import { listSchemaProblems } from "../protocol/schemaProblems.ts";
 import { parseSettingsText, readSettingsText } from "./settingsFile.ts";
+import { vmSchema } from "./vmSettings.ts";
 import { maxPort } from "../protocol/networkAddress.ts";
 import { duration, hostAndPort, messageText } from "../protocol/usableValues.ts";
 
@@ -40,6 +41,7 @@
     .min(0)
     .optional()
     .describe("Bytes held for all callers that read slowly; 0 or absent: unbounded"),
+  vm: vmSchema,
   bounds: z.object({
     keyRevocation: duration,
     drain: duration,
--- a/src/daemons/routerSettings.ts
+++ b/src/daemons/routerSettings.ts
@@ -3,6 +3,7 @@
 import { listSchemaProblems } from "../protocol/schemaProblems.ts";
 import { fileError } from "../protocol/errors.ts";
 import { parseSettingsText, readSettingsText } from "./settingsFile.ts";
+import { vmSchema } from "./vmSettings.ts";
 
 const address = z.union([z.ipv4(), z.ipv6()]);
 const port = z.number().int().min(0).max(65535);
@@ -45,6 +46,7 @@
     .min(0)
     .optional()
     .describe("Ends a graceful shutdown although work is under way; without it nothing is cut"),
+  vm: vmSchema,
   logs: z.string().default("pomelocleat:*").describe("Namespaces of the debug library"),
   statsd: z.strictObject({ address, port }).optional(),
 });
--- a/standIns/platform/platformSystem.ts
+++ b/standIns/platform/platformSystem.ts
@@ -6,6 +6,7 @@
 import type { ForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import { startForwardingRouter } from "../../src/daemons/forwardingRouter.ts";
 import type { ForwardingSettings } from "../../src/daemons/forwardingSettings.ts";
+import { defaultVm } from "../../src/daemons/vmSettings.ts";
 import type { ReplicaSettings, ReplicaStandIn, ReportHeaders, ExecutedRequest } from "./replica.ts";
 import { startReplicaStandIn } from "./replica.ts";
 import type { PartitionMode, RouterNetwork } from "./routerNetwork.ts";
@@ -342,6 +343,7 @@
       readiness: anyPort,
       metricsPort: 0,
       peers: anyPort,
+      vm: defaultVm,
       store: { address: "127.0.0.1", port: Number(routerStore.address.split(":")[1]) },
       guarantees: [],
       batchMemory: false,
