--- a/tests/platform/foreignRecords.test.ts
+++ b/tests/platform/foreignRecords.test.ts
@@ -101,7 +101,7 @@
   it("costs its own work, and is logged with its key: it ended the router", async () => {
     await using system = await startDeskSystem(["desk-0"]);
     const program = new URL("../support/faultyRouter.js", import.meta.url);
-    await using router = await startRouterProcess("router-0", system.store.address, program);
+    await using router = await startRouterProcess("router-0", system.store.address, { program });
     await waitUntilServing([router]);
     // A replica that owes an answer makes the router look for its paths, and probe that replica.
     system.desk.setBehaviours("hang");
--- a/tests/support/deskSystem.ts
+++ b/tests/support/deskSystem.ts
@@ -23,6 +23,7 @@
 export const startDeskSystem = async (
   ids: readonly [string, ...string[]],
   settings: Partial<ReplicaSettings> = {},
+  configuration: unknown = createConfiguration(),
 ): Promise<DeskSystem> => {
   await using resources = createResourceStack();
   const store = resources.use(await startStoreStandIn());
@@ -32,7 +33,7 @@
     register(id, createRegistryEntry("desk", desk, 1));
     return desk;
   };
-  publish(createConfiguration());
+  publish(configuration);
   const [first, ...others] = ids;
   const desk = await start(first);
   for (const id of others) await start(id);
--- a/tests/support/routerProcess.ts
+++ b/tests/support/routerProcess.ts
@@ -24,6 +24,19 @@
   readonly lines: readonly Readonly<Record<string, unknown>>[];
   /** Sends a request to the plain service. @returns The status; 0 if no answer came. */
   readonly read: () => Promise<number>;
+  /** Where callers connect. */
+  readonly port: number;
+  readonly processId: number;
+}
+
+/** How a router's process is started. */
+export interface RouterProcessOptions {
+  /** The module of its entry point. */
+  readonly program?: URL;
+  /** Settings that override the defaults. */
+  readonly settings?: Readonly<Record<string, unknown>>;
+  /** Options of Node.js; `--enable-source-maps` by default. */
+  readonly runtimeOptions?: readonly string[];
 }
 
 /** Timeout of a request, milliseconds. */
@@ -45,25 +58,27 @@
 
 const deployedProgram = new URL("../../platform/main.js", import.meta.url);
 
-/**
- * Starts a router that uses a store.
- *
- * @param program - The module of its entry point.
- */
+/** Starts a router that uses a store. */
 export const startRouterProcess = async (
   name: string,
   store: string,
-  program = deployedProgram,
+  {
+    program = deployedProgram,
+    settings = {},
+    runtimeOptions = ["--enable-source-maps"],
+  }: RouterProcessOptions = {},
 ): Promise<RouterProcess> => {
   const directory = await mkdtemp(join(tmpdir(), "pomelocleat-router-"));
   const file = join(directory, "settings.json");
   const free = "127.0.0.1:0";
   const endpoints = { callers: free, readiness: free, peers: free, metricsPort: 0, store };
-  await writeFile(file, JSON.stringify({ name, dataCentre: "here", ...endpoints, bounds: defaultBounds }));
+  const defaults = { name, dataCentre: "here", ...endpoints, bounds: defaultBounds };
+  await writeFile(file, JSON.stringify({ ...defaults, ...settings }));
   const lines: Readonly<Record<string, unknown>>[] = [];
   const started = await startProcess(program, [], {
     environment: { [settingsVariable]: file },
     onLine: (line) => lines.push(JSON.parse(line) as Readonly<Record<string, unknown>>),
+    runtimeOptions,
   });
   let isRunning = true;
   const watching = started.ended.then(() => {
@@ -76,6 +91,8 @@
     ended: started.ended,
     lines,
     read: () => readFrom(started),
+    port: Number(new URL(started.url).port),
+    processId: started.processId,
     [Symbol.asyncDispose]: async () => {
       await started[Symbol.asyncDispose]();
       await watching;
--- a/tools/runTests.ts
+++ b/tools/runTests.ts
@@ -9,6 +9,9 @@
 
 const concurrency = 4;
 
+/** Tests that measure a process's memory run one file at a time, after all others. */
+const isExclusive = (file: string): boolean => file.includes("/exclusive/");
+
 /** @returns The names of the tests that may fail. */
 const readKnownFailures = (): readonly string[] =>
   (existsSync(knownFailuresFile) ? readFileSync(knownFailuresFile, "utf8") : "")
@@ -21,11 +24,18 @@
 
 const run = async (
   files: readonly string[],
+  concurrentFiles: number,
 ): Promise<{ readonly failed: readonly string[]; readonly isPassing: boolean }> => {
   const failed = new Set<string>();
   const runner = spawn(
     process.execPath,
-    ["--enable-source-maps", "--test", `--test-concurrency=${concurrency}`, "--test-reporter=tap", ...files],
+    [
+      "--enable-source-maps",
+      "--test",
+      `--test-concurrency=${concurrentFiles}`,
+      "--test-reporter=tap",
+      ...files,
+    ],
     { stdio: ["ignore", "pipe", "inherit"] },
   );
   let rest = "";
@@ -45,7 +55,16 @@
 };
 
 const knownFailures = readKnownFailures();
-const { failed, isPassing } = await run(process.argv.slice(2));
+const files = process.argv.slice(2);
+const results = [
+  await run(
+    files.filter((file) => !isExclusive(file)),
+    concurrency,
+  ),
+  await run(files.filter(isExclusive), 1),
+];
+const failed = results.flatMap((result) => result.failed);
+const isPassing = results.every((result) => result.isPassing);
 if (knownFailures.length > 0)
   console.log(`Known failures (${knownFailuresFile}):\n${readFileSync(knownFailuresFile, "utf8")}`);
 const unexpected = failed.filter((name) => !knownFailures.includes(name));
