--- a/src/protocol/forwarding/collectBody.ts
+++ b/src/protocol/forwarding/collectBody.ts
@@ -1,5 +1,6 @@
 /** Reads whole bodies, each up to a bound: a replica in trouble may send bytes that never end. */
 import { upstreamError } from "../errors.ts";
+import { createGrowingBytes } from "../growingBytes.ts";
 
 /** Longest body that is kept in memory, bytes. */
 export const maxCollectedBytes = 8_388_608;
@@ -17,14 +18,13 @@
   body: AsyncIterable<Buffer>,
   limit: number = maxCollectedBytes,
 ): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
-  let length = 0;
+  const contents = createGrowingBytes(limit);
   for await (const chunk of body) {
-    length += chunk.length;
-    if (length > limit) throw upstreamError(`the body is longer than ${limit} bytes`, "endless", "streaming");
-    chunks.push(chunk);
+    if (contents.length() + chunk.length > limit)
+      throw upstreamError(`the body is longer than ${limit} bytes`, "endless", "streaming");
+    contents.append(chunk);
   }
-  return Buffer.concat(chunks);
+  return contents.bytes();
 };
 
 /** What may be read of a body that is not needed, so that its connection can be used again. */
