--- a/src/coordination/forwarding/forwarder.ts
+++ b/src/coordination/forwarding/forwarder.ts
@@ -27,6 +27,13 @@
 }
 
 export interface Forwarder {
+  /**
+   * Checks what the head of a request already decides: its route, its key and the age of the configuration.
+   *
+   * @returns The name of its organisation; empty for none.
+   * @throws `RequestError` where the request can't be served.
+   */
+  readonly admitHead: (request: CallerRequest) => string;
   /**
    * Serves a request.
    *
@@ -168,6 +175,7 @@
   };
 
   return {
+    admitHead: (request) => admitOrLog(request).organisation?.name ?? "",
     forward: async (request, signal) => {
       const admission = admitOrLog(request);
       // The router that got it from the caller has counted it.
--- a/src/coordination/requests/routerFrontEnd.ts
+++ b/src/coordination/requests/routerFrontEnd.ts
@@ -67,6 +67,19 @@
   call: CallerServiceCall,
 ): boolean => routes.some((route) => route.method === call.method && call.path.startsWith(route.path));
 
+const checkHead = (
+  { authorization }: CallerHeaders,
+  countRefusal: (error: unknown) => void,
+  configuration: () => ConfigurationIndex,
+): string => {
+  try {
+    return authenticate(configuration(), authorization).name;
+  } catch (error) {
+    countRefusal(error);
+    throw error;
+  }
+};
+
 export const createRouterFrontEnd = (dependencies: RouterFrontEndDependencies): RouterFrontEnd => {
   const { metrics, clock } = dependencies;
   let openCount = 0;
@@ -118,6 +131,10 @@
   };
 
   class Implementation extends FrontEnd implements RouterFrontEnd {
+    override admitHead(callerHeaders: CallerHeaders): string {
+      return checkHead(callerHeaders, countRefusal, currentConfiguration);
+    }
+
     override complete(
       kind: CompletionRequest["kind"],
       callerHeaders: CallerHeaders,
--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -24,9 +24,12 @@
 import { createHolderName, startWeightsOrders } from "../coordination/forwarding/weightsOrders.ts";
 import { rendezvousFirst } from "../coordination/membership/rendezvous.ts";
 import type { ConnectPlatform, ForwardingPlatform } from "../protocol/forwarding/ForwardingPlatform.ts";
-import type { RouterEntry } from "../protocol/forwarding/types.ts";
+import type { CallerLimits, RouterEntry } from "../protocol/forwarding/types.ts";
+import type { ForwardingWire } from "../protocol/forwarding/ForwardingWire.ts";
+import type { ResourceStack } from "../protocol/resourceStack.ts";
 import { createResourceStack } from "../protocol/resourceStack.ts";
 import { metricNames } from "../state/constants.ts";
+import { createBodyMemory } from "../state/bodyMemory.ts";
 import { createLogger } from "../state/log.ts";
 import type { Metrics } from "../state/Metrics.ts";
 import { PrometheusMetrics } from "../transport/PrometheusMetrics.ts";
@@ -35,16 +38,25 @@
 import { startStatusServer } from "../transport/forwarding/statusServer.ts";
 import { createHttpRelayClient } from "../transport/forwarding/HttpRelayClient.ts";
 import { openPeerPort } from "../transport/forwarding/peerPort.ts";
+import type { RequestIntake } from "../transport/requestIntake.ts";
+import { createRequestIntake } from "../transport/requestIntake.ts";
+import type { RelayServerDependencies } from "../transport/forwarding/relayServer.ts";
 import { startRelayServer } from "../transport/forwarding/relayServer.ts";
 import type { ForwardingView } from "./forwardingView.ts";
 import { startForwardingView } from "./forwardingView.ts";
 import type { ForwardingSettings } from "./forwardingSettings.ts";
+import type { CallerBounds } from "./vmSettings.ts";
+import { deriveBodyBounds, deriveCallerBounds } from "./vmSettings.ts";
+import { steadyNow } from "../state/steadyTime.ts";
 import { onTaskFailure } from "../state/backgroundTasks.ts";
 
 const writeLog = createLogger("router");
 
 const millisecondsPerSecond = 1_000;
 
+/** Longest silence of a body until a configuration sets a limit, milliseconds. */
+const defaultIdleTimeout = 15_000;
+
 /** Size of the random id that identifies one start of a router; every message to peers carries it. */
 const incarnationBytes = 9;
 
@@ -165,6 +177,59 @@
   };
 };
 
+const createBoundedIntake = (
+  bounds: CallerBounds,
+  limits: () => CallerLimits | undefined,
+  metrics: Metrics,
+): RequestIntake => {
+  const bodyBounds = () =>
+    deriveBodyBounds(bounds, limits()?.bodyBytes ?? 0, limits()?.idleTimeout ?? defaultIdleTimeout);
+  return createRequestIntake(createBodyMemory(bodyBounds, metrics, steadyNow), metrics);
+};
+
+interface CallerServersDependencies {
+  readonly settings: ForwardingSettings;
+  readonly wire: ForwardingWire;
+  readonly forwarder: Forwarder;
+  readonly limits: () => CallerLimits | undefined;
+  readonly isReady: () => boolean;
+  readonly metrics: Metrics;
+}
+
+type RelayPort = Pick<
+  RelayServerDependencies,
+  "address" | "port" | "listener" | "incarnation" | "isRouterAddress"
+>;
+
+/** Starts the servers for callers and for other routers. @returns The one for callers. */
+const startCallerServers = async (
+  { settings, wire, forwarder, limits, isReady, metrics }: CallerServersDependencies,
+  relayPort: RelayPort,
+  resources: ResourceStack,
+): Promise<ForwardingServer> => {
+  const bounds = deriveCallerBounds(settings.vm);
+  const shared = {
+    wire,
+    admitHead: forwarder.admitHead,
+    forward: forwarder.forward,
+    limits,
+    // Shared by both servers, so that the bound holds for all requests of this process.
+    intake: resources.use(createBoundedIntake(bounds, limits, metrics)),
+    callerBufferBytes: settings.callerBufferBytes ?? bounds.answerBytes,
+    metrics,
+  };
+  const server = resources.use(
+    await startForwardingServer({
+      ...shared,
+      ...settings.callers,
+      // Closing the connection lets the caller reconnect through the load balancer to a router that is ready.
+      shouldCloseConnections: () => !isReady(),
+    }),
+  );
+  resources.use(await startRelayServer({ ...shared, ...relayPort }));
+  return server;
+};
+
 /** Counts failures of tasks in the background until it is disposed of. */
 const countTaskFailures = (metrics: Metrics): AsyncDisposable => {
   const stop = onTaskFailure((task) => metrics.count(metricNames.taskFailures, 1, { task }));
@@ -210,6 +275,8 @@
 
   const countRouters = (): number => forwardingView.peers.countServing();
   const { retryShare, reserveShare } = createMeasuredRetryShare(clock, bounds, metrics, countRouters);
+  /** Nothing to apply to until the servers have started. */
+  let applyLimits = (): void => undefined;
   const forwardingView = resources.use(
     startForwardingView({
       self,
@@ -222,7 +289,7 @@
       reserveShare,
       isPartitioned: () => decisions.paths.isPartitioned(),
       onConfiguration: () => {
-        server.applyLimits();
+        applyLimits();
         divideConnectionLimits(platform, forwardingView);
       },
     }),
@@ -279,33 +346,26 @@
     forwardingView.quarantine.isReady() &&
     admit.isFresh();
 
-  const server = resources.use(
-    await startForwardingServer({
-      address: settings.callers.address,
-      port: settings.callers.port,
+  const server = await startCallerServers(
+    {
+      settings,
       wire: platform.wire,
-      forward: forwarder.forward,
+      forwarder,
       limits: () => configuration.table()?.configuration.limits,
-      // Closing the connection lets the caller reconnect through the load balancer to a router that is ready.
-      shouldCloseConnections: () => !isReady(),
-      callerBufferBytes: settings.callerBufferBytes ?? 0,
+      isReady,
       metrics,
-    }),
-  );
-  resources.use(
-    await startRelayServer({
+    },
+    {
       address: self.address,
       port: self.port,
       listener,
       incarnation: self.incarnation,
       isRouterAddress: (address) => peers.serving().some(({ at }) => at.address === address),
-      wire: platform.wire,
-      forward: forwarder.forward,
-      limits: () => configuration.table()?.configuration.limits,
-      callerBufferBytes: settings.callerBufferBytes ?? 0,
-      metrics,
-    }),
+    },
+    resources,
   );
+  ({ applyLimits } = server);
+  applyLimits();
   const status = resources.use(
     await startStatusServer({
       readiness: settings.readiness,
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -16,7 +16,14 @@
 import { createLogger } from "../state/log.ts";
 import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import type { Metrics } from "../state/Metrics.ts";
-import { startCallerServer } from "../transport/callerServer.ts";
+import { steadyNow } from "../state/steadyTime.ts";
+import { createBodyMemory } from "../state/bodyMemory.ts";
+import type { FrontEnd } from "../protocol/FrontEnd.ts";
+import { maximumBodyBytes } from "../protocol/constants.ts";
+import type { CallerServer } from "../transport/callerServer.ts";
+import { completionExpansion, startCallerServer } from "../transport/callerServer.ts";
+import { createRequestIntake } from "../transport/requestIntake.ts";
+import { deriveBodyBounds, deriveCallerBounds } from "./vmSettings.ts";
 import { createGuardedAgent } from "../transport/connectionGuard.ts";
 import { createHttpLogService } from "../transport/httpLogService.ts";
 import { HttpModelEngine } from "../transport/HttpModelEngine.ts";
@@ -30,6 +37,9 @@
 
 const connectTimeout = 1_000;
 
+/** Longest silence of a body, milliseconds. */
+const bodyIdleTimeout = 30_000;
+
 const writeLog = createLogger("router");
 
 /** A running router. */
@@ -71,6 +81,23 @@
   inFlight: engine.inFlight,
 });
 
+/** Starts the server for callers, with the bounds that follow from the VM's limits. */
+const startBoundedServer = (
+  settings: RouterSettings,
+  frontEnd: FrontEnd,
+  metrics: Metrics,
+  resources: ResourceStack,
+): Promise<CallerServer> => {
+  const bounds = deriveCallerBounds(settings.vm);
+  const bodyBounds = deriveBodyBounds(bounds, maximumBodyBytes * completionExpansion, bodyIdleTimeout);
+  const memory = createBodyMemory(() => bodyBounds, metrics, steadyNow);
+  return startCallerServer(frontEnd, {
+    ...settings.callers,
+    keepAlive: settings.callerKeepAlive,
+    intake: resources.use(createRequestIntake(memory, metrics)),
+  });
+};
+
 /**
  * Starts a router.
  *
@@ -177,8 +204,7 @@
     views: { version, dump, engines },
   });
 
-  const { callerKeepAlive: keepAlive } = settings;
-  const server = resources.use(await startCallerServer(frontEnd, { ...settings.callers, keepAlive }));
+  const server = resources.use(await startBoundedServer(settings, frontEnd, metrics, resources));
   const peerUrl = await view.start();
   writeLog("listening", { router: settings.name, url: server.url, peerUrl, incarnation });
 
--- a/src/daemons/vmSettings.ts
+++ b/src/daemons/vmSettings.ts
@@ -1,5 +1,6 @@
 /** The part of the settings that says what a router's VM offers to its process. */
 import { z } from "zod";
+import type { BodyBounds } from "../state/bodyMemory.ts";
 
 /** Used where the settings name no VM. */
 export const defaultVm = { memoryMegabytes: 512, descriptors: 4_096 } as const;
@@ -24,3 +25,50 @@
 
 /** Validated limits. */
 export type VmLimits = Readonly<z.output<typeof vmSchema>>;
+
+const bytesPerMegabyte = 1_000_000;
+
+/** Resident size of a router's process without requests, MB. */
+const idleProcessMegabytes = 80;
+
+/** Shares of the memory beyond the process itself. */
+const memoryShares = { largeBodies: 1 / 4, smallBodies: 1 / 16, answers: 1 / 8 } as const;
+
+/** The least that answers which callers don't read may hold, bytes. */
+const leastAnswerBytes = 4_000_000;
+
+/** What all callers together may hold of a router. */
+export interface CallerBounds {
+  /** Bytes of large bodies. */
+  readonly largeBodyBytes: number;
+  /** Bytes of small bodies, in addition to what large ones leave. */
+  readonly smallBodyBytes: number;
+  /** Bytes of answers that callers don't read. */
+  readonly answerBytes: number;
+}
+
+/** @returns The bounds that follow from the VM's limits. */
+export const deriveCallerBounds = ({ memoryMegabytes }: VmLimits): CallerBounds => {
+  const available = Math.max(0, memoryMegabytes - idleProcessMegabytes) * bytesPerMegabyte;
+  return {
+    largeBodyBytes: available * memoryShares.largeBodies,
+    smallBodyBytes: available * memoryShares.smallBodies,
+    answerBytes: Math.max(leastAnswerBytes, available * memoryShares.answers),
+  };
+};
+
+/**
+ * Derives the bounds for bodies. Whatever the VM's memory, two bodies of the largest size fit at once, so that one
+ * organisation, which may hold half, always gets one served.
+ *
+ * @param largestBody - The largest body that is accepted, bytes.
+ * @param idleTimeout - Milliseconds.
+ */
+export const deriveBodyBounds = (
+  { largeBodyBytes, smallBodyBytes }: CallerBounds,
+  largestBody: number,
+  idleTimeout: number,
+): BodyBounds => {
+  const largeBytes = Math.max(largeBodyBytes, 2 * largestBody);
+  return { largeBytes, totalBytes: largeBytes + smallBodyBytes, ownerBytes: largeBytes / 2, idleTimeout };
+};
--- a/src/protocol/FrontEnd.ts
+++ b/src/protocol/FrontEnd.ts
@@ -73,6 +73,9 @@
 
 /** The router's interface for callers and operators, independent of the transport. Methods throw `RequestError`. */
 export abstract class FrontEnd {
+  /** Checks the key of a request, before its body has been received. @returns The name of its organisation. */
+  abstract admitHead(headers: CallerHeaders): string;
+
   /**
    * Runs a model request; resolves when the first pieces of the answer have arrived.
    *
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -56,6 +56,9 @@
   callersCutOff: "callers_cut_off",
   callerReadsStopped: "caller_reads_stopped",
   callerMemoryRefusals: "caller_memory_refusals",
+  bodyBytes: "body_bytes",
+  bodiesDropped: "bodies_dropped",
+  bodiesRefused: "bodies_refused",
 } as const;
 
 /** The name of a metric as it is emitted. */
--- a/src/transport/callerServer.test.ts
+++ b/src/transport/callerServer.test.ts
@@ -7,6 +7,7 @@
 import type { AnswerBatch, CompletionAnswer } from "../protocol/FrontEnd.ts";
 import { parseCompletionRequest } from "../protocol/completionRequest.ts";
 import { refusals } from "../coordination/requests/refusals.ts";
+import { createTestIntake } from "../../tests/support/callerIntake.ts";
 import { startCallerServer } from "./callerServer.ts";
 
 const batchCharacters = 64 * 1024;
@@ -18,6 +19,10 @@
 class EndlessFrontEnd extends FrontEnd {
   readonly read = { batches: 0, ended: false };
 
+  override admitHead(): string {
+    return "";
+  }
+
   override complete(): Promise<CompletionAnswer> {
     return Promise.resolve({
       requestId: "request",
@@ -87,6 +92,7 @@
       address: "127.0.0.1",
       port: 0,
       keepAlive: 5_000,
+      intake: createTestIntake(),
     });
     const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
     socket.pause();
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { H3, toNodeHandler } from "h3/node";
 import type { H3Event } from "h3/node";
-import { headers, outcomes } from "../protocol/constants.ts";
+import { headers, maximumBodyBytes, outcomes } from "../protocol/constants.ts";
 import { RequestError, requestError } from "../protocol/errors.ts";
 import type { RequestError as RequestFailureError } from "../protocol/errors.ts";
 import type { CallerHeaders, CompletionAnswer, FrontEnd, OperatorView } from "../protocol/FrontEnd.ts";
@@ -19,7 +19,9 @@
   streamErrorEvent,
   completionBody,
 } from "./callerAnswers.ts";
-import { readRequestBody } from "./requestBody.ts";
+import type { ReceivedBody, RequestIntake } from "./requestIntake.ts";
+import { hasBody } from "./requestIntake.ts";
+import { breakOff } from "./forwarding/breakOff.ts";
 import { runInBackground } from "../state/backgroundTasks.ts";
 
 const jsonType = { "content-type": "application/json" } as const;
@@ -32,6 +34,11 @@
 const keepAliveMargin = 1_000;
 const textEncoder = new TextEncoder();
 
+const emptyBody = Buffer.alloc(0);
+
+/** Bytes that a byte of a completion's body takes while its request is in progress: as text, and parsed. */
+export const completionExpansion = 3;
+
 /** A listening server. */
 export interface CallerServer extends AsyncDisposable {
   /** `http://IP:PORT`. */
@@ -167,11 +174,16 @@
 
 type Route = (request: IncomingMessage, response: ServerResponse) => Promise<Response>;
 
+/** The bodies of the requests in progress. */
+const receivedBodies = new WeakMap<IncomingMessage, ReceivedBody>();
+
+const bodyOf = (request: IncomingMessage): Buffer => receivedBodies.get(request)?.bytes ?? emptyBody;
+
 const completionRoute =
   (frontEnd: FrontEnd, kind: CompletionRequest["kind"]): Route =>
   async (request, response) => {
     const signal = createDisconnectSignal(response);
-    const body = (await readRequestBody(request)).toString("utf8");
+    const body = bodyOf(request).toString("utf8");
     const answer = await frontEnd.complete(kind, readCallerHeaders(request), body, signal);
     return answer.request.stream ? streamedResponse(answer) : await wholeResponse(answer);
   };
@@ -182,7 +194,7 @@
     const signal = createDisconnectSignal(response);
     const [, service, path = "/"] = serviceRoute.exec(request.url ?? "") ?? [];
     if (service === undefined) throw notFound();
-    const body = await readRequestBody(request);
+    const body = bodyOf(request);
     const call = {
       service: decodeURIComponent(service),
       method: request.method ?? "GET",
@@ -271,7 +283,7 @@
   while (performance.now() < startedAt + timeout && !(await isQuiet())) await sleep(connectionPollInterval);
 };
 
-/** The address that the server listens on, and its keep-alive timeout. */
+/** The address that the server listens on, and what callers may use. */
 export interface CallerServerOptions {
   /** An IP address. */
   readonly address: string;
@@ -279,24 +291,71 @@
   readonly port: number;
   /** How long an idle connection stays open, milliseconds; announced to callers in the `keep-alive` header. */
   readonly keepAlive: number;
+  readonly intake: RequestIntake;
 }
 
+/** The routes that need an organisation's key, so that it can be checked before the body is kept. */
+const keyedRoute = /^\/(v1|services)\//;
+
+/** @returns Memory that a byte of the body takes while its request is in progress, bytes. */
+const expansionOf = ({ url = "" }: IncomingMessage): number =>
+  url.startsWith("/v1/") ? completionExpansion : 1;
+
+const writeRefusal = (response: ServerResponse, intake: RequestIntake, error: unknown): void => {
+  const failure = asRequestError(error);
+  const body = Buffer.from(errorBody(failure));
+  response.writeHead(failure.failure.status, {
+    ...errorHeaders(failure),
+    "content-length": body.length,
+    // The unread rest of a refused body must not be parsed as the next request.
+    ...(response.req.complete ? {} : { connection: "close" }),
+  });
+  intake.endRefusal(response, body);
+};
+
+/** Receives the body of a request before it is handled. @returns Whether it can be handled; else it was refused. */
+const receiveBody = async (
+  frontEnd: FrontEnd,
+  intake: RequestIntake,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<boolean> => {
+  let body: ReceivedBody | undefined;
+  response.once("close", () => body?.release());
+  try {
+    const owner = keyedRoute.test(request.url ?? "") ? frontEnd.admitHead(readCallerHeaders(request)) : "";
+    const terms = { owner, limit: maximumBodyBytes, expansion: expansionOf(request) };
+    body = await intake.receive(request, response, terms);
+    receivedBodies.set(request, body);
+    if (response.destroyed) body.release();
+    return !response.destroyed;
+  } catch (error) {
+    if (response.headersSent || response.destroyed) breakOff(response);
+    else writeRefusal(response, intake, error);
+    return false;
+  }
+};
+
 /** Starts the server; resolves once it listens. */
 export const startCallerServer = async (
   frontEnd: FrontEnd,
-  { address, port, keepAlive }: CallerServerOptions,
+  { address, port, keepAlive, intake }: CallerServerOptions,
 ): Promise<CallerServer> => {
   const nodeHandler = toNodeHandler(createApp(frontEnd));
   let isKeepAliveDisabled = false;
   let lastConnectionAt = 0;
-  const server = createServer((request, response) => {
+  const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     if (isKeepAliveDisabled) response.shouldKeepAlive = false;
-    runInBackground("serveCaller", () => nodeHandler(request, response));
-  });
+    if (hasBody(request) && !(await receiveBody(frontEnd, intake, request, response))) return;
+    await nodeHandler(request, response);
+  };
+  const onRequest = (request: IncomingMessage, response: ServerResponse): void =>
+    runInBackground("serveCaller", () => serve(request, response));
+  // Long prompts and answers take long: requests are limited by the deadlines
+  // of their class, not by the server.
+  const server = createServer({ requestTimeout: 0, keepAliveTimeout: keepAlive }, onRequest);
+  server.on("checkContinue", onRequest);
   server.on("connection", () => (lastConnectionAt = performance.now()));
-  // Long prompts and answers take long: requests are limited by the deadlines of their class, not by the server.
-  server.requestTimeout = 0;
-  server.keepAliveTimeout = keepAlive;
   await listen(server, address, port);
   const boundAddress = server.address() as AddressInfo;
   const disableKeepAlive = (): void => {
--- a/src/transport/callerServerClose.test.ts
+++ b/src/transport/callerServerClose.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import type { FrontEnd } from "../protocol/FrontEnd.ts";
+import { createTestIntake } from "../../tests/support/callerIntake.ts";
 import { startCallerServer } from "./callerServer.ts";
 
 const requestReadiness = (socket: Socket): Promise<string> =>
@@ -23,6 +24,7 @@
       address: "127.0.0.1",
       port: 0,
       keepAlive: 60_000,
+      intake: createTestIntake(),
     });
     const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
     expect(await requestReadiness(socket)).toMatchRegex(/^HTTP\/1.1 503 [\s\S]*connection: keep-alive/i);
--- a/src/transport/forwarding/callerBuffers.test.ts
+++ b/src/transport/forwarding/callerBuffers.test.ts
@@ -9,6 +9,7 @@
 import { metricNames } from "../../state/constants.ts";
 import { unreadTimeLimit } from "../../state/forwarding/callerMemory.ts";
 import { MemoryMetrics } from "../../state/MemoryMetrics.ts";
+import { createTestIntake } from "../../../tests/support/callerIntake.ts";
 import { startForwardingServer } from "./forwardingServer.ts";
 
 const bound = 1_000_000;
@@ -44,8 +45,10 @@
     address: "127.0.0.1",
     port: 0,
     wire: { decodeRequest: (request: unknown) => request } as unknown as ForwardingWire,
+    admitHead: () => "",
     forward,
     limits: () => undefined,
+    intake: createTestIntake(),
     shouldCloseConnections: () => false,
     callerBufferBytes,
     metrics,
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -4,14 +4,15 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { AddressInfo, Server as NetServer, Socket } from "node:net";
 import { createServer } from "node:http";
-import { outcomes } from "../../protocol/constants.ts";
-import { requestError, RequestError } from "../../protocol/errors.ts";
+import { maximumBodyBytes, outcomes } from "../../protocol/constants.ts";
+import { requestError } from "../../protocol/errors.ts";
 import type { ForwardingWire } from "../../protocol/forwarding/ForwardingWire.ts";
 import type { CallerLimits, CallerRequest, ForwardedAnswer } from "../../protocol/forwarding/types.ts";
 import { callerMemoryRetryDelay } from "../../state/forwarding/callerMemory.ts";
-import { createLogger } from "../../state/log.ts";
 import type { Metrics } from "../../state/Metrics.ts";
-import type { CallerBuffer } from "./callerBuffers.ts";
+import type { ReceivedBody, RequestIntake } from "../requestIntake.ts";
+import { hasBody } from "../requestIntake.ts";
+import { createAnswerWriter } from "./answerWriter.ts";
 import { breakOff } from "./breakOff.ts";
 import type { SheddingListener } from "./sheddingListener.ts";
 import { startSheddingListener } from "./sheddingListener.ts";
@@ -30,6 +31,9 @@
   readonly limits: () => CallerLimits | undefined;
   /** True if answers carry `connection: close`, so that callers open another connection for their next request. */
   readonly shouldCloseConnections: () => boolean;
+  /** Checks what the head of a request already decides. @returns Its organisation; throws `RequestError`. */
+  readonly admitHead: (request: CallerRequest) => string;
+  readonly intake: RequestIntake;
   /** Bytes that answers to slow callers may hold together; 0 for no bound. */
   readonly callerBufferBytes: number;
   readonly metrics: Metrics;
@@ -44,7 +48,7 @@
   readonly port: number;
   /** Closes the connections without a request in progress. */
   readonly closeIdle: () => void;
-  /** Applies the current idle and header timeouts to the server. */
+  /** Applies the current idle timeout to the server. */
   readonly applyLimits: () => void;
 }
 
@@ -54,10 +58,7 @@
 /** How long a connection may be idle until a configuration sets a limit, milliseconds. */
 const defaultIdleTimeout = 15_000;
 
-const writeLog = createLogger("callers");
-
-const bodyTooLarge = () =>
-  requestError("The body is too large.", { status: 413, code: "body_too_large", outcome: outcomes.notRun });
+const emptyBody = Buffer.alloc(0);
 
 const headersTooLarge = () =>
   requestError("The headers are too large.", {
@@ -77,88 +78,45 @@
 const headerBytesOf = (rawHeaders: readonly string[]): number =>
   rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
-const readBody = async (request: IncomingMessage, limit: number): Promise<Buffer> => {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of request as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > limit) throw bodyTooLarge();
-    chunks.push(chunk);
-  }
-  return chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks);
-};
-
-const hasBody = ({ headers }: IncomingMessage): boolean =>
-  headers["transfer-encoding"] !== undefined || Number(headers["content-length"] ?? 0) > 0;
-
 /** Starts the server; resolves once it listens. */
 export const startForwardingServer = async (
   dependencies: ForwardingServerDependencies,
 ): Promise<ForwardingServer> => {
-  const { wire, forward, limits, shouldCloseConnections, mayConnect, commonHeaders = [] } = dependencies;
+  const {
+    wire,
+    forward,
+    limits,
+    intake,
+    shouldCloseConnections,
+    mayConnect,
+    commonHeaders = [],
+  } = dependencies;
   const buffers = createCallerBuffers({
     bound: dependencies.callerBufferBytes,
     metrics: dependencies.metrics,
   });
 
-  const decode = async (message: IncomingMessage): Promise<CallerRequest> => {
-    const arrivedAt = steadyNow();
+  const { writeAnswer, writeError } = createAnswerWriter({
+    intake,
+    buffers,
+    shouldCloseConnections,
+    commonHeaders,
+  });
+  const decodeHead = (message: IncomingMessage): CallerRequest => {
     const limit = limits();
     if (limit !== undefined && headerBytesOf(message.rawHeaders) > limit.headerBytes) throw headersTooLarge();
-    const body = hasBody(message)
-      ? await readBody(message, limit?.bodyBytes ?? Number.MAX_SAFE_INTEGER)
-      : Buffer.alloc(0);
     const { method = "GET", url: target = "/", rawHeaders: headers } = message;
-    return wire.decodeRequest({ method, target, headers, body, arrivedAt });
-  };
-
-  const writeError = (response: ServerResponse, error: unknown): void => {
-    const failure =
-      error instanceof RequestError
-        ? error.failure
-        : { status: 500, code: "internal_error", outcome: outcomes.outcomeUnknown };
-    if (!(error instanceof RequestError)) writeLog("internal_error", { reason: String(error) });
-    const body = Buffer.from(JSON.stringify({ error: { ...failure, message: (error as Error).message } }));
-    const { retryAfterSeconds } = failure as { readonly retryAfterSeconds?: number };
-    response.writeHead(failure.status, [
-      ...["content-type", "application/json", "content-length", String(body.length)],
-      ...(retryAfterSeconds === undefined ? [] : ["retry-after", retryAfterSeconds.toFixed(2)]),
-      // The unread rest of a refused body must not be parsed as the next request.
-      ...(response.req.complete && !shouldCloseConnections() ? [] : ["connection", "close"]),
-      ...commonHeaders,
-    ]);
-    response.end(body);
+    return wire.decodeRequest({ method, target, headers, body: emptyBody, arrivedAt: steadyNow() });
   };
 
-  const writeStream = async (
+  /** Refusals that the head alone decides come before any of the body is kept. */
+  const receiveBody = (
+    head: CallerRequest,
+    message: IncomingMessage,
     response: ServerResponse,
-    body: AsyncIterable<Buffer>,
-    buffer: CallerBuffer,
-  ): Promise<void> => {
-    for await (const chunk of body) {
-      if (chunk.length === 0) continue;
-      buffer.noteWritten(chunk.length);
-      if (!response.write(chunk) && !response.destroyed) await once(response, "drain").catch(() => undefined);
-      await buffer.mayContinue();
-      if (response.destroyed) return;
-    }
-    response.end();
-  };
-
-  const writeAnswer = async (response: ServerResponse, answer: ForwardedAnswer): Promise<void> => {
-    const { body } = answer;
-    const headers = [...withoutContentLength(answer.headers), ...commonHeaders];
-    if (Buffer.isBuffer(body)) headers.push("content-length", String(body.length));
-    if (shouldCloseConnections()) headers.push("connection", "close");
-    response.writeHead(answer.status, headers);
-    const buffer = buffers.track(response);
-    if (Buffer.isBuffer(body)) {
-      buffer.noteWritten(body.length);
-      response.end(body);
-      return;
-    }
-    response.flushHeaders();
-    await writeStream(response, body, buffer);
+  ): Promise<ReceivedBody> => {
+    const owner = dependencies.admitHead(head);
+    return intake.receive(message, response, { owner, limit: limits()?.bodyBytes ?? maximumBodyBytes });
   };
 
   const serve = async (message: IncomingMessage, response: ServerResponse): Promise<void> => {
@@ -166,16 +124,24 @@
     response.on("close", () => {
       if (!response.writableFinished) disconnected.abort();
     });
+    let body: ReceivedBody | undefined;
     try {
       if (buffers.mustRefuse()) throw callersTooSlow();
-      const answer = await forward(await decode(message), disconnected.signal);
+      const head = decodeHead(message);
+      if (hasBody(message)) body = await receiveBody(head, message, response);
+      const request = body === undefined ? head : { ...head, body: body.bytes };
+      const answer = await forward(request, disconnected.signal);
       await writeAnswer(response, answer);
     } catch (error) {
       if (response.headersSent || response.destroyed) breakOff(response);
       else writeError(response, error);
+    } finally {
+      body?.release();
     }
   };
 
+  const onRequest = (message: IncomingMessage, response: ServerResponse): void =>
+    runInBackground("serveCaller", () => serve(message, response));
   const server: Server = createServer(
     {
       maxHeaderSize: headerSizeHardLimit,
@@ -183,8 +149,9 @@
       requestTimeout: 0,
       noDelay: true,
     },
-    (message, response) => runInBackground("serveCaller", () => serve(message, response)),
+    onRequest,
   );
+  server.on("checkContinue", onRequest);
   server.on("connection", (socket) => {
     if (mayConnect?.(socket.remoteAddress ?? "") === false) socket.resetAndDestroy();
   });
@@ -232,13 +199,3 @@
     [Symbol.asyncDispose]: () => Promise.resolve(),
   };
 };
-
-/** Removes the upstream's `content-length`, which may not match the body that is written. */
-const withoutContentLength = (headers: readonly string[]): string[] => {
-  const kept: string[] = [];
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    const name = headers[index] ?? "";
-    if (name.toLowerCase() !== "content-length") kept.push(name, headers[index + 1] ?? "");
-  }
-  return kept;
-};
--- a/src/transport/forwarding/relayServer.ts
+++ b/src/transport/forwarding/relayServer.ts
@@ -17,7 +17,16 @@
 
 export interface RelayServerDependencies extends Pick<
   ForwardingServerDependencies,
-  "address" | "port" | "listener" | "wire" | "forward" | "limits" | "callerBufferBytes" | "metrics"
+  | "address"
+  | "port"
+  | "listener"
+  | "wire"
+  | "admitHead"
+  | "forward"
+  | "limits"
+  | "intake"
+  | "callerBufferBytes"
+  | "metrics"
 > {
   /** Identifies this process; a request that names another one is refused. */
   readonly incarnation: string;
