--- a/src/daemons/forwardingRouter.ts
+++ b/src/daemons/forwardingRouter.ts
@@ -38,6 +38,7 @@
 import { startStatusServer } from "../transport/forwarding/statusServer.ts";
 import { createHttpRelayClient } from "../transport/forwarding/HttpRelayClient.ts";
 import { openPeerPort } from "../transport/forwarding/peerPort.ts";
+import { observeConnections } from "../transport/connectionTable.ts";
 import type { RequestIntake } from "../transport/requestIntake.ts";
 import { createRequestIntake } from "../transport/requestIntake.ts";
 import type { RelayServerDependencies } from "../transport/forwarding/relayServer.ts";
@@ -222,11 +223,16 @@
     await startForwardingServer({
       ...shared,
       ...settings.callers,
+      name: "callers",
+      maxConnections: bounds.connections,
       // Closing the connection lets the caller reconnect through the load balancer to a router that is ready.
       shouldCloseConnections: () => !isReady(),
     }),
   );
-  resources.use(await startRelayServer({ ...shared, ...relayPort }));
+  const relay = resources.use(
+    await startRelayServer({ ...shared, ...relayPort, maxConnections: bounds.routerConnections }),
+  );
+  observeConnections(metrics, [server.connections, relay.connections]);
   return server;
 };
 
@@ -373,6 +379,7 @@
       isReadyPath: (path) => platform.wire.isReadyPath(path),
       isReady,
       metricsText: () => metrics.text(),
+      counters: metrics,
     }),
   );
   logStart(self, settings, server.port, features);
--- a/src/daemons/router.ts
+++ b/src/daemons/router.ts
@@ -95,6 +95,8 @@
     ...settings.callers,
     keepAlive: settings.callerKeepAlive,
     intake: resources.use(createRequestIntake(memory, metrics)),
+    maxConnections: bounds.connections,
+    metrics,
   });
 };
 
--- a/src/daemons/vmSettings.ts
+++ b/src/daemons/vmSettings.ts
@@ -34,6 +34,12 @@
 /** Shares of the memory beyond the process itself. */
 const memoryShares = { largeBodies: 1 / 4, smallBodies: 1 / 16, answers: 1 / 8 } as const;
 
+/** Descriptors that files of the process may use. */
+const fileDescriptors = 200;
+
+/** Shares of the descriptors for connections; the rest is for replicas, the store, readiness and metrics. */
+const connectionShares = { callers: 0.6, routers: 0.1 } as const;
+
 /** The least that answers which callers don't read may hold, bytes. */
 const leastAnswerBytes = 4_000_000;
 
@@ -45,15 +51,22 @@
   readonly smallBodyBytes: number;
   /** Bytes of answers that callers don't read. */
   readonly answerBytes: number;
+  /** Connections of callers. */
+  readonly connections: number;
+  /** Connections of other routers. */
+  readonly routerConnections: number;
 }
 
 /** @returns The bounds that follow from the VM's limits. */
-export const deriveCallerBounds = ({ memoryMegabytes }: VmLimits): CallerBounds => {
+export const deriveCallerBounds = ({ memoryMegabytes, descriptors }: VmLimits): CallerBounds => {
   const available = Math.max(0, memoryMegabytes - idleProcessMegabytes) * bytesPerMegabyte;
+  const sockets = Math.max(0, descriptors - fileDescriptors);
   return {
     largeBodyBytes: available * memoryShares.largeBodies,
     smallBodyBytes: available * memoryShares.smallBodies,
     answerBytes: Math.max(leastAnswerBytes, available * memoryShares.answers),
+    connections: Math.max(1, Math.floor(sockets * connectionShares.callers)),
+    routerConnections: Math.max(1, Math.floor(sockets * connectionShares.routers)),
   };
 };
 
--- a/src/state/constants.ts
+++ b/src/state/constants.ts
@@ -59,6 +59,8 @@
   bodyBytes: "body_bytes",
   bodiesDropped: "bodies_dropped",
   bodiesRefused: "bodies_refused",
+  connections: "caller_connections",
+  connectionsClosed: "caller_connections_closed",
 } as const;
 
 /** The name of a metric as it is emitted. */
--- a/src/transport/callerServer.test.ts
+++ b/src/transport/callerServer.test.ts
@@ -7,6 +7,7 @@
 import type { AnswerBatch, CompletionAnswer } from "../protocol/FrontEnd.ts";
 import { parseCompletionRequest } from "../protocol/completionRequest.ts";
 import { refusals } from "../coordination/requests/refusals.ts";
+import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import { createTestIntake } from "../../tests/support/callerIntake.ts";
 import { startCallerServer } from "./callerServer.ts";
 
@@ -93,6 +94,8 @@
       port: 0,
       keepAlive: 5_000,
       intake: createTestIntake(),
+      maxConnections: 100,
+      metrics: new MemoryMetrics(),
     });
     const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
     socket.pause();
--- a/src/transport/callerServer.ts
+++ b/src/transport/callerServer.ts
@@ -19,9 +19,11 @@
   streamErrorEvent,
   completionBody,
 } from "./callerAnswers.ts";
+import { createConnectionTable, observeConnections } from "./connectionTable.ts";
 import type { ReceivedBody, RequestIntake } from "./requestIntake.ts";
 import { hasBody } from "./requestIntake.ts";
 import { breakOff } from "./forwarding/breakOff.ts";
+import type { Metrics } from "../state/Metrics.ts";
 import { runInBackground } from "../state/backgroundTasks.ts";
 
 const jsonType = { "content-type": "application/json" } as const;
@@ -39,6 +41,9 @@
 /** Bytes that a byte of a completion's body takes while its request is in progress: as text, and parsed. */
 export const completionExpansion = 3;
 
+/** How long a connection may take for a head, and be idle before its first request, milliseconds. */
+const timeouts = { head: 10_000, idle: 60_000 } as const;
+
 /** A listening server. */
 export interface CallerServer extends AsyncDisposable {
   /** `http://IP:PORT`. */
@@ -292,6 +297,9 @@
   /** How long an idle connection stays open, milliseconds; announced to callers in the `keep-alive` header. */
   readonly keepAlive: number;
   readonly intake: RequestIntake;
+  /** Connections of callers and operators at once. */
+  readonly maxConnections: number;
+  readonly metrics: Metrics;
 }
 
 /** The routes that need an organisation's key, so that it can be checked before the body is kept. */
@@ -339,23 +347,38 @@
 /** Starts the server; resolves once it listens. */
 export const startCallerServer = async (
   frontEnd: FrontEnd,
-  { address, port, keepAlive, intake }: CallerServerOptions,
+  { address, port, keepAlive, intake, maxConnections, metrics }: CallerServerOptions,
 ): Promise<CallerServer> => {
   const nodeHandler = toNodeHandler(createApp(frontEnd));
+  const idle = Math.max(timeouts.idle, keepAlive + 2 * keepAliveMargin);
+  const connections = createConnectionTable({
+    server: "callers",
+    maximum: () => maxConnections,
+    timeouts: () => ({ head: timeouts.head, idle }),
+    metrics,
+  });
+  observeConnections(metrics, [connections]);
   let isKeepAliveDisabled = false;
   let lastConnectionAt = 0;
   const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
     if (isKeepAliveDisabled) response.shouldKeepAlive = false;
+    connections.noteRequest(request, response);
     if (hasBody(request) && !(await receiveBody(frontEnd, intake, request, response))) return;
     await nodeHandler(request, response);
   };
   const onRequest = (request: IncomingMessage, response: ServerResponse): void =>
     runInBackground("serveCaller", () => serve(request, response));
-  // Long prompts and answers take long: requests are limited by the deadlines
+  // The connection table closes what is late. Long prompts and answers take long: requests are limited by the deadlines
   // of their class, not by the server.
-  const server = createServer({ requestTimeout: 0, keepAliveTimeout: keepAlive }, onRequest);
+  const server = createServer(
+    { headersTimeout: 0, requestTimeout: 0, keepAliveTimeout: keepAlive },
+    onRequest,
+  );
   server.on("checkContinue", onRequest);
-  server.on("connection", () => (lastConnectionAt = performance.now()));
+  server.on("connection", (socket) => {
+    lastConnectionAt = performance.now();
+    connections.add(socket);
+  });
   await listen(server, address, port);
   const boundAddress = server.address() as AddressInfo;
   const disableKeepAlive = (): void => {
@@ -376,6 +399,7 @@
     disableKeepAlive,
     close,
     [Symbol.asyncDispose]: async () => {
+      await connections[Symbol.asyncDispose]();
       server.closeAllConnections();
       await closeServer();
     },
--- a/src/transport/callerServerClose.test.ts
+++ b/src/transport/callerServerClose.test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { expect } from "earl";
 import type { FrontEnd } from "../protocol/FrontEnd.ts";
+import { MemoryMetrics } from "../state/MemoryMetrics.ts";
 import { createTestIntake } from "../../tests/support/callerIntake.ts";
 import { startCallerServer } from "./callerServer.ts";
 
@@ -25,6 +26,8 @@
       port: 0,
       keepAlive: 60_000,
       intake: createTestIntake(),
+      maxConnections: 100,
+      metrics: new MemoryMetrics(),
     });
     const socket = connect(Number(new URL(server.url).port), "127.0.0.1");
     expect(await requestReadiness(socket)).toMatchRegex(/^HTTP\/1.1 503 [\s\S]*connection: keep-alive/i);
--- a/src/transport/forwarding/callerBuffers.test.ts
+++ b/src/transport/forwarding/callerBuffers.test.ts
@@ -49,6 +49,8 @@
     forward,
     limits: () => undefined,
     intake: createTestIntake(),
+    maxConnections: 100,
+    name: "callers",
     shouldCloseConnections: () => false,
     callerBufferBytes,
     metrics,
--- a/src/transport/forwarding/forwardingServer.ts
+++ b/src/transport/forwarding/forwardingServer.ts
@@ -10,6 +10,8 @@
 import type { CallerLimits, CallerRequest, ForwardedAnswer } from "../../protocol/forwarding/types.ts";
 import { callerMemoryRetryDelay } from "../../state/forwarding/callerMemory.ts";
 import type { Metrics } from "../../state/Metrics.ts";
+import type { ConnectionTable } from "../connectionTable.ts";
+import { createConnectionTable } from "../connectionTable.ts";
 import type { ReceivedBody, RequestIntake } from "../requestIntake.ts";
 import { hasBody } from "../requestIntake.ts";
 import { createAnswerWriter } from "./answerWriter.ts";
@@ -36,6 +38,9 @@
   readonly intake: RequestIntake;
   /** Bytes that answers to slow callers may hold together; 0 for no bound. */
   readonly callerBufferBytes: number;
+  readonly maxConnections: number;
+  /** Tells the servers of one process apart in logs and metrics. */
+  readonly name: string;
   readonly metrics: Metrics;
   /** Whether a caller at an IP address may connect; by default any may. */
   readonly mayConnect?: (address: string) => boolean;
@@ -50,13 +55,17 @@
   readonly closeIdle: () => void;
   /** Applies the current idle timeout to the server. */
   readonly applyLimits: () => void;
+  readonly connections: Pick<ConnectionTable, "count">;
 }
 
 /** Larger headers are refused regardless of the configuration, bytes. */
 const headerSizeHardLimit = 65_536;
 
-/** How long a connection may be idle until a configuration sets a limit, milliseconds. */
-const defaultIdleTimeout = 15_000;
+/** Until a configuration sets limits, milliseconds. */
+const defaultTimeouts = { head: 3_000, idle: 15_000 } as const;
+
+/** Requests of one connection in progress at once; a caller that sends more ahead is refused. */
+const maxPipelined = 16;
 
 const emptyBody = Buffer.alloc(0);
 
@@ -75,6 +84,14 @@
     retryAfterSeconds: callerMemoryRetryDelay / 1_000,
   });
 
+const tooManyPipelined = () =>
+  requestError("Too many requests of this connection are in progress; the request has not run.", {
+    status: 503,
+    code: "too_many_pipelined",
+    outcome: outcomes.notRun,
+    retryAfterSeconds: callerMemoryRetryDelay / 1_000,
+  });
+
 const headerBytesOf = (rawHeaders: readonly string[]): number =>
   rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
@@ -102,6 +119,16 @@
     shouldCloseConnections,
     commonHeaders,
   });
+  const connections = createConnectionTable({
+    server: dependencies.name,
+    maximum: () => dependencies.maxConnections,
+    timeouts: () => {
+      const limit = limits();
+      return limit === undefined ? defaultTimeouts : { head: limit.headerTimeout, idle: limit.idleTimeout };
+    },
+    metrics: dependencies.metrics,
+  });
+
   const decodeHead = (message: IncomingMessage): CallerRequest => {
     const limit = limits();
     if (limit !== undefined && headerBytesOf(message.rawHeaders) > limit.headerBytes) throw headersTooLarge();
@@ -126,6 +153,7 @@
     });
     let body: ReceivedBody | undefined;
     try {
+      if (connections.noteRequest(message, response) > maxPipelined) throw tooManyPipelined();
       if (buffers.mustRefuse()) throw callersTooSlow();
       const head = decodeHead(message);
       if (hasBody(message)) body = await receiveBody(head, message, response);
@@ -145,7 +173,10 @@
   const server: Server = createServer(
     {
       maxHeaderSize: headerSizeHardLimit,
-      keepAliveTimeout: defaultIdleTimeout,
+      keepAliveTimeout: defaultTimeouts.idle,
+      // The connection table closes what is late: the server would look only every 30 seconds, and close connections
+      // without a byte as if they were late with a head.
+      headersTimeout: 0,
       requestTimeout: 0,
       noDelay: true,
     },
@@ -154,6 +185,7 @@
   server.on("checkContinue", onRequest);
   server.on("connection", (socket) => {
     if (mayConnect?.(socket.remoteAddress ?? "") === false) socket.resetAndDestroy();
+    else connections.add(socket);
   });
   server.on("clientError", (_error, socket) => {
     if (socket.writable)
@@ -163,15 +195,16 @@
 
   return {
     port: listening.port,
+    connections,
     closeIdle: () => server.closeIdleConnections(),
     applyLimits: () => {
       const limit = limits();
       if (limit === undefined) return;
       server.keepAliveTimeout = limit.idleTimeout;
-      server.headersTimeout = limit.headerTimeout;
     },
     [Symbol.asyncDispose]: async () => {
       buffers.stop();
+      await connections[Symbol.asyncDispose]();
       await listening[Symbol.asyncDispose]();
       server.close();
       server.closeAllConnections();
--- a/src/transport/forwarding/relayServer.ts
+++ b/src/transport/forwarding/relayServer.ts
@@ -26,6 +26,7 @@
   | "limits"
   | "intake"
   | "callerBufferBytes"
+  | "maxConnections"
   | "metrics"
 > {
   /** Identifies this process; a request that names another one is refused. */
@@ -117,6 +118,7 @@
 
   return startForwardingServer({
     ...dependencies,
+    name: "relay",
     wire: new RelayWire(dependencies.wire, incarnation, () => noteRejected("process")),
     forward: async (request, signal) => {
       if (inProgress >= maxRelayed) throw relayBusy();
