--- a/soak/platform/faultInjector.ts
+++ b/soak/platform/faultInjector.ts
@@ -9,6 +9,7 @@
 import type { SoakCallers } from "./callers.ts";
 import { floodingOrganisation } from "./callers.ts";
 import { createForeignRecords } from "../../standIns/platform/foreignRecords.ts";
+import { holdCrowd } from "./misbehavingClients.ts";
 import type { LoopbackProxy, ProxyMode } from "./loopbackProxy.ts";
 import type { Step, StepKind } from "./plan.ts";
 import { maxAddedReserve } from "./retryBudgetCheck.ts";
@@ -426,6 +427,7 @@
     connectionHerd: ({ duration }) => runLoad("connectionHerd", duration),
     answersDoNotEnd: ({ target, duration }) => answerEndlessly(pickReplica(target), duration),
     foreignRecords: ({ target, duration }) => writeForeignRecords(system.store, target, duration),
+    clientsMisbehave: ({ target, duration }) => holdCrowd(system.routers, target, duration),
     takeKey,
     nameWeights,
     organisationFloods: ({ duration }) => runLoad("organisationFloods", duration),
--- a/soak/platform/main.ts
+++ b/soak/platform/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --streams --partitions --moves --crashes --records --suspend --shrink --logs DIR]`:
+ * `npm run soak:platform [-- --seed N --seeds 1 --seconds 20 --routers 4 --engines 4 --desks 3 --reports --returns --registry --load --streams --partitions --moves --crashes --records --clients --suspend --shrink --logs DIR]`:
  * runs routers as processes with the platform's stand-in, under the faults of a seeded plan. Exit code 1 if an
  * invariant was violated; the plan and the routers' logs of such a run are written to the directory of `--logs`.
  */
@@ -36,6 +36,7 @@
     moves: { type: "boolean", default: false },
     crashes: { type: "boolean", default: false },
     records: { type: "boolean", default: false },
+    clients: { type: "boolean", default: false },
     suspend: { type: "boolean", default: false },
     shrink: { type: "boolean", default: false },
     logs: { type: "string", default: "build/soak" },
@@ -65,6 +66,7 @@
   "moves",
   "crashes",
   "records",
+  "clients",
 ] as const;
 
 const createSeedPlan = (seed: number): readonly Step[] => {
--- a/soak/platform/plan.ts
+++ b/soak/platform/plan.ts
@@ -84,6 +84,9 @@
 /** All kinds, and records of other writers in each topic of the store. Half of the steps. */
 const recordStepKinds = [...registryStepKinds, ...asMany("foreignRecords")] as const;
 
+/** All kinds, and callers that don't behave, at all routers. Half of the steps. */
+const clientStepKinds = [...registryStepKinds, ...asMany("clientsMisbehave")] as const;
+
 /** The kinds of steps, by what a run is about. */
 export const stepKinds = {
   default: defaultStepKinds,
@@ -96,6 +99,7 @@
   moves: moveStepKinds,
   crashes: crashStepKinds,
   records: recordStepKinds,
+  clients: clientStepKinds,
 } as const;
 
 export type StepTopic = keyof typeof stepKinds;
--- a/soak/platform/seeds.test.ts
+++ b/soak/platform/seeds.test.ts
@@ -70,6 +70,12 @@
     cause: "records of other writers, in each topic, whose values can't be used",
     topic: "records",
   },
+  {
+    seed: 92,
+    seconds: 8,
+    cause: "callers whose bodies stop short or exceed the limit, while routers end and start",
+    topic: "clients",
+  },
 ];
 
 describe("router processes under injected faults", () => {
--- a/soak/platform/soakSystem.ts
+++ b/soak/platform/soakSystem.ts
@@ -141,6 +141,9 @@
 
 const maxLogLines = 200_000;
 
+/** The smallest VM that routers are deployed on. */
+const smallestVm = { memoryMegabytes: 88, descriptors: 3_075 } as const;
+
 /** Creates a router's loopback address; concurrent runs use different networks. */
 const createRouterAddress = (network: number, index: number): string =>
   `127.${100 + (network % 100)}.${Math.floor(network / 100) % 250}.${10 + index}`;
@@ -172,6 +175,7 @@
     metricsPort: 0,
     peers: `${address}:${ports.peers}`,
     store,
+    vm: smallestVm,
     bounds: { ...bounds, retryReserve },
   });
 
--- a/tests/exclusive/crowdsAtDaemon.test.ts
+++ b/tests/exclusive/crowdsAtDaemon.test.ts
@@ -48,6 +48,7 @@
   if (router === undefined) throw new Error("The system has no router.");
   const { url, processId } = router.process;
   return {
+    host: "127.0.0.1",
     port: Number(new URL(url).port),
     processId,
     headOf: createHead,
--- a/tests/exclusive/crowdsAtPlatformRouter.test.ts
+++ b/tests/exclusive/crowdsAtPlatformRouter.test.ts
@@ -51,6 +51,7 @@
     runtimeOptions,
   });
   return {
+    host: "127.0.0.1",
     port: router.port,
     processId: router.processId,
     headOf: createHead,
--- a/tests/support/clientCrowd.ts
+++ b/tests/support/clientCrowd.ts
@@ -3,6 +3,7 @@
 import type { Socket } from "node:net";
 import { connect } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
+import type { HostAndPort } from "../../src/protocol/networkAddress.ts";
 
 /** How a body is sent. Sizes are bytes of the body, without its framing. */
 export interface BodyForm {
@@ -75,8 +76,12 @@
  * Opens a connection and sends a head, and a body until it has been sent as described, an answer comes, or the
  * connection is closed or stopped.
  */
-export const openCaller = async (port: number, head: string, form?: BodyForm): Promise<CrowdCaller> => {
-  const socket = connect({ port, host: "127.0.0.1", noDelay: true });
+export const openCaller = async (
+  { host, port }: HostAndPort,
+  head: string,
+  form?: BodyForm,
+): Promise<CrowdCaller> => {
+  const socket = connect({ host, port, noDelay: true });
   let received = "";
   let hasAnswer = false;
   const answered = new Promise<string>((resolve) => {
--- a/tests/support/crowdTrial.ts
+++ b/tests/support/crowdTrial.ts
@@ -1,11 +1,11 @@
 /** Runs a crowd of callers against a router process and observes what becomes of the process and of others. */
+import type { HostAndPort } from "../../src/protocol/networkAddress.ts";
 import type { BodyForm, CrowdCaller } from "./clientCrowd.ts";
 import { openCaller, readProcessUse } from "./clientCrowd.ts";
 import { timeUntil } from "./conditions.ts";
 
 /** A router process that a crowd calls. */
-export interface CrowdTarget extends AsyncDisposable {
-  readonly port: number;
+export interface CrowdTarget extends AsyncDisposable, HostAndPort {
   readonly processId: number;
   /** @returns The head of a request with a body; a chunked one if no length is announced. */
   readonly headOf: (announced: number | undefined, key?: "known" | "unknown") => string;
@@ -85,7 +85,7 @@
   report: (text: string) => void,
 ): Promise<CrowdOutcome> => {
   const head = target.headOf(body.announced, key);
-  const callers = await Promise.all(Array.from({ length: count }, () => openCaller(target.port, head, body)));
+  const callers = await Promise.all(Array.from({ length: count }, () => openCaller(target, head, body)));
   const outcome = await observe(target, vm, report);
   await disposeOfAll(callers);
   return outcome;
@@ -99,7 +99,7 @@
   report: (text: string) => void,
 ): Promise<CrowdOutcome> => {
   const callers = await Promise.all(
-    Array.from({ length: count }, (_, index) => openCaller(target.port, texts[index % texts.length] ?? "")),
+    Array.from({ length: count }, (_, index) => openCaller(target, texts[index % texts.length] ?? "")),
   );
   const outcome = await observe(target, vm, report);
   await disposeOfAll(callers);
@@ -114,7 +114,7 @@
   report: (text: string) => void,
 ): Promise<{ readonly status: number; readonly isWithinMemory: boolean }> => {
   await timeUntil(patience, target.isServing);
-  const caller = await openCaller(target.port, target.headOf(body.announced), body);
+  const caller = await openCaller(target, target.headOf(body.announced), body);
   const answer = await caller.answered;
   await caller[Symbol.asyncDispose]();
   const peakMemory = readProcessUse(target.processId)?.peakMemory ?? Number.POSITIVE_INFINITY;
