--- a/src/daemons/forwardingSettings.ts
+++ b/src/daemons/forwardingSettings.ts
@@ -40,7 +40,7 @@
     .int()
     .min(0)
     .optional()
-    .describe("Bytes held for all callers that read slowly; 0 or absent: unbounded"),
+    .describe("Bytes held for all callers that read slowly; 0: unbounded; absent: by the memory of the VM"),
   vm: vmSchema,
   bounds: z.object({
     keyRevocation: duration,
--- a/src/transport/connectionTable.ts
+++ b/src/transport/connectionTable.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 import { metricNames } from "../state/constants.ts";
 import { createCountedLog } from "../state/countedLog.ts";
+import { createLogger } from "../state/log.ts";
 import type { GaugeValue, Metrics } from "../state/Metrics.ts";
 import { steadyNow } from "../state/steadyTime.ts";
 
@@ -52,6 +53,8 @@
 /** Why a connection is closed. */
 type CloseReason = "late_head" | "idle" | "too_many";
 
+const writeLog = createLogger("callers");
+
 interface TrackedConnection {
   readonly socket: Socket;
   requests: number;
@@ -76,7 +79,7 @@
   const idle = new Set<TrackedConnection>();
   /** Connections whose request is still being received, the oldest request first. */
   const receiving = new Set<TrackedConnection>();
-  const logClosed = createCountedLog("callers", "connections_closed");
+  const logClosed = createCountedLog((fields) => writeLog("connections_closed", fields));
 
   const noteClosed = (reason: CloseReason): void => {
     metrics.count(metricNames.connectionsClosed, 1, { server, reason });
--- a/src/transport/requestIntake.ts
+++ b/src/transport/requestIntake.ts
@@ -8,6 +8,7 @@
 import type { RequestError } from "../protocol/errors.ts";
 import { requestError } from "../protocol/errors.ts";
 import { createCountedLog } from "../state/countedLog.ts";
+import { createLogger } from "../state/log.ts";
 import { metricNames } from "../state/constants.ts";
 import type { BodyHold, BodyMemory, DropReason } from "../state/bodyMemory.ts";
 import type { Metrics } from "../state/Metrics.ts";
@@ -36,6 +37,8 @@
 /** Connections that may be read on after a refusal; of more, the oldest is closed. */
 const maxLingering = 64;
 
+const writeLog = createLogger("callers");
+
 /** The body of a request. */
 export interface ReceivedBody {
   /** Valid until it is released. */
@@ -167,7 +170,7 @@
 /** Starts the intake of a process; all of its servers for callers share it. */
 export const createRequestIntake = (memory: BodyMemory, metrics: Metrics): RequestIntake => {
   const lingering = new Set<ServerResponse>();
-  const logRefused = createCountedLog("callers", "bodies_refused");
+  const logRefused = createCountedLog((fields) => writeLog("bodies_refused", fields));
   const timer = setInterval(() => memory.dropSlow(), slowCheckInterval);
   timer.unref();
 
