--- a/src/state/bufferGarbage.ts
+++ b/src/state/bufferGarbage.ts
@@ -6,13 +6,13 @@
 import { runInNewContext } from "node:vm";
 
 /** Garbage after which it is collected, bytes. */
-const collectionInterval = 4_194_304;
+const collectionInterval = 2_097_152;
 
 /** Memory of the objects that belong to one buffer, bytes. */
 const bufferOverhead = 512;
 
 /** Of so many collections one covers all objects: buffers that outlived two collections are found by no other. */
-const collectionsPerMajor = 16;
+const collectionsPerMajor = 4;
 
 type Collect = (options?: { readonly type: "minor" }) => void;
 
--- a/src/transport/requestIntake.ts
+++ b/src/transport/requestIntake.ts
@@ -159,8 +159,9 @@
       if (fragmented && !hold.mayFragment()) throw tooFragmented();
       const missing = contents.missingFor(chunk);
       if (missing > 0 && !hold.charge(missing * expansion)) throw outOfMemory();
+      // The first chunk is kept as it is, the others are copied.
+      if (contents.length() > 0) noteGarbage(chunk.length);
       contents.append(chunk);
-      noteGarbage(chunk.length);
       hold.noteReceived(chunk.length);
       return fragmented;
     },
