--- a/src/state/bodyMemory.test.ts
+++ b/src/state/bodyMemory.test.ts
@@ -131,11 +131,11 @@
 describe("bodies in very small chunks", () => {
   it("are received two at a time, and one that stands still yields", () => {
     const { drops, receive, wait } = createFixture();
-    expect(receive("first", "one", 1_000).mayFragment()).toEqual(true);
-    expect(receive("second", "one", 1_000).mayFragment()).toEqual(true);
-    expect(receive("third", "two", 1_000).mayFragment()).toEqual(false);
+    expect(receive("first", "one", 1_000).admitFragments()).toEqual(true);
+    expect(receive("second", "one", 1_000).admitFragments()).toEqual(true);
+    expect(receive("third", "two", 1_000).admitFragments()).toEqual(false);
     wait(1_000);
-    expect(receive("fourth", "two", 1_000).mayFragment()).toEqual(true);
+    expect(receive("fourth", "two", 1_000).admitFragments()).toEqual(true);
     expect(drops).toEqual(["first fragmented"]);
   });
 });
--- a/src/state/bodyMemory.ts
+++ b/src/state/bodyMemory.ts
@@ -34,7 +34,7 @@
   readonly charge: (bytes: number) => boolean;
   readonly noteReceived: (bytes: number) => void;
   /** @returns Whether the body may be received in very small chunks; otherwise it has to be refused. */
-  readonly mayFragment: () => boolean;
+  readonly admitFragments: () => boolean;
   /** From here on the body yields to no other. */
   readonly complete: () => void;
   readonly release: () => void;
@@ -157,7 +157,8 @@
     return isLarge(bytes) && ownerBytes(body.owner) - own + bytes > bounds().ownerBytes;
   };
 
-  const makeRoom = (body: TrackedBody, candidates: readonly TrackedBody[]): boolean => {
+  /** Drops a body in favour of another one. @returns Whether one was dropped. */
+  const dropOne = (body: TrackedBody, candidates: readonly TrackedBody[]): boolean => {
     const others = candidates.filter((each) => each !== body);
     const victim = findLaggard(others, now()) ?? findNewestOfLargest(candidates, sumByOwner(bodies));
     if (victim === undefined || victim === body) return false;
@@ -165,21 +166,23 @@
     return !bodies.has(victim);
   };
 
-  const canHold = (body: TrackedBody, bytes: number): boolean => {
+  /** Drops other bodies until one can be charged so much. @returns Whether it can. */
+  const makeRoomFor = (body: TrackedBody, bytes: number): boolean => {
     while (exceedsOwnerBound(body, bytes)) {
       const own = receiving().filter(({ owner, charged }) => owner === body.owner && isLarge(charged));
-      if (!makeRoom(body, [...own.filter((each) => each !== body), body])) return false;
+      if (!dropOne(body, [...own.filter((each) => each !== body), body])) return false;
     }
     while (missingFor(body, bytes) > 0) {
       const holding = receiving().filter(
         ({ charged }) => charged > 0 && (!isLarge(bytes) || isLarge(charged)),
       );
-      if (!makeRoom(body, [...holding.filter((each) => each !== body), body])) return false;
+      if (!dropOne(body, [...holding.filter((each) => each !== body), body])) return false;
     }
     return true;
   };
 
-  const mayFragment = (body: TrackedBody): boolean => {
+  /** Admits a body in very small chunks, in place of one that lags if there are too many. */
+  const admitFragments = (body: TrackedBody): boolean => {
     if (body.isFragmented) return true;
     const others = receiving().filter(({ isFragmented }) => isFragmented);
     if (others.length >= maxFragmented) {
@@ -207,7 +210,7 @@
       bodies.add(body);
       return {
         charge: (bytes) => {
-          if (!canHold(body, body.charged + bytes)) return false;
+          if (!makeRoomFor(body, body.charged + bytes)) return false;
           setCharged(body, body.charged + bytes);
           return true;
         },
@@ -215,7 +218,7 @@
           body.received += bytes;
           body.receivedAt = now();
         },
-        mayFragment: () => mayFragment(body),
+        admitFragments: () => admitFragments(body),
         complete: () => {
           body.isReceiving = false;
         },
--- a/src/transport/requestIntake.ts
+++ b/src/transport/requestIntake.ts
@@ -156,7 +156,7 @@
       chunks += 1;
       if (contents.length() + chunk.length > limit) throw bodyTooLarge();
       const fragmented = isFragmented();
-      if (fragmented && !hold.mayFragment()) throw tooFragmented();
+      if (fragmented && !hold.admitFragments()) throw tooFragmented();
       const missing = contents.missingFor(chunk);
       if (missing > 0 && !hold.charge(missing * expansion)) throw outOfMemory();
       // The first chunk is kept as it is, the others are copied.
