--- a/tests/exclusive/crowdsAtPlatformRouter.test.ts
+++ b/tests/exclusive/crowdsAtPlatformRouter.test.ts
@@ -4,7 +4,7 @@
 import { expect } from "earl";
 import { callHeaders, createConfiguration, hosts, keys } from "../../standIns/platform/platformSystem.ts";
 import type { BodyForm } from "../support/clientCrowd.ts";
-import type { Crowd, CrowdTarget } from "../support/crowdTrial.ts";
+import type { Crowd, CrowdTarget, VmBounds } from "../support/crowdTrial.ts";
 import { openCrowd, sendCrowd, sendInCalm, unharmed } from "../support/crowdTrial.ts";
 import { startDeskSystem } from "../support/deskSystem.ts";
 import { startRouterProcess } from "../support/routerProcess.ts";
@@ -44,10 +44,10 @@
   return `POST /post/thing HTTP/1.1\r\n${lines.join("")}\r\n`;
 };
 
-const startTarget = async (maxBodyBytes: number): Promise<CrowdTarget> => {
+const startTarget = async (maxBodyBytes: number, limits: VmBounds = vm): Promise<CrowdTarget> => {
   const system = await startDeskSystem(["desk-0"], {}, createLimitedConfiguration(maxBodyBytes));
   const router = await startRouterProcess("router-0", system.store.address, {
-    settings: { vm },
+    settings: { vm: limits },
     runtimeOptions,
   });
   return {
@@ -113,6 +113,15 @@
   });
 });
 
+describe("the platform's router outlives", () => {
+  it("connections with long parts of heads, at the platform's router", async (test) => {
+    const largeVm = { ...vm, descriptors: 3_075 };
+    await using target = await startTarget(bodyLimit, largeVm);
+    const crowd = { callers: 1_700, texts: [`POST /post/thing HTTP/1.1\r\nx-long: ${"x".repeat(60_000)}`] };
+    expect(await openCrowd(target, largeVm, crowd, (text) => test.diagnostic(text))).toEqual(unharmed);
+  });
+});
+
 const calmBodies: Readonly<Record<string, BodyForm>> = {
   "a whole body": { announced: bodyLimit, pieceBytes: bodyLimit, sentBytes: bodyLimit },
   "a body in pieces": { announced: bodyLimit, pieceBytes: 4_096, sentBytes: bodyLimit },
