--- a/src/state/bodyMemory.ts
+++ b/src/state/bodyMemory.ts
@@ -55,7 +55,7 @@
 /** Bodies up to this size also use the part of the bound that is kept from large ones, bytes. */
 export const smallBodyBytes = 131_072;
 
-/** A body that has been received for less than this yields only to its own organisation, milliseconds. */
+/** A body that has begun more recently than this yields only if its organisation holds most, milliseconds. */
 const graceTime = 1_000;
 
 /** Bytes per millisecond below which a body is too slow once {@link BodyBounds.idleTimeout} has passed. */
